Serve requests end to end through three routers

Cause: the repository was empty. Change: design page; pure decision code for fairness, shares, grants, limits and placement; drivers over falcon, aiohttp and pyzmq; object API, engine and ledger stand-ins; demo and tests.

--- /dev/null
+++ b/src/carobstair/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command line programs, one module each."""
--- /dev/null
+++ b/src/carobstair/core/shares.py
@@ -0,0 +1,257 @@
+"""Shares of each upstream's capacity, fixed by the fleet epoch.
+
+Every member of an epoch holds a part of each upstream's limit that follows from
+the epoch alone. The parts add up to the limit whatever a member believes about
+who is alive, so no election and no store call stands on the request path.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from functools import lru_cache
+
+import xxhash
+
+from carobstair.core.messages import PeerAddress
+
+__all__ = [
+    "Epoch",
+    "MemberId",
+    "ShareTable",
+    "SlotShare",
+    "rendezvous_rank",
+    "split_limit",
+]
+
+# With few members everybody holds a part of everything, so that a cut-off router
+# can serve on its own. With many, four holders keep the messages per node flat.
+ALL_HOLD_UP_TO_MEMBERS = 8
+HOLDERS = 4
+
+MemberId = tuple[str, int]
+"""Instance and incarnation of a process."""
+
+
+def rendezvous_rank(key: str, names: Iterable[str]) -> list[str]:
+    """Return names in the order of their rendezvous hash with a key."""
+
+    def rank(name: str) -> int:
+        return xxhash.xxh3_64_intdigest(f"{key}\0{name}".encode())
+
+    return sorted(names, key=rank, reverse=True)
+
+
+def split_limit(limit: int, rank: int, holders: int) -> int:
+    """Return the part of a limit that the holder of a rank has."""
+    if not 0 <= rank < holders:
+        return 0
+    return limit // holders + (1 if rank < limit % holders else 0)
+
+
+@dataclass(frozen=True, slots=True)
+class SlotShare:
+    """What one process may have in use on one upstream.
+
+    Attributes
+    ----------
+    quick_slots : int
+        Part of `request_slots` that long requests leave free.
+    """
+
+    request_slots: int = 0
+    kv_tokens: int = 0
+    quick_slots: int = 0
+
+    def least(self, other: SlotShare) -> SlotShare:
+        """Return the lower of two shares, number by number."""
+        return SlotShare(
+            min(self.request_slots, other.request_slots),
+            min(self.kv_tokens, other.kv_tokens),
+            min(self.quick_slots, other.quick_slots),
+        )
+
+    def plus(self, other: SlotShare) -> SlotShare:
+        """Return the sum of two shares, number by number."""
+        return SlotShare(
+            self.request_slots + other.request_slots,
+            self.kv_tokens + other.kv_tokens,
+            self.quick_slots + other.quick_slots,
+        )
+
+
+@dataclass(frozen=True)
+class Epoch:
+    """A numbered membership that the object API holds.
+
+    Attributes
+    ----------
+    departed : tuple of (str, int)
+        Former members whose grants may still run; their shares stay closed
+        until these have lapsed.
+    """
+
+    number: int
+    members: tuple[PeerAddress, ...] = ()
+    departed: tuple[MemberId, ...] = ()
+
+    def member_ids(self) -> frozenset[MemberId]:
+        """Return (instance, incarnation) of every member."""
+        return frozenset((m.instance, m.incarnation) for m in self.members)
+
+    def holders(self, upstream: str) -> list[MemberId]:
+        """Return the members that hold shares of an upstream, by rank."""
+        return _holders(self, upstream)
+
+    def share(
+        self,
+        owner: MemberId,
+        upstream: str,
+        max_requests: int,
+        max_kv_tokens: int,
+        quick_fraction: float,
+    ) -> SlotShare:
+        """Return what a member holds of an upstream's limits."""
+        holders = self.holders(upstream)
+        if owner not in holders:
+            return SlotShare()
+        rank, count = holders.index(owner), len(holders)
+        reserve = int(max_requests * quick_fraction)
+        return SlotShare(
+            split_limit(max_requests, rank, count),
+            split_limit(max_kv_tokens, rank, count),
+            split_limit(reserve, rank, count),
+        )
+
+
+@lru_cache(maxsize=8192)
+def _holders(epoch: Epoch, upstream: str) -> list[MemberId]:
+    by_name = {m.instance: (m.instance, m.incarnation) for m in epoch.members}
+    count = len(by_name) if len(by_name) <= ALL_HOLD_UP_TO_MEMBERS else HOLDERS
+    return [by_name[name] for name in rendezvous_rank(upstream, by_name)[:count]]
+
+
+class ShareTable:
+    """The shares of one process through changes of the epoch.
+
+    A process uses the least of its shares under all epochs that it knows and
+    that are not settled. The newest epoch is settled once every other member of
+    these epochs has acknowledged exactly this epoch, or has departed and its
+    grants have lapsed. An acknowledgement of another number does not count,
+    because its sender may use more than its share under this epoch.
+
+    Parameters
+    ----------
+    owner : tuple of (str, int)
+        Instance and incarnation of the process.
+    lapse_s : float
+        Time after which grants of a departed process have surely lapsed.
+    """
+
+    def __init__(self, owner: MemberId, lapse_s: float):
+        self._owner = owner
+        self._lapse_s = lapse_s
+        self._settled = Epoch(0)
+        self._pending: list[Epoch] = []
+        self._acked: set[MemberId] = set()
+        self._departed_at_s: dict[MemberId, float] = {}
+        self._received: dict[int, set[MemberId]] = {}
+        self._given_away: set[int] = set()
+
+    @property
+    def epoch(self) -> Epoch:
+        """The newest epoch known."""
+        return self._pending[-1] if self._pending else self._settled
+
+    @property
+    def in_transition(self) -> bool:
+        """Whether the newest epoch is not settled yet."""
+        return bool(self._pending)
+
+    def learn(self, epoch: Epoch, now_s: float) -> bool:
+        """Take in an epoch and return whether it was news."""
+        if epoch.number <= self.epoch.number:
+            return False
+        self._pending.append(epoch)
+        self._acked = set()
+        for member in epoch.departed:
+            self._departed_at_s.setdefault(member, now_s)
+        self.settle(now_s)
+        return True
+
+    def acknowledge(self, member: MemberId, number: int, now_s: float) -> None:
+        """Record that a member's grants fit its shares under an epoch."""
+        if self._pending and number == self.epoch.number:
+            self._acked.add(member)
+            self.settle(now_s)
+
+    def settle(self, now_s: float) -> None:
+        """Go over to the newest epoch if nobody can be using more than it allows."""
+        if not self._pending or any(self.unsettled_members(now_s)):
+            return
+        self._settled = self._pending[-1]
+        self._pending = []
+        number = self._settled.number
+        self._received = {n: m for n, m in self._received.items() if n >= number}
+        self._given_away = {n for n in self._given_away if n >= number}
+
+    def unsettled_members(self, now_s: float) -> list[MemberId]:
+        """Return the members whose acknowledgement is missing."""
+        concerned: set[MemberId] = set()
+        for epoch in (self._settled, *self._pending):
+            concerned |= epoch.member_ids() | set(epoch.departed)
+        concerned.discard(self._owner)
+        return sorted(
+            member for member in concerned if not self._is_safe(member, now_s)
+        )
+
+    def give_away(self) -> int:
+        """Stop using the own shares and return the epoch they belong to."""
+        self._given_away.add(self.epoch.number)
+        return self.epoch.number
+
+    def receive(self, epoch_number: int, member: MemberId) -> bool:
+        """Take over the shares that a leaving member gave away."""
+        if epoch_number != self.epoch.number:
+            return False
+        self._received.setdefault(epoch_number, set()).add(member)
+        return True
+
+    def share(
+        self,
+        upstream: str,
+        max_requests: int,
+        max_kv_tokens: int,
+        quick_fraction: float,
+    ) -> SlotShare:
+        """Return what this process may have in use on an upstream now."""
+        limits = (upstream, max_requests, max_kv_tokens, quick_fraction)
+        least = self._held(self._settled, limits)
+        for epoch in self._pending:
+            least = least.least(self._held(epoch, limits))
+        return least
+
+    def target_share(
+        self,
+        upstream: str,
+        max_requests: int,
+        max_kv_tokens: int,
+        quick_fraction: float,
+    ) -> SlotShare:
+        """Return the share under the newest epoch alone."""
+        limits = (upstream, max_requests, max_kv_tokens, quick_fraction)
+        return self._held(self.epoch, limits)
+
+    def _is_safe(self, member: MemberId, now_s: float) -> bool:
+        if member in self._acked:
+            return True
+        departed_at_s = self._departed_at_s.get(member)
+        return departed_at_s is not None and now_s >= departed_at_s + self._lapse_s
+
+    def _held(self, epoch: Epoch, limits: tuple[str, int, int, float]) -> SlotShare:
+        share = SlotShare()
+        if epoch.number not in self._given_away:
+            share = epoch.share(self._owner, *limits)
+        for member in self._received.get(epoch.number, ()):
+            share = share.plus(epoch.share(member, *limits))
+        return share
--- /dev/null
+++ b/src/carobstair/metrics.py
@@ -0,0 +1,90 @@
+"""Prometheus metrics of a router; labels are bounded by the tickets in force."""
+
+from __future__ import annotations
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+
+__all__ = ["RouterMetrics"]
+
+FIRST_TOKEN_BUCKETS_S = (0.02, 0.05, 0.1, 0.2, 0.4, 0.64, 1.0, 2.0, 5.0, 15.0, 60.0)
+TOKEN_INTERVAL_BUCKETS_S = (0.01, 0.02, 0.04, 0.06, 0.08, 0.12, 0.25, 0.5, 1.0, 2.0)
+
+
+class RouterMetrics:
+    """All metrics of one router process, in a registry of its own."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self.requests = self._counter(
+            "requests",
+            "Requests that ended, by outcome",
+            ("workspace", "work_class", "outcome"),
+        )
+        self.refusals = self._counter(
+            "refusals", "Refusals by type", ("workspace", "type", "ran")
+        )
+        self.first_token_s = self._histogram(
+            "first_token_seconds",
+            "Time from arrival to the first token",
+            ("workspace", "work_class"),
+            FIRST_TOKEN_BUCKETS_S,
+        )
+        self.token_interval_s = self._histogram(
+            "token_interval_seconds",
+            "Time between two tokens of one answer",
+            ("workspace",),
+            TOKEN_INTERVAL_BUCKETS_S,
+        )
+        self.served_tokens = self._counter(
+            "served_tokens",
+            "Service given in weighted tokens",
+            ("pool", "workspace"),
+        )
+        self.peer_bytes = self._counter(
+            "peer_bytes", "Bytes between routers", ("direction", "kind")
+        )
+        self.peer_messages = self._counter(
+            "peer_messages", "Messages between routers", ("direction", "kind")
+        )
+        self.peer_dropped = self._counter(
+            "peer_messages_dropped", "Peer messages that were dropped", ("reason",)
+        )
+        self.store_calls = self._counter(
+            "store_calls", "Calls to the object API", ("operation", "outcome")
+        )
+        self.in_force = self._gauge("ticket_in_force", "Highest ticket in force", ())
+        self.epoch = self._gauge("epoch", "Newest fleet epoch known", ())
+        self.slots = self._gauge(
+            "upstream_slots",
+            "Request slots of this router's share",
+            ("upstream", "state"),
+        )
+        self.limit = self._gauge(
+            "upstream_limit", "Limit in force on an upstream", ("upstream",)
+        )
+        self.waiting = self._gauge(
+            "waiting_requests", "Requests that wait", ("pool", "workspace")
+        )
+        self.resumed = self._counter(
+            "streams_resumed", "Streams resumed on another grant", ("reason",)
+        )
+        self.mismatched = self._counter(
+            "answers_mismatched", "Answers that belonged to another request", ()
+        )
+
+    def _counter(self, name: str, text: str, labels: tuple[str, ...]) -> Counter:
+        return Counter(f"carobstair_{name}", text, labels, registry=self.registry)
+
+    def _gauge(self, name: str, text: str, labels: tuple[str, ...]) -> Gauge:
+        return Gauge(f"carobstair_{name}", text, labels, registry=self.registry)
+
+    def _histogram(
+        self,
+        name: str,
+        text: str,
+        labels: tuple[str, ...],
+        buckets: tuple[float, ...],
+    ) -> Histogram:
+        return Histogram(
+            f"carobstair_{name}", text, labels, buckets=buckets, registry=self.registry
+        )
--- /dev/null
+++ b/src/carobstair/models.py
@@ -0,0 +1,289 @@
+"""Validated models of what crosses the border: tickets and request bodies."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import asdict
+from typing import Annotated, Any
+
+from pydantic import (
+    BaseModel,
+    ConfigDict,
+    Field,
+    StringConstraints,
+    ValidationError,
+    model_validator,
+)
+
+from carobstair.core.messages import PeerAddress
+from carobstair.core.shares import Epoch
+from carobstair.core.state import (
+    AvailabilityZone,
+    FleetState,
+    Route,
+    Ticket,
+    Upstream,
+    UpstreamKind,
+    UpstreamState,
+    Workspace,
+)
+
+__all__ = [
+    "ChatRequestModel",
+    "ModelError",
+    "TicketModel",
+    "decode_epoch",
+    "decode_state",
+    "decode_ticket",
+    "encode_epoch",
+    "encode_state",
+    "encode_ticket",
+]
+
+Name = Annotated[str, StringConstraints(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")]
+KeyHash = Annotated[str, StringConstraints(pattern=r"^[0-9a-f]{64}$")]
+Address = Annotated[str, StringConstraints(pattern=r"^https?://[^/\s]+$")]
+
+
+class ModelError(ValueError):
+    """Input that fails validation; the text names the field."""
+
+
+class _Strict(BaseModel):
+    model_config = ConfigDict(extra="forbid")
+
+
+class RouteModel(_Strict):
+    """A route of a plain service."""
+
+    method: str = "*"
+    path_prefix: str = "/"
+    repeatable: bool
+
+
+class WorkspaceModel(_Strict):
+    """A workspace as a ticket states it."""
+
+    weight: float = Field(gt=0, le=1_000_000)
+    key_hashes: list[KeyHash] = []
+    pools: list[Name] = []
+    max_waiting_requests: int = Field(200, ge=1, le=100_000)
+    max_waiting_bytes: int = Field(8_000_000, ge=1)
+    max_connections: int = Field(500, ge=1)
+
+
+class UpstreamModel(_Strict):
+    """An upstream as a ticket states it."""
+
+    pool: Name
+    kind: UpstreamKind
+    address: Address
+    zone: Name
+    state: UpstreamState = UpstreamState.LIVE
+    cold_limit: int = Field(1, ge=1)
+    max_requests: int = Field(16, ge=1)
+    max_kv_tokens: int = Field(200_000, ge=1)
+    checks_fencing: bool = False
+    wanted_versions: list[str] = []
+    wanted_role: str = ""
+    routes: list[RouteModel] = []
+
+    @model_validator(mode="after")
+    def _limits_agree(self) -> UpstreamModel:
+        if self.cold_limit > self.max_requests:
+            raise ValueError("cold_limit must not exceed max_requests")
+        return self
+
+
+class ZoneModel(_Strict):
+    """An availability zone as a ticket states it."""
+
+    in_service: bool
+
+
+class TicketModel(_Strict):
+    """A change ticket as operators file it.
+
+    An object set to null is removed.
+    """
+
+    number: int | None = Field(None, ge=1)
+    submission_id: str = Field("", max_length=64)
+    author: str = Field("", max_length=200)
+    workspaces: dict[Name, WorkspaceModel | None] = {}
+    upstreams: dict[Name, UpstreamModel | None] = {}
+    zones: dict[Name, ZoneModel | None] = {}
+
+    @model_validator(mode="after")
+    def _touches_something(self) -> TicketModel:
+        if not (self.workspaces or self.upstreams or self.zones):
+            raise ValueError("a ticket must touch a workspace, an upstream or a zone")
+        return self
+
+    def to_core(self) -> Ticket:
+        """Return the ticket as a data class."""
+        return Ticket(
+            self.number or 0,
+            self.submission_id,
+            self.author,
+            {n: m and _workspace(n, m) for n, m in self.workspaces.items()},
+            {n: m and _upstream(n, m) for n, m in self.upstreams.items()},
+            {n: m and AvailabilityZone(n, m.in_service) for n, m in self.zones.items()},
+        )
+
+
+class _StateModel(_Strict):
+    number: int = Field(ge=0)
+    workspaces: dict[Name, WorkspaceModel]
+    upstreams: dict[Name, UpstreamModel]
+    zones: dict[Name, ZoneModel]
+
+
+class MessageModel(BaseModel):
+    """One message of a chat request; unknown members pass through."""
+
+    model_config = ConfigDict(extra="allow")
+    role: str
+    content: Any = ""
+
+
+class ChatRequestModel(BaseModel):
+    """The members of a chat request that routing reads; others pass through."""
+
+    model_config = ConfigDict(extra="allow")
+    model: Name
+    messages: list[MessageModel] = Field(min_length=1)
+    stream: bool = False
+    max_tokens: Any = None
+
+    def prompt(self) -> str:
+        """Return all message texts, for size and prefix."""
+        return "\n".join(f"{m.role}: {m.content}" for m in self.messages)
+
+
+def parse_model(model: type[BaseModel], data: bytes) -> Any:
+    """Return a validated model from JSON.
+
+    Raises
+    ------
+    ModelError
+        With the first field at fault in its text.
+    """
+    try:
+        return model.model_validate_json(data)
+    except ValidationError as error:
+        raise ModelError(describe(error)) from error
+
+
+def describe(error: ValidationError) -> str:
+    """Return one line that names each field at fault."""
+    lines = []
+    for item in error.errors(include_url=False, include_context=False):
+        where = ".".join(str(part) for part in item["loc"]) or "body"
+        lines.append(f"{where}: {item['msg']}")
+    return "; ".join(lines[:5])
+
+
+def encode_ticket(ticket: TicketModel) -> bytes:
+    """Return a ticket as the JSON that the object API holds."""
+    return ticket.model_dump_json(exclude_defaults=True).encode()
+
+
+def decode_ticket(data: bytes) -> Ticket:
+    """Return a stored ticket.
+
+    Raises
+    ------
+    ModelError
+        If the bytes are not a ticket.
+    """
+    return parse_model(TicketModel, data).to_core()
+
+
+def encode_state(state: FleetState) -> bytes:
+    """Return a snapshot of the fleet state as JSON."""
+    document = {
+        "number": state.number,
+        "workspaces": {n: _fields(w) for n, w in state.workspaces.items()},
+        "upstreams": {n: _fields(u) for n, u in state.upstreams.items()},
+        "zones": {n: _fields(z) for n, z in state.zones.items()},
+    }
+    return json.dumps(document, sort_keys=True).encode()
+
+
+def decode_state(data: bytes) -> FleetState:
+    """Return the fleet state of a snapshot.
+
+    Raises
+    ------
+    ModelError
+        If the bytes are not a snapshot.
+    """
+    model = parse_model(_StateModel, data)
+    return FleetState(
+        model.number,
+        {n: _workspace(n, m) for n, m in model.workspaces.items()},
+        {n: _upstream(n, m) for n, m in model.upstreams.items()},
+        {n: AvailabilityZone(n, m.in_service) for n, m in model.zones.items()},
+    )
+
+
+def encode_epoch(epoch: Epoch) -> bytes:
+    """Return an epoch as JSON."""
+    document = {
+        "number": epoch.number,
+        "members": [
+            [m.instance, m.incarnation, m.host, m.peer_port, m.http_port, m.zone]
+            for m in epoch.members
+        ],
+        "departed": [list(member) for member in epoch.departed],
+    }
+    return json.dumps(document).encode()
+
+
+def decode_epoch(data: bytes) -> Epoch:
+    """Return the epoch that the object API holds.
+
+    Raises
+    ------
+    ModelError
+        If the bytes are not an epoch.
+    """
+    try:
+        document = json.loads(data)
+        members = tuple(PeerAddress(*member) for member in document["members"])
+        departed = tuple((str(i), int(n)) for i, n in document.get("departed", []))
+        return Epoch(int(document["number"]), members, departed)
+    except (ValueError, TypeError, KeyError) as error:
+        raise ModelError(f"epoch: {error}") from error
+
+
+def _workspace(name: str, model: WorkspaceModel) -> Workspace:
+    return Workspace(
+        name,
+        model.weight,
+        tuple(model.key_hashes),
+        frozenset(model.pools),
+        model.max_waiting_requests,
+        model.max_waiting_bytes,
+        model.max_connections,
+    )
+
+
+def _upstream(name: str, model: UpstreamModel) -> Upstream:
+    fields = model.model_dump(exclude={"routes", "wanted_versions"})
+    routes = tuple(Route(r.method, r.path_prefix, r.repeatable) for r in model.routes)
+    return Upstream(
+        name=name,
+        routes=routes,
+        wanted_versions=tuple(model.wanted_versions),
+        **fields,
+    )
+
+
+def _fields(value: Workspace | Upstream | AvailabilityZone) -> dict[str, Any]:
+    document = asdict(value)
+    del document["name"]
+    if "pools" in document:
+        document["pools"] = sorted(document["pools"])
+    return document
--- /dev/null
+++ b/src/carobstair/net/__init__.py
@@ -0,0 +1,1 @@
+"""Drivers that carry the decisions of `carobstair.core` over the network."""
--- /dev/null
+++ b/src/carobstair/net/router.py
@@ -0,0 +1,121 @@
+"""Assembly of a router process from its parts."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import time
+
+from carobstair.core.messages import PeerAddress
+from carobstair.core.state import FleetState
+from carobstair.logs import get_logger
+from carobstair.metrics import RouterMetrics
+from carobstair.net.agent import Agent
+from carobstair.net.app import make_app
+from carobstair.net.capacity import CapacityDriver
+from carobstair.net.gateway import Gateway
+from carobstair.net.http import HttpServer
+from carobstair.net.peers import PeerTransport
+from carobstair.net.upstream import UpstreamClient
+from carobstair.platform import ObjectApi
+from carobstair.settings import RouterSettings
+
+__all__ = ["Router"]
+
+logger = get_logger(__name__)
+
+PEER_REFRESH_S = 0.25
+
+
+class Router:
+    """One router: gateway, allocator and agent in one event loop.
+
+    Parameters
+    ----------
+    settings : RouterSettings
+    """
+
+    def __init__(self, settings: RouterSettings):
+        self._settings = settings
+        instance = settings.instance
+        # Milliseconds of the wall clock grow from one start to the next, and the
+        # platform keeps the clocks of its instances within that.
+        incarnation = time.time_ns() // 1_000_000
+        self.own = PeerAddress(
+            instance.name,
+            incarnation,
+            instance.host,
+            instance.peer_port,
+            instance.http_port,
+            instance.zone,
+        )
+        self.metrics = RouterMetrics()
+        self._store = ObjectApi(settings.platform, self._count_store_call)
+        self._peers = PeerTransport(self.own, instance, settings.peers, self.metrics)
+        self._upstreams = UpstreamClient(settings.gateway)
+        self.capacity = CapacityDriver(
+            self.own, settings, self._peers, self._upstreams, self.metrics
+        )
+        self.agent = Agent(
+            self.own,
+            settings,
+            self._peers,
+            self._store,
+            self.capacity.shares,
+            self.metrics,
+            self._on_state,
+        )
+        self.gateway = Gateway(settings, self.capacity, self._upstreams, self.metrics)
+        app = make_app(self.gateway, self.agent, self.metrics, settings)
+        self._server = HttpServer(app, instance.host, instance.http_port)
+        self._stopping = asyncio.Event()
+
+    async def run(self) -> None:
+        """Serve until a signal, then finish what runs and leave."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._on_signal)
+        work = [
+            asyncio.create_task(self._peers.run()),
+            asyncio.create_task(self.agent.run()),
+            asyncio.create_task(self.capacity.run()),
+            asyncio.create_task(self._refresh_peers()),
+        ]
+        serving = asyncio.create_task(self._server.serve())
+        logger.info("router_started", instance=self.own.instance, zone=self.own.zone)
+        await self._stopping.wait()
+        await self._drain()
+        self._server.stop()
+        await serving
+        for task in work:
+            task.cancel()
+        await asyncio.gather(*work, return_exceptions=True)
+        await self._upstreams.close()
+        await self._store.close()
+        self._peers.close()
+        logger.info("router_stopped", instance=self.own.instance)
+
+    def _on_state(self, state: FleetState) -> None:
+        self.capacity.set_state(state)
+
+    def _on_signal(self) -> None:
+        if self._stopping.is_set():
+            # The operator asked twice: end at once.
+            raise SystemExit(1)
+        self._stopping.set()
+
+    async def _drain(self) -> None:
+        self.agent.leaving = True
+        await asyncio.sleep(self._settings.gateway.balancer_lag_s)
+        self.gateway.refuses_new = True
+        limit_s = time.monotonic() + self._settings.gateway.shutdown_limit_s
+        while self.gateway.running and time.monotonic() < limit_s:
+            await asyncio.sleep(0.05)
+
+    async def _refresh_peers(self) -> None:
+        while True:
+            self.capacity.live_peers = self.agent.live_peers()
+            await asyncio.sleep(PEER_REFRESH_S)
+
+    def _count_store_call(self, operation: str, outcome: str) -> None:
+        self.metrics.store_calls.labels(operation, outcome).inc()
--- /dev/null
+++ b/src/carobstair/platform/object_api.py
@@ -0,0 +1,226 @@
+"""Object API client: versions, conditional writes, lists and watches over HTTP.
+
+Expected failures come back as a ``returns`` failure. An `Unavailable` write may
+have taken effect all the same; the caller settles that by reading back.
+"""
+
+from __future__ import annotations
+
+import base64
+import json
+from collections.abc import AsyncIterator, Callable
+from dataclasses import dataclass
+
+import aiohttp
+from returns.result import Failure, Result, Success
+
+from carobstair.settings import PlatformSettings
+
+__all__ = [
+    "Conflict",
+    "Missing",
+    "ObjectApi",
+    "StoreError",
+    "Stored",
+    "Unavailable",
+    "WatchEvent",
+    "WatchExpired",
+]
+
+WATCH_SILENCE_S = 15.0
+
+
+@dataclass(eq=False)
+class StoreError(Exception):
+    """A call to the object API that did not succeed."""
+
+    detail: str = ""
+
+
+class Conflict(StoreError):
+    """A condition on the version did not hold; nothing was written."""
+
+
+class Missing(StoreError):
+    """There is no object of this name."""
+
+
+class Unavailable(StoreError):
+    """No answer, or a server error; a write may have taken effect."""
+
+
+class WatchExpired(StoreError):
+    """The watch can't go on from this version; list again."""
+
+
+@dataclass(frozen=True, slots=True)
+class Stored:
+    """An object with its version."""
+
+    name: str
+    version: int
+    value: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class WatchEvent:
+    """A change of an object; `stored` is None for a heartbeat of the watch."""
+
+    version: int
+    stored: Stored | None = None
+    deleted: bool = False
+
+
+class ObjectApi:
+    """Client of the object API.
+
+    Parameters
+    ----------
+    settings : PlatformSettings
+    on_call : callable
+        Called with the operation and its outcome for each call.
+    """
+
+    def __init__(
+        self,
+        settings: PlatformSettings,
+        on_call: Callable[[str, str], None] = lambda operation, outcome: None,
+    ):
+        self._settings = settings
+        self._on_call = on_call
+        self._session: aiohttp.ClientSession | None = None
+
+    async def close(self) -> None:
+        """Close the connections."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def get(self, name: str) -> Result[Stored, StoreError]:
+        """Return an object."""
+        answer = await self._call("GET", f"/objects/{name}", "get")
+        return answer.map(lambda pair: Stored(name, *pair))
+
+    async def create(self, name: str, value: bytes) -> Result[Stored, StoreError]:
+        """Write an object if there is none of this name."""
+        headers = {"If-None-Match": "*"}
+        return await self._write(name, value, headers, "create")
+
+    async def update(
+        self, name: str, value: bytes, version: int
+    ) -> Result[Stored, StoreError]:
+        """Write an object if it still has this version."""
+        return await self._write(name, value, {"If-Match": str(version)}, "update")
+
+    async def delete(self, name: str, version: int) -> Result[None, StoreError]:
+        """Remove an object if it still has this version."""
+        headers = {"If-Match": str(version)}
+        answer = await self._call("DELETE", f"/objects/{name}", "delete", headers)
+        return answer.map(lambda pair: None)
+
+    async def list(
+        self, prefix: str, after: str = ""
+    ) -> Result[tuple[int, list[Stored]], StoreError]:
+        """Return the store's version and the objects whose names follow `after`."""
+        params = {"prefix": prefix, "after": after}
+        answer = await self._call("GET", "/objects", "list", params=params)
+        return answer.map(lambda pair: (pair[0], _decode_list(pair[1])))
+
+    async def instances(self) -> Result[list[dict[str, str]], StoreError]:
+        """Return the platform's lagging list of instances with their states."""
+        answer = await self._call("GET", "/instances", "instances")
+        return answer.map(lambda pair: json.loads(pair[1])["instances"])
+
+    async def watch(self, prefix: str, since: int) -> AsyncIterator[WatchEvent]:
+        """Yield changes after a version until the connection ends.
+
+        Raises
+        ------
+        WatchExpired
+            If the store no longer has the changes since that version.
+        Unavailable
+            If the connection breaks or stays silent.
+        """
+        params = {"prefix": prefix, "since": str(since)}
+        timeout = aiohttp.ClientTimeout(total=None, sock_read=WATCH_SILENCE_S)
+        self._on_call("watch", "ok")
+        try:
+            async with self._open().get(
+                self._url("/watch"), params=params, timeout=timeout
+            ) as response:
+                if response.status == 410:
+                    raise WatchExpired(str(since))
+                if response.status != 200:
+                    raise Unavailable(f"status {response.status}")
+                async for line in response.content:
+                    yield _decode_event(json.loads(line))
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
+            raise Unavailable(str(error)) from error
+
+    async def _write(
+        self, name: str, value: bytes, headers: dict[str, str], operation: str
+    ) -> Result[Stored, StoreError]:
+        answer = await self._call("PUT", f"/objects/{name}", operation, headers, value)
+        return answer.map(lambda pair: Stored(name, pair[0], value))
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        operation: str,
+        headers: dict[str, str] | None = None,
+        data: bytes | None = None,
+        params: dict[str, str] | None = None,
+    ) -> Result[tuple[int, bytes], StoreError]:
+        try:
+            async with self._open().request(
+                method, self._url(path), headers=headers, data=data, params=params
+            ) as response:
+                body = await response.read()
+                result = _to_result(response.status, response.headers, body)
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            result = Failure(Unavailable(str(error) or type(error).__name__))
+        outcome = "ok" if isinstance(result, Success) else _label(result.failure())
+        self._on_call(operation, outcome)
+        return result
+
+    def _open(self) -> aiohttp.ClientSession:
+        if self._session is None:
+            timeout = aiohttp.ClientTimeout(total=self._settings.timeout_s)
+            headers = {}
+            if self._settings.api_key:
+                headers["Authorization"] = f"Bearer {self._settings.api_key}"
+            self._session = aiohttp.ClientSession(timeout=timeout, headers=headers)
+        return self._session
+
+    def _url(self, path: str) -> str:
+        return self._settings.address.rstrip("/") + path
+
+
+def _label(error: StoreError) -> str:
+    return type(error).__name__.lower()
+
+
+def _to_result(status: int, headers, body: bytes) -> Result:
+    if status in (200, 201):
+        return Success((int(headers.get("ETag", "0").strip('"')), body))
+    if status == 404:
+        return Failure(Missing())
+    if status == 412:
+        return Failure(Conflict())
+    return Failure(Unavailable(f"status {status}"))
+
+
+def _decode_list(body: bytes) -> list[Stored]:
+    items = json.loads(body)["objects"]
+    return [
+        Stored(item["name"], item["version"], base64.b64decode(item["value"]))
+        for item in items
+    ]
+
+
+def _decode_event(item: dict) -> WatchEvent:
+    if "name" not in item:
+        return WatchEvent(item["version"])
+    value = base64.b64decode(item.get("value", ""))
+    stored = Stored(item["name"], item["version"], value)
+    return WatchEvent(item["version"], stored, item.get("deleted", False))
--- /dev/null
+++ b/tests/test_shares.py
@@ -0,0 +1,50 @@
+"""Tests of capacity shares."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from carobstair.core.messages import PeerAddress
+from carobstair.core.shares import Epoch, ShareTable
+
+LAPSE_S = 11.0
+
+
+def epoch(number: int, names: str, departed=()) -> Epoch:
+    """Return an epoch whose members have one-letter names."""
+    members = tuple(PeerAddress(n, 1, "127.0.0.1", 1, 2, "lac") for n in names)
+    return Epoch(number, members, departed)
+
+
+class EpochTest(unittest.TestCase):
+    """Guards against shares that add up to more than the limit."""
+
+    @given(st.integers(1, 30), st.integers(1, 200))
+    def test_shares_add_up_to_the_limit(self, count, limit):
+        members = [PeerAddress(f"n{i}", 1, "h", 1, 2, "z") for i in range(count)]
+        found = Epoch(1, tuple(members))
+        shares = [found.share((m.instance, 1), "e1", limit, 0, 0.0) for m in members]
+        self.assertEqual(sum(s.request_slots for s in shares), limit)
+
+
+class ShareTableTest(unittest.TestCase):
+    """Guards against use of a share that another member may still use."""
+
+    def test_share_grows_only_after_every_former_member_acknowledged(self):
+        table = ShareTable(("a", 1), LAPSE_S)
+        table.learn(epoch(1, "ab"), 0.0)
+        table.acknowledge(("b", 1), 1, 0.0)
+        self.assertEqual(table.share("e1", 8, 0, 0.0).request_slots, 4)
+        table.learn(epoch(2, "a", (("b", 1),)), 5.0)
+        table.settle(5.0 + LAPSE_S - 0.1)
+        self.assertEqual(table.share("e1", 8, 0, 0.0).request_slots, 4)
+        table.settle(5.0 + LAPSE_S)
+        self.assertEqual(table.share("e1", 8, 0, 0.0).request_slots, 8)
+
+    def test_acknowledgement_of_another_epoch_does_not_count(self):
+        table = ShareTable(("a", 1), LAPSE_S)
+        table.learn(epoch(2, "ab"), 0.0)
+        table.acknowledge(("b", 1), 1, 0.0)
+        table.acknowledge(("b", 1), 3, 0.0)
+        self.assertTrue(table.in_transition)
