Split the capacity driver into a pure node and its network driver

Cause: queue, allocator and grants were combined inside the asyncio driver, so their interplay could not be tested on virtual time. Change: CapacityNode takes events and returns effects; the driver carries them out.

--- a/src/carobstair/net/gateway.py
+++ b/src/carobstair/net/gateway.py
@@ -265,9 +265,11 @@
         attempt_id = f"{generation.context.request_id}.{uuid.uuid4().hex[:8]}"
         pool, workspace = grant.offer.pool, grant.offer.workspace
         reserved = grant.offer.cost_tokens
-        totals = self._capacity.totals
+        totals = self._capacity.node.totals
         totals.reserve(pool, workspace, reserved)
-        self._capacity.prefixes.note_cached(upstream.name, generation.waiting.prefix)
+        self._capacity.node.prefixes.note_cached(
+            upstream.name, generation.waiting.prefix
+        )
         whole = False
         try:
             stream = self._upstreams.stream(
@@ -275,7 +277,7 @@
             )
             generation.last_chunk_s = 0.0
             async for chunk in stream:
-                if not self._capacity.renewal_allowed(grant):
+                if not self._capacity.is_valid(grant):
                     raise StreamBroken("the grant's lease lapsed")
                 cost = self._account(generation, upstream.name, chunk)
                 totals.charge(pool, workspace, cost)
@@ -306,7 +308,7 @@
             cost += engine_cost_tokens(0, inputs, inputs)
         if generation.last_chunk_s:
             interval_s = now_s - generation.last_chunk_s
-            self._capacity.note_token_interval(upstream, interval_s * 1000.0)
+            self._capacity.node.note_token_interval(upstream, interval_s * 1000.0)
             self._metrics.token_interval_s.labels(context.workspace.name).observe(
                 interval_s
             )
@@ -372,8 +374,8 @@
         finally:
             cost = service_cost_tokens(time.monotonic() - began_s)
             offer = grant.offer
-            self._capacity.totals.charge(offer.pool, offer.workspace, cost)
-            self._capacity.note_token_interval(upstream.name, 0.0)
+            self._capacity.node.totals.charge(offer.pool, offer.workspace, cost)
+            self._capacity.node.note_token_interval(upstream.name, 0.0)
 
     def _check_repeat(
         self, call: ServiceCall, error: UpstreamError, attempts: int
--- a/src/carobstair/net/router.py
+++ b/src/carobstair/net/router.py
@@ -61,7 +61,7 @@
             settings,
             self._peers,
             self._store,
-            self.capacity.shares,
+            self.capacity.node.shares,
             self.metrics,
             self._on_state,
         )
@@ -114,7 +114,7 @@
 
     async def _refresh_peers(self) -> None:
         while True:
-            self.capacity.live_peers = self.agent.live_peers()
+            self.capacity.set_live_peers(self.agent.live_peers())
             await asyncio.sleep(PEER_REFRESH_S)
 
     def _count_store_call(self, operation: str, outcome: str) -> None:
