--- /dev/null
+++ b/src/carobstair/core/agent.py
@@ -0,0 +1,394 @@
+"""Agent node: the membership, epoch and tickets of one router.
+
+All methods take the monotonic time in seconds and return effects. Calls to the
+object API are effects too; their answers come back as events.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from functools import singledispatchmethod
+
+from carobstair.core.distribution import (
+    DistributionSettings,
+    TicketDistribution,
+    choose_relays,
+)
+from carobstair.core.effects import (
+    Effect,
+    EpochLearned,
+    Send,
+    StateChanged,
+)
+from carobstair.core.epoch import EpochKeeper, EpochSettings
+from carobstair.core.in_force import InForceQueries
+from carobstair.core.leaving import LeavingTable
+from carobstair.core.members import MembershipSettings
+from carobstair.core.membership import Membership
+from carobstair.core.messages import (
+    EpochAck,
+    EpochNotice,
+    Heartbeat,
+    InForceAnswer,
+    InForceQuery,
+    LeavingEntry,
+    LeavingNotice,
+    MemberSync,
+    PeerAddress,
+    Probe,
+    ProbeAck,
+    ProbeRequest,
+    ShareTransfer,
+    TicketPull,
+    TicketPush,
+)
+from carobstair.core.share_keeper import (
+    CapacityView,
+    ShareKeeper,
+    ShareKeeperSettings,
+)
+from carobstair.core.shares import Epoch, ShareTable, rendezvous_rank
+from carobstair.core.state import FleetState, Ticket
+from carobstair.core.store_calls import (
+    InstanceEntry,
+    StoreAnswer,
+    StoreCalls,
+    WatchChange,
+    WatchEnded,
+)
+from carobstair.core.tickets import StateCodec, TicketFiling, TicketLog
+
+__all__ = ["AgentNode", "AgentSettings"]
+
+INSTANCE_LIST = "instance-list"
+LOAD_REPORT = "load-report"
+
+
+@dataclass(frozen=True, slots=True)
+class AgentSettings:
+    """Settings of an agent node, with those of its parts.
+
+    Attributes
+    ----------
+    start_wait_s : float
+        How long a start waits for peers before it reads the object API itself.
+    query_s : float
+        How long peers have to say which ticket is in force there.
+    """
+
+    membership: MembershipSettings = field(default_factory=MembershipSettings)
+    distribution: DistributionSettings = field(default_factory=DistributionSettings)
+    epoch: EpochSettings = field(default_factory=EpochSettings)
+    shares: ShareKeeperSettings = field(default_factory=ShareKeeperSettings)
+    start_wait_s: float = 1.0
+    query_s: float = 0.5
+
+
+class AgentNode:
+    """Decides about the state that one router shares with the fleet.
+
+    Parameters
+    ----------
+    own : PeerAddress
+    seeds : iterable of str
+        Names under which the driver reaches the configured seeds.
+    settings : AgentSettings
+    generator : random.Random
+    codec : StateCodec
+    shares : ShareTable
+    capacity : CapacityView
+    """
+
+    def __init__(
+        self,
+        own: PeerAddress,
+        seeds: Iterable[str],
+        settings: AgentSettings,
+        generator: random.Random,
+        codec: StateCodec,
+        shares: ShareTable,
+        capacity: CapacityView,
+    ):
+        self._own = own
+        self._settings = settings
+        self._random = generator
+        self.shares = shares
+        seeds = tuple(seeds)
+        self._calls = StoreCalls()
+        self.log = TicketLog(codec)
+        self._leaving_table = LeavingTable()
+        self.membership = Membership(
+            own, seeds, settings.membership, generator, self._heartbeat
+        )
+        self._distribution = TicketDistribution(
+            self.log,
+            settings.distribution,
+            self._calls,
+            generator,
+            self.membership.reachable,
+            self._on_tickets,
+        )
+        self._filing = TicketFiling(
+            self.log, codec, self._calls, self._distribution.take
+        )
+        self._epochs = EpochKeeper(
+            own,
+            settings.epoch,
+            codec,
+            self._calls,
+            generator,
+            lambda: self.shares.epoch,
+            self._learn,
+            self._on_instances,
+        )
+        self._state = FleetState()
+        self._store_from_s = -math.inf if not seeds else math.inf
+        self._queries = InForceQueries(settings.query_s)
+        self._keeper = ShareKeeper(own, settings.shares, shares, capacity)
+
+    # What is known
+
+    @property
+    def state(self) -> FleetState:
+        """The fleet state in force, with upstreams that leave by other notice."""
+        return self._state
+
+    @property
+    def leaving(self) -> bool:
+        """Whether this process is on its way out."""
+        return self.membership.leaving
+
+    def live_peers(self) -> frozenset[str]:
+        """Return the other instances that may be given work."""
+        return frozenset(self.membership.live())
+
+    def unready_reason(self) -> str | None:
+        """Return why this router should get no callers, or None."""
+        if self.leaving:
+            return "shutting down"
+        number = self.log.state.number
+        if number == 0:
+            return f"no ticket is in force yet; {self._missing_source()}"
+        if not self.log.state.zone_in_service(self._own.zone):
+            return f"zone {self._own.zone} is out of service by ticket"
+        return None
+
+    def _missing_source(self) -> str:
+        peers = len(self.membership.live())
+        error = self._distribution.store_error
+        store = f"the object API is {error}" if error else "the object API has none"
+        if not self._distribution.is_watcher:
+            store = "the object API is read by peers"
+        return f"{store}, and none of {peers} live peers has sent one"
+
+    # Events from the own process
+
+    def tick(self, now_s: float) -> list[Effect]:
+        """Do what is due; to be called about every 50 ms."""
+        if self._store_from_s == math.inf:
+            jitter = 1.0 + self._random.random() / 2
+            self._store_from_s = now_s + self._settings.start_wait_s * jitter
+        self.shares.settle(now_s)
+        effects = self.membership.tick(now_s)
+        reads = now_s >= self._store_from_s and not self.leaving
+        writes = reads and self._is_first("epoch writer")
+        watches = reads and self._is_watcher()
+        effects += self._distribution.tick(now_s, watches, writes)
+        effects += self._filing.tick(now_s)
+        effects += self._epochs.tick(
+            now_s, writes, self.membership.members, not self.leaving
+        )
+        effects += self._keeper.acknowledge(now_s)
+        if self.leaving:
+            effects += self._keeper.transfer(now_s, self.membership)
+        return effects + self._queries.finish(now_s)
+
+    def file(self, filing: int, ticket: Ticket, now_s: float) -> list[Effect]:
+        """Start to file a ticket; a `TicketSettled` with this id ends it."""
+        return self._filing.file(filing, ticket, now_s)
+
+    def ask_in_force(self, now_s: float) -> tuple[int, list[Effect]]:
+        """Ask all peers for the ticket in force there.
+
+        Returns
+        -------
+        tuple of (int, list of Effect)
+            Number of the question, which an `InForceFound` answers.
+        """
+        heard = {name: self._last_heard(name) for name in self.membership.live()}
+        number = self.log.state.number
+        return self._queries.ask(self._own.instance, number, heard, now_s)
+
+    def note_leaving(self, upstream: str, leaving: bool) -> list[Effect]:
+        """Take in whether a load report says that an upstream leaves."""
+        news = self._leaving_table.note(LOAD_REPORT, upstream, leaving)
+        return self._spread_leaving(news, "")
+
+    def leave(self, now_s: float) -> list[Effect]:
+        """Begin to leave: take no new work and give the shares away."""
+        if not self.leaving:
+            self.membership.leave()
+        return self._keeper.transfer(now_s, self.membership)
+
+    def goodbye(self, now_s: float) -> list[Effect]:
+        """Return the last messages; nothing may be granted any more."""
+        return self.membership.goodbye(now_s)
+
+    # Events from the object API
+
+    def on_store_answer(self, answer: StoreAnswer, now_s: float) -> list[Effect]:
+        """Take in the answer to a call."""
+        return self._calls.answer(answer, now_s)
+
+    def on_watch(self, event: WatchChange | WatchEnded, now_s: float) -> list[Effect]:
+        """Take in an event of a watch."""
+        if isinstance(event, WatchEnded):
+            return self._distribution.on_watch_ended(event, now_s)
+        return self._distribution.on_watch_change(event, now_s)
+
+    # Messages
+
+    def on_message(
+        self, sender: str, incarnation: int, payload, now_s: float
+    ) -> list[Effect]:
+        """Take in a peer's message; one of another kind has no effect."""
+        return self._handle(payload, sender, incarnation, now_s)
+
+    @singledispatchmethod
+    def _handle(self, payload, sender, incarnation, now_s) -> list[Effect]:
+        return []
+
+    @_handle.register(Probe)
+    @_handle.register(ProbeAck)
+    @_handle.register(ProbeRequest)
+    @_handle.register(MemberSync)
+    def _(self, message, sender, incarnation, now_s) -> list[Effect]:
+        effects = self.membership.on_message(sender, message, now_s)
+        return effects + self._compare(message.heartbeat, now_s)
+
+    @_handle.register
+    def _(self, message: TicketPull, sender, incarnation, now_s) -> list[Effect]:
+        return self._distribution.on_pull(sender, message)
+
+    @_handle.register
+    def _(self, message: TicketPush, sender, incarnation, now_s) -> list[Effect]:
+        return self._distribution.on_push(sender, message, now_s)
+
+    @_handle.register
+    def _(self, notice: EpochNotice, sender, incarnation, now_s) -> list[Effect]:
+        departed = tuple((str(i), int(n)) for i, n in notice.departed)
+        epoch = Epoch(notice.number, tuple(notice.members), departed)
+        return self._learn(epoch, now_s, sender)
+
+    @_handle.register
+    def _(self, ack: EpochAck, sender, incarnation, now_s) -> list[Effect]:
+        self.shares.acknowledge((sender, incarnation), ack.number, now_s)
+        if ack.number < self.shares.epoch.number:
+            return [Send(sender, self._epoch_notice())]
+        return self._keeper.answer(sender, ack)
+
+    @_handle.register
+    def _(self, transfer: ShareTransfer, sender, incarnation, now_s) -> list[Effect]:
+        if (sender, incarnation) == (transfer.owner, transfer.owner_incarnation):
+            self.shares.receive(transfer)
+        return []
+
+    @_handle.register
+    def _(self, notice: LeavingNotice, sender, incarnation, now_s) -> list[Effect]:
+        return self._spread_leaving(self._leaving_table.merge(notice.entries), sender)
+
+    @_handle.register
+    def _(self, query: InForceQuery, sender, incarnation, now_s) -> list[Effect]:
+        return [Send(sender, InForceAnswer(query.request, self.log.state.number))]
+
+    @_handle.register
+    def _(self, answer: InForceAnswer, sender, incarnation, now_s) -> list[Effect]:
+        return self._queries.answer(answer.request, sender, answer.in_force, now_s)
+
+    # Decisions
+
+    def _heartbeat(self) -> Heartbeat:
+        return Heartbeat(
+            self._own,
+            self.log.state.number,
+            self.shares.epoch.number,
+            self.log.state.number > 0,
+            self.leaving,
+            self.log.digest,
+            self._leaving_table.digest,
+            self.membership.refutation,
+        )
+
+    def _compare(self, heartbeat: Heartbeat, now_s: float) -> list[Effect]:
+        """Give a peer what it lacks, and pull what this process lacks."""
+        peer = heartbeat.address.instance
+        if peer == self._own.instance:
+            return []
+        effects = self._distribution.on_heartbeat(peer, heartbeat, now_s)
+        if heartbeat.epoch < self.shares.epoch.number:
+            effects.append(Send(peer, self._epoch_notice()))
+        if heartbeat.leaving_digest != self._leaving_table.digest:
+            entries = self._leaving_table.entries()
+            effects += [Send(peer, LeavingNotice(entries))] if entries else []
+        return effects
+
+    def _is_first(self, role: str) -> bool:
+        names = [*self.membership.live(), self._own.instance]
+        return rendezvous_rank(role, names)[0] == self._own.instance
+
+    def _is_watcher(self) -> bool:
+        live, members = self.membership.live(), self.membership.members
+        zone = [n for n in live if members[n].address.zone == self._own.zone]
+        ranked = rendezvous_rank("ticket watch", [*zone, self._own.instance])
+        count = self._settings.distribution.watchers_per_zone
+        return self._own.instance in ranked[:count]
+
+    def _on_tickets(self, now_s: float) -> list[Effect]:
+        return self._change_state()
+
+    def _change_state(self) -> list[Effect]:
+        state = self.log.state.with_leaving(self._leaving_table.leaving())
+        if state == self._state:
+            return []
+        self._state = state
+        return [StateChanged(state)]
+
+    def _on_instances(
+        self, entries: tuple[InstanceEntry, ...], now_s: float
+    ) -> list[Effect]:
+        known = self.log.state.upstreams
+        leaving = [e.name for e in entries if e.leaving and e.name in known]
+        changed = self._leaving_table.note_list(INSTANCE_LIST, leaving)
+        return self._spread_leaving(changed, "")
+
+    def _spread_leaving(self, news: list[LeavingEntry], source: str) -> list[Effect]:
+        if not news:
+            return []
+        return self._change_state() + self._relay(LeavingNotice(news), source)
+
+    def _learn(self, epoch: Epoch, now_s: float, source: str = "") -> list[Effect]:
+        if not self.shares.learn(epoch, now_s):
+            return []
+        self._epochs.note_epoch(epoch, now_s)
+        effects: list[Effect] = [EpochLearned(epoch.number, len(epoch.members))]
+        effects += self.membership.learn_addresses(epoch.members, now_s)
+        effects += self._relay(self._epoch_notice(), source)
+        return effects + self._keeper.on_new_epoch(now_s)
+
+    def _relay(self, message, source: str) -> list[Effect]:
+        targets = set(self.membership.reachable()) - {source}
+        fanout = self._settings.distribution.relay_fanout
+        return [
+            Send(peer, message) for peer in choose_relays(targets, fanout, self._random)
+        ]
+
+    def _epoch_notice(self) -> EpochNotice:
+        epoch = self.shares.epoch
+        return EpochNotice(epoch.number, list(epoch.members), list(epoch.departed))
+
+    def _last_heard(self, name: str) -> int:
+        heartbeat = self.membership.members[name].heartbeat
+        return heartbeat.in_force if heartbeat is not None else 0
--- a/src/carobstair/core/effects.py
+++ b/src/carobstair/core/effects.py
@@ -7,10 +7,25 @@
 import msgspec
 
 from carobstair.core.grants import HeldGrant
+from carobstair.core.messages import PeerAddress
 from carobstair.core.refusals import Refusal
 from carobstair.core.state import FleetState
-
-__all__ = ["Effect", "Granted", "RefuseWaiting", "Send", "StateChanged"]
+from carobstair.core.store_calls import StoreCall, WatchClose, WatchOpen
+
+__all__ = [
+    "Connect",
+    "Effect",
+    "EpochLearned",
+    "Granted",
+    "InForceFound",
+    "Reconnect",
+    "RefuseWaiting",
+    "Send",
+    "SendOrder",
+    "StateChanged",
+    "TicketSettled",
+    "Warn",
+]
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,4 +59,77 @@
     state: FleetState
 
 
-Effect = Send | Granted | RefuseWaiting | StateChanged
+@dataclass(frozen=True, slots=True)
+class EpochLearned:
+    """A newer fleet epoch is known at this node."""
+
+    number: int
+    size: int
+
+
+@dataclass(frozen=True, slots=True)
+class Connect:
+    """Open a link to a process, or replace that to its former incarnation."""
+
+    address: PeerAddress
+
+
+@dataclass(frozen=True, slots=True)
+class Reconnect:
+    """Replace a link that may have gone silent."""
+
+    instance: str
+
+
+@dataclass(frozen=True, slots=True)
+class TicketSettled:
+    """The filing of a ticket ended: with a number, or with a refusal."""
+
+    filing: int
+    number: int = 0
+    refusal: Refusal | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class InForceFound:
+    """Answer to a question about the tickets in force, per instance."""
+
+    query: int
+    numbers: dict[str, int]
+
+
+@dataclass(frozen=True, slots=True)
+class SendOrder:
+    """Give an upstream an order; `versions` and `role` are its whole wanted state."""
+
+    order: int
+    upstream: str
+    fencing: int
+    versions: tuple[str, ...]
+    role: str
+
+
+@dataclass(frozen=True, slots=True)
+class Warn:
+    """Log a warning; `event` is a bounded label."""
+
+    event: str
+    detail: str = ""
+
+
+Effect = (
+    Send
+    | Granted
+    | RefuseWaiting
+    | StateChanged
+    | EpochLearned
+    | Connect
+    | Reconnect
+    | TicketSettled
+    | InForceFound
+    | SendOrder
+    | Warn
+    | StoreCall
+    | WatchOpen
+    | WatchClose
+)
--- /dev/null
+++ b/src/carobstair/core/membership.py
@@ -0,0 +1,370 @@
+"""Membership: which router processes are believed to be alive.
+
+Follows the SWIM protocol: each process probes one other per interval, directly
+and then through others; a process that does not answer is suspected first and
+refutes by a higher number. News rides on the probes, so that the messages per
+process do not grow with the fleet.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from functools import singledispatchmethod
+
+from carobstair.core.effects import Connect, Effect, Reconnect, Send
+from carobstair.core.members import Member, MembershipSettings, MemberStatus
+from carobstair.core.messages import (
+    Heartbeat,
+    MemberSync,
+    MemberUpdate,
+    PeerAddress,
+    Probe,
+    ProbeAck,
+    ProbeRequest,
+)
+
+__all__ = ["Member", "MemberStatus", "Membership", "MembershipSettings"]
+
+
+@dataclass(slots=True)
+class _Pending:
+    instance: str
+    sent_s: float
+    indirect: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class _Relayed:
+    """A probe made for another process."""
+
+    asker: str
+    number: int
+    sent_s: float
+
+
+class Membership:
+    """The view that one process has of the others.
+
+    Parameters
+    ----------
+    own : PeerAddress
+    seeds : iterable of str
+        Names under which the driver reaches the configured seeds.
+    settings : MembershipSettings
+    generator : random.Random
+    heartbeat : callable
+        Returns what this process says of itself now.
+    """
+
+    def __init__(
+        self,
+        own: PeerAddress,
+        seeds: Iterable[str],
+        settings: MembershipSettings,
+        generator: random.Random,
+        heartbeat: Callable[[], Heartbeat],
+    ):
+        self._own = own
+        self._seeds = tuple(seeds)
+        self._settings = settings
+        self._random = generator
+        self._heartbeat = heartbeat
+        self.refutation = 0
+        self.leaving = False
+        self.members: dict[str, Member] = {}
+        self._news: dict[str, int] = {}
+        self._round: list[str] = []
+        self._last_number = 0
+        self._pending: dict[int, _Pending] = {}
+        self._relayed: dict[int, _Relayed] = {}
+        self._synced: set[tuple[str, int]] = set()
+        self._next_probe_s = 0.0
+        self._next_dead_probe_s = 0.0
+        self._next_sync_s = 0.0
+
+    def live(self) -> set[str]:
+        """Return the other instances that may be given work."""
+        wanted = (MemberStatus.ALIVE, MemberStatus.SUSPECT)
+        return {
+            name
+            for name, m in self.members.items()
+            if m.status in wanted and not (m.heartbeat and m.heartbeat.leaving)
+        }
+
+    def reachable(self) -> list[str]:
+        """Return the other instances that messages are worth sending to."""
+        return [n for n, m in self.members.items() if m.status < MemberStatus.DEAD]
+
+    def learn_addresses(
+        self, addresses: Iterable[PeerAddress], now_s: float
+    ) -> list[Effect]:
+        """Take in processes named elsewhere; they count as dead until heard."""
+        effects: list[Effect] = []
+        for address in addresses:
+            if address.instance not in self.members:
+                update = MemberUpdate(address, 0, int(MemberStatus.DEAD))
+                effects += self._merge(update, now_s, spread=False)
+        return effects
+
+    def leave(self) -> None:
+        """Tell the others from now on that this process leaves."""
+        self.leaving = True
+        self.refutation += 1
+
+    def goodbye(self, now_s: float) -> list[Effect]:
+        """Return the last messages of a process that has nothing in use."""
+        self.refutation += 1
+        update = MemberUpdate(self._own, self.refutation, int(MemberStatus.LEFT))
+        message = MemberSync(self._heartbeat(), [update])
+        return [Send(name, message) for name in self.reachable()]
+
+    def tick(self, now_s: float) -> list[Effect]:
+        """Do what is due; to be called about every 50 ms."""
+        effects = self._time_out_probes(now_s)
+        self._time_out_suspects(now_s)
+        if now_s >= self._next_probe_s:
+            self._next_probe_s = now_s + self._settings.probe_every_s
+            effects += self._probe_next(now_s)
+        if now_s >= self._next_dead_probe_s:
+            jitter = 0.75 + self._random.random() / 2
+            self._next_dead_probe_s = now_s + self._settings.dead_probe_every_s * jitter
+            effects += self._probe_dead(now_s)
+        if now_s >= self._next_sync_s:
+            self._next_sync_s = now_s + self._settings.sync_every_s
+            effects += self._sync_with_one()
+        return effects
+
+    # Messages
+
+    def on_message(self, sender: str, payload, now_s: float) -> list[Effect]:
+        """Take in a message of this protocol; one of another kind has no effect."""
+        return self._handle(payload, sender, now_s)
+
+    @singledispatchmethod
+    def _handle(self, payload, sender: str, now_s: float) -> list[Effect]:
+        return []
+
+    @_handle.register
+    def _(self, probe: Probe, sender: str, now_s: float) -> list[Effect]:
+        effects = self._hear(probe.heartbeat, probe.updates, now_s)
+        ack = ProbeAck(probe.number, self._heartbeat(), self._take_news(sender))
+        return [*effects, Send(sender, ack)]
+
+    @_handle.register
+    def _(self, ack: ProbeAck, sender: str, now_s: float) -> list[Effect]:
+        answered = self._pending.pop(ack.number, None)
+        effects = self._hear(ack.heartbeat, ack.updates, now_s)
+        relayed = self._relayed.pop(ack.number, None)
+        if relayed is not None:
+            answer = ProbeAck(relayed.number, ack.heartbeat)
+            effects.append(Send(relayed.asker, answer))
+        if answered is not None and answered.instance in self._seeds:
+            effects += self._ask_for_all(sender, ack.heartbeat.address)
+        return effects
+
+    @_handle.register
+    def _(self, request: ProbeRequest, sender: str, now_s: float) -> list[Effect]:
+        effects = self._hear(request.heartbeat, [], now_s)
+        name = request.target.instance
+        if name == self._own.instance:
+            ack = ProbeAck(request.number, self._heartbeat())
+            return [*effects, Send(sender, ack)]
+        self._last_number += 1
+        self._relayed[self._last_number] = _Relayed(sender, request.number, now_s)
+        probe = Probe(self._last_number, self._heartbeat(), self._take_news(name))
+        return [*effects, Connect(request.target), Send(name, probe)]
+
+    @_handle.register
+    def _(self, sync: MemberSync, sender: str, now_s: float) -> list[Effect]:
+        effects = self._hear(sync.heartbeat, sync.updates, now_s)
+        if sync.wants_reply:
+            effects.append(Send(sender, MemberSync(self._heartbeat(), self._all())))
+        return effects
+
+    def _hear(
+        self, heartbeat: Heartbeat, updates: list[MemberUpdate], now_s: float
+    ) -> list[Effect]:
+        """Take in a process's word about itself, then its word about others."""
+        address = heartbeat.address
+        status = MemberStatus.LEAVING if heartbeat.leaving else MemberStatus.ALIVE
+        own_word = MemberUpdate(address, heartbeat.refutation, int(status))
+        effects = self._merge(own_word, now_s)
+        member = self.members.get(address.instance)
+        if member is not None and member.address == address:
+            member.heartbeat, member.heard_s = heartbeat, now_s
+            if member.status in (MemberStatus.SUSPECT, MemberStatus.DEAD):
+                # It speaks, so it has to learn what it must refute.
+                self._news[address.instance] = self._transmissions()
+        for update in updates:
+            effects += self._merge(update, now_s)
+        return effects
+
+    def _merge(
+        self, update: MemberUpdate, now_s: float, spread: bool = True
+    ) -> list[Effect]:
+        name = update.address.instance
+        if name == self._own.instance:
+            self._refute(update)
+            return []
+        news = Member(
+            update.address, update.refutation, MemberStatus(update.status), now_s
+        )
+        known = self.members.get(name)
+        if known is not None and known.rank() >= news.rank():
+            return []
+        same_process = known is not None and known.address == news.address
+        if known is not None and same_process:
+            news.heartbeat, news.heard_s = known.heartbeat, known.heard_s
+        self.members[name] = news
+        if spread:
+            self._news[name] = self._transmissions()
+        effects: list[Effect] = []
+        if not same_process:
+            effects.append(Connect(update.address))
+            self._replace_at_address(update.address, now_s)
+        if news.status is MemberStatus.SUSPECT and same_process:
+            effects.append(Reconnect(name))
+        return effects
+
+    def _replace_at_address(self, address: PeerAddress, now_s: float) -> None:
+        """Note that a process under another name at this address is gone."""
+        for member in self.members.values():
+            other = member.address
+            same = (other.host, other.peer_port) == (address.host, address.peer_port)
+            older = other.incarnation < address.incarnation
+            if same and older and other.instance != address.instance:
+                member.status, member.changed_s = MemberStatus.LEFT, now_s
+                self._news[other.instance] = self._transmissions()
+
+    def _refute(self, update: MemberUpdate) -> None:
+        own = MemberStatus.LEAVING if self.leaving else MemberStatus.ALIVE
+        if update.address.incarnation != self._own.incarnation:
+            return
+        if update.status > own and update.refutation >= self.refutation:
+            self.refutation = update.refutation + 1
+            self._news[self._own.instance] = self._transmissions()
+
+    # Probes
+
+    def _probe_next(self, now_s: float) -> list[Effect]:
+        """Probe the next process of a shuffled round, so that none is left out."""
+        reachable = set(self.reachable())
+        if not reachable:
+            return [e for seed in self._seeds for e in self._probe(seed, now_s)]
+        while self._round:
+            name = self._round.pop()
+            if name in reachable:
+                return self._probe(name, now_s)
+        self._round = sorted(reachable)
+        self._random.shuffle(self._round)
+        return self._probe(self._round.pop(), now_s)
+
+    def _probe_dead(self, now_s: float) -> list[Effect]:
+        dead = [n for n, m in self.members.items() if m.status is MemberStatus.DEAD]
+        names = sorted(dead) + list(self._seeds)
+        return self._probe(self._random.choice(names), now_s) if names else []
+
+    def _probe(self, name: str, now_s: float) -> list[Effect]:
+        self._last_number += 1
+        self._pending[self._last_number] = _Pending(name, now_s)
+        updates = self._take_news(name)
+        return [Send(name, Probe(self._last_number, self._heartbeat(), updates))]
+
+    def _time_out_probes(self, now_s: float) -> list[Effect]:
+        settings = self._settings
+        effects: list[Effect] = []
+        for number, pending in list(self._pending.items()):
+            waited_s = now_s - pending.sent_s
+            if waited_s >= settings.probe_every_s:
+                del self._pending[number]
+                effects += self._suspect(pending.instance, now_s)
+            elif waited_s >= settings.probe_timeout_s and not pending.indirect:
+                pending.indirect = True
+                effects += self._probe_through_others(number, pending.instance)
+        oldest_s = now_s - 2 * settings.probe_every_s
+        for number in [n for n, r in self._relayed.items() if r.sent_s < oldest_s]:
+            del self._relayed[number]
+        return effects
+
+    def _probe_through_others(self, number: int, name: str) -> list[Effect]:
+        member = self.members.get(name)
+        others = sorted(set(self.reachable()) - {name})
+        if member is None or member.status >= MemberStatus.DEAD or not others:
+            return []
+        count = min(self._settings.indirect_probes, len(others))
+        request = ProbeRequest(number, member.address, self._heartbeat())
+        return [Send(other, request) for other in self._random.sample(others, count)]
+
+    def _suspect(self, name: str, now_s: float) -> list[Effect]:
+        member = self.members.get(name)
+        if member is None or member.status >= MemberStatus.SUSPECT:
+            return []
+        status = int(MemberStatus.SUSPECT)
+        update = MemberUpdate(member.address, member.refutation, status)
+        effects = self._merge(update, now_s)
+        # The suspect itself hears of it first; without that it can't refute.
+        return [*effects, *self._probe(name, now_s)]
+
+    def _time_out_suspects(self, now_s: float) -> None:
+        size = max(10, len(self.members) + 1)
+        limit_s = self._settings.suspicion_s * math.log10(size)
+        for name, member in list(self.members.items()):
+            age_s = now_s - member.changed_s
+            if member.status is MemberStatus.SUSPECT and age_s >= limit_s:
+                member.status, member.changed_s = MemberStatus.DEAD, now_s
+                self._news[name] = self._transmissions()
+            elif (
+                member.status >= MemberStatus.DEAD and age_s >= self._settings.forget_s
+            ):
+                del self.members[name]
+                self._news.pop(name, None)
+
+    # News
+
+    def _take_news(self, receiver: str) -> list[MemberUpdate]:
+        """Return the least spread news; what concerns the receiver comes first."""
+        member = self.members.get(receiver)
+        chosen = []
+        if member is not None and member.status >= MemberStatus.SUSPECT:
+            chosen.append(member.update())
+        for name in sorted(self._news, key=self._news.get, reverse=True):
+            if len(chosen) >= self._settings.max_updates:
+                break
+            if name != receiver:
+                chosen.append(self._update_of(name))
+                self._spend(name)
+        return chosen
+
+    def _update_of(self, name: str) -> MemberUpdate:
+        if name != self._own.instance:
+            return self.members[name].update()
+        status = MemberStatus.LEAVING if self.leaving else MemberStatus.ALIVE
+        return MemberUpdate(self._own, self.refutation, int(status))
+
+    def _spend(self, name: str) -> None:
+        self._news[name] -= 1
+        if self._news[name] <= 0:
+            del self._news[name]
+
+    def _transmissions(self) -> int:
+        return 3 * math.ceil(math.log2(len(self.members) + 2))
+
+    def _all(self) -> list[MemberUpdate]:
+        own = self._update_of(self._own.instance)
+        return [own, *(m.update() for m in self.members.values())]
+
+    def _ask_for_all(self, sender: str, address: PeerAddress) -> list[Effect]:
+        if (sender, address.incarnation) in self._synced:
+            return []
+        self._synced.add((sender, address.incarnation))
+        return [Send(sender, MemberSync(self._heartbeat(), self._all(), True))]
+
+    def _sync_with_one(self) -> list[Effect]:
+        reachable = sorted(self.reachable())
+        if not reachable:
+            return []
+        chosen = self._random.choice(reachable)
+        return [Send(chosen, MemberSync(self._heartbeat(), self._all(), True))]
--- a/src/carobstair/core/messages.py
+++ b/src/carobstair/core/messages.py
@@ -8,6 +8,26 @@
 
 import msgspec
 
+from carobstair.core.agent_messages import (
+    EpochAck,
+    EpochNotice,
+    Heartbeat,
+    InForceAnswer,
+    InForceQuery,
+    InUseEntry,
+    LeavingEntry,
+    LeavingNotice,
+    MemberSync,
+    MemberUpdate,
+    PeerAddress,
+    Probe,
+    ProbeAck,
+    ProbeRequest,
+    ShareTransfer,
+    TicketPull,
+    TicketPush,
+)
+
 __all__ = [
     "PROTOCOL_VERSION",
     "CodecError",
@@ -21,12 +41,22 @@
     "GrantRenewed",
     "GrantReturn",
     "Heartbeat",
+    "InForceAnswer",
+    "InForceQuery",
+    "InUseEntry",
+    "LeavingEntry",
+    "LeavingNotice",
     "LiftEntry",
     "LimitAnnouncement",
+    "MemberSync",
+    "MemberUpdate",
     "Offer",
     "OutcomeAnswer",
     "OutcomeQuery",
     "PeerAddress",
+    "Probe",
+    "ProbeAck",
+    "ProbeRequest",
     "ShareTransfer",
     "TicketPull",
     "TicketPush",
@@ -48,28 +78,6 @@
         self.reason = reason
 
 
-class PeerAddress(msgspec.Struct, frozen=True, array_like=True):
-    """Where a router process listens; `incarnation` grows with each start."""
-
-    instance: str
-    incarnation: int
-    host: str
-    peer_port: int
-    http_port: int
-    zone: str
-
-
-class Heartbeat(msgspec.Struct, frozen=True):
-    """Liveness, the ticket number in force, and the epoch of the sender."""
-
-    address: PeerAddress
-    in_force: int
-    epoch: int
-    ready: bool = True
-    leaving: bool = False
-    known: list[PeerAddress] = []
-
-
 class DemandEntry(msgspec.Struct, frozen=True, array_like=True):
     """Requests of a workspace that wait at the sending gateway for a pool."""
 
@@ -178,41 +186,6 @@
     valid_s: float
 
 
-class EpochNotice(msgspec.Struct, frozen=True):
-    """An epoch of the fleet's membership as the object API holds it."""
-
-    number: int
-    members: list[PeerAddress]
-    departed: list[tuple[str, int]] = []
-
-
-class EpochAck(msgspec.Struct, frozen=True):
-    """The sender's running grants fit its shares under this epoch."""
-
-    number: int
-
-
-class ShareTransfer(msgspec.Struct, frozen=True):
-    """A leaving process gives its shares under an epoch to the receiver."""
-
-    epoch: int
-    owner: str
-    owner_incarnation: int
-
-
-class TicketPull(msgspec.Struct, frozen=True):
-    """Asks for the tickets after a number."""
-
-    after: int
-
-
-class TicketPush(msgspec.Struct, frozen=True):
-    """Tickets as the object API holds them, in order of their numbers."""
-
-    tickets: list[bytes]
-    snapshot: bytes = b""
-
-
 class OutcomeQuery(msgspec.Struct, frozen=True):
     """Asks the router that started an action for its outcome."""
 
@@ -243,6 +216,13 @@
 
 
 _PAYLOADS = (
+    InForceAnswer,
+    InForceQuery,
+    LeavingNotice,
+    MemberSync,
+    Probe,
+    ProbeAck,
+    ProbeRequest,
     DemandUpdate,
     EpochAck,
     EpochNotice,
@@ -250,7 +230,6 @@
     GrantRenewal,
     GrantRenewed,
     GrantReturn,
-    Heartbeat,
     LimitAnnouncement,
     Offer,
     OutcomeAnswer,
--- a/src/carobstair/core/refusals.py
+++ b/src/carobstair/core/refusals.py
@@ -210,6 +210,14 @@
         "File the ticket again after Retry-After.",
         5.0,
     ),
+    RefusalType(
+        "ticket-store-unavailable",
+        503,
+        Ran.NO,
+        "The object API did not give the ticket",
+        "Read it again after Retry-After.",
+        5.0,
+    ),
     RefusalType(
         "ticket-unknown",
         503,
--- a/src/carobstair/core/shares.py
+++ b/src/carobstair/core/shares.py
@@ -13,7 +13,7 @@
 
 import xxhash
 
-from carobstair.core.messages import PeerAddress
+from carobstair.core.messages import PeerAddress, ShareTransfer
 
 __all__ = [
     "Epoch",
@@ -71,6 +71,14 @@
             min(self.quick_slots, other.quick_slots),
         )
 
+    def less(self, other: SlotShare) -> SlotShare:
+        """Return what is left of a share, number by number, and never below 0."""
+        return SlotShare(
+            max(0, self.request_slots - other.request_slots),
+            max(0, self.kv_tokens - other.kv_tokens),
+            max(0, self.quick_slots - other.quick_slots),
+        )
+
     def plus(self, other: SlotShare) -> SlotShare:
         """Return the sum of two shares, number by number."""
         return SlotShare(
@@ -155,8 +163,8 @@
         self._pending: list[Epoch] = []
         self._acked: set[MemberId] = set()
         self._departed_at_s: dict[MemberId, float] = {}
-        self._received: dict[int, set[MemberId]] = {}
-        self._given_away: set[int] = set()
+        self._received: dict[tuple[int, MemberId], ShareTransfer] = {}
+        self._gives_away = False
 
     @property
     def epoch(self) -> Epoch:
@@ -176,6 +184,10 @@
         self._acked = set()
         for member in epoch.departed:
             self._departed_at_s.setdefault(member, now_s)
+        for member in epoch.member_ids():
+            # It was taken out and has come back as the same process, so its own
+            # acknowledgement is needed again.
+            self._departed_at_s.pop(member, None)
         self.settle(now_s)
         return True
 
@@ -192,29 +204,50 @@
         self._settled = self._pending[-1]
         self._pending = []
         number = self._settled.number
-        self._received = {n: m for n, m in self._received.items() if n >= number}
-        self._given_away = {n for n in self._given_away if n >= number}
+        self._received = {k: t for k, t in self._received.items() if k[0] >= number}
+        named = self._settled.member_ids() | set(self._settled.departed)
+        self._departed_at_s = {
+            m: at_s for m, at_s in self._departed_at_s.items() if m in named
+        }
+
+    def concerned_members(self) -> frozenset[MemberId]:
+        """Return the other processes that the newest epoch names.
+
+        A former member that it does not name any more is gone, and its grants
+        had lapsed before the epoch was written.
+        """
+        named = self.epoch.member_ids() | set(self.epoch.departed)
+        return frozenset(named - {self._owner})
 
     def unsettled_members(self, now_s: float) -> list[MemberId]:
         """Return the members whose acknowledgement is missing."""
-        concerned: set[MemberId] = set()
-        for epoch in (self._settled, *self._pending):
-            concerned |= epoch.member_ids() | set(epoch.departed)
-        concerned.discard(self._owner)
         return sorted(
-            member for member in concerned if not self._is_safe(member, now_s)
+            member
+            for member in self.concerned_members()
+            if not self._is_safe(member, now_s)
         )
 
-    def give_away(self) -> int:
-        """Stop using the own shares and return the epoch they belong to."""
-        self._given_away.add(self.epoch.number)
-        return self.epoch.number
-
-    def receive(self, epoch_number: int, member: MemberId) -> bool:
-        """Take over the shares that a leaving member gave away."""
-        if epoch_number != self.epoch.number:
+    def give_away(self) -> None:
+        """Stop using the own shares for good; what is in use may finish."""
+        self._gives_away = True
+
+    def receive(self, transfer: ShareTransfer) -> bool:
+        """Take over the shares that a leaving member gives away.
+
+        Returns
+        -------
+        bool
+            False if the transfer belongs to another epoch or is not news.
+        """
+        epoch = self.epoch
+        member = (transfer.owner, transfer.owner_incarnation)
+        is_member = self._owner in epoch.member_ids()
+        if transfer.epoch != epoch.number or not is_member or member == self._owner:
+            return False
+        known = self._received.get((epoch.number, member))
+        if known is not None and known.sequence >= transfer.sequence:
             return False
-        self._received.setdefault(epoch_number, set()).add(member)
+        self._received[epoch.number, member] = transfer
         return True
 
     def share(
@@ -250,8 +283,18 @@
 
     def _held(self, epoch: Epoch, limits: tuple[str, int, int, float]) -> SlotShare:
         share = SlotShare()
-        if epoch.number not in self._given_away:
+        if not self._gives_away:
             share = epoch.share(self._owner, *limits)
-        for member in self._received.get(epoch.number, ()):
-            share = share.plus(epoch.share(member, *limits))
+        for (number, member), transfer in self._received.items():
+            if number == epoch.number:
+                given = epoch.share(member, *limits)
+                share = share.plus(given.less(_still_used(transfer, limits[0])))
         return share
+
+
+def _still_used(transfer: ShareTransfer, upstream: str) -> SlotShare:
+    for entry in transfer.in_use:
+        if entry.upstream == upstream:
+            slots = entry.request_slots
+            return SlotShare(slots, entry.kv_tokens, slots)
+    return SlotShare()
--- a/src/carobstair/core/state.py
+++ b/src/carobstair/core/state.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field, replace
 from enum import StrEnum
 from types import MappingProxyType
@@ -20,6 +20,9 @@
 
 # Methods that HTTP defines as safe; a service route may say otherwise.
 SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
+# Filing a ticket again is recognised over this many later tickets. Unbounded, the
+# snapshot would outgrow the object API's limit on values.
+REMEMBERED_SUBMISSIONS = 1000
 
 
 class UpstreamKind(StrEnum):
@@ -122,12 +125,19 @@
 
 @dataclass(frozen=True, slots=True)
 class FleetState:
-    """The fold of tickets 1 to `number`."""
+    """The fold of tickets 1 to `number`.
+
+    Attributes
+    ----------
+    submissions : Mapping of str to int
+        Ticket number by submission id, of the newest tickets in their order.
+    """
 
     number: int = 0
     workspaces: Mapping[str, Workspace] = field(default_factory=dict)
     upstreams: Mapping[str, Upstream] = field(default_factory=dict)
     zones: Mapping[str, AvailabilityZone] = field(default_factory=dict)
+    submissions: Mapping[str, int] = field(default_factory=dict)
 
     def apply(self, ticket: Ticket) -> FleetState:
         """Return the state after a ticket.
@@ -159,8 +169,27 @@
             workspaces=_merge(self.workspaces, ticket.workspaces),
             upstreams=_merge(self.upstreams, ticket.upstreams),
             zones=_merge(self.zones, ticket.zones),
+            submissions=self._submissions_with(ticket),
         )
 
+    def with_leaving(self, names: Iterable[str]) -> FleetState:
+        """Return the state in which live upstreams of these names leave."""
+        leaving = {
+            name: replace(self.upstreams[name], state=UpstreamState.LEAVING)
+            for name in names
+            if name in self.upstreams
+            and self.upstreams[name].state is UpstreamState.LIVE
+        }
+        if not leaving:
+            return self
+        return replace(self, upstreams=_merge(self.upstreams, leaving))
+
+    def _submissions_with(self, ticket: Ticket) -> Mapping[str, int]:
+        if not ticket.submission_id:
+            return self.submissions
+        kept = list(self.submissions.items())[1 - REMEMBERED_SUBMISSIONS :]
+        return MappingProxyType(dict(kept) | {ticket.submission_id: ticket.number})
+
     def zone_in_service(self, zone: str) -> bool:
         """Return whether a zone takes new work; an unnamed zone does."""
         known = self.zones.get(zone)
--- a/src/carobstair/models.py
+++ b/src/carobstair/models.py
@@ -30,11 +30,13 @@
 
 __all__ = [
     "ChatRequestModel",
+    "JsonCodec",
     "ModelError",
     "TicketModel",
     "decode_epoch",
     "decode_state",
     "decode_ticket",
+    "encode_core_ticket",
     "encode_epoch",
     "encode_state",
     "encode_ticket",
@@ -137,6 +139,7 @@
     workspaces: dict[Name, WorkspaceModel]
     upstreams: dict[Name, UpstreamModel]
     zones: dict[Name, ZoneModel]
+    submissions: list[tuple[str, int]] = []
 
 
 class MessageModel(BaseModel):
@@ -189,6 +192,21 @@
     return ticket.model_dump_json(exclude_defaults=True).encode()
 
 
+def encode_core_ticket(ticket: Ticket) -> bytes:
+    """Return a ticket's data class as the JSON that the object API holds."""
+    parts = {
+        kind: {n: v and _fields(v) for n, v in getattr(ticket, kind).items()}
+        for kind in ("workspaces", "upstreams", "zones")
+    }
+    model = TicketModel(
+        number=ticket.number,
+        submission_id=ticket.submission_id,
+        author=ticket.author,
+        **parts,
+    )
+    return encode_ticket(model)
+
+
 def decode_ticket(data: bytes) -> Ticket:
     """Return a stored ticket.
 
@@ -207,6 +225,7 @@
         "workspaces": {n: _fields(w) for n, w in state.workspaces.items()},
         "upstreams": {n: _fields(u) for n, u in state.upstreams.items()},
         "zones": {n: _fields(z) for n, z in state.zones.items()},
+        "submissions": list(state.submissions.items()),
     }
     return json.dumps(document, sort_keys=True).encode()
 
@@ -225,6 +244,7 @@
         {n: _workspace(n, m) for n, m in model.workspaces.items()},
         {n: _upstream(n, m) for n, m in model.upstreams.items()},
         {n: AvailabilityZone(n, m.in_service) for n, m in model.zones.items()},
+        dict(model.submissions),
     )
 
 
@@ -258,6 +278,21 @@
         raise ModelError(f"epoch: {error}") from error
 
 
+class JsonCodec:
+    """Codec of the objects that the agent reads and writes.
+
+    Every ``decode`` method raises `ModelError` where the bytes are not what the
+    name says.
+    """
+
+    encode_ticket = staticmethod(encode_core_ticket)
+    decode_ticket = staticmethod(decode_ticket)
+    encode_state = staticmethod(encode_state)
+    decode_state = staticmethod(decode_state)
+    encode_epoch = staticmethod(encode_epoch)
+    decode_epoch = staticmethod(decode_epoch)
+
+
 def _workspace(name: str, model: WorkspaceModel) -> Workspace:
     return Workspace(
         name,
--- a/src/carobstair/net/agent.py
+++ b/src/carobstair/net/agent.py
@@ -1,4 +1,4 @@
-"""Agent: membership, epoch and tickets of one router."""
+"""Driver of an agent node: timer, peer messages, object API calls and futures."""
 
 from __future__ import annotations
 
@@ -6,45 +6,77 @@
 import random
 import time
 import uuid
-from collections.abc import Callable
-
-from returns.result import Failure, Success
-
+from collections.abc import Callable, Iterable
+from functools import singledispatchmethod
+
+from returns.result import Result, Success
+
+from carobstair.core.agent import AgentNode, AgentSettings
+from carobstair.core.distribution import DistributionSettings
+from carobstair.core.effects import (
+    Connect,
+    Effect,
+    EpochLearned,
+    InForceFound,
+    Reconnect,
+    Send,
+    StateChanged,
+    TicketSettled,
+    Warn,
+)
+from carobstair.core.members import MembershipSettings
 from carobstair.core.messages import (
     Envelope,
     EpochAck,
     EpochNotice,
-    Heartbeat,
+    InForceAnswer,
+    InForceQuery,
+    LeavingNotice,
+    MemberSync,
     PeerAddress,
+    Probe,
+    ProbeAck,
+    ProbeRequest,
+    ShareTransfer,
     TicketPull,
     TicketPush,
 )
 from carobstair.core.refusals import refuse
-from carobstair.core.shares import Epoch, ShareTable, rendezvous_rank
+from carobstair.core.share_keeper import CapacityView
+from carobstair.core.shares import ShareTable
 from carobstair.core.state import FleetState
+from carobstair.core.store_calls import StoreCall, WatchClose, WatchOpen
+from carobstair.core.tickets import ticket_name
 from carobstair.logs import get_logger
 from carobstair.metrics import RouterMetrics
-from carobstair.models import (
-    ModelError,
-    TicketModel,
-    decode_epoch,
-    decode_ticket,
-    encode_epoch,
-    encode_ticket,
-)
+from carobstair.models import JsonCodec, TicketModel
 from carobstair.net.peers import PeerTransport
-from carobstair.platform import Conflict, Missing, ObjectApi, StoreError, WatchExpired
+from carobstair.net.store import StoreDriver
+from carobstair.platform import Missing, ObjectApi
 from carobstair.settings import RouterSettings
 
 __all__ = ["Agent"]
 
 logger = get_logger(__name__)
 
-EPOCH_OBJECT = "fleet-epoch"
-TICKET_PREFIX = "tickets/"
-RETRY_MIN_S = 0.2
-RETRY_MAX_S = 5.0
-READ_BACK_ATTEMPTS = 5
+TICK_S = 0.05
+# The node settles a filing within 8 s and answers a question within 0.5 s.
+FILING_LIMIT_S = 15.0
+WARN_EVERY_S = 10.0
+HANDLED = (
+    EpochAck,
+    EpochNotice,
+    InForceAnswer,
+    InForceQuery,
+    LeavingNotice,
+    MemberSync,
+    Probe,
+    ProbeAck,
+    ProbeRequest,
+    ShareTransfer,
+    TicketPull,
+    TicketPush,
+)
 
 
 class Agent:
@@ -57,6 +89,7 @@
     peers : PeerTransport
     store : ObjectApi
     shares : ShareTable
+    capacity : CapacityView
     metrics : RouterMetrics
     on_state : callable
         Called with each new fleet state.
@@ -69,57 +102,78 @@
         peers: PeerTransport,
         store: ObjectApi,
         shares: ShareTable,
+        capacity: CapacityView,
         metrics: RouterMetrics,
         on_state: Callable[[FleetState], None],
     ):
         self._own = own
-        self._settings = settings
         self._peers = peers
         self._store = store
-        self._shares = shares
         self._metrics = metrics
         self._on_state = on_state
-        self._random = random.Random(f"{settings.seed}/{own.instance}")
-        self.state = FleetState()
-        self.tickets: list[bytes] = []
-        self._heard: dict[str, tuple[Heartbeat, float]] = {}
-        self._epoch_version = 0
-        self.leaving = False
-        self.ready = False
-        for payload_type, handler in (
-            (Heartbeat, self._on_heartbeat),
-            (TicketPull, self._on_pull),
-            (TicketPush, self._on_push),
-            (EpochNotice, self._on_epoch_notice),
-            (EpochAck, self._on_epoch_ack),
-        ):
-            peers.subscribe(payload_type, handler)
-        for seed in settings.peers.seeds:
+        self._store_driver = StoreDriver(store, self._on_store_answer, self._on_watch)
+        seeds = [f"seed {seed}" for seed in settings.peers.seeds]
+        self.node = AgentNode(
+            own,
+            seeds,
+            _node_settings(settings),
+            random.Random(f"{settings.seed}/{own.instance}/{own.incarnation}"),
+            JsonCodec(),
+            shares,
+            capacity,
+        )
+        self._filings: dict[int, asyncio.Future[int]] = {}
+        self._last_filing = 0
+        self._queries: dict[int, asyncio.Future[dict[str, int]]] = {}
+        self._warned_s: dict[str, float] = {}
+        for payload_type in HANDLED:
+            peers.subscribe(payload_type, self._on_message)
+        for name, seed in zip(seeds, settings.peers.seeds, strict=True):
             host, _, port = seed.rpartition(":")
-            # A seed's name is not known before its first heartbeat.
-            peers.connect(PeerAddress(f"seed {seed}", 0, host, int(port), 0, ""))
-
-    def live_peers(self) -> set[str]:
-        """Return the instances heard of lately, without the own one."""
-        oldest_s = time.monotonic() - self._settings.peers.dead_after_s
-        return {
-            name
-            for name, (beat, heard_s) in self._heard.items()
-            if heard_s >= oldest_s and not beat.leaving
-        }
-
-    def in_force(self) -> dict[str, int]:
-        """Return the ticket number in force per live instance."""
-        live = self.live_peers()
-        found = {n: b.in_force for n, (b, _) in self._heard.items() if n in live}
-        found[self._own.instance] = self.state.number
-        return found
+            # A seed's instance is not known before it answers.
+            peers.connect(PeerAddress(name, 0, host, int(port), 0, ""))
+
+    @property
+    def state(self) -> FleetState:
+        """The fleet state in force."""
+        return self.node.state
+
+    @property
+    def leaving(self) -> bool:
+        """Whether this process is on its way out."""
+        return self.node.leaving
+
+    def live_peers(self) -> frozenset[str]:
+        """Return the other instances that may be given work."""
+        return self.node.live_peers()
+
+    def unready_reason(self) -> str | None:
+        """Return why this router should get no callers, or None."""
+        return self.node.unready_reason()
+
+    def note_leaving(self, upstream: str, leaving: bool) -> None:
+        """Take in whether a load report says that an upstream leaves."""
+        self._carry_out(self.node.note_leaving(upstream, leaving))
+
+    def leave(self) -> None:
+        """Begin to leave: become unready and give the shares away."""
+        self._carry_out(self.node.leave(time.monotonic()))
+
+    def goodbye(self) -> None:
+        """Tell the peers that this process ends and has nothing in use."""
+        self._carry_out(self.node.goodbye(time.monotonic()))
 
     async def run(self) -> None:
         """Drive all periodic work until cancelled."""
-        await asyncio.gather(
-            self._beat(), self._keep_epoch(), self._keep_tickets(), self._greet()
-        )
+        try:
+            while True:
+                try:
+                    self._carry_out(self.node.tick(time.monotonic()))
+                except Exception:
+                    logger.exception("agent_tick_failed")
+                await asyncio.sleep(TICK_S)
+        finally:
+            self._store_driver.close()
 
     async def file(self, ticket: TicketModel) -> int:
         """Write a ticket to the object API and return its number.
@@ -127,227 +181,138 @@
         Raises
         ------
         Refusal
-            If another ticket took the number or the store can't be reached.
+            ``ticket-conflict``, ``ticket-not-written``, ``ticket-unknown`` or
+            ``too-large``.
         """
-        number = ticket.number or self.state.number + 1
         submission_id = ticket.submission_id or uuid.uuid4().hex
-        filed = ticket.model_copy(
-            update={"number": number, "submission_id": submission_id}
+        filed = ticket.model_copy(update={"submission_id": submission_id}).to_core()
+        self._last_filing += 1
+        future: asyncio.Future[int] = asyncio.get_running_loop().create_future()
+        self._filings[self._last_filing] = future
+        effects = self.node.file(self._last_filing, filed, time.monotonic())
+        self._carry_out(effects)
+        try:
+            return await asyncio.wait_for(future, FILING_LIMIT_S)
+        except TimeoutError as error:
+            detail = f"submission_id {submission_id}"
+            raise refuse("ticket-unknown", detail) from error
+
+    async def in_force(self) -> dict[str, int]:
+        """Return the ticket number in force per live instance."""
+        number, effects = self.node.ask_in_force(time.monotonic())
+        future: asyncio.Future[dict[str, int]] = (
+            asyncio.get_running_loop().create_future()
         )
-        if number != self.state.number + 1:
-            raise refuse("ticket-conflict", f"the next number is not {number}")
-        data = encode_ticket(filed)
-        name = ticket_name(number)
-        match await self._store.create(name, data):
-            case Success(_):
-                pass
-            case Failure(Conflict()):
-                await self._settle(name, submission_id)
-            case Failure(_):
-                await self._settle(name, submission_id)
-        self._apply([data])
-        return number
-
-    async def _settle(self, name: str, submission_id: str) -> None:
-        """Find out whose ticket an object holds after a doubtful write."""
-        for attempt in range(READ_BACK_ATTEMPTS):
-            match await self._store.get(name):
-                case Success(stored):
-                    if decode_ticket(stored.value).submission_id == submission_id:
-                        return
-                    self._apply([stored.value])
-                    raise refuse("ticket-conflict", f"{name} was taken")
-                case Failure(Missing()):
-                    raise refuse("ticket-not-written", name)
-            await asyncio.sleep(RETRY_MIN_S * (attempt + 1))
-        raise refuse("ticket-unknown", f"read {name} to learn the outcome")
-
-    # Heartbeats
-
-    async def _beat(self) -> None:
-        while True:
-            beat = Heartbeat(
-                self._own,
-                self.state.number,
-                self._shares.epoch.number,
-                self.ready,
-                self.leaving,
-                self._known_addresses(),
-            )
-            for peer in self._known_names():
-                self._peers.send(peer, beat)
-            if not self._shares.in_transition or self._fits():
-                ack = EpochAck(self._shares.epoch.number)
-                for peer in self._known_names():
-                    self._peers.send(peer, ack)
-            await asyncio.sleep(self._settings.peers.heartbeat_s)
-
-    def _fits(self) -> bool:
-        return True
-
-    def _known_names(self) -> set[str]:
-        seeds = {f"seed {seed}" for seed in self._settings.peers.seeds}
-        return seeds | set(self._heard)
-
-    def _known_addresses(self) -> list[PeerAddress]:
-        live = self.live_peers()
-        return [beat.address for n, (beat, _) in self._heard.items() if n in live]
-
-    def _on_heartbeat(self, envelope: Envelope, beat: Heartbeat) -> None:
-        address = beat.address
-        known = self._heard.get(address.instance)
-        if address.instance == self._own.instance:
-            return
-        if known is not None and known[0].address.incarnation > address.incarnation:
-            return
-        self._heard[address.instance] = (beat, time.monotonic())
-        self._peers.connect(address)
-        for other in beat.known:
-            if other.instance not in self._heard:
-                self._peers.connect(other)
-        if beat.in_force > self.state.number:
-            self._peers.send(address.instance, TicketPull(self.state.number))
-        if beat.epoch < self._shares.epoch.number:
-            epoch = self._shares.epoch
-            notice = EpochNotice(epoch.number, list(epoch.members), _departed(epoch))
-            self._peers.send(address.instance, notice)
-
-    async def _greet(self) -> None:
-        """Learn of peers from the epoch as long as none is heard."""
-        while True:
-            for member in self._shares.epoch.members:
-                self._peers.connect(member)
-                if member.instance not in self._heard:
-                    beat = Heartbeat(
-                        self._own, self.state.number, self._shares.epoch.number
-                    )
-                    self._peers.send(member.instance, beat)
-            await asyncio.sleep(self._settings.peers.heartbeat_s)
-
-    # Epoch
-
-    def _on_epoch_notice(self, envelope: Envelope, notice: EpochNotice) -> None:
-        departed = tuple((str(i), int(n)) for i, n in notice.departed)
-        self._learn(Epoch(notice.number, tuple(notice.members), departed))
-
-    def _on_epoch_ack(self, envelope: Envelope, ack: EpochAck) -> None:
-        member = (envelope.sender, envelope.incarnation)
-        self._shares.acknowledge(member, ack.number, time.monotonic())
-
-    def _learn(self, epoch: Epoch) -> None:
-        if self._shares.learn(epoch, time.monotonic()):
-            self._peers.epoch = epoch.number
-            self._metrics.epoch.set(epoch.number)
-            logger.info("epoch_learned", number=epoch.number, size=len(epoch.members))
-
-    async def _keep_epoch(self) -> None:
-        """Join the epoch, and take out members that are known to be gone."""
-        while True:
-            match await self._store.get(EPOCH_OBJECT):
-                case Success(stored):
-                    epoch = decode_epoch(stored.value)
-                    self._learn(epoch)
-                    await self._propose(epoch, stored.version)
-                case Failure(Missing()):
-                    await self._propose(Epoch(0), None)
-            await asyncio.sleep(2.0 + self._random.random())
-
-    async def _propose(self, current: Epoch, version: int | None) -> None:
-        own_id = (self._own.instance, self._own.incarnation)
-        if self.leaving or own_id in current.member_ids():
-            return
-        members = {m.instance: m for m in current.members}
-        replaced = members.get(self._own.instance)
-        members[self._own.instance] = self._own
-        departed = list(current.departed)[-8:]
-        if replaced is not None:
-            departed.append((replaced.instance, replaced.incarnation))
-        epoch = Epoch(
-            current.number + 1,
-            tuple(members[name] for name in sorted(members)),
-            tuple(departed),
+        self._queries[number] = future
+        self._carry_out(effects)
+        return await future
+
+    async def ticket(self, number: int) -> bytes:
+        """Return a ticket in force, also one from before the snapshot.
+
+        Raises
+        ------
+        Refusal
+            ``not-found`` or ``ticket-store-unavailable``.
+        """
+        if not 1 <= number <= self.node.log.state.number:
+            raise refuse("not-found", f"ticket {number}")
+        kept = self.node.log.ticket(number)
+        if kept is not None:
+            return kept
+        answer: Result = await self._store.get(ticket_name(number))
+        if isinstance(answer, Success):
+            return answer.unwrap().value
+        error = answer.failure()
+        if isinstance(error, Missing):
+            raise refuse("not-found", f"ticket {number}") from error
+        raise refuse("ticket-store-unavailable", f"ticket {number}") from error
+
+    # Events
+
+    def _on_message(self, envelope: Envelope, payload) -> None:
+        now_s = time.monotonic()
+        self._carry_out(
+            self.node.on_message(envelope.sender, envelope.incarnation, payload, now_s)
         )
-        data = encode_epoch(epoch)
-        if version is None:
-            result = await self._store.create(EPOCH_OBJECT, data)
-        else:
-            result = await self._store.update(EPOCH_OBJECT, data, version)
-        if isinstance(result, Success):
-            self._learn(epoch)
-
-    # Tickets
-
-    async def _keep_tickets(self) -> None:
-        while True:
-            try:
-                await self._follow_tickets()
-            except StoreError as error:
-                logger.warning("ticket_watch_ended", error=repr(error))
-            await asyncio.sleep(RETRY_MIN_S + self._random.random() * RETRY_MIN_S)
-
-    async def _follow_tickets(self) -> None:
-        match await self._store.list(TICKET_PREFIX, ticket_name(self.state.number)):
-            case Success((version, found)):
-                self._apply([stored.value for stored in found])
-                self._note_ready()
-            case Failure(error):
-                raise error
-        if not self._is_watcher():
-            await asyncio.sleep(RETRY_MAX_S)
+
+    def _on_store_answer(self, answer) -> None:
+        self._carry_out(self.node.on_store_answer(answer, time.monotonic()))
+
+    def _on_watch(self, event) -> None:
+        self._carry_out(self.node.on_watch(event, time.monotonic()))
+
+    # Effects
+
+    def _carry_out(self, effects: Iterable[Effect]) -> None:
+        for effect in effects:
+            self._do(effect)
+
+    @singledispatchmethod
+    def _do(self, effect) -> None:
+        raise TypeError(f"unknown effect {effect!r}")
+
+    @_do.register
+    def _(self, effect: Send) -> None:
+        self._peers.send(effect.to, effect.payload)
+
+    @_do.register
+    def _(self, effect: Connect) -> None:
+        self._peers.connect(effect.address)
+
+    @_do.register
+    def _(self, effect: Reconnect) -> None:
+        self._peers.reconnect(effect.instance)
+
+    @_do.register
+    def _(self, effect: StateChanged) -> None:
+        self._metrics.in_force.set(effect.state.number)
+        logger.info("ticket_in_force", number=effect.state.number)
+        self._on_state(effect.state)
+
+    @_do.register
+    def _(self, effect: EpochLearned) -> None:
+        self._peers.epoch = effect.number
+        self._metrics.epoch.set(effect.number)
+        logger.info("epoch_learned", number=effect.number, size=effect.size)
+
+    @_do.register
+    def _(self, effect: TicketSettled) -> None:
+        future = self._filings.pop(effect.filing, None)
+        if future is None or future.done():
             return
-        async for event in self._store.watch(TICKET_PREFIX, version):
-            if event.stored is not None and not event.deleted:
-                self._apply([event.stored.value])
-            if event.version < version:
-                raise WatchExpired("the version went back")
-
-    def _is_watcher(self) -> bool:
-        live = self.live_peers()
-        zone = [
-            name
-            for name, (beat, _) in self._heard.items()
-            if name in live and beat.address.zone == self._own.zone
-        ]
-        ranked = rendezvous_rank("ticket watch", [*zone, self._own.instance])
-        return self._own.instance in ranked[: self._settings.platform.watchers_per_zone]
-
-    def _apply(self, tickets: list[bytes]) -> None:
-        """Apply the tickets that come next; later ones are pulled again."""
-        before = self.state.number
-        for data in tickets:
-            try:
-                ticket = decode_ticket(data)
-            except ModelError as error:
-                logger.error("ticket_unreadable", error=str(error))
-                return
-            if ticket.number == self.state.number + 1:
-                self.state = self.state.apply(ticket)
-                self.tickets.append(data)
-        if self.state.number > before:
-            self._metrics.in_force.set(self.state.number)
-            logger.info("ticket_in_force", number=self.state.number)
-            self._on_state(self.state)
-            self._note_ready()
-            push = TicketPush(self.tickets[before:])
-            for peer in self.live_peers():
-                self._peers.send(peer, push)
-
-    def _note_ready(self) -> None:
-        self.ready = self.state.number > 0
-
-    def _on_pull(self, envelope: Envelope, message: TicketPull) -> None:
-        missing = self.tickets[max(0, message.after) :]
-        if missing:
-            self._peers.send(envelope.sender, TicketPush(missing[:50]))
-
-    def _on_push(self, envelope: Envelope, message: TicketPush) -> None:
-        self._apply(message.tickets)
-
-
-def ticket_name(number: int) -> str:
-    """Return the name of a ticket's object."""
-    return f"{TICKET_PREFIX}{number:08d}"
-
-
-def _departed(epoch: Epoch) -> list[tuple[str, int]]:
-    return list(epoch.departed)
+        if effect.refusal is not None:
+            future.set_exception(effect.refusal)
+        else:
+            future.set_result(effect.number)
+
+    @_do.register
+    def _(self, effect: InForceFound) -> None:
+        future = self._queries.pop(effect.query, None)
+        if future is not None and not future.done():
+            future.set_result(effect.numbers)
+
+    @_do.register
+    def _(self, effect: Warn) -> None:
+        now_s = time.monotonic()
+        if now_s >= self._warned_s.get(effect.event, 0.0) + WARN_EVERY_S:
+            self._warned_s[effect.event] = now_s
+            logger.warning(effect.event, detail=effect.detail)
+
+    @_do.register(StoreCall)
+    @_do.register(WatchOpen)
+    @_do.register(WatchClose)
+    def _(self, effect) -> None:
+        self._store_driver.carry_out(effect)
+
+
+def _node_settings(settings: RouterSettings) -> AgentSettings:
+    peers = settings.peers
+    return AgentSettings(
+        membership=MembershipSettings(
+            probe_every_s=peers.heartbeat_s, suspicion_s=peers.suspicion_s
+        ),
+        distribution=DistributionSettings(
+            watchers_per_zone=settings.platform.watchers_per_zone
+        ),
+    )
--- a/src/carobstair/net/app.py
+++ b/src/carobstair/net/app.py
@@ -141,10 +141,8 @@
         resp.media = {"number": number}
 
     async def on_get_one(self, req, resp, number: int) -> None:
-        if not 1 <= number <= len(self._agent.tickets):
-            raise refuse("not-found", f"ticket {number}")
+        resp.data = await self._agent.ticket(number)
         resp.content_type = falcon.MEDIA_JSON
-        resp.data = self._agent.tickets[number - 1]
 
 
 class _InForce:
@@ -154,7 +152,7 @@
     async def on_get(self, req, resp) -> None:
         resp.media = {
             "number": self._agent.state.number,
-            "instances": self._agent.in_force(),
+            "instances": await self._agent.in_force(),
         }
 
 
@@ -167,11 +165,10 @@
         resp.media = {"status": "ok"}
 
     async def on_get_ready(self, req, resp) -> None:
-        if not self._agent.ready:
-            reason = "no ticket is in force yet"
-        elif self._agent.leaving or self._gateway.refuses_new:
+        reason = self._agent.unready_reason()
+        if reason is None and self._gateway.refuses_new:
             reason = "shutting down"
-        else:
+        if reason is None:
             resp.media = {"status": "ready"}
             return
         resp.status = 503
--- a/src/carobstair/net/capacity.py
+++ b/src/carobstair/net/capacity.py
@@ -5,7 +5,7 @@
 import asyncio
 import random
 import time
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from functools import singledispatchmethod
 
 from carobstair.core.capacity import CapacityNode, CapacitySettings
@@ -81,6 +81,8 @@
             node_settings,
             random.Random(f"{settings.seed}/{own.instance}/capacity"),
         )
+        # Called with the upstream and whether its load report says that it leaves.
+        self.on_leaving_report: Callable[[str, bool], None] = lambda name, leaves: None
         self._futures: dict[str, asyncio.Future[HeldGrant]] = {}
         self._demand_timer: asyncio.TimerHandle | None = None
         for payload_type in HANDLED:
@@ -196,6 +198,7 @@
         except UpstreamError as error:
             logger.debug("load_report_failed", upstream=name, error=str(error))
             return
+        self.on_leaving_report(name, report.leaving)
         self._carry_out(self.node.on_load_report(name, report, time.monotonic()))
         if name in self.state.upstreams:
             self._metrics.limit.labels(name).set(self.node.limit_of(name))
--- a/src/carobstair/net/router.py
+++ b/src/carobstair/net/router.py
@@ -6,7 +6,9 @@
 import signal
 import time
 
+from carobstair.core.capacity import CapacityNode
 from carobstair.core.messages import PeerAddress
+from carobstair.core.shares import SlotShare
 from carobstair.core.state import FleetState
 from carobstair.logs import get_logger
 from carobstair.metrics import RouterMetrics
@@ -27,6 +29,20 @@
 PEER_REFRESH_S = 0.25
 
 
+class _CapacityView:
+    """What the agent reads of the capacity node."""
+
+    def __init__(self, node: CapacityNode):
+        self._node = node
+
+    def fits_newest_epoch(self) -> bool:
+        return self._node.fits_newest_epoch()
+
+    def in_use(self) -> dict[str, SlotShare]:
+        names = self._node.state.upstreams
+        return {name: self._node.allocator.in_use(name) for name in names}
+
+
 class Router:
     """One router: gateway, allocator and agent in one event loop.
 
@@ -62,9 +78,11 @@
             self._peers,
             self._store,
             self.capacity.node.shares,
+            _CapacityView(self.capacity.node),
             self.metrics,
             self._on_state,
         )
+        self.capacity.on_leaving_report = self.agent.note_leaving
         self.gateway = Gateway(settings, self.capacity, self._upstreams, self.metrics)
         app = make_app(self.gateway, self.agent, self.metrics, settings)
         self._server = HttpServer(app, instance.host, instance.http_port)
@@ -85,6 +103,7 @@
         logger.info("router_started", instance=self.own.instance, zone=self.own.zone)
         await self._stopping.wait()
         await self._drain()
+        self.agent.goodbye()
         self._server.stop()
         await serving
         for task in work:
@@ -105,7 +124,7 @@
         self._stopping.set()
 
     async def _drain(self) -> None:
-        self.agent.leaving = True
+        self.agent.leave()
         await asyncio.sleep(self._settings.gateway.balancer_lag_s)
         self.gateway.refuses_new = True
         limit_s = time.monotonic() + self._settings.gateway.shutdown_limit_s
--- a/src/carobstair/platform/__init__.py
+++ b/src/carobstair/platform/__init__.py
@@ -2,7 +2,9 @@
 
 from carobstair.platform.object_api import (
     Conflict,
+    ListedInstance,
     Missing,
+    NotSent,
     ObjectApi,
     Stored,
     StoreError,
@@ -13,7 +15,9 @@
 
 __all__ = [
     "Conflict",
+    "ListedInstance",
     "Missing",
+    "NotSent",
     "ObjectApi",
     "StoreError",
     "Stored",
--- a/src/carobstair/platform/object_api.py
+++ b/src/carobstair/platform/object_api.py
@@ -10,6 +10,7 @@
 import json
 from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
+from typing import Any
 
 import aiohttp
 from returns.result import Failure, Result, Success
@@ -18,7 +19,9 @@
 
 __all__ = [
     "Conflict",
+    "ListedInstance",
     "Missing",
+    "NotSent",
     "ObjectApi",
     "StoreError",
     "Stored",
@@ -45,6 +48,10 @@
     """There is no object of this name."""
 
 
+class NotSent(StoreError):
+    """No connection came about; nothing was written."""
+
+
 class Unavailable(StoreError):
     """No answer, or a server error; a write may have taken effect."""
 
@@ -62,6 +69,14 @@
     value: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class ListedInstance:
+    """An entry of the instance list; `state` is live or leaving."""
+
+    name: str
+    state: str
+
+
 @dataclass(frozen=True, slots=True)
 class WatchEvent:
     """A change of an object; `stored` is None for a heartbeat of the watch."""
@@ -123,12 +138,14 @@
         """Return the store's version and the objects whose names follow `after`."""
         params = {"prefix": prefix, "after": after}
         answer = await self._call("GET", "/objects", "list", params=params)
-        return answer.map(lambda pair: (pair[0], _decode_list(pair[1])))
+        return answer.bind(lambda pair: _decoded(_decode_list, *pair))
 
-    async def instances(self) -> Result[list[dict[str, str]], StoreError]:
+    async def instances(self) -> Result[list[ListedInstance], StoreError]:
         """Return the platform's lagging list of instances with their states."""
         answer = await self._call("GET", "/instances", "instances")
-        return answer.map(lambda pair: json.loads(pair[1])["instances"])
+        return answer.bind(lambda pair: _decoded(_decode_instances, *pair)).map(
+            lambda pair: pair[1]
+        )
 
     async def watch(self, prefix: str, since: int) -> AsyncIterator[WatchEvent]:
         """Yield changes after a version until the connection ends.
@@ -153,8 +170,15 @@
                     raise Unavailable(f"status {response.status}")
                 async for line in response.content:
                     yield _decode_event(json.loads(line))
-        except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
-            raise Unavailable(str(error)) from error
+        except (
+            aiohttp.ClientError,
+            TimeoutError,
+            OSError,
+            ValueError,
+            KeyError,
+            TypeError,
+        ) as error:
+            raise Unavailable(str(error) or type(error).__name__) from error
 
     async def _write(
         self, name: str, value: bytes, headers: dict[str, str], operation: str
@@ -177,6 +201,8 @@
             ) as response:
                 body = await response.read()
                 result = _to_result(response.status, response.headers, body)
+        except aiohttp.ClientConnectorError as error:
+            result = Failure(NotSent(str(error)))
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             result = Failure(Unavailable(str(error) or type(error).__name__))
         outcome = "ok" if isinstance(result, Success) else _label(result.failure())
@@ -210,6 +236,19 @@
     return Failure(Unavailable(f"status {status}"))
 
 
+def _decoded(decode: Callable[[bytes], Any], version: int, body: bytes) -> Result:
+    """Return the version with the decoded body, or a failure to read it."""
+    try:
+        return Success((version, decode(body)))
+    except (ValueError, KeyError, TypeError) as error:
+        return Failure(Unavailable(f"unreadable answer: {error!r}"))
+
+
+def _decode_instances(body: bytes) -> list[ListedInstance]:
+    items = json.loads(body)["instances"]
+    return [ListedInstance(str(i["name"]), str(i.get("state", "live"))) for i in items]
+
+
 def _decode_list(body: bytes) -> list[Stored]:
     items = json.loads(body)["objects"]
     return [
--- a/src/carobstair/settings.py
+++ b/src/carobstair/settings.py
@@ -63,7 +63,7 @@
 
     seeds: CommaList = []
     heartbeat_s: float = Field(0.5, gt=0, le=10)
-    dead_after_s: float = Field(3.0, gt=0, le=60)
+    suspicion_s: float = Field(2.0, gt=0, le=60)
     exchange_s: float = Field(1.0, gt=0, le=10)
     server_public_key: str = ""
     server_secret_key: str = ""
