Test the epoch and the shares over all processes

Cause: nothing checked that the processes together stay within an upstream's limit through epoch changes, restarts and share transfer.

--- a/src/carobstair/standins/agent_fleet.py
+++ b/src/carobstair/standins/agent_fleet.py
@@ -21,7 +21,7 @@
     Warn,
 )
 from carobstair.core.messages import PeerAddress, encode
-from carobstair.core.share_keeper import NoCapacity
+from carobstair.core.share_keeper import CapacityView, NoCapacity
 from carobstair.core.shares import ShareTable
 from carobstair.core.state import Ticket
 from carobstair.core.store_calls import (
@@ -83,6 +83,7 @@
 class _Process:
     node: AgentNode
     address: PeerAddress
+    capacity: CapacityView
     paused: bool = False
     backlog: list[Callable[[], None]] = field(default_factory=list)
 
@@ -96,13 +97,21 @@
         Availability zone by instance.
     seed : int
     settings : AgentSettings, optional
+    make_capacity : callable, optional
+        Returns the capacity view of a process from its share table. It is called
+        at each start; a ``tick`` method of the view runs before the node's.
     """
 
     def __init__(
-        self, zones: dict[str, str], seed: int, settings: AgentSettings | None = None
+        self,
+        zones: dict[str, str],
+        seed: int,
+        settings: AgentSettings | None = None,
+        make_capacity: Callable[[ShareTable], CapacityView] = lambda _: NoCapacity(),
     ):
         self.zones = dict(zones)
         self.settings = settings or AgentSettings()
+        self._make_capacity = make_capacity
         self.network = Network()
         self.store = MemoryStore()
         self.now_s = 0.0
@@ -132,16 +141,18 @@
         port = self._ports.setdefault(name, 1000 + len(self._ports))
         address = PeerAddress(name, incarnation, "h", port, 1, self.zones[name])
         seeds = [f"seed {n}" for n in sorted(self.zones) if n != name][:3]
+        shares = ShareTable((name, incarnation), LAPSE_S)
+        capacity = self._make_capacity(shares)
         node = AgentNode(
             address,
             seeds,
             self.settings,
             random.Random(f"{self._random.random()}/{name}"),
             JsonCodec(),
-            ShareTable((name, incarnation), LAPSE_S),
-            NoCapacity(),
+            shares,
+            capacity,
         )
-        process = _Process(node, address)
+        process = _Process(node, address, capacity)
         self.processes[name] = process
         self._at(self._random.random() * TICK_S, lambda: self._tick(process))
         return node
@@ -217,6 +228,8 @@
         if self.processes.get(process.address.instance) is not process:
             return
         if not process.paused:
+            if hasattr(process.capacity, "tick"):
+                process.capacity.tick()
             effects = process.node.tick(self.now_s)
             self.carry_out(process.address.instance, effects)
         self._at(TICK_S, lambda: self._tick(process))
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -5,7 +5,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from carobstair.core.messages import PeerAddress
+from carobstair.core.messages import InUseEntry, PeerAddress, ShareTransfer
 from carobstair.core.shares import Epoch, ShareTable
 
 LAPSE_S = 11.0
@@ -48,3 +48,62 @@
         table.acknowledge(("b", 1), 1, 0.0)
         table.acknowledge(("b", 1), 3, 0.0)
         self.assertTrue(table.in_transition)
+
+    def test_acknowledgement_of_the_former_epoch_does_not_settle_the_next(self):
+        table = ShareTable(("a", 1), LAPSE_S)
+        table.learn(epoch(1, "ab"), 0.0)
+        table.acknowledge(("b", 1), 1, 0.0)
+        table.learn(epoch(2, "ab"), 1.0)
+        self.assertTrue(table.in_transition)
+
+    def test_member_taken_out_that_comes_back_has_to_acknowledge_again(self):
+        table = ShareTable(("a", 1), LAPSE_S)
+        table.learn(epoch(1, "a", (("b", 1),)), 0.0)
+        table.learn(epoch(2, "ab"), 1.0)
+        table.settle(1.0 + 2 * LAPSE_S)
+        self.assertTrue(table.in_transition)
+
+    def test_missed_epoch_does_not_keep_a_table_unsettled(self):
+        table = ShareTable(("a", 1), LAPSE_S)
+        table.learn(epoch(1, "ab"), 0.0)
+        table.acknowledge(("b", 1), 1, 0.0)
+        table.learn(epoch(3, "a"), 50.0)
+        self.assertFalse(table.in_transition)
+
+
+class ShareTransferTest(unittest.TestCase):
+    """Guards against a share that two processes use at once."""
+
+    def setUp(self):
+        self.table = ShareTable(("a", 1), LAPSE_S)
+        self.table.learn(epoch(3, "ab"), 0.0)
+        self.table.acknowledge(("b", 1), 3, 0.0)
+
+    def slots(self):
+        return self.table.share("e1", 8, 0, 0.0).request_slots
+
+    def test_receiver_gets_what_the_leaver_no_longer_uses(self):
+        used = [InUseEntry("e1", 3, 0)]
+        self.assertTrue(self.table.receive(ShareTransfer(3, "b", 1, 1, used)))
+        self.assertEqual(self.slots(), 5)
+        self.assertTrue(self.table.receive(ShareTransfer(3, "b", 1, 2)))
+        self.assertFalse(self.table.receive(ShareTransfer(3, "b", 1, 1, used)))
+        self.assertEqual(self.slots(), 8)
+
+    def test_transfer_under_another_epoch_is_refused(self):
+        self.assertFalse(self.table.receive(ShareTransfer(2, "b", 1, 1)))
+        self.assertFalse(self.table.receive(ShareTransfer(4, "b", 1, 1)))
+        self.assertEqual(self.slots(), 4)
+
+    def test_transfer_does_not_outlive_its_epoch(self):
+        self.table.receive(ShareTransfer(3, "b", 1, 1))
+        self.table.learn(epoch(4, "ac", (("b", 1),)), 1.0)
+        self.table.acknowledge(("c", 1), 4, 1.0)
+        self.table.settle(1.0 + LAPSE_S)
+        self.assertEqual(self.slots(), 4)
+
+    def test_given_away_share_stays_closed_in_later_epochs(self):
+        self.table.give_away()
+        self.table.learn(epoch(4, "ab"), 1.0)
+        self.table.acknowledge(("b", 1), 4, 1.0)
+        self.assertEqual(self.slots(), 0)
