Run keyed actions at most once across all routers

PUT and DELETE could also run twice, because aiohttp sends these methods again when a kept connection breaks.

A record in the object API names the only attempt that may send; all writes are conditional, doubtful ones are settled by reading back. Callers with the same key join, follow the owning router, or get the recorded outcome. The run belongs to no caller, so one that leaves does not abandon it. Without a key a call that may not repeat gets one attempt. A 503 or 429 of a service counts as not run only with the body member ran: "no". aiohttp's own resending is off. A refusal after an attempt that may have run never says "not run".

--- a/src/carobstair/core/refusals.py
+++ b/src/carobstair/core/refusals.py
@@ -49,6 +49,12 @@
         """HTTP status code."""
         return self.kind.status
 
+    def given(self, may_have_run: bool) -> Refusal:
+        """Return the refusal that is true if an earlier attempt may have run."""
+        if not may_have_run or self.kind.ran is not Ran.NO:
+            return self
+        return refuse("answer-lost", self.detail or self.kind.title)
+
     def problem(self, request_id: str) -> dict[str, object]:
         """Return the members of the ``application/problem+json`` document."""
         return {
@@ -188,6 +194,13 @@
         "Send it again with the same key after Retry-After.",
         2.0,
     ),
+    RefusalType(
+        "outcome-too-large",
+        409,
+        Ran.YES,
+        "The action ran; its answer was too large to be kept",
+        "Read the state of the thing acted on; the detail has the status.",
+    ),
     RefusalType(
         "key-reused",
         422,
--- /dev/null
+++ b/src/carobstair/net/actions.py
@@ -0,0 +1,383 @@
+"""Driver of keyed actions: carries out the effects of their state machines."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from functools import singledispatchmethod
+from typing import Protocol
+
+from returns.result import Failure, Result, Success
+
+from carobstair.core.action_book import ActionBook, BookLimits
+from carobstair.core.action_events import (
+    AcquireSlot,
+    Answered,
+    AnswerLost,
+    AskOwner,
+    CreateRecord,
+    DeleteRecord,
+    Effect,
+    Event,
+    Finish,
+    NotRun,
+    OwnerAnswer,
+    ReadRecord,
+    RecordFound,
+    RecordMissing,
+    ReleaseSlot,
+    SendAction,
+    SlotGranted,
+    SlotRefused,
+    StoreDoubtful,
+    TimePassed,
+    UpdateRecord,
+    Wait,
+    WriteAccepted,
+    WriteConflict,
+)
+from carobstair.core.action_records import (
+    Outcome,
+    OwnAttempts,
+    OwnerState,
+    RecordError,
+    body_hash,
+    decode_outcome,
+    decode_record,
+    encode_outcome,
+    encode_record,
+    record_name,
+)
+from carobstair.core.actions import ActionMachine, ActionSettings, Phase
+from carobstair.core.grants import HeldGrant
+from carobstair.core.messages import (
+    Envelope,
+    OutcomeAnswer,
+    OutcomeQuery,
+    PeerAddress,
+)
+from carobstair.core.refusals import Refusal, refuse
+from carobstair.logs import get_logger
+from carobstair.net.peers import PeerTransport
+from carobstair.net.services import ServiceCall
+from carobstair.net.upstream import (
+    NotSent,
+    ServiceAnswer,
+    UpstreamError,
+    UpstreamRefused,
+)
+from carobstair.platform import Conflict, Missing, ObjectApi
+
+__all__ = ["ActionDriver"]
+
+logger = get_logger(__name__)
+
+PEER_ANSWER_S = 0.5
+# How long the router waits for an upstream's answer once an action was sent; its
+# callers may have left before.
+ACTION_ANSWER_S = 60.0
+# Where peers differ, the one that knows most is right.
+KNOWLEDGE = (
+    OwnerState.DONE,
+    OwnerState.LOST,
+    OwnerState.RUNNING,
+    OwnerState.SILENT,
+    OwnerState.NOT_SENT,
+    OwnerState.NONE,
+)
+
+
+class Sender(Protocol):
+    """Slots on upstreams, and calls on them."""
+
+    async def acquire(self, call: ServiceCall) -> HeldGrant:
+        """Wait for a slot."""
+
+    async def send(
+        self, call: ServiceCall, grant: HeldGrant, send_id: str, timeout_s: float
+    ) -> ServiceAnswer:
+        """Send a call on a slot, once."""
+
+    def release(self, grant: HeldGrant) -> None:
+        """Give a slot back."""
+
+
+@dataclass(eq=False)
+class _Run:
+    """A machine at work, and the callers that wait for it."""
+
+    record: str
+    call: ServiceCall
+    machine: ActionMachine
+    result: asyncio.Future[Outcome | Refusal]
+    callers: int = 0
+    grant: HeldGrant | None = None
+    acquiring: asyncio.Task | None = None
+    excluded: set[str] = field(default_factory=set)
+
+
+@dataclass(eq=False)
+class _Query:
+    """A question to other routers, and what they have said."""
+
+    awaited: set[str]
+    done: asyncio.Event
+    answers: list[OwnerAnswer] = field(default_factory=list)
+
+
+class ActionDriver:
+    """Runs each keyed action at most once and gives its outcome to every caller.
+
+    Parameters
+    ----------
+    own : PeerAddress
+    store : ObjectApi
+    peers : PeerTransport
+    sender : Sender
+    live_peers : callable
+        Returns the names of the routers believed to be alive.
+    generator : random.Random
+    """
+
+    def __init__(
+        self,
+        own: PeerAddress,
+        store: ObjectApi,
+        peers: PeerTransport,
+        sender: Sender,
+        live_peers: Callable[[], set[str]],
+        generator: random.Random,
+    ):
+        self._store = store
+        self._peers = peers
+        self._sender = sender
+        self._live_peers = live_peers
+        attempts = OwnAttempts((own.instance, own.incarnation), generator)
+        self.book = ActionBook(attempts, ActionSettings(), BookLimits())
+        self._runs: dict[str, _Run] = {}
+        self._tasks: set[asyncio.Task] = set()
+        self._queries: dict[int, _Query] = {}
+        self._last_query = 0
+        peers.subscribe(OutcomeQuery, self._on_query)
+        peers.subscribe(OutcomeAnswer, self._on_answer)
+
+    @property
+    def unfinished(self) -> int:
+        """Number of actions whose outcome is not known or not written yet."""
+        return len(self._runs)
+
+    async def call(self, call: ServiceCall) -> Outcome:
+        """Return the outcome of a keyed action, whoever ran it.
+
+        Raises
+        ------
+        Refusal
+        """
+        workspace = call.context.workspace.name
+        record = record_name(workspace, call.key)
+        digest = body_hash(call.service, call.method, call.path, call.body)
+        known = self.book.remembered(record, digest, time.monotonic())
+        if known is not None:
+            return known
+        machine = self.book.join(record, digest, call.context.deadline_s)
+        run = self._runs.get(record)
+        if run is None:
+            run = self._start(record, call, machine)
+        run.callers += 1
+        try:
+            async with asyncio.timeout(call.context.deadline_s - time.monotonic()):
+                result = await asyncio.shield(run.result)
+        except TimeoutError:
+            raise machine.late_refusal(run.callers == 1) from None
+        finally:
+            run.callers -= 1
+            if not run.callers and not run.result.done():
+                self._abandon(run)
+        if isinstance(result, Refusal):
+            raise refuse(result.kind.name, result.detail, result.retry_after_s)
+        return result
+
+    def _start(self, record: str, call: ServiceCall, machine: ActionMachine) -> _Run:
+        result = asyncio.get_running_loop().create_future()
+        run = _Run(record, call, machine, result)
+        self._runs[record] = run
+        # The task belongs to no caller: one that leaves must not take the outcome
+        # of a sent action with it.
+        task = asyncio.create_task(self._run(run))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return run
+
+    def _abandon(self, run: _Run) -> None:
+        run.machine.abandon()
+        if run.machine.phase is Phase.WAITING and run.acquiring is not None:
+            run.acquiring.cancel()
+
+    async def _run(self, run: _Run) -> None:
+        effects = deque(run.machine.begin())
+        try:
+            while effects:
+                event = await self._do(effects.popleft(), run)
+                if event is not None:
+                    now_s, unix_s = time.monotonic(), time.time()
+                    effects.extend(run.machine.on(event, now_s, unix_s))
+        except Exception:
+            logger.exception("action_failed", record=run.record)
+        finally:
+            self._release(run)
+            if not run.result.done():
+                run.result.set_result(refuse("internal-error"))
+            del self._runs[run.record]
+            self.book.close(run.record, time.monotonic())
+
+    @singledispatchmethod
+    async def _do(self, effect: Effect, run: _Run) -> Event | None:
+        raise TypeError(f"unknown effect {effect!r}")
+
+    @_do.register
+    async def _(self, effect: Finish, run: _Run) -> None:
+        if not run.result.done():
+            run.result.set_result(effect.result)
+
+    @_do.register
+    async def _(self, effect: Wait, run: _Run) -> Event:
+        await asyncio.sleep(effect.delay_s)
+        return TimePassed()
+
+    # Store
+
+    @_do.register
+    async def _(self, effect: ReadRecord, run: _Run) -> Event:
+        match await self._store.get(run.record):
+            case Success(stored):
+                return RecordFound(decode_record(stored.value), stored.version)
+            case Failure(Missing()):
+                return RecordMissing()
+        return StoreDoubtful()
+
+    @_do.register
+    async def _(self, effect: CreateRecord, run: _Run) -> Event:
+        data = encode_record(effect.record)
+        return _written(await self._store.create(run.record, data))
+
+    @_do.register
+    async def _(self, effect: UpdateRecord, run: _Run) -> Event:
+        data = encode_record(effect.record)
+        return _written(await self._store.update(run.record, data, effect.version))
+
+    @_do.register
+    async def _(self, effect: DeleteRecord, run: _Run) -> Event:
+        match await self._store.delete(run.record, effect.version):
+            case Success(_):
+                return WriteAccepted(0)
+            case Failure(Conflict() | Missing()):
+                return WriteConflict()
+        return StoreDoubtful()
+
+    # Upstream
+
+    @_do.register
+    async def _(self, effect: AcquireSlot, run: _Run) -> Event:
+        call = run.call.excluding(run.excluded)
+        run.acquiring = asyncio.create_task(self._sender.acquire(call))
+        try:
+            run.grant = await run.acquiring
+        except Refusal as refusal:
+            return SlotRefused(refusal)
+        except asyncio.CancelledError:
+            if not run.acquiring.cancelled():
+                raise
+            return SlotRefused(refuse("deadline-exceeded"))
+        finally:
+            run.acquiring = None
+        return SlotGranted()
+
+    @_do.register
+    async def _(self, effect: ReleaseSlot, run: _Run) -> None:
+        self._release(run)
+
+    @_do.register
+    async def _(self, effect: SendAction, run: _Run) -> Event:
+        upstream = run.grant.offer.upstream
+        try:
+            answer = await self._sender.send(
+                run.call, run.grant, effect.send_id, ACTION_ANSWER_S
+            )
+        except (NotSent, UpstreamRefused) as error:
+            run.excluded.add(upstream)
+            return NotRun(str(error), isinstance(error, UpstreamRefused))
+        except UpstreamError as error:
+            logger.warning(
+                "action_answer_lost",
+                request_id=run.call.context.request_id,
+                workspace=run.call.context.workspace.name,
+                upstream=upstream,
+                error=str(error),
+            )
+            return AnswerLost(str(error))
+        return Answered(Outcome(answer.status, list(answer.headers), answer.body))
+
+    def _release(self, run: _Run) -> None:
+        grant, run.grant = run.grant, None
+        if grant is not None:
+            self._sender.release(grant)
+
+    # Other routers
+
+    @_do.register
+    async def _(self, effect: AskOwner, run: _Run) -> Event:
+        asked = {effect.instance} if effect.instance else set(self._live_peers())
+        self._last_query += 1
+        number = self._last_query
+        query = OutcomeQuery(number, run.record, effect.attempt_id)
+        pending = _Query(set(asked), asyncio.Event())
+        self._queries[number] = pending
+        sent = [self._peers.send(peer, query) for peer in sorted(asked)]
+        try:
+            if pending.awaited and all(sent):
+                async with asyncio.timeout(PEER_ANSWER_S):
+                    await pending.done.wait()
+        except TimeoutError:
+            pass
+        finally:
+            del self._queries[number]
+        answers = list(pending.answers)
+        if pending.awaited:
+            answers.append(OwnerAnswer(OwnerState.SILENT))
+        none = OwnerAnswer(OwnerState.NONE)
+        return min(answers, key=lambda a: KNOWLEDGE.index(a.state), default=none)
+
+    def _on_query(self, envelope: Envelope, query: OutcomeQuery) -> None:
+        known = self.book.answer(query.record, query.attempt_id, time.monotonic())
+        answer = OutcomeAnswer(
+            query.request, query.record, known.state, encode_outcome(known.outcome)
+        )
+        self._peers.send(envelope.sender, answer)
+
+    def _on_answer(self, envelope: Envelope, answer: OutcomeAnswer) -> None:
+        pending = self._queries.get(answer.request)
+        if pending is None or envelope.sender not in pending.awaited:
+            return
+        try:
+            state = OwnerState(answer.state)
+            known = OwnerAnswer(state, decode_outcome(answer.outcome))
+        except (ValueError, RecordError) as error:
+            logger.warning("outcome_answer_unreadable", error=str(error))
+            return
+        pending.awaited.discard(envelope.sender)
+        pending.answers.append(known)
+        if not pending.awaited:
+            pending.done.set()
+
+
+def _written(result: Result) -> Event:
+    match result:
+        case Success(stored):
+            return WriteAccepted(stored.version)
+        case Failure(Conflict()):
+            return WriteConflict()
+    return StoreDoubtful()
--- a/src/carobstair/net/app.py
+++ b/src/carobstair/net/app.py
@@ -18,7 +18,8 @@
 from carobstair.metrics import RouterMetrics
 from carobstair.models import ModelError, TicketModel, parse_model
 from carobstair.net.agent import Agent
-from carobstair.net.gateway import Gateway, collect_answer
+from carobstair.net.chat import collect_answer
+from carobstair.net.gateway import Gateway
 from carobstair.settings import RouterSettings
 
 __all__ = ["make_app"]
--- /dev/null
+++ b/src/carobstair/net/context.py
@@ -0,0 +1,26 @@
+"""Who calls a router, and until when the answer is of use."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from carobstair.core.state import Workspace
+
+__all__ = ["CallerContext"]
+
+
+@dataclass(frozen=True, slots=True)
+class CallerContext:
+    """An authenticated caller; times are monotonic seconds.
+
+    Attributes
+    ----------
+    request_id : str
+        Chosen by the caller or made. Callers of different workspaces may choose
+        the same one, so it identifies nothing inside the router.
+    """
+
+    request_id: str
+    workspace: Workspace
+    arrived_s: float
+    deadline_s: float
--- a/src/carobstair/net/gateway.py
+++ b/src/carobstair/net/gateway.py
@@ -4,14 +4,12 @@
 
 import hashlib
 import hmac
-import json
 import time
 import uuid
 from collections.abc import AsyncIterator, Mapping
-from dataclasses import dataclass, field, replace
 
-from carobstair.core.fairness import engine_cost_tokens, service_cost_tokens
-from carobstair.core.grants import HeldGrant
+from carobstair.core.action_records import RETENTION_S
+from carobstair.core.fairness import engine_cost_tokens
 from carobstair.core.placement import prefix_hashes
 from carobstair.core.queueing import (
     ClassLimits,
@@ -22,69 +20,20 @@
 )
 from carobstair.core.refusals import Refusal, refuse
 from carobstair.core.state import FleetState, UpstreamKind, Workspace
-from carobstair.logs import get_logger
 from carobstair.metrics import RouterMetrics
 from carobstair.models import ChatRequestModel, ModelError, parse_model
+from carobstair.net.actions import ActionDriver
 from carobstair.net.capacity import CapacityDriver
-from carobstair.net.upstream import (
-    AnswerMismatch,
-    Chunk,
-    NotSent,
-    ServiceAnswer,
-    StreamBroken,
-    UpstreamClient,
-    UpstreamError,
-    UpstreamRefused,
-)
+from carobstair.net.chat import ChatRelay, Generation
+from carobstair.net.context import CallerContext
+from carobstair.net.services import ServiceCall, ServiceCaller
+from carobstair.net.upstream import Chunk, ServiceAnswer
 from carobstair.settings import RouterSettings
 
-__all__ = ["CallerContext", "Gateway", "Generation", "ServiceCall"]
-
-logger = get_logger(__name__)
+__all__ = ["Gateway"]
 
 CHARACTERS_PER_TOKEN = 4
-MAX_ATTEMPTS = 4
-SERVICE_COST_TOKENS = 2.0
-SERVICE_ATTEMPT_S = 10.0
-
-
-@dataclass(frozen=True, slots=True)
-class CallerContext:
-    """Who calls, and until when the answer is of use."""
-
-    request_id: str
-    workspace: Workspace
-    arrived_s: float
-    deadline_s: float
-
-
-@dataclass(slots=True)
-class Generation:
-    """A chat request on its way through the pipeline."""
-
-    context: CallerContext
-    model: ChatRequestModel
-    body: bytes
-    waiting: WaitingRequest
-    input_tokens: int
-    chunks: int = 0
-    charged_tokens: float = 0.0
-    last_chunk_s: float = 0.0
-    attempts: int = 0
-
-
-@dataclass(frozen=True, slots=True)
-class ServiceCall:
-    """A plain service call on its way through the pipeline."""
-
-    context: CallerContext
-    service: str
-    method: str
-    path: str
-    headers: Mapping[str, str]
-    body: bytes
-    repeatable: bool
-    excluded: frozenset[str] = field(default_factory=frozenset)
+MAX_KEY_CHARACTERS = 255
 
 
 class Gateway:
@@ -94,7 +43,9 @@
     ----------
     settings : RouterSettings
     capacity : CapacityDriver
-    upstreams : UpstreamClient
+    chat : ChatRelay
+    services : ServiceCaller
+    actions : ActionDriver
     metrics : RouterMetrics
     """
 
@@ -102,12 +53,16 @@
         self,
         settings: RouterSettings,
         capacity: CapacityDriver,
-        upstreams: UpstreamClient,
+        chat: ChatRelay,
+        services: ServiceCaller,
+        actions: ActionDriver,
         metrics: RouterMetrics,
     ):
         self._settings = settings
         self._capacity = capacity
-        self._upstreams = upstreams
+        self._chat = chat
+        self._services = services
+        self._actions = actions
         self._metrics = metrics
         self._class_limits = ClassLimits(
             settings.gateway.quick_output_tokens, settings.gateway.quick_input_tokens
@@ -158,7 +113,7 @@
         input_tokens = len(prompt) // CHARACTERS_PER_TOKEN
         output_tokens = sane_hint_tokens(model.max_tokens)
         waiting = WaitingRequest(
-            context.request_id,
+            uuid.uuid4().hex,
             model.model,
             context.workspace.name,
             classify(output_tokens, input_tokens, self._class_limits),
@@ -183,7 +138,7 @@
         outcome = "cancelled"
         self.running += 1
         try:
-            async for chunk in self._attempts(generation):
+            async for chunk in self._chat.chunks(generation):
                 yield chunk
             outcome = "answered"
         except Refusal as refusal:
@@ -212,11 +167,18 @@
         Raises
         ------
         Refusal
-            ``not-found`` or ``forbidden``.
+            ``bad-request``, ``not-found`` or ``forbidden``.
         """
         self._check_pool(context.workspace, service, UpstreamKind.SERVICE)
         repeatable = self.state.is_repeatable(service, method, path)
-        return ServiceCall(context, service, method, path, headers, body, repeatable)
+        named = {name.lower(): value for name, value in headers.items()}
+        key = named.get("idempotency-key", "")
+        if len(key) > MAX_KEY_CHARACTERS:
+            text = f"Idempotency-Key: at most {MAX_KEY_CHARACTERS} characters"
+            raise refuse("bad-request", text)
+        return ServiceCall(
+            context, service, method, path, headers, body, repeatable, key
+        )
 
     async def call(self, call: ServiceCall) -> ServiceAnswer:
         """Return the answer of a plain service.
@@ -228,7 +190,7 @@
         self.running += 1
         outcome = "refused"
         try:
-            answer = await self._call_attempts(call)
+            answer = await self._answer(call)
             outcome = "answered"
             return answer
         except Refusal as refusal:
@@ -240,154 +202,16 @@
                 call.context.workspace.name, WorkClass.QUICK, outcome
             ).inc()
 
-    # Chat
-
-    async def _attempts(self, generation: Generation) -> AsyncIterator[Chunk]:
-        while True:
-            generation.attempts += 1
-            at_front = generation.attempts > 1
-            grant = await self._capacity.acquire(generation.waiting, at_front)
-            try:
-                async for chunk in self._relay(generation, grant):
-                    yield chunk
-                return
-            except UpstreamError as error:
-                self._note_failure(generation, grant, error)
-            finally:
-                self._capacity.release(grant)
-
-    async def _relay(
-        self, generation: Generation, grant: HeldGrant
-    ) -> AsyncIterator[Chunk]:
-        upstream = self.state.upstreams.get(grant.offer.upstream)
-        if upstream is None or not self.state.accepts_work(upstream):
-            raise UpstreamRefused("the upstream left service")
-        attempt_id = f"{generation.context.request_id}.{uuid.uuid4().hex[:8]}"
-        pool, workspace = grant.offer.pool, grant.offer.workspace
-        reserved = grant.offer.cost_tokens
-        totals = self._capacity.node.totals
-        totals.reserve(pool, workspace, reserved)
-        self._capacity.node.prefixes.note_cached(
-            upstream.name, generation.waiting.prefix
-        )
-        whole = False
-        try:
-            stream = self._upstreams.stream(
-                upstream, attempt_id, generation.body, generation.chunks
-            )
-            generation.last_chunk_s = 0.0
-            async for chunk in stream:
-                if not self._capacity.is_valid(grant):
-                    raise StreamBroken("the grant's lease lapsed")
-                cost = self._account(generation, upstream.name, chunk)
-                totals.charge(pool, workspace, cost)
-                self._metrics.served_tokens.labels(pool, workspace).inc(cost)
-                freed = min(cost, reserved)
-                reserved -= freed
-                totals.reserve(pool, workspace, -freed)
-                yield chunk
-            whole = True
-        finally:
-            totals.reserve(pool, workspace, -reserved)
-            if not whole:
-                await self._upstreams.cancel(upstream, attempt_id)
-
-    def _account(self, generation: Generation, upstream: str, chunk: Chunk) -> float:
-        """Record a chunk and return its cost in weighted tokens."""
-        now_s = time.monotonic()
-        context = generation.context
-        cost = 0.0 if chunk.finished else engine_cost_tokens(1, 0)
-        if generation.chunks == 0:
-            waited_s = now_s - context.arrived_s
-            self._metrics.first_token_s.labels(
-                context.workspace.name, generation.waiting.work_class
-            ).observe(waited_s)
-            # The least that the prompt can cost; the engine says later how much
-            # of it was cached, and a total must never fall.
-            inputs = generation.input_tokens
-            cost += engine_cost_tokens(0, inputs, inputs)
-        if generation.last_chunk_s:
-            interval_s = now_s - generation.last_chunk_s
-            self._capacity.node.note_token_interval(upstream, interval_s * 1000.0)
-            self._metrics.token_interval_s.labels(context.workspace.name).observe(
-                interval_s
-            )
-        generation.last_chunk_s = now_s
-        generation.chunks = chunk.number
-        if chunk.finished:
-            cost += _closing_cost_tokens(generation, chunk)
-        return cost
-
-    def _note_failure(
-        self, generation: Generation, grant: HeldGrant, error: UpstreamError
-    ) -> None:
-        logger.warning(
-            "attempt_failed",
-            request_id=generation.context.request_id,
-            workspace=generation.context.workspace.name,
-            upstream=grant.offer.upstream,
-            error=str(error),
-        )
-        if isinstance(error, AnswerMismatch):
-            self._metrics.mismatched.inc()
-        self._metrics.resumed.labels(type(error).__name__).inc()
-        if generation.attempts >= MAX_ATTEMPTS:
-            name = "upstream-refused" if not generation.chunks else "answer-lost"
-            raise refuse(name, str(error)) from error
-        others = self.state.pool_upstreams(generation.waiting.pool)
-        excluded = generation.waiting.excluded | {grant.offer.upstream}
-        if len(excluded) >= len(others):
-            excluded = frozenset()
-        generation.waiting = replace(generation.waiting, excluded=excluded)
-
-    # Plain services
-
-    async def _call_attempts(self, call: ServiceCall) -> ServiceAnswer:
-        attempts = 0
-        while True:
-            attempts += 1
-            grant = await self._capacity.acquire(_service_request(call), attempts > 1)
-            try:
-                return await self._call_once(call, grant)
-            except UpstreamError as error:
-                self._check_repeat(call, error, attempts)
-                call = replace(call, excluded=call.excluded | {grant.offer.upstream})
-            finally:
-                self._capacity.release(grant)
-
-    async def _call_once(self, call: ServiceCall, grant: HeldGrant) -> ServiceAnswer:
-        upstream = self.state.upstreams.get(grant.offer.upstream)
-        if upstream is None or not self.state.accepts_work(upstream):
-            raise UpstreamRefused("the upstream left service")
-        attempt_id = f"{call.context.request_id}.{uuid.uuid4().hex[:8]}"
-        began_s = time.monotonic()
-        try:
-            return await self._upstreams.call(
-                upstream,
-                attempt_id,
-                call.method,
-                call.path,
-                call.headers,
-                call.body,
-                min(SERVICE_ATTEMPT_S, max(0.1, call.context.deadline_s - began_s)),
-            )
-        finally:
-            cost = service_cost_tokens(time.monotonic() - began_s)
-            offer = grant.offer
-            self._capacity.node.totals.charge(offer.pool, offer.workspace, cost)
-            self._capacity.node.note_token_interval(upstream.name, 0.0)
-
-    def _check_repeat(
-        self, call: ServiceCall, error: UpstreamError, attempts: int
-    ) -> None:
-        if isinstance(error, AnswerMismatch):
-            self._metrics.mismatched.inc()
-        not_run = isinstance(error, NotSent | UpstreamRefused)
-        if not (not_run or call.repeatable):
-            raise refuse("answer-lost", str(error)) from error
-        if attempts >= MAX_ATTEMPTS:
-            name = "upstream-refused" if not_run else "answer-lost"
-            raise refuse(name, str(error)) from error
+    async def _answer(self, call: ServiceCall) -> ServiceAnswer:
+        """Return the answer, of the first run where the call has a key."""
+        if call.repeatable or not call.key:
+            return await self._services.call(call)
+        outcome = await self._actions.call(call)
+        if not outcome.body_kept:
+            raise refuse("outcome-too-large", f"status {outcome.status}")
+        retention = ("Idempotency-Retention-S", str(RETENTION_S))
+        headers = (*map(tuple, outcome.headers), retention)
+        return ServiceAnswer(outcome.status, headers, outcome.body)
 
     # Filters
 
@@ -414,54 +238,3 @@
         self._metrics.refusals.labels(
             context.workspace.name, refusal.kind.name, refusal.kind.ran
         ).inc()
-
-
-def _closing_cost_tokens(generation: Generation, chunk: Chunk) -> float:
-    """Return the prefill cost that the engine's own count shows at the end."""
-    usage = chunk.document.get("usage")
-    cached = usage.get("cached_tokens", 0) if isinstance(usage, dict) else 0
-    if isinstance(cached, bool) or not isinstance(cached, int | float):
-        cached = 0
-    input_tokens = generation.input_tokens
-    cached = min(max(0, cached), input_tokens)
-    whole = engine_cost_tokens(0, input_tokens, cached)
-    return whole - engine_cost_tokens(0, input_tokens, input_tokens)
-
-
-def _service_request(call: ServiceCall) -> WaitingRequest:
-    context = call.context
-    return WaitingRequest(
-        f"{context.request_id}",
-        call.service,
-        context.workspace.name,
-        WorkClass.QUICK,
-        SERVICE_COST_TOKENS,
-        0,
-        len(call.body),
-        context.arrived_s,
-        context.deadline_s,
-        (),
-        call.excluded,
-    )
-
-
-def collect_answer(chunks: list[Chunk], generation: Generation) -> bytes:
-    """Return the JSON answer for a caller that did not ask for a stream."""
-    text = "".join(
-        c.document["choices"][0].get("delta", {}).get("content", "") for c in chunks
-    )
-    last = chunks[-1].document
-    document = {
-        "id": generation.context.request_id,
-        "object": "chat.completion",
-        "model": generation.model.model,
-        "choices": [
-            {
-                "index": 0,
-                "message": {"role": "assistant", "content": text},
-                "finish_reason": last["choices"][0].get("finish_reason"),
-            }
-        ],
-        "usage": last.get("usage", {}),
-    }
-    return json.dumps(document).encode()
--- a/src/carobstair/net/router.py
+++ b/src/carobstair/net/router.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import signal
 import time
 
@@ -10,12 +11,15 @@
 from carobstair.core.state import FleetState
 from carobstair.logs import get_logger
 from carobstair.metrics import RouterMetrics
+from carobstair.net.actions import ActionDriver
 from carobstair.net.agent import Agent
 from carobstair.net.app import make_app
 from carobstair.net.capacity import CapacityDriver
+from carobstair.net.chat import ChatRelay
 from carobstair.net.gateway import Gateway
 from carobstair.net.http import HttpServer
 from carobstair.net.peers import PeerTransport
+from carobstair.net.services import ServiceCaller
 from carobstair.net.upstream import UpstreamClient
 from carobstair.platform import ObjectApi
 from carobstair.settings import RouterSettings
@@ -65,7 +69,19 @@
             self.metrics,
             self._on_state,
         )
-        self.gateway = Gateway(settings, self.capacity, self._upstreams, self.metrics)
+        services = ServiceCaller(self.capacity, self._upstreams, self.metrics)
+        self.actions = ActionDriver(
+            self.own,
+            self._store,
+            self._peers,
+            services,
+            self.agent.live_peers,
+            random.Random(f"{settings.seed}/{instance.name}/actions"),
+        )
+        chat = ChatRelay(self.capacity, self._upstreams, self.metrics)
+        self.gateway = Gateway(
+            settings, self.capacity, chat, services, self.actions, self.metrics
+        )
         app = make_app(self.gateway, self.agent, self.metrics, settings)
         self._server = HttpServer(app, instance.host, instance.http_port)
         self._stopping = asyncio.Event()
@@ -109,9 +125,12 @@
         await asyncio.sleep(self._settings.gateway.balancer_lag_s)
         self.gateway.refuses_new = True
         limit_s = time.monotonic() + self._settings.gateway.shutdown_limit_s
-        while self.gateway.running and time.monotonic() < limit_s:
+        while self._busy() and time.monotonic() < limit_s:
             await asyncio.sleep(0.05)
 
+    def _busy(self) -> bool:
+        return bool(self.gateway.running or self.actions.unfinished)
+
     async def _refresh_peers(self) -> None:
         while True:
             self.capacity.set_live_peers(self.agent.live_peers())
--- a/src/carobstair/net/upstream.py
+++ b/src/carobstair/net/upstream.py
@@ -41,6 +41,9 @@
 )
 CONNECT_TIMEOUT_S = 1.0
 LOAD_TIMEOUT_S = 1.0
+NOT_RUN_STATUSES = frozenset({429, 503})
+# Raised before any byte of a request is written.
+CONNECT_ERRORS = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 CANCEL_TIMEOUT_S = 1.0
 
 
@@ -122,10 +125,10 @@
         url = upstream.address + "/v1/chat/completions"
         try:
             async with self._open().post(url, data=body, headers=headers) as response:
-                _check(response, attempt_id)
+                _check_engine(response, attempt_id)
                 async for chunk in self._read(response, after):
                     yield chunk
-        except aiohttp.ClientConnectorError as error:
+        except CONNECT_ERRORS as error:
             raise NotSent(str(error)) from error
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
             raise StreamBroken(str(error) or type(error).__name__) from error
@@ -158,14 +161,18 @@
                 timeout=timeout,
                 allow_redirects=False,
             ) as response:
-                _check(response, attempt_id)
+                _check_echo(response, attempt_id)
                 content = await response.read()
-        except aiohttp.ClientConnectorError as error:
+        except CONNECT_ERRORS as error:
             raise NotSent(str(error)) from error
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise StreamBroken(str(error) or type(error).__name__) from error
+        if response.status in NOT_RUN_STATUSES and _says_not_run(content):
+            raise UpstreamRefused(f"status {response.status}")
         kept = tuple(
-            (k, v) for k, v in response.headers.items() if k.lower() not in HOP_HEADERS
+            (str(k), str(v))
+            for k, v in response.headers.items()
+            if k.lower() not in HOP_HEADERS
         )
         return ServiceAnswer(response.status, kept, content)
 
@@ -230,6 +237,9 @@
             )
             connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=15)
             self._session = aiohttp.ClientSession(timeout=timeout, connector=connector)
+            # aiohttp sends PUT and DELETE again when a kept connection breaks; an
+            # action must not run twice, and it has no public switch for this.
+            self._session._retry_connection = False
         return self._session
 
 
@@ -246,9 +256,24 @@
             data = b""
 
 
-def _check(response: aiohttp.ClientResponse, attempt_id: str) -> None:
-    if response.status in (429, 503):
+def _check_engine(response: aiohttp.ClientResponse, attempt_id: str) -> None:
+    # An engine that refuses so has not begun; it may not get as far as the echo.
+    if response.status in NOT_RUN_STATUSES:
         raise UpstreamRefused(f"status {response.status}")
+    _check_echo(response, attempt_id)
+    if response.status != 200:
+        raise StreamBroken(f"status {response.status}")
+
+
+def _check_echo(response: aiohttp.ClientResponse, attempt_id: str) -> None:
     if response.headers.get("X-Request-Id") != attempt_id:
         response.close()
         raise AnswerMismatch(attempt_id)
+
+
+def _says_not_run(content: bytes) -> bool:
+    try:
+        document = json.loads(content)
+    except ValueError:
+        return False
+    return isinstance(document, dict) and document.get("ran") == "no"
