Report each settings mistake in one line that says what is allowed

Cause: an unknown section, a missing section and contradicting values gave pydantic's text without the allowed values; [DEFAULT] was merged silently; usage errors printed a help page; programs handled settings on their own. Change: cli/program.py reads settings and arguments for every program. Messages name file, section, key, value and what is allowed, and hide values of secret and misspelt secret keys. dead_after_s below two heartbeats, equal ports, half a CURVE key pair, malformed seeds and a metrics_key equal to the operator_key are errors.

--- /dev/null
+++ b/src/carobstair/cli/program.py
@@ -0,0 +1,84 @@
+"""What all programs share: arguments, settings and exit statuses."""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Sequence
+from pathlib import Path
+from typing import NoReturn, TypeVar
+
+import cyclopts
+
+from carobstair import __version__
+from carobstair.settings import (
+    ProgramSettings,
+    SettingsError,
+    effective_settings,
+    load_settings,
+)
+
+__all__ = ["EXIT_FAILED", "EXIT_USAGE", "fail", "make_app", "read_settings", "run"]
+
+EXIT_FAILED = 1
+EXIT_USAGE = 2
+
+_Settings = TypeVar("_Settings", bound=ProgramSettings)
+
+
+def make_app(name: str, text: str) -> cyclopts.App:
+    """Return the argument parser of a program.
+
+    Parameters
+    ----------
+    name : str
+        Name of the program.
+    text : str
+        One sentence for ``--help``.
+    """
+    return cyclopts.App(name=name, help=text, version=__version__)
+
+
+def run(app: cyclopts.App, arguments: Sequence[str] | None = None) -> None:
+    """Parse the arguments and run; a wrong argument ends with one line.
+
+    Parameters
+    ----------
+    app : cyclopts.App
+    arguments : sequence of str, optional
+        Those of the process if not given.
+    """
+    try:
+        app(arguments, exit_on_error=False, print_error=False, help_on_error=False)
+    except cyclopts.CycloptsError as error:
+        text = " ".join(str(error).split())
+        fail(f"{app.name[0]}: {text} See --help.", EXIT_USAGE)
+
+
+def read_settings(
+    path: Path, model: type[_Settings], check_only: bool = False
+) -> _Settings:
+    """Return validated settings, or end the program with one line.
+
+    Parameters
+    ----------
+    path : Path
+        INI file.
+    model : type
+        Settings of the program.
+    check_only : bool, optional
+        Print the settings in effect, secrets hidden, and end with 0.
+    """
+    try:
+        settings = load_settings(path, model)
+    except SettingsError as error:
+        fail(str(error), EXIT_USAGE)
+    if check_only:
+        print(effective_settings(settings))
+        sys.exit(0)
+    return settings
+
+
+def fail(text: str, status: int = EXIT_FAILED) -> NoReturn:
+    """Print one line to standard error and end the program."""
+    print(text, file=sys.stderr)
+    sys.exit(status)
--- a/src/carobstair/cli/router.py
+++ b/src/carobstair/cli/router.py
@@ -3,29 +3,26 @@
 from __future__ import annotations
 
 import asyncio
-import sys
 from pathlib import Path
+from typing import Literal
 
-import cyclopts
-
+from carobstair.cli.program import make_app, read_settings, run
 from carobstair.logs import configure_logging
 from carobstair.net.router import Router
-from carobstair.settings import (
-    RouterSettings,
-    SettingsError,
-    effective_settings,
-    load_settings,
-)
+from carobstair.settings import RouterSettings
 
 __all__ = ["main"]
 
-EXIT_SETTINGS = 2
-
-app = cyclopts.App(name="carobstair-router", help="Run one router of the fleet.")
+app = make_app("carobstair-router", "Run one router of the fleet.")
 
 
 @app.default
-def run(*, settings: Path, check_settings: bool = False, log_level: str = "info"):
+def serve(
+    *,
+    settings: Path,
+    check_settings: bool = False,
+    log_level: Literal["debug", "info", "warning", "error"] = "info",
+) -> None:
     """Run a router until SIGTERM.
 
     Parameters
@@ -35,17 +32,10 @@
     check_settings : bool
         Print the settings in effect, secrets hidden, and end.
     log_level : str
-        One of debug, info, warning, error.
+        Least level of the events that are logged.
     """
-    try:
-        loaded = load_settings(settings, RouterSettings)
-    except SettingsError as error:
-        print(error, file=sys.stderr)
-        sys.exit(EXIT_SETTINGS)
-    if check_settings:
-        print(effective_settings(loaded))
-        return
-    configure_logging(log_level)
+    loaded = read_settings(settings, RouterSettings, check_settings)
+    configure_logging(log_level, zone=loaded.instance.zone)
     asyncio.run(_serve(loaded))
 
 
@@ -55,7 +45,7 @@
 
 def main() -> None:
     """Run the program."""
-    app()
+    run(app)
 
 
 if __name__ == "__main__":
--- a/src/carobstair/cli/ticket.py
+++ b/src/carobstair/cli/ticket.py
@@ -9,37 +9,48 @@
 import urllib.request
 from pathlib import Path
 
-import cyclopts
-from pydantic import BaseModel, ConfigDict, Field
+from pydantic import Field
 
+from carobstair.cli.program import make_app, read_settings, run
 from carobstair.models import ModelError, TicketModel, parse_model
-from carobstair.settings import SettingsError, load_settings
+from carobstair.settings import ProgramSettings, Section
 
 __all__ = ["main"]
 
 EXIT_REFUSED = 1
-EXIT_SETTINGS = 2
 TIMEOUT_S = 30.0
 WAIT_STEP_S = 0.2
 
-app = cyclopts.App(name="carobstair-ticket", help="File and read change tickets.")
+app = make_app("carobstair-ticket", "File and read change tickets.")
 
 
-class OperatorSettings(BaseModel):
+class OperatorSettings(Section):
     """Section ``[operator]``: where and as whom to file."""
 
-    model_config = ConfigDict(extra="forbid", frozen=True)
     address: str = Field(pattern=r"^https?://\S+$")
     api_key: str = Field(min_length=1)
 
 
-class TicketSettings(BaseModel):
+class TicketSettings(ProgramSettings):
     """All settings of ``carobstair-ticket``."""
 
-    model_config = ConfigDict(extra="forbid", frozen=True)
     operator: OperatorSettings
 
 
+@app.default
+def check(*, settings: Path, check_settings: bool = False) -> None:
+    """Check the settings; a command is needed for all else.
+
+    Parameters
+    ----------
+    settings : Path
+        INI file.
+    check_settings : bool
+        Print the settings in effect, secrets hidden.
+    """
+    read_settings(settings, TicketSettings, check_settings)
+
+
 @app.command
 def file(ticket: Path, *, settings: Path) -> None:
     """File a ticket from a JSON file and print its number."""
@@ -98,15 +109,11 @@
 
 def main() -> None:
     """Run the program."""
-    app()
+    run(app)
 
 
 def _load(path: Path) -> OperatorSettings:
-    try:
-        return load_settings(path, TicketSettings).operator
-    except SettingsError as error:
-        print(error, file=sys.stderr)
-        sys.exit(EXIT_SETTINGS)
+    return read_settings(path, TicketSettings).operator
 
 
 def _call(
--- a/src/carobstair/settings.py
+++ b/src/carobstair/settings.py
@@ -3,23 +3,41 @@
 from __future__ import annotations
 
 import configparser
+import difflib
+import typing
 from pathlib import Path
 from typing import Annotated, TypeVar
 
-from pydantic import BaseModel, BeforeValidator, ConfigDict, Field, ValidationError
+from pydantic import (
+    BaseModel,
+    BeforeValidator,
+    ConfigDict,
+    Field,
+    ValidationError,
+    model_validator,
+)
+from pydantic_core import ErrorDetails
 
 __all__ = [
+    "CommaList",
     "GatewaySettings",
     "InstanceSettings",
     "PeerSettings",
     "PlatformSettings",
+    "ProgramSettings",
     "RouterSettings",
+    "Section",
     "SettingsError",
     "effective_settings",
     "load_settings",
 ]
 
-SECRET_KEYS = frozenset({"operator_key", "server_secret_key", "api_key"})
+SECRET_KEYS = frozenset(
+    {"operator_key", "metrics_key", "server_secret_key", "api_key", "key"}
+)
+# A peer that misses one heartbeat is not dead: messages may be lost.
+HEARTBEATS_BEFORE_DEAD = 2
+CURVE_KEY_CHARACTERS = 40
 
 
 def _split(value: object) -> object:
@@ -35,11 +53,23 @@
     """A settings mistake; its text is one line for the operator."""
 
 
-class _Section(BaseModel):
+class Section(BaseModel):
+    """One section of an INI file; unknown keys are errors."""
+
     model_config = ConfigDict(extra="forbid", frozen=True)
 
 
-class InstanceSettings(_Section):
+class ProgramSettings(BaseModel):
+    """All settings of a program, one field per section.
+
+    A field that is a mapping from names to sections takes the sections
+    ``[field.name]``.
+    """
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class InstanceSettings(Section):
     """Section ``[instance]``: who this process is and where it listens."""
 
     name: str = Field(min_length=1, max_length=63)
@@ -47,9 +77,18 @@
     host: str = "127.0.0.1"
     http_port: int = Field(8080, ge=1, le=65535)
     peer_port: int = Field(8081, ge=1, le=65535)
+    seed: int = 0
+
+    @model_validator(mode="after")
+    def _ports_differ(self) -> InstanceSettings:
+        if self.http_port == self.peer_port:
+            raise ValueError(
+                f"peer_port = {self.peer_port}: must differ from http_port"
+            )
+        return self
 
 
-class PlatformSettings(_Section):
+class PlatformSettings(Section):
     """Section ``[platform]``: the object API."""
 
     address: str = Field(pattern=r"^https?://\S+$")
@@ -58,7 +97,7 @@
     watchers_per_zone: int = Field(2, ge=1, le=10)
 
 
-class PeerSettings(_Section):
+class PeerSettings(Section):
     """Section ``[peers]``: links between routers."""
 
     seeds: CommaList = []
@@ -68,11 +107,43 @@
     server_public_key: str = ""
     server_secret_key: str = ""
 
-
-class GatewaySettings(_Section):
+    @model_validator(mode="after")
+    def _times_agree(self) -> PeerSettings:
+        least_s = HEARTBEATS_BEFORE_DEAD * self.heartbeat_s
+        if self.dead_after_s < least_s:
+            raise ValueError(
+                f"dead_after_s = {self.dead_after_s}: must be at least {least_s}, "
+                f"{HEARTBEATS_BEFORE_DEAD} x heartbeat_s"
+            )
+        return self
+
+    @model_validator(mode="after")
+    def _seeds_are_addresses(self) -> PeerSettings:
+        for seed in self.seeds:
+            host, _, port = seed.rpartition(":")
+            if not host or not port.isdigit() or not 1 <= int(port) <= 65535:
+                raise ValueError(
+                    f"seeds = {seed}: must be HOST:PORT, separated by commas"
+                )
+        return self
+
+    @model_validator(mode="after")
+    def _keys_come_in_pairs(self) -> PeerSettings:
+        lengths = {len(self.server_public_key), len(self.server_secret_key)}
+        if lengths not in ({0}, {CURVE_KEY_CHARACTERS}):
+            raise ValueError(
+                "server_secret_key = (hidden): both server_public_key and "
+                f"server_secret_key must have {CURVE_KEY_CHARACTERS} characters, "
+                "or both be empty"
+            )
+        return self
+
+
+class GatewaySettings(Section):
     """Section ``[gateway]``: what callers may send and how long they wait."""
 
     operator_key: str = Field("", description="empty closes the operator interface")
+    metrics_key: str = Field("", description="empty leaves /metrics open")
     max_body_bytes: int = Field(2_000_000, ge=1)
     default_deadline_s: float = Field(60.0, gt=0, le=3600)
     quick_output_tokens: int = Field(128, ge=1)
@@ -83,18 +154,31 @@
     shutdown_limit_s: float = Field(30.0, ge=0, le=3600)
     balancer_lag_s: float = Field(1.0, ge=0, le=60)
 
+    @model_validator(mode="after")
+    def _keys_differ(self) -> GatewaySettings:
+        if self.metrics_key and self.metrics_key == self.operator_key:
+            raise ValueError(
+                "metrics_key = (hidden): must differ from operator_key, which "
+                "also files tickets"
+            )
+        return self
+
 
-class RouterSettings(_Section):
+class RouterSettings(Section):
     """All settings of ``carobstair-router``."""
 
     instance: InstanceSettings
     platform: PlatformSettings
     peers: PeerSettings = PeerSettings()
     gateway: GatewaySettings = GatewaySettings()
-    seed: int = 0
+
+    @property
+    def seed(self) -> int:
+        """Seed of all random decisions of this process."""
+        return self.instance.seed
 
 
-_Settings = TypeVar("_Settings", bound=BaseModel)
+_Settings = TypeVar("_Settings", bound=ProgramSettings)
 
 
 def load_settings(path: Path, model: type[_Settings]) -> _Settings:
@@ -106,43 +190,95 @@
         With one line that names the file, section, key, value and what is
         allowed.
     """
-    parser = configparser.ConfigParser(interpolation=None)
+    # No section is special: a [DEFAULT] section would add its keys to all others.
+    parser = configparser.ConfigParser(interpolation=None, default_section="")
     try:
         with open(path, encoding="utf-8") as file:
             parser.read_file(file)
     except OSError as error:
         raise SettingsError(f"{path}: {error.strerror}") from error
-    except configparser.Error as error:
+    except (configparser.Error, UnicodeDecodeError) as error:
         text = " ".join(str(error).split())
         raise SettingsError(f"{path}: {text}") from error
-    document = {name: dict(parser.items(name)) for name in parser.sections()}
+    sections = {name: dict(parser.items(name)) for name in parser.sections()}
     try:
-        return model.model_validate(document)
+        return model.model_validate(_nest(sections, model))
     except ValidationError as error:
-        raise SettingsError(f"{path}: {_describe(error)}") from error
+        item = error.errors(include_url=False)[0]
+        raise SettingsError(f"{path}: {_describe(item, model)}") from error
 
 
-def effective_settings(settings: BaseModel) -> str:
+def effective_settings(settings: ProgramSettings) -> str:
     """Return settings as INI text with secrets hidden."""
     lines = []
-    for section, value in settings:
-        if not isinstance(value, BaseModel):
-            continue
-        lines.append(f"[{section}]")
-        for key, item in value:
-            shown = ", ".join(item) if isinstance(item, list) else item
-            hidden = key in SECRET_KEYS and item
-            lines.append(f"{key} = {'(hidden)' if hidden else shown}")
+    for name, value in settings:
+        groups = value.items() if isinstance(value, dict) else [("", value)]
+        for member, section in groups:
+            lines.append(f"[{name}.{member}]" if member else f"[{name}]")
+            for key, item in section:
+                shown = ", ".join(item) if isinstance(item, list) else item
+                hidden = key in SECRET_KEYS and item
+                lines.append(f"{key} = {'(hidden)' if hidden else shown}")
     return "\n".join(lines)
 
 
-def _describe(error: ValidationError) -> str:
-    item = error.errors(include_url=False)[0]
+def _nest(
+    sections: dict[str, dict[str, str]], model: type[ProgramSettings]
+) -> dict[str, dict]:
+    """Return the document of a model, with ``[group.name]`` put into groups."""
+    document: dict[str, dict] = {}
+    for name, values in sections.items():
+        group, dot, member = name.partition(".")
+        if dot and member and _group_section(model, group):
+            document.setdefault(group, {})[member] = values
+        else:
+            document[name] = values
+    return document
+
+
+def _group_section(model: type[ProgramSettings], name: str) -> type[Section] | None:
+    field = model.model_fields.get(name)
+    if field is None or typing.get_origin(field.annotation) is not dict:
+        return None
+    return typing.get_args(field.annotation)[1]
+
+
+def _describe(item: ErrorDetails, model: type[ProgramSettings]) -> str:
     where = [str(part) for part in item["loc"]]
-    section = f"[{where[0]}]" if where else ""
-    key = f" {where[1]}" if len(where) > 1 else ""
-    value = item.get("input")
-    shown = f" = {value}" if isinstance(value, str | int | float) else ""
-    if len(where) > 1 and where[1] in SECRET_KEYS:
-        shown = " = (hidden)"
-    return f"{section}{key}{shown}: {item['msg']}"
+    if not where:
+        return item["msg"].removeprefix("Value error, ")
+    group = _group_section(model, where[0])
+    depth = 2 if group and len(where) > 1 else 1
+    name = f"[{'.'.join(where[:depth])}]"
+    if depth == len(where):
+        if item["type"] == "extra_forbidden":
+            return f"{name}: unknown section; allowed: {_section_names(model)}"
+        if item["type"] == "missing":
+            return f"{name}: the section is missing and required"
+        return f"{name} {item['msg'].removeprefix('Value error, ')}"
+    section = group or model.model_fields[where[0]].annotation
+    return f"{name} {_describe_key(item, where[depth], section)}"
+
+
+def _describe_key(item: ErrorDetails, key: str, section: type[Section]) -> str:
+    if item["type"] == "missing":
+        return f"{key}: the key is missing and required"
+    shown = "(hidden)" if _may_be_secret(key) else item["input"]
+    if item["type"] == "extra_forbidden":
+        allowed = ", ".join(section.model_fields)
+        return f"{key} = {shown}: unknown key; allowed: {allowed}"
+    if isinstance(shown, list):
+        shown = ", ".join(map(str, shown))
+    return f"{key} = {shown}: {item['msg'].removeprefix('Value error, ')}"
+
+
+def _may_be_secret(key: str) -> bool:
+    """Return whether a key is a secret or a misspelt one."""
+    return bool(difflib.get_close_matches(key, SECRET_KEYS, cutoff=0.7))
+
+
+def _section_names(model: type[ProgramSettings]) -> str:
+    return ", ".join(
+        f"{name}.NAME" if _group_section(model, name) else name
+        for name in model.model_fields
+    )
