--- a/src/carobstair/metrics.py
+++ b/src/carobstair/metrics.py
@@ -2,26 +2,65 @@
 
 from __future__ import annotations
 
-from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+from collections.abc import Callable
+from typing import TypeVar
 
-__all__ = ["RouterMetrics"]
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    ProcessCollector,
+    generate_latest,
+)
+from prometheus_client.metrics import MetricWrapperBase
 
+from carobstair.core.state import FleetState
+
+__all__ = [
+    "FIRST_TOKEN_BUCKETS_S",
+    "TOKEN_INTERVAL_BUCKETS_S",
+    "RouterMetrics",
+]
+
+# Both objectives, 0.64 s and 60 ms, are bucket bounds, so that the share of
+# answers within them is counted and not interpolated.
 FIRST_TOKEN_BUCKETS_S = (0.02, 0.05, 0.1, 0.2, 0.4, 0.64, 1.0, 2.0, 5.0, 15.0, 60.0)
 TOKEN_INTERVAL_BUCKETS_S = (0.01, 0.02, 0.04, 0.06, 0.08, 0.12, 0.25, 0.5, 1.0, 2.0)
 
+_Metric = TypeVar("_Metric", bound=MetricWrapperBase)
+
 
 class RouterMetrics:
-    """All metrics of one router process, in a registry of its own."""
+    """All metrics of one router process, in a registry of its own.
+
+    Attributes
+    ----------
+    own : list
+        The metrics that carobstair defines.
+    refreshers : list of callable
+        Called before each scrape; they set gauges that are read from state.
+    """
 
     def __init__(self) -> None:
         self.registry = CollectorRegistry()
+        self.own: list[MetricWrapperBase] = []
+        self.refreshers: list[Callable[[], None]] = []
+        ProcessCollector(registry=self.registry)
         self.requests = self._counter(
             "requests",
             "Requests that ended, by outcome",
             ("workspace", "work_class", "outcome"),
         )
         self.refusals = self._counter(
-            "refusals", "Refusals by type", ("workspace", "type", "ran")
+            "refusals",
+            "Refusals by type",
+            ("workspace", "work_class", "type", "ran"),
+        )
+        self.refusals_untrue = self._counter(
+            "refusals_untrue",
+            "Refusals that said not run although an attempt may have run",
+            ("workspace", "work_class"),
         )
         self.first_token_s = self._histogram(
             "first_token_seconds",
@@ -32,7 +71,7 @@
         self.token_interval_s = self._histogram(
             "token_interval_seconds",
             "Time between two tokens of one answer",
-            ("workspace",),
+            ("workspace", "work_class"),
             TOKEN_INTERVAL_BUCKETS_S,
         )
         self.served_tokens = self._counter(
@@ -72,11 +111,36 @@
             "answers_mismatched", "Answers that belonged to another request", ()
         )
 
+    def page(self) -> bytes:
+        """Return the metrics page in the text format of Prometheus."""
+        for refresh in self.refreshers:
+            refresh()
+        return generate_latest(self.registry)
+
+    def keep_in_force(self, state: FleetState) -> None:
+        """Drop the series of workspaces, upstreams and pools no longer in force.
+
+        Their number would grow with each ticket otherwise.
+        """
+        allowed = {
+            "workspace": set(state.workspaces),
+            "upstream": set(state.upstreams),
+            "pool": {upstream.pool for upstream in state.upstreams.values()},
+        }
+        for metric in self.own:
+            for label in allowed.keys() & set(metric._labelnames):
+                for value in _label_values(metric, label) - allowed[label]:
+                    metric.remove_by_labels({label: value})
+
     def _counter(self, name: str, text: str, labels: tuple[str, ...]) -> Counter:
-        return Counter(f"carobstair_{name}", text, labels, registry=self.registry)
+        return self._keep(
+            Counter(f"carobstair_{name}", text, labels, registry=self.registry)
+        )
 
     def _gauge(self, name: str, text: str, labels: tuple[str, ...]) -> Gauge:
-        return Gauge(f"carobstair_{name}", text, labels, registry=self.registry)
+        return self._keep(
+            Gauge(f"carobstair_{name}", text, labels, registry=self.registry)
+        )
 
     def _histogram(
         self,
@@ -85,6 +149,25 @@
         labels: tuple[str, ...],
         buckets: tuple[float, ...],
     ) -> Histogram:
-        return Histogram(
-            f"carobstair_{name}", text, labels, buckets=buckets, registry=self.registry
+        return self._keep(
+            Histogram(
+                f"carobstair_{name}",
+                text,
+                labels,
+                buckets=buckets,
+                registry=self.registry,
+            )
         )
+
+    def _keep(self, metric: _Metric) -> _Metric:
+        self.own.append(metric)
+        return metric
+
+
+def _label_values(metric: MetricWrapperBase, label: str) -> set[str]:
+    return {
+        sample.labels[label]
+        for family in metric.collect()
+        for sample in family.samples
+        if label in sample.labels
+    }
--- a/src/carobstair/net/app.py
+++ b/src/carobstair/net/app.py
@@ -10,7 +10,7 @@
 
 import falcon
 import falcon.asgi
-from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
+from prometheus_client import CONTENT_TYPE_LATEST
 
 from carobstair.core.refusals import Refusal, refuse
 from carobstair.core.state import UpstreamKind
@@ -113,16 +113,17 @@
 
 
 class _Operator:
+    """Closes the operator interface, and /metrics where a key is set for it."""
+
     def __init__(self, settings: RouterSettings):
         self._key = settings.gateway.operator_key
+        self._metrics_key = settings.gateway.metrics_key
 
     async def process_resource(self, req, resp, resource, params) -> None:
-        if not req.path.startswith("/operator/"):
-            return
-        scheme, _, key = (req.get_header("Authorization") or "").partition(" ")
-        equal = hmac.compare_digest(key.strip().encode(), self._key.encode())
-        if not self._key or scheme.lower() != "bearer" or not equal:
-            raise refuse("unauthenticated")
+        if req.path.startswith("/operator/"):
+            _check_key(req, self._key)
+        elif req.path == "/metrics" and self._metrics_key:
+            _check_key(req, self._metrics_key)
 
 
 class _Tickets:
@@ -184,7 +185,7 @@
 
     async def on_get(self, req, resp) -> None:
         resp.content_type = CONTENT_TYPE_LATEST
-        resp.data = generate_latest(self._metrics.registry)
+        resp.data = self._metrics.page()
 
 
 def make_app(
@@ -213,11 +214,20 @@
 
 
 def _context(gateway: Gateway, req):
-    return gateway.authenticate(
+    context = gateway.authenticate(
         req.get_header("Authorization"),
         req.context.request_id,
         req.get_header("X-Deadline-Ms"),
     )
+    req.context.workspace = context.workspace.name
+    return context
+
+
+def _check_key(req, expected: str) -> None:
+    scheme, _, key = (req.get_header("Authorization") or "").partition(" ")
+    equal = hmac.compare_digest(key.strip().encode(), expected.encode())
+    if not expected or scheme.lower() != "bearer" or not equal:
+        raise refuse("unauthenticated")
 
 
 async def _read_body(req, max_bytes: int) -> bytes:
@@ -243,6 +253,7 @@
     logger.info(
         "request_refused",
         request_id=req.context.request_id,
+        workspace=getattr(req.context, "workspace", None),
         type=refusal.kind.name,
         ran=str(refusal.kind.ran),
         detail=refusal.detail,
--- a/src/carobstair/net/capacity.py
+++ b/src/carobstair/net/capacity.py
@@ -83,6 +83,7 @@
         )
         self._futures: dict[str, asyncio.Future[HeldGrant]] = {}
         self._demand_timer: asyncio.TimerHandle | None = None
+        metrics.refreshers.append(self._set_gauges)
         for payload_type in HANDLED:
             peers.subscribe(payload_type, self._on_message)
 
@@ -181,6 +182,16 @@
         if future is not None and not future.done():
             future.set_exception(effect.refusal)
 
+    def _set_gauges(self) -> None:
+        for name in self.state.upstreams:
+            held, used = self.node.share_of(name), self.node.allocator.in_use(name)
+            self._metrics.slots.labels(name, "held").set(held.request_slots)
+            self._metrics.slots.labels(name, "used").set(used.request_slots)
+        self._metrics.waiting.clear()
+        for pool, workspace in self.node.queue.backlogged():
+            count = self.node.queue.waiting(pool, workspace)
+            self._metrics.waiting.labels(pool, workspace).set(count)
+
     async def _poll_loads(self) -> None:
         while True:
             names = self.node.estimated_upstreams()
--- a/src/carobstair/net/gateway.py
+++ b/src/carobstair/net/gateway.py
@@ -20,7 +20,7 @@
     classify,
     sane_hint_tokens,
 )
-from carobstair.core.refusals import Refusal, refuse
+from carobstair.core.refusals import Ran, Refusal, refuse
 from carobstair.core.state import FleetState, UpstreamKind, Workspace
 from carobstair.logs import get_logger
 from carobstair.metrics import RouterMetrics
@@ -71,6 +71,28 @@
     charged_tokens: float = 0.0
     last_chunk_s: float = 0.0
     attempts: int = 0
+    progress: Progress = field(default_factory=lambda: Progress())
+
+
+@dataclass(slots=True)
+class Progress:
+    """What is known about a request's attempts, for its log line and counters.
+
+    Attributes
+    ----------
+    upstream : str
+        Upstream of the newest attempt.
+    may_have_run : bool
+        Whether an attempt was sent and not refused by its upstream.
+    """
+
+    upstream: str = ""
+    may_have_run: bool = False
+
+    def note_failure(self, error: UpstreamError) -> None:
+        """Take in how an attempt ended."""
+        if not isinstance(error, NotSent | UpstreamRefused):
+            self.may_have_run = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -187,16 +209,22 @@
                 yield chunk
             outcome = "answered"
         except Refusal as refusal:
-            outcome = "refused" if not generation.chunks else "broken"
-            self._count_refusal(generation.context, refusal)
+            generation.progress.may_have_run |= generation.chunks > 0
+            outcome = self._count_refusal(
+                generation.context,
+                generation.waiting.work_class,
+                refusal,
+                generation.progress,
+            )
             raise
         finally:
             self.running -= 1
-            self._metrics.requests.labels(
-                generation.context.workspace.name,
+            self._note_end(
+                generation.context,
                 generation.waiting.work_class,
                 outcome,
-            ).inc()
+                generation.progress,
+            )
 
     def parse_service_call(
         self,
@@ -226,19 +254,19 @@
         Refusal
         """
         self.running += 1
-        outcome = "refused"
+        outcome, progress = "cancelled", Progress()
         try:
-            answer = await self._call_attempts(call)
+            answer = await self._call_attempts(call, progress)
             outcome = "answered"
             return answer
         except Refusal as refusal:
-            self._count_refusal(call.context, refusal)
+            outcome = self._count_refusal(
+                call.context, WorkClass.QUICK, refusal, progress
+            )
             raise
         finally:
             self.running -= 1
-            self._metrics.requests.labels(
-                call.context.workspace.name, WorkClass.QUICK, outcome
-            ).inc()
+            self._note_end(call.context, WorkClass.QUICK, outcome, progress)
 
     # Chat
 
@@ -262,6 +290,7 @@
         upstream = self.state.upstreams.get(grant.offer.upstream)
         if upstream is None or not self.state.accepts_work(upstream):
             raise UpstreamRefused("the upstream left service")
+        generation.progress.upstream = upstream.name
         attempt_id = f"{generation.context.request_id}.{uuid.uuid4().hex[:8]}"
         pool, workspace = grant.offer.pool, grant.offer.workspace
         reserved = grant.offer.cost_tokens
@@ -309,9 +338,9 @@
         if generation.last_chunk_s:
             interval_s = now_s - generation.last_chunk_s
             self._capacity.node.note_token_interval(upstream, interval_s * 1000.0)
-            self._metrics.token_interval_s.labels(context.workspace.name).observe(
-                interval_s
-            )
+            self._metrics.token_interval_s.labels(
+                context.workspace.name, generation.waiting.work_class
+            ).observe(interval_s)
         generation.last_chunk_s = now_s
         generation.chunks = chunk.number
         if chunk.finished:
@@ -328,6 +357,7 @@
             upstream=grant.offer.upstream,
             error=str(error),
         )
+        generation.progress.note_failure(error)
         if isinstance(error, AnswerMismatch):
             self._metrics.mismatched.inc()
         self._metrics.resumed.labels(type(error).__name__).inc()
@@ -342,14 +372,18 @@
 
     # Plain services
 
-    async def _call_attempts(self, call: ServiceCall) -> ServiceAnswer:
+    async def _call_attempts(
+        self, call: ServiceCall, progress: Progress
+    ) -> ServiceAnswer:
         attempts = 0
         while True:
             attempts += 1
             grant = await self._capacity.acquire(_service_request(call), attempts > 1)
+            progress.upstream = grant.offer.upstream
             try:
                 return await self._call_once(call, grant)
             except UpstreamError as error:
+                progress.note_failure(error)
                 self._check_repeat(call, error, attempts)
                 call = replace(call, excluded=call.excluded | {grant.offer.upstream})
             finally:
@@ -410,10 +444,41 @@
         if pool not in workspace.pools:
             raise refuse("forbidden", f"{kind} {pool}")
 
-    def _count_refusal(self, context: CallerContext, refusal: Refusal) -> None:
+    def _count_refusal(
+        self,
+        context: CallerContext,
+        work_class: WorkClass,
+        refusal: Refusal,
+        progress: Progress,
+    ) -> str:
+        """Count a refusal and return the outcome that it is for the caller."""
+        workspace = context.workspace.name
+        ran = refusal.kind.ran
         self._metrics.refusals.labels(
-            context.workspace.name, refusal.kind.name, refusal.kind.ran
+            workspace, work_class, refusal.kind.name, ran
         ).inc()
+        if ran is Ran.NO and progress.may_have_run:
+            self._metrics.refusals_untrue.labels(workspace, work_class).inc()
+        return "broken" if progress.may_have_run else "refused"
+
+    def _note_end(
+        self,
+        context: CallerContext,
+        work_class: WorkClass,
+        outcome: str,
+        progress: Progress,
+    ) -> None:
+        workspace = context.workspace.name
+        self._metrics.requests.labels(workspace, work_class, outcome).inc()
+        logger.info(
+            "request_ended",
+            request_id=context.request_id,
+            workspace=workspace,
+            work_class=str(work_class),
+            upstream=progress.upstream or None,
+            outcome=outcome,
+            took_s=round(time.monotonic() - context.arrived_s, 4),
+        )
 
 
 def _closing_cost_tokens(generation: Generation, chunk: Chunk) -> float:
--- a/src/carobstair/net/router.py
+++ b/src/carobstair/net/router.py
@@ -97,6 +97,7 @@
 
     def _on_state(self, state: FleetState) -> None:
         self.capacity.set_state(state)
+        self.metrics.keep_in_force(state)
 
     def _on_signal(self) -> None:
         if self._stopping.is_set():
