Add carobstair-report: burn rates, budgets and who burned them since when

Cause: nothing showed how the objectives hold per workspace, and a slow week of one small workspace disappears in any overall graph. Change: collect keeps scrapes of all routers in a JSON-lines file that holds only what changed; show reports from it, once from two scrapes. Rows per workspace, class and objective carry five windows, three alarms, the budget left, the share of the fleet's bad events, the time since the burn stays above 1 and the routers. Text, JSON and one HTML page without scripts or remote parts. Restarted routers, returned workspaces, gaps, cut lines, empty and cut pages are handled.

--- /dev/null
+++ b/src/carobstair/report/__init__.py
@@ -0,0 +1,1 @@
+"""Service level report: burn rates and budgets from the routers' metrics."""
--- /dev/null
+++ b/src/carobstair/report/scrape.py
@@ -0,0 +1,50 @@
+"""Scrapes the metrics pages of all routers."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+import aiohttp
+
+from carobstair.report.history import Round
+from carobstair.report.settings import ReportSection
+from carobstair.report.tallies import PageError, RouterTallies, read_page
+
+__all__ = ["scrape_all"]
+
+MAX_PAGE_BYTES = 64 * 1024 * 1024
+
+
+async def scrape_all(settings: ReportSection) -> Round:
+    """Return one round; a router that fails is in it with its error.
+
+    Parameters
+    ----------
+    settings : ReportSection
+    """
+    timeout = aiohttp.ClientTimeout(total=settings.timeout_s)
+    headers = {}
+    if settings.metrics_key:
+        headers["Authorization"] = f"Bearer {settings.metrics_key}"
+    addresses = settings.addresses()
+    async with aiohttp.ClientSession(timeout=timeout, headers=headers) as session:
+        found = await asyncio.gather(
+            *(_scrape(session, address) for address in addresses.values())
+        )
+    return Round(time.time(), dict(zip(addresses, found, strict=True)))
+
+
+async def _scrape(session: aiohttp.ClientSession, address: str) -> RouterTallies | str:
+    try:
+        async with session.get(f"{address}/metrics") as response:
+            if response.status != 200:
+                return f"status {response.status}"
+            text = await response.content.read(MAX_PAGE_BYTES)
+            return read_page(text.decode("utf-8", "replace"))
+    except TimeoutError:
+        return "no answer in time"
+    except aiohttp.ClientError as error:
+        return str(error) or type(error).__name__
+    except PageError as error:
+        return str(error)
--- /dev/null
+++ b/tests/test_report.py
@@ -0,0 +1,258 @@
+"""Burn report: windows, budgets, restarts, gaps and renderings."""
+
+import json
+import re
+import tempfile
+import unittest
+from pathlib import Path
+
+from carobstair.metrics import RouterMetrics
+from carobstair.report.burn import DAY_S, make_report
+from carobstair.report.history import (
+    History,
+    HistoryWriter,
+    Round,
+    read_history,
+)
+from carobstair.report.render import render_html, render_json, render_text
+from carobstair.report.settings import ReportSection, ReportSettings
+from carobstair.report.tallies import (
+    Objective,
+    PageError,
+    RouterTallies,
+    SeriesKey,
+    Tally,
+    read_page,
+)
+
+SETTINGS = ReportSettings(
+    report=ReportSection(routers=["r-1=http://127.0.0.1:1", "r-2=http://127.0.0.1:2"])
+)
+START_S = 1_800_000_000.0
+
+
+def key(workspace, objective=Objective.FIRST_TOKEN):
+    """Return the series of a workspace."""
+    return SeriesKey(workspace, "quick", objective)
+
+
+def tallies(started_s, **counts):
+    """Return the tallies of a router from (bad, total) by workspace."""
+    return RouterTallies(
+        started_s, {key(name): Tally(*pair) for name, pair in counts.items()}
+    )
+
+
+def fold(rounds):
+    """Return the history of some rounds."""
+    history = History()
+    for found in rounds:
+        history.add(found)
+    history.thin()
+    return history
+
+
+def row_of(report, workspace):
+    """Return a workspace's row."""
+    return next(row for row in report.rows if row.key == key(workspace))
+
+
+def window_of(row, name):
+    """Return the burn over a window."""
+    return next(item for item in row.windows if item.window.name == name)
+
+
+class TestBurn(unittest.TestCase):
+    """Rates, alarms and budgets."""
+
+    def test_a_slow_week_of_a_small_workspace_shows_though_the_fleet_is_well(self):
+        # The users once lost a slow week that no overall graph showed.
+        slow_from, rounds = 24, []
+        late = 0.0
+        for hour in range(7 * 24 + 1):
+            late += 8.0 if hour > slow_from else 0.0
+            counts = {"small": (late, 100.0 * hour), "large": (0.0, 9_900.0 * hour)}
+            found = {"r-1": tallies(START_S - 5.0, **counts)}
+            rounds.append(Round(START_S + 3600.0 * hour, found))
+        report = make_report(fold(rounds), SETTINGS)
+        small = row_of(report, "small")
+        self.assertIs(report.rows[0], small)
+        self.assertEqual(small.alarms, ("long",))
+        self.assertAlmostEqual(window_of(small, "3d").burn, 0.08 / 0.05)
+        self.assertAlmostEqual(small.budget.left, 1 - 144 * 8 / (168 * 100 * 0.05))
+        self.assertEqual(small.share, 1.0)
+        slot_s = 2 * 3600.0
+        self.assertLessEqual(abs(small.since_s - (START_S + slow_from * 3600)), slot_s)
+        fleet = next(r for r in report.fleet if r.key.objective is small.key.objective)
+        self.assertEqual(fleet.alarms, ())
+        self.assertLess(window_of(fleet, "3d").burn, 0.1)
+        self.assertEqual(row_of(report, "large").since_s, None)
+
+    def test_fast_alarm_needs_both_windows_and_ends_after_the_short_one(self):
+        def alarms(bad_minutes):
+            bad, rounds = 0.0, []
+            for minute in range(121):
+                bad += 100.0 if minute in bad_minutes else 0.0
+                found = {"r-1": tallies(START_S - 5, w=(bad, 100.0 * minute))}
+                rounds.append(Round(START_S + 60.0 * minute, found))
+            return row_of(make_report(fold(rounds), SETTINGS), "w").alarms
+
+        self.assertIn("fast", alarms(range(70, 121)))
+        self.assertNotIn("fast", alarms(range(60, 115)))
+        self.assertNotIn("fast", alarms(range(116, 121)))
+        self.assertIn("slow", alarms(range(60, 121)))
+
+    def test_few_events_raise_no_alarm(self):
+        rounds = [
+            Round(START_S + 60.0 * n, {"r-1": tallies(START_S, w=(n, n))})
+            for n in range(5)
+        ]
+        row = row_of(make_report(fold(rounds), SETTINGS), "w")
+        self.assertAlmostEqual(window_of(row, "5m").burn, 20.0)
+        self.assertEqual(row.alarms, ())
+
+    def test_nothing_one_scrape_and_a_router_down_are_said_plainly(self):
+        empty = make_report(History(), SETTINGS)
+        self.assertIn("no scrape yet", empty.notes[0])
+        found = {"r-1": tallies(START_S, w=(0, 50)), "r-2": "no answer in time"}
+        report = make_report(fold([Round(START_S + 60, found)]), SETTINGS)
+        self.assertEqual(
+            report.notes,
+            [
+                "one scrape only: rates need a second one",
+                "router r-2: never reached: no answer in time",
+            ],
+        )
+        for shown in (empty, report):
+            for render in (render_text, render_json, render_html):
+                self.assertIn(shown.notes[0], render(shown))
+
+
+class TestHistory(unittest.TestCase):
+    """Counters between scrapes."""
+
+    def total(self, rounds, workspace="w"):
+        history = fold(rounds)
+        kept = history.increments.get((key(workspace), "r-1"), [])
+        return sum(item.tally.total for item in kept), history
+
+    def test_a_restart_adds_what_was_counted_since_and_nothing_twice(self):
+        total, history = self.total(
+            [
+                Round(START_S, {"r-1": tallies(START_S - 900, w=(0, 500))}),
+                Round(START_S + 60, {"r-1": tallies(START_S - 900, w=(0, 530))}),
+                Round(START_S + 120, {"r-1": "refused"}),
+                # The new process has already counted more than the old one.
+                Round(START_S + 180, {"r-1": tallies(START_S + 130, w=(0, 540))}),
+                Round(START_S + 240, {"r-1": tallies(START_S + 130, w=(0, 550))}),
+            ]
+        )
+        self.assertEqual(total, 30 + 540 + 10)
+        status = history.routers["r-1"]
+        self.assertEqual((status.restarts, status.failed, status.error), (1, 1, ""))
+        after = history.increments[(key("w"), "r-1")][1]
+        self.assertEqual((after.from_s, after.until_s), (START_S + 130, START_S + 180))
+
+    def test_a_removed_and_returned_workspace_leaves_the_others_uncounted(self):
+        rounds = [
+            Round(START_S, {"r-1": tallies(START_S - 9, w=(0, 500), x=(0, 90))}),
+            Round(START_S + 60, {"r-1": tallies(START_S - 9, w=(0, 500))}),
+            Round(START_S + 120, {"r-1": tallies(START_S - 9, w=(0, 510), x=(0, 7))}),
+        ]
+        self.assertEqual(self.total(rounds)[0], 10)
+
+    def test_a_router_that_joins_counts_from_its_start(self):
+        total, _ = self.total(
+            [
+                Round(START_S, {"r-2": tallies(START_S - 9)}),
+                Round(START_S + 60, {"r-1": tallies(START_S + 20, w=(1, 40))}),
+            ]
+        )
+        self.assertEqual(total, 40)
+
+    def test_thinning_keeps_every_event(self):
+        rounds = [
+            Round(START_S + 60.0 * n, {"r-1": tallies(START_S - 9, w=(n, 7.0 * n))})
+            for n in range(2 * 1440)
+        ]
+        total, history = self.total(rounds)
+        self.assertAlmostEqual(total, 7.0 * (2 * 1440 - 1))
+        self.assertLess(len(history.increments[(key("w"), "r-1")]), 2 * 1440 / 2)
+
+    def test_file_survives_a_cut_line_and_reopening_drops_only_old_rounds(self):
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "history.jsonl"
+            writer = HistoryWriter(path, DAY_S)
+            for day in range(4):
+                counts = {"w": (day, 10.0 * day), "idle": (0, 3)}
+                found = {"r-1": tallies(START_S, **counts), "r-2": "refused"}
+                writer.append(Round(START_S + DAY_S * day, found))
+            whole = read_history(path)
+            text = path.read_text()
+            self.assertEqual(text.count('"idle"'), 1)
+            path.write_text(text[:-20])
+            cut = read_history(path)
+            self.assertEqual((cut.rounds, cut.bad_lines), (3, 1))
+            path.write_text(text)
+            HistoryWriter(path, 1.5 * DAY_S)
+            pruned = read_history(path)
+        self.assertEqual((whole.rounds, pruned.rounds), (4, 2))
+        kept = pruned.increments[(key("w"), "r-1")]
+        self.assertEqual([item.tally for item in kept], [Tally(1, 10)])
+        self.assertNotIn((key("idle"), "r-1"), pruned.increments)
+
+
+class TestPages(unittest.TestCase):
+    """Metrics pages of real routers."""
+
+    def test_a_page_of_the_router_gives_the_tallies(self):
+        metrics = RouterMetrics()
+        for waited_s in (0.1, 0.63, 0.65, 3.0):
+            metrics.first_token_s.labels("w", "quick").observe(waited_s)
+        for interval_s in (0.05, 0.059, 0.061):
+            metrics.token_interval_s.labels("w", "quick").observe(interval_s)
+        refusals = (("deadline-exceeded", "no"), ("answer-lost", "unknown"))
+        for name, ran in refusals:
+            metrics.refusals.labels("w", "quick", name, ran).inc()
+        metrics.refusals_untrue.labels("w", "quick").inc()
+        for outcome in ("answered", "answered", "broken", "refused", "cancelled"):
+            metrics.requests.labels("w", "quick", outcome).inc()
+        found = read_page(metrics.page().decode()).tallies
+        self.assertEqual(
+            {k.objective: (t.bad, t.total) for k, t in found.items()},
+            {
+                Objective.FIRST_TOKEN: (3, 5),
+                Objective.TOKEN_INTERVAL: (1, 3),
+                Objective.WHOLE: (1, 3),
+                Objective.TRUTH: (1, 2),
+            },
+        )
+
+    def test_empty_and_cut_pages_are_errors_not_zeros(self):
+        page = RouterMetrics().page().decode()
+        for text in ("", "<html>", page[: page.index("process_start_time")]):
+            with self.assertRaises(PageError):
+                read_page(text)
+
+
+class TestRenderings(unittest.TestCase):
+    """Text, JSON and HTML."""
+
+    def test_html_escapes_names_and_loads_nothing(self):
+        rounds = [
+            Round(START_S + 60.0 * n, {"r-1": tallies(START_S, **{"<b>": (n, 9 * n)})})
+            for n in range(30)
+        ]
+        report = make_report(fold(rounds), SETTINGS)
+        page = render_html(report)
+        self.assertNotIn("<b>quick", page)
+        self.assertNotIn("<td><b></td>", page)
+        self.assertEqual(page.count("<svg "), 4)
+        self.assertIsNone(re.search(r"(src|href)\s*=|url\(|@import|<script", page))
+        document = json.loads(render_json(report))
+        self.assertEqual(document["rows"][0]["workspace"], "<b>")
+        self.assertIn("3d", document["rows"][0]["burn"])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -14,6 +14,7 @@
     "[platform]\naddress = http://127.0.0.1:1\napi_key = hush-1\n"
     "[gateway]\noperator_key = hush-2\n",
     "ticket": "[operator]\naddress = http://127.0.0.1:1\napi_key = hush-1\n",
+    "report": "[report]\nrouters = r-1=http://127.0.0.1:1\nmetrics_key = hush-1\n",
 }
 # Section, key, wrong value and what the line must say is allowed.
 WRONG_VALUES = {
@@ -30,6 +31,12 @@
         ("peers", "server_secret_key", "hush-3", "40 characters"),
     ],
     "ticket": [("operator", "address", "nowhere", "https?://")],
+    "report": [
+        ("report", "routers", "entry-1", "NAME=http://HOST:PORT"),
+        ("report", "interval_s", "300", "less than or equal to 100"),
+        ("report", "history_days", "2", "at least 7.0, the value of budget_days"),
+        ("objectives", "whole", "1", "less than 1"),
+    ],
 }
 SECRETS = ("hush-1", "hush-2", "hush-3", "hush-4")
 
