Add carobstair-load: seeded open-loop load with corrected histograms

Cause: there was no way to put a stated load on a fleet and measure the answers. Change: the seed fixes arrivals, workspaces, routers, log-normal lengths, keyed actions and their repeats before anything is sent. Times count from the intended send, kept in HDR histograms beside those from the actual send. Streams are checked for gaps, finish reason, end mark and request id, answers under one key for equality.

--- /dev/null
+++ b/bench/report_proof.py
@@ -0,0 +1,173 @@
+"""Proof that the burn report shows one slow workspace within its fast window.
+
+Starts three routers and their stand-ins, sends load of four workspaces, lets the
+engine of one of them stall in short bursts, and collects scrapes with
+``carobstair-report``. Ends with 0 if the fast alarm names this workspace alone
+within one window (5 min) of the injection, the fleet as a whole has no alarm,
+and a router that is then ended is reported as down.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import sys
+import time
+
+from carobstair.load.runner import run_load
+from carobstair.load.settings import LoadSection, LoadSettings, WorkspaceLoad
+from fleet import Fleet, FleetPlan, PlannedUpstream, key_of
+
+ZONES = ("zone-a", "zone-b", "zone-c")
+HEALTHY_S, WINDOW_S, SCRAPE_S = 15.0, 300.0, 2.0
+STALLED_S, RUNNING_S = 0.9, 0.1
+SLOWED, SLOW_ENGINE = "slowed", "engine-slow"
+WEIGHTS = {SLOWED: 1.0, "large-1": 10.0, "large-2": 10.0, "large-3": 10.0}
+PLAN = FleetPlan(
+    routers=tuple((f"entry-{n + 1}", zone) for n, zone in enumerate(ZONES)),
+    upstreams=(
+        *(
+            PlannedUpstream(
+                f"engine-{n + 1}", "busy", "engine", zone, arguments=("--cold-s", "1")
+            )
+            for n, zone in enumerate(ZONES)
+        ),
+        PlannedUpstream(
+            SLOW_ENGINE, "rare", "engine", "zone-a", arguments=("--cold-s", "1")
+        ),
+    ),
+    workspaces=dict.fromkeys(WEIGHTS, 1.0),
+)
+
+
+def load_settings(fleet: Fleet) -> LoadSettings:
+    """Return load of which a thirty-first part is the slowed workspace's."""
+    return LoadSettings(
+        load=LoadSection(
+            routers=[fleet.address(name) for name, _ in PLAN.routers],
+            rate_per_s=31.0,
+            seconds=HEALTHY_S + WINDOW_S,
+            seed=3,
+            progress_s=15.0,
+        ),
+        workspace={
+            name: WorkspaceLoad(
+                key=key_of(name),
+                weight=weight,
+                model="rare" if name == SLOWED else "busy",
+                median_tokens=8,
+                sigma=0.3,
+            )
+            for name, weight in WEIGHTS.items()
+        },
+    )
+
+
+async def stall_in_bursts(fleet: Fleet) -> None:
+    """Stall the slowed workspace's engine until cancelled."""
+    url = fleet.upstream_address(SLOW_ENGINE) + "/control"
+    while True:
+        await fleet.put_json(url, {"stalled": True})
+        await asyncio.sleep(STALLED_S)
+        await fleet.put_json(url, {"stalled": False})
+        await asyncio.sleep(RUNNING_S)
+
+
+class Reporter:
+    """Runs ``carobstair-report`` as an operator does."""
+
+    def __init__(self, fleet: Fleet):
+        self._settings = fleet.folder / "report.ini"
+        self._history = fleet.folder / "history.jsonl"
+        self.page = fleet.folder / "report.html"
+        routers = ", ".join(f"{n}={fleet.address(n)}" for n, _ in PLAN.routers)
+        self._settings.write_text(
+            f"[report]\nrouters = {routers}\ninterval_s = {SCRAPE_S}\n"
+        )
+
+    async def collect(self) -> None:
+        """Collect scrapes until cancelled."""
+        process = await self._start("collect", self._history)
+        try:
+            await process.wait()
+        finally:
+            if process.returncode is None:
+                process.terminate()
+                await process.wait()
+
+    async def show(self, *options) -> str:
+        """Return what the report prints."""
+        process = await self._start("show", self._history, *options)
+        output, _ = await process.communicate()
+        return output.decode()
+
+    async def _start(self, command: str, *arguments) -> asyncio.subprocess.Process:
+        return await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "carobstair.cli.report",
+            command,
+            *map(str, arguments),
+            "--settings",
+            str(self._settings),
+            stdout=asyncio.subprocess.PIPE,
+        )
+
+
+def alarmed(document: dict, name: str, alarm: str) -> list[dict]:
+    """Return the rows of a part of the report that have an alarm."""
+    return [row for row in document[name] if alarm in row["alarms"]]
+
+
+async def wait_for_alarm(reporter: Reporter, began_s: float) -> tuple[float, dict]:
+    """Return the seconds until the fast alarm, and the report that had it."""
+    while True:
+        document = json.loads(await reporter.show("--json"))
+        taken_s = time.monotonic() - began_s
+        if alarmed(document, "rows", "fast") or taken_s > WINDOW_S:
+            return taken_s, document
+        await asyncio.sleep(SCRAPE_S)
+
+
+async def prove() -> int:
+    """Run the proof and return the exit status."""
+    async with Fleet(PLAN) as fleet:
+        reporter = Reporter(fleet)
+        work = [
+            asyncio.create_task(run_load(load_settings(fleet))),
+            asyncio.create_task(reporter.collect()),
+        ]
+        await asyncio.sleep(HEALTHY_S)
+        before = json.loads(await reporter.show("--json"))
+        injected_s = time.monotonic()
+        injected_at_s = time.time()
+        work.append(asyncio.create_task(stall_in_bursts(fleet)))
+        taken_s, during = await wait_for_alarm(reporter, injected_s)
+        await fleet.end(PLAN.routers[-1][0])
+        await asyncio.sleep(3 * SCRAPE_S)
+        text = await reporter.show("--html", reporter.page)
+        page = reporter.page.read_text()
+        for task in work:
+            task.cancel()
+        await asyncio.gather(*work, return_exceptions=True)
+    print(text)
+    named = {row["workspace"] for row in alarmed(during, "rows", "fast")}
+    begins = [row["since_s"] - injected_at_s for row in alarmed(during, "rows", "fast")]
+    checks = {
+        "no fast alarm before the injection": not alarmed(before, "rows", "fast"),
+        "the fast alarm names the slowed workspace alone": named == {SLOWED},
+        "within one window": taken_s <= WINDOW_S,
+        "the fleet as a whole has no fast alarm": not alarmed(during, "fleet", "fast"),
+        "an ended router is shown as down": f"router {PLAN.routers[-1][0]}: down"
+        in text,
+        "the page names the workspace": f"<td>{SLOWED}</td>" in page,
+    }
+    print(f"\nalarm {taken_s:.1f} s after the injection; begin of the burn as reported")
+    print(f"relative to the injection: {[round(begin, 1) for begin in begins]} s")
+    for name, held in checks.items():
+        print(f"{'ok' if held else 'FAILED'}: {name}")
+    return 0 if all(checks.values()) else 1
+
+
+if __name__ == "__main__":
+    sys.exit(asyncio.run(prove()))
--- /dev/null
+++ b/src/carobstair/load/__init__.py
@@ -0,0 +1,1 @@
+"""Open-loop load: seeded plans, a client, and corrected histograms."""
--- /dev/null
+++ b/src/carobstair/load/client.py
@@ -0,0 +1,239 @@
+"""Sends planned requests and checks their answers."""
+
+from __future__ import annotations
+
+import json
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from functools import singledispatchmethod
+
+import aiohttp
+
+from carobstair.load.plan import PlannedAction, PlannedChat, PlannedRequest
+
+__all__ = ["Client", "Outcome"]
+
+REQUEST_ID = "X-Request-Id"
+
+
+@dataclass(slots=True)
+class Outcome:
+    """What came of one request; times are monotonic seconds.
+
+    Attributes
+    ----------
+    intended_s, sent_s, ended_s : float
+    first_token_s : float or None
+        When the first token, or the answer of an action, arrived.
+    result : str
+        ``answered``, ``refused``, ``cut``, ``not sent`` or ``not whole``.
+    detail : str
+        The refusal's type, or what is wrong with the answer.
+    ran : str
+        What a refusal says about whether the request ran.
+    """
+
+    request: PlannedRequest
+    intended_s: float
+    sent_s: float = 0.0
+    ended_s: float = 0.0
+    first_token_s: float | None = None
+    token_intervals_s: list[float] = field(default_factory=list)
+    result: str = "answered"
+    detail: str = ""
+    ran: str = ""
+    text: str = ""
+
+
+class Client:
+    """Sends requests and takes down what came of them.
+
+    Parameters
+    ----------
+    session : aiohttp.ClientSession
+    addresses : list of str
+        Address of each router.
+    keys : dict
+        Key by workspace.
+    deadline_s : float
+        Deadline that is sent with each request, in seconds.
+    check_answers : bool
+        Whether answers are checked for wholeness.
+    expected_text : callable, optional
+        Returns the text that a chat must be answered with, where it is known.
+    """
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        addresses: list[str],
+        keys: dict[str, str],
+        deadline_s: float = 60.0,
+        check_answers: bool = True,
+        expected_text: Callable[[PlannedChat], str] | None = None,
+    ):
+        self._session = session
+        self._addresses = addresses
+        self._keys = keys
+        self._deadline_s = deadline_s
+        self._check_answers = check_answers
+        self._expected_text = expected_text
+
+    async def send(
+        self, request: PlannedRequest, intended_s: float | None = None
+    ) -> Outcome:
+        """Send a request and return its outcome.
+
+        Parameters
+        ----------
+        request : PlannedRequest
+        intended_s : float, optional
+            Monotonic time at which it was to be sent; now if not given.
+        """
+        now_s = time.monotonic()
+        outcome = Outcome(request, now_s if intended_s is None else intended_s, now_s)
+        try:
+            await self._send(request, outcome)
+        except aiohttp.ClientConnectorError as error:
+            outcome.result, outcome.detail = "not sent", type(error).__name__
+        except (aiohttp.ClientError, TimeoutError, ValueError) as error:
+            outcome.result, outcome.detail = "cut", type(error).__name__
+        outcome.ended_s = time.monotonic()
+        return outcome
+
+    @singledispatchmethod
+    async def _send(self, request: PlannedRequest, outcome: Outcome) -> None:
+        raise TypeError(f"unknown request {request!r}")
+
+    @_send.register
+    async def _(self, request: PlannedChat, outcome: Outcome) -> None:
+        body = {
+            "model": request.model,
+            "stream": True,
+            "max_tokens": request.tokens,
+            "messages": [{"role": "user", "content": request.prompt}],
+        }
+        url = self._addresses[request.router] + "/v1/chat/completions"
+        async with self._session.post(
+            url, json=body, headers=self._headers(request)
+        ) as response:
+            if await self._refused(response, outcome):
+                return
+            stream = _Stream(outcome)
+            async for line in response.content:
+                stream.take(line.rstrip(b"\r\n"))
+        outcome.text = "".join(stream.parts)
+        if stream.problem is not None:
+            _note_refusal(stream.problem, outcome)
+            outcome.result = "cut"
+        elif self._check_answers:
+            fault = stream.fault() or self._text_fault(request, outcome.text)
+            self._note_fault(response, request, fault, outcome)
+
+    @_send.register
+    async def _(self, request: PlannedAction, outcome: Outcome) -> None:
+        path = request.path.lstrip("/")
+        url = f"{self._addresses[request.router]}/services/{request.service}/{path}"
+        headers = self._headers(request) | {"Idempotency-Key": request.key}
+        body = json.dumps({"key": request.key}).encode()
+        async with self._session.post(url, data=body, headers=headers) as response:
+            if await self._refused(response, outcome):
+                return
+            outcome.text = (await response.read()).decode("utf-8", "replace")
+            outcome.first_token_s = time.monotonic()
+        if self._check_answers:
+            self._note_fault(response, request, "", outcome)
+
+    def _headers(self, request: PlannedRequest) -> dict[str, str]:
+        return {
+            "Authorization": f"Bearer {self._keys[request.workspace]}",
+            REQUEST_ID: f"load-{request.workspace}-{request.number}",
+            "X-Deadline-Ms": str(round(self._deadline_s * 1000)),
+        }
+
+    async def _refused(self, response, outcome: Outcome) -> bool:
+        if response.status < 400:
+            return False
+        outcome.result, outcome.detail = "refused", f"status {response.status}"
+        if "problem+json" in response.headers.get("Content-Type", ""):
+            _note_refusal(await response.json(content_type=None), outcome)
+        return True
+
+    def _text_fault(self, request: PlannedChat, text: str) -> str:
+        if self._expected_text is None or text == self._expected_text(request):
+            return ""
+        return "another text"
+
+    def _note_fault(
+        self, response, request: PlannedRequest, fault: str, outcome: Outcome
+    ) -> None:
+        if response.headers.get(REQUEST_ID) != self._headers(request)[REQUEST_ID]:
+            fault = "another request id"
+        if fault:
+            outcome.result, outcome.detail = "not whole", fault
+
+
+class _Stream:
+    """Reads the server-sent events of one answer."""
+
+    def __init__(self, outcome: Outcome):
+        self._outcome = outcome
+        self._last_s: float | None = None
+        self._next_id = 1
+        self._event = ""
+        self._gap = ""
+        self._finished = False
+        self._done = False
+        self.parts: list[str] = []
+        self.problem: dict | None = None
+
+    def take(self, line: bytes) -> None:
+        """Take in one line."""
+        name, _, value = line.partition(b": ")
+        if name == b"event":
+            self._event = value.decode()
+        elif name == b"id":
+            self._take_id(value)
+        elif name == b"data" and value == b"[DONE]":
+            self._done = True
+        elif name == b"data" and self._event == "error":
+            self.problem = json.loads(value)
+        elif name == b"data":
+            self._take_chunk(json.loads(value))
+        elif not line:
+            self._event = ""
+
+    def fault(self) -> str:
+        """Return what is missing from the answer, or an empty text."""
+        if self._gap:
+            return self._gap
+        if not self._finished:
+            return "no finish reason"
+        return "" if self._done else "no [DONE]"
+
+    def _take_id(self, value: bytes) -> None:
+        number = int(value)
+        if number != self._next_id and not self._gap:
+            self._gap = f"event {number} where {self._next_id} was due"
+        self._next_id = number + 1
+
+    def _take_chunk(self, document: dict) -> None:
+        choice = document["choices"][0]
+        if choice.get("finish_reason"):
+            self._finished = True
+        part = choice.get("delta", {}).get("content", "")
+        if not part:
+            return
+        self.parts.append(part)
+        now_s = time.monotonic()
+        if self._last_s is None:
+            self._outcome.first_token_s = now_s
+        else:
+            self._outcome.token_intervals_s.append(now_s - self._last_s)
+        self._last_s = now_s
+
+
+def _note_refusal(problem: dict, outcome: Outcome) -> None:
+    outcome.detail = str(problem.get("type", "")).rpartition(":")[2]
+    outcome.ran = str(problem.get("ran", ""))
--- /dev/null
+++ b/src/carobstair/load/runner.py
@@ -0,0 +1,111 @@
+"""Runs a plan in open loop: each request leaves at its time, come what may."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import aiohttp
+
+from carobstair.load.client import Client
+from carobstair.load.plan import PlannedChat, PlannedRequest, make_plan
+from carobstair.load.results import LoadResults
+from carobstair.load.settings import LoadSettings
+
+__all__ = ["Progress", "run_load"]
+
+# Past the request's own deadline the router has answered or is gone.
+GRACE_S = 10.0
+
+
+@dataclass(frozen=True, slots=True)
+class Progress:
+    """How far a run is."""
+
+    elapsed_s: float
+    sent: int
+    open: int
+    results: LoadResults
+
+
+async def run_load(
+    settings: LoadSettings,
+    on_progress: Callable[[Progress], None] = lambda progress: None,
+    expected_text: Callable[[PlannedChat], str] | None = None,
+) -> LoadResults:
+    """Send the plan's requests and return what came of them.
+
+    Parameters
+    ----------
+    settings : LoadSettings
+    on_progress : callable, optional
+        Called each `progress_s` seconds.
+    expected_text : callable, optional
+        Returns the text that a chat must be answered with, where it is known.
+    """
+    timeout = aiohttp.ClientTimeout(total=settings.load.deadline_s + GRACE_S)
+    connector = aiohttp.TCPConnector(limit=0)
+    async with aiohttp.ClientSession(timeout=timeout, connector=connector) as session:
+        client = Client(
+            session,
+            settings.load.addresses(),
+            {name: load.key for name, load in settings.workspace.items()},
+            settings.load.deadline_s,
+            settings.load.check_answers,
+            expected_text,
+        )
+        return await _Run(settings, client, on_progress).run()
+
+
+class _Run:
+    def __init__(
+        self,
+        settings: LoadSettings,
+        client: Client,
+        on_progress: Callable[[Progress], None],
+    ):
+        self._settings = settings
+        self._client = client
+        self._on_progress = on_progress
+        self._results = LoadResults()
+        self._open: set[asyncio.Task] = set()
+        self._sent = 0
+        self._began_s = 0.0
+
+    async def run(self) -> LoadResults:
+        self._began_s = time.monotonic()
+        reporter = asyncio.create_task(self._report())
+        try:
+            for request in make_plan(self._settings):
+                due_s = self._began_s + request.at_s
+                await asyncio.sleep(max(0.0, due_s - time.monotonic()))
+                self._start(request, due_s)
+            while self._open:
+                await asyncio.wait(self._open)
+        finally:
+            reporter.cancel()
+            for task in self._open:
+                task.cancel()
+        return self._results
+
+    def _start(self, request: PlannedRequest, due_s: float) -> None:
+        if len(self._open) >= self._settings.load.max_open:
+            self._results.left_out += 1
+            return
+        self._sent += 1
+        task = asyncio.create_task(self._send(request, due_s))
+        self._open.add(task)
+        task.add_done_callback(self._open.discard)
+
+    async def _send(self, request: PlannedRequest, due_s: float) -> None:
+        self._results.add(await self._client.send(request, due_s))
+
+    async def _report(self) -> None:
+        while True:
+            await asyncio.sleep(self._settings.load.progress_s)
+            elapsed_s = time.monotonic() - self._began_s
+            self._on_progress(
+                Progress(elapsed_s, self._sent, len(self._open), self._results)
+            )
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -15,6 +15,8 @@
     "[gateway]\noperator_key = hush-2\n",
     "ticket": "[operator]\naddress = http://127.0.0.1:1\napi_key = hush-1\n",
     "report": "[report]\nrouters = r-1=http://127.0.0.1:1\nmetrics_key = hush-1\n",
+    "load": "[load]\nrouters = http://127.0.0.1:1, http://127.0.0.1:2\n"
+    "[workspace.w]\nkey = hush-1\nmodel = m\n",
 }
 # Section, key, wrong value and what the line must say is allowed.
 WRONG_VALUES = {
@@ -37,6 +39,14 @@
         ("report", "history_days", "2", "at least 7.0, the value of budget_days"),
         ("objectives", "whole", "1", "less than 1"),
     ],
+    "load": [
+        ("load", "routers", "entry-1", "http://HOST:PORT"),
+        ("load", "rate_per_s", "0", "greater than 0"),
+        ("load", "router_weights", "1", "2 numbers from 0, one per router"),
+        ("workspace.w", "median_tokens", "9000", "at most 2000, the value of max"),
+        ("workspace.w", "action_fraction", "2", "less than or equal to 1"),
+        ("workspace.w", "model", "", "must be named"),
+    ],
 }
 SECRETS = ("hush-1", "hush-2", "hush-3", "hush-4")
 
