--- a/src/carobstair/net/context.py
+++ b/src/carobstair/net/context.py
@@ -6,7 +6,7 @@
 
 from carobstair.core.state import Workspace
 
-__all__ = ["CallerContext"]
+__all__ = ["CallerContext", "Progress"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -24,3 +24,19 @@
     workspace: Workspace
     arrived_s: float
     deadline_s: float
+
+
+@dataclass(slots=True)
+class Progress:
+    """What is known about a request's attempts, for its log line and counters.
+
+    Attributes
+    ----------
+    upstream : str
+        Upstream of the newest attempt.
+    may_have_run : bool
+        Whether an attempt was sent and not refused by its upstream.
+    """
+
+    upstream: str = ""
+    may_have_run: bool = False
--- a/src/carobstair/net/gateway.py
+++ b/src/carobstair/net/gateway.py
@@ -18,20 +18,23 @@
     classify,
     sane_hint_tokens,
 )
-from carobstair.core.refusals import Refusal, refuse
+from carobstair.core.refusals import Ran, Refusal, refuse
 from carobstair.core.state import FleetState, UpstreamKind, Workspace
+from carobstair.logs import get_logger
 from carobstair.metrics import RouterMetrics
 from carobstair.models import ChatRequestModel, ModelError, parse_model
 from carobstair.net.actions import ActionDriver
 from carobstair.net.capacity import CapacityDriver
 from carobstair.net.chat import ChatRelay, Generation
-from carobstair.net.context import CallerContext
+from carobstair.net.context import CallerContext, Progress
 from carobstair.net.services import ServiceCall, ServiceCaller
 from carobstair.net.upstream import Chunk, ServiceAnswer
 from carobstair.settings import RouterSettings
 
 __all__ = ["Gateway"]
 
+logger = get_logger(__name__)
+
 CHARACTERS_PER_TOKEN = 4
 MAX_KEY_CHARACTERS = 255
 
@@ -142,16 +145,22 @@
                 yield chunk
             outcome = "answered"
         except Refusal as refusal:
-            outcome = "refused" if not generation.chunks else "broken"
-            self._count_refusal(generation.context, refusal)
+            generation.progress.may_have_run |= generation.chunks > 0
+            outcome = self._count_refusal(
+                generation.context,
+                generation.waiting.work_class,
+                refusal,
+                generation.progress,
+            )
             raise
         finally:
             self.running -= 1
-            self._metrics.requests.labels(
-                generation.context.workspace.name,
+            self._note_end(
+                generation.context,
                 generation.waiting.work_class,
                 outcome,
-            ).inc()
+                generation.progress,
+            )
 
     def parse_service_call(
         self,
@@ -188,19 +197,19 @@
         Refusal
         """
         self.running += 1
-        outcome = "refused"
+        outcome = "cancelled"
         try:
             answer = await self._answer(call)
             outcome = "answered"
             return answer
         except Refusal as refusal:
-            self._count_refusal(call.context, refusal)
+            outcome = self._count_refusal(
+                call.context, WorkClass.QUICK, refusal, call.progress
+            )
             raise
         finally:
             self.running -= 1
-            self._metrics.requests.labels(
-                call.context.workspace.name, WorkClass.QUICK, outcome
-            ).inc()
+            self._note_end(call.context, WorkClass.QUICK, outcome, call.progress)
 
     async def _answer(self, call: ServiceCall) -> ServiceAnswer:
         """Return the answer, of the first run where the call has a key."""
@@ -234,7 +243,38 @@
         if pool not in workspace.pools:
             raise refuse("forbidden", f"{kind} {pool}")
 
-    def _count_refusal(self, context: CallerContext, refusal: Refusal) -> None:
+    def _count_refusal(
+        self,
+        context: CallerContext,
+        work_class: WorkClass,
+        refusal: Refusal,
+        progress: Progress,
+    ) -> str:
+        """Count a refusal and return the outcome that it is for the caller."""
+        workspace = context.workspace.name
+        ran = refusal.kind.ran
         self._metrics.refusals.labels(
-            context.workspace.name, refusal.kind.name, refusal.kind.ran
+            workspace, work_class, refusal.kind.name, ran
         ).inc()
+        if ran is Ran.NO and progress.may_have_run:
+            self._metrics.refusals_untrue.labels(workspace, work_class).inc()
+        return "broken" if progress.may_have_run else "refused"
+
+    def _note_end(
+        self,
+        context: CallerContext,
+        work_class: WorkClass,
+        outcome: str,
+        progress: Progress,
+    ) -> None:
+        workspace = context.workspace.name
+        self._metrics.requests.labels(workspace, work_class, outcome).inc()
+        logger.info(
+            "request_ended",
+            request_id=context.request_id,
+            workspace=workspace,
+            work_class=str(work_class),
+            upstream=progress.upstream or None,
+            outcome=outcome,
+            took_s=round(time.monotonic() - context.arrived_s, 4),
+        )
