--- a/src/carobstair/core/allocator.py
+++ b/src/carobstair/core/allocator.py
@@ -4,15 +4,16 @@
 
 import math
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
+from carobstair.core.demand import Demand, DemandBook, DemandKey
 from carobstair.core.fairness import VirtualTime
 from carobstair.core.grants import GrantTimings
 from carobstair.core.messages import DemandEntry, DemandUpdate, Offer
 from carobstair.core.placement import Candidate, Placement
 from carobstair.core.queueing import WorkClass
 from carobstair.core.shares import SlotShare
-from carobstair.core.state import FleetState
+from carobstair.core.state import FleetState, Upstream
 
 __all__ = ["Allocator", "AllocatorSettings", "Grant"]
 
@@ -30,11 +31,18 @@
         How long a gateway's demand holds without being refreshed.
     pending_s : float
         How long the cost of a grant to another gateway counts on top of the
-        service totals, which tell of it later.
+        service totals, if these don't tell of it sooner.
+    quick_memory_s : float
+        How long after the last quick request slots are kept free for the next.
+    drain_after_s : float
+        How long the request whose turn it is waits for KV tokens before an
+        upstream takes no other work until it fits.
     """
 
     demand_validity_s: float = 3.0
-    pending_s: float = 2.0
+    pending_s: float = 2.5
+    quick_memory_s: float = 10.0
+    drain_after_s: float = 0.5
 
 
 @dataclass(slots=True)
@@ -47,26 +55,30 @@
 
 
 @dataclass(slots=True)
-class _Demand:
-    entry: DemandEntry
-    open: int
-
-
-@dataclass(slots=True)
-class _GatewayDemand:
-    sequence: int = -1
-    expires_s: float = -math.inf
-    entries: dict[tuple[str, str, str], _Demand] = field(default_factory=dict)
+class _Pending:
+    expires_s: float
+    gateway: str
+    pool: str
+    workspace: str
+    tokens: float
 
 
 @dataclass(slots=True)
 class _Use:
     requests: int = 0
-    long_requests: int = 0
     kv_tokens: int = 0
 
 
-_ShareOf = Callable[[str], SlotShare]
+@dataclass(slots=True)
+class _Drain:
+    """An upstream that is kept free for a request too large to fit beside others."""
+
+    key: DemandKey
+    since_s: float
+    upstream: str = ""
+
+
+ShareOf = Callable[[str], SlotShare]
 
 
 class Allocator:
@@ -80,6 +92,9 @@
     timings : GrantTimings
     virtual_time : VirtualTime
     placement : Placement
+    quick_fraction : float
+        Part of the slots of a pool that long requests leave free while quick
+        ones come.
     """
 
     def __init__(
@@ -89,20 +104,28 @@
         timings: GrantTimings,
         virtual_time: VirtualTime,
         placement: Placement,
+        quick_fraction: float = 0.1,
     ):
         self._instance = instance
         self._settings = settings
         self._timings = timings
         self._virtual_time = virtual_time
         self._placement = placement
+        self._quick_fraction = quick_fraction
         self._state = FleetState()
-        self._demands: dict[str, _GatewayDemand] = {}
+        self._pools: dict[str, list[Upstream]] = {}
         self._grants: dict[int, Grant] = {}
         self._use: dict[str, _Use] = {}
-        self._unexplained: dict[str, int] = {}
-        self._pending: list[tuple[float, str, str, float]] = []
-        self._class_time: dict[tuple[str, str, str], float] = {}
+        self._quick_use: dict[str, int] = {}
+        self._quick_seen_s: dict[str, float] = {}
+        self._pending: dict[int, _Pending] = {}
+        self._pending_sums: dict[tuple[str, str], float] = {}
+        self._class_time: dict[DemandKey, float] = {}
+        self._class_clock: dict[tuple[str, str], float] = {}
+        self._drains: dict[str, _Drain] = {}
         self._last_grant = 0
+        self.zones: Mapping[str, str] = {}
+        self.demand = DemandBook(settings.demand_validity_s)
         self.lapsed_count = 0
 
     @property
@@ -110,43 +133,79 @@
         """The grants in use, by id."""
         return self._grants
 
-    def set_state(self, state: FleetState) -> None:
-        """Take over the fleet state in force."""
-        self._state = state
+    def set_state(
+        self,
+        state: FleetState,
+        held: Iterable[str],
+        closed: frozenset[str] = frozenset(),
+    ) -> None:
+        """Take over the fleet state in force.
 
-    def set_unexplained(self, upstream: str, requests: int) -> None:
-        """Count requests that the upstream runs and no grant explains as in use."""
-        self._unexplained[upstream] = max(0, requests)
+        Parameters
+        ----------
+        state : FleetState
+        held : iterable of str
+            Upstreams of which this process holds shares.
+        closed : frozenset of str
+            Upstreams that said on their own that they take no new work.
+        """
+        self._state = state
+        self._pools = {}
+        for name in sorted(set(held) - closed):
+            upstream = state.upstreams[name]
+            if state.accepts_work(upstream):
+                self._pools.setdefault(upstream.pool, []).append(upstream)
 
     def in_use(self, upstream: str) -> SlotShare:
         """Return what the grants on an upstream take."""
-        use = self._use.get(upstream, _Use())
-        return SlotShare(use.requests, use.kv_tokens)
+        use = self._use.get(upstream)
+        return SlotShare(use.requests, use.kv_tokens) if use else SlotShare()
 
-    def update_demand(self, gateway: str, update: DemandUpdate, now_s: float) -> None:
-        """Replace a gateway's demand by a newer one."""
-        held = self._demands.setdefault(gateway, _GatewayDemand())
-        if update.sequence <= held.sequence and now_s < held.expires_s:
-            return
-        on_the_way = self._offers_after(gateway, update.last_offer)
-        held.sequence = update.sequence
-        held.expires_s = now_s + self._settings.demand_validity_s
-        held.entries = {}
-        for entry in update.entries:
-            key = (entry.pool, entry.workspace, entry.work_class)
-            waiting = entry.waiting - on_the_way.get(key, 0)
-            if waiting > 0 and entry.work_class in CLASS_WEIGHTS:
-                held.entries[key] = _Demand(entry, waiting)
+    def uses(self) -> dict[str, int]:
+        """Return the number of requests per upstream that grants allow."""
+        return {name: use.requests for name, use in self._use.items() if use.requests}
+
+    def update_demand(
+        self, gateway: str, update: DemandUpdate, now_s: float
+    ) -> set[str]:
+        """Take in a gateway's demand and return the pools that it concerns."""
+        counts = self._offers_after(gateway, update.last_offer)
+        return self.demand.update(gateway, update, lambda k: counts.get(k, 0), now_s)
 
     def forget_gateway(self, gateway: str) -> None:
         """Drop the demand of a gateway that is gone; its grants lapse."""
-        self._demands.pop(gateway, None)
-
-    def allocate(self, share_of: _ShareOf, now_s: float) -> list[Grant]:
+        self.demand.forget(gateway)
+
+    def acknowledge_offers(self, gateway: str, last_offer: int) -> None:
+        """Stop counting offers whose reservations the totals now contain."""
+        known = [
+            grant_id
+            for grant_id, pending in self._pending.items()
+            if pending.gateway == gateway and grant_id <= last_offer
+        ]
+        for grant_id in known:
+            self.settle_pending(grant_id)
+
+    def settle_pending(self, grant_id: int) -> None:
+        """Stop counting one offer on top of the totals."""
+        pending = self._pending.pop(grant_id, None)
+        if pending is not None:
+            key = (pending.pool, pending.workspace)
+            left = self._pending_sums.get(key, 0.0) - pending.tokens
+            if left > 1e-6:
+                self._pending_sums[key] = left
+            else:
+                self._pending_sums.pop(key, None)
+
+    def allocate(
+        self, pools: Iterable[str], share_of: ShareOf, now_s: float
+    ) -> list[Grant]:
         """Grant free slots until none is left or no demand can use one.
 
         Parameters
         ----------
+        pools : iterable of str
+            Pools to look at.
         share_of : callable
             Returns the share of an upstream by its name.
         now_s : float
@@ -157,22 +216,46 @@
         list of Grant
             New grants, to be offered to their gateways.
         """
-        self._pending = [p for p in self._pending if p[0] > now_s]
         granted = []
-        for pool in sorted(self._demanded_pools(now_s)):
-            self._virtual_time.cap_catch_up(pool, now_s)
-            while (grant := self._grant_one(pool, share_of, now_s)) is not None:
+        for pool in sorted(set(pools)):
+            if not self.demand.workspaces(pool):
+                self._drains.pop(pool, None)
+                continue
+            if self.demand.has_class(pool, WorkClass.QUICK):
+                self._quick_seen_s[pool] = now_s
+            left = self.left(pool, share_of)
+            if left:
+                self._virtual_time.cap_catch_up(pool, now_s)
+            reserve = self._reserve(pool, share_of, now_s) if left else 0
+            while left:
+                grant = self._grant_one(pool, left, reserve, now_s)
+                if grant is None:
+                    break
                 granted.append(grant)
+                self._take(left, grant)
         return granted
 
-    def free_slots(self, share_of: _ShareOf) -> dict[str, int]:
+    def left(self, pool: str, share_of: ShareOf) -> dict[str, SlotShare]:
+        """Return what is free on the upstreams of a pool that have a free slot."""
+        found = {}
+        for upstream in self._pools.get(pool, ()):
+            share = share_of(upstream.name)
+            use = self._use.get(upstream.name)
+            if use is not None:
+                share = SlotShare(
+                    share.request_slots - use.requests, share.kv_tokens - use.kv_tokens
+                )
+            if share.request_slots > 0:
+                found[upstream.name] = share
+        return found
+
+    def free_slots(self, share_of: ShareOf) -> dict[str, int]:
         """Return the free request slots per pool."""
-        free: dict[str, int] = {}
-        for upstream in self._state.upstreams.values():
-            if self._state.accepts_work(upstream):
-                left = self._left(upstream.name, share_of).request_slots
-                if left > 0:
-                    free[upstream.pool] = free.get(upstream.pool, 0) + left
+        free = {}
+        for pool in self._pools:
+            count = sum(s.request_slots for s in self.left(pool, share_of).values())
+            if count:
+                free[pool] = count
         return free
 
     def renew(self, gateway: str, grant_ids: Iterable[int], now_s: float) -> list[int]:
@@ -185,15 +268,15 @@
                 renewed.append(grant_id)
         return renewed
 
-    def release(self, gateway: str, grant_ids: Iterable[int]) -> list[str]:
-        """Free the slots of ended grants and return the upstreams concerned."""
-        freed = []
+    def release(self, gateway: str, grant_ids: Iterable[int]) -> set[str]:
+        """Free the slots of ended grants and return the pools concerned."""
+        pools = set()
         for grant_id in grant_ids:
             grant = self._grants.get(grant_id)
             if grant is not None and grant.gateway == gateway:
                 self._drop(grant)
-                freed.append(grant.offer.upstream)
-        return freed
+                pools.add(grant.offer.pool)
+        return pools
 
     def expire(self, now_s: float) -> list[Grant]:
         """Free the slots of grants that lapsed and return these."""
@@ -201,127 +284,133 @@
         for grant in lapsed:
             self._drop(grant)
         self.lapsed_count += len(lapsed)
+        old = [g for g, p in self._pending.items() if p.expires_s <= now_s]
+        for grant_id in old:
+            self.settle_pending(grant_id)
+        self.demand.expire(now_s)
         return lapsed
 
     @property
     def _lapse_s(self) -> float:
         return self._timings.lease_s + self._timings.margin_s
 
-    def _offers_after(self, gateway: str, last_offer: int) -> dict[tuple, int]:
-        counts: dict[tuple, int] = {}
-        for grant in self._grants.values():
+    def _offers_after(self, gateway: str, last_offer: int) -> dict[DemandKey, int]:
+        counts: dict[DemandKey, int] = {}
+        # Grants are held in the order of their ids; only the newest can be unknown.
+        for grant in reversed(self._grants.values()):
             offer = grant.offer
-            if grant.gateway == gateway and offer.grant_id > last_offer:
+            if offer.grant_id <= last_offer:
+                break
+            if grant.gateway == gateway:
                 key = (offer.pool, offer.workspace, offer.work_class)
                 counts[key] = counts.get(key, 0) + 1
         return counts
 
-    def _demanded_pools(self, now_s: float) -> set[str]:
-        return {
-            key[0]
-            for held in self._demands.values()
-            if held.expires_s > now_s
-            for key, demand in held.entries.items()
-            if demand.open > 0
-        }
-
-    def _grant_one(self, pool: str, share_of: _ShareOf, now_s: float) -> Grant | None:
-        left = {
-            u.name: self._left(u.name, share_of)
-            for u in self._state.pool_upstreams(pool)
-            if self._state.accepts_work(u)
-        }
-        left = {name: share for name, share in left.items() if share.request_slots > 0}
-        if not left:
-            return None
-        for value, workspace in self._order(pool, now_s):
-            grant = self._grant_to(pool, workspace, left, now_s)
-            if grant is not None:
-                self._virtual_time.note_served(pool, value)
-                return grant
+    def _reserve(self, pool: str, share_of: ShareOf, now_s: float) -> int:
+        seen_s = self._quick_seen_s.get(pool, -math.inf)
+        if now_s - seen_s > self._settings.quick_memory_s:
+            return 0
+        slots = sum(share_of(u.name).request_slots for u in self._pools[pool])
+        # Shares are small, so the fraction is taken of their sum over the pool;
+        # of each upstream it would round to nothing. Half stays for long requests.
+        return min(math.ceil(slots * self._quick_fraction), slots // 2)
+
+    def _grant_one(
+        self, pool: str, left: dict[str, SlotShare], reserve: int, now_s: float
+    ) -> Grant | None:
+        free = sum(share.request_slots for share in left.values())
+        long_fits = free > reserve - self._quick_use.get(pool, 0)
+        for workspace in self._order(pool):
+            for work_class in self._classes(pool, workspace):
+                if work_class == WorkClass.LONG and not long_fits:
+                    continue
+                for demand in self.demand.of(pool, workspace, work_class):
+                    upstream = self._place(demand, left, now_s)
+                    if upstream is not None:
+                        return self._make_grant(demand, upstream, now_s)
         return None
 
-    def _order(self, pool: str, now_s: float) -> list[tuple[float, str]]:
-        waiting = {
-            key[1]
-            for held in self._demands.values()
-            if held.expires_s > now_s
-            for key, demand in held.entries.items()
-            if key[0] == pool and demand.open > 0
-        }
+    def _order(self, pool: str) -> list[str]:
         allowed = self._state.workspaces
-        pending = self._pending_tokens(pool)
-        return sorted(
-            (self._virtual_time.value(pool, ws, pending.get(ws, 0.0)), ws)
-            for ws in waiting
+        pending = self._pending_sums
+        ordered = sorted(
+            (self._virtual_time.value(pool, ws, pending.get((pool, ws), 0.0)), ws)
+            for ws in self.demand.workspaces(pool)
             if ws in allowed and pool in allowed[ws].pools
         )
+        return [ws for _, ws in ordered]
 
-    def _pending_tokens(self, pool: str) -> dict[str, float]:
-        pending: dict[str, float] = {}
-        for _, held_pool, workspace, tokens in self._pending:
-            if held_pool == pool:
-                pending[workspace] = pending.get(workspace, 0.0) + tokens
-        return pending
-
-    def _grant_to(
-        self, pool: str, workspace: str, left: dict[str, SlotShare], now_s: float
-    ) -> Grant | None:
-        classes = sorted(
-            CLASS_WEIGHTS, key=lambda c: self._class_time.get((pool, workspace, c), 0.0)
+    def _classes(self, pool: str, workspace: str) -> list[str]:
+        clock = self._class_clock.get((pool, workspace), 0.0)
+        # A class that was idle starts level; quick goes first among equals.
+        return sorted(
+            CLASS_WEIGHTS,
+            key=lambda c: max(clock, self._class_time.get((pool, workspace, c), 0.0)),
         )
-        for work_class in classes:
-            for gateway, demand in self._demands_of(pool, workspace, work_class, now_s):
-                upstream = self._place(demand.entry, left)
-                if upstream is not None:
-                    return self._make_grant(gateway, demand, upstream, now_s)
-        return None
 
-    def _demands_of(
-        self, pool: str, workspace: str, work_class: str, now_s: float
-    ) -> list[tuple[str, _Demand]]:
-        found = []
-        for gateway, held in self._demands.items():
-            demand = held.entries.get((pool, workspace, work_class))
-            if demand is not None and demand.open > 0 and held.expires_s > now_s:
-                found.append((gateway, demand))
-        # The longest queue first keeps the waits at different gateways alike.
-        return sorted(found, key=lambda pair: (-pair[1].open, pair[0]))
-
-    def _place(self, entry: DemandEntry, left: dict[str, SlotShare]) -> str | None:
+    def _place(
+        self, demand: Demand, left: dict[str, SlotShare], now_s: float
+    ) -> str | None:
+        entry = demand.entry
+        key = (entry.pool, entry.workspace, entry.work_class)
+        drain = self._drains.get(entry.pool)
+        blocked = drain.upstream if drain is not None and drain.key != key else ""
+        zone = self.zones.get(demand.gateway, "")
         candidates = [
-            Candidate(name, share.request_slots, self.in_use(name).request_slots)
+            Candidate(
+                name,
+                share.request_slots,
+                self.in_use(name).request_slots,
+                self._state.upstreams[name].zone == zone,
+            )
             for name, share in left.items()
-            if name not in entry.excluded and self._fits(entry, name, share)
+            if name not in entry.excluded
+            and name != blocked
+            and self._fits(entry, name, share)
         ]
+        if not candidates:
+            self._note_too_large(entry, key, left, now_s)
+            return None
+        if drain is not None and drain.key == key:
+            del self._drains[entry.pool]
         return self._placement.choose(candidates, entry.prefix)
 
     def _fits(self, entry: DemandEntry, name: str, left: SlotShare) -> bool:
-        idle = self.in_use(name).request_slots == 0
         # A request larger than the whole share could never run; alone on the
         # share it may, since the engine's own limit is higher.
-        if entry.head_kv_tokens > left.kv_tokens and not idle:
-            return False
-        quick = entry.work_class == WorkClass.QUICK
-        return quick or left.request_slots > left.quick_slots
-
-    def _left(self, upstream: str, share_of: _ShareOf) -> SlotShare:
-        share, use = share_of(upstream), self._use.get(upstream, _Use())
-        quick_in_use = use.requests - use.long_requests
-        return SlotShare(
-            share.request_slots - use.requests - self._unexplained.get(upstream, 0),
-            share.kv_tokens - use.kv_tokens,
-            max(0, share.quick_slots - quick_in_use),
+        return entry.head_kv_tokens <= left.kv_tokens or not (
+            self.in_use(name).request_slots
         )
 
-    def _make_grant(
-        self, gateway: str, demand: _Demand, upstream: str, now_s: float
-    ) -> Grant:
+    def _note_too_large(
+        self,
+        entry: DemandEntry,
+        key: DemandKey,
+        left: dict[str, SlotShare],
+        now_s: float,
+    ) -> None:
+        """Have an upstream drain for a request that smaller ones keep out."""
+        tight = [name for name in left if name not in entry.excluded]
+        drain = self._drains.get(entry.pool)
+        if drain is not None and drain.key != key:
+            waits = any(d.open > 0 for d in self.demand.of(*drain.key))
+            if waits:
+                return
+            drain = None
+        if drain is None:
+            self._drains[entry.pool] = _Drain(key, now_s)
+            return
+        waited = now_s - drain.since_s >= self._settings.drain_after_s
+        if tight and waited and not drain.upstream:
+            drain.upstream = max(tight, key=lambda n: (left[n].kv_tokens, n))
+
+    def _make_grant(self, demand: Demand, upstream: str, now_s: float) -> Grant:
         entry = demand.entry
+        key = (entry.pool, entry.workspace, entry.work_class)
         self._last_grant += 1
         offer = Offer(
             self._last_grant,
-            self._demands[gateway].sequence,
+            self.demand.sequence(demand.gateway, key),
             upstream,
             entry.pool,
             entry.workspace,
@@ -330,35 +419,54 @@
             entry.head_cost_tokens,
             self._timings.lease_s,
         )
-        grant = Grant(gateway, offer, now_s + self._lapse_s)
-        demand.open -= 1
+        grant = Grant(demand.gateway, offer, now_s + self._lapse_s)
+        self.demand.take(demand)
         self._grants[offer.grant_id] = grant
         self._count(offer, 1)
-        self._charge_class(entry)
-        if gateway != self._instance:
-            until_s = now_s + self._settings.pending_s
-            tokens = entry.head_cost_tokens
-            self._pending.append((until_s, entry.pool, entry.workspace, tokens))
+        self._charge_class(entry, key)
+        self._note_pending(grant, now_s)
         return grant
 
-    def _charge_class(self, entry: DemandEntry) -> None:
-        key = (entry.pool, entry.workspace, entry.work_class)
-        others = [
-            self._class_time.get((entry.pool, entry.workspace, c), 0.0)
-            for c in CLASS_WEIGHTS
-        ]
-        # A class that was idle starts where the workspace's slowest class stands.
-        start = max(self._class_time.get(key, 0.0), min(others))
+    def _note_pending(self, grant: Grant, now_s: float) -> None:
+        offer = grant.offer
+        tokens = offer.cost_tokens / self._virtual_time.weight(offer.workspace)
+        key = (offer.pool, offer.workspace)
+        self._pending_sums[key] = self._pending_sums.get(key, 0.0) + tokens
+        expires_s = now_s + self._settings.pending_s
+        self._pending[offer.grant_id] = _Pending(expires_s, grant.gateway, *key, tokens)
+
+    def _charge_class(self, entry: DemandEntry, key: DemandKey) -> None:
+        clock_key = key[:2]
+        start = max(
+            self._class_clock.get(clock_key, 0.0), self._class_time.get(key, 0.0)
+        )
+        self._class_clock[clock_key] = start
         cost = max(1.0, entry.head_cost_tokens)
         self._class_time[key] = start + cost / CLASS_WEIGHTS[entry.work_class]
 
+    @staticmethod
+    def _take(left: dict[str, SlotShare], grant: Grant) -> None:
+        name = grant.offer.upstream
+        share = left[name]
+        if share.request_slots <= 1:
+            del left[name]
+        else:
+            left[name] = SlotShare(
+                share.request_slots - 1, share.kv_tokens - grant.offer.kv_tokens
+            )
+
     def _count(self, offer: Offer, sign: int) -> None:
         use = self._use.setdefault(offer.upstream, _Use())
         use.requests += sign
         use.kv_tokens += sign * offer.kv_tokens
-        if offer.work_class == WorkClass.LONG:
-            use.long_requests += sign
+        if not use.requests:
+            del self._use[offer.upstream]
+        if offer.work_class == WorkClass.QUICK:
+            count = self._quick_use.get(offer.pool, 0) + sign
+            self._quick_use[offer.pool] = count
 
     def _drop(self, grant: Grant) -> None:
+        # What is pending stays: the service of a short request may be over before
+        # the totals tell of it.
         del self._grants[grant.offer.grant_id]
         self._count(grant.offer, -1)
--- a/src/carobstair/core/capacity.py
+++ b/src/carobstair/core/capacity.py
@@ -8,34 +8,52 @@
 
 import random
 from collections import OrderedDict
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 from functools import singledispatchmethod
 
 import msgspec
 
 from carobstair.core.allocator import Allocator, AllocatorSettings
+from carobstair.core.announcing import DemandAnnouncer
 from carobstair.core.effects import Effect, Granted, RefuseWaiting, Send
+from carobstair.core.estimates import EstimateSettings, LimitBook
+from carobstair.core.exchange import ExchangeSettings, TotalsExchange, row_of
 from carobstair.core.fairness import FairnessSettings, ServiceTotals, VirtualTime
 from carobstair.core.grants import GrantTimings, HeldGrant, HeldGrants
-from carobstair.core.limits import LimiterSettings, LoadReport, UpstreamLimiter
+from carobstair.core.limits import LimiterSettings, LoadReport
 from carobstair.core.messages import (
     DemandUpdate,
+    FreeSlots,
     GrantRenewal,
     GrantRenewed,
     GrantReturn,
     LimitAnnouncement,
     Offer,
     TotalsUpdate,
+    UpstreamUseReport,
 )
-from carobstair.core.placement import Placement, PrefixIndex
-from carobstair.core.queueing import GatewayQueue, WaitingRequest
+from carobstair.core.placement import CacheEvent, Placement, PrefixIndex
+from carobstair.core.queueing import GatewayQueue, WaitingRequest, with_sane_numbers
 from carobstair.core.refusals import refuse
-from carobstair.core.shares import MemberId, ShareTable, SlotShare
+from carobstair.core.shares import (
+    ALL_HOLD_UP_TO_MEMBERS,
+    MemberId,
+    ShareTable,
+    SlotShare,
+)
 from carobstair.core.state import FleetState
 
 __all__ = ["CapacityNode", "CapacitySettings"]
 
 REMEMBERED_DEMANDS = 2000
+# Larger than any limit, so that every holder has a part of it.
+ANY_LIMIT = 1_000_000
+UPKEEP_EVERY_S = 1.0
+ADVERTISE_EVERY_S = 0.1
+ADVERTISED_PER_ROW = 2
+# Long after the last message of a removed process no copy of one can be on its way.
+RETIRE_AFTER_S = 60.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,17 +62,16 @@
 
     Attributes
     ----------
-    limit_valid_s : float
-        How long a limit that the estimator announced holds.
     quick_fraction : float
-        Part of each upstream's slots that long requests leave free.
+        Part of the slots of a pool that long requests leave free while quick
+        ones come.
     """
 
     timings: GrantTimings = field(default_factory=GrantTimings)
     fairness: FairnessSettings = field(default_factory=FairnessSettings)
     allocator: AllocatorSettings = field(default_factory=AllocatorSettings)
     limiter: LimiterSettings = field(default_factory=LimiterSettings)
-    limit_valid_s: float = 3.0
+    estimates: EstimateSettings = field(default_factory=EstimateSettings)
     demand_every_s: float = 1.0
     totals_every_s: float = 1.0
     quick_fraction: float = 0.1
@@ -76,54 +93,75 @@
     ):
         self._own = own
         self._settings = settings
+        self._generator = generator
         timings = settings.timings
         self.state = FleetState()
-        self.live_peers: frozenset[str] = frozenset()
         self.totals = ServiceTotals(*own, settings.fairness)
         self.virtual_time = VirtualTime(self.totals, settings.fairness)
+        self.exchange = TotalsExchange(
+            own[0],
+            self.totals,
+            self.virtual_time,
+            ExchangeSettings(settings.totals_every_s, 2.0 * settings.totals_every_s),
+            settings.fairness,
+        )
         self.prefixes = PrefixIndex()
         self.shares = ShareTable(own, timings.lease_s + timings.margin_s)
+        self.limits = LimitBook(own, settings.estimates, settings.limiter, self.shares)
         self.allocator = Allocator(
             own[0],
             settings.allocator,
             timings,
             self.virtual_time,
             Placement(self.prefixes, generator),
+            settings.quick_fraction,
         )
         self.queue = GatewayQueue()
         self.held = HeldGrants(timings)
-        self._limiters: dict[str, UpstreamLimiter] = {}
-        self._announced: dict[str, tuple[LimitAnnouncement, float]] = {}
+        self.announcer = DemandAnnouncer(own[0], self.queue, self.shares)
+        self.bad_hint_count = 0
+        self._live_peers: frozenset[str] = frozenset()
+        self._leaving: frozenset[str] = frozenset()
+        self._held_upstreams: list[str] = []
+        self._shares_version = -1
+        self._share_cache: dict[str, tuple[tuple[int, int], SlotShare]] = {}
         self._demand_sequence = 0
         self._demand_sent: OrderedDict[int, float] = OrderedDict()
         self._last_offer: dict[str, int] = {}
-        self._limit_sequence = 0
-        self._demand_due = True
         self._next_demand_s = 0.0
         self._next_renewal_s = 0.0
-        self._next_totals_s = 0.0
+        self._next_use_s = 0.0
+        self._next_upkeep_s = 0.0
+        self._next_advert_s = 0.0
         self._now_s = 0.0
 
     # Events from the own gateway
 
+    @property
+    def live_peers(self) -> frozenset[str]:
+        """The other routers that are believed to be alive."""
+        return self._live_peers
+
+    @live_peers.setter
+    def live_peers(self, instances: frozenset[str]) -> None:
+        if instances == self._live_peers:
+            return
+        self._live_peers = frozenset(instances)
+        self.exchange.set_live_peers(self._live_peers)
+        self.limits.set_live(self._live_peers)
+        self.announcer.set_live(self._live_peers)
+
     def set_state(self, state: FleetState, now_s: float) -> list[Effect]:
         """Take over the fleet state in force."""
-        before, self.state = self.state, state
-        self.allocator.set_state(state)
+        self._now_s = now_s
+        self.state = state
+        self.limits.set_state(state, now_s)
         weights = {name: ws.weight for name, ws in state.workspaces.items()}
         self.virtual_time.set_weights(weights)
-        for name in set(self._limiters) - set(state.upstreams):
-            del self._limiters[name]
-        for name, upstream in state.upstreams.items():
-            limiter = self._limiters.get(name)
-            if limiter is None:
-                limiter = UpstreamLimiter(upstream, self._settings.limiter, now_s)
-                self._limiters[name] = limiter
-            limiter.set_upstream(upstream, now_s)
-            former = before.upstreams.get(name)
-            if former is not None and not before.accepts_work(former):
-                limiter.turn_cold(now_s)
-        return self._allocate(now_s)
+        self.announcer.set_state(state)
+        self.prefixes.keep_only(state.upstreams)
+        self._refresh_held()
+        return self._allocate_all(now_s)
 
     def enqueue(
         self, request: WaitingRequest, now_s: float, at_front: bool = False
@@ -135,55 +173,66 @@
         Refusal
             ``queue-full`` if the workspace has reached a bound.
         """
+        sane = with_sane_numbers(request)
+        self.bad_hint_count += sane is not request
         workspace = self.state.workspaces[request.workspace]
         already = self.queue.waiting(request.pool, request.workspace)
         self.queue.push(
-            request,
+            sane,
             workspace.max_waiting_requests,
             workspace.max_waiting_bytes,
             at_front,
         )
         if not already:
             self.virtual_time.on_backlogged(request.pool, request.workspace, now_s)
-        self._demand_due = True
-        return self._allocate(now_s)
+        self._note_queue(request)
+        return self._allocate({request.pool}, now_s)
 
     def withdraw(self, request: WaitingRequest) -> None:
         """Take out a request whose caller has left."""
         if self.queue.remove(request):
-            self._demand_due = True
+            self._note_queue(request)
+
+    def charge(self, grant: HeldGrant, tokens: float) -> None:
+        """Add service, in weighted tokens, that a grant's request got."""
+        offer = grant.offer
+        served = tokens / self.virtual_time.weight(offer.workspace)
+        self.totals.charge(offer.pool, offer.workspace, served)
+        self._unreserve(grant, served)
 
     def release(self, grant: HeldGrant, now_s: float) -> list[Effect]:
         """Give back a grant's slot."""
+        self._unreserve(grant, grant.reserved_tokens)
         if not self.held.remove(grant):
             return []
         return self._give_back(grant.allocator, grant.offer.grant_id, now_s)
 
     def note_token_interval(self, upstream: str, interval_ms: float) -> None:
         """Take in the time between two tokens."""
-        limiter = self._limiters.get(upstream)
-        if limiter is not None:
-            limiter.on_token_interval(interval_ms)
+        self.limits.note_token_interval(upstream, interval_ms)
+
+    def note_service_call(self, upstream: str, duration_s: float) -> None:
+        """Take in how long a call of a plain service took."""
+        self.limits.note_token_interval(upstream, duration_s * 1000.0)
 
     def on_load_report(
         self, name: str, report: LoadReport, now_s: float
     ) -> list[Effect]:
         """Take in a load report, and announce the limit that follows from it."""
-        limiter, upstream = self._limiters.get(name), self.state.upstreams.get(name)
-        if limiter is None or upstream is None:
+        own_use = self.allocator.in_use(name).request_slots
+        message = self.limits.on_report(name, report, own_use, now_s)
+        if message is None:
             return []
-        limiter.on_report(report, now_s)
-        self._limit_sequence += 1
-        message = LimitAnnouncement(
-            name,
-            report.incarnation,
-            self._limit_sequence,
-            limiter.limit,
-            upstream.max_kv_tokens,
-            report.running,
-            self._settings.limit_valid_s,
-        )
-        return [Send(peer, message) for peer in sorted(self.live_peers)]
+        self._close_leaving(now_s)
+        holders = {instance for instance, _ in self.shares.all_holders(name)}
+        return [Send(peer, message) for peer in sorted(holders & self._live_peers)]
+
+    def on_cache_events(
+        self, upstream: str, incarnation: str, events: Sequence[CacheEvent]
+    ) -> None:
+        """Take in what an engine says of its prefix cache."""
+        if upstream in self.state.upstreams:
+            self.prefixes.on_events(upstream, incarnation, events)
 
     # Time
 
@@ -197,61 +246,66 @@
             self.withdraw(request)
             refusal = refuse("deadline-exceeded")
             effects.append(RefuseWaiting(request.request_id, refusal))
-        for limiter in self._limiters.values():
-            limiter.tick(now_s)
-        effects += self._allocate(now_s)
+        self.limits.tick(now_s)
+        if now_s >= self._next_upkeep_s:
+            self._next_upkeep_s = now_s + UPKEEP_EVERY_S
+            self._keep_up(now_s)
+        effects += self._allocate_all(now_s)
         if now_s >= self._next_renewal_s:
             self._next_renewal_s = now_s + self._settings.timings.renew_every_s
             effects += self._renew(now_s)
-        if now_s >= self._next_totals_s:
-            self._next_totals_s = now_s + self._settings.totals_every_s
-            effects += self._totals_messages(now_s)
-        if now_s >= self._next_demand_s:
-            self._demand_due = True
-        return effects + self.flush_demand(now_s)
+        if now_s >= self._next_use_s:
+            self._next_use_s = now_s + self._settings.estimates.use_every_s
+            effects += self._use_messages()
+        updates = self.exchange.due_updates(now_s, self._last_offer)
+        effects += [Send(peer, update) for peer, update in updates]
+        if now_s >= self._next_advert_s:
+            self._next_advert_s = now_s + ADVERTISE_EVERY_S
+            effects += self._advertise(now_s)
+        return effects + self._demand_messages(now_s)
 
     def flush_demand(self, now_s: float) -> list[Effect]:
-        """Tell the allocators what waits here if that has changed or is due."""
-        if not self._demand_due:
-            return []
-        self._demand_due = False
-        self._next_demand_s = now_s + self._settings.demand_every_s
-        self._demand_sequence += 1
-        self._demand_sent[self._demand_sequence] = now_s
-        while len(self._demand_sent) > REMEMBERED_DEMANDS:
-            self._demand_sent.popitem(last=False)
-        entries = self.queue.demand()
-        return [
-            Send(peer, self._demand_update(peer, entries))
-            for peer in sorted(self.live_peers)
-        ]
+        """Tell the allocators what waits here if that has changed."""
+        self._now_s = now_s
+        return self._demand_messages(now_s)
 
     @property
     def demand_due(self) -> bool:
         """Whether `flush_demand` has something to tell."""
-        return self._demand_due
+        return self.announcer.has_news
 
     def estimated_upstreams(self) -> list[str]:
         """Return the upstreams whose load reports this node has to read."""
-        return [name for name in self.state.upstreams if self._is_estimator(name)]
+        return self.limits.estimated()
+
+    def held_upstreams(self) -> list[str]:
+        """Return the upstreams of which this node holds shares."""
+        self._check_shares()
+        return list(self._held_upstreams)
 
     def limit_of(self, name: str) -> int:
         """Return the request limit that this node assumes for an upstream."""
-        return self._limits(name)[0]
+        return self.limits.limits(name, self._now_s)[0]
 
     def share_of(self, upstream: str) -> SlotShare:
         """Return the slots of this node on an upstream now."""
-        limits = self._limits(upstream)
-        return self.shares.share(upstream, *limits, self._settings.quick_fraction)
+        self._check_shares()
+        limits = self.limits.limits(upstream, self._now_s)
+        cached = self._share_cache.get(upstream)
+        if cached is not None and cached[0] == limits:
+            return cached[1]
+        share = self.shares.share(upstream, *limits, 0.0)
+        self._share_cache[upstream] = (limits, share)
+        return share
 
     def fits_newest_epoch(self) -> bool:
         """Return whether the grants in use fit the shares of the newest epoch."""
-        for name in self.state.upstreams:
-            limits = self._limits(name)
-            share = self.shares.target_share(
-                name, *limits, self._settings.quick_fraction
-            )
-            if self.allocator.in_use(name).request_slots > share.request_slots:
+        for name, count in self.allocator.uses().items():
+            if name not in self.state.upstreams:
+                continue
+            limits = self.limits.limits(name, self._now_s)
+            share = self.shares.target_share(name, *limits, 0.0)
+            if count > share.request_slots:
                 return False
         return True
 
@@ -270,23 +324,25 @@
 
     @_handle.register
     def _(self, update: DemandUpdate, sender: str, now_s: float) -> list[Effect]:
-        self.allocator.update_demand(sender, update, now_s)
-        return self._allocate(now_s)
+        pools = self.allocator.update_demand(sender, update, now_s)
+        return self._allocate(pools, now_s)
 
     @_handle.register
     def _(self, offer: Offer, sender: str, now_s: float) -> list[Effect]:
         asked_s = self._demand_sent.get(offer.demand_sequence)
         self._note_offer(sender, offer)
-        self._demand_due = True
         too_old_s = self._settings.timings.lease_s / 2
         if asked_s is None or now_s > asked_s + too_old_s:
-            return self._give_back(sender, offer.grant_id, now_s)
+            return self._give_back(sender, offer.grant_id, now_s, unused=True)
         return self._bind(sender, offer, asked_s, now_s)
 
     @_handle.register
     def _(self, message: GrantReturn, sender: str, now_s: float) -> list[Effect]:
-        self.allocator.release(sender, message.grant_ids)
-        return self._allocate(now_s)
+        if message.unused:
+            for grant_id in message.grant_ids:
+                self.allocator.settle_pending(grant_id)
+        pools = self.allocator.release(sender, message.grant_ids)
+        return self._allocate(pools, now_s)
 
     @_handle.register
     def _(self, message: GrantRenewal, sender: str, now_s: float) -> list[Effect]:
@@ -300,38 +356,76 @@
 
     @_handle.register
     def _(self, message: TotalsUpdate, sender: str, now_s: float) -> list[Effect]:
-        self.totals.merge(message.totals, now_s)
-        self.virtual_time.merge_lifts(message.lifts)
-        return []
+        if self.exchange.accepts(sender, message):
+            self.totals.merge(sender, message, now_s)
+        self.totals.adopt(message)
+        self.virtual_time.merge_lifts(message.lifts, from_row=message.row >= 0)
+        if message.row < 0:
+            self.allocator.acknowledge_offers(sender, message.last_offer)
+        answer = self.exchange.answer(message)
+        return [] if answer is None else [Send(sender, answer)]
 
     @_handle.register
     def _(self, message: LimitAnnouncement, sender: str, now_s: float) -> list[Effect]:
-        known = self._announced.get(message.upstream)
-        if known is None or known[1] < now_s or known[0].sequence < message.sequence:
-            self._announced[message.upstream] = (message, now_s + message.valid_s)
+        if self.limits.on_announcement(sender, message, now_s):
+            self._close_leaving(now_s)
+        return []
+
+    @_handle.register
+    def _(self, message: UpstreamUseReport, sender: str, now_s: float) -> list[Effect]:
+        self.limits.on_use_report(sender, message, now_s)
         return []
 
+    @_handle.register
+    def _(self, message: FreeSlots, sender: str, now_s: float) -> list[Effect]:
+        if not self.announcer.pull(sender, message.pools, now_s):
+            return []
+        entries = self.announcer.entries_for(sender, now_s)
+        return [Send(sender, self._demand_update(sender, entries, now_s, True))]
+
     # Decisions
 
-    def _allocate(self, now_s: float) -> list[Effect]:
+    def _allocate_all(self, now_s: float) -> list[Effect]:
+        return self._allocate(self.allocator.demand.pools(), now_s)
+
+    def _allocate(self, pools: Iterable[str], now_s: float) -> list[Effect]:
         self._now_s = now_s
-        own = self._own[0]
-        self._demand_sequence += 1
-        update = self._demand_update(own, self.queue.demand())
-        self.allocator.update_demand(own, update, now_s)
-        self.totals.set_backlogged(self.queue.backlogged())
+        self._check_shares()
         effects: list[Effect] = []
-        for grant in self.allocator.allocate(self.share_of, now_s):
-            if grant.gateway == own:
-                self._note_offer(own, grant.offer)
-                effects += self._bind(own, grant.offer, now_s, now_s)
+        for grant in self.allocator.allocate(pools, self.share_of, now_s):
+            if grant.gateway == self._own[0]:
+                effects += self._bind(grant.gateway, grant.offer, now_s, now_s)
             else:
                 effects.append(Send(grant.gateway, grant.offer))
         return effects
 
-    def _demand_update(self, allocator: str, entries: list) -> DemandUpdate:
-        last_offer = self._last_offer.get(allocator, 0)
-        return DemandUpdate(self._demand_sequence, last_offer, entries)
+    def _check_shares(self) -> None:
+        if self._shares_version != self.shares.version:
+            self._refresh_held()
+
+    def _refresh_held(self) -> None:
+        self._shares_version = self.shares.version
+        self._share_cache = {}
+        self._held_upstreams = [
+            name
+            for name in sorted(self.state.upstreams)
+            if self.shares.share(name, ANY_LIMIT, 0, 0.0).request_slots
+        ]
+        members = self.shares.epoch.members
+        self.allocator.zones = {m.instance: m.zone for m in members}
+        self._leaving = self.limits.leaving(self._now_s)
+        self.allocator.set_state(self.state, self._held_upstreams, self._leaving)
+
+    def _close_leaving(self, now_s: float) -> None:
+        if self.limits.leaving(now_s) != self._leaving:
+            self._refresh_held()
+
+    def _note_queue(self, request: WaitingRequest) -> None:
+        key = (request.pool, request.workspace, request.work_class)
+        waits = self.queue.waiting(request.pool, request.workspace) > 0
+        self.totals.set_waiting(key[:2], waits)
+        self.allocator.demand.set_entry(self._own[0], self.queue.entry(*key))
+        self.announcer.note_change(key)
 
     def _note_offer(self, allocator: str, offer: Offer) -> None:
         known = self._last_offer.get(allocator, 0)
@@ -341,19 +435,36 @@
         self, allocator: str, offer: Offer, asked_s: float, now_s: float
     ) -> list[Effect]:
         """Give an offer to the best waiting request of its workspace."""
+        if allocator == self._own[0]:
+            self.allocator.settle_pending(offer.grant_id)
         request = self.queue.pop(
-            offer.pool, offer.workspace, offer.work_class, offer.upstream
+            offer.pool,
+            offer.workspace,
+            offer.work_class,
+            offer.upstream,
+            offer.kv_tokens,
         )
         if request is None:
-            return self._give_back(allocator, offer.grant_id, now_s)
-        self._demand_due = True
-        return [Granted(request.request_id, self.held.add(allocator, offer, asked_s))]
-
-    def _give_back(self, allocator: str, grant_id: int, now_s: float) -> list[Effect]:
+            return self._give_back(allocator, offer.grant_id, now_s, unused=True)
+        grant = self.held.add(allocator, offer, asked_s)
+        weight = self.virtual_time.weight(offer.workspace)
+        grant.reserved_tokens = request.cost_tokens / weight
+        self.totals.reserve(offer.pool, offer.workspace, grant.reserved_tokens)
+        self._note_queue(request)
+        return [Granted(request.request_id, grant)]
+
+    def _unreserve(self, grant: HeldGrant, tokens: float) -> None:
+        freed = min(max(0.0, tokens), grant.reserved_tokens)
+        grant.reserved_tokens -= freed
+        self.totals.reserve(grant.offer.pool, grant.offer.workspace, -freed)
+
+    def _give_back(
+        self, allocator: str, grant_id: int, now_s: float, unused: bool = False
+    ) -> list[Effect]:
         if allocator != self._own[0]:
-            return [Send(allocator, GrantReturn([grant_id]))]
-        self.allocator.release(allocator, [grant_id])
-        return self._allocate(now_s)
+            return [Send(allocator, GrantReturn([grant_id], unused))]
+        pools = self.allocator.release(allocator, [grant_id])
+        return [] if unused else self._allocate(pools, now_s)
 
     def _renew(self, now_s: float) -> list[Effect]:
         effects: list[Effect] = []
@@ -365,24 +476,70 @@
                 effects.append(Send(allocator, GrantRenewal(number, grant_ids)))
         return effects
 
-    def _totals_messages(self, now_s: float) -> list[Effect]:
-        entries = self.totals.entries(now_s, own_only=True)
-        message = TotalsUpdate(entries, self.virtual_time.lifts())
-        return [Send(peer, message) for peer in sorted(self.live_peers)]
-
-    def _limits(self, name: str) -> tuple[int, int]:
-        upstream = self.state.upstreams[name]
-        if self._is_estimator(name):
-            return self._limiters[name].limit, upstream.max_kv_tokens
-        found = self._announced.get(name)
-        if found is None or found[1] < self._now_s:
-            return upstream.cold_limit, upstream.max_kv_tokens
-        return found[0].max_requests, found[0].max_kv_tokens
-
-    def _is_estimator(self, upstream: str) -> bool:
-        for instance, _ in self.shares.epoch.holders(upstream):
-            if instance == self._own[0]:
-                return True
-            if instance in self.live_peers:
-                return False
-        return False
+    def _use_messages(self) -> list[Effect]:
+        reports = self.limits.use_reports(self.held_upstreams(), self.allocator.uses())
+        return [
+            Send(peer, report)
+            for peer, report in sorted(reports.items())
+            if peer in self._live_peers
+        ]
+
+    def _keep_up(self, now_s: float) -> None:
+        """Forget what processes that are silent or gone had in use."""
+        lapse_s = self._settings.timings.lease_s + self._settings.timings.margin_s
+        members = {m.instance for m in self.shares.epoch.members}
+        for name, heard_s in list(self.totals.sources().items()):
+            if now_s - heard_s > lapse_s:
+                self.totals.drop_reservations(name)
+            gone = isinstance(name, str) and name not in members
+            if gone and now_s - heard_s > RETIRE_AFTER_S:
+                self.totals.retire(name)
+                self._last_offer.pop(name, None)
+        for pool in self.allocator.demand.pools():
+            self.virtual_time.cap_catch_up(pool, now_s)
+
+    # Demand
+
+    def _demand_messages(self, now_s: float) -> list[Effect]:
+        if now_s >= self._next_demand_s:
+            self._next_demand_s = now_s + self._settings.demand_every_s
+            found, full = self.announcer.refresh(now_s), True
+        else:
+            found, full = self.announcer.news(now_s), False
+        return [
+            Send(peer, self._demand_update(peer, entries, now_s, full))
+            for peer, entries in sorted(found.items())
+        ]
+
+    def _demand_update(
+        self, allocator: str, entries: list, now_s: float, full: bool
+    ) -> DemandUpdate:
+        self._demand_sequence += 1
+        self._demand_sent[self._demand_sequence] = now_s
+        while len(self._demand_sent) > REMEMBERED_DEMANDS:
+            self._demand_sent.popitem(last=False)
+        last_offer = self._last_offer.get(allocator, 0)
+        return DemandUpdate(self._demand_sequence, last_offer, entries, full)
+
+    def _advertise(self, now_s: float) -> list[Effect]:
+        """Ask for demand where slots are free and work waits elsewhere."""
+        if len(self._live_peers) + 1 <= ALL_HOLD_UP_TO_MEMBERS:
+            return []
+        wanted: dict[str, dict[str, int]] = {}
+        for pool, count in self.allocator.free_slots(self.share_of).items():
+            if self.allocator.demand.workspaces(pool):
+                continue
+            for peer in self._waiting_peers(pool, now_s):
+                wanted.setdefault(peer, {})[pool] = count
+        return [Send(peer, FreeSlots(pools)) for peer, pools in sorted(wanted.items())]
+
+    def _waiting_peers(self, pool: str, now_s: float) -> list[str]:
+        sources = self.totals.waiting_sources(pool, now_s) - {self._own[0]}
+        found = [name for name in sources if name in self._live_peers]
+        rows = sorted(name for name in sources if isinstance(name, int))
+        count = self.exchange.grid.rows
+        for row in rows:
+            mates = sorted(n for n in self._live_peers if row_of(n, count) == row)
+            chosen = min(ADVERTISED_PER_ROW, len(mates))
+            found += self._generator.sample(mates, chosen)
+        return found
--- /dev/null
+++ b/src/carobstair/core/estimates.py
@@ -0,0 +1,331 @@
+"""Limits of all upstreams as one node knows them: estimated, or announced to it."""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+
+from carobstair.core.limits import (
+    LimiterSettings,
+    LoadReport,
+    UpstreamLimiter,
+    summarise_times,
+)
+from carobstair.core.messages import (
+    LimitAnnouncement,
+    UpstreamUse,
+    UpstreamUseReport,
+)
+from carobstair.core.shares import MemberId, ShareTable
+from carobstair.core.state import FleetState
+
+__all__ = ["EstimateSettings", "LimitBook"]
+
+# Load reports lag, so a count is explained by any use within this time, and
+# what is left over must last as long before it counts.
+LAG_S = 3.0
+MAX_TIMES = 256
+
+
+@dataclass(frozen=True, slots=True)
+class EstimateSettings:
+    """Settings of the exchange of limits.
+
+    Attributes
+    ----------
+    limit_valid_s : float
+        How long a limit that the estimator announced holds.
+    resume_within_s : float
+        Age up to which a new estimator goes on from the former one's limit.
+    use_every_s : float
+        Time between two reports to the estimators.
+    """
+
+    limit_valid_s: float = 3.0
+    resume_within_s: float = 10.0
+    use_every_s: float = 1.0
+
+
+@dataclass(slots=True)
+class _Announced:
+    sender: str
+    message: LimitAnnouncement
+    received_s: float
+
+
+@dataclass(slots=True)
+class _Estimate:
+    limiter: UpstreamLimiter
+    uses: dict[str, deque[tuple[float, int]]] = field(default_factory=dict)
+    excess: deque[tuple[float, int]] = field(default_factory=deque)
+    unexplained: int = 0
+
+
+class LimitBook:
+    """Limits of all upstreams.
+
+    Parameters
+    ----------
+    own : tuple of (str, int)
+        Instance and incarnation.
+    settings : EstimateSettings
+    limiter_settings : LimiterSettings
+    shares : ShareTable
+    """
+
+    def __init__(
+        self,
+        own: MemberId,
+        settings: EstimateSettings,
+        limiter_settings: LimiterSettings,
+        shares: ShareTable,
+    ):
+        self._own = own
+        self._settings = settings
+        self._limiter_settings = limiter_settings
+        self._shares = shares
+        self._state = FleetState()
+        self._live: frozenset[str] = frozenset()
+        self._estimates: dict[str, _Estimate] = {}
+        self._announced: dict[str, _Announced] = {}
+        self._estimator: dict[str, str] = {}
+        self._estimator_version = -1
+        self._times_ms: dict[str, deque[float]] = {}
+        self._sequence = 0
+        self.dropped_count = 0
+
+    def set_state(self, state: FleetState, now_s: float) -> None:
+        """Take over the fleet state in force; a return to service counts as cold."""
+        before, self._state = self._state, state
+        self._estimator_version = -1
+        for name in set(self._estimates) - set(state.upstreams):
+            del self._estimates[name]
+        for name in set(self._announced) - set(state.upstreams):
+            del self._announced[name]
+        for name in set(self._times_ms) - set(state.upstreams):
+            del self._times_ms[name]
+        for name, estimate in self._estimates.items():
+            estimate.limiter.set_upstream(state.upstreams[name])
+        for name, upstream in state.upstreams.items():
+            former = before.upstreams.get(name)
+            if former is None or before.accepts_work(former):
+                continue
+            if state.accepts_work(upstream):
+                self._announced.pop(name, None)
+                if name in self._estimates:
+                    self._estimates[name].limiter.turn_cold(now_s)
+
+    def set_live(self, live_peers: frozenset[str]) -> None:
+        """Take over who is believed to be alive."""
+        if live_peers != self._live:
+            self._live = live_peers
+            self._estimator_version = -1
+
+    def estimator_of(self, name: str) -> str:
+        """Return the lowest live rank among an upstream's holders, or ''."""
+        if self._estimator_version != self._shares.version:
+            self._estimator_version = self._shares.version
+            self._estimator = {}
+        found = self._estimator.get(name)
+        if found is None:
+            found = self._estimator[name] = self._find_estimator(name)
+        return found
+
+    def estimated(self) -> list[str]:
+        """Return the upstreams that this node estimates."""
+        own = self._own[0]
+        return [n for n in self._state.upstreams if self.estimator_of(n) == own]
+
+    def limits(self, name: str, now_s: float) -> tuple[int, int]:
+        """Return the limits on requests and KV tokens that hold now."""
+        upstream = self._state.upstreams[name]
+        if self.estimator_of(name) == self._own[0]:
+            estimate = self._estimate(name, now_s)
+            limit = max(0, estimate.limiter.limit - estimate.unexplained)
+            return limit, upstream.max_kv_tokens
+        found = self._announced.get(name)
+        if found is None or now_s > found.received_s + found.message.valid_s:
+            return min(upstream.cold_limit, upstream.max_requests), (
+                upstream.max_kv_tokens
+            )
+        return min(found.message.max_requests, upstream.max_requests), (
+            upstream.max_kv_tokens
+        )
+
+    def leaving(self, now_s: float) -> frozenset[str]:
+        """Return the upstreams whose own report says that they leave."""
+        own = {n for n, e in self._estimates.items() if e.limiter.leaving}
+        told = {
+            name
+            for name, found in self._announced.items()
+            if found.message.leaving and name not in self._estimates
+        }
+        return frozenset(own | told)
+
+    def on_report(
+        self, name: str, report: LoadReport, own_use: int, now_s: float
+    ) -> LimitAnnouncement | None:
+        """Take in a load report and return the limit to announce."""
+        if name not in self._state.upstreams:
+            return None
+        estimate = self._estimate(name, now_s)
+        limiter = estimate.limiter
+        if not limiter.incarnation:
+            self._resume(name, limiter, report, now_s)
+        if not limiter.on_report(report, now_s):
+            self.dropped_count += 1
+            return None
+        self._note_use(estimate, self._own[0], own_use, now_s)
+        self._find_unexplained(name, estimate, report.running, now_s)
+        self._sequence += 1
+        return LimitAnnouncement(
+            name,
+            report.incarnation,
+            self._sequence,
+            self.limits(name, now_s)[0],
+            self._state.upstreams[name].max_kv_tokens,
+            report.running,
+            self._settings.limit_valid_s,
+            limiter.leaving,
+        )
+
+    def on_announcement(
+        self, sender: str, message: LimitAnnouncement, now_s: float
+    ) -> bool:
+        """Take in a limit from its estimator and return whether it is used."""
+        name = message.upstream
+        if name not in self._state.upstreams:
+            return False
+        if message.max_requests < 0 or not 0.0 < message.valid_s <= 60.0:
+            self.dropped_count += 1
+            return False
+        known = self._announced.get(name)
+        if known is not None and now_s <= known.received_s + known.message.valid_s:
+            if known.sender == sender:
+                if message.sequence <= known.message.sequence:
+                    return False
+            elif sender != self.estimator_of(name):
+                return False
+        self._announced[name] = _Announced(sender, message, now_s)
+        return True
+
+    def note_token_interval(self, name: str, interval_ms: float) -> None:
+        """Take in a time between two tokens, or a service call's duration."""
+        if name not in self._state.upstreams:
+            return
+        if not (math.isfinite(interval_ms) and interval_ms >= 0.0):
+            self.dropped_count += 1
+            return
+        if name in self._estimates and self.estimator_of(name) == self._own[0]:
+            self._estimates[name].limiter.on_token_interval(interval_ms)
+        else:
+            times = self._times_ms.setdefault(name, deque(maxlen=MAX_TIMES))
+            times.append(interval_ms)
+
+    def use_reports(
+        self, held: Iterable[str], uses: Mapping[str, int]
+    ) -> dict[str, UpstreamUseReport]:
+        """Return what each estimator has to know, and forget the times told.
+
+        Parameters
+        ----------
+        held : iterable of str
+            Upstreams on which this node holds shares.
+        uses : dict
+            Requests that its grants allow, by upstream.
+        """
+        self._sequence += 1
+        reports: dict[str, UpstreamUseReport] = {}
+        for name in sorted(set(held) | set(self._times_ms)):
+            estimator = self.estimator_of(name)
+            if estimator in ("", self._own[0]):
+                continue
+            report = reports.setdefault(
+                estimator, UpstreamUseReport(self._sequence, [], [])
+            )
+            report.uses.append(UpstreamUse(name, uses.get(name, 0)))
+            summary = summarise_times(name, self._times_ms.pop(name, ()))
+            if summary is not None:
+                report.times.append(summary)
+        self._times_ms.clear()
+        return reports
+
+    def on_use_report(
+        self, sender: str, report: UpstreamUseReport, now_s: float
+    ) -> None:
+        """Take in what another node tells the estimator."""
+        for use in report.uses:
+            estimate = self._estimates.get(use.upstream)
+            if estimate is not None and use.requests >= 0:
+                self._note_use(estimate, sender, use.requests, now_s)
+        for times in report.times:
+            estimate = self._estimates.get(times.upstream)
+            if estimate is not None:
+                estimate.limiter.on_times(times)
+
+    def tick(self, now_s: float) -> None:
+        """Adapt the limits that this node estimates."""
+        for name in list(self._estimates):
+            if self.estimator_of(name) == self._own[0]:
+                self._estimates[name].limiter.tick(now_s)
+            else:
+                # Its state would be old when this node estimates again.
+                del self._estimates[name]
+
+    def _find_estimator(self, name: str) -> str:
+        for instance, _ in self._shares.epoch.holders(name):
+            if instance == self._own[0] or instance in self._live:
+                return instance
+        return ""
+
+    def _estimate(self, name: str, now_s: float) -> _Estimate:
+        found = self._estimates.get(name)
+        if found is None:
+            upstream = self._state.upstreams[name]
+            limiter = UpstreamLimiter(upstream, self._limiter_settings, now_s)
+            found = self._estimates[name] = _Estimate(limiter)
+        return found
+
+    def _resume(
+        self, name: str, limiter: UpstreamLimiter, report: LoadReport, now_s: float
+    ) -> None:
+        known = self._announced.get(name)
+        if known is None or now_s > known.received_s + self._settings.resume_within_s:
+            return
+        message = known.message
+        if message.upstream_incarnation == report.incarnation and not report.loading:
+            limiter.resume(message.max_requests, report.incarnation, now_s)
+
+    @staticmethod
+    def _note_use(estimate: _Estimate, holder: str, count: int, now_s: float) -> None:
+        uses = estimate.uses.setdefault(holder, deque())
+        uses.append((now_s, count))
+        while uses[0][0] < now_s - LAG_S:
+            uses.popleft()
+
+    def _find_unexplained(
+        self, name: str, estimate: _Estimate, running: int, now_s: float
+    ) -> None:
+        explained = 0
+        holders = {instance for instance, _ in self._shares.epoch.holders(name)}
+        for holder, uses in list(estimate.uses.items()):
+            recent = [count for at_s, count in uses if at_s >= now_s - LAG_S]
+            explained += max(recent, default=0)
+            if recent:
+                holders.discard(holder)
+            else:
+                del estimate.uses[holder]
+        # A holder that can't be heard may use all that it holds.
+        limit = estimate.limiter.limit
+        for member in self._shares.epoch.holders(name):
+            if member[0] in holders:
+                share = self._shares.epoch.share(member, name, limit, 0, 0.0)
+                explained += share.request_slots
+        excess = estimate.excess
+        excess.append((now_s, running - explained))
+        while len(excess) > 1 and excess[1][0] <= now_s - LAG_S:
+            excess.popleft()
+        lasted = now_s - excess[0][0] >= LAG_S
+        estimate.unexplained = max(0, min(e for _, e in excess)) if lasted else 0
--- a/src/carobstair/core/grants.py
+++ b/src/carobstair/core/grants.py
@@ -24,11 +24,18 @@
 
 @dataclass(slots=True)
 class HeldGrant:
-    """A grant in use, with the monotonic time at which its use must stop."""
+    """A grant in use, with the monotonic time at which its use must stop.
+
+    Attributes
+    ----------
+    reserved_tokens : float
+        Part of the estimated cost that is not charged yet.
+    """
 
     allocator: str
     offer: Offer
     expires_s: float
+    reserved_tokens: float = 0.0
 
 
 class HeldGrants:
--- a/src/carobstair/core/limits.py
+++ b/src/carobstair/core/limits.py
@@ -4,12 +4,28 @@
 
 import math
 from collections import deque
+from collections.abc import Iterable
 from dataclasses import dataclass
 from enum import StrEnum
 
-from carobstair.core.state import Upstream
+from carobstair.core.messages import TokenTimes
+from carobstair.core.state import Upstream, UpstreamKind
 
-__all__ = ["LimiterSettings", "LoadReport", "UpstreamLimiter", "UpstreamPhase"]
+__all__ = [
+    "LimiterSettings",
+    "LoadReport",
+    "UpstreamLimiter",
+    "UpstreamPhase",
+    "summarise_times",
+]
+
+# A peer's summary stands for at most this many samples, so that one busy gateway
+# does not fill the window alone.
+MAX_SUMMARY_SAMPLES = 40
+MAX_REPORTED_REQUESTS = 1_000_000
+# A service that takes this many times its usual duration counts as slow as an
+# engine at the target time between tokens.
+SERVICE_SLOWDOWN_AT_TARGET = 3.0
 
 
 class UpstreamPhase(StrEnum):
@@ -30,17 +46,24 @@
         Time between tokens to keep at the 95th percentile, in milliseconds.
     cold_jump : float
         Multiple of `target_ms` at the median from which an engine counts as cold.
+    ramp_margin : float
+        Multiple of `target_ms` at the 95th percentile up to which a ramp goes on.
+    min_samples : int
+        Token times from which percentiles are taken; a service needs
+        `min_service_samples` calls.
     report_validity_s : float
         Age from which a load report says nothing about now.
     """
 
     target_ms: float = 60.0
     cold_jump: float = 4.0
+    ramp_margin: float = 1.5
     ramp_interval_s: float = 2.0
     adapt_interval_s: float = 1.0
     decrease_factor: float = 0.8
     window: int = 256
     min_samples: int = 20
+    min_service_samples: int = 3
     report_validity_s: float = 5.0
 
 
@@ -54,19 +77,43 @@
     loading: bool = False
     leaving: bool = False
 
+    def is_sane(self) -> bool:
+        """Return whether the numbers can be true."""
+        return 0 <= self.running <= MAX_REPORTED_REQUESTS and self.kv_tokens >= 0
+
+
+def summarise_times(upstream: str, times_ms: Iterable[float]) -> TokenTimes | None:
+    """Return what a gateway tells the estimator, or None without samples."""
+    ordered = sorted(times_ms)
+    if not ordered:
+        return None
+    return TokenTimes(upstream, len(ordered), *_median_and_p95(ordered))
+
 
 class UpstreamLimiter:
-    """Computes one upstream's limit from its reports and its token times."""
+    """Computes one upstream's limit from its reports and its token times.
+
+    Parameters
+    ----------
+    upstream : Upstream
+    settings : LimiterSettings
+    now_s : float
+        Monotonic time in seconds.
+    """
 
     def __init__(self, upstream: Upstream, settings: LimiterSettings, now_s: float):
         self._settings = settings
         self._upstream = upstream
         self._incarnation = ""
-        self._intervals_ms: deque[float] = deque(maxlen=settings.window)
+        self._times_ms: deque[float] = deque(maxlen=settings.window)
+        self._usual_ms = math.inf
         self._limit = float(upstream.cold_limit)
         self._changed_s = now_s
         self.phase = UpstreamPhase.COLD
         self.cold_count = 0
+        self.dropped_count = 0
+        self.leaving = False
+        self.turn_cold(now_s)
 
     @property
     def limit(self) -> int:
@@ -78,54 +125,111 @@
         """Incarnation of the upstream as last reported."""
         return self._incarnation
 
-    def set_upstream(self, upstream: Upstream, now_s: float) -> None:
-        """Take over a ticket's new state; a return to service counts as cold."""
+    def set_upstream(self, upstream: Upstream) -> None:
+        """Take over a ticket's new state; the limit stays within its bounds."""
         self._upstream = upstream
-        self._limit = min(self._limit, float(upstream.max_requests))
-        del now_s
-
-    def on_report(self, report: LoadReport, now_s: float) -> None:
-        """Take in a load report; a new incarnation or loading counts as cold."""
+        self._limit = min(max(self._limit, self._lowest), float(upstream.max_requests))
+        self._settle_phase()
+
+    def on_report(self, report: LoadReport, now_s: float) -> bool:
+        """Take in a load report; a new incarnation or loading counts as cold.
+
+        Returns
+        -------
+        bool
+            False if the report can't be true; it is dropped and counted.
+        """
+        if not report.is_sane():
+            self.dropped_count += 1
+            return False
         restarted = report.incarnation != self._incarnation
         self._incarnation = report.incarnation
+        self.leaving = report.leaving
         if restarted or report.loading:
             self.turn_cold(now_s)
+        return True
 
     def on_token_interval(self, interval_ms: float) -> None:
         """Take in the time between two tokens of one stream."""
         if math.isfinite(interval_ms) and interval_ms >= 0.0:
-            self._intervals_ms.append(interval_ms)
+            self._times_ms.append(interval_ms)
+        else:
+            self.dropped_count += 1
+
+    def on_call(self, duration_ms: float) -> None:
+        """Take in the duration of one call of a plain service."""
+        self.on_token_interval(duration_ms)
+
+    def on_times(self, times: TokenTimes) -> None:
+        """Take in another gateway's summary as samples of the same shape."""
+        values = (times.median_ms, times.p95_ms)
+        if times.count <= 0 or not all(math.isfinite(v) and v >= 0.0 for v in values):
+            self.dropped_count += 1
+            return
+        count = min(times.count, MAX_SUMMARY_SAMPLES)
+        slow = max(1, round(count * 0.06)) if count > 1 else 0
+        self._times_ms.extend([times.median_ms] * (count - slow))
+        self._times_ms.extend([times.p95_ms] * slow)
+
+    def resume(self, limit: int, incarnation: str, now_s: float) -> None:
+        """Go on from the limit that the former estimator announced lately."""
+        self._incarnation = incarnation
+        self.phase = UpstreamPhase.RAMPING
+        self._set_limit(float(limit), now_s)
+        self._settle_phase()
 
     def turn_cold(self, now_s: float) -> None:
         """Go back to the cold limit."""
+        if self.phase is not UpstreamPhase.COLD:
+            self.cold_count += 1
         self.phase = UpstreamPhase.COLD
-        self.cold_count += 1
-        self._limit = float(min(self._upstream.cold_limit, self._upstream.max_requests))
+        self._limit = self._lowest
         self._changed_s = now_s
-        self._intervals_ms.clear()
+        self._times_ms.clear()
+        self._settle_phase()
 
     def tick(self, now_s: float) -> None:
-        """Adapt the limit to the intervals seen since the last change."""
-        if len(self._intervals_ms) < self._settings.min_samples:
+        """Adapt the limit to the times seen since the last change."""
+        is_engine = self._upstream.kind is UpstreamKind.ENGINE
+        settings = self._settings
+        least = settings.min_samples if is_engine else settings.min_service_samples
+        if len(self._times_ms) < least:
             return
-        ordered = sorted(self._intervals_ms)
-        median, p95 = ordered[len(ordered) // 2], ordered[int(len(ordered) * 0.95)]
-        if median > self._settings.cold_jump * self._settings.target_ms:
+        median, p95 = _median_and_p95(sorted(self._times_ms))
+        if not is_engine:
+            median, p95 = self._scaled(median, p95)
+        if median > settings.cold_jump * settings.target_ms:
             self.turn_cold(now_s)
         elif self.phase is UpstreamPhase.WARM:
             self._adapt(p95, now_s)
         else:
             self._ramp(p95, now_s)
 
+    @property
+    def _lowest(self) -> float:
+        return float(min(self._upstream.cold_limit, self._upstream.max_requests))
+
+    def _scaled(self, median_ms: float, p95_ms: float) -> tuple[float, float]:
+        # A service has no tokens; its own usual duration is the measure.
+        self._usual_ms = max(1.0, min(self._usual_ms * 1.001, median_ms))
+        scale = self._settings.target_ms / SERVICE_SLOWDOWN_AT_TARGET / self._usual_ms
+        return median_ms * scale, p95_ms * scale
+
+    def _settle_phase(self) -> None:
+        if self._limit >= self._upstream.max_requests:
+            self.phase = UpstreamPhase.WARM
+
     def _ramp(self, p95_ms: float, now_s: float) -> None:
         if now_s - self._changed_s < self._settings.ramp_interval_s:
             return
-        if p95_ms > self._settings.target_ms * 1.5:
+        if p95_ms > self._settings.target_ms * self._settings.ramp_margin:
+            # The load it has now is what it bears; from here on it adapts.
+            if self.phase is UpstreamPhase.RAMPING:
+                self.phase = UpstreamPhase.WARM
             return
         self.phase = UpstreamPhase.RAMPING
         self._set_limit(self._limit * 2.0, now_s)
-        if self._limit >= self._upstream.max_requests:
-            self.phase = UpstreamPhase.WARM
+        self._settle_phase()
 
     def _adapt(self, p95_ms: float, now_s: float) -> None:
         if now_s - self._changed_s < self._settings.adapt_interval_s:
@@ -136,9 +240,12 @@
             self._set_limit(self._limit + 1.0, now_s)
 
     def _set_limit(self, limit: float, now_s: float) -> None:
-        low = float(min(self._upstream.cold_limit, self._upstream.max_requests))
-        bounded = min(float(self._upstream.max_requests), max(low, limit))
+        bounded = min(float(self._upstream.max_requests), max(self._lowest, limit))
         if bounded != self._limit:
-            self._intervals_ms.clear()
+            self._times_ms.clear()
         self._limit = bounded
         self._changed_s = now_s
+
+
+def _median_and_p95(ordered: list[float]) -> tuple[float, float]:
+    return ordered[len(ordered) // 2], ordered[int(len(ordered) * 0.95)]
--- a/src/carobstair/core/messages.py
+++ b/src/carobstair/core/messages.py
@@ -27,11 +27,15 @@
     "OutcomeAnswer",
     "OutcomeQuery",
     "PeerAddress",
+    "PoolTotals",
     "ShareTransfer",
     "TicketPull",
     "TicketPush",
-    "TotalsEntry",
+    "TokenTimes",
+    "TotalsRow",
     "TotalsUpdate",
+    "UpstreamUse",
+    "UpstreamUseReport",
     "decode",
     "encode",
     "kind_of",
@@ -83,15 +87,20 @@
     excluded: list[str] = []
 
 
-class DemandUpdate(msgspec.Struct, frozen=True):
-    """All demand of a gateway towards one allocator; replaces earlier updates."""
+class DemandUpdate(msgspec.Struct, frozen=True, array_like=True):
+    """Demand of a gateway towards one allocator.
+
+    A full update replaces all that came before. Another one replaces only the
+    entries that it names; none waiting removes an entry.
+    """
 
     sequence: int
     last_offer: int
     entries: list[DemandEntry]
+    full: bool = True
 
 
-class Offer(msgspec.Struct, frozen=True):
+class Offer(msgspec.Struct, frozen=True, array_like=True):
     """A slot on an upstream, granted to a workspace at a gateway.
 
     `demand_sequence` names the demand update that it answers, from whose sending
@@ -109,20 +118,21 @@
     lease_s: float
 
 
-class GrantReturn(msgspec.Struct, frozen=True):
-    """Grants that ended or were not needed."""
+class GrantReturn(msgspec.Struct, frozen=True, array_like=True):
+    """Grants that ended, or that were not needed."""
 
     grant_ids: list[int]
+    unused: bool = False
 
 
-class GrantRenewal(msgspec.Struct, frozen=True):
+class GrantRenewal(msgspec.Struct, frozen=True, array_like=True):
     """Grants that are still in use at the sending gateway."""
 
     request: int
     grant_ids: list[int]
 
 
-class GrantRenewed(msgspec.Struct, frozen=True):
+class GrantRenewed(msgspec.Struct, frozen=True, array_like=True):
     """Answer to a renewal: the grants whose lease was extended."""
 
     request: int
@@ -135,22 +145,22 @@
     pools: dict[str, int]
 
 
-class TotalsEntry(msgspec.Struct, frozen=True, array_like=True):
-    """Cumulative service that one gateway process gave to a workspace.
-
-    `sequence` orders the entries of one source; the total only grows.
-    """
+class TotalsRow(msgspec.Struct, frozen=True, array_like=True):
+    """Cumulative service of a workspace, per weight; the total only grows."""
 
-    instance: str
-    incarnation: int
-    sequence: int
-    pool: str
     workspace: str
-    total_tokens: float
-    reserved_tokens: float
+    total: float
+    reserved: float
     backlogged: bool
 
 
+class PoolTotals(msgspec.Struct, frozen=True, array_like=True):
+    """Service totals of one pool."""
+
+    pool: str
+    rows: list[TotalsRow]
+
+
 class LiftEntry(msgspec.Struct, frozen=True, array_like=True):
     """Virtual time added to a workspace; merged by maximum."""
 
@@ -159,14 +169,59 @@
     lift: float
 
 
-class TotalsUpdate(msgspec.Struct, frozen=True):
-    """Service totals and lifts known to the sender."""
+class TotalsUpdate(msgspec.Struct, frozen=True, array_like=True):
+    """Changed service totals and lifts of the sender.
+
+    Attributes
+    ----------
+    last_offer : int
+        Newest grant of the receiver whose reservation the totals contain.
+    row : int
+        Row of the grid whose sums these are; -1 for the sender's own totals.
+    wants_sync : bool
+        The sender is new and asks for what retired processes gave.
+    answers : int
+        Incarnation of the receiver whose wish this update fulfils.
+    retired : list of PoolTotals
+        What processes gave that are gone; only in such an answer.
+    """
+
+    incarnation: int
+    sequence: int
+    pools: list[PoolTotals]
+    lifts: list[LiftEntry] = []
+    last_offer: int = 0
+    row: int = -1
+    wants_sync: bool = False
+    answers: int = 0
+    retired: list[PoolTotals] = []
+
+
+class TokenTimes(msgspec.Struct, frozen=True, array_like=True):
+    """Times between tokens on one upstream that a gateway saw lately."""
+
+    upstream: str
+    count: int
+    median_ms: float
+    p95_ms: float
+
+
+class UpstreamUse(msgspec.Struct, frozen=True, array_like=True):
+    """Requests that the sender's grants allow on an upstream."""
+
+    upstream: str
+    requests: int
 
-    totals: list[TotalsEntry]
-    lifts: list[LiftEntry]
 
+class UpstreamUseReport(msgspec.Struct, frozen=True, array_like=True):
+    """What the receiver needs for the upstreams that it estimates."""
 
-class LimitAnnouncement(msgspec.Struct, frozen=True):
+    sequence: int
+    times: list[TokenTimes]
+    uses: list[UpstreamUse]
+
+
+class LimitAnnouncement(msgspec.Struct, frozen=True, array_like=True):
     """The limit that an upstream's estimator computed."""
 
     upstream: str
@@ -176,6 +231,7 @@
     max_kv_tokens: int
     observed_running: int
     valid_s: float
+    leaving: bool = False
 
 
 class EpochNotice(msgspec.Struct, frozen=True):
@@ -259,6 +315,7 @@
     TicketPull,
     TicketPush,
     TotalsUpdate,
+    UpstreamUseReport,
 )
 _ENCODER = msgspec.msgpack.Encoder()
 _ENVELOPE = msgspec.msgpack.Decoder(Envelope)
--- a/src/carobstair/core/placement.py
+++ b/src/carobstair/core/placement.py
@@ -9,11 +9,13 @@
 
 import xxhash
 
-__all__ = ["Candidate", "Placement", "PrefixIndex", "prefix_hashes"]
+__all__ = ["CacheEvent", "Candidate", "Placement", "PrefixIndex", "prefix_hashes"]
 
 BLOCK_CHARACTERS = 512
 MAX_BLOCKS = 16
 DEFAULT_MAX_ENTRIES = 50_000
+# Loads that differ by less than this are alike, so that the zone decides.
+LOAD_STEPS = 4
 
 
 @dataclass(frozen=True, slots=True)
@@ -23,6 +25,16 @@
     upstream: str
     free_slots: int
     used_slots: int
+    same_zone: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class CacheEvent:
+    """A numbered change of what an engine caches."""
+
+    number: int
+    cached: tuple[int, ...] = ()
+    evicted: tuple[int, ...] = ()
 
 
 def prefix_hashes(prompt: str) -> tuple[int, ...]:
@@ -38,32 +50,80 @@
 
 
 class PrefixIndex:
-    """Bounded approximate record of which upstream caches which prefix block."""
+    """Bounded approximate record of which upstream caches which prefix block.
+
+    Parameters
+    ----------
+    max_entries : int, optional
+        Blocks to remember over all upstreams.
+    """
 
     def __init__(self, max_entries: int = DEFAULT_MAX_ENTRIES):
         self._max_entries = max_entries
         self._seen: OrderedDict[tuple[str, int], None] = OrderedDict()
+        self._blocks: dict[str, set[int]] = {}
+        self._positions: dict[str, tuple[str, int]] = {}
+        self.gap_count = 0
 
     def __len__(self) -> int:
         return len(self._seen)
 
+    def position(self, upstream: str) -> int:
+        """Return the number of the last event taken in from an upstream."""
+        return self._positions.get(upstream, ("", 0))[1]
+
+    def on_events(
+        self, upstream: str, incarnation: str, events: Sequence[CacheEvent]
+    ) -> None:
+        """Take in events, which may be late, repeated or have gaps.
+
+        A gap may hide evictions, so what was known of the upstream is dropped.
+        """
+        known, last = self._positions.get(upstream, ("", 0))
+        if known != incarnation:
+            # What this process itself has noted may predate the restart.
+            if known:
+                self.forget(upstream)
+            last = 0
+        for event in sorted(events, key=lambda e: e.number):
+            if event.number <= last:
+                continue
+            if last and event.number > last + 1:
+                self.gap_count += 1
+                self.forget(upstream)
+            last = event.number
+            self.note_evicted(upstream, event.evicted)
+            self.note_cached(upstream, event.cached)
+        self._positions[upstream] = (incarnation, last)
+
     def note_cached(self, upstream: str, hashes: Iterable[int]) -> None:
         """Record that an upstream holds blocks; the oldest entries make room."""
+        blocks = self._blocks.setdefault(upstream, set())
         for block in hashes:
             self._seen[(upstream, block)] = None
             self._seen.move_to_end((upstream, block))
+            blocks.add(block)
         while len(self._seen) > self._max_entries:
-            self._seen.popitem(last=False)
+            (name, block), _ = self._seen.popitem(last=False)
+            self._blocks[name].discard(block)
 
     def note_evicted(self, upstream: str, hashes: Iterable[int]) -> None:
         """Record that an upstream dropped blocks."""
         for block in hashes:
             self._seen.pop((upstream, block), None)
+            self._blocks.get(upstream, set()).discard(block)
 
     def forget(self, upstream: str) -> None:
         """Drop all of an upstream's entries, as after its restart."""
-        for key in [key for key in self._seen if key[0] == upstream]:
-            del self._seen[key]
+        for block in self._blocks.pop(upstream, ()):
+            del self._seen[(upstream, block)]
+        self._positions.pop(upstream, None)
+
+    def keep_only(self, upstreams: Iterable[str]) -> None:
+        """Drop the entries of all other upstreams."""
+        for name in set(self._blocks) | set(self._positions):
+            if name not in upstreams:
+                self.forget(name)
 
     def cached_blocks(self, upstream: str, hashes: Sequence[int]) -> int:
         """Return how many leading blocks an upstream holds."""
@@ -74,7 +134,7 @@
 
 
 class Placement:
-    """Chooses by cached prefix first, then by load.
+    """Chooses by cached prefix first, then by load and zone.
 
     Parameters
     ----------
@@ -93,12 +153,15 @@
         """Return the best upstream's name, or None without candidates."""
         if not candidates:
             return None
-        best = max(
-            candidates,
-            key=lambda c: (
-                self._index.cached_blocks(c.upstream, prefix),
-                -c.used_slots / (c.used_slots + c.free_slots),
-                self._generator.random(),
-            ),
+        return max(candidates, key=lambda c: self._score(c, prefix)).upstream
+
+    def _score(self, candidate: Candidate, prefix: Sequence[int]) -> tuple:
+        used, free = candidate.used_slots, max(1, candidate.free_slots)
+        load = used / (used + free)
+        return (
+            self._index.cached_blocks(candidate.upstream, prefix) if prefix else 0,
+            -int(load * LOAD_STEPS),
+            candidate.same_zone,
+            -load,
+            self._generator.random(),
         )
-        return best.upstream
--- a/src/carobstair/core/queueing.py
+++ b/src/carobstair/core/queueing.py
@@ -2,18 +2,30 @@
 
 from __future__ import annotations
 
+import math
 from collections import OrderedDict
 from collections.abc import Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import StrEnum
+from itertools import islice
 
 from carobstair.core.messages import DemandEntry
 from carobstair.core.refusals import refuse
 
-__all__ = ["ClassLimits", "GatewayQueue", "WaitingRequest", "WorkClass", "classify"]
+__all__ = [
+    "ClassLimits",
+    "GatewayQueue",
+    "WaitingRequest",
+    "WorkClass",
+    "classify",
+    "with_sane_numbers",
+]
 
 DEFAULT_OUTPUT_TOKENS = 256
 MAX_HINT_TOKENS = 200_000
+MAX_KV_TOKENS = 2**40
+# An offer may meet any of the first requests, so it reserves for the largest.
+HEAD_REQUESTS = 4
 
 
 class WorkClass(StrEnum):
@@ -40,6 +52,17 @@
     return int(hint)
 
 
+def with_sane_numbers(request: WaitingRequest) -> WaitingRequest:
+    """Return a request whose estimates are usable, the same one if they were."""
+    cost, kv = request.cost_tokens, request.kv_tokens
+    if math.isfinite(cost) and cost >= 0.0 and 0 <= kv <= MAX_KV_TOKENS:
+        return request
+    sane_kv = kv if 0 <= kv <= MAX_KV_TOKENS else DEFAULT_OUTPUT_TOKENS
+    is_cost = math.isfinite(cost) and cost >= 0.0
+    sane_cost = cost if is_cost else float(DEFAULT_OUTPUT_TOKENS)
+    return replace(request, cost_tokens=sane_cost, kv_tokens=sane_kv)
+
+
 def classify(output_tokens: int, input_tokens: int, limits: ClassLimits) -> WorkClass:
     """Return the class that a request's hints put it in."""
     short = (
@@ -88,6 +111,8 @@
         self._queues: dict[_Key, OrderedDict[str, WaitingRequest]] = {}
         self._counts: dict[str, int] = {}
         self._bytes: dict[str, int] = {}
+        # No request expires before this time, so most scans can be left out.
+        self._earliest_s = math.inf
 
     def __len__(self) -> int:
         return sum(self._counts.values())
@@ -124,16 +149,28 @@
         queue[request.request_id] = request
         if at_front:
             queue.move_to_end(request.request_id, last=False)
+        self._earliest_s = min(self._earliest_s, request.deadline_s)
         self._counts[workspace] = count + 1
         self._bytes[workspace] = size_bytes
 
     def pop(
-        self, pool: str, workspace: str, work_class: str, upstream: str
+        self,
+        pool: str,
+        workspace: str,
+        work_class: str,
+        upstream: str,
+        kv_tokens: int = MAX_KV_TOKENS,
     ) -> WaitingRequest | None:
-        """Take out the first request that may go to an upstream."""
+        """Take out the first request that may go to an upstream.
+
+        Parameters
+        ----------
+        kv_tokens : int, optional
+            KV-cache tokens that are reserved for it.
+        """
         queue = self._queues.get((pool, workspace, work_class), {})
         for request in queue.values():
-            if upstream not in request.excluded:
+            if upstream not in request.excluded and request.kv_tokens <= kv_tokens:
                 self.remove(request)
                 return request
         return None
@@ -154,7 +191,12 @@
 
     def expired(self, now_s: float) -> list[WaitingRequest]:
         """Return the requests whose deadline has passed."""
-        return [request for request in self if request.deadline_s <= now_s]
+        if now_s < self._earliest_s:
+            return []
+        late = [request for request in self if request.deadline_s <= now_s]
+        later = (r.deadline_s for r in self if r.deadline_s > now_s)
+        self._earliest_s = min(later, default=math.inf)
+        return late
 
     def waiting(self, pool: str, workspace: str) -> int:
         """Return how many requests of a workspace wait for a pool."""
@@ -164,17 +206,24 @@
         """Return (pool, workspace) of everything that waits."""
         return {(pool, workspace) for pool, workspace, _ in self._queues}
 
+    def entry(self, pool: str, workspace: str, work_class: str) -> DemandEntry:
+        """Return the demand of one queue, with none waiting if it is empty."""
+        key = (pool, workspace, work_class)
+        queue = self._queues.get(key)
+        return self._entry(key, queue) if queue else DemandEntry(*key, 0, 0.0, 0)
+
     def demand(self) -> list[DemandEntry]:
         """Return the demand to announce: one entry per non-empty queue."""
         return [self._entry(key, queue) for key, queue in self._queues.items()]
 
     def _entry(self, key: _Key, queue: OrderedDict[str, WaitingRequest]) -> DemandEntry:
-        head = next(iter(queue.values()))
+        first = list(islice(queue.values(), HEAD_REQUESTS))
+        head = first[0]
         return DemandEntry(
             *key,
             len(queue),
             head.cost_tokens,
-            head.kv_tokens,
+            max(request.kv_tokens for request in first),
             list(head.prefix),
             sorted(head.excluded),
         )
--- a/src/carobstair/core/shares.py
+++ b/src/carobstair/core/shares.py
@@ -157,6 +157,8 @@
         self._departed_at_s: dict[MemberId, float] = {}
         self._received: dict[int, set[MemberId]] = {}
         self._given_away: set[int] = set()
+        # Grows whenever a share may have changed, for those who cache shares.
+        self.version = 0
 
     @property
     def epoch(self) -> Epoch:
@@ -168,11 +170,18 @@
         """Whether the newest epoch is not settled yet."""
         return bool(self._pending)
 
+    def all_holders(self, upstream: str) -> list[MemberId]:
+        """Return who may use a share of an upstream under any unsettled epoch."""
+        epochs = (self._settled, *self._pending)
+        found = {m: None for epoch in epochs for m in epoch.holders(upstream)}
+        return list(found)
+
     def learn(self, epoch: Epoch, now_s: float) -> bool:
         """Take in an epoch and return whether it was news."""
         if epoch.number <= self.epoch.number:
             return False
         self._pending.append(epoch)
+        self.version += 1
         self._acked = set()
         for member in epoch.departed:
             self._departed_at_s.setdefault(member, now_s)
@@ -191,6 +200,7 @@
             return
         self._settled = self._pending[-1]
         self._pending = []
+        self.version += 1
         number = self._settled.number
         self._received = {n: m for n, m in self._received.items() if n >= number}
         self._given_away = {n for n in self._given_away if n >= number}
@@ -208,6 +218,7 @@
     def give_away(self) -> int:
         """Stop using the own shares and return the epoch they belong to."""
         self._given_away.add(self.epoch.number)
+        self.version += 1
         return self.epoch.number
 
     def receive(self, epoch_number: int, member: MemberId) -> bool:
@@ -215,6 +226,7 @@
         if epoch_number != self.epoch.number:
             return False
         self._received.setdefault(epoch_number, set()).add(member)
+        self.version += 1
         return True
 
     def share(
--- a/src/carobstair/net/capacity.py
+++ b/src/carobstair/net/capacity.py
@@ -14,6 +14,7 @@
 from carobstair.core.messages import (
     DemandUpdate,
     Envelope,
+    FreeSlots,
     GrantRenewal,
     GrantRenewed,
     GrantReturn,
@@ -21,9 +22,10 @@
     Offer,
     PeerAddress,
     TotalsUpdate,
+    UpstreamUseReport,
 )
 from carobstair.core.queueing import WaitingRequest
-from carobstair.core.state import FleetState
+from carobstair.core.state import FleetState, UpstreamKind
 from carobstair.logs import get_logger
 from carobstair.metrics import RouterMetrics
 from carobstair.net.peers import PeerTransport
@@ -36,6 +38,7 @@
 
 TICK_S = 0.05
 LOAD_POLL_S = 0.5
+CACHE_POLL_S = 1.0
 # Coalesces the arrivals of one moment into one message per allocator.
 DEMAND_DELAY_S = 0.002
 HANDLED = (
@@ -46,6 +49,8 @@
     GrantRenewed,
     TotalsUpdate,
     LimitAnnouncement,
+    UpstreamUseReport,
+    FreeSlots,
 )
 
 
@@ -133,7 +138,7 @@
 
     async def run(self) -> None:
         """Drive all periodic work until cancelled."""
-        await asyncio.gather(self._tick(), self._poll_loads())
+        await asyncio.gather(self._tick(), self._poll_loads(), self._poll_caches())
 
     async def _tick(self) -> None:
         while True:
@@ -199,3 +204,21 @@
         self._carry_out(self.node.on_load_report(name, report, time.monotonic()))
         if name in self.state.upstreams:
             self._metrics.limit.labels(name).set(self.node.limit_of(name))
+
+    async def _poll_caches(self) -> None:
+        while True:
+            names = self.node.held_upstreams()
+            await asyncio.gather(*(self._poll_cache(name) for name in names))
+            await asyncio.sleep(CACHE_POLL_S)
+
+    async def _poll_cache(self, name: str) -> None:
+        upstream = self.state.upstreams.get(name)
+        if upstream is None or upstream.kind is not UpstreamKind.ENGINE:
+            return
+        try:
+            since = self.node.prefixes.position(name)
+            incarnation, events = await self._upstreams.cache_events(upstream, since)
+        except UpstreamError as error:
+            logger.debug("cache_events_failed", upstream=name, error=str(error))
+            return
+        self.node.on_cache_events(name, incarnation, events)
--- a/src/carobstair/net/gateway.py
+++ b/src/carobstair/net/gateway.py
@@ -264,9 +264,6 @@
             raise UpstreamRefused("the upstream left service")
         attempt_id = f"{generation.context.request_id}.{uuid.uuid4().hex[:8]}"
         pool, workspace = grant.offer.pool, grant.offer.workspace
-        reserved = grant.offer.cost_tokens
-        totals = self._capacity.node.totals
-        totals.reserve(pool, workspace, reserved)
         self._capacity.node.prefixes.note_cached(
             upstream.name, generation.waiting.prefix
         )
@@ -280,15 +277,11 @@
                 if not self._capacity.is_valid(grant):
                     raise StreamBroken("the grant's lease lapsed")
                 cost = self._account(generation, upstream.name, chunk)
-                totals.charge(pool, workspace, cost)
+                self._capacity.node.charge(grant, cost)
                 self._metrics.served_tokens.labels(pool, workspace).inc(cost)
-                freed = min(cost, reserved)
-                reserved -= freed
-                totals.reserve(pool, workspace, -freed)
                 yield chunk
             whole = True
         finally:
-            totals.reserve(pool, workspace, -reserved)
             if not whole:
                 await self._upstreams.cancel(upstream, attempt_id)
 
@@ -372,10 +365,9 @@
                 min(SERVICE_ATTEMPT_S, max(0.1, call.context.deadline_s - began_s)),
             )
         finally:
-            cost = service_cost_tokens(time.monotonic() - began_s)
-            offer = grant.offer
-            self._capacity.node.totals.charge(offer.pool, offer.workspace, cost)
-            self._capacity.node.note_token_interval(upstream.name, 0.0)
+            took_s = time.monotonic() - began_s
+            self._capacity.node.charge(grant, service_cost_tokens(took_s))
+            self._capacity.node.note_service_call(upstream.name, took_s)
 
     def _check_repeat(
         self, call: ServiceCall, error: UpstreamError, attempts: int
--- a/src/carobstair/net/upstream.py
+++ b/src/carobstair/net/upstream.py
@@ -10,6 +10,7 @@
 import aiohttp
 
 from carobstair.core.limits import LoadReport
+from carobstair.core.placement import CacheEvent
 from carobstair.core.state import Upstream
 from carobstair.settings import GatewaySettings
 
@@ -203,6 +204,29 @@
         except (KeyError, TypeError, ValueError, AttributeError) as error:
             raise UpstreamError(f"load report: {error}") from error
 
+    async def cache_events(
+        self, upstream: Upstream, since: int
+    ) -> tuple[str, list[CacheEvent]]:
+        """Return an engine's incarnation and what changed in its prefix cache.
+
+        Raises
+        ------
+        UpstreamError
+            If there is no answer or it can't be read.
+        """
+        timeout = aiohttp.ClientTimeout(total=LOAD_TIMEOUT_S)
+        url = f"{upstream.address}/cache/events?since={since}"
+        try:
+            async with self._open().get(url, timeout=timeout) as response:
+                document = await response.json(content_type=None)
+            return str(document["incarnation"]), [
+                _cache_event(event) for event in document["events"]
+            ]
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            raise NotSent(str(error)) from error
+        except (KeyError, TypeError, ValueError, AttributeError) as error:
+            raise UpstreamError(f"cache events: {error}") from error
+
     async def _read(
         self, response: aiohttp.ClientResponse, after: int
     ) -> AsyncIterator[Chunk]:
@@ -233,6 +257,14 @@
         return self._session
 
 
+def _cache_event(event: dict) -> CacheEvent:
+    return CacheEvent(
+        int(event["number"]),
+        tuple(int(block) for block in event.get("cached", ())),
+        tuple(int(block) for block in event.get("evicted", ())),
+    )
+
+
 async def _events(response: aiohttp.ClientResponse) -> AsyncIterator[tuple[int, bytes]]:
     event_id, data = 0, b""
     async for line in response.content:
--- a/tests/test_fairness.py
+++ b/tests/test_fairness.py
@@ -1,34 +1,107 @@
 """Tests of service totals and virtual time."""
 
+import math
 import random
 import unittest
 
 from carobstair.core.fairness import FairnessSettings, ServiceTotals, VirtualTime
+from carobstair.core.messages import PoolTotals, TotalsRow, TotalsUpdate
+
+
+def updates_of(source: ServiceTotals, amounts: list[float]) -> list[TotalsUpdate]:
+    """Return the updates that a source sends while it charges amounts."""
+    updates = []
+    for number, amount in enumerate(amounts):
+        source.charge("draft", "w", amount)
+        rows = source.own_rows([("draft", "w")])
+        updates.append(TotalsUpdate(source.incarnation, number, rows))
+    return updates
 
 
 class ServiceTotalsTest(unittest.TestCase):
-    """Guards against totals that lost, repeated or reordered messages distort."""
+    """Guards against totals that messages or restarts distort."""
+
+    def setUp(self):
+        self.target = ServiceTotals("b", 1, FairnessSettings())
 
     def test_merge_in_any_order_gives_the_same_total(self):
         source = ServiceTotals("a", 1, FairnessSettings())
-        updates = []
-        for _ in range(20):
-            source.charge("draft", "w", 5.0)
-            updates += source.entries(0.0) * 2
+        updates = updates_of(source, [5.0] * 20) * 2
         random.Random(1).shuffle(updates)
-        target = ServiceTotals("b", 1, FairnessSettings())
         for update in updates:
-            target.merge([update], 0.0)
-        self.assertEqual(target.total("draft", "w"), 100.0)
+            self.target.merge("a", update, 0.0)
+        self.assertEqual(self.target.total("draft", "w"), 100.0)
+
+    def test_restarted_gateway_keeps_service_and_drops_reservations(self):
+        old = ServiceTotals("a", 1, FairnessSettings())
+        old.reserve("draft", "w", 900.0)
+        old.set_waiting(("draft", "w"), True)
+        late = updates_of(old, [70.0])[0]
+        self.target.merge("a", late, 0.0)
+        new = updates_of(ServiceTotals("a", 2, FairnessSettings()), [30.0])[0]
+        self.target.merge("a", new, 0.1)
+        self.target.merge("a", late, 0.2)
+        self.assertEqual(self.target.used("draft", "w"), 100.0)
+        self.assertFalse(self.target.is_backlogged(("draft", "w"), 0.2))
+
+    def test_memory_does_not_grow_with_restarts(self):
+        for incarnation in range(1, 200):
+            source = ServiceTotals("a", incarnation, FairnessSettings())
+            self.target.merge("a", updates_of(source, [1.0])[0], 0.0)
+        self.assertEqual(self.target.total("draft", "w"), 199.0)
+        self.assertLessEqual(self.target.entry_count, 3)
+
+    def test_values_that_are_not_amounts_are_dropped_and_counted(self):
+        for value in (math.nan, math.inf, -1.0):
+            rows = [TotalsRow("w", value, 0.0, True), TotalsRow("w", 0.0, value, True)]
+            update = TotalsUpdate(1, 1, [PoolTotals("draft", rows)])
+            self.target.merge("a", update, 0.0)
+        self.assertEqual(self.target.used("draft", "w"), 0.0)
+        self.assertEqual(self.target.dropped_count, 6)
 
 
 class VirtualTimeTest(unittest.TestCase):
-    """Guards against credit that idle workspaces would save up."""
+    """Guards against credit or debt that nobody has earned."""
+
+    def setUp(self):
+        self.totals = ServiceTotals("a", 1, FairnessSettings())
+        self.order = VirtualTime(self.totals, FairnessSettings())
+
+    def wait(self, *workspaces: str) -> None:
+        """Have workspaces begin to wait, one after the other."""
+        for workspace in workspaces:
+            self.order.on_backlogged("draft", workspace, 0.0)
+            self.totals.set_waiting(("draft", workspace), True)
 
     def test_newly_backlogged_workspace_starts_level(self):
-        totals = ServiceTotals("a", 1, FairnessSettings())
-        order = VirtualTime(totals, FairnessSettings())
-        totals.charge("draft", "busy", 1000.0)
-        totals.set_backlogged({("draft", "busy"), ("draft", "late")})
-        order.on_backlogged("draft", "late", 0.0)
-        self.assertEqual(order.value("draft", "late"), 1000.0)
+        self.totals.charge("draft", "busy", 1000.0)
+        self.wait("busy", "late")
+        self.assertEqual(self.order.value("draft", "late"), 1000.0)
+
+    def test_workspace_that_waits_elsewhere_keeps_what_it_is_owed(self):
+        other = ServiceTotals("b", 1, FairnessSettings())
+        other.set_waiting(("draft", "owed"), True)
+        rows = other.own_rows([("draft", "owed")])
+        self.totals.merge("b", TotalsUpdate(1, 1, rows), 0.0)
+        self.wait("busy")
+        self.totals.charge("draft", "busy", 500.0)
+        self.wait("owed")
+        self.assertEqual(self.order.value("draft", "owed"), 0.0)
+
+    def test_workspace_alone_saves_no_credit_against_one_that_ran_before(self):
+        self.totals.charge("draft", "ran", 1000.0)
+        self.wait("late")
+        self.assertEqual(self.order.value("draft", "late"), 1000.0)
+
+    def test_large_reservation_of_one_lifts_nobody(self):
+        self.wait("modest", "greedy")
+        self.totals.reserve("draft", "greedy", 200_000.0)
+        self.order.cap_catch_up("draft", 0.0)
+        self.assertEqual(self.order.lifts(), [])
+
+    def test_process_without_history_makes_no_lift(self):
+        self.order.may_lift = False
+        self.totals.charge("draft", "busy", 90_000.0)
+        self.wait("busy", "late")
+        self.order.cap_catch_up("draft", 0.0)
+        self.assertEqual(self.order.lifts(), [])
