--- a/src/carobstair/net/chat.py
+++ b/src/carobstair/net/chat.py
@@ -105,9 +105,6 @@
         generation.progress.upstream = upstream.name
         attempt_id = f"{generation.context.request_id}.{uuid.uuid4().hex[:8]}"
         pool, workspace = grant.offer.pool, grant.offer.workspace
-        reserved = grant.offer.cost_tokens
-        totals = self._capacity.node.totals
-        totals.reserve(pool, workspace, reserved)
         self._capacity.node.prefixes.note_cached(
             upstream.name, generation.waiting.prefix
         )
@@ -121,15 +118,11 @@
                 if not self._capacity.is_valid(grant):
                     raise StreamBroken("the grant's lease lapsed")
                 cost = self._account(generation, upstream.name, chunk)
-                totals.charge(pool, workspace, cost)
+                self._capacity.node.charge(grant, cost)
                 self._metrics.served_tokens.labels(pool, workspace).inc(cost)
-                freed = min(cost, reserved)
-                reserved -= freed
-                totals.reserve(pool, workspace, -freed)
                 yield chunk
             whole = True
         finally:
-            totals.reserve(pool, workspace, -reserved)
             if not whole:
                 await self._upstreams.cancel(upstream, attempt_id)
 
--- a/src/carobstair/net/services.py
+++ b/src/carobstair/net/services.py
@@ -154,10 +154,9 @@
                 call.progress.may_have_run = True
             raise
         finally:
-            cost = service_cost_tokens(time.monotonic() - began_s)
-            offer = grant.offer
-            self._capacity.node.totals.charge(offer.pool, offer.workspace, cost)
-            self._capacity.node.note_token_interval(upstream.name, 0.0)
+            took_s = time.monotonic() - began_s
+            self._capacity.node.charge(grant, service_cost_tokens(took_s))
+            self._capacity.node.note_service_call(upstream.name, took_s)
 
     def _end_of(
         self, call: ServiceCall, error: UpstreamError, attempts: int, may_have_run: bool
