--- /dev/null
+++ b/bench/policies/local_fair.py
@@ -0,0 +1,29 @@
+"""Baseline: fair queues per router with static shares and no exchange."""
+
+from __future__ import annotations
+
+from carobstair.core.capacity import CapacityNode
+
+__all__ = ["LocalFairNode"]
+
+
+class LocalFairNode(CapacityNode):
+    """A capacity node that serves its own callers only.
+
+    It never learns of a peer, so it announces no demand and knows no service but
+    its own. Its part of each configured limit is fixed: limits found from token
+    times would need the sight of all routers.
+    """
+
+    @property
+    def live_peers(self) -> frozenset[str]:
+        """No peer, whatever the membership says."""
+        return frozenset()
+
+    @live_peers.setter
+    def live_peers(self, instances: frozenset[str]) -> None:
+        del instances
+
+    def _limits(self, name: str) -> tuple[int, int]:
+        upstream = self.state.upstreams[name]
+        return upstream.max_requests, upstream.max_kv_tokens
--- /dev/null
+++ b/src/carobstair/scenario/__init__.py
@@ -0,0 +1,1 @@
+"""Scenarios: the decision nodes on virtual time, under scripted load and faults."""
--- /dev/null
+++ b/src/carobstair/scenario/engine.py
@@ -0,0 +1,235 @@
+"""Fake upstreams on virtual time: a batching engine and a plain service."""
+
+from __future__ import annotations
+
+import random
+from collections import OrderedDict
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from carobstair.core.fairness import engine_cost_tokens, service_cost_tokens
+from carobstair.core.limits import LoadReport
+from carobstair.core.state import UpstreamKind
+from carobstair.scenario.clock import VirtualClock
+from carobstair.scenario.plan import EngineSpec
+
+__all__ = ["Attempt", "SimEngine"]
+
+BLOCK_TOKENS = 128
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """A request as one upstream runs it.
+
+    Attributes
+    ----------
+    router : str
+        The router that sent it.
+    next_token : int
+        Number of the next token to produce, counted from 1.
+    on_tokens : callable
+        Receives the number of the token just produced and the tokens that were
+        served from the cache.
+    on_broken : callable
+        Called when the upstream gives up the attempt.
+    """
+
+    attempt_id: str
+    router: str
+    pool: str
+    workspace: str
+    next_token: int
+    last_token: int
+    input_tokens: int
+    prefix: tuple[int, ...]
+    on_token: Callable[[int, int], None]
+    on_broken: Callable[[], None]
+    cached_tokens: int = 0
+    silent: bool = False
+
+
+class SimEngine:
+    """A model engine with continuous batching, or a plain service.
+
+    Parameters
+    ----------
+    spec : EngineSpec
+    clock : VirtualClock
+    charge : callable
+        Receives pool, workspace and weighted tokens of true service.
+    """
+
+    def __init__(
+        self,
+        spec: EngineSpec,
+        clock: VirtualClock,
+        charge: Callable[[str, str, float], None],
+        generator: random.Random,
+    ):
+        self.spec = spec
+        self._clock = clock
+        self._charge = charge
+        self._generator = generator
+        self.incarnation = 1
+        # The fleet starts beside engines that have long been warm.
+        self._cold_until_s = 0.0
+        self._down_until_s = 0.0
+        self.running: dict[str, Attempt] = {}
+        self._decoding: dict[str, Attempt] = {}
+        self._stepping = False
+        self._stalled_until_s = 0.0
+        self._cache: OrderedDict[int, None] = OrderedDict()
+        self._reports: list[tuple[float, LoadReport]] = []
+        self.admissions: list[float] = []
+        self.overloads: list[float] = []
+        self.falls: list[float] = []
+        self.over_limit: list[float] = []
+
+    @property
+    def is_down(self) -> bool:
+        """Whether connections are refused."""
+        return self._clock.now_s < self._down_until_s
+
+    @property
+    def is_cold(self) -> bool:
+        """Whether the engine bears little load."""
+        return self._clock.now_s < self._cold_until_s
+
+    def bears(self) -> int:
+        """Return how many requests it can run now."""
+        if self.is_down or self._clock.now_s < self._stalled_until_s:
+            return 0
+        return self.spec.cold_bears if self.is_cold else self.spec.max_requests
+
+    def crash(self) -> None:
+        """Lose all state; come back cold under a new incarnation."""
+        now_s = self._clock.now_s
+        self.incarnation += 1
+        self._down_until_s = now_s + self.spec.down_s
+        self._cold_until_s = self._down_until_s + self.spec.cold_s
+        broken, self.running, self._decoding = list(self.running.values()), {}, {}
+        self._cache.clear()
+        self._reports.clear()
+        for attempt in broken:
+            attempt.on_broken()
+
+    def chill(self) -> None:
+        """Turn cold without warning and without a new incarnation."""
+        self._cold_until_s = self._clock.now_s + self.spec.cold_s
+
+    def stall(self, duration_s: float) -> None:
+        """Produce nothing for a time, with connections open."""
+        self._stalled_until_s = self._clock.now_s + duration_s
+
+    def admit(self, attempt: Attempt) -> bool:
+        """Take in an attempt; return False where the connection is refused."""
+        if self.is_down:
+            return False
+        now_s = self._clock.now_s
+        self.admissions.append(now_s)
+        self.running[attempt.attempt_id] = attempt
+        count = len(self.running)
+        if count > self.spec.max_requests:
+            self.over_limit.append(now_s)
+        if self.is_cold and count > self.spec.cold_bears:
+            self.overloads.append(now_s)
+            self.falls.append(now_s)
+            self.crash()
+            return True
+        self._prefill(attempt)
+        return True
+
+    def cancel(self, attempt_id: str) -> None:
+        """Stop an attempt."""
+        self.running.pop(attempt_id, None)
+        self._decoding.pop(attempt_id, None)
+
+    def report(self) -> LoadReport | None:
+        """Return the load as it was `load_lag_s` ago, or None while down."""
+        if self.is_down:
+            return None
+        kv_tokens = sum(a.input_tokens + a.last_token for a in self.running.values())
+        now_s = self._clock.now_s
+        report = LoadReport(
+            str(self.incarnation), len(self.running), kv_tokens, self._says_loading()
+        )
+        self._reports.append((now_s, report))
+        lagged = [r for r in self._reports if r[0] <= now_s - self.spec.load_lag_s]
+        if not lagged:
+            return report
+        self._reports = self._reports[len(lagged) - 1 :]
+        return lagged[-1][1]
+
+    def _says_loading(self) -> bool:
+        return self.is_cold and self._cold_until_s == (
+            self._down_until_s + self.spec.cold_s
+        )
+
+    def _prefill(self, attempt: Attempt) -> None:
+        attempt.cached_tokens = self._note_prompt(attempt)
+        uncached = attempt.input_tokens + attempt.next_token - 1 - attempt.cached_tokens
+        delay_s = max(0, uncached) / self.spec.prefill_tokens_per_s
+        if self.spec.kind is UpstreamKind.SERVICE:
+            delay_s = self.spec.service_s * (0.5 + self._generator.random())
+            self._clock.after(delay_s, lambda: self._end_call(attempt, delay_s))
+            return
+        self._clock.after(delay_s, lambda: self._start_decoding(attempt))
+
+    def _end_call(self, attempt: Attempt, duration_s: float) -> None:
+        if self.running.get(attempt.attempt_id) is not attempt:
+            return
+        self.cancel(attempt.attempt_id)
+        self._charge(attempt.pool, attempt.workspace, service_cost_tokens(duration_s))
+        if not attempt.silent:
+            attempt.on_token(attempt.last_token, 0)
+
+    def _start_decoding(self, attempt: Attempt) -> None:
+        if self.running.get(attempt.attempt_id) is not attempt:
+            return
+        cost = engine_cost_tokens(0, attempt.input_tokens, attempt.cached_tokens)
+        self._charge(attempt.pool, attempt.workspace, cost)
+        self._decoding[attempt.attempt_id] = attempt
+        if not self._stepping:
+            self._stepping = True
+            self._clock.after(self._interval_s(), self._step)
+
+    def _interval_s(self) -> float:
+        spec, batch = self.spec, len(self.running)
+        over = max(0, batch - spec.max_requests)
+        interval_s = spec.base_interval_s
+        interval_s += spec.interval_per_request_s * (batch + 4 * over)
+        return interval_s * (spec.cold_factor if self.is_cold else 1.0)
+
+    def _step(self) -> None:
+        now_s = self._clock.now_s
+        if now_s < self._stalled_until_s:
+            self._clock.at(self._stalled_until_s, self._step)
+            return
+        for attempt in list(self._decoding.values()):
+            self._produce(attempt)
+        self._stepping = bool(self._decoding)
+        if self._stepping:
+            self._clock.after(self._interval_s(), self._step)
+
+    def _produce(self, attempt: Attempt) -> None:
+        number = attempt.next_token
+        attempt.next_token += 1
+        self._charge(attempt.pool, attempt.workspace, 1.0)
+        if number >= attempt.last_token:
+            self.cancel(attempt.attempt_id)
+        if not attempt.silent:
+            attempt.on_token(number, attempt.cached_tokens)
+
+    def _note_prompt(self, attempt: Attempt) -> int:
+        cached = 0
+        for block in attempt.prefix:
+            if block not in self._cache:
+                break
+            cached += 1
+        for block in attempt.prefix:
+            self._cache[block] = None
+            self._cache.move_to_end(block)
+        while len(self._cache) > self.spec.cache_blocks:
+            self._cache.popitem(last=False)
+        return min(cached * BLOCK_TOKENS, attempt.input_tokens)
--- /dev/null
+++ b/src/carobstair/scenario/gateway.py
@@ -0,0 +1,252 @@
+"""The gateway of a simulated router: relays attempts and charges service.
+
+It follows the rules of ``net/gateway.py`` on virtual time: one grant per attempt,
+resumption behind the last token after a break, a progress deadline on streams.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field, replace
+from typing import TYPE_CHECKING
+
+from carobstair.core.effects import Effect, Granted, RefuseWaiting, Send
+from carobstair.core.fairness import engine_cost_tokens, service_cost_tokens
+from carobstair.core.grants import HeldGrant
+from carobstair.core.queueing import WaitingRequest
+from carobstair.core.refusals import Refusal
+from carobstair.core.state import UpstreamKind
+from carobstair.scenario.engine import Attempt
+
+if TYPE_CHECKING:
+    from carobstair.scenario.router import SimRouter
+
+__all__ = ["Exchange", "SimGateway"]
+
+PROGRESS_DEADLINE_S = 2.0
+MAX_ATTEMPTS = 6
+
+
+@dataclass(slots=True, eq=False)
+class Exchange:
+    """One request of a caller and what became of it.
+
+    Attributes
+    ----------
+    on_end : callable
+        Receives the outcome: ``answered``, ``closed`` or a refusal's name.
+    received : list of int
+        Numbers of the tokens that the caller got, in order.
+    """
+
+    waiting: WaitingRequest
+    output_tokens: int
+    input_tokens: int
+    born_s: float
+    on_end: Callable[[str], None]
+    received: list[int] = field(default_factory=list)
+    first_token_s: float | None = None
+    ended: bool = False
+
+    def end(self, outcome: str) -> None:
+        """Tell the caller the outcome, once."""
+        if not self.ended:
+            self.ended = True
+            self.on_end(outcome)
+
+
+@dataclass(slots=True, eq=False)
+class _Stream:
+    exchange: Exchange
+    grant: HeldGrant
+    attempt_id: str
+    reserved: float
+    last_progress_s: float
+    last_token_s: float = 0.0
+
+
+class SimGateway:
+    """Relays the requests of one router process.
+
+    Parameters
+    ----------
+    router : SimRouter
+        Process that this gateway is a part of.
+    """
+
+    def __init__(self, router: SimRouter):
+        self._router = router
+        self._node = router.node
+        self._exchanges: dict[str, Exchange] = {}
+        self._streams: dict[str, _Stream] = {}
+        self._attempts: dict[str, int] = {}
+
+    @property
+    def streams(self) -> Iterable[_Stream]:
+        """The running streams."""
+        return self._streams.values()
+
+    def submit(self, exchange: Exchange, at_front: bool = False) -> None:
+        """Take in a request or put one back that lost its attempt."""
+        request = exchange.waiting
+        self._exchanges[request.request_id] = exchange
+        try:
+            effects = self._node.enqueue(request, self._router.now_s, at_front)
+        except Refusal as refusal:
+            self._end(exchange, refusal.kind.name)
+            return
+        self.carry_out(effects)
+
+    def carry_out(self, effects: Iterable[Effect]) -> None:
+        """Carry out what a decision asks for."""
+        for effect in effects:
+            if isinstance(effect, Send):
+                self._router.send(effect.to, effect.payload)
+            elif isinstance(effect, Granted):
+                self._start(effect)
+            elif isinstance(effect, RefuseWaiting):
+                exchange = self._exchanges.get(effect.request_id)
+                if exchange is not None:
+                    self._end(exchange, effect.refusal.kind.name)
+        self._router.plan_demand()
+
+    def check_streams(self) -> None:
+        """Break streams whose lease lapsed or that make no progress."""
+        now_s = self._router.now_s
+        for stream in list(self._streams.values()):
+            silent_s = now_s - stream.last_progress_s
+            if stream.grant.expires_s <= now_s or silent_s > PROGRESS_DEADLINE_S:
+                self._break(stream)
+
+    def close(self) -> None:
+        """Close all connections, as the end of the process does."""
+        for stream in list(self._streams.values()):
+            self._router.world.cancel(stream.grant.offer.upstream, stream.attempt_id)
+        for exchange in list(self._exchanges.values()):
+            exchange.end("closed")
+        self._streams.clear()
+        self._exchanges.clear()
+
+    def _start(self, effect: Granted) -> None:
+        exchange = self._exchanges.get(effect.request_id)
+        state, name = self._node.state, effect.grant.offer.upstream
+        upstream = state.upstreams.get(name)
+        usable = upstream is not None and state.accepts_work(upstream)
+        if exchange is None or not usable or effect.grant.expires_s <= self._now_s:
+            self.carry_out(self._node.release(effect.grant, self._now_s))
+            if exchange is not None:
+                self.submit(exchange, at_front=True)
+            return
+        request_id = exchange.waiting.request_id
+        number = self._attempts[request_id] = self._attempts.get(request_id, 0) + 1
+        reserved = effect.grant.offer.cost_tokens
+        stream = _Stream(
+            exchange, effect.grant, f"{request_id}.{number}", reserved, self._now_s
+        )
+        self._streams[stream.attempt_id] = stream
+        self._reserve(stream, reserved)
+        self._node.prefixes.note_cached(name, exchange.waiting.prefix)
+        self._router.world.dispatch(self._router, name, self._attempt(stream))
+
+    def _attempt(self, stream: _Stream) -> Attempt:
+        exchange, router = stream.exchange, self._router
+        attempt_id, world = stream.attempt_id, router.world
+
+        def on_token(number: int, cached: int) -> None:
+            self._router.world.reply(
+                router, lambda: self._on_token(attempt_id, number, cached)
+            )
+
+        def on_broken() -> None:
+            world.reply(router, lambda: self._on_broken(attempt_id))
+
+        return Attempt(
+            attempt_id,
+            router.name,
+            exchange.waiting.pool,
+            exchange.waiting.workspace,
+            len(exchange.received) + 1,
+            exchange.output_tokens,
+            exchange.input_tokens,
+            exchange.waiting.prefix,
+            on_token,
+            on_broken,
+        )
+
+    def _on_token(self, attempt_id: str, number: int, cached: int) -> None:
+        stream = self._streams.get(attempt_id)
+        if stream is None:
+            return
+        if stream.grant.expires_s <= self._now_s:
+            self._break(stream)
+            return
+        exchange = stream.exchange
+        self._account(stream, number, cached)
+        exchange.received.append(number)
+        if exchange.first_token_s is None:
+            exchange.first_token_s = self._now_s
+        if number >= exchange.output_tokens:
+            self._stop(stream)
+            self._end(exchange, "answered")
+            self.carry_out(self._node.release(stream.grant, self._now_s))
+
+    def _account(self, stream: _Stream, number: int, cached: int) -> None:
+        exchange, offer = stream.exchange, stream.grant.offer
+        kind = self._node.state.upstreams[offer.upstream].kind
+        if kind is UpstreamKind.SERVICE:
+            cost = service_cost_tokens(self._now_s - stream.last_progress_s)
+            self._node.note_token_interval(offer.upstream, 0.0)
+        else:
+            cost = 1.0
+            if not exchange.received:
+                cost += engine_cost_tokens(0, exchange.input_tokens, cached)
+            if stream.last_token_s:
+                interval_ms = (self._now_s - stream.last_token_s) * 1000.0
+                self._node.note_token_interval(offer.upstream, interval_ms)
+        stream.last_token_s = stream.last_progress_s = self._now_s
+        self._node.totals.charge(offer.pool, offer.workspace, cost)
+        freed = min(cost, stream.reserved)
+        stream.reserved -= freed
+        self._reserve(stream, -freed)
+
+    def _on_broken(self, attempt_id: str) -> None:
+        stream = self._streams.get(attempt_id)
+        if stream is not None:
+            self._break(stream)
+
+    def _break(self, stream: _Stream) -> None:
+        upstream = stream.grant.offer.upstream
+        self._stop(stream)
+        self._router.world.cancel_from(self._router, upstream, stream.attempt_id)
+        exchange = stream.exchange
+        exchange.waiting = self._exclude(exchange.waiting, upstream)
+        if self._attempts[exchange.waiting.request_id] >= MAX_ATTEMPTS:
+            self._end(exchange, "answer-lost")
+        self.carry_out(self._node.release(stream.grant, self._now_s))
+        if not exchange.ended:
+            self.submit(exchange, at_front=True)
+
+    def _exclude(self, request: WaitingRequest, upstream: str) -> WaitingRequest:
+        others = self._node.state.pool_upstreams(request.pool)
+        excluded = request.excluded | {upstream}
+        if len(excluded) >= len(others):
+            excluded = frozenset()
+        return replace(request, excluded=excluded)
+
+    def _stop(self, stream: _Stream) -> None:
+        self._reserve(stream, -stream.reserved)
+        stream.reserved = 0.0
+        del self._streams[stream.attempt_id]
+
+    def _reserve(self, stream: _Stream, tokens: float) -> None:
+        offer = stream.grant.offer
+        self._node.totals.reserve(offer.pool, offer.workspace, tokens)
+
+    def _end(self, exchange: Exchange, outcome: str) -> None:
+        self._exchanges.pop(exchange.waiting.request_id, None)
+        self._attempts.pop(exchange.waiting.request_id, None)
+        exchange.end(outcome)
+
+    @property
+    def _now_s(self) -> float:
+        return self._router.now_s
--- /dev/null
+++ b/src/carobstair/scenario/log.py
@@ -0,0 +1,174 @@
+"""What happened in a run: service per workspace, waits, idle capacity, outcomes."""
+
+from __future__ import annotations
+
+from collections import Counter, defaultdict
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from carobstair.scenario.gateway import Exchange
+from carobstair.scenario.plan import Scenario
+
+if TYPE_CHECKING:
+    from carobstair.scenario.world import World
+
+__all__ = ["Ended", "RunLog", "Sample"]
+
+
+@dataclass(frozen=True, slots=True)
+class Ended:
+    """How one request ended."""
+
+    workspace: str
+    work_class: str
+    born_s: float
+    first_token_s: float | None
+    end_s: float
+    outcome: str
+    whole: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Sample:
+    """State of the fleet at one moment.
+
+    Attributes
+    ----------
+    service : dict
+        Weighted tokens so far by (pool, workspace).
+    waiting : frozenset
+        (pool, workspace) of everything that waits at a live gateway.
+    borne : dict
+        Requests that the upstreams of a pool bear now, by pool.
+    running : dict
+        Requests that they run, up to what they bear, by pool.
+    wasted : dict
+        Idle slots that waiting requests could use, by pool.
+    """
+
+    at_s: float
+    service: dict[tuple[str, str], float]
+    waiting: frozenset[tuple[str, str]]
+    borne: dict[str, int]
+    running: dict[str, int]
+    wasted: dict[str, int]
+
+
+@dataclass
+class RunLog:
+    """Collects what the measures need."""
+
+    scenario: Scenario
+    samples: list[Sample] = field(default_factory=list)
+    ended: list[Ended] = field(default_factory=list)
+    open: dict[str, Exchange] = field(default_factory=dict)
+    outcomes: Counter = field(default_factory=Counter)
+    admissions: dict[str, list[float]] = field(default_factory=dict)
+    overloads: dict[str, list[float]] = field(default_factory=dict)
+    over_limit: dict[str, list[float]] = field(default_factory=dict)
+    sent_bytes: Counter = field(default_factory=Counter)
+    in_force_s: dict[int, dict[str, float]] = field(
+        default_factory=lambda: defaultdict(dict)
+    )
+    filed_s: dict[int, float] = field(default_factory=dict)
+    reverted: int = 0
+    _service: dict[tuple[str, str], float] = field(
+        default_factory=lambda: defaultdict(float)
+    )
+    _highest: dict[tuple[str, int], int] = field(default_factory=dict)
+
+    def charge(self, pool: str, workspace: str, tokens: float) -> None:
+        """Add true service of an upstream."""
+        self._service[(pool, workspace)] += tokens
+
+    def opened(self, exchange: Exchange) -> None:
+        """Record that a caller sent a request."""
+        self.open[exchange.waiting.request_id] = exchange
+
+    def closed(self, exchange: Exchange, outcome: str, now_s: float) -> None:
+        """Record how a request ended."""
+        request = exchange.waiting
+        self.open.pop(request.request_id, None)
+        self.outcomes[outcome] += 1
+        self.ended.append(
+            Ended(
+                request.workspace,
+                request.work_class,
+                exchange.born_s,
+                exchange.first_token_s,
+                now_s,
+                outcome,
+                _is_whole(exchange, self.scenario, request.pool),
+            )
+        )
+
+    def sample(self, world: World) -> None:
+        """Record the state of the fleet."""
+        waiting: Counter[tuple[str, str, str]] = Counter()
+        for router in world.routers.values():
+            if not router.is_dead:
+                self._note_in_force(router, world.clock.now_s)
+                for request in router.node.queue:
+                    waiting[(request.pool, request.workspace, router.name)] += 1
+        borne, running = Counter(), Counter()
+        idle: dict[str, int] = {}
+        state = world.directory.state
+        for name, engine in world.engines.items():
+            if state.accepts_work(state.upstreams[name]):
+                bears = engine.bears()
+                runs = min(len(engine.running), bears)
+                borne[engine.spec.pool] += bears
+                running[engine.spec.pool] += runs
+                idle[name] = bears - runs
+        self.samples.append(
+            Sample(
+                world.clock.now_s,
+                dict(self._service),
+                frozenset((pool, workspace) for pool, workspace, _ in waiting),
+                dict(borne),
+                dict(running),
+                _wasted(world, idle, waiting),
+            )
+        )
+
+    def finish(self, world: World) -> None:
+        """Take over what the upstreams and links counted."""
+        for name, engine in world.engines.items():
+            self.admissions[name] = engine.admissions
+            self.overloads[name] = engine.overloads
+            self.over_limit[name] = engine.over_limit
+        self.sent_bytes = world.network.sent_bytes
+
+    def _note_in_force(self, router, now_s: float) -> None:
+        number = router.node.state.number
+        key = (router.name, router.address.incarnation)
+        if number < self._highest.get(key, 0):
+            self.reverted += 1
+        self._highest[key] = max(number, self._highest.get(key, 0))
+        for filed in self.filed_s:
+            if number >= filed:
+                self.in_force_s[filed].setdefault(router.name, now_s)
+
+
+def _wasted(world: World, idle: dict[str, int], waiting: Counter) -> dict[str, int]:
+    """Match idle slots with the requests that can reach them, pool by pool."""
+    wasted: Counter[str] = Counter()
+    left = Counter()
+    for (pool, _, router), count in waiting.items():
+        left[(pool, router)] += count
+    for name, slots in idle.items():
+        pool = world.engines[name].spec.pool
+        for key in [k for k in left if k[0] == pool]:
+            if world.network.connected(key[1], name):
+                matched = min(slots, left[key])
+                slots -= matched
+                left[key] -= matched
+                wasted[pool] += matched
+    return dict(wasted)
+
+
+def _is_whole(exchange: Exchange, scenario: Scenario, pool: str) -> bool:
+    services = {e.pool for e in scenario.engines if e.kind == "service"}
+    if pool in services:
+        return len(exchange.received) == 1
+    return exchange.received == list(range(1, exchange.output_tokens + 1))
--- /dev/null
+++ b/src/carobstair/scenario/world.py
@@ -0,0 +1,148 @@
+"""A fleet on virtual time: routers, upstreams, store, links and callers."""
+
+from __future__ import annotations
+
+import random
+
+from carobstair.core.capacity import CapacityNode
+from carobstair.core.state import FleetState
+from carobstair.scenario.callers import Callers
+from carobstair.scenario.clock import VirtualClock
+from carobstair.scenario.control import Directory
+from carobstair.scenario.engine import Attempt, SimEngine
+from carobstair.scenario.faults import strike
+from carobstair.scenario.log import RunLog
+from carobstair.scenario.network import Network
+from carobstair.scenario.plan import Scenario
+from carobstair.scenario.router import NodeFactory, SimRouter
+
+__all__ = ["World", "run_world"]
+
+SAMPLE_S = 0.1
+
+
+class World:
+    """Everything that one run of a scenario needs.
+
+    Parameters
+    ----------
+    scenario : Scenario
+    make_node : callable, optional
+        Makes each router's decision node.
+    """
+
+    def __init__(self, scenario: Scenario, make_node: NodeFactory = CapacityNode):
+        self.scenario = scenario
+        self._make_node = make_node
+        self.generator = random.Random(f"{scenario.seed}/world")
+        self.clock = VirtualClock()
+        links = random.Random(f"{scenario.seed}/links")
+        self.network = Network(self.clock, scenario.link, links)
+        self.log = RunLog(scenario)
+        self.directory = Directory(scenario.first_state())
+        self.engines = {
+            spec.name: SimEngine(spec, self.clock, self.log.charge, self.generator)
+            for spec in scenario.engines
+        }
+        self.routers: dict[str, SimRouter] = {}
+        self._incarnations: dict[str, int] = {}
+        for spec in scenario.routers:
+            self.start_router(spec.name)
+        self._found_fleet()
+        for number, load in enumerate(scenario.loads):
+            Callers(self, load, number).start()
+        for fault in scenario.faults:
+            self.clock.at(fault.at_s, lambda fault=fault: strike(self, fault))
+        self.clock.every(SAMPLE_S, lambda: self.log.sample(self), SAMPLE_S)
+
+    def router_names(self) -> list[str]:
+        """Return the names of all routers that the scenario states."""
+        return [spec.name for spec in self.scenario.routers]
+
+    def start_router(self, name: str) -> SimRouter:
+        """Start a process with no state, for the first time or again."""
+        self._incarnations[name] = self._incarnations.get(name, 0) + 1
+        spec = next(r for r in self.scenario.routers if r.name == name)
+        router = SimRouter(self, spec, self._incarnations[name], self._make_node)
+        self.routers[name] = router
+        return router
+
+    def choose_router(self, through: tuple[str, ...], choice: int) -> SimRouter | None:
+        """Return the router that a caller reaches, as the load balancer chooses."""
+        wanted = [self.routers[name] for name in through or self.router_names()]
+        ready = [r for r in wanted if r.is_ready]
+        if not ready:
+            ready = [r for r in self.routers.values() if r.is_ready]
+        return ready[choice % len(ready)] if ready else None
+
+    def receive(self, name: str, data: bytes) -> None:
+        """Hand a peer message to a process."""
+        router = self.routers[name]
+        router.run(lambda: router.receive(data))
+
+    def dispatch(self, router: SimRouter, name: str, attempt: Attempt) -> None:
+        """Send an attempt to an upstream; a refused connection breaks it."""
+        engine = self.engines[name]
+        if not self.network.connected(router.name, name):
+            return
+
+        def arrive() -> None:
+            if router.is_dead:
+                return
+            if not engine.admit(attempt):
+                attempt.on_broken()
+
+        self.clock.after(self.network.delay_s(), arrive)
+
+    def reply(self, router: SimRouter, action) -> None:
+        """Deliver an upstream's message on an open connection, in order."""
+        # A constant delay keeps the tokens of a stream in their order.
+        delay_s = self.scenario.link.delay_s
+        self.clock.after(delay_s, lambda: router.run(action))
+
+    def cancel(self, name: str, attempt_id: str) -> None:
+        """End an attempt whose connection closed."""
+        self.clock.after(
+            self.network.delay_s(), lambda: self.engines[name].cancel(attempt_id)
+        )
+
+    def cancel_from(self, router: SimRouter, name: str, attempt_id: str) -> None:
+        """Cancel an attempt if the upstream can be reached."""
+        if self.network.connected(router.name, name):
+            self.cancel(name, attempt_id)
+
+    def poll_load(self, router: SimRouter, name: str) -> None:
+        """Read an upstream's load report."""
+        if not self.network.connected(router.name, name):
+            return
+        delay_s = 2 * self.network.delay_s()
+
+        def read() -> None:
+            report = self.engines[name].report()
+            if report is not None:
+                router.run(lambda: router.on_load_report(name, report))
+
+        self.clock.after(delay_s, read)
+
+    def file_ticket(self, state: FleetState) -> None:
+        """Write the fleet state that the next ticket makes."""
+        self.directory.state = state
+        self.log.filed_s[state.number] = self.clock.now_s
+
+    def run(self) -> RunLog:
+        """Run the scenario to its end and return what was logged."""
+        self.clock.run_until(self.scenario.duration_s)
+        self.log.finish(self)
+        return self.log
+
+    def _found_fleet(self) -> None:
+        for router in self.routers.values():
+            self.directory.join(router.address)
+        for router in self.routers.values():
+            router.control.adopt_founding_epoch(self.directory.epoch)
+            router.gateway.carry_out(router.node.set_state(self.directory.state, 0.0))
+
+
+def run_world(scenario: Scenario, make_node: NodeFactory = CapacityNode) -> RunLog:
+    """Run a scenario and return its log."""
+    return World(scenario, make_node).run()
