--- a/src/carobstair/scenario/engine.py
+++ b/src/carobstair/scenario/engine.py
@@ -28,7 +28,9 @@
         The router that sent it.
     next_token : int
         Number of the next token to produce, counted from 1.
-    on_tokens : callable
+    on_admitted : callable
+        Called when the upstream takes the attempt in.
+    on_token : callable
         Receives the number of the token just produced and the tokens that were
         served from the cache.
     on_broken : callable
@@ -43,6 +45,7 @@
     last_token: int
     input_tokens: int
     prefix: tuple[int, ...]
+    on_admitted: Callable[[], None]
     on_token: Callable[[int, int], None]
     on_broken: Callable[[], None]
     cached_tokens: int = 0
@@ -128,6 +131,7 @@
             return False
         now_s = self._clock.now_s
         self.admissions.append(now_s)
+        attempt.on_admitted()
         self.running[attempt.attempt_id] = attempt
         count = len(self.running)
         if count > self.spec.max_requests:
--- /dev/null
+++ b/src/carobstair/scenario/expectations.py
@@ -0,0 +1,164 @@
+"""Compares what a run gave with what its scenario expects."""
+
+from __future__ import annotations
+
+import math
+import operator
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from carobstair.core.refusals import CATALOGUE, Ran
+from carobstair.scenario import measures
+from carobstair.scenario.log import Ended, RunLog
+from carobstair.scenario.plan import Expectation, Scenario
+
+__all__ = ["Verdict", "judge"]
+
+# Rounding of sums of floating point numbers.
+ROUNDING = 1e-9
+_OPERATORS = {"<=": operator.le, ">=": operator.ge, "=": operator.eq}
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """One expectation, the value that the run gave and whether they agree."""
+
+    expectation: Expectation
+    value: float
+    bound: float
+    holds: bool
+
+    def __str__(self) -> str:
+        word = "holds" if self.holds else "FAILS"
+        wanted = f"{self.expectation.operator} {self.bound:.6g}"
+        return f"{word} {self.expectation.text}: {self.value:.6g} (wanted {wanted})"
+
+
+def judge(log: RunLog) -> list[Verdict]:
+    """Return a verdict on each expectation of a run."""
+    return [_judge_one(log, expectation) for expectation in log.scenario.expectations]
+
+
+def _judge_one(log: RunLog, expectation: Expectation) -> Verdict:
+    span = _span(log.scenario, expectation)
+    value = _MEASURES[expectation.measure](log, expectation, span)
+    bound = expectation.bound
+    if bound is None:
+        bound = _formula(log.scenario, expectation)
+    compare = _OPERATORS[expectation.operator]
+    near = math.isclose(value, bound, abs_tol=ROUNDING)
+    return Verdict(expectation, value, bound, compare(value, bound) or near)
+
+
+def _span(scenario: Scenario, expectation: Expectation) -> tuple[float, float]:
+    start_s, end_s = expectation.start_s, expectation.end_s
+    start_s = scenario.measure_from_s if start_s is None else start_s
+    return start_s, scenario.duration_s if end_s is None else end_s
+
+
+def _formula(scenario: Scenario, expectation: Expectation) -> float:
+    if expectation.measure == "gap":
+        pool = _common_pool(scenario, expectation.names)
+        return measures.gap_bound(scenario, pool, expectation.names)
+    return measures.unserved_bound_s(scenario, expectation.names[0])
+
+
+def _common_pool(scenario: Scenario, names: tuple[str, ...]) -> str:
+    used = [{x.pool for x in scenario.loads if x.workspace == n} for n in names]
+    common = sorted(set.intersection(*used))
+    if not common:
+        raise ValueError(f"{' and '.join(names)} have no pool in common")
+    return common[0]
+
+
+def _gap(log: RunLog, expectation: Expectation, span) -> float:
+    pool = _common_pool(log.scenario, expectation.names)
+    return measures.pairwise_gap(log, pool, expectation.names, *span)
+
+
+def _first_token(log: RunLog, expectation: Expectation, span) -> float:
+    fraction, work_class, *workspace = expectation.names
+    waits = measures.first_token_s(
+        log, work_class, *span, workspace[0] if workspace else None
+    )
+    return measures.percentile(waits, int(fraction[1:]) / 100.0)
+
+
+def _outcomes(log: RunLog, expectation: Expectation, span) -> float:
+    outcome, *workspace = expectation.names
+    return sum(
+        e.outcome == outcome and (not workspace or e.workspace == workspace[0])
+        for e in _ended_within(log, span)
+    )
+
+
+def _broken_answers(log: RunLog, expectation: Expectation, span) -> float:
+    return sum(
+        e.outcome == "answer-lost" or (e.outcome == "answered" and not e.whole)
+        for e in _ended_within(log, span)
+    )
+
+
+def _false_not_run(log: RunLog, expectation: Expectation, span) -> float:
+    return sum(
+        e.outcome in CATALOGUE and CATALOGUE[e.outcome].ran is Ran.NO and e.admitted
+        for e in _ended_within(log, span)
+    )
+
+
+def _new_work(log: RunLog, expectation: Expectation, span) -> float:
+    place = expectation.names[0]
+    upstreams = [e.name for e in log.scenario.engines if place in (e.name, e.zone)]
+    return sum(_count(log.admissions[name], span) for name in upstreams)
+
+
+def _force_time(log: RunLog, expectation: Expectation, span) -> float:
+    number = int(expectation.names[0])
+    if number not in log.filed_s:
+        return math.inf
+    reached = log.in_force_s.get(number, {})
+    if log.alive - set(reached):
+        return math.inf
+    return max(reached[name] for name in log.alive) - log.filed_s[number]
+
+
+def _open_requests(log: RunLog, expectation: Expectation, span) -> float:
+    return sum(x.born_s < span[0] for x in log.open.values())
+
+
+def _control_bytes(log: RunLog, expectation: Expectation, span) -> float:
+    return max(log.sent_bytes.values(), default=0) / log.scenario.duration_s
+
+
+def _count(times: list[float], span: tuple[float, float]) -> int:
+    return sum(span[0] <= at_s <= span[1] for at_s in times)
+
+
+def _ended_within(log: RunLog, span: tuple[float, float]) -> list[Ended]:
+    return [e for e in log.ended if span[0] <= e.end_s <= span[1]]
+
+
+_Measure = Callable[[RunLog, Expectation, tuple[float, float]], float]
+_MEASURES: dict[str, _Measure] = {
+    "gap": _gap,
+    "unserved": lambda log, e, span: measures.unserved_s(log, e.names[0], *span),
+    "idle-while-waiting": lambda log, e, span: measures.idle_while_waiting(
+        log, e.names[0], *span
+    ),
+    "utilisation": lambda log, e, span: measures.utilisation(log, e.names[0], *span),
+    "first-token": _first_token,
+    "outcomes": _outcomes,
+    "broken-answers": _broken_answers,
+    "false-not-run": _false_not_run,
+    "cold-overloads": lambda log, e, span: sum(
+        _count(log.overloads[name], span) for name in e.names
+    ),
+    "over-limit": lambda log, e, span: sum(
+        _count(log.over_limit[name], span) for name in e.names
+    ),
+    "new-work": _new_work,
+    "force-time": _force_time,
+    "reverts": lambda log, e, span: log.reverted,
+    "open-requests": _open_requests,
+    "control-bytes": _control_bytes,
+}
--- a/src/carobstair/scenario/gateway.py
+++ b/src/carobstair/scenario/gateway.py
@@ -37,6 +37,8 @@
         Receives the outcome: ``answered``, ``closed`` or a refusal's name.
     received : list of int
         Numbers of the tokens that the caller got, in order.
+    admitted : bool
+        Whether an upstream ever took it in.
     """
 
     waiting: WaitingRequest
@@ -47,6 +49,7 @@
     received: list[int] = field(default_factory=list)
     first_token_s: float | None = None
     ended: bool = False
+    admitted: bool = False
 
     def end(self, outcome: str) -> None:
         """Tell the caller the outcome, once."""
@@ -152,6 +155,9 @@
         exchange, router = stream.exchange, self._router
         attempt_id, world = stream.attempt_id, router.world
 
+        def on_admitted() -> None:
+            exchange.admitted = True
+
         def on_token(number: int, cached: int) -> None:
             self._router.world.reply(
                 router, lambda: self._on_token(attempt_id, number, cached)
@@ -169,6 +175,7 @@
             exchange.output_tokens,
             exchange.input_tokens,
             exchange.waiting.prefix,
+            on_admitted,
             on_token,
             on_broken,
         )
--- a/src/carobstair/scenario/log.py
+++ b/src/carobstair/scenario/log.py
@@ -26,6 +26,7 @@
     end_s: float
     outcome: str
     whole: bool
+    admitted: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,6 +73,7 @@
     )
     filed_s: dict[int, float] = field(default_factory=dict)
     reverted: int = 0
+    alive: set[str] = field(default_factory=set)
     _service: dict[tuple[str, str], float] = field(
         default_factory=lambda: defaultdict(float)
     )
@@ -99,6 +101,7 @@
                 now_s,
                 outcome,
                 _is_whole(exchange, self.scenario, request.pool),
+                exchange.admitted,
             )
         )
 
@@ -137,6 +140,7 @@
             self.admissions[name] = engine.admissions
             self.overloads[name] = engine.overloads
             self.over_limit[name] = engine.over_limit
+        self.alive = {r.name for r in world.routers.values() if not r.is_dead}
         self.sent_bytes = world.network.sent_bytes
 
     def _note_in_force(self, router, now_s: float) -> None:
--- a/src/carobstair/scenario/plan.py
+++ b/src/carobstair/scenario/plan.py
@@ -43,7 +43,7 @@
     LOSS = "loss"
     STORE_DOWN = "store-down"
     STORE_SLOW = "store-slow"
-    STORE_LOSE_ANSWERS = "store-lose-answers"
+    STORE_LOSES = "store-loses"
     TICKET = "ticket"
 
 
@@ -180,6 +180,8 @@
         The second group of a partition.
     value : float
         Duration, delay or fraction, by kind.
+    duration_s : float
+        How long it lasts, where `value` is something else.
     change : str
         What a ticket sets, as in ``zone lac out``.
     """
@@ -189,6 +191,7 @@
     names: tuple[str, ...] = ()
     others: tuple[str, ...] = ()
     value: float = 0.0
+    duration_s: float = 0.0
     change: tuple[str, ...] = ()
 
 
