Run the agent node in scenarios, against an object API with faults

Cause: membership, epoch and tickets of scenarios came from a shared directory, which showed none of the faults of the agent.

Operators file tickets through a router and repeat what was not settled.

Conclusion: faults of both nodes can now be scripted together.

--- a/src/carobstair/scenario/builder.py
+++ b/src/carobstair/scenario/builder.py
@@ -238,6 +238,10 @@
     FaultKind.PARTITION: "place",
     FaultKind.PARTITION_ONE_WAY: "place",
     FaultKind.KILL: "router",
+    FaultKind.STOP: "router",
+    FaultKind.NOTICE: "upstream",
+    FaultKind.LIST_LEAVING: "upstream",
+    FaultKind.TICKET: "router",
     FaultKind.RESTART: "router",
     FaultKind.PAUSE: "router",
     FaultKind.CRASH: "upstream",
@@ -259,8 +263,10 @@
 def _fault(at_s: float, action: Tree) -> FaultEvent:
     rule = str(action.data)
     if rule.startswith("ticket_"):
-        change = (rule.removeprefix("ticket_"), *map(str, action.children))
-        return FaultEvent(at_s, FaultKind.TICKET, change=change)
+        *parts, router = action.children
+        change = (rule.removeprefix("ticket_"), *map(str, parts))
+        names = (str(router),) if router is not None else ()
+        return FaultEvent(at_s, FaultKind.TICKET, names, change=change)
     names, others, values = [], [], []
     for child in action.children:
         if isinstance(child, Tree):
--- a/src/carobstair/scenario/engine.py
+++ b/src/carobstair/scenario/engine.py
@@ -84,6 +84,7 @@
         self._stalled_until_s = 0.0
         self._cache: OrderedDict[int, None] = OrderedDict()
         self._reports: list[tuple[float, LoadReport]] = []
+        self.leaving = False
         self.admissions: list[float] = []
         self.overloads: list[float] = []
         self.falls: list[float] = []
@@ -156,7 +157,11 @@
         kv_tokens = sum(a.input_tokens + a.last_token for a in self.running.values())
         now_s = self._clock.now_s
         report = LoadReport(
-            str(self.incarnation), len(self.running), kv_tokens, self._says_loading()
+            str(self.incarnation),
+            len(self.running),
+            kv_tokens,
+            self._says_loading(),
+            self.leaving,
         )
         self._reports.append((now_s, report))
         lagged = [r for r in self._reports if r[0] <= now_s - self.spec.load_lag_s]
--- a/src/carobstair/scenario/router.py
+++ b/src/carobstair/scenario/router.py
@@ -22,6 +22,7 @@
 
 TICK_S = 0.05
 LOAD_POLL_S = 0.5
+BALANCER_LAG_S = 1.0
 # Coalesces the arrivals of one moment into one message per allocator.
 DEMAND_DELAY_S = 0.002
 
@@ -100,8 +101,26 @@
 
     def kill(self) -> None:
         """End the process without a word; all connections close."""
+        if self.is_dead:
+            return
         self.is_dead = True
         self.gateway.close()
+        self.control.close()
+        self.world.store.drop_instance(
+            self.name, lambda: self.world.routers[self.name] is self
+        )
+
+    def stop(self) -> None:
+        """Shut down gracefully: become unready, finish what runs, say goodbye."""
+        self.control.leave()
+        self.world.clock.after(BALANCER_LAG_S, lambda: self.run(self._drain))
+
+    def _drain(self) -> None:
+        if self.gateway.is_idle:
+            self.control.goodbye()
+            self.kill()
+        else:
+            self.world.clock.after(TICK_S, lambda: self.run(self._drain))
 
     def submit(self, exchange: Exchange) -> None:
         """Take in a caller's request."""
@@ -144,6 +163,7 @@
 
     def on_load_report(self, name: str, report) -> None:
         """Take in an upstream's load report."""
+        self.control.note_leaving(name, report.leaving)
         effects = self.node.on_load_report(name, report, self.now_s)
         self.gateway.carry_out(effects)
 
