--- /dev/null
+++ b/src/carobstair/scenario/faults.py
@@ -0,0 +1,125 @@
+"""Carries out the scripted events of a scenario."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from carobstair.scenario.plan import FaultEvent, FaultKind
+
+if TYPE_CHECKING:
+    from carobstair.scenario.world import World
+
+__all__ = ["strike"]
+
+
+def strike(world: World, fault: FaultEvent) -> None:
+    """Let an event happen now."""
+    _ACTIONS[fault.kind](world, fault)
+
+
+def _partition(world: World, fault: FaultEvent) -> None:
+    world.network.cut(fault.names, fault.others)
+    world.network.cut(fault.others, fault.names)
+
+
+def _one_way(world: World, fault: FaultEvent) -> None:
+    world.network.cut(fault.names, fault.others)
+
+
+def _heal(world: World, fault: FaultEvent) -> None:
+    world.network.heal()
+
+
+def _kill(world: World, fault: FaultEvent) -> None:
+    for name in fault.names:
+        world.routers[name].kill()
+
+
+def _restart(world: World, fault: FaultEvent) -> None:
+    for name in fault.names:
+        world.routers[name].kill()
+        world.start_router(name)
+
+
+def _pause(world: World, fault: FaultEvent) -> None:
+    for name in fault.names:
+        world.routers[name].pause(fault.value)
+
+
+def _crash(world: World, fault: FaultEvent) -> None:
+    for name in fault.names:
+        world.engines[name].crash()
+
+
+def _chill(world: World, fault: FaultEvent) -> None:
+    for name in fault.names:
+        world.engines[name].chill()
+
+
+def _stall(world: World, fault: FaultEvent) -> None:
+    for name in fault.names:
+        world.engines[name].stall(fault.value)
+
+
+def _silence(world: World, fault: FaultEvent) -> None:
+    router, engine = fault.names
+    for attempt in world.engines[engine].running.values():
+        if attempt.router == router:
+            attempt.silent = True
+
+
+def _loss(world: World, fault: FaultEvent) -> None:
+    world.network.loss = fault.value
+
+
+def _store_down(world: World, fault: FaultEvent) -> None:
+    world.store.go_down(fault.value)
+
+
+def _store_slow(world: World, fault: FaultEvent) -> None:
+    world.store.go_slow(fault.value, fault.duration_s)
+
+
+def _store_loses(world: World, fault: FaultEvent) -> None:
+    world.store.lose_answers(fault.value, fault.duration_s)
+
+
+def _stop(world: World, fault: FaultEvent) -> None:
+    for name in fault.names:
+        world.routers[name].stop()
+
+
+def _notice(world: World, fault: FaultEvent) -> None:
+    for name in fault.names:
+        world.engines[name].leaving = True
+
+
+def _list_leaving(world: World, fault: FaultEvent) -> None:
+    for name in fault.names:
+        world.store.list_instance(name, leaving=True)
+
+
+def _ticket(world: World, fault: FaultEvent) -> None:
+    world.file(fault.change, fault.names[0] if fault.names else "")
+
+
+_ACTIONS = {
+    FaultKind.PARTITION: _partition,
+    FaultKind.PARTITION_ONE_WAY: _one_way,
+    FaultKind.HEAL: _heal,
+    FaultKind.KILL: _kill,
+    FaultKind.RESTART: _restart,
+    FaultKind.PAUSE: _pause,
+    FaultKind.CRASH: _crash,
+    FaultKind.CHILL: _chill,
+    FaultKind.STALL: _stall,
+    FaultKind.SILENCE: _silence,
+    FaultKind.LOSS: _loss,
+    FaultKind.STORE_DOWN: _store_down,
+    FaultKind.STORE_SLOW: _store_slow,
+    FaultKind.STORE_LOSES: _store_loses,
+    FaultKind.STOP: _stop,
+    FaultKind.NOTICE: _notice,
+    FaultKind.LIST_LEAVING: _list_leaving,
+    FaultKind.TICKET: _ticket,
+}
