Give orders to upstreams under leases with fencing numbers

Cause: tickets state wanted versions and roles, and nothing ordered them.

Change: core/leases.py holds a lease object by conditional writes, counted by the holder from before the write and by others from when they first read that version; core/orders.py gives each wanted state once per upstream incarnation under the upstream's lease and one of few load slots; where an upstream ignores the number, the former lease has to lapse first. net/orders.py sends them. tests/test_object_api.py checks the store driver over HTTP.

Conclusion: in tests/test_orders.py no lease has two holders through pauses, restarts, partitions and lost answers, and all orders get done after the last fault.

--- a/src/carobstair/core/agent.py
+++ b/src/carobstair/core/agent.py
@@ -45,6 +45,7 @@
     TicketPull,
     TicketPush,
 )
+from carobstair.core.orders import OrderKeeper, OrderSettings
 from carobstair.core.share_keeper import (
     CapacityView,
     ShareKeeper,
@@ -83,6 +84,7 @@
     distribution: DistributionSettings = field(default_factory=DistributionSettings)
     epoch: EpochSettings = field(default_factory=EpochSettings)
     shares: ShareKeeperSettings = field(default_factory=ShareKeeperSettings)
+    orders: OrderSettings = field(default_factory=OrderSettings)
     start_wait_s: float = 1.0
     query_s: float = 0.5
 
@@ -144,6 +146,13 @@
             self._learn,
             self._on_instances,
         )
+        self.orders = OrderKeeper(
+            (own.instance, own.incarnation),
+            settings.orders,
+            self._calls,
+            generator,
+            self.membership.is_gone,
+        )
         self._state = FleetState()
         self._store_from_s = -math.inf if not seeds else math.inf
         self._queries = InForceQueries(settings.query_s)
@@ -201,6 +210,8 @@
         effects += self._epochs.tick(
             now_s, writes, self.membership.members, not self.leaving
         )
+        live = self.membership.live()
+        effects += self.orders.tick(self._state, live, reads, now_s)
         effects += self._keeper.acknowledge(now_s)
         if self.leaving:
             effects += self._keeper.transfer(now_s, self.membership)
--- a/src/carobstair/core/membership.py
+++ b/src/carobstair/core/membership.py
@@ -98,6 +98,16 @@
         """Return the other instances that messages are worth sending to."""
         return [n for n, m in self.members.items() if m.status < MemberStatus.DEAD]
 
+    def is_gone(self, process: tuple[str, int]) -> bool:
+        """Return whether a process (instance, incarnation) is believed gone."""
+        member = self.members.get(process[0])
+        if process[0] == self._own.instance:
+            return process[1] < self._own.incarnation
+        if member is None:
+            return False
+        newer = member.address.incarnation > process[1]
+        return newer or member.status >= MemberStatus.DEAD
+
     def learn_addresses(
         self, addresses: Iterable[PeerAddress], now_s: float
     ) -> list[Effect]:
--- a/src/carobstair/net/agent.py
+++ b/src/carobstair/net/agent.py
@@ -20,6 +20,7 @@
     InForceFound,
     Reconnect,
     Send,
+    SendOrder,
     StateChanged,
     TicketSettled,
     Warn,
@@ -111,6 +112,8 @@
         self._store = store
         self._metrics = metrics
         self._on_state = on_state
+        # Called with each order that is to be sent to an upstream.
+        self.on_order: Callable[[SendOrder], None] = lambda order: None
         self._store_driver = StoreDriver(store, self._on_store_answer, self._on_watch)
         seeds = [f"seed {seed}" for seed in settings.peers.seeds]
         self.node = AgentNode(
@@ -292,6 +295,10 @@
         if future is not None and not future.done():
             future.set_result(effect.numbers)
 
+    @_do.register
+    def _(self, effect: SendOrder) -> None:
+        self.on_order(effect)
+
     @_do.register
     def _(self, effect: Warn) -> None:
         now_s = time.monotonic()
--- a/src/carobstair/net/router.py
+++ b/src/carobstair/net/router.py
@@ -20,6 +20,7 @@
 from carobstair.net.chat import ChatRelay
 from carobstair.net.gateway import Gateway
 from carobstair.net.http import HttpServer
+from carobstair.net.orders import OrderDriver
 from carobstair.net.peers import PeerTransport
 from carobstair.net.services import ServiceCaller
 from carobstair.net.upstream import UpstreamClient
@@ -87,6 +88,8 @@
             self._on_state,
         )
         self.capacity.on_leaving_report = self.agent.note_leaving
+        self._orders = OrderDriver(self.agent.node.orders, self._upstreams)
+        self.agent.on_order = self._orders.send
         services = ServiceCaller(self.capacity, self._upstreams, self.metrics)
         self.actions = ActionDriver(
             self.own,
@@ -112,6 +115,7 @@
         work = [
             asyncio.create_task(self._peers.run()),
             asyncio.create_task(self.agent.run()),
+            asyncio.create_task(self._orders.run()),
             asyncio.create_task(self.capacity.run()),
             asyncio.create_task(self._refresh_peers()),
         ]
@@ -132,6 +136,7 @@
 
     def _on_state(self, state: FleetState) -> None:
         self.capacity.set_state(state)
+        self._orders.set_state(state)
         self.metrics.keep_in_force(state)
 
     def _on_signal(self) -> None:
--- a/src/carobstair/standins/agent_fleet.py
+++ b/src/carobstair/standins/agent_fleet.py
@@ -21,6 +21,7 @@
     Warn,
 )
 from carobstair.core.messages import PeerAddress, encode
+from carobstair.core.orders import OrderOutcome
 from carobstair.core.share_keeper import CapacityView, NoCapacity
 from carobstair.core.shares import ShareTable
 from carobstair.core.state import Ticket
@@ -118,7 +119,10 @@
         self.processes: dict[str, _Process] = {}
         self.settled: dict[int, TicketSettled] = {}
         self.found: list[InForceFound] = []
-        self.orders: list[SendOrder] = []
+        self.orders: list[tuple[float, str, SendOrder]] = []
+        self.order_s = 2.0
+        # Incarnation by upstream; one that is missing here gives no load report.
+        self.incarnations: dict[str, str] = {}
         self.warnings: Counter = Counter()
         self.sent_messages: Counter = Counter()
         self.sent_bytes: Counter = Counter()
@@ -230,6 +234,10 @@
         if not process.paused:
             if hasattr(process.capacity, "tick"):
                 process.capacity.tick()
+            for upstream in process.node.orders.ordered_upstreams():
+                if upstream in self.incarnations:
+                    incarnation = self.incarnations[upstream]
+                    process.node.orders.note_incarnation(upstream, incarnation)
             effects = process.node.tick(self.now_s)
             self.carry_out(process.address.instance, effects)
         self._at(TICK_S, lambda: self._tick(process))
@@ -264,7 +272,15 @@
 
     @_do.register
     def _(self, effect: SendOrder, process: _Process) -> None:
-        self.orders.append(effect)
+        name = process.address.instance
+        self.orders.append((self.now_s, name, effect))
+
+        def event() -> list:
+            node = process.node
+            node.orders.on_answer(effect.order, OrderOutcome.DONE, self.now_s)
+            return []
+
+        self._at(self.order_s, lambda: self._deliver(process, event))
 
     @_do.register(StateChanged)
     @_do.register(EpochLearned)
