--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -213,6 +213,10 @@
         path.write_text(self._ini(name))
         self._spawn_module(name, "carobstair.cli.router", "--settings", path)
 
+    async def wait_ready(self, name: str) -> None:
+        """Wait until a router takes callers."""
+        await self._wait_for(self.address(name) + "/readyz")
+
     def start_upstream(self, name: str) -> None:
         """Start an upstream stand-in again."""
         found = next(u for u in self.plan.upstreams if u.name == name)
