Forget dead members for good, and keep members of the epoch

A process whose instance has a newer incarnation went on as if ready.

Change: unknown processes are not taken in as dead; members of the epoch are kept; a superseded process is unready and says so; links of forgotten instances are closed.

--- a/src/carobstair/core/agent.py
+++ b/src/carobstair/core/agent.py
@@ -46,6 +46,7 @@
     TicketPush,
 )
 from carobstair.core.orders import OrderKeeper, OrderSettings
+from carobstair.core.readiness import unready_reason
 from carobstair.core.share_keeper import (
     CapacityView,
     ShareKeeper,
@@ -176,22 +177,9 @@
 
     def unready_reason(self) -> str | None:
         """Return why this router should get no callers, or None."""
-        if self.leaving:
-            return "shutting down"
-        number = self.log.state.number
-        if number == 0:
-            return f"no ticket is in force yet; {self._missing_source()}"
-        if not self.log.state.zone_in_service(self._own.zone):
-            return f"zone {self._own.zone} is out of service by ticket"
-        return None
-
-    def _missing_source(self) -> str:
-        peers = len(self.membership.live())
-        error = self._distribution.store_error
-        store = f"the object API is {error}" if error else "the object API has none"
-        if not self._distribution.is_watcher:
-            store = "the object API is read by peers"
-        return f"{store}, and none of {peers} live peers has sent one"
+        return unready_reason(
+            self._own, self.log.state, self.membership, self._distribution
+        )
 
     # Events from the own process
 
--- a/src/carobstair/core/effects.py
+++ b/src/carobstair/core/effects.py
@@ -14,6 +14,7 @@
 
 __all__ = [
     "Connect",
+    "Disconnect",
     "Effect",
     "EpochLearned",
     "Granted",
@@ -74,6 +75,13 @@
     address: PeerAddress
 
 
+@dataclass(frozen=True, slots=True)
+class Disconnect:
+    """Close the link to an instance that is forgotten."""
+
+    instance: str
+
+
 @dataclass(frozen=True, slots=True)
 class Reconnect:
     """Replace a link that may have gone silent."""
@@ -124,6 +132,7 @@
     | StateChanged
     | EpochLearned
     | Connect
+    | Disconnect
     | Reconnect
     | TicketSettled
     | InForceFound
--- a/src/carobstair/core/membership.py
+++ b/src/carobstair/core/membership.py
@@ -14,7 +14,7 @@
 from dataclasses import dataclass
 from functools import singledispatchmethod
 
-from carobstair.core.effects import Connect, Effect, Reconnect, Send
+from carobstair.core.effects import Connect, Disconnect, Effect, Reconnect, Send
 from carobstair.core.members import Member, MembershipSettings, MemberStatus
 from carobstair.core.messages import (
     Heartbeat,
@@ -75,6 +75,8 @@
         self.refutation = 0
         self.leaving = False
         self.members: dict[str, Member] = {}
+        self._retained: frozenset[str] = frozenset()
+        self.is_superseded = False
         self._news: dict[str, int] = {}
         self._round: list[str] = []
         self._last_number = 0
@@ -111,7 +113,9 @@
     def learn_addresses(
         self, addresses: Iterable[PeerAddress], now_s: float
     ) -> list[Effect]:
-        """Take in processes named elsewhere; they count as dead until heard."""
+        """Take in the epoch's members; they count as dead until heard."""
+        addresses = tuple(addresses)
+        self._retained = frozenset(address.instance for address in addresses)
         effects: list[Effect] = []
         for address in addresses:
             if address.instance not in self.members:
@@ -134,7 +138,7 @@
     def tick(self, now_s: float) -> list[Effect]:
         """Do what is due; to be called about every 50 ms."""
         effects = self._time_out_probes(now_s)
-        self._time_out_suspects(now_s)
+        effects += self._time_out_suspects(now_s)
         if now_s >= self._next_probe_s:
             self._next_probe_s = now_s + self._settings.probe_every_s
             effects += self._probe_next(now_s)
@@ -225,6 +229,10 @@
         known = self.members.get(name)
         if known is not None and known.rank() >= news.rank():
             return []
+        if known is None and spread and news.status >= MemberStatus.DEAD:
+            # Peers forget a dead process at different times; taking it in again
+            # would keep it in the fleet's views for good.
+            return []
         same_process = known is not None and known.address == news.address
         if known is not None and same_process:
             news.heartbeat, news.heard_s = known.heartbeat, known.heard_s
@@ -251,6 +259,10 @@
 
     def _refute(self, update: MemberUpdate) -> None:
         own = MemberStatus.LEAVING if self.leaving else MemberStatus.ALIVE
+        if update.address.incarnation > self._own.incarnation:
+            # Either this process is a leftover, or the clock that its incarnation
+            # came from was set back. It must not compete with the newer one.
+            self.is_superseded = True
         if update.address.incarnation != self._own.incarnation:
             return
         if update.status > own and update.refutation >= self.refutation:
@@ -318,7 +330,8 @@
         # The suspect itself hears of it first; without that it can't refute.
         return [*effects, *self._probe(name, now_s)]
 
-    def _time_out_suspects(self, now_s: float) -> None:
+    def _time_out_suspects(self, now_s: float) -> list[Effect]:
+        effects: list[Effect] = []
         size = max(10, len(self.members) + 1)
         limit_s = self._settings.suspicion_s * math.log10(size)
         for name, member in list(self.members.items()):
@@ -326,11 +339,22 @@
             if member.status is MemberStatus.SUSPECT and age_s >= limit_s:
                 member.status, member.changed_s = MemberStatus.DEAD, now_s
                 self._news[name] = self._transmissions()
-            elif (
-                member.status >= MemberStatus.DEAD and age_s >= self._settings.forget_s
-            ):
+            elif self._is_forgotten(member, age_s):
                 del self.members[name]
                 self._news.pop(name, None)
+                effects.append(Disconnect(name))
+        return effects
+
+    def _is_forgotten(self, member: Member, age_s: float) -> bool:
+        """Return whether a process is dead for long and no member of the epoch.
+
+        Members are probed on, or the sides of a long partition would never find
+        each other again.
+        """
+        if member.status < MemberStatus.DEAD or age_s < self._settings.forget_s:
+            return False
+        is_member = member.address.instance in self._retained
+        return member.status is MemberStatus.LEFT or not is_member
 
     # News
 
@@ -370,11 +394,11 @@
         if (sender, address.incarnation) in self._synced:
             return []
         self._synced.add((sender, address.incarnation))
-        return [Send(sender, MemberSync(self._heartbeat(), self._all(), True))]
+        return self._sync_with(sender)
 
     def _sync_with_one(self) -> list[Effect]:
         reachable = sorted(self.reachable())
-        if not reachable:
-            return []
-        chosen = self._random.choice(reachable)
-        return [Send(chosen, MemberSync(self._heartbeat(), self._all(), True))]
+        return self._sync_with(self._random.choice(reachable)) if reachable else []
+
+    def _sync_with(self, name: str) -> list[Effect]:
+        return [Send(name, MemberSync(self._heartbeat(), self._all(), True))]
--- a/src/carobstair/net/agent.py
+++ b/src/carobstair/net/agent.py
@@ -15,6 +15,7 @@
 from carobstair.core.distribution import DistributionSettings
 from carobstair.core.effects import (
     Connect,
+    Disconnect,
     Effect,
     EpochLearned,
     InForceFound,
@@ -42,6 +43,7 @@
     TicketPull,
     TicketPush,
 )
+from carobstair.core.orders import OrderSettings
 from carobstair.core.refusals import refuse
 from carobstair.core.share_keeper import CapacityView
 from carobstair.core.shares import ShareTable
@@ -263,6 +265,10 @@
     def _(self, effect: Connect) -> None:
         self._peers.connect(effect.address)
 
+    @_do.register
+    def _(self, effect: Disconnect) -> None:
+        self._peers.disconnect(effect.instance)
+
     @_do.register
     def _(self, effect: Reconnect) -> None:
         self._peers.reconnect(effect.instance)
@@ -322,4 +328,5 @@
         distribution=DistributionSettings(
             watchers_per_zone=settings.platform.watchers_per_zone
         ),
+        orders=OrderSettings(load_slots=settings.platform.load_slots),
     )
--- a/src/carobstair/settings.py
+++ b/src/carobstair/settings.py
@@ -95,6 +95,9 @@
     api_key: str = ""
     timeout_s: float = Field(1.0, gt=0, le=60)
     watchers_per_zone: int = Field(2, ge=1, le=10)
+    load_slots: int = Field(
+        2, ge=1, le=100, description="model loads at a time over the whole fleet"
+    )
 
 
 class PeerSettings(Section):
--- a/tests/test_epoch.py
+++ b/tests/test_epoch.py
@@ -108,6 +108,19 @@
         fleet.run(10.0)
         self.assertEqual(in_use(fleet), LIMIT)
 
+    def test_joiner_gets_its_share_only_as_the_others_make_room(self):
+        fleet = fleet_of(3)
+        fleet.start("n0")
+        fleet.start("n1")
+        fleet.run(5.0)
+        fleet.start("n2")
+        fleet.run(10.0)
+        self.assertEqual(fleet.processes["n2"].capacity.used, 0)
+        for name in ("n0", "n1"):
+            fleet.processes[name].capacity.used = 0
+        fleet.run(2.0)
+        self.assertEqual(in_use(fleet), LIMIT)
+
     def test_leaver_hands_over_its_shares_before_it_ends(self):
         fleet = fleet_of(3)
         fleet.start_all()
@@ -182,7 +195,7 @@
         self.kill(name)
         self.fleet.start(name)
 
-    @rule(name=name, duration_s=st.sampled_from([1.0, 6.0, 16.0]))
+    @rule(name=name, duration_s=st.sampled_from([1.0, 8.0, 20.0]))
     def lose(self, name, duration_s):
         """Remove an instance from the platform; the others take over its share."""
         self.kill(name)
