--- a/src/carobstair/core/members.py
+++ b/src/carobstair/core/members.py
@@ -8,7 +8,13 @@
 
 from carobstair.core.messages import Heartbeat, MemberUpdate, PeerAddress
 
-__all__ = ["Member", "MemberStatus", "MembershipSettings"]
+__all__ = [
+    "Member",
+    "MemberStatus",
+    "MembershipSettings",
+    "PendingProbe",
+    "RelayedProbe",
+]
 
 
 class MemberStatus(IntEnum):
@@ -65,3 +71,21 @@
     def rank(self) -> tuple[int, int, int]:
         """Return the order in which news replace each other."""
         return (self.address.incarnation, self.refutation, int(self.status))
+
+
+@dataclass(slots=True)
+class PendingProbe:
+    """A probe that has no answer yet."""
+
+    instance: str
+    sent_s: float
+    indirect: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class RelayedProbe:
+    """A probe made for another process."""
+
+    asker: str
+    number: int
+    sent_s: float
--- a/src/carobstair/core/membership.py
+++ b/src/carobstair/core/membership.py
@@ -11,11 +11,16 @@
 import math
 import random
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
 from functools import singledispatchmethod
 
 from carobstair.core.effects import Connect, Disconnect, Effect, Reconnect, Send
-from carobstair.core.members import Member, MembershipSettings, MemberStatus
+from carobstair.core.members import (
+    Member,
+    MembershipSettings,
+    MemberStatus,
+    PendingProbe,
+    RelayedProbe,
+)
 from carobstair.core.messages import (
     Heartbeat,
     MemberSync,
@@ -29,22 +34,6 @@
 __all__ = ["Member", "MemberStatus", "Membership", "MembershipSettings"]
 
 
-@dataclass(slots=True)
-class _Pending:
-    instance: str
-    sent_s: float
-    indirect: bool = False
-
-
-@dataclass(frozen=True, slots=True)
-class _Relayed:
-    """A probe made for another process."""
-
-    asker: str
-    number: int
-    sent_s: float
-
-
 class Membership:
     """The view that one process has of the others.
 
@@ -80,8 +69,8 @@
         self._news: dict[str, int] = {}
         self._round: list[str] = []
         self._last_number = 0
-        self._pending: dict[int, _Pending] = {}
-        self._relayed: dict[int, _Relayed] = {}
+        self._pending: dict[int, PendingProbe] = {}
+        self._relayed: dict[int, RelayedProbe] = {}
         self._synced: set[tuple[str, int]] = set()
         self._next_probe_s = 0.0
         self._next_dead_probe_s = 0.0
@@ -187,7 +176,7 @@
             ack = ProbeAck(request.number, self._heartbeat())
             return [*effects, Send(sender, ack)]
         self._last_number += 1
-        self._relayed[self._last_number] = _Relayed(sender, request.number, now_s)
+        self._relayed[self._last_number] = RelayedProbe(sender, request.number, now_s)
         probe = Probe(self._last_number, self._heartbeat(), self._take_news(name))
         return [*effects, Connect(request.target), Send(name, probe)]
 
@@ -291,7 +280,7 @@
 
     def _probe(self, name: str, now_s: float) -> list[Effect]:
         self._last_number += 1
-        self._pending[self._last_number] = _Pending(name, now_s)
+        self._pending[self._last_number] = PendingProbe(name, now_s)
         updates = self._take_news(name)
         return [Send(name, Probe(self._last_number, self._heartbeat(), updates))]
 
