--- a/src/carobstair/core/action_book.py
+++ b/src/carobstair/core/action_book.py
@@ -6,8 +6,9 @@
 from dataclasses import dataclass
 
 from carobstair.core.action_events import OwnerAnswer
+from carobstair.core.action_phases import ActionSettings, Phase
 from carobstair.core.action_records import Outcome, OwnAttempts, OwnerState
-from carobstair.core.actions import ActionMachine, ActionSettings, Phase
+from carobstair.core.actions import ActionMachine
 from carobstair.core.refusals import refuse
 
 __all__ = ["ActionBook", "BookLimits"]
@@ -84,7 +85,9 @@
             wait for the store.
         """
         machine = self.active.get(record)
-        if machine is not None:
+        # What a machine that only frees its key was told may be out of date:
+        # another router can have taken the record over and run the action.
+        if machine is not None and machine.phase is not Phase.RELEASING:
             if machine.body_hash != body_hash:
                 raise refuse("key-reused")
             machine.join(deadline_s)
@@ -95,9 +98,10 @@
         self.active[record] = machine
         return machine
 
-    def close(self, record: str, now_s: float) -> None:
+    def close(self, record: str, machine: ActionMachine, now_s: float) -> None:
         """Take out a machine that has ended, and remember its outcome."""
-        machine = self.active.pop(record)
+        if self.active.get(record) is machine:
+            del self.active[record]
         if isinstance(machine.result, Outcome):
             until_s = now_s + self._limits.remember_s
             entry = _Remembered(machine.body_hash, machine.result, until_s)
--- a/src/carobstair/core/actions.py
+++ b/src/carobstair/core/actions.py
@@ -7,9 +7,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-from enum import StrEnum
-
 from carobstair.core.action_events import (
     AcquireSlot,
     Answered,
@@ -36,6 +33,7 @@
     WriteAccepted,
     WriteConflict,
 )
+from carobstair.core.action_phases import UNSENT_PHASES, ActionSettings, Phase
 from carobstair.core.action_records import (
     ActionRecord,
     Outcome,
@@ -45,56 +43,7 @@
 )
 from carobstair.core.refusals import Refusal, refuse
 
-__all__ = ["ActionMachine", "ActionSettings", "Phase"]
-
-
-class Phase(StrEnum):
-    """What an action waits for."""
-
-    READING = "reading"
-    ASKING_PEERS = "asking-peers"
-    WAITING = "waiting"
-    CREATING = "creating"
-    SETTLING = "settling"
-    SENDING = "sending"
-    RECORDING = "recording"
-    FOLLOWING = "following"
-    RELEASING = "releasing"
-    ENDED = "ended"
-
-
-UNSENT_PHASES = frozenset(
-    {
-        Phase.READING,
-        Phase.ASKING_PEERS,
-        Phase.WAITING,
-        Phase.CREATING,
-        Phase.SETTLING,
-    }
-)
-
-
-@dataclass(frozen=True, slots=True)
-class ActionSettings:
-    """Limits of one action.
-
-    Attributes
-    ----------
-    settle_limit_s : float
-        How long a doubtful create is settled while the slot is held.
-    poll_min_s, poll_max_s : float
-        Delay between two looks at a record; doubles from the first to the second.
-    max_sends : int
-        Sends of one action; only the last one may have run.
-    release_tries : int
-        Tries to delete the record of an action that was not sent.
-    """
-
-    settle_limit_s: float = 3.0
-    poll_min_s: float = 0.05
-    poll_max_s: float = 2.0
-    max_sends: int = 4
-    release_tries: int = 8
+__all__ = ["ActionMachine"]
 
 
 class ActionMachine:
@@ -157,7 +106,12 @@
         only_caller : bool
             Whether the action is abandoned with this caller.
         """
-        if not only_caller or self.phase not in UNSENT_PHASES:
+        unclaimed = (Phase.WAITING, Phase.CONFIRMING)
+        if (
+            not only_caller
+            or self.phase not in UNSENT_PHASES
+            or (self.phase in unclaimed and not self.attempt_id)
+        ):
             return refuse("outcome-pending")
         if self.phase is Phase.WAITING:
             return refuse("deadline-exceeded")
@@ -206,8 +160,13 @@
 
     def _waiting(self, event: Event, now_s: float, unix_s: float) -> list[Effect]:
         match event:
-            case SlotRefused(refusal):
+            case SlotRefused(refusal) if self.attempt_id or self._abandoned:
                 return self._give_up(refusal)
+            case SlotRefused(refusal):
+                # Another router may have run the action while this one waited.
+                self.result = refusal
+                self.phase = Phase.CONFIRMING
+                return [ReadRecord()]
             case SlotGranted() if self._abandoned:
                 return [ReleaseSlot(), *self._give_up(refuse("deadline-exceeded"))]
             case SlotGranted() if self._sends:
@@ -216,6 +175,19 @@
                 return self._claim(now_s, unix_s)
         return self._unexpected(event)
 
+    def _confirming(self, event: Event, now_s: float, unix_s: float) -> list[Effect]:
+        match event:
+            case RecordMissing():
+                return self._end()
+            case RecordFound(_, version) if version == self._version:
+                # The record to be taken over, whose attempt was not sent.
+                return self._end()
+            case RecordFound(record):
+                return self._finish(self._known_end(record))
+            case StoreDoubtful():
+                return self._finish(refuse("outcome-pending"))
+        return self._unexpected(event)
+
     def _creating(self, event: Event, now_s: float, unix_s: float) -> list[Effect]:
         match event:
             case WriteAccepted(version):
@@ -327,12 +299,11 @@
 
     def _follow(self, record: ActionRecord, version: int) -> list[Effect]:
         self.phase = Phase.FOLLOWING
-        if record.body_hash != self.body_hash:
-            return self._finish(refuse("key-reused"))
-        if record.state is RecordState.DONE:
-            return self._finish(record.outcome)
-        if record.state is RecordState.LOST:
-            return self._finish(refuse("answer-lost", "an earlier request"))
+        if (
+            record.state is not RecordState.STARTED
+            or record.body_hash != self.body_hash
+        ):
+            return self._finish(self._known_end(record))
         self._version = version
         if (record.instance, record.incarnation) == self._attempts.own:
             if self._attempts.was_not_sent(record.attempt_id):
@@ -343,6 +314,16 @@
             return self._finish(refuse("answer-lost", "its router has ended"))
         return [AskOwner(record.instance, record.attempt_id)]
 
+    def _known_end(self, record: ActionRecord) -> Outcome | Refusal:
+        """Return what a record alone tells a caller."""
+        if record.body_hash != self.body_hash:
+            return refuse("key-reused")
+        if record.state is RecordState.DONE:
+            return record.outcome
+        if record.state is RecordState.LOST:
+            return refuse("answer-lost", "an earlier request")
+        return refuse("outcome-pending")
+
     def _wait_for_slot(self) -> list[Effect]:
         self.phase = Phase.WAITING
         return [AcquireSlot()]
--- a/src/carobstair/net/actions.py
+++ b/src/carobstair/net/actions.py
@@ -40,6 +40,7 @@
     WriteAccepted,
     WriteConflict,
 )
+from carobstair.core.action_phases import ActionSettings, Phase
 from carobstair.core.action_records import (
     Outcome,
     OwnAttempts,
@@ -52,7 +53,7 @@
     encode_record,
     record_name,
 )
-from carobstair.core.actions import ActionMachine, ActionSettings, Phase
+from carobstair.core.actions import ActionMachine
 from carobstair.core.grants import HeldGrant
 from carobstair.core.messages import (
     Envelope,
@@ -80,6 +81,9 @@
 # How long the router waits for an upstream's answer once an action was sent; its
 # callers may have left before.
 ACTION_ANSWER_S = 60.0
+# Left of the deadline when the wait for a slot ends, for a look at the record that
+# tells whether "not run" is true.
+CONFIRM_S = 0.25
 # Where peers differ, the one that knows most is right.
 KNOWLEDGE = (
     OwnerState.DONE,
@@ -159,6 +163,7 @@
         attempts = OwnAttempts((own.instance, own.incarnation), generator)
         self.book = ActionBook(attempts, ActionSettings(), BookLimits())
         self._runs: dict[str, _Run] = {}
+        self._unfinished: set[_Run] = set()
         self._tasks: set[asyncio.Task] = set()
         self._queries: dict[int, _Query] = {}
         self._last_query = 0
@@ -168,7 +173,7 @@
     @property
     def unfinished(self) -> int:
         """Number of actions whose outcome is not known or not written yet."""
-        return len(self._runs)
+        return len(self._unfinished)
 
     async def call(self, call: ServiceCall) -> Outcome:
         """Return the outcome of a keyed action, whoever ran it.
@@ -185,7 +190,7 @@
             return known
         machine = self.book.join(record, digest, call.context.deadline_s)
         run = self._runs.get(record)
-        if run is None:
+        if run is None or run.machine is not machine:
             run = self._start(record, call, machine)
         run.callers += 1
         try:
@@ -205,6 +210,7 @@
         result = asyncio.get_running_loop().create_future()
         run = _Run(record, call, machine, result)
         self._runs[record] = run
+        self._unfinished.add(run)
         # The task belongs to no caller: one that leaves must not take the outcome
         # of a sent action with it.
         task = asyncio.create_task(self._run(run))
@@ -231,8 +237,10 @@
             self._release(run)
             if not run.result.done():
                 run.result.set_result(refuse("internal-error"))
-            del self._runs[run.record]
-            self.book.close(run.record, time.monotonic())
+            self._unfinished.discard(run)
+            if self._runs.get(run.record) is run:
+                del self._runs[run.record]
+            self.book.close(run.record, run.machine, time.monotonic())
 
     @singledispatchmethod
     async def _do(self, effect: Effect, run: _Run) -> Event | None:
@@ -282,7 +290,8 @@
 
     @_do.register
     async def _(self, effect: AcquireSlot, run: _Run) -> Event:
-        call = run.call.excluding(run.excluded)
+        limit_s = run.machine.deadline_s - CONFIRM_S
+        call = run.call.excluding(run.excluded).waiting_until(limit_s)
         run.acquiring = asyncio.create_task(self._sender.acquire(call))
         try:
             run.grant = await run.acquiring
--- a/src/carobstair/net/services.py
+++ b/src/carobstair/net/services.py
@@ -57,6 +57,10 @@
         """Return the call with more upstreams excluded."""
         return replace(self, excluded=self.excluded | set(upstreams))
 
+    def waiting_until(self, deadline_s: float) -> ServiceCall:
+        """Return the call with another deadline for the wait in the queue."""
+        return replace(self, context=replace(self.context, deadline_s=deadline_s))
+
 
 class ServiceCaller:
     """Sends service calls on granted slots.
