--- a/src/carobstair/net/chat.py
+++ b/src/carobstair/net/chat.py
@@ -6,7 +6,7 @@
 import time
 import uuid
 from collections.abc import AsyncIterator
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 
 from carobstair.core.fairness import engine_cost_tokens
 from carobstair.core.grants import HeldGrant
@@ -17,10 +17,11 @@
 from carobstair.metrics import RouterMetrics
 from carobstair.models import ChatRequestModel
 from carobstair.net.capacity import CapacityDriver
-from carobstair.net.context import CallerContext
+from carobstair.net.context import CallerContext, Progress
 from carobstair.net.upstream import (
     AnswerMismatch,
     Chunk,
+    NotSent,
     StreamBroken,
     UpstreamClient,
     UpstreamError,
@@ -47,6 +48,7 @@
     charged_tokens: float = 0.0
     last_chunk_s: float = 0.0
     attempts: int = 0
+    progress: Progress = field(default_factory=Progress)
 
 
 class ChatRelay:
@@ -100,11 +102,9 @@
         upstream = self.state.upstreams.get(grant.offer.upstream)
         if upstream is None or not self.state.accepts_work(upstream):
             raise UpstreamRefused("the upstream left service")
+        generation.progress.upstream = upstream.name
         attempt_id = f"{generation.context.request_id}.{uuid.uuid4().hex[:8]}"
         pool, workspace = grant.offer.pool, grant.offer.workspace
-        reserved = grant.offer.cost_tokens
-        totals = self._capacity.node.totals
-        totals.reserve(pool, workspace, reserved)
         self._capacity.node.prefixes.note_cached(
             upstream.name, generation.waiting.prefix
         )
@@ -118,15 +118,11 @@
                 if not self._capacity.is_valid(grant):
                     raise StreamBroken("the grant's lease lapsed")
                 cost = self._account(generation, upstream.name, chunk)
-                totals.charge(pool, workspace, cost)
+                self._capacity.node.charge(grant, cost)
                 self._metrics.served_tokens.labels(pool, workspace).inc(cost)
-                freed = min(cost, reserved)
-                reserved -= freed
-                totals.reserve(pool, workspace, -freed)
                 yield chunk
             whole = True
         finally:
-            totals.reserve(pool, workspace, -reserved)
             if not whole:
                 await self._upstreams.cancel(upstream, attempt_id)
 
@@ -147,9 +143,9 @@
         if generation.last_chunk_s:
             interval_s = now_s - generation.last_chunk_s
             self._capacity.node.note_token_interval(upstream, interval_s * 1000.0)
-            self._metrics.token_interval_s.labels(context.workspace.name).observe(
-                interval_s
-            )
+            self._metrics.token_interval_s.labels(
+                context.workspace.name, generation.waiting.work_class
+            ).observe(interval_s)
         generation.last_chunk_s = now_s
         generation.chunks = chunk.number
         if chunk.finished:
@@ -166,6 +162,8 @@
             upstream=grant.offer.upstream,
             error=str(error),
         )
+        if not isinstance(error, NotSent | UpstreamRefused):
+            generation.progress.may_have_run = True
         if isinstance(error, AnswerMismatch):
             self._metrics.mismatched.inc()
         self._metrics.resumed.labels(type(error).__name__).inc()
--- a/src/carobstair/net/services.py
+++ b/src/carobstair/net/services.py
@@ -13,7 +13,7 @@
 from carobstair.core.refusals import Refusal, refuse
 from carobstair.metrics import RouterMetrics
 from carobstair.net.capacity import CapacityDriver
-from carobstair.net.context import CallerContext
+from carobstair.net.context import CallerContext, Progress
 from carobstair.net.upstream import (
     AnswerMismatch,
     NotSent,
@@ -52,6 +52,7 @@
     repeatable: bool
     key: str = ""
     excluded: frozenset[str] = field(default_factory=frozenset)
+    progress: Progress = field(default_factory=Progress, compare=False)
 
     def excluding(self, upstreams: Iterable[str]) -> ServiceCall:
         """Return the call with more upstreams excluded."""
@@ -138,6 +139,7 @@
         upstream = self._capacity.state.upstreams.get(grant.offer.upstream)
         if upstream is None or not self._capacity.state.accepts_work(upstream):
             raise UpstreamRefused("the upstream left service")
+        call.progress.upstream = upstream.name
         began_s = time.monotonic()
         try:
             return await self._upstreams.call(
@@ -149,14 +151,16 @@
                 call.body,
                 timeout_s,
             )
-        except AnswerMismatch:
-            self._metrics.mismatched.inc()
+        except UpstreamError as error:
+            if isinstance(error, AnswerMismatch):
+                self._metrics.mismatched.inc()
+            if not isinstance(error, NotSent | UpstreamRefused):
+                call.progress.may_have_run = True
             raise
         finally:
-            cost = service_cost_tokens(time.monotonic() - began_s)
-            offer = grant.offer
-            self._capacity.node.totals.charge(offer.pool, offer.workspace, cost)
-            self._capacity.node.note_token_interval(upstream.name, 0.0)
+            took_s = time.monotonic() - began_s
+            self._capacity.node.charge(grant, service_cost_tokens(took_s))
+            self._capacity.node.note_service_call(upstream.name, took_s)
 
     def _end_of(
         self, call: ServiceCall, error: UpstreamError, attempts: int, may_have_run: bool
