Bound retries by budgets and streams by progress and lease

Cause: retries were limited by a constant of four attempts, whatever failed; a failing engine kept drawing work; a silent stream held its grant past the lease; a resumed request asked for its whole cost again; a refusal after an attempt that had been sent could say "not run". Two requests with the same X-Request-Id shared one entry in the queue, also across workspaces.

An attempt that brought a stream on costs no budget. net/events.py reads events with a limit on silence and stops before the lease lapses. X-Deadline-Ms goes to the upstreams; it bounds the first token. The resumed request shrinks to what remains. Waiting requests and attempts have ids of their own.

--- a/src/carobstair/core/action_events.py
+++ b/src/carobstair/core/action_events.py
@@ -91,10 +91,19 @@
 
 @dataclass(frozen=True, slots=True)
 class NotRun:
-    """It is certain that no upstream runs the action, now or later."""
+    """It is certain that no upstream runs the action, now or later.
+
+    Attributes
+    ----------
+    reached : bool
+        Whether an upstream said so; else nothing was sent.
+    may_retry : bool
+        Whether the budgets allow another send.
+    """
 
     detail: str
     reached: bool = False
+    may_retry: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/carobstair/core/actions.py
+++ b/src/carobstair/core/actions.py
@@ -74,7 +74,6 @@
         self.phase = Phase.READING
         self.attempt_id = ""
         self.result: Outcome | Refusal | None = None
-        self.certainly_not_sent = True
         self._abandoned = False
         self._record: ActionRecord | None = None
         self._version: int | None = None
@@ -227,9 +226,9 @@
             case AnswerLost(detail):
                 self.result = refuse("answer-lost", detail)
                 return [ReleaseSlot(), *self._write_end(RecordState.LOST, None)]
-            case NotRun(detail, reached):
-                self.certainly_not_sent = True
-                if self._sends < self._settings.max_sends and now_s < self.deadline_s:
+            case NotRun(detail, reached, may_retry):
+                sends_left = self._sends < self._settings.max_sends
+                if may_retry and sends_left and now_s < self.deadline_s:
                     self.phase = Phase.WAITING
                     return [ReleaseSlot(), AcquireSlot()]
                 name = "upstream-refused" if reached else "upstream-unreachable"
@@ -299,10 +298,8 @@
 
     def _follow(self, record: ActionRecord, version: int) -> list[Effect]:
         self.phase = Phase.FOLLOWING
-        if (
-            record.state is not RecordState.STARTED
-            or record.body_hash != self.body_hash
-        ):
+        started = record.state is RecordState.STARTED
+        if not started or record.body_hash != self.body_hash:
             return self._finish(self._known_end(record))
         self._version = version
         if (record.instance, record.incarnation) == self._attempts.own:
@@ -335,9 +332,8 @@
         """
         self.phase = Phase.CREATING
         self.attempt_id = self._attempts.new()
-        self._settle_until_s = min(
-            self.deadline_s, now_s + self._settings.settle_limit_s
-        )
+        limit_s = now_s + self._settings.settle_limit_s
+        self._settle_until_s = min(self.deadline_s, limit_s)
         self._record = ActionRecord(
             self.attempt_id,
             self.body_hash,
@@ -368,7 +364,6 @@
             return [ReleaseSlot(), *self._give_up(refuse("deadline-exceeded"))]
         self.phase = Phase.SENDING
         self._sends += 1
-        self.certainly_not_sent = False
         return [SendAction(f"{self.attempt_id}.{self._sends}")]
 
     def _write_end(self, state: RecordState, outcome: Outcome | None) -> list[Effect]:
--- a/src/carobstair/metrics.py
+++ b/src/carobstair/metrics.py
@@ -111,6 +111,17 @@
             "answers_mismatched", "Answers that belonged to another request", ()
         )
 
+        self.ejections = self._counter(
+            "upstream_ejections",
+            "Times that an upstream was ejected for failing",
+            ("upstream",),
+        )
+        self.retries_denied = self._counter(
+            "retries_denied",
+            "Failed attempts that were not repeated for lack of budget or time",
+            ("workspace",),
+        )
+
     def page(self) -> bytes:
         """Return the metrics page in the text format of Prometheus."""
         for refresh in self.refreshers:
--- a/src/carobstair/net/actions.py
+++ b/src/carobstair/net/actions.py
@@ -106,6 +106,12 @@
     ) -> ServiceAnswer:
         """Send a call on a slot, once."""
 
+    def may_retry(self, call: ServiceCall, upstream: str) -> bool:
+        """Return whether the budgets and the deadline allow another send."""
+
+    def note_request(self, call: ServiceCall) -> None:
+        """Count a caller's request for the budgets."""
+
     def release(self, grant: HeldGrant) -> None:
         """Give a slot back."""
 
@@ -211,6 +217,7 @@
         run = _Run(record, call, machine, result)
         self._runs[record] = run
         self._unfinished.add(run)
+        self._sender.note_request(call)
         # The task belongs to no caller: one that leaves must not take the outcome
         # of a sent action with it.
         task = asyncio.create_task(self._run(run))
@@ -318,7 +325,8 @@
             )
         except (NotSent, UpstreamRefused) as error:
             run.excluded.add(upstream)
-            return NotRun(str(error), isinstance(error, UpstreamRefused))
+            may_retry = self._sender.may_retry(run.call, upstream)
+            return NotRun(str(error), isinstance(error, UpstreamRefused), may_retry)
         except UpstreamError as error:
             logger.warning(
                 "action_answer_lost",
--- a/src/carobstair/net/app.py
+++ b/src/carobstair/net/app.py
@@ -51,7 +51,7 @@
         generation = self._gateway.parse_generation(context, body)
         chunks = self._gateway.generate(generation)
         if not generation.model.stream:
-            answer = [chunk async for chunk in chunks]
+            answer = [chunk async for chunk in chunks if chunk is not None]
             resp.content_type = falcon.MEDIA_JSON
             resp.data = collect_answer(answer, generation)
             return
@@ -64,7 +64,8 @@
         try:
             yield _event(request_id, first)
             async for chunk in rest:
-                yield _event(request_id, chunk)
+                # Falcon sends a comment for None.
+                yield None if chunk is None else _event(request_id, chunk)
             yield falcon.asgi.SSEvent(data=b"[DONE]")
         except Refusal as refusal:
             problem = refusal.problem(request_id)
--- a/src/carobstair/net/chat.py
+++ b/src/carobstair/net/chat.py
@@ -2,16 +2,19 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import time
 import uuid
 from collections.abc import AsyncIterator
+from contextlib import aclosing
 from dataclasses import dataclass, field, replace
 
 from carobstair.core.fairness import engine_cost_tokens
 from carobstair.core.grants import HeldGrant
-from carobstair.core.queueing import WaitingRequest
-from carobstair.core.refusals import refuse
+from carobstair.core.queueing import WaitingRequest, sane_hint_tokens
+from carobstair.core.refusals import Refusal, refuse
+from carobstair.core.retries import RetryPolicy
 from carobstair.core.state import FleetState
 from carobstair.logs import get_logger
 from carobstair.metrics import RouterMetrics
@@ -22,17 +25,20 @@
     AnswerMismatch,
     Chunk,
     NotSent,
-    StreamBroken,
     UpstreamClient,
     UpstreamError,
     UpstreamRefused,
 )
+from carobstair.settings import GatewaySettings
 
 __all__ = ["ChatRelay", "Generation", "collect_answer"]
 
 logger = get_logger(__name__)
 
-MAX_ATTEMPTS = 4
+# Longest wait without any byte for a caller whose status has been sent.
+CALLER_HEARTBEAT_S = 5.0
+# Left of a lease when its use ends, for the cancel to reach the engine.
+LEASE_MARGIN_S = 0.25
 
 
 @dataclass(slots=True)
@@ -58,43 +64,84 @@
     ----------
     capacity : CapacityDriver
     upstreams : UpstreamClient
+    retries : RetryPolicy
     metrics : RouterMetrics
+    settings : GatewaySettings
     """
 
     def __init__(
         self,
         capacity: CapacityDriver,
         upstreams: UpstreamClient,
+        retries: RetryPolicy,
         metrics: RouterMetrics,
+        settings: GatewaySettings,
     ):
         self._capacity = capacity
         self._upstreams = upstreams
+        self._retries = retries
         self._metrics = metrics
+        self._resume_limit_s = settings.default_deadline_s
+        self._stopped = False
 
     @property
     def state(self) -> FleetState:
         """The fleet state in force."""
         return self._capacity.state
 
-    async def chunks(self, generation: Generation) -> AsyncIterator[Chunk]:
+    async def chunks(self, generation: Generation) -> AsyncIterator[Chunk | None]:
         """Yield the whole answer in numbered chunks.
 
+        None is yielded while a caller who has a part already waits long for the
+        rest, so that the connection does not look dead.
+
         Raises
         ------
         Refusal
         """
+        self._retries.note_request(generation.context.workspace.name, time.monotonic())
         while True:
             generation.attempts += 1
-            at_front = generation.attempts > 1
-            grant = await self._capacity.acquire(generation.waiting, at_front)
+            before = generation.chunks
+            grant, wait = None, asyncio.create_task(self._acquire(generation))
             try:
-                async for chunk in self._relay(generation, grant):
-                    yield chunk
+                while not (await asyncio.wait({wait}, timeout=CALLER_HEARTBEAT_S))[0]:
+                    if generation.chunks:
+                        yield None
+                grant = wait.result()
+                async with aclosing(self._relay(generation, grant)) as relay:
+                    async for chunk in relay:
+                        yield chunk
+                self._retries.ejections.note_success(grant.offer.upstream)
                 return
             except UpstreamError as error:
                 self._note_failure(generation, grant, error)
+                self._check_retry(generation, grant, error, before)
+            except Refusal as refusal:
+                raise self._true(generation, refusal) from None
             finally:
-                self._capacity.release(grant)
+                self._give_back(wait)
+            await asyncio.sleep(self._delay_s(generation, before))
+            self._prepare_retry(generation, grant)
+
+    def stop_all(self) -> None:
+        """End all streams, at the limit of a shutdown."""
+        self._stopped = True
+
+    async def _acquire(self, generation: Generation) -> HeldGrant:
+        waiting = generation.waiting
+        names = {u.name for u in self.state.pool_upstreams(waiting.pool)}
+        ejected = self._retries.ejections.ejected(names, time.monotonic())
+        if not names <= waiting.excluded | ejected:
+            waiting = replace(waiting, excluded=waiting.excluded | ejected)
+        return await self._capacity.acquire(waiting, generation.attempts > 1)
+
+    def _give_back(self, wait: asyncio.Task[HeldGrant]) -> None:
+        """Leave the queue, or release the grant that came of it."""
+        if not wait.done():
+            wait.cancel()
+        elif not wait.cancelled() and wait.exception() is None:
+            self._capacity.release(wait.result())
 
     async def _relay(
         self, generation: Generation, grant: HeldGrant
@@ -103,27 +150,39 @@
         if upstream is None or not self.state.accepts_work(upstream):
             raise UpstreamRefused("the upstream left service")
         generation.progress.upstream = upstream.name
-        attempt_id = f"{generation.context.request_id}.{uuid.uuid4().hex[:8]}"
+        # Unique whatever id the caller chose, and free of that choice.
+        attempt_id = uuid.uuid4().hex
         pool, workspace = grant.offer.pool, grant.offer.workspace
         self._capacity.node.prefixes.note_cached(
             upstream.name, generation.waiting.prefix
         )
-        whole = False
+        self._retries.note_attempt(upstream.name, time.monotonic())
+        stream = self._upstreams.stream(
+            upstream,
+            attempt_id,
+            generation.body,
+            generation.chunks,
+            lambda: grant.expires_s - LEASE_MARGIN_S,
+            generation.context.deadline_s,
+        )
+        whole, sent = False, True
         try:
-            stream = self._upstreams.stream(
-                upstream, attempt_id, generation.body, generation.chunks
-            )
             generation.last_chunk_s = 0.0
             async for chunk in stream:
-                if not self._capacity.is_valid(grant):
-                    raise StreamBroken("the grant's lease lapsed")
+                if self._stopped:
+                    raise refuse("answer-lost", "the router shuts down")
                 cost = self._account(generation, upstream.name, chunk)
                 self._capacity.node.charge(grant, cost)
                 self._metrics.served_tokens.labels(pool, workspace).inc(cost)
                 yield chunk
             whole = True
+        except NotSent:
+            sent = False
+            raise
         finally:
-            if not whole:
+            await stream.aclose()
+            # An engine that stays unreachable drops the stream with its connection.
+            if sent and not whole:
                 await self._upstreams.cancel(upstream, attempt_id)
 
     def _account(self, generation: Generation, upstream: str, chunk: Chunk) -> float:
@@ -167,14 +226,70 @@
         if isinstance(error, AnswerMismatch):
             self._metrics.mismatched.inc()
         self._metrics.resumed.labels(type(error).__name__).inc()
-        if generation.attempts >= MAX_ATTEMPTS:
-            name = "upstream-refused" if not generation.chunks else "answer-lost"
-            raise refuse(name, str(error)) from error
-        others = self.state.pool_upstreams(generation.waiting.pool)
-        excluded = generation.waiting.excluded | {grant.offer.upstream}
-        if len(excluded) >= len(others):
-            excluded = frozenset()
-        generation.waiting = replace(generation.waiting, excluded=excluded)
+        name = grant.offer.upstream
+        if not isinstance(error, UpstreamRefused) and (
+            self._retries.ejections.note_failure(name, time.monotonic())
+        ):
+            self._metrics.ejections.labels(name).inc()
+            logger.warning("upstream_ejected", upstream=name)
+
+    def _check_retry(
+        self,
+        generation: Generation,
+        grant: HeldGrant,
+        error: UpstreamError,
+        before: int,
+    ) -> None:
+        """Refuse unless the budgets allow another attempt.
+
+        An attempt that brought the answer on costs no budget: what it resumes
+        is not sent again.
+        """
+        if generation.chunks > before:
+            return
+        workspace, upstream = grant.offer.workspace, grant.offer.upstream
+        now_s = time.monotonic()
+        in_time = generation.chunks or now_s < generation.context.deadline_s
+        if in_time and self._retries.allow(workspace, upstream, now_s):
+            return
+        self._metrics.retries_denied.labels(workspace).inc()
+        name = "upstream-refused"
+        if isinstance(error, NotSent):
+            name = "upstream-unreachable"
+        raise self._true(generation, refuse(name, str(error))) from error
+
+    def _true(self, generation: Generation, refusal: Refusal) -> Refusal:
+        """Return the refusal that is true after the attempts made so far."""
+        return refusal.given(generation.progress.may_have_run or generation.chunks > 0)
+
+    def _delay_s(self, generation: Generation, before: int) -> float:
+        if generation.chunks > before:
+            return 0.0
+        return self._retries.backoff.delay_s(generation.attempts)
+
+    def _prepare_retry(self, generation: Generation, grant: HeldGrant) -> None:
+        """Exclude the failed upstream and shrink the request to what remains."""
+        waiting = generation.waiting
+        names = {u.name for u in self.state.pool_upstreams(waiting.pool)}
+        excluded = (waiting.excluded | {grant.offer.upstream}) & names
+        if excluded == names:
+            excluded = frozenset({grant.offer.upstream} if len(names) > 1 else ())
+        generation.waiting = replace(
+            waiting,
+            request_id=uuid.uuid4().hex,
+            excluded=excluded,
+            cost_tokens=_remaining_cost_tokens(generation),
+        )
+        if generation.chunks:
+            # The deadline is one for the first token; a long answer outlives it.
+            generation.waiting.deadline_s = time.monotonic() + self._resume_limit_s
+
+
+def _remaining_cost_tokens(generation: Generation) -> float:
+    """Return the estimated cost of the part that is not relayed yet."""
+    output_tokens = sane_hint_tokens(generation.model.max_tokens)
+    left = max(1, output_tokens - generation.chunks)
+    return engine_cost_tokens(left, generation.input_tokens)
 
 
 def _closing_cost_tokens(generation: Generation, chunk: Chunk) -> float:
--- /dev/null
+++ b/src/carobstair/net/events.py
@@ -0,0 +1,168 @@
+"""Numbered events of a generation, read with limits on silence."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+from collections.abc import AsyncIterator, Callable
+from dataclasses import dataclass
+
+import aiohttp
+
+__all__ = [
+    "AnswerMismatch",
+    "Chunk",
+    "EventReader",
+    "NotSent",
+    "ProgressLimits",
+    "StreamBroken",
+    "UpstreamError",
+    "UpstreamRefused",
+    "read_chunks",
+]
+
+MAX_EVENT_BYTES = 1_000_000
+
+
+class UpstreamError(Exception):
+    """A call to an upstream that gave no whole answer."""
+
+
+class NotSent(UpstreamError):
+    """No connection came about; nothing was sent."""
+
+
+class UpstreamRefused(UpstreamError):
+    """The upstream answered that it did not run the request."""
+
+
+class StreamBroken(UpstreamError):
+    """The answer broke off or went silent; it may have run in part."""
+
+
+class AnswerMismatch(UpstreamError):
+    """The answer carries the identifier of another request."""
+
+
+@dataclass(frozen=True, slots=True)
+class Chunk:
+    """One numbered event of a generation.
+
+    Attributes
+    ----------
+    number : int
+        Counted from 1 without gaps over the whole answer.
+    finished : bool
+        Whether this event closes the answer.
+    """
+
+    number: int
+    document: dict
+    finished: bool
+
+
+@dataclass(frozen=True, slots=True)
+class ProgressLimits:
+    """How long a stream may be silent, in seconds.
+
+    Attributes
+    ----------
+    first_s, next_s : float
+        For the first event and for each further one.
+    usable_until : callable
+        Returns the monotonic time at which reading must stop; it may grow.
+    """
+
+    first_s: float
+    next_s: float
+    usable_until: Callable[[], float]
+
+
+class EventReader:
+    """Reads server-sent events; comments count as no progress.
+
+    Parameters
+    ----------
+    content : aiohttp.StreamReader
+    limits : ProgressLimits
+    """
+
+    def __init__(self, content: aiohttp.StreamReader, limits: ProgressLimits):
+        self._content = content
+        self._limits = limits
+        self._allowed_s = limits.first_s
+        self._buffer = b""
+
+    async def next_event(self) -> tuple[int, bytes] | None:
+        """Return number and data of the next event, or None at the end.
+
+        Raises
+        ------
+        StreamBroken
+            If the stream stays silent or must not be used any longer.
+        """
+        until_s = time.monotonic() + self._allowed_s
+        while (event := self._take()) is None:
+            data = await self._read(until_s)
+            if not data:
+                return None
+            self._buffer += data
+            if len(self._buffer) > MAX_EVENT_BYTES:
+                raise StreamBroken("an event is too large")
+        self._allowed_s = self._limits.next_s
+        return event
+
+    async def _read(self, until_s: float) -> bytes:
+        while True:
+            now_s, stop_s = time.monotonic(), self._limits.usable_until()
+            if now_s >= stop_s:
+                raise StreamBroken("the grant's lease lapsed")
+            if now_s >= until_s:
+                raise StreamBroken("no token in time")
+            try:
+                # A cancelled `readany` leaves its bytes in the stream's buffer.
+                async with asyncio.timeout(min(until_s, stop_s) - now_s):
+                    return await self._content.readany()
+            except TimeoutError:
+                # The lease may have been renewed meanwhile.
+                continue
+
+    def _take(self) -> tuple[int, bytes] | None:
+        while True:
+            block, found, rest = self._buffer.partition(b"\n\n")
+            if not found:
+                return None
+            self._buffer = rest
+            number, data = 0, b""
+            for line in block.splitlines():
+                if line.startswith(b"id:"):
+                    number = int(line[3:])
+                elif line.startswith(b"data:"):
+                    data = line[5:].strip()
+            if data:
+                return number, data
+
+
+async def read_chunks(reader: EventReader, after: int) -> AsyncIterator[Chunk]:
+    """Yield the chunks that follow a number, without gap or repeat.
+
+    Raises
+    ------
+    StreamBroken
+        If a number is out of order or the stream ends before ``[DONE]``.
+    """
+    number, finished = after, False
+    while (event := await reader.next_event()) is not None:
+        event_id, data = event
+        if data == b"[DONE]":
+            if not finished:
+                raise StreamBroken("ended without a closing chunk")
+            return
+        if event_id != number + 1:
+            raise StreamBroken(f"event {event_id} follows {number}")
+        number = event_id
+        document = json.loads(data)
+        finished = bool(document["choices"][0].get("finish_reason"))
+        yield Chunk(number, document, finished)
+    raise StreamBroken("ended without [DONE]")
--- a/src/carobstair/net/router.py
+++ b/src/carobstair/net/router.py
@@ -9,6 +9,7 @@
 
 from carobstair.core.capacity import CapacityNode
 from carobstair.core.messages import PeerAddress
+from carobstair.core.retries import EjectionSettings, RetryPolicy, RetrySettings
 from carobstair.core.shares import SlotShare
 from carobstair.core.state import FleetState
 from carobstair.logs import get_logger
@@ -87,7 +88,14 @@
             self._on_state,
         )
         self.capacity.on_leaving_report = self.agent.note_leaving
-        services = ServiceCaller(self.capacity, self._upstreams, self.metrics)
+        self._retries = RetryPolicy(
+            RetrySettings(),
+            EjectionSettings(),
+            random.Random(f"{settings.seed}/{instance.name}/retries"),
+        )
+        services = ServiceCaller(
+            self.capacity, self._upstreams, self._retries, self.metrics
+        )
         self.actions = ActionDriver(
             self.own,
             self._store,
@@ -96,7 +104,13 @@
             self.agent.live_peers,
             random.Random(f"{settings.seed}/{instance.name}/actions"),
         )
-        chat = ChatRelay(self.capacity, self._upstreams, self.metrics)
+        chat = ChatRelay(
+            self.capacity,
+            self._upstreams,
+            self._retries,
+            self.metrics,
+            settings.gateway,
+        )
         self.gateway = Gateway(
             settings, self.capacity, chat, services, self.actions, self.metrics
         )
@@ -133,6 +147,7 @@
     def _on_state(self, state: FleetState) -> None:
         self.capacity.set_state(state)
         self.metrics.keep_in_force(state)
+        self._retries.keep(state.workspaces, state.upstreams)
 
     def _on_signal(self) -> None:
         if self._stopping.is_set():
--- a/src/carobstair/net/services.py
+++ b/src/carobstair/net/services.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import time
 import uuid
 from collections.abc import Iterable, Mapping
@@ -11,6 +12,8 @@
 from carobstair.core.grants import HeldGrant
 from carobstair.core.queueing import WaitingRequest, WorkClass
 from carobstair.core.refusals import Refusal, refuse
+from carobstair.core.retries import RetryPolicy
+from carobstair.logs import get_logger
 from carobstair.metrics import RouterMetrics
 from carobstair.net.capacity import CapacityDriver
 from carobstair.net.context import CallerContext, Progress
@@ -25,10 +28,11 @@
 
 __all__ = ["ServiceCall", "ServiceCaller"]
 
+logger = get_logger(__name__)
+
 SERVICE_COST_TOKENS = 2.0
 # How long a call that may repeat waits before it is tried elsewhere.
 SERVICE_ATTEMPT_S = 10.0
-MAX_ATTEMPTS = 4
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,6 +74,7 @@
     ----------
     capacity : CapacityDriver
     upstreams : UpstreamClient
+    retries : RetryPolicy
     metrics : RouterMetrics
     """
 
@@ -77,10 +82,12 @@
         self,
         capacity: CapacityDriver,
         upstreams: UpstreamClient,
+        retries: RetryPolicy,
         metrics: RouterMetrics,
     ):
         self._capacity = capacity
         self._upstreams = upstreams
+        self._retries = retries
         self._metrics = metrics
 
     async def call(self, call: ServiceCall) -> ServiceAnswer:
@@ -91,25 +98,27 @@
         Refusal
         """
         attempts, may_have_run = 0, False
+        self.note_request(call)
         while True:
             attempts += 1
             try:
                 grant = await self.acquire(call, attempts > 1)
             except Refusal as refusal:
                 raise refusal.given(may_have_run) from None
-            attempt_id = f"{call.context.request_id}.{uuid.uuid4().hex[:8]}"
+            attempt_id = uuid.uuid4().hex
             left_s = call.context.deadline_s - time.monotonic()
             try:
                 limit_s = min(SERVICE_ATTEMPT_S, left_s) if call.repeatable else left_s
                 return await self.send(call, grant, attempt_id, max(0.1, limit_s))
             except UpstreamError as error:
                 may_have_run |= not isinstance(error, NotSent | UpstreamRefused)
-                refusal = self._end_of(call, error, attempts, may_have_run)
+                refusal = self._end_of(call, grant, error, may_have_run)
                 if refusal is not None:
                     raise refusal from error
                 call = call.excluding({grant.offer.upstream})
             finally:
                 self.release(grant)
+            await asyncio.sleep(self._retries.backoff.delay_s(attempts))
 
     async def acquire(self, call: ServiceCall, at_front: bool = False) -> HeldGrant:
         """Wait for a slot on an upstream that is not excluded.
@@ -118,8 +127,11 @@
         ------
         Refusal
         """
-        others = self._capacity.state.pool_upstreams(call.service)
-        if all(u.name in call.excluded for u in others):
+        names = {u.name for u in self._capacity.state.pool_upstreams(call.service)}
+        ejected = self._retries.ejections.ejected(names, time.monotonic())
+        if not names <= call.excluded | ejected:
+            call = call.excluding(ejected)
+        elif names <= call.excluded:
             call = replace(call, excluded=frozenset())
         return await self._capacity.acquire(_waiting(call), at_front)
 
@@ -141,8 +153,9 @@
             raise UpstreamRefused("the upstream left service")
         call.progress.upstream = upstream.name
         began_s = time.monotonic()
+        self._retries.note_attempt(upstream.name, began_s)
         try:
-            return await self._upstreams.call(
+            answer = await self._upstreams.call(
                 upstream,
                 send_id,
                 call.method,
@@ -151,7 +164,10 @@
                 call.body,
                 timeout_s,
             )
+            self._retries.ejections.note_success(upstream.name)
+            return answer
         except UpstreamError as error:
+            self._note_failure(upstream.name, error)
             if isinstance(error, AnswerMismatch):
                 self._metrics.mismatched.inc()
             if not isinstance(error, NotSent | UpstreamRefused):
@@ -162,11 +178,37 @@
             self._capacity.node.charge(grant, service_cost_tokens(took_s))
             self._capacity.node.note_service_call(upstream.name, took_s)
 
+    def _note_failure(self, upstream: str, error: UpstreamError) -> None:
+        if isinstance(error, UpstreamRefused):
+            return
+        if self._retries.ejections.note_failure(upstream, time.monotonic()):
+            self._metrics.ejections.labels(upstream).inc()
+            logger.warning("upstream_ejected", upstream=upstream)
+
+    def note_request(self, call: ServiceCall) -> None:
+        """Count a caller's request for the budgets."""
+        self._retries.note_request(call.context.workspace.name, time.monotonic())
+
+    def may_retry(self, call: ServiceCall, upstream: str) -> bool:
+        """Return whether the budgets and the deadline allow another attempt."""
+        now_s, workspace = time.monotonic(), call.context.workspace.name
+        if now_s < call.context.deadline_s and self._retries.allow(
+            workspace, upstream, now_s
+        ):
+            return True
+        self._metrics.retries_denied.labels(workspace).inc()
+        return False
+
     def _end_of(
-        self, call: ServiceCall, error: UpstreamError, attempts: int, may_have_run: bool
+        self,
+        call: ServiceCall,
+        grant: HeldGrant,
+        error: UpstreamError,
+        may_have_run: bool,
     ) -> Refusal | None:
         """Return the refusal that ends a call, or None if it may be sent again."""
-        if attempts < MAX_ATTEMPTS and (call.repeatable or not may_have_run):
+        repeatable = call.repeatable or not may_have_run
+        if repeatable and self.may_retry(call, grant.offer.upstream):
             return None
         name = "upstream-refused"
         if isinstance(error, NotSent):
--- a/src/carobstair/net/upstream.py
+++ b/src/carobstair/net/upstream.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import json
-from collections.abc import AsyncIterator, Mapping
+import time
+from collections.abc import AsyncIterator, Callable, Mapping
 from contextlib import suppress
 from dataclasses import dataclass
 
@@ -12,6 +13,17 @@
 from carobstair.core.limits import LoadReport
 from carobstair.core.placement import CacheEvent
 from carobstair.core.state import Upstream
+from carobstair.net.events import (
+    AnswerMismatch,
+    Chunk,
+    EventReader,
+    NotSent,
+    ProgressLimits,
+    StreamBroken,
+    UpstreamError,
+    UpstreamRefused,
+    read_chunks,
+)
 from carobstair.settings import GatewaySettings
 
 __all__ = [
@@ -37,6 +49,7 @@
         "trailer",
         "transfer-encoding",
         "upgrade",
+        "x-deadline-ms",
         "x-request-id",
     }
 )
@@ -48,43 +61,6 @@
 CANCEL_TIMEOUT_S = 1.0
 
 
-class UpstreamError(Exception):
-    """A call to an upstream that gave no whole answer."""
-
-
-class NotSent(UpstreamError):
-    """No connection came about; nothing was sent."""
-
-
-class UpstreamRefused(UpstreamError):
-    """The upstream answered that it did not run the request."""
-
-
-class StreamBroken(UpstreamError):
-    """The answer broke off or went silent; it may have run in part."""
-
-
-class AnswerMismatch(UpstreamError):
-    """The answer carries the identifier of another request."""
-
-
-@dataclass(frozen=True, slots=True)
-class Chunk:
-    """One numbered event of a generation.
-
-    Attributes
-    ----------
-    number : int
-        Counted from 1 without gaps over the whole answer.
-    finished : bool
-        Whether this event closes the answer.
-    """
-
-    number: int
-    document: dict
-    finished: bool
-
-
 @dataclass(frozen=True, slots=True)
 class ServiceAnswer:
     """A plain service's whole answer."""
@@ -112,27 +88,59 @@
             await self._session.close()
 
     async def stream(
-        self, upstream: Upstream, attempt_id: str, body: bytes, after: int
+        self,
+        upstream: Upstream,
+        attempt_id: str,
+        body: bytes,
+        after: int,
+        usable_until: Callable[[], float],
+        deadline_s: float,
     ) -> AsyncIterator[Chunk]:
         """Yield the events of a generation that follow a number.
 
+        Parameters
+        ----------
+        usable_until : callable
+            Returns the monotonic time at which the use of the grant must stop.
+        deadline_s : float
+            Monotonic time until which the first token is of use.
+
         Raises
         ------
         NotSent, UpstreamRefused, StreamBroken, AnswerMismatch
         """
-        headers = {"X-Request-Id": attempt_id, "Content-Type": "application/json"}
+        headers = {
+            "X-Request-Id": attempt_id,
+            "X-Deadline-Ms": _left_ms(deadline_s),
+            "Content-Type": "application/json",
+        }
         if after:
             headers["Last-Event-ID"] = str(after)
+        limits = ProgressLimits(
+            self._settings.first_token_timeout_s,
+            self._settings.progress_timeout_s,
+            usable_until,
+        )
+        timeout = aiohttp.ClientTimeout(
+            total=None,
+            sock_connect=CONNECT_TIMEOUT_S,
+            sock_read=self._settings.first_token_timeout_s,
+        )
         url = upstream.address + "/v1/chat/completions"
         try:
-            async with self._open().post(url, data=body, headers=headers) as response:
+            async with self._open().post(
+                url, data=body, headers=headers, timeout=timeout
+            ) as response:
                 _check_engine(response, attempt_id)
-                async for chunk in self._read(response, after):
+                reader = EventReader(response.content, limits)
+                async for chunk in read_chunks(reader, after):
                     yield chunk
         except CONNECT_ERRORS as error:
             raise NotSent(str(error)) from error
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
             raise StreamBroken(str(error) or type(error).__name__) from error
+        except (KeyError, IndexError, TypeError, AttributeError) as error:
+            raise StreamBroken(f"unreadable event: {error!r}") from error
 
     async def call(
         self,
@@ -152,6 +160,7 @@
         """
         passed = {k: v for k, v in headers.items() if k.lower() not in HOP_HEADERS}
         passed["X-Request-Id"] = attempt_id
+        passed["X-Deadline-Ms"] = str(int(timeout_s * 1000))
         timeout = aiohttp.ClientTimeout(total=timeout_s, connect=CONNECT_TIMEOUT_S)
         try:
             async with self._open().request(
@@ -234,24 +243,6 @@
         except (KeyError, TypeError, ValueError, AttributeError) as error:
             raise UpstreamError(f"cache events: {error}") from error
 
-    async def _read(
-        self, response: aiohttp.ClientResponse, after: int
-    ) -> AsyncIterator[Chunk]:
-        number = after
-        finished = False
-        async for event_id, data in _events(response):
-            if data == b"[DONE]":
-                if not finished:
-                    raise StreamBroken("ended without a closing chunk")
-                return
-            if event_id != number + 1:
-                raise StreamBroken(f"event {event_id} follows {number}")
-            number = event_id
-            document = json.loads(data)
-            finished = bool(document["choices"][0].get("finish_reason"))
-            yield Chunk(number, document, finished)
-        raise StreamBroken("ended without [DONE]")
-
     def _open(self) -> aiohttp.ClientSession:
         if self._session is None:
             timeout = aiohttp.ClientTimeout(
@@ -275,17 +266,8 @@
     )
 
 
-async def _events(response: aiohttp.ClientResponse) -> AsyncIterator[tuple[int, bytes]]:
-    event_id, data = 0, b""
-    async for line in response.content:
-        line = line.rstrip(b"\r\n")
-        if line.startswith(b"id:"):
-            event_id = int(line[3:])
-        elif line.startswith(b"data:"):
-            data = line[5:].strip()
-        elif not line and data:
-            yield event_id, data
-            data = b""
+def _left_ms(deadline_s: float) -> str:
+    return str(max(0, int((deadline_s - time.monotonic()) * 1000)))
 
 
 def _check_engine(response: aiohttp.ClientResponse, attempt_id: str) -> None:
