Bound heads, bodies, stalls and open requests, and drain in order

Cause: a request head had neither a size nor a time limit, a body could come in for ever, a caller that took no bytes held its slot, and a workspace's number of open requests was not bounded. At shutdown the router did not tell callers with kept connections to move, and streams beyond the limit were cut without a word.

Change: net/http.py limits heads to 32 KB and 10 s, ends callers that take no bytes for 20 s, and has the kernel find dead ones. net/app.py gives a body 15 s. The gateway counts open requests per workspace. Retry-After of a full queue follows from the rate of answers (core/pace.py). A drain answers with "Connection: close", serves new requests during the balancer lag, waits for what runs, then ends the rest with a refusal or an error event. A second signal ends the process at once.

--- a/src/carobstair/core/refusals.py
+++ b/src/carobstair/core/refusals.py
@@ -5,8 +5,9 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-__all__ = ["CATALOGUE", "Ran", "Refusal", "RefusalType", "refuse"]
+__all__ = ["CATALOGUE", "PROBLEM_JSON", "Ran", "Refusal", "RefusalType", "refuse"]
 
+PROBLEM_JSON = "application/problem+json"
 TYPE_PREFIX = "urn:carobstair:refusal:"
 
 
@@ -100,6 +101,20 @@
     RefusalType(
         "too-large", 413, Ran.NO, "The request is too large", "Send a smaller request."
     ),
+    RefusalType(
+        "headers-too-large",
+        431,
+        Ran.NO,
+        "The request's headers are too large",
+        "Send smaller headers.",
+    ),
+    RefusalType(
+        "request-timeout",
+        408,
+        Ran.NO,
+        "The request came in too slowly",
+        "Send it again, without pauses.",
+    ),
     RefusalType(
         "queue-full",
         429,
--- a/src/carobstair/net/app.py
+++ b/src/carobstair/net/app.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import hmac
 import json
 import math
@@ -12,7 +13,7 @@
 import falcon.asgi
 from prometheus_client import CONTENT_TYPE_LATEST
 
-from carobstair.core.refusals import Refusal, refuse
+from carobstair.core.refusals import PROBLEM_JSON, Refusal, refuse
 from carobstair.core.state import UpstreamKind
 from carobstair.logs import get_logger
 from carobstair.metrics import RouterMetrics
@@ -20,6 +21,7 @@
 from carobstair.net.agent import Agent
 from carobstair.net.chat import collect_answer
 from carobstair.net.gateway import Gateway
+from carobstair.net.http import ON_END
 from carobstair.settings import RouterSettings
 
 __all__ = ["make_app"]
@@ -27,18 +29,27 @@
 logger = get_logger(__name__)
 
 REQUEST_ID = re.compile(r"[A-Za-z0-9._:-]{1,128}")
-PROBLEM_JSON = "application/problem+json"
+# A body must be in by then; slow senders would hold connections and memory.
+BODY_TIMEOUT_S = 15.0
 
 
-class _RequestId:
+class _Envelope:
     """Takes over or makes the request id and always returns it."""
 
+    def __init__(self, gateway: Gateway):
+        self._gateway = gateway
+
     async def process_request(self, req, resp) -> None:
         given = req.get_header("X-Request-Id") or ""
         known = REQUEST_ID.fullmatch(given) is not None
         req.context.request_id = given if known else uuid.uuid4().hex
         resp.set_header("X-Request-Id", req.context.request_id)
 
+    async def process_response(self, req, resp, resource, req_succeeded) -> None:
+        if self._gateway.closing:
+            # Callers that keep connections open move to another router.
+            resp.set_header("Connection", "close")
+
 
 class _Chat:
     def __init__(self, gateway: Gateway, settings: RouterSettings):
@@ -50,6 +61,8 @@
         body = await _read_body(req, self._settings.gateway.max_body_bytes)
         generation = self._gateway.parse_generation(context, body)
         chunks = self._gateway.generate(generation)
+        # A caller that leaves frees its slot and its engine without delay.
+        req.scope[ON_END].append(chunks.aclose)
         if not generation.model.stream:
             answer = [chunk async for chunk in chunks if chunk is not None]
             resp.content_type = falcon.MEDIA_JSON
@@ -70,8 +83,6 @@
         except Refusal as refusal:
             problem = refusal.problem(request_id)
             yield falcon.asgi.SSEvent(event="error", json=problem)
-        finally:
-            await rest.aclose()
 
 
 class _Models:
@@ -191,7 +202,7 @@
     gateway: Gateway, agent: Agent, metrics: RouterMetrics, settings: RouterSettings
 ) -> falcon.asgi.App:
     """Return the ASGI application of a router."""
-    app = falcon.asgi.App(middleware=[_RequestId(), _Operator(settings)])
+    app = falcon.asgi.App(middleware=[_Envelope(gateway), _Operator(settings)])
     app.req_options.strip_url_path_trailing_slash = False
     app.add_error_handler(Exception, _send_internal_error)
     app.add_error_handler(falcon.HTTPError, _send_http_error)
@@ -219,6 +230,12 @@
         req.get_header("X-Deadline-Ms"),
     )
     req.context.workspace = context.workspace.name
+    gateway.open(context.workspace)
+
+    async def close() -> None:
+        gateway.close(context.workspace)
+
+    req.scope[ON_END].append(close)
     return context
 
 
@@ -232,7 +249,12 @@
 async def _read_body(req, max_bytes: int) -> bytes:
     if (req.content_length or 0) > max_bytes:
         raise refuse("too-large", f"at most {max_bytes} bytes")
-    body = await req.stream.read(max_bytes + 1)
+    try:
+        async with asyncio.timeout(BODY_TIMEOUT_S):
+            body = await req.stream.read(max_bytes + 1)
+    except TimeoutError as error:
+        text = f"the body took longer than {BODY_TIMEOUT_S:.0f} s"
+        raise refuse("request-timeout", text) from error
     if len(body) > max_bytes:
         raise refuse("too-large", f"at most {max_bytes} bytes")
     return body
--- a/src/carobstair/net/capacity.py
+++ b/src/carobstair/net/capacity.py
@@ -25,6 +25,7 @@
     UpstreamUseReport,
 )
 from carobstair.core.queueing import WaitingRequest
+from carobstair.core.refusals import Refusal
 from carobstair.core.state import FleetState, UpstreamKind
 from carobstair.logs import get_logger
 from carobstair.metrics import RouterMetrics
@@ -131,6 +132,12 @@
             self._futures.pop(request.request_id, None)
             self.node.withdraw(request)
 
+    def refuse_waiting(self, refusal: Refusal) -> None:
+        """End the wait of all requests that have no grant yet."""
+        for future in self._futures.values():
+            if not future.done():
+                future.set_exception(refusal)
+
     def release(self, grant: HeldGrant) -> None:
         """Give back a grant's slot."""
         self._carry_out(self.node.release(grant, time.monotonic()))
--- a/src/carobstair/net/gateway.py
+++ b/src/carobstair/net/gateway.py
@@ -4,12 +4,15 @@
 
 import hashlib
 import hmac
+import re
 import time
 import uuid
+from collections import Counter
 from collections.abc import AsyncIterator, Mapping
 
 from carobstair.core.action_records import RETENTION_S
 from carobstair.core.fairness import engine_cost_tokens
+from carobstair.core.pace import Pace
 from carobstair.core.placement import prefix_hashes
 from carobstair.core.queueing import (
     ClassLimits,
@@ -37,6 +40,9 @@
 
 CHARACTERS_PER_TOKEN = 4
 MAX_KEY_CHARACTERS = 255
+# Refusals whose Retry-After follows from the queue.
+QUEUE_REFUSALS = frozenset({"queue-full", "deadline-exceeded"})
+DEADLINE_MS = re.compile(r"[0-9]{1,9}")
 
 
 class Gateway:
@@ -70,14 +76,45 @@
         self._class_limits = ClassLimits(
             settings.gateway.quick_output_tokens, settings.gateway.quick_input_tokens
         )
+        self._open: Counter[str] = Counter()
+        self._pace = Pace()
+        self.closing = False
         self.refuses_new = False
-        self.running = 0
 
     @property
     def state(self) -> FleetState:
         """The fleet state in force."""
         return self._capacity.state
 
+    @property
+    def running(self) -> int:
+        """Number of requests in hand."""
+        return self._open.total()
+
+    def keep_in_force(self, state: FleetState) -> None:
+        """Forget what is no longer in force."""
+        pools = {upstream.pool for upstream in state.upstreams.values()}
+        self._pace.keep(pools, set(state.workspaces))
+
+    def open(self, workspace: Workspace) -> None:
+        """Count a request until `close`.
+
+        Raises
+        ------
+        Refusal
+            ``too-many-connections``
+        """
+        if self._open[workspace.name] >= workspace.max_connections:
+            text = f"at most {workspace.max_connections} at once"
+            raise refuse("too-many-connections", text)
+        self._open[workspace.name] += 1
+
+    def close(self, workspace: Workspace) -> None:
+        """Count a request no longer."""
+        self._open[workspace.name] -= 1
+        if not self._open[workspace.name]:
+            del self._open[workspace.name]
+
     def authenticate(
         self, authorization: str | None, request_id: str, deadline_ms: str | None
     ) -> CallerContext:
@@ -95,7 +132,7 @@
         workspace = self._workspace_of(authorization)
         now_s = time.monotonic()
         allowed_s = self._settings.gateway.default_deadline_s
-        if deadline_ms is not None and deadline_ms.isdigit():
+        if deadline_ms is not None and DEADLINE_MS.fullmatch(deadline_ms):
             allowed_s = min(allowed_s, int(deadline_ms) / 1000.0)
         return CallerContext(request_id, workspace, now_s, now_s + allowed_s)
 
@@ -139,13 +176,16 @@
             of a stream that can't be completed.
         """
         outcome = "cancelled"
-        self.running += 1
         try:
             async for chunk in self._chat.chunks(generation):
                 yield chunk
             outcome = "answered"
+            workspace = generation.context.workspace.name
+            now_s = time.monotonic()
+            self._pace.note_answer(generation.waiting.pool, workspace, now_s)
         except Refusal as refusal:
             generation.progress.may_have_run |= generation.chunks > 0
+            self._set_retry_after(refusal, generation.waiting.pool, generation.context)
             outcome = self._count_refusal(
                 generation.context,
                 generation.waiting.work_class,
@@ -154,7 +194,6 @@
             )
             raise
         finally:
-            self.running -= 1
             self._note_end(
                 generation.context,
                 generation.waiting.work_class,
@@ -196,19 +235,20 @@
         ------
         Refusal
         """
-        self.running += 1
         outcome = "cancelled"
         try:
             answer = await self._answer(call)
             outcome = "answered"
+            workspace = call.context.workspace.name
+            self._pace.note_answer(call.service, workspace, time.monotonic())
             return answer
         except Refusal as refusal:
+            self._set_retry_after(refusal, call.service, call.context)
             outcome = self._count_refusal(
                 call.context, WorkClass.QUICK, refusal, call.progress
             )
             raise
         finally:
-            self.running -= 1
             self._note_end(call.context, WorkClass.QUICK, outcome, call.progress)
 
     async def _answer(self, call: ServiceCall) -> ServiceAnswer:
@@ -243,6 +283,17 @@
         if pool not in workspace.pools:
             raise refuse("forbidden", f"{kind} {pool}")
 
+    def _set_retry_after(
+        self, refusal: Refusal, pool: str, context: CallerContext
+    ) -> None:
+        if refusal.kind.name not in QUEUE_REFUSALS:
+            return
+        workspace = context.workspace.name
+        waiting = self._capacity.node.queue.waiting(pool, workspace)
+        refusal.retry_after_s = self._pace.wait_s(
+            pool, workspace, waiting, time.monotonic()
+        )
+
     def _count_refusal(
         self,
         context: CallerContext,
--- a/src/carobstair/net/http.py
+++ b/src/carobstair/net/http.py
@@ -1,19 +1,37 @@
-"""HTTP server plumbing: falcon on uvicorn, with callers that go away noticed."""
+"""HTTP server plumbing: falcon on uvicorn, with limits at the border."""
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
+import json
 import socket
-from collections.abc import Iterator
+from collections.abc import Awaitable, Callable, Iterator
 
 import uvicorn
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
-__all__ = ["DisconnectGuard", "HttpServer"]
+from carobstair.core.refusals import PROBLEM_JSON, Refusal, refuse
+from carobstair.logs import get_logger
+
+__all__ = ["ON_END", "DisconnectGuard", "HttpServer"]
+
+logger = get_logger(__name__)
+
+# Key in the ASGI scope of a list of coroutine functions, called when the request
+# has ended in whatever way.
+ON_END = "carobstair.on_end"
+MAX_HEADER_BYTES = 32 * 1024
+HEADER_TIMEOUT_S = 10.0
+# A caller that takes no bytes for so long is treated as gone.
+CALLER_STALL_S = 20.0
+KEEPALIVE_IDLE_S = 10
+KEEPALIVE_INTERVAL_S = 5
+KEEPALIVE_PROBES = 3
 
 
 class DisconnectGuard:
-    """ASGI wrapper that cancels the handling of a request whose caller left.
+    """ASGI wrapper that ends the handling of a request whose caller is gone.
 
     Falcon reads from the connection only while it reads the body, so a caller
     that leaves while its request waits would go unnoticed.
@@ -30,18 +48,21 @@
         if scope["type"] != "http":
             await self._app(scope, receive, send)
             return
+        scope[ON_END] = []
         messages: asyncio.Queue = asyncio.Queue(self.MAX_BUFFERED_MESSAGES)
-        handler = asyncio.create_task(self._app(scope, messages.get, send))
+        sender = _StallGuard(send)
+        handler = asyncio.create_task(self._app(scope, messages.get, sender))
         pump = asyncio.create_task(self._pump(receive, messages))
         try:
             await asyncio.wait({handler, pump}, return_when=asyncio.FIRST_COMPLETED)
             if not handler.done():
                 handler.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
+            with contextlib.suppress(asyncio.CancelledError, CallerStalled):
                 await handler
         finally:
             pump.cancel()
             handler.cancel()
+            await _call_all(scope[ON_END])
 
     async def _pump(self, receive, messages: asyncio.Queue) -> None:
         while True:
@@ -51,6 +72,94 @@
             await messages.put(message)
 
 
+class CallerStalled(Exception):
+    """The caller takes no bytes although its connection stands."""
+
+
+class _StallGuard:
+    def __init__(self, send: Callable[[dict], Awaitable[None]]):
+        self._send = send
+
+    async def __call__(self, message: dict) -> None:
+        try:
+            async with asyncio.timeout(CALLER_STALL_S):
+                await self._send(message)
+        except TimeoutError as error:
+            raise CallerStalled from error
+
+
+async def _call_all(callbacks: list[Callable[[], Awaitable[None]]]) -> None:
+    for callback in reversed(callbacks):
+        try:
+            await callback()
+        except Exception:
+            # The others still have to give back what they hold.
+            logger.exception("request_cleanup_failed")
+
+
+class BorderProtocol(HttpToolsProtocol):
+    """HTTP/1.1 with bounds on the size and the time of a request's head."""
+
+    def __init__(self, *args, **kwargs):
+        super().__init__(*args, **kwargs)
+        self._head_bytes = 0
+        self._head_timer: asyncio.TimerHandle | None = None
+        self._refusal: Refusal | None = None
+
+    def data_received(self, data: bytes) -> None:
+        """Take in bytes; a head that never ends is cut off."""
+        super().data_received(data)
+        if self._head_timer is not None and self.parser is not None:
+            self._head_bytes += len(data)
+            if self._head_bytes > MAX_HEADER_BYTES:
+                self._refuse(refuse("headers-too-large"))
+
+    def on_message_begin(self) -> None:
+        """Start the time for the head."""
+        super().on_message_begin()
+        self._head_bytes = 0
+        self._head_timer = self.loop.call_later(HEADER_TIMEOUT_S, self._too_slow)
+
+    def on_headers_complete(self) -> None:
+        """Hand the request on if its head is within bounds."""
+        self._stop_timer()
+        size = len(self.url) + sum(len(n) + len(v) + 4 for n, v in self.headers)
+        if size > MAX_HEADER_BYTES:
+            self._refusal = refuse("headers-too-large")
+            raise ValueError("headers too large")
+        super().on_headers_complete()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Forget the connection."""
+        self._stop_timer()
+        super().connection_lost(exc)
+
+    def send_400_response(self, msg: str) -> None:
+        """Answer a head that can't be read."""
+        self._refuse(self._refusal or refuse("bad-request", msg))
+
+    def _too_slow(self) -> None:
+        self._head_timer = None
+        self._refuse(refuse("request-timeout", "the headers took too long"))
+
+    def _refuse(self, refusal: Refusal) -> None:
+        self._stop_timer()
+        if self.transport.is_closing():
+            return
+        body = json.dumps(refusal.problem("")).encode()
+        head = (
+            f"HTTP/1.1 {refusal.status} Refused\r\ncontent-type: {PROBLEM_JSON}\r\n"
+            f"content-length: {len(body)}\r\nconnection: close\r\n\r\n"
+        )
+        self.transport.write(head.encode() + body)
+        self.transport.close()
+
+    def _stop_timer(self) -> None:
+        if self._head_timer is not None:
+            self._head_timer.cancel()
+            self._head_timer = None
+
+
 class HttpServer:
     """A uvicorn server that leaves signals to the program."""
 
@@ -58,7 +167,7 @@
         config = uvicorn.Config(
             DisconnectGuard(app),
             loop="none",
-            http="httptools",
+            http=BorderProtocol,
             lifespan="off",
             log_config=None,
             access_log=False,
@@ -68,6 +177,7 @@
         )
         self._server = _Server(config)
         self._socket = socket.create_server((host, port), backlog=512)
+        _watch_silence(self._socket)
         self.port = self._socket.getsockname()[1]
 
     async def serve(self) -> None:
@@ -79,6 +189,20 @@
         self._server.should_exit = True
 
 
+def _watch_silence(listener: socket.socket) -> None:
+    """Have the kernel end accepted connections whose other side is gone."""
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for name, value in (
+        ("TCP_KEEPIDLE", KEEPALIVE_IDLE_S),
+        ("TCP_KEEPINTVL", KEEPALIVE_INTERVAL_S),
+        ("TCP_KEEPCNT", KEEPALIVE_PROBES),
+        ("TCP_USER_TIMEOUT", int(CALLER_STALL_S * 1000)),
+    ):
+        option = getattr(socket, name, None)
+        if option is not None:
+            listener.setsockopt(socket.IPPROTO_TCP, option, value)
+
+
 class _Server(uvicorn.Server):
     @contextlib.contextmanager
     def capture_signals(self) -> Iterator[None]:
--- a/src/carobstair/net/router.py
+++ b/src/carobstair/net/router.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import random
 import signal
 import time
 
 from carobstair.core.capacity import CapacityNode
 from carobstair.core.messages import PeerAddress
+from carobstair.core.refusals import refuse
 from carobstair.core.retries import EjectionSettings, RetryPolicy, RetrySettings
 from carobstair.core.shares import SlotShare
 from carobstair.core.state import FleetState
@@ -32,6 +34,10 @@
 logger = get_logger(__name__)
 
 PEER_REFRESH_S = 0.25
+EXIT_FORCED = 1
+# For streams that are told of the shutdown; a token comes every few hundredths of
+# a second, and a silent stream is given up after two.
+STOP_GRACE_S = 3.0
 
 
 class _CapacityView:
@@ -104,7 +110,7 @@
             self.agent.live_peers,
             random.Random(f"{settings.seed}/{instance.name}/actions"),
         )
-        chat = ChatRelay(
+        self._chat = ChatRelay(
             self.capacity,
             self._upstreams,
             self._retries,
@@ -112,7 +118,12 @@
             settings.gateway,
         )
         self.gateway = Gateway(
-            settings, self.capacity, chat, services, self.actions, self.metrics
+            settings,
+            self.capacity,
+            self._chat,
+            services,
+            self.actions,
+            self.metrics,
         )
         app = make_app(self.gateway, self.agent, self.metrics, settings)
         self._server = HttpServer(app, instance.host, instance.http_port)
@@ -148,19 +159,31 @@
         self.capacity.set_state(state)
         self.metrics.keep_in_force(state)
         self._retries.keep(state.workspaces, state.upstreams)
+        self.gateway.keep_in_force(state)
 
     def _on_signal(self) -> None:
         if self._stopping.is_set():
-            # The operator asked twice: end at once.
-            raise SystemExit(1)
+            # The operator asked twice: nothing is waited for any more.
+            os._exit(EXIT_FORCED)
         self._stopping.set()
 
     async def _drain(self) -> None:
+        """Finish what runs; new requests are served while the balancer lags."""
+        began_s = time.monotonic()
+        limits = self._settings.gateway
         self.agent.leave()
-        await asyncio.sleep(self._settings.gateway.balancer_lag_s)
+        self.gateway.closing = True
+        await asyncio.sleep(limits.balancer_lag_s)
         self.gateway.refuses_new = True
-        limit_s = time.monotonic() + self._settings.gateway.shutdown_limit_s
-        while self._busy() and time.monotonic() < limit_s:
+        await self._wait_until_idle(began_s + limits.shutdown_limit_s)
+        if self._busy():
+            logger.warning("shutdown_limit_reached", open=self.gateway.running)
+            self._chat.stop_all()
+            self.capacity.refuse_waiting(refuse("shutting-down"))
+            await self._wait_until_idle(time.monotonic() + STOP_GRACE_S)
+
+    async def _wait_until_idle(self, until_s: float) -> None:
+        while self._busy() and time.monotonic() < until_s:
             await asyncio.sleep(0.05)
 
     def _busy(self) -> bool:
