--- /dev/null
+++ b/bench/action_faults.py
@@ -0,0 +1,253 @@
+"""Keyed actions on real processes while routers, store and ledgers fail.
+
+Prints a table, and exits with 1 if an action ran twice, a "not run" was false, an
+outcome was lost or changed, or a caller got no answer.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import random
+import signal
+import sys
+import time
+from collections import Counter, defaultdict
+from dataclasses import dataclass, field
+
+import aiohttp
+
+from fleet import Fleet, FleetPlan, PlannedUpstream, key_of
+
+ROUTERS = ("entry-1", "entry-2", "entry-3")
+LEDGERS = ("ledger-1", "ledger-2")
+ZONES = ("zone-a", "zone-b", "zone-c")
+PLAN = FleetPlan(
+    routers=tuple(zip(ROUTERS, ZONES, strict=True)),
+    upstreams=tuple(
+        PlannedUpstream(name, "ledger", "service", zone, 16, 8)
+        for name, zone in zip(LEDGERS, ZONES, strict=False)
+    ),
+    workspaces={"bookings": 1.0},
+)
+# What the refusal says of this request only; see docs/REFUSALS.md.
+PER_REQUEST = "record-store-unavailable"
+
+
+@dataclass
+class Action:
+    """What the callers of one key were told."""
+
+    key: str
+    answers: list[tuple[int, str, str, bytes]] = field(default_factory=list)
+    lost_connections: int = 0
+
+
+class Callers:
+    """Sends each action one to three times through any routers."""
+
+    def __init__(self, fleet: Fleet, seed: int, per_s: float, length_s: float):
+        self._fleet = fleet
+        self._random = random.Random(seed)
+        self._per_s, self._length_s = per_s, length_s
+        self.actions: dict[str, Action] = {}
+
+    async def run(self) -> None:
+        """Send open-loop load."""
+        end_s = time.monotonic() + self._length_s
+        async with asyncio.TaskGroup() as group:
+            while time.monotonic() < end_s:
+                key = f"hold-{len(self.actions)}"
+                self.actions[key] = Action(key)
+                for _ in range(self._random.randint(1, 3)):
+                    delay_s = (
+                        self._random.choice((0, 0.05, 1.0)) * self._random.random()
+                    )
+                    group.create_task(self._send_later(self.actions[key], delay_s))
+                await asyncio.sleep(self._random.expovariate(self._per_s))
+
+    async def _send_later(self, action: Action, delay_s: float) -> None:
+        await asyncio.sleep(delay_s)
+        patience_s = 0.05 if self._random.random() < 0.1 else 30.0
+        await self.send(action, self._random.choice(ROUTERS), patience_s)
+
+    async def send(self, action: Action, router: str, patience_s: float) -> None:
+        """Send an action once and keep what came of it."""
+        headers = {
+            "Authorization": f"Bearer {key_of('bookings')}",
+            "Idempotency-Key": action.key,
+            "X-Deadline-Ms": "8000",
+        }
+        url = self._fleet.address(router) + "/services/ledger/holds"
+        timeout = aiohttp.ClientTimeout(total=patience_s)
+        try:
+            async with self._fleet.session.post(
+                url, data=action.key.encode(), headers=headers, timeout=timeout
+            ) as response:
+                body = await response.read()
+        except (aiohttp.ClientError, TimeoutError):
+            action.lost_connections += 1
+            return
+        kind, ran = "", ""
+        if "problem" in response.headers.get("Content-Type", ""):
+            problem = json.loads(body)
+            kind, ran = problem["type"].rpartition(":")[2], problem["ran"]
+        action.answers.append((response.status, kind, ran, body))
+
+
+class Faults:
+    """Strikes routers, store and ledgers in turn, seeded."""
+
+    def __init__(self, fleet: Fleet, seed: int):
+        self._fleet = fleet
+        self._random = random.Random(seed)
+        self.counts: Counter = Counter()
+
+    async def run(self) -> None:
+        """Strike until cancelled."""
+        kinds = (self._kill, self._pause, self._store, self._ledger, self._ledger)
+        while True:
+            await asyncio.sleep(self._random.uniform(0.2, 1.0))
+            fault = self._random.choice(kinds)
+            self.counts[fault.__name__.strip("_")] += 1
+            await fault()
+
+    async def heal(self) -> None:
+        """Switch all faults off."""
+        await self._set_store(down=False, lose_answers=0, delay_s=0.0)
+        for name in LEDGERS:
+            await self._set_ledger(name, drop_answers=0.0, refuse=0.0, answer_s=0.01)
+            await self._set_ledger(name, cross_answers=0)
+
+    async def _kill(self) -> None:
+        name = self._random.choice(ROUTERS)
+        await self._fleet.end(name, signal.SIGKILL)
+        await asyncio.sleep(self._random.uniform(0.1, 1.0))
+        self._fleet.start_router(name)
+        await asyncio.sleep(2.0)
+
+    async def _pause(self) -> None:
+        process = self._fleet.processes[self._random.choice(ROUTERS)]
+        process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(self._random.uniform(0.2, 3.0))
+        process.send_signal(signal.SIGCONT)
+
+    async def _store(self) -> None:
+        kind = self._random.choice(("down", "lose_answers", "delay_s"))
+        await self._set_store(
+            **{kind: {"down": True, "lose_answers": 20, "delay_s": 1.5}[kind]}
+        )
+        await asyncio.sleep(self._random.uniform(0.2, 1.5))
+        await self._set_store(down=False, lose_answers=0, delay_s=0.0)
+
+    async def _ledger(self) -> None:
+        name = self._random.choice(LEDGERS)
+        kind = self._random.choice(("drop", "cross", "refuse", "slow"))
+        faults = {
+            "drop": {"drop_answers": 0.5},
+            "cross": {"cross_answers": 5},
+            "refuse": {"refuse": 0.7},
+            "slow": {"answer_s": 1.5},
+        }
+        await self._set_ledger(name, **faults[kind])
+        await asyncio.sleep(self._random.uniform(0.3, 1.0))
+        await self._set_ledger(name, drop_answers=0.0, refuse=0.0, answer_s=0.01)
+
+    async def _set_store(self, **values) -> None:
+        await self._fleet.put_json(self._fleet.store_address + "/control", values)
+
+    async def _set_ledger(self, name: str, **values) -> None:
+        address = self._fleet.upstream_address(name)
+        await self._fleet.put_json(address + "/control", values)
+
+
+async def journal(fleet: Fleet) -> Counter:
+    """Return how often each key ran, over all ledgers."""
+    runs: Counter = Counter()
+    for name in LEDGERS:
+        found = await fleet.get_json(fleet.upstream_address(name) + "/journal")
+        runs.update(entry["body"] for entry in found["journal"])
+    return runs
+
+
+def judge(actions: dict[str, Action], runs: Counter) -> dict[str, int]:
+    """Return how often each invariant broke."""
+    broken: Counter = Counter()
+    broken["double runs"] = sum(n - 1 for n in runs.values() if n > 1)
+    for action in actions.values():
+        bodies = {body for status, _, _, body in action.answers if status == 200}
+        broken["outcomes that differ"] += len(bodies) > 1
+        broken["outcomes of nothing"] += bool(bodies) and not runs[action.key]
+        told_no = bool(action.answers) and all(
+            ran == "no" for _, _, ran, _ in action.answers
+        )
+        told_no = told_no and not action.lost_connections
+        broken['"not run" that ran'] += told_no and runs[action.key] > 0
+        # The last answer came after all faults had ended.
+        later = action.answers[-1:] if action.answers else []
+        broken["outcomes lost after they were given"] += bool(bodies) and (
+            not later or later[0][0] != 200
+        )
+        broken["actions without a final answer"] += not later
+        broken['final "not run" that ran'] += (
+            bool(later) and later[0][2] == "no" and runs[action.key] > 0
+        )
+    return dict(broken)
+
+
+async def run_bench(seed: int, per_s: float, length_s: float) -> int:
+    """Run the bench and return the exit status."""
+    async with Fleet(PLAN) as fleet:
+        await asyncio.sleep(3.0)
+        callers, faults = Callers(fleet, seed, per_s, length_s), Faults(fleet, seed)
+        striking = asyncio.create_task(faults.run())
+        await callers.run()
+        striking.cancel()
+        await asyncio.gather(striking, return_exceptions=True)
+        for process in fleet.processes.values():
+            process.send_signal(signal.SIGCONT)
+        for name in ROUTERS:
+            if name not in fleet.processes:
+                fleet.start_router(name)
+        await faults.heal()
+        await asyncio.sleep(8.0)
+        answers = Counter(
+            kind or status
+            for action in callers.actions.values()
+            for status, kind, _, _ in action.answers
+        )
+        lost = sum(a.lost_connections for a in callers.actions.values())
+        # Each key once more, now that nothing fails.
+        limit, chooser = asyncio.Semaphore(20), random.Random(seed)
+
+        async def again(action: Action) -> None:
+            async with limit:
+                await callers.send(action, chooser.choice(ROUTERS), 30.0)
+
+        await asyncio.gather(*map(again, callers.actions.values()))
+        await asyncio.sleep(2.0)
+        runs = await journal(fleet)
+        calls = await fleet.get_json(fleet.store_address + "/control")
+    final = Counter(a.answers[-1][1] or "outcome" for a in callers.actions.values())
+    broken = judge(callers.actions, runs)
+    print(f"seed {seed}: {len(callers.actions)} actions, {sum(runs.values())} runs")
+    print("faults:", dict(faults.counts))
+    print("answers under faults:", dict(answers), "connections lost:", lost)
+    print("answers after the faults:", dict(final))
+    per_action = defaultdict(float)
+    for name, count in calls["calls"].items():
+        per_action[name] = round(count / len(callers.actions), 2)
+    print("store calls per action, all kinds:", dict(per_action))
+    for name, count in broken.items():
+        print(f"{name:<40} {count}")
+    return 1 if any(broken.values()) else 0
+
+
+if __name__ == "__main__":
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--per-s", type=float, default=20.0)
+    parser.add_argument("--length-s", type=float, default=40.0)
+    options = parser.parse_args()
+    sys.exit(asyncio.run(run_bench(options.seed, options.per_s, options.length_s)))
--- a/src/carobstair/net/upstream.py
+++ b/src/carobstair/net/upstream.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import time
 from collections.abc import AsyncIterator, Callable, Mapping
@@ -251,7 +252,9 @@
                 sock_read=self._settings.progress_timeout_s,
             )
             connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=15)
-            self._session = aiohttp.ClientSession(timeout=timeout, connector=connector)
+            self._session = aiohttp.ClientSession(
+                timeout=timeout, connector=connector, response_class=_Response
+            )
             # aiohttp sends PUT and DELETE again when a kept connection breaks; an
             # action must not run twice, and it has no public switch for this.
             self._session._retry_connection = False
@@ -266,6 +269,16 @@
     )
 
 
+class _Response(aiohttp.ClientResponse):
+    """A response that knows the transport on which it came."""
+
+    transport: asyncio.Transport | None = None
+
+    async def start(self, connection) -> aiohttp.ClientResponse:
+        self.transport = connection.transport
+        return await super().start(connection)
+
+
 def _left_ms(deadline_s: float) -> str:
     return str(max(0, int((deadline_s - time.monotonic()) * 1000)))
 
@@ -281,7 +294,9 @@
 
 def _check_echo(response: aiohttp.ClientResponse, attempt_id: str) -> None:
     if response.headers.get("X-Request-Id") != attempt_id:
-        response.close()
+        # Closing the response is not enough: with a short answer the connection
+        # is back in the pool by now.
+        response.transport.abort()
         raise AnswerMismatch(attempt_id)
 
 
--- a/src/carobstair/standins/ledger.py
+++ b/src/carobstair/standins/ledger.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import random
+from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
 
 import cyclopts
@@ -38,6 +39,7 @@
     refuse: float = 0.0
     cross_answers: int = 0
     answer_s: float = 0.01
+    refuse_body: dict = field(default_factory=lambda: {"ran": "no"})
 
     def __post_init__(self) -> None:
         self.generator = random.Random(self.settings.seed)
@@ -56,7 +58,7 @@
         body = (await req.stream.read()).decode("utf-8", "replace")
         if ledger.generator.random() < ledger.refuse:
             resp.status = falcon.HTTP_503
-            resp.media = {"ran": "no"}
+            resp.media = ledger.refuse_body
             resp.set_header("X-Request-Id", request_id)
             return
         number = len(ledger.journal) + 1
@@ -69,7 +71,10 @@
         finally:
             ledger.running -= 1
         if ledger.generator.random() < ledger.drop_answers:
-            raise ConnectionAbortedError
+            resp.set_header("X-Request-Id", request_id)
+            resp.content_length = 100
+            resp.stream = _break_off()
+            return
         if ledger.cross_answers:
             ledger.cross_answers -= 1
             request_id = "another-request"
@@ -78,6 +83,12 @@
         resp.content_type = falcon.MEDIA_JSON
 
 
+async def _break_off() -> AsyncIterator[bytes]:
+    """Send a part of an answer and lose the connection."""
+    yield b"{"
+    raise ConnectionAbortedError
+
+
 class _Load:
     def __init__(self, ledger: Ledger):
         self._ledger = ledger
