Keep as many slots for quick requests as their waits need

A fixed fraction on the other hand leaves slots idle that long requests could use, and a flood of short requests used up the reserve.

Change: `core/reserve.py` computes the smallest reserve at which 95 % of the quick requests find a slot within 0.4 s, from the rates of quick requests and of slots that come free (Erlang's loss formula), up to `quick_fraction` of the pool. Quick requests that wait without a break for 1 s are a backlog and do not use it. It is split over the holders by rank. Parts of the allocator and of the node have modules of their own. Grant ids and sequences start above those of former incarnations.

--- a/src/carobstair/core/allocator.py
+++ b/src/carobstair/core/allocator.py
@@ -2,24 +2,24 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
+from carobstair.core.classes import ClassOrder
 from carobstair.core.demand import Demand, DemandBook, DemandKey
+from carobstair.core.drains import Drains
 from carobstair.core.fairness import VirtualTime
 from carobstair.core.grants import GrantTimings
 from carobstair.core.messages import DemandEntry, DemandUpdate, Offer
+from carobstair.core.pending import PendingCosts
 from carobstair.core.placement import Candidate, Placement
 from carobstair.core.queueing import WorkClass
-from carobstair.core.shares import SlotShare
+from carobstair.core.reserve import QuickReserve, QuickReserveSettings
+from carobstair.core.shares import MemberId, SlotShare, first_sequence
 from carobstair.core.state import FleetState, Upstream
 
 __all__ = ["Allocator", "AllocatorSettings", "Grant"]
 
-# A quick request counts this much less than a long one within its workspace.
-CLASS_WEIGHTS: Mapping[str, float] = {WorkClass.QUICK: 8.0, WorkClass.LONG: 1.0}
-
 
 @dataclass(frozen=True, slots=True)
 class AllocatorSettings:
@@ -32,8 +32,6 @@
     pending_s : float
         How long the cost of a grant to another gateway counts on top of the
         service totals, if these don't tell of it sooner.
-    quick_memory_s : float
-        How long after the last quick request slots are kept free for the next.
     drain_after_s : float
         How long the request whose turn it is waits for KV tokens before an
         upstream takes no other work until it fits.
@@ -41,7 +39,7 @@
 
     demand_validity_s: float = 3.0
     pending_s: float = 2.5
-    quick_memory_s: float = 10.0
+    quick: QuickReserveSettings = field(default_factory=QuickReserveSettings)
     drain_after_s: float = 0.5
 
 
@@ -52,15 +50,8 @@
     gateway: str
     offer: Offer
     lapses_s: float
-
-
-@dataclass(slots=True)
-class _Pending:
-    expires_s: float
-    gateway: str
-    pool: str
-    workspace: str
-    tokens: float
+    granted_s: float = 0.0
+    in_reserve: bool = False
 
 
 @dataclass(slots=True)
@@ -69,15 +60,6 @@
     kv_tokens: int = 0
 
 
-@dataclass(slots=True)
-class _Drain:
-    """An upstream that is kept free for a request too large to fit beside others."""
-
-    key: DemandKey
-    since_s: float
-    upstream: str = ""
-
-
 ShareOf = Callable[[str], SlotShare]
 
 
@@ -86,46 +68,40 @@
 
     Parameters
     ----------
-    instance : str
-        The own instance; its gateway is served in process.
+    own : tuple of (str, int)
+        Instance and incarnation; grant ids follow from the incarnation, so that
+        those of a restarted process are new.
     settings : AllocatorSettings
     timings : GrantTimings
     virtual_time : VirtualTime
     placement : Placement
-    quick_fraction : float
-        Part of the slots of a pool that long requests leave free while quick
-        ones come.
     """
 
     def __init__(
         self,
-        instance: str,
+        own: MemberId,
         settings: AllocatorSettings,
         timings: GrantTimings,
         virtual_time: VirtualTime,
         placement: Placement,
-        quick_fraction: float = 0.1,
     ):
-        self._instance = instance
         self._settings = settings
         self._timings = timings
         self._virtual_time = virtual_time
         self._placement = placement
-        self._quick_fraction = quick_fraction
         self._state = FleetState()
         self._pools: dict[str, list[Upstream]] = {}
         self._grants: dict[int, Grant] = {}
         self._use: dict[str, _Use] = {}
         self._quick_use: dict[str, int] = {}
-        self._quick_seen_s: dict[str, float] = {}
-        self._pending: dict[int, _Pending] = {}
-        self._pending_sums: dict[tuple[str, str], float] = {}
-        self._class_time: dict[DemandKey, float] = {}
-        self._class_clock: dict[tuple[str, str], float] = {}
-        self._drains: dict[str, _Drain] = {}
-        self._last_grant = 0
+        self._classes = ClassOrder()
+        self._drains = Drains(settings.drain_after_s)
+        self._last_grant = first_sequence(own[1])
         self.zones: Mapping[str, str] = {}
+        self.rank_of: Callable[[str], tuple[int, int]] = lambda pool: (0, 1)
         self.demand = DemandBook(settings.demand_validity_s)
+        self.pending = PendingCosts(settings.pending_s)
+        self.quick = QuickReserve(settings.quick)
         self.lapsed_count = 0
 
     @property
@@ -150,6 +126,7 @@
             Upstreams that said on their own that they take no new work.
         """
         self._state = state
+        self._classes.keep_only(state.workspaces)
         self._pools = {}
         for name in sorted(set(held) - closed):
             upstream = state.upstreams[name]
@@ -172,31 +149,6 @@
         counts = self._offers_after(gateway, update.last_offer)
         return self.demand.update(gateway, update, lambda k: counts.get(k, 0), now_s)
 
-    def forget_gateway(self, gateway: str) -> None:
-        """Drop the demand of a gateway that is gone; its grants lapse."""
-        self.demand.forget(gateway)
-
-    def acknowledge_offers(self, gateway: str, last_offer: int) -> None:
-        """Stop counting offers whose reservations the totals now contain."""
-        known = [
-            grant_id
-            for grant_id, pending in self._pending.items()
-            if pending.gateway == gateway and grant_id <= last_offer
-        ]
-        for grant_id in known:
-            self.settle_pending(grant_id)
-
-    def settle_pending(self, grant_id: int) -> None:
-        """Stop counting one offer on top of the totals."""
-        pending = self._pending.pop(grant_id, None)
-        if pending is not None:
-            key = (pending.pool, pending.workspace)
-            left = self._pending_sums.get(key, 0.0) - pending.tokens
-            if left > 1e-6:
-                self._pending_sums[key] = left
-            else:
-                self._pending_sums.pop(key, None)
-
     def allocate(
         self, pools: Iterable[str], share_of: ShareOf, now_s: float
     ) -> list[Grant]:
@@ -219,10 +171,8 @@
         granted = []
         for pool in sorted(set(pools)):
             if not self.demand.workspaces(pool):
-                self._drains.pop(pool, None)
+                self._drains.end(pool)
                 continue
-            if self.demand.has_class(pool, WorkClass.QUICK):
-                self._quick_seen_s[pool] = now_s
             left = self.left(pool, share_of)
             if left:
                 self._virtual_time.cap_catch_up(pool, now_s)
@@ -268,14 +218,26 @@
                 renewed.append(grant_id)
         return renewed
 
-    def release(self, gateway: str, grant_ids: Iterable[int]) -> set[str]:
-        """Free the slots of ended grants and return the pools concerned."""
+    def release(
+        self, gateway: str, grant_ids: Iterable[int], unused: bool, now_s: float
+    ) -> set[str]:
+        """Free the slots of grants that ended, or that were not needed.
+
+        Returns
+        -------
+        set of str
+            The pools concerned.
+        """
         pools = set()
         for grant_id in grant_ids:
             grant = self._grants.get(grant_id)
             if grant is not None and grant.gateway == gateway:
                 self._drop(grant)
                 pools.add(grant.offer.pool)
+                if unused:
+                    self.pending.settle(grant_id)
+                else:
+                    self._note_end(grant, now_s)
         return pools
 
     def expire(self, now_s: float) -> list[Grant]:
@@ -284,9 +246,7 @@
         for grant in lapsed:
             self._drop(grant)
         self.lapsed_count += len(lapsed)
-        old = [g for g, p in self._pending.items() if p.expires_s <= now_s]
-        for grant_id in old:
-            self.settle_pending(grant_id)
+        self.pending.expire(now_s)
         self.demand.expire(now_s)
         return lapsed
 
@@ -307,54 +267,45 @@
         return counts
 
     def _reserve(self, pool: str, share_of: ShareOf, now_s: float) -> int:
-        seen_s = self._quick_seen_s.get(pool, -math.inf)
-        if now_s - seen_s > self._settings.quick_memory_s:
-            return 0
         slots = sum(share_of(u.name).request_slots for u in self._pools[pool])
-        # Shares are small, so the fraction is taken of their sum over the pool;
-        # of each upstream it would round to nothing. Half stays for long requests.
-        return min(math.ceil(slots * self._quick_fraction), slots // 2)
+        return self.quick.slots(pool, slots, *self.rank_of(pool), now_s)
 
     def _grant_one(
         self, pool: str, left: dict[str, SlotShare], reserve: int, now_s: float
     ) -> Grant | None:
         free = sum(share.request_slots for share in left.values())
-        long_fits = free > reserve - self._quick_use.get(pool, 0)
+        scarce = free <= reserve - self._quick_use.get(pool, 0)
         for workspace in self._order(pool):
-            for work_class in self._classes(pool, workspace):
-                if work_class == WorkClass.LONG and not long_fits:
+            for work_class in self._classes.ordered(pool, workspace):
+                key = (pool, workspace, work_class)
+                if scarce and not self._may_use_reserve(key, now_s):
                     continue
-                for demand in self.demand.of(pool, workspace, work_class):
+                for demand in self.demand.of(*key):
                     upstream = self._place(demand, left, now_s)
                     if upstream is not None:
                         return self._make_grant(demand, upstream, now_s)
         return None
 
+    def _may_use_reserve(self, key: DemandKey, now_s: float) -> bool:
+        return key[2] == WorkClass.QUICK and not self.quick.is_backlog(
+            self.demand.waits_since_s(key), now_s
+        )
+
     def _order(self, pool: str) -> list[str]:
         allowed = self._state.workspaces
-        pending = self._pending_sums
         ordered = sorted(
-            (self._virtual_time.value(pool, ws, pending.get((pool, ws), 0.0)), ws)
+            (self._virtual_time.value(pool, ws, self.pending.sum((pool, ws))), ws)
             for ws in self.demand.workspaces(pool)
             if ws in allowed and pool in allowed[ws].pools
         )
         return [ws for _, ws in ordered]
 
-    def _classes(self, pool: str, workspace: str) -> list[str]:
-        clock = self._class_clock.get((pool, workspace), 0.0)
-        # A class that was idle starts level; quick goes first among equals.
-        return sorted(
-            CLASS_WEIGHTS,
-            key=lambda c: max(clock, self._class_time.get((pool, workspace, c), 0.0)),
-        )
-
     def _place(
         self, demand: Demand, left: dict[str, SlotShare], now_s: float
     ) -> str | None:
         entry = demand.entry
         key = (entry.pool, entry.workspace, entry.work_class)
-        drain = self._drains.get(entry.pool)
-        blocked = drain.upstream if drain is not None and drain.key != key else ""
+        blocked = self._drains.closed_to(key)
         zone = self.zones.get(demand.gateway, "")
         candidates = [
             Candidate(
@@ -369,40 +320,31 @@
             and self._fits(entry, name, share)
         ]
         if not candidates:
-            self._note_too_large(entry, key, left, now_s)
+            self._note_blocked(entry, key, left, now_s)
             return None
-        if drain is not None and drain.key == key:
-            del self._drains[entry.pool]
+        if self._drains.owner(entry.pool) == key:
+            self._drains.end(entry.pool)
         return self._placement.choose(candidates, entry.prefix)
 
-    def _fits(self, entry: DemandEntry, name: str, left: SlotShare) -> bool:
-        # A request larger than the whole share could never run; alone on the
-        # share it may, since the engine's own limit is higher.
-        return entry.head_kv_tokens <= left.kv_tokens or not (
-            self.in_use(name).request_slots
-        )
-
-    def _note_too_large(
+    def _note_blocked(
         self,
         entry: DemandEntry,
         key: DemandKey,
         left: dict[str, SlotShare],
         now_s: float,
     ) -> None:
-        """Have an upstream drain for a request that smaller ones keep out."""
-        tight = [name for name in left if name not in entry.excluded]
-        drain = self._drains.get(entry.pool)
-        if drain is not None and drain.key != key:
-            waits = any(d.open > 0 for d in self.demand.of(*drain.key))
-            if waits:
-                return
-            drain = None
-        if drain is None:
-            self._drains[entry.pool] = _Drain(key, now_s)
-            return
-        waited = now_s - drain.since_s >= self._settings.drain_after_s
-        if tight and waited and not drain.upstream:
-            drain.upstream = max(tight, key=lambda n: (left[n].kv_tokens, n))
+        owner = self._drains.owner(entry.pool)
+        if owner is not None and not self.demand.of(*owner):
+            self._drains.end(entry.pool)
+        allowed = {n: s for n, s in left.items() if n not in entry.excluded}
+        self._drains.note_blocked(key, allowed, now_s)
+
+    def _fits(self, entry: DemandEntry, name: str, left: SlotShare) -> bool:
+        # A request larger than the whole share could never run; alone on the
+        # share it may, since the engine's own limit is higher.
+        return entry.head_kv_tokens <= left.kv_tokens or not (
+            self.in_use(name).request_slots
+        )
 
     def _make_grant(self, demand: Demand, upstream: str, now_s: float) -> Grant:
         entry = demand.entry
@@ -419,31 +361,19 @@
             entry.head_cost_tokens,
             self._timings.lease_s,
         )
-        grant = Grant(demand.gateway, offer, now_s + self._lapse_s)
+        in_reserve = self._may_use_reserve(key, now_s)
+        lapses_s = now_s + self._lapse_s
+        grant = Grant(demand.gateway, offer, lapses_s, now_s, in_reserve)
+        if in_reserve:
+            self.quick.note_quick(entry.pool, now_s)
         self.demand.take(demand)
         self._grants[offer.grant_id] = grant
-        self._count(offer, 1)
-        self._charge_class(entry, key)
-        self._note_pending(grant, now_s)
+        self._count(grant, 1)
+        self._classes.charge(key, entry.head_cost_tokens)
+        tokens = entry.head_cost_tokens / self._virtual_time.weight(entry.workspace)
+        self.pending.add(offer.grant_id, demand.gateway, key[:2], tokens, now_s)
         return grant
 
-    def _note_pending(self, grant: Grant, now_s: float) -> None:
-        offer = grant.offer
-        tokens = offer.cost_tokens / self._virtual_time.weight(offer.workspace)
-        key = (offer.pool, offer.workspace)
-        self._pending_sums[key] = self._pending_sums.get(key, 0.0) + tokens
-        expires_s = now_s + self._settings.pending_s
-        self._pending[offer.grant_id] = _Pending(expires_s, grant.gateway, *key, tokens)
-
-    def _charge_class(self, entry: DemandEntry, key: DemandKey) -> None:
-        clock_key = key[:2]
-        start = max(
-            self._class_clock.get(clock_key, 0.0), self._class_time.get(key, 0.0)
-        )
-        self._class_clock[clock_key] = start
-        cost = max(1.0, entry.head_cost_tokens)
-        self._class_time[key] = start + cost / CLASS_WEIGHTS[entry.work_class]
-
     @staticmethod
     def _take(left: dict[str, SlotShare], grant: Grant) -> None:
         name = grant.offer.upstream
@@ -455,18 +385,25 @@
                 share.request_slots - 1, share.kv_tokens - grant.offer.kv_tokens
             )
 
-    def _count(self, offer: Offer, sign: int) -> None:
+    def _count(self, grant: Grant, sign: int) -> None:
+        offer = grant.offer
         use = self._use.setdefault(offer.upstream, _Use())
         use.requests += sign
         use.kv_tokens += sign * offer.kv_tokens
         if not use.requests:
             del self._use[offer.upstream]
-        if offer.work_class == WorkClass.QUICK:
+        if grant.in_reserve:
             count = self._quick_use.get(offer.pool, 0) + sign
             self._quick_use[offer.pool] = count
 
+    def _note_end(self, grant: Grant, now_s: float) -> None:
+        if grant.in_reserve:
+            self.quick.note_quick_end(grant.offer.pool, now_s - grant.granted_s)
+        else:
+            self.quick.note_release(grant.offer.pool, now_s)
+
     def _drop(self, grant: Grant) -> None:
         # What is pending stays: the service of a short request may be over before
         # the totals tell of it.
         del self._grants[grant.offer.grant_id]
-        self._count(grant.offer, -1)
+        self._count(grant, -1)
--- a/src/carobstair/core/announcing.py
+++ b/src/carobstair/core/announcing.py
@@ -3,14 +3,17 @@
 from __future__ import annotations
 
 import math
+from collections import OrderedDict
 from collections.abc import Iterable
 
 from carobstair.core.demand import DemandKey
-from carobstair.core.messages import DemandEntry
+from carobstair.core.messages import DemandEntry, DemandUpdate
 from carobstair.core.queueing import GatewayQueue
 from carobstair.core.shares import (
     ALL_HOLD_UP_TO_MEMBERS,
+    MemberId,
     ShareTable,
+    first_sequence,
     rendezvous_rank,
 )
 from carobstair.core.state import FleetState
@@ -18,6 +21,7 @@
 __all__ = ["DemandAnnouncer"]
 
 ALLOCATORS_PER_POOL = 3
+REMEMBERED_UPDATES = 2000
 # An allocator that asked for demand is told for this long.
 PULL_S = 3.0
 # Allocators count down what they grant, so of a long queue only larger changes
@@ -32,13 +36,14 @@
 
     Parameters
     ----------
-    own : str
+    own : tuple of (str, int)
+        Instance and incarnation.
     queue : GatewayQueue
     shares : ShareTable
     """
 
-    def __init__(self, own: str, queue: GatewayQueue, shares: ShareTable):
-        self._own = own
+    def __init__(self, own: MemberId, queue: GatewayQueue, shares: ShareTable):
+        self._own = own[0]
         self._queue = queue
         self._shares = shares
         self._state = FleetState()
@@ -48,6 +53,9 @@
         self._pulled: dict[str, dict[str, float]] = {}
         self._targets: dict[str, list[str]] = {}
         self._targets_version = -1
+        self._sequence = first_sequence(own[1])
+        self._sent_s: OrderedDict[int, float] = OrderedDict()
+        self.last_offers: dict[str, int] = {}
 
     @property
     def has_news(self) -> bool:
@@ -75,38 +83,64 @@
             self._pulled.setdefault(pool, {})[allocator] = now_s + PULL_S
         return bool(waiting)
 
-    def news(self, now_s: float) -> dict[str, list[DemandEntry]]:
-        """Return the changed entries for each allocator, and count them as told."""
-        found: dict[str, list[DemandEntry]] = {}
+    def note_offer(self, allocator: str, grant_id: int) -> None:
+        """Record the newest offer of an allocator."""
+        known = self.last_offers.get(allocator, 0)
+        self.last_offers[allocator] = max(known, grant_id)
+
+    def forget_allocator(self, allocator: str) -> None:
+        """Drop what is known of an allocator that is gone."""
+        self.last_offers.pop(allocator, None)
+
+    def sent_s(self, sequence: int) -> float | None:
+        """Return when an update was made, or None if that is long ago."""
+        return self._sent_s.get(sequence)
+
+    def news(self, now_s: float) -> list[tuple[str, DemandUpdate]]:
+        """Return updates with the changed entries, and count them as told."""
         changed, self._changed = self._changed, set()
-        for key in sorted(changed):
-            if not self._is_news(key):
-                continue
-            entry = self._queue.entry(*key)
-            self._note_sent(key, entry)
-            for allocator in self._allocators(key[0], now_s):
-                found.setdefault(allocator, []).append(entry)
-        return found
+        entries = [self._queue.entry(*k) for k in sorted(changed) if self._is_news(k)]
+        return self._updates(entries, now_s, full=False)
+
+    def refresh(self, now_s: float) -> list[tuple[str, DemandUpdate]]:
+        """Return updates with all entries, and count them as told."""
+        updates = self._updates(self._queue.demand(), now_s, full=True)
+        self._changed = {key for key in self._changed if self._is_news(key)}
+        return updates
 
-    def refresh(self, now_s: float) -> dict[str, list[DemandEntry]]:
-        """Return all entries for each allocator, and count them as told."""
+    def full_update(self, allocator: str, now_s: float) -> DemandUpdate:
+        """Return an update with all entries that concern one allocator."""
+        entries = [
+            entry
+            for entry in self._queue.demand()
+            if allocator in self._allocators(entry.pool, now_s)
+        ]
+        return self._update(allocator, entries, now_s, full=True)
+
+    def _updates(
+        self, entries: list[DemandEntry], now_s: float, full: bool
+    ) -> list[tuple[str, DemandUpdate]]:
         found: dict[str, list[DemandEntry]] = {}
-        for entry in self._queue.demand():
+        for entry in entries:
             key = (entry.pool, entry.workspace, entry.work_class)
             self._note_sent(key, entry)
             for allocator in self._allocators(entry.pool, now_s):
                 found.setdefault(allocator, []).append(entry)
-        self._changed = {key for key in self._changed if self._is_news(key)}
-        return found
-
-    def entries_for(self, allocator: str, now_s: float) -> list[DemandEntry]:
-        """Return all entries that concern one allocator."""
         return [
-            entry
-            for entry in self._queue.demand()
-            if allocator in self._allocators(entry.pool, now_s)
+            (allocator, self._update(allocator, chosen, now_s, full))
+            for allocator, chosen in sorted(found.items())
         ]
 
+    def _update(
+        self, allocator: str, entries: list[DemandEntry], now_s: float, full: bool
+    ) -> DemandUpdate:
+        self._sequence += 1
+        self._sent_s[self._sequence] = now_s
+        while len(self._sent_s) > REMEMBERED_UPDATES:
+            self._sent_s.popitem(last=False)
+        last_offer = self.last_offers.get(allocator, 0)
+        return DemandUpdate(self._sequence, last_offer, entries, full)
+
     def _allocators(self, pool: str, now_s: float) -> list[str]:
         if self._targets_version != self._shares.version:
             self._targets_version = self._shares.version
--- a/src/carobstair/core/capacity.py
+++ b/src/carobstair/core/capacity.py
@@ -7,20 +7,22 @@
 from __future__ import annotations
 
 import random
-from collections import OrderedDict
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 from functools import singledispatchmethod
 
 import msgspec
 
+from carobstair.core.adverts import SlotAdverts
 from carobstair.core.allocator import Allocator, AllocatorSettings
 from carobstair.core.announcing import DemandAnnouncer
+from carobstair.core.binding import Binder
 from carobstair.core.effects import Effect, Granted, RefuseWaiting, Send
 from carobstair.core.estimates import EstimateSettings, LimitBook
-from carobstair.core.exchange import ExchangeSettings, TotalsExchange, row_of
+from carobstair.core.exchange import ExchangeSettings, TotalsExchange
 from carobstair.core.fairness import FairnessSettings, ServiceTotals, VirtualTime
 from carobstair.core.grants import GrantTimings, HeldGrant, HeldGrants
+from carobstair.core.holdings import Holdings
 from carobstair.core.limits import LimiterSettings, LoadReport
 from carobstair.core.messages import (
     DemandUpdate,
@@ -36,36 +38,19 @@
 from carobstair.core.placement import CacheEvent, Placement, PrefixIndex
 from carobstair.core.queueing import GatewayQueue, WaitingRequest, with_sane_numbers
 from carobstair.core.refusals import refuse
-from carobstair.core.shares import (
-    ALL_HOLD_UP_TO_MEMBERS,
-    MemberId,
-    ShareTable,
-    SlotShare,
-)
+from carobstair.core.shares import MemberId, ShareTable, SlotShare
 from carobstair.core.state import FleetState
 
 __all__ = ["CapacityNode", "CapacitySettings"]
 
-REMEMBERED_DEMANDS = 2000
-# Larger than any limit, so that every holder has a part of it.
-ANY_LIMIT = 1_000_000
 UPKEEP_EVERY_S = 1.0
-ADVERTISE_EVERY_S = 0.1
-ADVERTISED_PER_ROW = 2
 # Long after the last message of a removed process no copy of one can be on its way.
 RETIRE_AFTER_S = 60.0
 
 
 @dataclass(frozen=True, slots=True)
 class CapacitySettings:
-    """Settings of a capacity node, with those of its parts.
-
-    Attributes
-    ----------
-    quick_fraction : float
-        Part of the slots of a pool that long requests leave free while quick
-        ones come.
-    """
+    """Settings of a capacity node, with those of its parts."""
 
     timings: GrantTimings = field(default_factory=GrantTimings)
     fairness: FairnessSettings = field(default_factory=FairnessSettings)
@@ -74,7 +59,6 @@
     estimates: EstimateSettings = field(default_factory=EstimateSettings)
     demand_every_s: float = 1.0
     totals_every_s: float = 1.0
-    quick_fraction: float = 0.1
 
 
 class CapacityNode:
@@ -93,7 +77,6 @@
     ):
         self._own = own
         self._settings = settings
-        self._generator = generator
         timings = settings.timings
         self.state = FleetState()
         self.totals = ServiceTotals(*own, settings.fairness)
@@ -109,30 +92,26 @@
         self.shares = ShareTable(own, timings.lease_s + timings.margin_s)
         self.limits = LimitBook(own, settings.estimates, settings.limiter, self.shares)
         self.allocator = Allocator(
-            own[0],
+            own,
             settings.allocator,
             timings,
             self.virtual_time,
             Placement(self.prefixes, generator),
-            settings.quick_fraction,
         )
+        self.holdings = Holdings(own, self.shares, self.limits)
+        self.allocator.rank_of = self.holdings.rank_of
         self.queue = GatewayQueue()
         self.held = HeldGrants(timings)
-        self.announcer = DemandAnnouncer(own[0], self.queue, self.shares)
+        self.binder = Binder(self.queue, self.held, self.totals, self.virtual_time)
+        self.announcer = DemandAnnouncer(own, self.queue, self.shares)
+        self.adverts = SlotAdverts(self.totals, self.exchange, generator)
         self.bad_hint_count = 0
         self._live_peers: frozenset[str] = frozenset()
         self._leaving: frozenset[str] = frozenset()
-        self._held_upstreams: list[str] = []
-        self._shares_version = -1
-        self._share_cache: dict[str, tuple[tuple[int, int], SlotShare]] = {}
-        self._demand_sequence = 0
-        self._demand_sent: OrderedDict[int, float] = OrderedDict()
-        self._last_offer: dict[str, int] = {}
         self._next_demand_s = 0.0
         self._next_renewal_s = 0.0
         self._next_use_s = 0.0
         self._next_upkeep_s = 0.0
-        self._next_advert_s = 0.0
         self._now_s = 0.0
 
     # Events from the own gateway
@@ -173,6 +152,7 @@
         Refusal
             ``queue-full`` if the workspace has reached a bound.
         """
+        self._now_s = now_s
         sane = with_sane_numbers(request)
         self.bad_hint_count += sane is not request
         workspace = self.state.workspaces[request.workspace]
@@ -195,15 +175,11 @@
 
     def charge(self, grant: HeldGrant, tokens: float) -> None:
         """Add service, in weighted tokens, that a grant's request got."""
-        offer = grant.offer
-        served = tokens / self.virtual_time.weight(offer.workspace)
-        self.totals.charge(offer.pool, offer.workspace, served)
-        self._unreserve(grant, served)
+        self.binder.charge(grant, tokens)
 
     def release(self, grant: HeldGrant, now_s: float) -> list[Effect]:
         """Give back a grant's slot."""
-        self._unreserve(grant, grant.reserved_tokens)
-        if not self.held.remove(grant):
+        if not self.binder.finish(grant):
             return []
         return self._give_back(grant.allocator, grant.offer.grant_id, now_s)
 
@@ -257,11 +233,9 @@
         if now_s >= self._next_use_s:
             self._next_use_s = now_s + self._settings.estimates.use_every_s
             effects += self._use_messages()
-        updates = self.exchange.due_updates(now_s, self._last_offer)
+        updates = self.exchange.due_updates(now_s, self.announcer.last_offers)
         effects += [Send(peer, update) for peer, update in updates]
-        if now_s >= self._next_advert_s:
-            self._next_advert_s = now_s + ADVERTISE_EVERY_S
-            effects += self._advertise(now_s)
+        effects += self._advertise(now_s)
         return effects + self._demand_messages(now_s)
 
     def flush_demand(self, now_s: float) -> list[Effect]:
@@ -281,7 +255,7 @@
     def held_upstreams(self) -> list[str]:
         """Return the upstreams of which this node holds shares."""
         self._check_shares()
-        return list(self._held_upstreams)
+        return list(self.holdings.held)
 
     def limit_of(self, name: str) -> int:
         """Return the request limit that this node assumes for an upstream."""
@@ -290,24 +264,11 @@
     def share_of(self, upstream: str) -> SlotShare:
         """Return the slots of this node on an upstream now."""
         self._check_shares()
-        limits = self.limits.limits(upstream, self._now_s)
-        cached = self._share_cache.get(upstream)
-        if cached is not None and cached[0] == limits:
-            return cached[1]
-        share = self.shares.share(upstream, *limits, 0.0)
-        self._share_cache[upstream] = (limits, share)
-        return share
+        return self.holdings.share_of(upstream, self._now_s)
 
     def fits_newest_epoch(self) -> bool:
         """Return whether the grants in use fit the shares of the newest epoch."""
-        for name, count in self.allocator.uses().items():
-            if name not in self.state.upstreams:
-                continue
-            limits = self.limits.limits(name, self._now_s)
-            share = self.shares.target_share(name, *limits, 0.0)
-            if count > share.request_slots:
-                return False
-        return True
+        return self.holdings.fit_newest_epoch(self.allocator.uses(), self._now_s)
 
     # Messages
 
@@ -329,8 +290,8 @@
 
     @_handle.register
     def _(self, offer: Offer, sender: str, now_s: float) -> list[Effect]:
-        asked_s = self._demand_sent.get(offer.demand_sequence)
-        self._note_offer(sender, offer)
+        asked_s = self.announcer.sent_s(offer.demand_sequence)
+        self.announcer.note_offer(sender, offer.grant_id)
         too_old_s = self._settings.timings.lease_s / 2
         if asked_s is None or now_s > asked_s + too_old_s:
             return self._give_back(sender, offer.grant_id, now_s, unused=True)
@@ -338,10 +299,7 @@
 
     @_handle.register
     def _(self, message: GrantReturn, sender: str, now_s: float) -> list[Effect]:
-        if message.unused:
-            for grant_id in message.grant_ids:
-                self.allocator.settle_pending(grant_id)
-        pools = self.allocator.release(sender, message.grant_ids)
+        pools = self.allocator.release(sender, message.grant_ids, message.unused, now_s)
         return self._allocate(pools, now_s)
 
     @_handle.register
@@ -361,7 +319,7 @@
         self.totals.adopt(message)
         self.virtual_time.merge_lifts(message.lifts, from_row=message.row >= 0)
         if message.row < 0:
-            self.allocator.acknowledge_offers(sender, message.last_offer)
+            self.allocator.pending.acknowledge(sender, message.last_offer)
         answer = self.exchange.answer(message)
         return [] if answer is None else [Send(sender, answer)]
 
@@ -380,8 +338,7 @@
     def _(self, message: FreeSlots, sender: str, now_s: float) -> list[Effect]:
         if not self.announcer.pull(sender, message.pools, now_s):
             return []
-        entries = self.announcer.entries_for(sender, now_s)
-        return [Send(sender, self._demand_update(sender, entries, now_s, True))]
+        return [Send(sender, self.announcer.full_update(sender, now_s))]
 
     # Decisions
 
@@ -400,21 +357,15 @@
         return effects
 
     def _check_shares(self) -> None:
-        if self._shares_version != self.shares.version:
+        if self.holdings.is_stale:
             self._refresh_held()
 
     def _refresh_held(self) -> None:
-        self._shares_version = self.shares.version
-        self._share_cache = {}
-        self._held_upstreams = [
-            name
-            for name in sorted(self.state.upstreams)
-            if self.shares.share(name, ANY_LIMIT, 0, 0.0).request_slots
-        ]
+        self.holdings.refresh(self.state)
         members = self.shares.epoch.members
         self.allocator.zones = {m.instance: m.zone for m in members}
         self._leaving = self.limits.leaving(self._now_s)
-        self.allocator.set_state(self.state, self._held_upstreams, self._leaving)
+        self.allocator.set_state(self.state, self.holdings.held, self._leaving)
 
     def _close_leaving(self, now_s: float) -> None:
         if self.limits.leaving(now_s) != self._leaving:
@@ -424,46 +375,29 @@
         key = (request.pool, request.workspace, request.work_class)
         waits = self.queue.waiting(request.pool, request.workspace) > 0
         self.totals.set_waiting(key[:2], waits)
-        self.allocator.demand.set_entry(self._own[0], self.queue.entry(*key))
+        entry = self.queue.entry(*key)
+        self.allocator.demand.set_entry(self._own[0], entry, self._now_s)
         self.announcer.note_change(key)
 
-    def _note_offer(self, allocator: str, offer: Offer) -> None:
-        known = self._last_offer.get(allocator, 0)
-        self._last_offer[allocator] = max(known, offer.grant_id)
-
     def _bind(
         self, allocator: str, offer: Offer, asked_s: float, now_s: float
     ) -> list[Effect]:
         """Give an offer to the best waiting request of its workspace."""
         if allocator == self._own[0]:
-            self.allocator.settle_pending(offer.grant_id)
-        request = self.queue.pop(
-            offer.pool,
-            offer.workspace,
-            offer.work_class,
-            offer.upstream,
-            offer.kv_tokens,
-        )
-        if request is None:
+            self.allocator.pending.settle(offer.grant_id)
+        bound = self.binder.bind(allocator, offer, asked_s)
+        if bound is None:
             return self._give_back(allocator, offer.grant_id, now_s, unused=True)
-        grant = self.held.add(allocator, offer, asked_s)
-        weight = self.virtual_time.weight(offer.workspace)
-        grant.reserved_tokens = request.cost_tokens / weight
-        self.totals.reserve(offer.pool, offer.workspace, grant.reserved_tokens)
+        request, grant = bound
         self._note_queue(request)
         return [Granted(request.request_id, grant)]
 
-    def _unreserve(self, grant: HeldGrant, tokens: float) -> None:
-        freed = min(max(0.0, tokens), grant.reserved_tokens)
-        grant.reserved_tokens -= freed
-        self.totals.reserve(grant.offer.pool, grant.offer.workspace, -freed)
-
     def _give_back(
         self, allocator: str, grant_id: int, now_s: float, unused: bool = False
     ) -> list[Effect]:
         if allocator != self._own[0]:
             return [Send(allocator, GrantReturn([grant_id], unused))]
-        pools = self.allocator.release(allocator, [grant_id])
+        pools = self.allocator.release(allocator, [grant_id], unused, now_s)
         return [] if unused else self._allocate(pools, now_s)
 
     def _renew(self, now_s: float) -> list[Effect]:
@@ -494,7 +428,7 @@
             gone = isinstance(name, str) and name not in members
             if gone and now_s - heard_s > RETIRE_AFTER_S:
                 self.totals.retire(name)
-                self._last_offer.pop(name, None)
+                self.announcer.forget_allocator(name)
         for pool in self.allocator.demand.pools():
             self.virtual_time.cap_catch_up(pool, now_s)
 
@@ -503,43 +437,20 @@
     def _demand_messages(self, now_s: float) -> list[Effect]:
         if now_s >= self._next_demand_s:
             self._next_demand_s = now_s + self._settings.demand_every_s
-            found, full = self.announcer.refresh(now_s), True
+            updates = self.announcer.refresh(now_s)
         else:
-            found, full = self.announcer.news(now_s), False
-        return [
-            Send(peer, self._demand_update(peer, entries, now_s, full))
-            for peer, entries in sorted(found.items())
-        ]
-
-    def _demand_update(
-        self, allocator: str, entries: list, now_s: float, full: bool
-    ) -> DemandUpdate:
-        self._demand_sequence += 1
-        self._demand_sent[self._demand_sequence] = now_s
-        while len(self._demand_sent) > REMEMBERED_DEMANDS:
-            self._demand_sent.popitem(last=False)
-        last_offer = self._last_offer.get(allocator, 0)
-        return DemandUpdate(self._demand_sequence, last_offer, entries, full)
+            updates = self.announcer.news(now_s)
+        return [Send(peer, update) for peer, update in updates]
 
     def _advertise(self, now_s: float) -> list[Effect]:
         """Ask for demand where slots are free and work waits elsewhere."""
-        if len(self._live_peers) + 1 <= ALL_HOLD_UP_TO_MEMBERS:
+        if not self.adverts.is_due(self._live_peers, now_s):
             return []
-        wanted: dict[str, dict[str, int]] = {}
-        for pool, count in self.allocator.free_slots(self.share_of).items():
-            if self.allocator.demand.workspaces(pool):
-                continue
-            for peer in self._waiting_peers(pool, now_s):
-                wanted.setdefault(peer, {})[pool] = count
-        return [Send(peer, FreeSlots(pools)) for peer, pools in sorted(wanted.items())]
-
-    def _waiting_peers(self, pool: str, now_s: float) -> list[str]:
-        sources = self.totals.waiting_sources(pool, now_s) - {self._own[0]}
-        found = [name for name in sources if name in self._live_peers]
-        rows = sorted(name for name in sources if isinstance(name, int))
-        count = self.exchange.grid.rows
-        for row in rows:
-            mates = sorted(n for n in self._live_peers if row_of(n, count) == row)
-            chosen = min(ADVERTISED_PER_ROW, len(mates))
-            found += self._generator.sample(mates, chosen)
-        return found
+        wanted = self.allocator.demand.workspaces
+        free = {
+            pool: count
+            for pool, count in self.allocator.free_slots(self.share_of).items()
+            if not wanted(pool)
+        }
+        messages = self.adverts.messages(free, self._live_peers, now_s)
+        return [Send(peer, message) for peer, message in messages]
--- a/src/carobstair/core/demand.py
+++ b/src/carobstair/core/demand.py
@@ -47,6 +47,7 @@
         self._validity_s = validity_s
         self._gateways: dict[str, _Gateway] = {}
         self._index: dict[str, dict[str, dict[str, dict[str, Demand]]]] = {}
+        self._since_s: dict[DemandKey, float] = {}
         self.dropped_count = 0
 
     def update(
@@ -86,15 +87,16 @@
             if update.sequence < max(held.sequences.get(key, -1), held.sequence):
                 continue
             held.sequences[key] = update.sequence
-            self._put(gateway, held, key, entry, entry.waiting - on_the_way(key))
+            waiting = entry.waiting - on_the_way(key)
+            self._put(gateway, held, key, entry, waiting, now_s)
         return pools
 
-    def set_entry(self, gateway: str, entry: DemandEntry) -> None:
+    def set_entry(self, gateway: str, entry: DemandEntry, now_s: float) -> None:
         """Take in one entry of the own gateway, which never lapses."""
         held = self._gateways.setdefault(gateway, _Gateway(expires_s=math.inf))
         held.expires_s = math.inf
         key = (entry.pool, entry.workspace, entry.work_class)
-        self._put(gateway, held, key, entry, entry.waiting)
+        self._put(gateway, held, key, entry, entry.waiting, now_s)
 
     def forget(self, gateway: str) -> None:
         """Drop the demand of a gateway."""
@@ -115,10 +117,6 @@
         """Return the workspaces with open demand for a pool."""
         return list(self._index.get(pool, ()))
 
-    def has_class(self, pool: str, work_class: str) -> bool:
-        """Return whether any workspace has open demand of a class."""
-        return any(work_class in by for by in self._index.get(pool, {}).values())
-
     def of(self, pool: str, workspace: str, work_class: str) -> Iterable[Demand]:
         """Return open demand, the longest queue first."""
         by_class = self._index.get(pool, {}).get(workspace, {})
@@ -126,6 +124,10 @@
         # This order keeps the waits at different gateways alike.
         return sorted(found, key=lambda d: (-d.open, d.gateway))
 
+    def waits_since_s(self, key: DemandKey) -> float:
+        """Return since when there has been open demand without a break."""
+        return self._since_s.get(key, math.inf)
+
     def sequence(self, gateway: str, key: DemandKey) -> int:
         """Return the update from which a gateway's entry comes."""
         held = self._gateways[gateway]
@@ -140,7 +142,13 @@
             self._unindex(demand.gateway, key)
 
     def _put(
-        self, gateway: str, held: _Gateway, key: DemandKey, entry, waiting: int
+        self,
+        gateway: str,
+        held: _Gateway,
+        key: DemandKey,
+        entry: DemandEntry,
+        waiting: int,
+        now_s: float,
     ) -> None:
         if entry.waiting <= 0:
             self._remove(gateway, held, key)
@@ -157,6 +165,7 @@
             by_workspace = self._index.setdefault(pool, {})
             by_class = by_workspace.setdefault(workspace, {})
             by_class.setdefault(work_class, {})[gateway] = demand
+            self._since_s.setdefault(key, now_s)
         else:
             self._unindex(gateway, key)
 
@@ -172,6 +181,7 @@
         by_gateway.pop(gateway, None)
         if not by_gateway:
             by_class.pop(work_class, None)
+            self._since_s.pop(key, None)
         if not by_class:
             by_workspace.pop(workspace, None)
         if not by_workspace:
--- a/src/carobstair/core/estimates.py
+++ b/src/carobstair/core/estimates.py
@@ -18,7 +18,7 @@
     UpstreamUse,
     UpstreamUseReport,
 )
-from carobstair.core.shares import MemberId, ShareTable
+from carobstair.core.shares import MemberId, ShareTable, first_sequence
 from carobstair.core.state import FleetState
 
 __all__ = ["EstimateSettings", "LimitBook"]
@@ -93,7 +93,7 @@
         self._estimator: dict[str, str] = {}
         self._estimator_version = -1
         self._times_ms: dict[str, deque[float]] = {}
-        self._sequence = 0
+        self._sequence = first_sequence(own[1])
         self.dropped_count = 0
 
     def set_state(self, state: FleetState, now_s: float) -> None:
--- a/src/carobstair/core/shares.py
+++ b/src/carobstair/core/shares.py
@@ -20,6 +20,7 @@
     "MemberId",
     "ShareTable",
     "SlotShare",
+    "first_sequence",
     "rendezvous_rank",
     "split_limit",
 ]
@@ -42,6 +43,11 @@
     return sorted(names, key=rank, reverse=True)
 
 
+def first_sequence(incarnation: int) -> int:
+    """Return where a process starts to count, above all former incarnations."""
+    return incarnation << 20
+
+
 def split_limit(limit: int, rank: int, holders: int) -> int:
     """Return the part of a limit that the holder of a rank has."""
     if not 0 <= rank < holders:
--- a/src/carobstair/net/capacity.py
+++ b/src/carobstair/net/capacity.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterable
 from functools import singledispatchmethod
 
+from carobstair.core.allocator import AllocatorSettings
 from carobstair.core.capacity import CapacityNode, CapacitySettings
 from carobstair.core.effects import Effect, Granted, RefuseWaiting, Send
 from carobstair.core.grants import HeldGrant
@@ -25,6 +26,7 @@
     UpstreamUseReport,
 )
 from carobstair.core.queueing import WaitingRequest
+from carobstair.core.reserve import QuickReserveSettings
 from carobstair.core.state import FleetState, UpstreamKind
 from carobstair.logs import get_logger
 from carobstair.metrics import RouterMetrics
@@ -79,7 +81,9 @@
         self._metrics = metrics
         node_settings = CapacitySettings(
             totals_every_s=settings.peers.exchange_s,
-            quick_fraction=settings.gateway.quick_fraction,
+            allocator=AllocatorSettings(
+                quick=QuickReserveSettings(settings.gateway.quick_fraction)
+            ),
         )
         self.node = CapacityNode(
             (own.instance, own.incarnation),
