--- a/src/carobstair/net/app.py
+++ b/src/carobstair/net/app.py
@@ -10,7 +10,7 @@
 
 import falcon
 import falcon.asgi
-from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
+from prometheus_client import CONTENT_TYPE_LATEST
 
 from carobstair.core.refusals import Refusal, refuse
 from carobstair.core.state import UpstreamKind
@@ -18,7 +18,8 @@
 from carobstair.metrics import RouterMetrics
 from carobstair.models import ModelError, TicketModel, parse_model
 from carobstair.net.agent import Agent
-from carobstair.net.gateway import Gateway, collect_answer
+from carobstair.net.chat import collect_answer
+from carobstair.net.gateway import Gateway
 from carobstair.settings import RouterSettings
 
 __all__ = ["make_app"]
@@ -113,16 +114,17 @@
 
 
 class _Operator:
+    """Closes the operator interface, and /metrics where a key is set for it."""
+
     def __init__(self, settings: RouterSettings):
         self._key = settings.gateway.operator_key
+        self._metrics_key = settings.gateway.metrics_key
 
     async def process_resource(self, req, resp, resource, params) -> None:
-        if not req.path.startswith("/operator/"):
-            return
-        scheme, _, key = (req.get_header("Authorization") or "").partition(" ")
-        equal = hmac.compare_digest(key.strip().encode(), self._key.encode())
-        if not self._key or scheme.lower() != "bearer" or not equal:
-            raise refuse("unauthenticated")
+        if req.path.startswith("/operator/"):
+            _check_key(req, self._key)
+        elif req.path == "/metrics" and self._metrics_key:
+            _check_key(req, self._metrics_key)
 
 
 class _Tickets:
@@ -141,10 +143,8 @@
         resp.media = {"number": number}
 
     async def on_get_one(self, req, resp, number: int) -> None:
-        if not 1 <= number <= len(self._agent.tickets):
-            raise refuse("not-found", f"ticket {number}")
+        resp.data = await self._agent.ticket(number)
         resp.content_type = falcon.MEDIA_JSON
-        resp.data = self._agent.tickets[number - 1]
 
 
 class _InForce:
@@ -154,7 +154,7 @@
     async def on_get(self, req, resp) -> None:
         resp.media = {
             "number": self._agent.state.number,
-            "instances": self._agent.in_force(),
+            "instances": await self._agent.in_force(),
         }
 
 
@@ -167,11 +167,10 @@
         resp.media = {"status": "ok"}
 
     async def on_get_ready(self, req, resp) -> None:
-        if not self._agent.ready:
-            reason = "no ticket is in force yet"
-        elif self._agent.leaving or self._gateway.refuses_new:
+        reason = self._agent.unready_reason()
+        if reason is None and self._gateway.refuses_new:
             reason = "shutting down"
-        else:
+        if reason is None:
             resp.media = {"status": "ready"}
             return
         resp.status = 503
@@ -184,7 +183,7 @@
 
     async def on_get(self, req, resp) -> None:
         resp.content_type = CONTENT_TYPE_LATEST
-        resp.data = generate_latest(self._metrics.registry)
+        resp.data = self._metrics.page()
 
 
 def make_app(
@@ -213,11 +212,20 @@
 
 
 def _context(gateway: Gateway, req):
-    return gateway.authenticate(
+    context = gateway.authenticate(
         req.get_header("Authorization"),
         req.context.request_id,
         req.get_header("X-Deadline-Ms"),
     )
+    req.context.workspace = context.workspace.name
+    return context
+
+
+def _check_key(req, expected: str) -> None:
+    scheme, _, key = (req.get_header("Authorization") or "").partition(" ")
+    equal = hmac.compare_digest(key.strip().encode(), expected.encode())
+    if not expected or scheme.lower() != "bearer" or not equal:
+        raise refuse("unauthenticated")
 
 
 async def _read_body(req, max_bytes: int) -> bytes:
@@ -243,6 +251,7 @@
     logger.info(
         "request_refused",
         request_id=req.context.request_id,
+        workspace=getattr(req.context, "workspace", None),
         type=refusal.kind.name,
         ran=str(refusal.kind.ran),
         detail=refusal.detail,
--- a/src/carobstair/net/capacity.py
+++ b/src/carobstair/net/capacity.py
@@ -5,7 +5,7 @@
 import asyncio
 import random
 import time
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from functools import singledispatchmethod
 
 from carobstair.core.allocator import AllocatorSettings
@@ -90,8 +90,11 @@
             node_settings,
             random.Random(f"{settings.seed}/{own.instance}/capacity"),
         )
+        # Called with the upstream and whether its load report says that it leaves.
+        self.on_leaving_report: Callable[[str, bool], None] = lambda name, leaves: None
         self._futures: dict[str, asyncio.Future[HeldGrant]] = {}
         self._demand_timer: asyncio.TimerHandle | None = None
+        metrics.refreshers.append(self._set_gauges)
         for payload_type in HANDLED:
             peers.subscribe(payload_type, self._on_message)
 
@@ -190,6 +193,16 @@
         if future is not None and not future.done():
             future.set_exception(effect.refusal)
 
+    def _set_gauges(self) -> None:
+        for name in self.state.upstreams:
+            held, used = self.node.share_of(name), self.node.allocator.in_use(name)
+            self._metrics.slots.labels(name, "held").set(held.request_slots)
+            self._metrics.slots.labels(name, "used").set(used.request_slots)
+        self._metrics.waiting.clear()
+        for pool, workspace in self.node.queue.backlogged():
+            count = self.node.queue.waiting(pool, workspace)
+            self._metrics.waiting.labels(pool, workspace).set(count)
+
     async def _poll_loads(self) -> None:
         while True:
             names = self.node.estimated_upstreams()
@@ -205,6 +218,7 @@
         except UpstreamError as error:
             logger.debug("load_report_failed", upstream=name, error=str(error))
             return
+        self.on_leaving_report(name, report.leaving)
         self._carry_out(self.node.on_load_report(name, report, time.monotonic()))
         if name in self.state.upstreams:
             self._metrics.limit.labels(name).set(self.node.limit_of(name))
