Let quick requests run ahead of their workspace's order by a bounded amount

Cause: a quick question of a workspace that also drafts waited until the turn of its workspace came, for 2.4 s at p95 on 5 engines.

Change: quick requests that are no backlog go first while their workspace is less than `quick_ahead_tokens` ahead; the bound on the gap has this as a term. The simulated gateway charges through the node and no longer reserves a second time. `bench/quick_reserve.py` measures the reserve.

--- a/bench/capacity_sim.py
+++ b/bench/capacity_sim.py
@@ -94,6 +94,10 @@
         low, high = self.gap_range.get((one, other), (0.0, 0.0))
         return high - low
 
+    def quick_first_token_s(self, workspace: str) -> list[float]:
+        """Return the sorted times to the first token of quick requests."""
+        return sorted(self.first_token_s.get(f"{workspace}/quick", [0.0]))
+
     def percentile_s(self, workspace: str, part: float) -> float:
         """Return a percentile of the time to the first token."""
         times = sorted(self.first_token_s.get(workspace, [0.0]))
@@ -297,9 +301,11 @@
         engine = self.engines[grant.offer.upstream]
         if done == 0:
             waited_s = self.now_s - request.enqueued_s
-            self.measured.first_token_s.setdefault(request.workspace, []).append(
-                waited_s
-            )
+            for row in (
+                request.workspace,
+                f"{request.workspace}/{request.work_class}",
+            ):
+                self.measured.first_token_s.setdefault(row, []).append(waited_s)
         step = min(TOKENS_PER_EVENT, tokens - done)
         interval_s = self._interval_s(engine)
         node.charge(grant, float(step))
--- /dev/null
+++ b/bench/quick_reserve.py
@@ -0,0 +1,85 @@
+"""Measure what a reserve for quick requests costs, and what it gives.
+
+Two workspaces keep all slots busy with long drafts while a third asks quick
+questions, on virtual time with a fixed seed.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from capacity_sim import Fleet, FleetPlan, closed_loop, poisson
+from carobstair.core.allocator import AllocatorSettings
+from carobstair.core.capacity import CapacitySettings
+from carobstair.core.reserve import QuickReserveSettings
+
+WARM_UP_S, END_S = 30.0, 150.0
+QUICK_PER_S, QUICK_TOKENS = 3.0, 12
+
+
+@dataclass(frozen=True)
+class Case:
+    """A fleet and the lengths of the drafts in it."""
+
+    nodes: int
+    engines: int
+    slots: int
+    lengths: tuple[int, int]
+
+
+CASES = (
+    Case(3, 3, 8, (60, 300)),
+    Case(6, 5, 8, (300, 700)),
+    Case(6, 5, 16, (300, 700)),
+    Case(6, 9, 8, (300, 700)),
+)
+
+
+def measure(case: Case, fraction: float, own: bool) -> tuple[float, float, float]:
+    """Return p50 and p95 to the first token in seconds, and the idle part.
+
+    Parameters
+    ----------
+    own : bool
+        Whether the questions come from a workspace that also drafts.
+    """
+    settings = CapacitySettings(
+        allocator=AllocatorSettings(quick=QuickReserveSettings(fraction))
+    )
+    plan = FleetPlan(
+        nodes=case.nodes,
+        engines=case.engines,
+        slots=case.slots,
+        weights={"flood": 1.0, "bulk": 1.0, "agents": 1.0},
+        settings=settings,
+    )
+    fleet = Fleet(plan)
+    everywhere = list(fleet.nodes)
+    closed_loop(fleet, "flood", 80, case.lengths, everywhere[:1])
+    closed_loop(fleet, "bulk", 80, case.lengths, everywhere)
+    asking = "bulk" if own else "agents"
+    poisson(fleet, asking, QUICK_PER_S, QUICK_TOKENS, everywhere)
+    fleet.run(WARM_UP_S)
+    fleet.forget_measures()
+    found = fleet.run(END_S)
+    times = found.quick_first_token_s(asking)
+    idle = found.idle_waiting_slot_s / found.slot_s
+    return times[len(times) // 2], times[int(len(times) * 0.95)], idle
+
+
+def main() -> None:
+    """Print a table."""
+    print("routers engines slots questions_of  fraction  p50_s  p95_s  idle")
+    for case in CASES:
+        for own in (False, True):
+            for fraction in (0.0, 0.1):
+                p50, p95, idle = measure(case, fraction, own)
+                print(
+                    f"{case.nodes:7} {case.engines:7} {case.slots:5} "
+                    f"{'a drafter' if own else 'a third':>12} {fraction:9} "
+                    f"{p50:6.3f} {p95:6.3f} {idle:6.2%}"
+                )
+
+
+if __name__ == "__main__":
+    main()
--- a/src/carobstair/core/allocator.py
+++ b/src/carobstair/core/allocator.py
@@ -32,6 +32,9 @@
     pending_s : float
         How long the cost of a grant to another gateway counts on top of the
         service totals, if these don't tell of it sooner.
+    quick_ahead_tokens : float
+        How far a workspace of weight 1 may run ahead of the others with quick
+        requests that are no backlog; a term of the bound on the gap.
     drain_after_s : float
         How long the request whose turn it is waits for KV tokens before an
         upstream takes no other work until it fits.
@@ -40,6 +43,7 @@
     demand_validity_s: float = 3.0
     pending_s: float = 2.5
     quick: QuickReserveSettings = field(default_factory=QuickReserveSettings)
+    quick_ahead_tokens: float = 1000.0
     drain_after_s: float = 0.5
 
 
@@ -275,15 +279,13 @@
     ) -> Grant | None:
         free = sum(share.request_slots for share in left.values())
         scarce = free <= reserve - self._quick_use.get(pool, 0)
-        for workspace in self._order(pool):
-            for work_class in self._classes.ordered(pool, workspace):
-                key = (pool, workspace, work_class)
-                if scarce and not self._may_use_reserve(key, now_s):
-                    continue
-                for demand in self.demand.of(*key):
-                    upstream = self._place(demand, left, now_s)
-                    if upstream is not None:
-                        return self._make_grant(demand, upstream, now_s)
+        for key in self._order(pool, now_s):
+            if scarce and not self._may_use_reserve(key, now_s):
+                continue
+            for demand in self.demand.of(*key):
+                upstream = self._place(demand, left, now_s)
+                if upstream is not None:
+                    return self._make_grant(demand, upstream, now_s)
         return None
 
     def _may_use_reserve(self, key: DemandKey, now_s: float) -> bool:
@@ -291,14 +293,22 @@
             self.demand.waits_since_s(key), now_s
         )
 
-    def _order(self, pool: str) -> list[str]:
+    def _order(self, pool: str, now_s: float) -> list[DemandKey]:
+        """Return what waits for a pool in the order in which it is to be served."""
         allowed = self._state.workspaces
-        ordered = sorted(
-            (self._virtual_time.value(pool, ws, self.pending.sum((pool, ws))), ws)
-            for ws in self.demand.workspaces(pool)
-            if ws in allowed and pool in allowed[ws].pools
-        )
-        return [ws for _, ws in ordered]
+        ordered = []
+        for workspace in self.demand.workspaces(pool):
+            if workspace not in allowed or pool not in allowed[workspace].pools:
+                continue
+            pending = self.pending.sum((pool, workspace))
+            value = self._virtual_time.value(pool, workspace, pending)
+            classes = self._classes.ordered(pool, workspace)
+            for place, work_class in enumerate(classes):
+                key = (pool, workspace, work_class)
+                ahead = self._may_use_reserve(key, now_s)
+                start = value - self._settings.quick_ahead_tokens if ahead else value
+                ordered.append((start, workspace, place, key))
+        return [key for _, _, _, key in sorted(ordered)]
 
     def _place(
         self, demand: Demand, left: dict[str, SlotShare], now_s: float
--- a/src/carobstair/core/fairness.py
+++ b/src/carobstair/core/fairness.py
@@ -66,6 +66,8 @@
         Largest reservation of one workspace's running requests, per weight.
     largest_cost_tokens : float
         Largest cost of one request, per weight.
+    ahead_tokens : float
+        How far quick requests may run ahead, per weight.
     least_weight : float
         Lowest weight of the two workspaces.
     """
@@ -74,6 +76,7 @@
     delay_s: float
     in_flight_tokens: float
     largest_cost_tokens: float
+    ahead_tokens: float = 0.0
     least_weight: float = 1.0
 
 
@@ -99,10 +102,12 @@
     """Return the most by which the service of two workspaces may differ.
 
     The difference is that of the service per weight over any time in which both
-    are backlogged on the same upstreams: ``R x D / w + 2 x (W_max + C_max)``.
+    are backlogged on the same upstreams:
+    ``R x D / w + 2 x (W_max + C_max) + A``, where A is `ahead_tokens`.
     """
     unknown = terms.rate_tokens_per_s * terms.delay_s / terms.least_weight
-    return unknown + 2.0 * (terms.in_flight_tokens + terms.largest_cost_tokens)
+    known = 2.0 * (terms.in_flight_tokens + terms.largest_cost_tokens)
+    return unknown + known + terms.ahead_tokens
 
 
 class VirtualTime:
--- a/src/carobstair/scenario/gateway.py
+++ b/src/carobstair/scenario/gateway.py
@@ -64,7 +64,6 @@
     exchange: Exchange
     grant: HeldGrant
     attempt_id: str
-    reserved: float
     last_progress_s: float
     last_token_s: float = 0.0
 
@@ -151,12 +150,8 @@
             return
         request_id = exchange.waiting.request_id
         number = self._attempts[request_id] = self._attempts.get(request_id, 0) + 1
-        reserved = effect.grant.offer.cost_tokens
-        stream = _Stream(
-            exchange, effect.grant, f"{request_id}.{number}", reserved, self._now_s
-        )
+        stream = _Stream(exchange, effect.grant, f"{request_id}.{number}", self._now_s)
         self._streams[stream.attempt_id] = stream
-        self._reserve(stream, reserved)
         self._node.prefixes.note_cached(name, exchange.waiting.prefix)
         self._router.world.dispatch(self._router, name, self._attempt(stream))
 
@@ -211,7 +206,8 @@
         kind = self._node.state.upstreams[offer.upstream].kind
         if kind is UpstreamKind.SERVICE:
             cost = service_cost_tokens(self._now_s - stream.last_progress_s)
-            self._node.note_token_interval(offer.upstream, 0.0)
+            took_s = self._now_s - stream.last_progress_s
+            self._node.note_service_call(offer.upstream, took_s)
         else:
             cost = 1.0
             if not exchange.received:
@@ -220,10 +216,7 @@
                 interval_ms = (self._now_s - stream.last_token_s) * 1000.0
                 self._node.note_token_interval(offer.upstream, interval_ms)
         stream.last_token_s = stream.last_progress_s = self._now_s
-        self._node.totals.charge(offer.pool, offer.workspace, cost)
-        freed = min(cost, stream.reserved)
-        stream.reserved -= freed
-        self._reserve(stream, -freed)
+        self._node.charge(stream.grant, cost)
 
     def _on_broken(self, attempt_id: str) -> None:
         stream = self._streams.get(attempt_id)
@@ -250,14 +243,8 @@
         return replace(request, excluded=excluded)
 
     def _stop(self, stream: _Stream) -> None:
-        self._reserve(stream, -stream.reserved)
-        stream.reserved = 0.0
         del self._streams[stream.attempt_id]
 
-    def _reserve(self, stream: _Stream, tokens: float) -> None:
-        offer = stream.grant.offer
-        self._node.totals.reserve(offer.pool, offer.workspace, tokens)
-
     def _end(self, exchange: Exchange, outcome: str) -> None:
         self._exchanges.pop(exchange.waiting.request_id, None)
         self._attempts.pop(exchange.waiting.request_id, None)
