--- a/src/carobstair/core/announcing.py
+++ b/src/carobstair/core/announcing.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterable
 
 from carobstair.core.demand import DemandKey
+from carobstair.core.fairness import VirtualTime
 from carobstair.core.messages import DemandEntry, DemandUpdate
 from carobstair.core.queueing import GatewayQueue
 from carobstair.core.shares import (
@@ -22,6 +23,11 @@
 
 ALLOCATORS_PER_POOL = 3
 REMEMBERED_UPDATES = 2000
+# A workspace whose requests wait at few gateways gets more than these can grant
+# only if more allocators know of it.
+MOST_ALLOCATORS = 64
+# The costs of two requests: less than this is the grain of the order.
+LAG_COSTS = 2.0
 # An allocator that asked for demand is told for this long.
 PULL_S = 3.0
 # Allocators count down what they grant, so of a long queue only larger changes
@@ -40,12 +46,21 @@
         Instance and incarnation.
     queue : GatewayQueue
     shares : ShareTable
+    virtual_time : VirtualTime
     """
 
-    def __init__(self, own: MemberId, queue: GatewayQueue, shares: ShareTable):
+    def __init__(
+        self,
+        own: MemberId,
+        queue: GatewayQueue,
+        shares: ShareTable,
+        virtual_time: VirtualTime,
+    ):
         self._own = own[0]
         self._queue = queue
         self._shares = shares
+        self._virtual_time = virtual_time
+        self._reach: dict[tuple[str, str], int] = {}
         self._state = FleetState()
         self._live: frozenset[str] = frozenset()
         self._changed: set[DemandKey] = set()
@@ -104,6 +119,7 @@
 
     def refresh(self, now_s: float) -> list[tuple[str, DemandUpdate]]:
         """Return updates with all entries, and count them as told."""
+        self._adapt_reach(now_s)
         updates = self._updates(self._queue.demand(), now_s, full=True)
         self._changed = {key for key in self._changed if self._is_news(key)}
         return updates
@@ -113,7 +129,7 @@
         entries = [
             entry
             for entry in self._queue.demand()
-            if allocator in self._allocators(entry.pool, now_s)
+            if allocator in self._allocators(entry, now_s)
         ]
         return self._update(allocator, entries, now_s, full=True)
 
@@ -124,7 +140,7 @@
         for entry in entries:
             key = (entry.pool, entry.workspace, entry.work_class)
             self._note_sent(key, entry)
-            for allocator in self._allocators(entry.pool, now_s):
+            for allocator in self._allocators(entry, now_s):
                 found.setdefault(allocator, []).append(entry)
         return [
             (allocator, self._update(allocator, chosen, now_s, full))
@@ -141,16 +157,34 @@
         last_offer = self.last_offers.get(allocator, 0)
         return DemandUpdate(self._sequence, last_offer, entries, full)
 
-    def _allocators(self, pool: str, now_s: float) -> list[str]:
+    def _adapt_reach(self, now_s: float) -> None:
+        """Tell more allocators of what lags behind, and fewer of what does not."""
+        reach: dict[tuple[str, str], int] = {}
+        if len(self._live) + 1 > ALL_HOLD_UP_TO_MEMBERS:
+            for entry in self._queue.demand():
+                key = (entry.pool, entry.workspace)
+                lag = self._virtual_time.lag(*key, now_s)
+                known = self._reach.get(key, ALLOCATORS_PER_POOL)
+                if lag > LAG_COSTS * entry.head_cost_tokens:
+                    known = min(2 * known, MOST_ALLOCATORS)
+                elif lag < 0.0:
+                    known = max(known * 3 // 4, ALLOCATORS_PER_POOL)
+                reach[key] = max(known, reach.get(key, 0))
+        self._reach = reach
+
+    def _allocators(self, entry: DemandEntry, now_s: float) -> list[str]:
         if self._targets_version != self._shares.version:
             self._targets_version = self._shares.version
             self._targets = {}
-        found = self._targets.get(pool)
-        if found is None:
-            found = self._targets[pool] = self._find_allocators(pool)
+        pool = entry.pool
+        ranked = self._targets.get(pool)
+        if ranked is None:
+            ranked = self._targets[pool] = self._find_allocators(pool)
+        if len(self._live) + 1 <= ALL_HOLD_UP_TO_MEMBERS:
+            return ranked
+        key = (pool, entry.workspace)
+        found = ranked[: self._reach.get(key, ALLOCATORS_PER_POOL)]
         pulled = self._pulled.get(pool, {})
-        if not pulled:
-            return found
         for allocator in [a for a, until_s in pulled.items() if until_s <= now_s]:
             del pulled[allocator]
         return found + [a for a in pulled if a not in found and a in self._live]
@@ -164,8 +198,7 @@
             for instance, _ in self._shares.all_holders(upstream.name)
         }
         # A gateway that is a holder itself is served in process.
-        ranked = rendezvous_rank(f"{self._own}\0{pool}", holders & self._live)
-        return ranked[:ALLOCATORS_PER_POOL]
+        return rendezvous_rank(f"{self._own}\0{pool}", holders & self._live)
 
     def _note_sent(self, key: DemandKey, entry: DemandEntry) -> None:
         if entry.waiting:
--- a/src/carobstair/core/capacity.py
+++ b/src/carobstair/core/capacity.py
@@ -103,7 +103,9 @@
         self.queue = GatewayQueue()
         self.held = HeldGrants(timings)
         self.binder = Binder(self.queue, self.held, self.totals, self.virtual_time)
-        self.announcer = DemandAnnouncer(own, self.queue, self.shares)
+        self.announcer = DemandAnnouncer(
+            own, self.queue, self.shares, self.virtual_time
+        )
         self.adverts = SlotAdverts(self.totals, self.exchange, generator)
         self.bad_hint_count = 0
         self._live_peers: frozenset[str] = frozenset()
--- a/src/carobstair/core/estimates.py
+++ b/src/carobstair/core/estimates.py
@@ -24,8 +24,11 @@
 __all__ = ["EstimateSettings", "LimitBook"]
 
 # Load reports lag, so a count is explained by any use within this time, and
-# what is left over must last as long before it counts.
+# what is left over must show in most reports of as long a time.
 LAG_S = 3.0
+# While grants end after the limit was lowered, their former number still explains
+# part of the report, so what was found before holds for a while.
+HOLD_S = 5.0
 MAX_TIMES = 256
 
 
@@ -60,6 +63,7 @@
     limiter: UpstreamLimiter
     uses: dict[str, deque[tuple[float, int]]] = field(default_factory=dict)
     excess: deque[tuple[float, int]] = field(default_factory=deque)
+    found: deque[tuple[float, int]] = field(default_factory=deque)
     unexplained: int = 0
 
 
@@ -328,4 +332,12 @@
         while len(excess) > 1 and excess[1][0] <= now_s - LAG_S:
             excess.popleft()
         lasted = now_s - excess[0][0] >= LAG_S
-        estimate.unexplained = max(0, min(e for _, e in excess)) if lasted else 0
+        # Reports of use come up to a second late, so a burst shows as excess for
+        # a few reports; the median leaves these out.
+        ordered = sorted(e for _, e in excess)
+        middle = ordered[(len(ordered) - 1) // 2]
+        found = estimate.found
+        found.append((now_s, max(0, middle) if lasted else 0))
+        while found[0][0] < now_s - HOLD_S:
+            found.popleft()
+        estimate.unexplained = max(count for _, count in found)
--- a/src/carobstair/core/fairness.py
+++ b/src/carobstair/core/fairness.py
@@ -155,6 +155,14 @@
         lift = self._lifts.get((pool, workspace), 0.0)
         return self._totals.total(pool, workspace) + lift
 
+    def lag(self, pool: str, workspace: str, now_s: float) -> float:
+        """Return how far a workspace is behind the mean of the others that wait."""
+        others = self._totals.backlogged(pool, now_s) - {workspace}
+        if not others:
+            return 0.0
+        mean = sum(self.value(pool, other) for other in others) / len(others)
+        return mean - self.value(pool, workspace)
+
     def on_backlogged(self, pool: str, workspace: str, now_s: float) -> None:
         """Lift a workspace that begins to wait, so that idleness earns no credit.
 
--- a/src/carobstair/core/reserve.py
+++ b/src/carobstair/core/reserve.py
@@ -44,7 +44,7 @@
     fraction: float = 0.1
     memory_s: float = 10.0
     bearable_wait_s: float = 0.4
-    backlog_s: float = 1.0
+    backlog_s: float = 3.0
 
 
 class _Rate:
