--- a/src/carobstair/scenario/log.py
+++ b/src/carobstair/scenario/log.py
@@ -21,7 +21,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Ended:
-    """How one request ended."""
+    """How one request ended.
+
+    Attributes
+    ----------
+    admitted : bool
+        Whether an upstream ever took it in.
+    longest_silence_s : float
+        Longest time between two tokens, which includes a change of the upstream.
+    """
 
     workspace: str
     work_class: str
@@ -31,6 +39,8 @@
     outcome: str
     whole: bool
     admitted: bool
+    deadline_s: float
+    longest_silence_s: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -107,6 +117,8 @@
                 outcome,
                 _is_whole(exchange, self.scenario, request.pool),
                 exchange.admitted,
+                request.deadline_s,
+                exchange.longest_silence_s,
             )
         )
 
