--- a/src/carobstair/core/shares.py
+++ b/src/carobstair/core/shares.py
@@ -165,6 +165,8 @@
         self._departed_at_s: dict[MemberId, float] = {}
         self._received: dict[tuple[int, MemberId], ShareTransfer] = {}
         self._gives_away = False
+        # Grows whenever a share may have changed, for those who cache shares.
+        self.version = 0
 
     @property
     def epoch(self) -> Epoch:
@@ -176,11 +178,18 @@
         """Whether the newest epoch is not settled yet."""
         return bool(self._pending)
 
+    def all_holders(self, upstream: str) -> list[MemberId]:
+        """Return who may use a share of an upstream under any unsettled epoch."""
+        epochs = (self._settled, *self._pending)
+        found = {m: None for epoch in epochs for m in epoch.holders(upstream)}
+        return list(found)
+
     def learn(self, epoch: Epoch, now_s: float) -> bool:
         """Take in an epoch and return whether it was news."""
         if epoch.number <= self.epoch.number:
             return False
         self._pending.append(epoch)
+        self.version += 1
         self._acked = set()
         for member in epoch.departed:
             self._departed_at_s.setdefault(member, now_s)
@@ -203,6 +212,7 @@
             return
         self._settled = self._pending[-1]
         self._pending = []
+        self.version += 1
         number = self._settled.number
         self._received = {k: t for k, t in self._received.items() if k[0] >= number}
         named = self._settled.member_ids() | set(self._settled.departed)
@@ -230,6 +240,7 @@
     def give_away(self) -> None:
         """Stop using the own shares for good; what is in use may finish."""
         self._gives_away = True
+        self.version += 1
 
     def receive(self, transfer: ShareTransfer) -> bool:
         """Take over the shares that a leaving member gives away.
@@ -248,6 +259,7 @@
         if known is not None and known.sequence >= transfer.sequence:
             return False
         self._received[epoch.number, member] = transfer
+        self.version += 1
         return True
 
     def share(
--- a/src/carobstair/net/upstream.py
+++ b/src/carobstair/net/upstream.py
@@ -10,6 +10,7 @@
 import aiohttp
 
 from carobstair.core.limits import LoadReport
+from carobstair.core.placement import CacheEvent
 from carobstair.core.state import Upstream
 from carobstair.settings import GatewaySettings
 
@@ -41,6 +42,9 @@
 )
 CONNECT_TIMEOUT_S = 1.0
 LOAD_TIMEOUT_S = 1.0
+NOT_RUN_STATUSES = frozenset({429, 503})
+# Raised before any byte of a request is written.
+CONNECT_ERRORS = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 CANCEL_TIMEOUT_S = 1.0
 
 
@@ -122,10 +126,10 @@
         url = upstream.address + "/v1/chat/completions"
         try:
             async with self._open().post(url, data=body, headers=headers) as response:
-                _check(response, attempt_id)
+                _check_engine(response, attempt_id)
                 async for chunk in self._read(response, after):
                     yield chunk
-        except aiohttp.ClientConnectorError as error:
+        except CONNECT_ERRORS as error:
             raise NotSent(str(error)) from error
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
             raise StreamBroken(str(error) or type(error).__name__) from error
@@ -158,14 +162,18 @@
                 timeout=timeout,
                 allow_redirects=False,
             ) as response:
-                _check(response, attempt_id)
+                _check_echo(response, attempt_id)
                 content = await response.read()
-        except aiohttp.ClientConnectorError as error:
+        except CONNECT_ERRORS as error:
             raise NotSent(str(error)) from error
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise StreamBroken(str(error) or type(error).__name__) from error
+        if response.status in NOT_RUN_STATUSES and _says_not_run(content):
+            raise UpstreamRefused(f"status {response.status}")
         kept = tuple(
-            (k, v) for k, v in response.headers.items() if k.lower() not in HOP_HEADERS
+            (str(k), str(v))
+            for k, v in response.headers.items()
+            if k.lower() not in HOP_HEADERS
         )
         return ServiceAnswer(response.status, kept, content)
 
@@ -203,6 +211,29 @@
         except (KeyError, TypeError, ValueError, AttributeError) as error:
             raise UpstreamError(f"load report: {error}") from error
 
+    async def cache_events(
+        self, upstream: Upstream, since: int
+    ) -> tuple[str, list[CacheEvent]]:
+        """Return an engine's incarnation and what changed in its prefix cache.
+
+        Raises
+        ------
+        UpstreamError
+            If there is no answer or it can't be read.
+        """
+        timeout = aiohttp.ClientTimeout(total=LOAD_TIMEOUT_S)
+        url = f"{upstream.address}/cache/events?since={since}"
+        try:
+            async with self._open().get(url, timeout=timeout) as response:
+                document = await response.json(content_type=None)
+            return str(document["incarnation"]), [
+                _cache_event(event) for event in document["events"]
+            ]
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            raise NotSent(str(error)) from error
+        except (KeyError, TypeError, ValueError, AttributeError) as error:
+            raise UpstreamError(f"cache events: {error}") from error
+
     async def _read(
         self, response: aiohttp.ClientResponse, after: int
     ) -> AsyncIterator[Chunk]:
@@ -230,9 +261,20 @@
             )
             connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=15)
             self._session = aiohttp.ClientSession(timeout=timeout, connector=connector)
+            # aiohttp sends PUT and DELETE again when a kept connection breaks; an
+            # action must not run twice, and it has no public switch for this.
+            self._session._retry_connection = False
         return self._session
 
 
+def _cache_event(event: dict) -> CacheEvent:
+    return CacheEvent(
+        int(event["number"]),
+        tuple(int(block) for block in event.get("cached", ())),
+        tuple(int(block) for block in event.get("evicted", ())),
+    )
+
+
 async def _events(response: aiohttp.ClientResponse) -> AsyncIterator[tuple[int, bytes]]:
     event_id, data = 0, b""
     async for line in response.content:
@@ -246,9 +288,24 @@
             data = b""
 
 
-def _check(response: aiohttp.ClientResponse, attempt_id: str) -> None:
-    if response.status in (429, 503):
+def _check_engine(response: aiohttp.ClientResponse, attempt_id: str) -> None:
+    # An engine that refuses so has not begun; it may not get as far as the echo.
+    if response.status in NOT_RUN_STATUSES:
         raise UpstreamRefused(f"status {response.status}")
+    _check_echo(response, attempt_id)
+    if response.status != 200:
+        raise StreamBroken(f"status {response.status}")
+
+
+def _check_echo(response: aiohttp.ClientResponse, attempt_id: str) -> None:
     if response.headers.get("X-Request-Id") != attempt_id:
         response.close()
         raise AnswerMismatch(attempt_id)
+
+
+def _says_not_run(content: bytes) -> bool:
+    try:
+        document = json.loads(content)
+    except ValueError:
+        return False
+    return isinstance(document, dict) and document.get("ran") == "no"
