Follow the reworked capacity node in scenarios and read cache events

Change: the simulated gateway, the baselines and the engine follow; operators file at routers that take no callers; files run in several processes.

--- a/bench/policies/fifo.py
+++ b/bench/policies/fifo.py
@@ -7,7 +7,6 @@
 
 from carobstair.core.capacity import CapacitySettings
 from carobstair.core.effects import Effect, Granted, RefuseWaiting
-from carobstair.core.fairness import ServiceTotals
 from carobstair.core.grants import HeldGrant
 from carobstair.core.messages import Offer
 from carobstair.core.placement import PrefixIndex
@@ -42,7 +41,6 @@
         self._own = own
         self.state = FleetState()
         self.live_peers: frozenset[str] = frozenset()
-        self.totals = ServiceTotals(*own, settings.fairness)
         self.prefixes = PrefixIndex()
         self.shares = ShareTable(own, 0.0)
         self.queue = GatewayQueue()
@@ -81,6 +79,9 @@
         self.queue.remove(request)
         self._order.pop(request.request_id, None)
 
+    def charge(self, grant: HeldGrant, tokens: float) -> None:
+        """Ignore service; the order of arrival decides."""
+
     def release(self, grant: HeldGrant, now_s: float) -> list[Effect]:
         """Free a slot."""
         self._in_use[grant.offer.upstream] -= 1
@@ -99,6 +100,12 @@
     def note_token_interval(self, upstream: str, interval_ms: float) -> None:
         """Ignore the time between tokens."""
 
+    def note_service_call(self, upstream: str, duration_s: float) -> None:
+        """Ignore the time of calls."""
+
+    def on_cache_events(self, upstream: str, incarnation: str, events) -> None:
+        """Ignore prefix caches."""
+
     def on_load_report(self, name: str, report, now_s: float) -> list[Effect]:
         """Ignore load reports."""
         return []
@@ -115,6 +122,10 @@
         """Read no load reports."""
         return []
 
+    def held_upstreams(self) -> list[str]:
+        """Read no cache events."""
+        return []
+
     def fits_newest_epoch(self) -> bool:
         """Return true, since static bounds always fit."""
         return True
--- a/bench/policies/local_fair.py
+++ b/bench/policies/local_fair.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from carobstair.core.capacity import CapacityNode
+from carobstair.core.shares import SlotShare
 
 __all__ = ["LocalFairNode"]
 
@@ -24,6 +25,8 @@
     def live_peers(self, instances: frozenset[str]) -> None:
         del instances
 
-    def _limits(self, name: str) -> tuple[int, int]:
-        upstream = self.state.upstreams[name]
-        return upstream.max_requests, upstream.max_kv_tokens
+    def share_of(self, upstream: str) -> SlotShare:
+        """Return the fixed part of the configured limits."""
+        known = self.state.upstreams[upstream]
+        limits = (known.max_requests, known.max_kv_tokens, 0.0)
+        return self.shares.share(upstream, *limits)
--- a/src/carobstair/scenario/__main__.py
+++ b/src/carobstair/scenario/__main__.py
@@ -3,16 +3,18 @@
 from __future__ import annotations
 
 import sys
+from multiprocessing import Pool
 from pathlib import Path
 from typing import Annotated
 
 import cyclopts
 
-from carobstair.scenario.expectations import judge
+from carobstair.scenario.expectations import Verdict, judge
 from carobstair.scenario.parser import ScenarioError, read_scenario
+from carobstair.scenario.plan import Scenario
 from carobstair.scenario.world import run_world
 
-__all__ = ["main"]
+__all__ = ["main", "run_and_judge"]
 
 EXIT_FAILED = 1
 EXIT_MISTAKE = 2
@@ -23,22 +25,30 @@
     /,
     *,
     seeds: Annotated[int, cyclopts.Parameter(help="Runs per file.")] = 1,
+    workers: Annotated[int, cyclopts.Parameter(help="Processes.")] = 4,
 ) -> int:
     """Run scenario files on virtual time and print a line per expectation."""
+    try:
+        scenarios = [read_scenario(path) for path in files]
+    except (ScenarioError, OSError) as error:
+        print(error, file=sys.stderr)
+        return EXIT_MISTAKE
+    jobs = [s.with_seed(s.seed + i) for s in scenarios for i in range(seeds)]
     failed = 0
-    for path in files:
-        try:
-            scenario = read_scenario(path)
-        except (ScenarioError, OSError) as error:
-            print(error, file=sys.stderr)
-            return EXIT_MISTAKE
-        for seed in range(scenario.seed, scenario.seed + seeds):
-            for verdict in judge(run_world(scenario.with_seed(seed))):
+    with Pool(min(workers, len(jobs))) as pool:
+        runs = pool.imap(run_and_judge, jobs)
+        for scenario, verdicts in zip(jobs, runs, strict=True):
+            for verdict in verdicts:
                 failed += not verdict.holds
-                print(f"{scenario.name} seed {seed}: {verdict}")
+                print(f"{scenario.name} seed {scenario.seed}: {verdict}", flush=True)
     return EXIT_FAILED if failed else 0
 
 
+def run_and_judge(scenario: Scenario) -> list[Verdict]:
+    """Run one scenario and return its verdicts."""
+    return judge(run_world(scenario))
+
+
 if __name__ == "__main__":
     app = cyclopts.App(name="carobstair.scenario", result_action="return_value")
     app.default(main)
--- a/src/carobstair/scenario/engine.py
+++ b/src/carobstair/scenario/engine.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import random
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from collections.abc import Callable
 from dataclasses import dataclass
 
 from carobstair.core.fairness import engine_cost_tokens, service_cost_tokens
 from carobstair.core.limits import LoadReport
+from carobstair.core.placement import CacheEvent
 from carobstair.core.state import UpstreamKind
 from carobstair.scenario.clock import VirtualClock
 from carobstair.scenario.plan import EngineSpec
@@ -16,6 +17,10 @@
 __all__ = ["Attempt", "SimEngine"]
 
 BLOCK_TOKENS = 128
+# Events that are kept, their lag, and the fraction that is never published.
+CACHE_EVENTS = 200
+CACHE_LAG_S = 1.0
+CACHE_GAP = 0.05
 
 
 @dataclass(slots=True, eq=False)
@@ -83,6 +88,8 @@
         self._stepping = False
         self._stalled_until_s = 0.0
         self._cache: OrderedDict[int, None] = OrderedDict()
+        self._events: deque[tuple[float, CacheEvent]] = deque(maxlen=CACHE_EVENTS)
+        self._last_event = 0
         self._reports: list[tuple[float, LoadReport]] = []
         self.leaving = False
         self.admissions: list[float] = []
@@ -114,6 +121,8 @@
         self._cold_until_s = self._down_until_s + self.spec.cold_s
         broken, self.running, self._decoding = list(self.running.values()), {}, {}
         self._cache.clear()
+        self._events.clear()
+        self._last_event = 0
         self._reports.clear()
         for attempt in broken:
             attempt.on_broken()
@@ -170,6 +179,19 @@
         self._reports = self._reports[len(lagged) - 1 :]
         return lagged[-1][1]
 
+    def cache_events(self) -> list[CacheEvent]:
+        """Return the cache events as they were a while ago, with gaps."""
+        latest_s = self._clock.now_s - CACHE_LAG_S
+        return [event for at_s, event in self._events if at_s <= latest_s]
+
+    def _publish(self, cached: tuple[int, ...], evicted: tuple[int, ...]) -> None:
+        if not cached and not evicted:
+            return
+        self._last_event += 1
+        if self._generator.random() >= CACHE_GAP:
+            event = CacheEvent(self._last_event, cached, evicted)
+            self._events.append((self._clock.now_s, event))
+
     def _says_loading(self) -> bool:
         return self.is_cold and self._cold_until_s == (
             self._down_until_s + self.spec.cold_s
@@ -239,6 +261,8 @@
         for block in attempt.prefix:
             self._cache[block] = None
             self._cache.move_to_end(block)
+        evicted = []
         while len(self._cache) > self.spec.cache_blocks:
-            self._cache.popitem(last=False)
+            evicted.append(self._cache.popitem(last=False)[0])
+        self._publish(attempt.prefix[cached:], tuple(evicted))
         return min(cached * BLOCK_TOKENS, attempt.input_tokens)
--- a/src/carobstair/scenario/filing.py
+++ b/src/carobstair/scenario/filing.py
@@ -10,6 +10,7 @@
 from carobstair.core.state import AvailabilityZone, FleetState, Ticket, UpstreamState
 
 if TYPE_CHECKING:
+    from carobstair.scenario.router import SimRouter
     from carobstair.scenario.world import World
 
 __all__ = ["Operator", "is_untrue"]
@@ -40,8 +41,7 @@
 
     def file(self) -> None:
         """File the ticket on top of the state that the router has in force."""
-        wanted = (self._through,) if self._through else ()
-        router = self._world.choose_router(wanted, 0)
+        router = self._router()
         if router is None:
             self._again()
             return
@@ -49,6 +49,15 @@
         ticket = _ticket(state, self._change, self._submission_id)
         router.run(lambda: router.control.file(ticket, self._settled))
 
+    def _router(self) -> SimRouter | None:
+        """Return a running router; one that takes no callers still takes tickets."""
+        names = [self._through] if self._through else self._world.router_names()
+        for name in names:
+            router = self._world.routers[name]
+            if not router.is_dead and router.control.node.state.number:
+                return router
+        return None
+
     def _settled(self, settled: TicketSettled) -> None:
         self._world.log.note_settled(self._world, settled, self._submission_id)
         if settled.refusal is not None:
--- a/src/carobstair/scenario/gateway.py
+++ b/src/carobstair/scenario/gateway.py
@@ -14,7 +14,7 @@
 from carobstair.core.fairness import engine_cost_tokens, service_cost_tokens
 from carobstair.core.grants import HeldGrant
 from carobstair.core.queueing import WaitingRequest
-from carobstair.core.refusals import Refusal
+from carobstair.core.refusals import CATALOGUE, Refusal
 from carobstair.core.state import UpstreamKind
 from carobstair.scenario.engine import Attempt
 
@@ -76,7 +76,6 @@
     exchange: Exchange
     grant: HeldGrant
     attempt_id: str
-    reserved: float
     last_progress_s: float
     last_token_s: float = 0.0
 
@@ -93,6 +92,7 @@
     def __init__(self, router: SimRouter):
         self._router = router
         self._node = router.node
+        self._kinds = {e.name: e.kind for e in router.world.scenario.engines}
         self._exchanges: dict[str, Exchange] = {}
         self._streams: dict[str, _Stream] = {}
         self._attempts: dict[str, int] = {}
@@ -163,12 +163,8 @@
             return
         request_id = exchange.waiting.request_id
         number = self._attempts[request_id] = self._attempts.get(request_id, 0) + 1
-        reserved = effect.grant.offer.cost_tokens
-        stream = _Stream(
-            exchange, effect.grant, f"{request_id}.{number}", reserved, self._now_s
-        )
+        stream = _Stream(exchange, effect.grant, f"{request_id}.{number}", self._now_s)
         self._streams[stream.attempt_id] = stream
-        self._reserve(stream, reserved)
         self._node.prefixes.note_cached(name, exchange.waiting.prefix)
         self._router.world.dispatch(self._router, name, self._attempt(stream))
 
@@ -218,10 +214,10 @@
 
     def _account(self, stream: _Stream, number: int, cached: int) -> None:
         exchange, offer = stream.exchange, stream.grant.offer
-        kind = self._node.state.upstreams[offer.upstream].kind
-        if kind is UpstreamKind.SERVICE:
-            cost = service_cost_tokens(self._now_s - stream.last_progress_s)
-            self._node.note_token_interval(offer.upstream, 0.0)
+        if self._kinds[offer.upstream] is UpstreamKind.SERVICE:
+            taken_s = self._now_s - stream.last_progress_s
+            cost = service_cost_tokens(taken_s)
+            self._node.note_service_call(offer.upstream, taken_s)
         else:
             cost = 1.0
             if not exchange.received:
@@ -230,10 +226,7 @@
                 interval_ms = (self._now_s - stream.last_token_s) * 1000.0
                 self._node.note_token_interval(offer.upstream, interval_ms)
         stream.last_token_s = stream.last_progress_s = self._now_s
-        self._node.totals.charge(offer.pool, offer.workspace, cost)
-        freed = min(cost, stream.reserved)
-        stream.reserved -= freed
-        self._reserve(stream, -freed)
+        self._node.charge(stream.grant, cost)
 
     def _on_broken(self, attempt_id: str) -> None:
         stream = self._streams.get(attempt_id)
@@ -260,15 +253,13 @@
         return replace(request, excluded=excluded)
 
     def _stop(self, stream: _Stream) -> None:
-        self._reserve(stream, -stream.reserved)
-        stream.reserved = 0.0
         del self._streams[stream.attempt_id]
 
-    def _reserve(self, stream: _Stream, tokens: float) -> None:
-        offer = stream.grant.offer
-        self._node.totals.reserve(offer.pool, offer.workspace, tokens)
-
     def _end(self, exchange: Exchange, outcome: str) -> None:
+        if outcome in CATALOGUE and exchange.admitted:
+            # As the real gateway, which tells the caller that the request may
+            # have run wherever an attempt was not refused outright.
+            outcome = "answer-lost"
         self._exchanges.pop(exchange.waiting.request_id, None)
         self._attempts.pop(exchange.waiting.request_id, None)
         exchange.end(outcome)
--- a/src/carobstair/scenario/router.py
+++ b/src/carobstair/scenario/router.py
@@ -22,6 +22,7 @@
 
 TICK_S = 0.05
 LOAD_POLL_S = 0.5
+CACHE_POLL_S = 1.0
 BALANCER_LAG_S = 1.0
 # Coalesces the arrivals of one moment into one message per allocator.
 DEMAND_DELAY_S = 0.002
@@ -66,6 +67,7 @@
         phase_s = world.generator.random() * TICK_S
         self._repeat(TICK_S, self._tick, phase_s)
         self._repeat(LOAD_POLL_S, self._poll_loads, phase_s)
+        self._repeat(CACHE_POLL_S, self._poll_caches, phase_s)
 
     @property
     def now_s(self) -> float:
@@ -161,6 +163,10 @@
         for name in self.node.estimated_upstreams():
             self.world.poll_load(self, name)
 
+    def _poll_caches(self) -> None:
+        for name in self.node.held_upstreams():
+            self.world.poll_cache(self, name)
+
     def on_load_report(self, name: str, report) -> None:
         """Take in an upstream's load report."""
         self.control.note_leaving(name, report.leaving)
--- a/src/carobstair/scenario/world.py
+++ b/src/carobstair/scenario/world.py
@@ -133,6 +133,21 @@
         self._submissions += 1
         Operator(self, change, through, f"submission-{self._submissions}").file()
 
+    def poll_cache(self, router: SimRouter, name: str) -> None:
+        """Read an upstream's cache events."""
+        if not self.network.connected(router.name, name):
+            return
+
+        def read() -> None:
+            engine = self.engines[name]
+            if not engine.is_down:
+                incarnation, events = str(engine.incarnation), engine.cache_events()
+                router.run(
+                    lambda: router.node.on_cache_events(name, incarnation, events)
+                )
+
+        self.clock.after(2 * self.network.delay_s(), read)
+
     def run(self) -> RunLog:
         """Run the scenario to its end and return what was logged."""
         self.clock.run_until(self.scenario.duration_s)
