Give each simulated router an address of its own

Cause: all routers stated the same host and port, so a restarted one made the others at its address count as gone, and the epoch changed every second.

Change: the host is the router's name.

--- a/src/carobstair/scenario/router.py
+++ b/src/carobstair/scenario/router.py
@@ -24,6 +24,7 @@
 LOAD_POLL_S = 0.5
 CACHE_POLL_S = 1.0
 BALANCER_LAG_S = 1.0
+PEER_PORT, HTTP_PORT = 7000, 8000
 # Coalesces the arrivals of one moment into one message per allocator.
 DEMAND_DELAY_S = 0.002
 
@@ -52,7 +53,9 @@
         self.world = world
         self.name = spec.name
         self.zone = spec.zone
-        self.address = PeerAddress(spec.name, incarnation, "sim", 1, 2, spec.zone)
+        self.address = PeerAddress(
+            spec.name, incarnation, spec.name, PEER_PORT, HTTP_PORT, spec.zone
+        )
         seed = f"{world.scenario.seed}/{spec.name}/{incarnation}"
         self.node = make_node(
             (spec.name, incarnation), CapacitySettings(), random.Random(seed)
