--- a/src/carobstair/scenario/builder.py
+++ b/src/carobstair/scenario/builder.py
@@ -10,6 +10,7 @@
 from carobstair.core.queueing import WorkClass
 from carobstair.core.state import UpstreamKind
 from carobstair.scenario.plan import (
+    FLEET_START_S,
     EngineSpec,
     Expectation,
     FaultEvent,
@@ -135,7 +136,7 @@
         output, inputs = SIZES[kind]
         work_class = WorkClass.LONG if kind == "long" else WorkClass.QUICK
         values = dict(_options(options))
-        start_s, end_s = values.pop("span", (0.0, float("inf")))
+        start_s, end_s = values.pop("span", (FLEET_START_S, float("inf")))
         load = LoadSpec(workspace, "", work_class, output, inputs)
         load = replace(load, start_s=start_s, end_s=end_s, **values)
         if (load.per_s > 0) == (load.clients > 0):
--- a/src/carobstair/scenario/router.py
+++ b/src/carobstair/scenario/router.py
@@ -85,10 +85,7 @@
     @property
     def is_ready(self) -> bool:
         """Whether the load balancer sends callers here."""
-        state = self.node.state
-        return (
-            not self.is_dead and state.number > 0 and state.zone_in_service(self.zone)
-        )
+        return not self.is_dead and self.control.node.unready_reason() is None
 
     def run(self, action: Callable[[], None]) -> None:
         """Run an action of this process: now, after its pause, or never."""
