Test every scenario as it is and with a defect, and map promises to files

Cause: a scenario that can't fail proves nothing.

Change: tests/test_scenarios.py runs the files in up to four processes; tests/scenario_defects.py names 16 defects of the decision code. docs/SCENARIOS.md describes the language and maps invariants, failures and pairs to files; a test keeps it complete.

--- /dev/null
+++ b/tests/test_scenarios.py
@@ -0,0 +1,198 @@
+"""Runs every scenario file, as it is and with a named defect switched on."""
+
+import os
+import unittest
+from concurrent.futures import Future, ProcessPoolExecutor
+from pathlib import Path
+
+from carobstair.scenario.expectations import Verdict, judge
+from carobstair.scenario.parser import ScenarioError, parse_scenario, read_scenario
+from carobstair.scenario.world import run_world
+from scenario_defects import DEFECTS, defect
+
+FOLDER = Path(__file__).resolve().parent.parent / "scenarios"
+FILES = {path.stem: path for path in sorted(FOLDER.glob("*.scenario"))}
+WORKERS = min(4, os.cpu_count() or 1)
+
+IGNORE_EPOCH = "shares that ignore the epoch"
+NO_ORDER = "order without fairness"
+NO_COLD = "no cold limit"
+NO_EPOCH_CHANGE = "epoch that never changes"
+NO_STATE = "zones and leaving ignored"
+STUCK = "tickets stuck"
+DOUBT = "doubtful ticket refused"
+NO_DEADLINE = "no progress deadline"
+
+DEFECT_OF = {
+    "cold-limit-below-routers": "no peer believed alive",
+    "failure-cold-without-warning": NO_COLD,
+    "failure-flood": "queue without bound",
+    "failure-lost-store-answer": DOUBT,
+    "failure-one-way-partition": IGNORE_EPOCH,
+    "failure-partition-and-rejoin": IGNORE_EPOCH,
+    "failure-paused-holder": "grants that lapse at once",
+    "failure-racing-operators": STUCK,
+    "failure-rack": NO_EPOCH_CHANGE,
+    "failure-router-alone": IGNORE_EPOCH,
+    "failure-router-gone": NO_EPOCH_CHANGE,
+    "failure-router-restart": NO_EPOCH_CHANGE,
+    "failure-silent-connection": NO_DEADLINE,
+    "failure-stalled-engine": NO_DEADLINE,
+    "failure-store-outage": STUCK,
+    "failure-store-slow": STUCK,
+    "invariant-01-bounded-gap": "fairness without exchange",
+    "invariant-02-no-starvation": NO_ORDER,
+    "invariant-02-short-queue": NO_ORDER,
+    "invariant-03-cold-start": NO_COLD,
+    "invariant-04-zone-out": NO_STATE,
+    "invariant-05-whole-answers": "answers start again",
+    "invariant-06-true-refusals": "untrue refusals",
+    "invariant-08-upstream-leaves": NO_STATE,
+    "invariant-09-graceful-shutdown": "shutdown cuts",
+    "invariant-10-ticket-in-force": STUCK,
+    "invariant-11-no-idle-capacity": "no peer believed alive",
+    "invariant-12-final-answer-at-once": "deadlines noticed late",
+    "invariant-12-no-upstream-left": STUCK,
+    "pair-flood-and-cold-engine": NO_COLD,
+    "pair-flood-and-restart": NO_ORDER,
+    "pair-partition-and-flood": NO_ORDER,
+    "pair-partition-and-restart": NO_EPOCH_CHANGE,
+    "pair-partition-and-store-outage": IGNORE_EPOCH,
+    "pair-pause-and-cold-engine": NO_COLD,
+    "pair-pause-and-restart": NO_EPOCH_CHANGE,
+    "pair-racing-operators-and-lost-answers": DOUBT,
+    "pair-restart-and-store-outage": IGNORE_EPOCH,
+    "pair-shutdown-and-store-outage": "shutdown cuts",
+    "pair-silence-and-crash": NO_DEADLINE,
+    "pair-zone-out-and-loss": NO_STATE,
+    "pair-zone-out-and-lost-answers": DOUBT,
+    "pair-zone-out-and-partition": STUCK,
+    "pair-zone-out-and-restart": NO_STATE,
+    "quick-beside-long": NO_ORDER,
+}
+
+
+def run_file(name: str, with_defect: str | None) -> list[Verdict]:
+    """Run a scenario file and return its verdicts."""
+    scenario = read_scenario(FILES[name])
+    if with_defect is None:
+        return judge(run_world(scenario))
+    with defect(with_defect):
+        return judge(run_world(scenario))
+
+
+class Runs:
+    """The runs of all files, started together in a few processes."""
+
+    def __init__(self) -> None:
+        self._pool = ProcessPoolExecutor(WORKERS)
+        self._started: dict[tuple[str, str | None], Future] = {}
+        for name in FILES:
+            for with_defect in (None, DEFECT_OF.get(name)):
+                job = (name, with_defect)
+                self._started[job] = self._pool.submit(run_file, *job)
+
+    def failures(self, name: str, with_defect: str | None) -> set[str]:
+        """Return the expectations that a run did not meet."""
+        verdicts = self._started[(name, with_defect)].result()
+        return {
+            str(v) if with_defect is None else v.expectation.text
+            for v in verdicts
+            if not v.holds
+        }
+
+    def texts(self, name: str) -> set[str]:
+        """Return the expectations that the plain run did not meet, without values."""
+        verdicts = self._started[(name, None)].result()
+        return {v.expectation.text for v in verdicts if not v.holds}
+
+    def close(self) -> None:
+        """End the processes."""
+        self._pool.shutdown(cancel_futures=True)
+
+
+class _WithRuns(unittest.TestCase):
+    runs: Runs | None = None
+
+    @classmethod
+    def setUpClass(cls):
+        if _WithRuns.runs is None:
+            _WithRuns.runs = Runs()
+            unittest.addModuleCleanup(_close_runs)
+
+
+def _close_runs() -> None:
+    _WithRuns.runs.close()
+    _WithRuns.runs = None
+
+
+class ScenarioFilesTest(_WithRuns):
+    """Guards against a promise of the design that a change breaks."""
+
+
+class ScenarioDefectsTest(_WithRuns):
+    """Guards against scenarios that hold whatever the decision code does."""
+
+
+def _add_tests(name: str) -> None:
+    method = "test_" + name.replace("-", "_")
+
+    def holds(self):
+        self.assertEqual(self.runs.failures(name, None), set())
+
+    def notices(self):
+        noticed = self.runs.failures(name, DEFECT_OF[name]) - self.runs.texts(name)
+        self.assertTrue(noticed, f"{DEFECT_OF[name]} changes no verdict")
+
+    setattr(ScenarioFilesTest, method, holds)
+    setattr(ScenarioDefectsTest, method, notices)
+
+
+for _name in FILES:
+    _add_tests(_name)
+
+
+class CoverageTest(unittest.TestCase):
+    """Guards against files without a defect and defects that nothing uses."""
+
+    def test_every_file_has_a_defect_and_every_defect_a_file(self):
+        self.assertEqual(set(DEFECT_OF), set(FILES))
+        self.assertEqual(set(DEFECT_OF.values()), set(DEFECTS))
+
+    def test_every_file_is_in_the_table_of_promises(self):
+        page = (FOLDER.parent / "docs" / "SCENARIOS.md").read_text()
+        missing = [name for name in FILES if f"`{name}`" not in page]
+        self.assertEqual(missing, [])
+
+
+FLEET = "router a zone z\nengine e pool p zone z\nworkspace w sends quick at 1/s\n"
+
+
+class ParserTest(unittest.TestCase):
+    """Guards against mistakes in files that pass or that name no line."""
+
+    def assert_mistake(self, line: str, pattern: str):
+        with self.assertRaisesRegex(ScenarioError, pattern):
+            parse_scenario(FLEET + line, "x", "x.scenario")
+
+    def test_mistakes_name_file_line_and_what_is_allowed(self):
+        self.assert_mistake("run 5\n", r"x\.scenario:4: found '5'; allowed: a duration")
+        self.assert_mistake(
+            "at 1s kill b\n", r":4: router b is not defined; allowed: a"
+        )
+        self.assert_mistake("expect reverts <= bound\n", r":4: only gap and unserved")
+        self.assert_mistake("expect gap w\n", r":4: found .*; allowed: a name")
+
+    def test_scenario_that_checks_nothing_is_a_mistake(self):
+        self.assert_mistake("", "no expectations")
+
+    def test_values_carry_their_units(self):
+        text = FLEET + "at 150ms loss 5%\nexpect idle-while-waiting p <= 1%\n"
+        scenario = parse_scenario(text, "x", "x.scenario")
+        fault = scenario.faults[0]
+        self.assertEqual((fault.at_s, fault.value), (0.15, 0.05))
+        self.assertEqual(scenario.expectations[0].bound, 0.01)
+
+
+if __name__ == "__main__":
+    unittest.main()
