Serve the gateways of one workspace in proportion to their queues

Cause: DemandBook.of put the gateway with the longest queue first. A gateway with a shorter queue of the same workspace got nothing while the longer one was refilled; a router that shuts down kept its last requests for 30 s and cut them.

Change: each offer moves its gateway's turn on by the inverse of its queue's length, so that every waiting request has the same chance.

The file is the capacity area's (core/demand.py).

--- a/src/carobstair/core/demand.py
+++ b/src/carobstair/core/demand.py
@@ -19,11 +19,20 @@
 
 @dataclass(slots=True)
 class Demand:
-    """Requests of one key that wait at one gateway and have no offer yet."""
+    """Requests of one key that wait at one gateway and have no offer yet.
+
+    Attributes
+    ----------
+    turn : float
+        Position among the gateways of the key. Each offer moves it on by the
+        inverse of the queue's length, so that every waiting request has the same
+        chance and a short queue beside a long one is not starved.
+    """
 
     gateway: str
     entry: DemandEntry
     open: int
+    turn: float = 0.0
 
 
 @dataclass(slots=True)
@@ -118,11 +127,10 @@
         return list(self._index.get(pool, ()))
 
     def of(self, pool: str, workspace: str, work_class: str) -> Iterable[Demand]:
-        """Return open demand, the longest queue first."""
+        """Return open demand of each gateway, the one whose turn it is first."""
         by_class = self._index.get(pool, {}).get(workspace, {})
         found = by_class.get(work_class, {}).values()
-        # This order keeps the waits at different gateways alike.
-        return sorted(found, key=lambda d: (-d.open, d.gateway))
+        return sorted(found, key=lambda d: (d.turn, -d.open, d.gateway))
 
     def waits_since_s(self, key: DemandKey) -> float:
         """Return since when there has been open demand without a break."""
@@ -135,6 +143,7 @@
 
     def take(self, demand: Demand) -> None:
         """Count an offer against open demand."""
+        demand.turn += 1.0 / max(1, demand.open)
         demand.open -= 1
         if demand.open <= 0:
             entry = demand.entry
@@ -164,7 +173,12 @@
             pool, workspace, work_class = key
             by_workspace = self._index.setdefault(pool, {})
             by_class = by_workspace.setdefault(workspace, {})
-            by_class.setdefault(work_class, {})[gateway] = demand
+            by_gateway = by_class.setdefault(work_class, {})
+            if gateway not in by_gateway:
+                # A queue that was empty starts where the others stand.
+                turns = [d.turn for d in by_gateway.values()]
+                demand.turn = max(demand.turn, min(turns, default=0.0))
+            by_gateway[gateway] = demand
             self._since_s.setdefault(key, now_s)
         else:
             self._unindex(gateway, key)
