Refuse at once where no upstream of the pool takes work

Change: CapacityNode.enqueue raises no-capacity, and a new fleet state that leaves a pool without upstreams refuses what waits for it.

The file is the capacity area's (core/capacity.py).

--- a/src/carobstair/core/capacity.py
+++ b/src/carobstair/core/capacity.py
@@ -140,7 +140,7 @@
         self.announcer.set_state(state)
         self.prefixes.keep_only(state.upstreams)
         self._refresh_held()
-        return self._allocate_all(now_s)
+        return self._refuse_unservable() + self._allocate_all(now_s)
 
     def enqueue(
         self, request: WaitingRequest, now_s: float, at_front: bool = False
@@ -150,9 +150,12 @@
         Raises
         ------
         Refusal
-            ``queue-full`` if the workspace has reached a bound.
+            ``queue-full`` if the workspace has reached a bound, ``no-capacity`` if
+            no upstream of the pool takes work.
         """
         self._now_s = now_s
+        if not self._takes_work(request.pool):
+            raise refuse("no-capacity")
         sane = with_sane_numbers(request)
         self.bad_hint_count += sane is not request
         workspace = self.state.workspaces[request.workspace]
@@ -367,6 +370,21 @@
         self._leaving = self.limits.leaving(self._now_s)
         self.allocator.set_state(self.state, self.holdings.held, self._leaving)
 
+    def _takes_work(self, pool: str) -> bool:
+        return any(map(self.state.accepts_work, self.state.pool_upstreams(pool)))
+
+    def _refuse_unservable(self) -> list[Effect]:
+        """Give up at once on requests whose pool has no upstream in service."""
+        effects: list[Effect] = []
+        for pool in sorted({pool for pool, _ in self.queue.backlogged()}):
+            if not self._takes_work(pool):
+                waiting = [r for r in self.queue if r.pool == pool]
+                for request in waiting:
+                    self.withdraw(request)
+                    refusal = refuse("no-capacity")
+                    effects.append(RefuseWaiting(request.request_id, refusal))
+        return effects
+
     def _close_leaving(self, now_s: float) -> None:
         if self.limits.leaving(now_s) != self._leaving:
             self._refresh_held()
