--- a/src/carobstair/core/messages.py
+++ b/src/carobstair/core/messages.py
@@ -8,6 +8,26 @@
 
 import msgspec
 
+from carobstair.core.agent_messages import (
+    EpochAck,
+    EpochNotice,
+    Heartbeat,
+    InForceAnswer,
+    InForceQuery,
+    InUseEntry,
+    LeavingEntry,
+    LeavingNotice,
+    MemberSync,
+    MemberUpdate,
+    PeerAddress,
+    Probe,
+    ProbeAck,
+    ProbeRequest,
+    ShareTransfer,
+    TicketPull,
+    TicketPush,
+)
+
 __all__ = [
     "PROTOCOL_VERSION",
     "CodecError",
@@ -21,17 +41,31 @@
     "GrantRenewed",
     "GrantReturn",
     "Heartbeat",
+    "InForceAnswer",
+    "InForceQuery",
+    "InUseEntry",
+    "LeavingEntry",
+    "LeavingNotice",
     "LiftEntry",
     "LimitAnnouncement",
+    "MemberSync",
+    "MemberUpdate",
     "Offer",
     "OutcomeAnswer",
     "OutcomeQuery",
     "PeerAddress",
+    "PoolTotals",
+    "Probe",
+    "ProbeAck",
+    "ProbeRequest",
     "ShareTransfer",
     "TicketPull",
     "TicketPush",
-    "TotalsEntry",
+    "TokenTimes",
+    "TotalsRow",
     "TotalsUpdate",
+    "UpstreamUse",
+    "UpstreamUseReport",
     "decode",
     "encode",
     "kind_of",
@@ -48,28 +82,6 @@
         self.reason = reason
 
 
-class PeerAddress(msgspec.Struct, frozen=True, array_like=True):
-    """Where a router process listens; `incarnation` grows with each start."""
-
-    instance: str
-    incarnation: int
-    host: str
-    peer_port: int
-    http_port: int
-    zone: str
-
-
-class Heartbeat(msgspec.Struct, frozen=True):
-    """Liveness, the ticket number in force, and the epoch of the sender."""
-
-    address: PeerAddress
-    in_force: int
-    epoch: int
-    ready: bool = True
-    leaving: bool = False
-    known: list[PeerAddress] = []
-
-
 class DemandEntry(msgspec.Struct, frozen=True, array_like=True):
     """Requests of a workspace that wait at the sending gateway for a pool."""
 
@@ -83,15 +95,20 @@
     excluded: list[str] = []
 
 
-class DemandUpdate(msgspec.Struct, frozen=True):
-    """All demand of a gateway towards one allocator; replaces earlier updates."""
+class DemandUpdate(msgspec.Struct, frozen=True, array_like=True):
+    """Demand of a gateway towards one allocator.
+
+    A full update replaces all that came before. Another one replaces only the
+    entries that it names; none waiting removes an entry.
+    """
 
     sequence: int
     last_offer: int
     entries: list[DemandEntry]
+    full: bool = True
 
 
-class Offer(msgspec.Struct, frozen=True):
+class Offer(msgspec.Struct, frozen=True, array_like=True):
     """A slot on an upstream, granted to a workspace at a gateway.
 
     `demand_sequence` names the demand update that it answers, from whose sending
@@ -109,20 +126,21 @@
     lease_s: float
 
 
-class GrantReturn(msgspec.Struct, frozen=True):
-    """Grants that ended or were not needed."""
+class GrantReturn(msgspec.Struct, frozen=True, array_like=True):
+    """Grants that ended, or that were not needed."""
 
     grant_ids: list[int]
+    unused: bool = False
 
 
-class GrantRenewal(msgspec.Struct, frozen=True):
+class GrantRenewal(msgspec.Struct, frozen=True, array_like=True):
     """Grants that are still in use at the sending gateway."""
 
     request: int
     grant_ids: list[int]
 
 
-class GrantRenewed(msgspec.Struct, frozen=True):
+class GrantRenewed(msgspec.Struct, frozen=True, array_like=True):
     """Answer to a renewal: the grants whose lease was extended."""
 
     request: int
@@ -135,22 +153,22 @@
     pools: dict[str, int]
 
 
-class TotalsEntry(msgspec.Struct, frozen=True, array_like=True):
-    """Cumulative service that one gateway process gave to a workspace.
+class TotalsRow(msgspec.Struct, frozen=True, array_like=True):
+    """Cumulative service of a workspace, per weight; the total only grows."""
 
-    `sequence` orders the entries of one source; the total only grows.
-    """
-
-    instance: str
-    incarnation: int
-    sequence: int
-    pool: str
     workspace: str
-    total_tokens: float
-    reserved_tokens: float
+    total: float
+    reserved: float
     backlogged: bool
 
 
+class PoolTotals(msgspec.Struct, frozen=True, array_like=True):
+    """Service totals of one pool."""
+
+    pool: str
+    rows: list[TotalsRow]
+
+
 class LiftEntry(msgspec.Struct, frozen=True, array_like=True):
     """Virtual time added to a workspace; merged by maximum."""
 
@@ -159,58 +177,69 @@
     lift: float
 
 
-class TotalsUpdate(msgspec.Struct, frozen=True):
-    """Service totals and lifts known to the sender."""
-
-    totals: list[TotalsEntry]
-    lifts: list[LiftEntry]
-
-
-class LimitAnnouncement(msgspec.Struct, frozen=True):
-    """The limit that an upstream's estimator computed."""
+class TotalsUpdate(msgspec.Struct, frozen=True, array_like=True):
+    """Changed service totals and lifts of the sender.
+
+    Attributes
+    ----------
+    last_offer : int
+        Newest grant of the receiver whose reservation the totals contain.
+    row : int
+        Row of the grid whose sums these are; -1 for the sender's own totals.
+    wants_sync : bool
+        The sender is new and asks for what retired processes gave.
+    answers : int
+        Incarnation of the receiver whose wish this update fulfils.
+    retired : list of PoolTotals
+        What processes gave that are gone; only in such an answer.
+    """
 
-    upstream: str
-    upstream_incarnation: str
+    incarnation: int
     sequence: int
-    max_requests: int
-    max_kv_tokens: int
-    observed_running: int
-    valid_s: float
-
-
-class EpochNotice(msgspec.Struct, frozen=True):
-    """An epoch of the fleet's membership as the object API holds it."""
-
-    number: int
-    members: list[PeerAddress]
-    departed: list[tuple[str, int]] = []
+    pools: list[PoolTotals]
+    lifts: list[LiftEntry] = []
+    last_offer: int = 0
+    row: int = -1
+    wants_sync: bool = False
+    answers: int = 0
+    retired: list[PoolTotals] = []
 
 
-class EpochAck(msgspec.Struct, frozen=True):
-    """The sender's running grants fit its shares under this epoch."""
+class TokenTimes(msgspec.Struct, frozen=True, array_like=True):
+    """Times between tokens on one upstream that a gateway saw lately."""
 
-    number: int
+    upstream: str
+    count: int
+    median_ms: float
+    p95_ms: float
 
 
-class ShareTransfer(msgspec.Struct, frozen=True):
-    """A leaving process gives its shares under an epoch to the receiver."""
+class UpstreamUse(msgspec.Struct, frozen=True, array_like=True):
+    """Requests that the sender's grants allow on an upstream."""
 
-    epoch: int
-    owner: str
-    owner_incarnation: int
+    upstream: str
+    requests: int
 
 
-class TicketPull(msgspec.Struct, frozen=True):
-    """Asks for the tickets after a number."""
+class UpstreamUseReport(msgspec.Struct, frozen=True, array_like=True):
+    """What the receiver needs for the upstreams that it estimates."""
 
-    after: int
+    sequence: int
+    times: list[TokenTimes]
+    uses: list[UpstreamUse]
 
 
-class TicketPush(msgspec.Struct, frozen=True):
-    """Tickets as the object API holds them, in order of their numbers."""
+class LimitAnnouncement(msgspec.Struct, frozen=True, array_like=True):
+    """The limit that an upstream's estimator computed."""
 
-    tickets: list[bytes]
-    snapshot: bytes = b""
+    upstream: str
+    upstream_incarnation: str
+    sequence: int
+    max_requests: int
+    max_kv_tokens: int
+    observed_running: int
+    valid_s: float
+    leaving: bool = False
 
 
 class OutcomeQuery(msgspec.Struct, frozen=True):
@@ -243,6 +272,13 @@
 
 
 _PAYLOADS = (
+    InForceAnswer,
+    InForceQuery,
+    LeavingNotice,
+    MemberSync,
+    Probe,
+    ProbeAck,
+    ProbeRequest,
     DemandUpdate,
     EpochAck,
     EpochNotice,
@@ -250,7 +286,6 @@
     GrantRenewal,
     GrantRenewed,
     GrantReturn,
-    Heartbeat,
     LimitAnnouncement,
     Offer,
     OutcomeAnswer,
@@ -259,6 +294,7 @@
     TicketPull,
     TicketPush,
     TotalsUpdate,
+    UpstreamUseReport,
 )
 _ENCODER = msgspec.msgpack.Encoder()
 _ENVELOPE = msgspec.msgpack.Decoder(Envelope)
--- a/src/carobstair/net/router.py
+++ b/src/carobstair/net/router.py
@@ -3,19 +3,25 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import signal
 import time
 
+from carobstair.core.capacity import CapacityNode
 from carobstair.core.messages import PeerAddress
+from carobstair.core.shares import SlotShare
 from carobstair.core.state import FleetState
 from carobstair.logs import get_logger
 from carobstair.metrics import RouterMetrics
+from carobstair.net.actions import ActionDriver
 from carobstair.net.agent import Agent
 from carobstair.net.app import make_app
 from carobstair.net.capacity import CapacityDriver
+from carobstair.net.chat import ChatRelay
 from carobstair.net.gateway import Gateway
 from carobstair.net.http import HttpServer
 from carobstair.net.peers import PeerTransport
+from carobstair.net.services import ServiceCaller
 from carobstair.net.upstream import UpstreamClient
 from carobstair.platform import ObjectApi
 from carobstair.settings import RouterSettings
@@ -27,6 +33,20 @@
 PEER_REFRESH_S = 0.25
 
 
+class _CapacityView:
+    """What the agent reads of the capacity node."""
+
+    def __init__(self, node: CapacityNode):
+        self._node = node
+
+    def fits_newest_epoch(self) -> bool:
+        return self._node.fits_newest_epoch()
+
+    def in_use(self) -> dict[str, SlotShare]:
+        names = self._node.state.upstreams
+        return {name: self._node.allocator.in_use(name) for name in names}
+
+
 class Router:
     """One router: gateway, allocator and agent in one event loop.
 
@@ -62,10 +82,24 @@
             self._peers,
             self._store,
             self.capacity.node.shares,
+            _CapacityView(self.capacity.node),
             self.metrics,
             self._on_state,
         )
-        self.gateway = Gateway(settings, self.capacity, self._upstreams, self.metrics)
+        self.capacity.on_leaving_report = self.agent.note_leaving
+        services = ServiceCaller(self.capacity, self._upstreams, self.metrics)
+        self.actions = ActionDriver(
+            self.own,
+            self._store,
+            self._peers,
+            services,
+            self.agent.live_peers,
+            random.Random(f"{settings.seed}/{instance.name}/actions"),
+        )
+        chat = ChatRelay(self.capacity, self._upstreams, self.metrics)
+        self.gateway = Gateway(
+            settings, self.capacity, chat, services, self.actions, self.metrics
+        )
         app = make_app(self.gateway, self.agent, self.metrics, settings)
         self._server = HttpServer(app, instance.host, instance.http_port)
         self._stopping = asyncio.Event()
@@ -85,6 +119,7 @@
         logger.info("router_started", instance=self.own.instance, zone=self.own.zone)
         await self._stopping.wait()
         await self._drain()
+        self.agent.goodbye()
         self._server.stop()
         await serving
         for task in work:
@@ -106,13 +141,16 @@
         self._stopping.set()
 
     async def _drain(self) -> None:
-        self.agent.leaving = True
+        self.agent.leave()
         await asyncio.sleep(self._settings.gateway.balancer_lag_s)
         self.gateway.refuses_new = True
         limit_s = time.monotonic() + self._settings.gateway.shutdown_limit_s
-        while self.gateway.running and time.monotonic() < limit_s:
+        while self._busy() and time.monotonic() < limit_s:
             await asyncio.sleep(0.05)
 
+    def _busy(self) -> bool:
+        return bool(self.gateway.running or self.actions.unfinished)
+
     async def _refresh_peers(self) -> None:
         while True:
             self.capacity.set_live_peers(self.agent.live_peers())
--- a/src/carobstair/settings.py
+++ b/src/carobstair/settings.py
@@ -36,7 +36,7 @@
     {"operator_key", "metrics_key", "server_secret_key", "api_key", "key"}
 )
 # A peer that misses one heartbeat is not dead: messages may be lost.
-HEARTBEATS_BEFORE_DEAD = 2
+HEARTBEATS_PER_SUSPICION = 2
 CURVE_KEY_CHARACTERS = 40
 
 
@@ -102,18 +102,18 @@
 
     seeds: CommaList = []
     heartbeat_s: float = Field(0.5, gt=0, le=10)
-    dead_after_s: float = Field(3.0, gt=0, le=60)
+    suspicion_s: float = Field(2.0, gt=0, le=60)
     exchange_s: float = Field(1.0, gt=0, le=10)
     server_public_key: str = ""
     server_secret_key: str = ""
 
     @model_validator(mode="after")
     def _times_agree(self) -> PeerSettings:
-        least_s = HEARTBEATS_BEFORE_DEAD * self.heartbeat_s
-        if self.dead_after_s < least_s:
+        least_s = HEARTBEATS_PER_SUSPICION * self.heartbeat_s
+        if self.suspicion_s < least_s:
             raise ValueError(
-                f"dead_after_s = {self.dead_after_s}: must be at least {least_s}, "
-                f"{HEARTBEATS_BEFORE_DEAD} x heartbeat_s"
+                f"suspicion_s = {self.suspicion_s}: must be at least {least_s}, "
+                f"{HEARTBEATS_PER_SUSPICION} x heartbeat_s"
             )
         return self
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -26,8 +26,8 @@
         ("platform", "address", "nowhere", "https?://"),
         ("gateway", "quick_fraction", "1", "less than 1"),
         ("peers", "seeds", "entry-2", "HOST:PORT"),
-        # A dead_after below two heartbeats declares every peer dead by turns.
-        ("peers", "dead_after_s", "0.6", "at least 1.0, 2 x heartbeat_s"),
+        # A suspicion shorter than two heartbeats declares live peers dead by turns.
+        ("peers", "suspicion_s", "0.6", "at least 1.0, 2 x heartbeat_s"),
         ("instance", "peer_port", "8080", "differ from http_port"),
         ("gateway", "metrics_key", "hush-2", "differ from operator_key"),
         ("peers", "server_secret_key", "hush-3", "40 characters"),
