Run the demo on an example deployment with bounds beside its figures

Cause: the demo had a deployment of its own, judged fairness between two workspaces without a bound, and did not show idle slots, classes or refusals.

--- a/bench/demo.py
+++ b/bench/demo.py
@@ -1,163 +1,38 @@
-"""Demo: a small fleet under mixed load while a zone leaves and returns.
+"""Demo: a scaled-down deployment under mixed load while a zone leaves and returns.
 
 Ends by itself in about half a minute, prints a table, and exits with 1 if an
-invariant broke.
+invariant broke. The deployment is ``examples/masrah``, one router and one engine
+per availability zone and one ledger.
 """
 
 from __future__ import annotations
 
 import asyncio
-import random
+import json
 import sys
 import time
 from collections import Counter
 from dataclasses import dataclass, field
+from pathlib import Path
 
-import aiohttp
-from prometheus_client.parser import text_string_to_metric_families
+from demo_load import Backlogged, DemoLoad
+from demo_watch import Scrape, Watch, engines_of, stand_in_control
+from fleet import Fleet, FleetPlan
 
-from carobstair.standins.engine import answer_token
-from fleet import Fleet, FleetPlan, PlannedUpstream, key_of
-
-MODEL, LEDGER = "proposals", "ledger"
-ZONES = ("lac", "ariana", "ben-arous")
+EXAMPLE = Path(__file__).resolve().parent.parent / "examples" / "masrah"
+MODEL, SERVICE, LEDGER = "proposals", "ledger", "ledger-1"
 MOVED_ZONE = "ariana"
+QUESTIONS, BOOKINGS = "agents-phone", "families"
+BACKLOGGED = (
+    Backlogged("schools-tunis", 20, (60, 200), 1),
+    Backlogged("schools-sfax", 20, (120, 300), 3),
+    Backlogged("schools-sousse", 15, (60, 300), 3),
+)
 LOAD_S, OUT_AT_S, BACK_AT_S = 20.0, 7.0, 13.0
+WARM_S = 3.0
 FORCE_LIMIT_S = 4.0
-BACKLOGGED = ("flood", "bulk")
-FLOOD_CLIENTS, BULK_CLIENTS = 40, 15
-PLAN = FleetPlan(
-    routers=tuple((f"entry-{i + 1}", zone) for i, zone in enumerate(ZONES)),
-    upstreams=(
-        *(
-            PlannedUpstream(
-                f"engine-{i + 1}", MODEL, "engine", zone, arguments=("--cold-s", "2")
-            )
-            for i, zone in enumerate(ZONES)
-        ),
-        PlannedUpstream("ledger-1", LEDGER, "service", "lac", 16, 4),
-    ),
-    workspaces={"flood": 1.0, "bulk": 1.0, "agents": 1.0, "bookings": 1.0},
-)
-
-
-@dataclass
-class Results:
-    """What the callers saw."""
-
-    outcomes: Counter = field(default_factory=Counter)
-    first_token_s: dict[str, list[float]] = field(default_factory=dict)
-    broken: list[str] = field(default_factory=list)
-    actions: list[tuple[str, int]] = field(default_factory=list)
-
-
-class Callers:
-    """The load of the demo: two backlogged workspaces, quick questions, bookings."""
-
-    def __init__(self, fleet: Fleet, results: Results):
-        self._fleet = fleet
-        self._results = results
-        self._random = random.Random(7)
-        self._end_s = time.monotonic() + LOAD_S
-
-    async def run(self) -> None:
-        """Send load until the time is over and the last answer has come."""
-        work = [self._loop("flood", 60, 200) for _ in range(FLOOD_CLIENTS)]
-        work += [self._loop("bulk", 120, 300) for _ in range(BULK_CLIENTS)]
-        work += [self._questions(), self._bookings()]
-        await asyncio.gather(*work)
-
-    async def _loop(self, workspace: str, shortest: int, longest: int) -> None:
-        while time.monotonic() < self._end_s:
-            tokens = self._random.randint(shortest, longest)
-            if not await self._ask(workspace, tokens):
-                await asyncio.sleep(0.5)
-
-    async def _questions(self) -> None:
-        await self._arrivals(3.0, lambda: self._ask("agents", 12))
-
-    async def _bookings(self) -> None:
-        await self._arrivals(10.0, self._book)
-
-    async def _arrivals(self, per_s: float, action) -> None:
-        async with asyncio.TaskGroup() as group:
-            while time.monotonic() < self._end_s:
-                group.create_task(action())
-                await asyncio.sleep(self._random.expovariate(per_s))
-
-    async def _ask(self, workspace: str, tokens: int) -> bool:
-        prompt = f"{self._random.random()} answer_tokens={tokens}"
-        body = {
-            "model": MODEL,
-            "stream": True,
-            "max_tokens": tokens,
-            "messages": [{"role": "user", "content": prompt}],
-        }
-        url = self._router(workspace) + "/v1/chat/completions"
-        began_s = time.monotonic()
-        try:
-            async with self._fleet.session.post(
-                url, json=body, headers=_headers(workspace)
-            ) as response:
-                if response.status != 200:
-                    self._results.outcomes[f"refused {response.status}"] += 1
-                    return False
-                text = await self._read(workspace, response, began_s)
-        except aiohttp.ClientError as error:
-            self._results.broken.append(f"{workspace}: {error!r}")
-            return False
-        whole = "".join(
-            answer_token(f"user: {prompt}", n) for n in range(1, tokens + 1)
-        )
-        if text != whole:
-            self._results.broken.append(f"{workspace}: {len(text)} of {len(whole)}")
-        self._results.outcomes["answered"] += 1
-        return True
-
-    async def _read(self, workspace: str, response, began_s: float) -> str:
-        parts = []
-        async for line in response.content:
-            if line.startswith(b'data: {"id"'):
-                if not parts:
-                    waited_s = time.monotonic() - began_s
-                    times = self._results.first_token_s.setdefault(workspace, [])
-                    times.append(waited_s)
-                parts.append(line.decode().partition('"content": "')[2].split('"')[0])
-        return "".join(parts)
-
-    async def _book(self) -> None:
-        key = f"hold-{self._random.randrange(10**9)}"
-        body = f'{{"hold": "{key}"}}'.encode()
-        # Each booking is sent twice at once through two routers, as a client does
-        # that has lost patience.
-        await asyncio.gather(self._send_booking(key, body), self._again(key, body))
-
-    async def _again(self, key: str, body: bytes) -> None:
-        await asyncio.sleep(self._random.random() * 0.05)
-        await self._send_booking(key, body)
-
-    async def _send_booking(self, key: str, body: bytes) -> None:
-        headers = {**_headers("bookings"), "Idempotency-Key": key}
-        url = self._router("bookings") + f"/services/{LEDGER}/holds"
-        async with self._fleet.session.post(
-            url, data=body, headers=headers
-        ) as response:
-            await response.read()
-            self._results.actions.append((key, response.status))
-            done = response.status == 200
-            self._results.outcomes[
-                "answered" if done else f"refused {response.status}"
-            ] += 1
-
-    def _router(self, workspace: str) -> str:
-        # The flood enters by one router only, the others by all of them.
-        names = [name for name, _ in PLAN.routers]
-        chosen = names[0] if workspace == "flood" else self._random.choice(names)
-        return self._fleet.address(chosen)
-
-
-def _headers(workspace: str) -> dict[str, str]:
-    return {"Authorization": f"Bearer {key_of(workspace)}"}
+# Delay of the exchange of service totals: two intervals of 1 s, plus loopback.
+EXCHANGE_DELAY_S = 2.0
 
 
 @dataclass
@@ -165,122 +40,236 @@
     """Work that the engines of the moved zone took while it was out."""
 
     in_force_s: float = 0.0
+    back_in_force_s: float = 0.0
     admitted_late: int = 0
 
 
-async def move_zone(fleet: Fleet, move: ZoneMove) -> None:
+async def move_zone(fleet: Fleet, watch: Watch, move: ZoneMove) -> None:
     """Take a zone out and bring it back by ticket."""
-    engines = [u.name for u in PLAN.upstreams if u.zone == MOVED_ZONE]
+    engines = engines_of(fleet, MOVED_ZONE)
     await asyncio.sleep(OUT_AT_S)
     began_s = time.monotonic()
-    number = await fleet.file_ticket({"zones": {MOVED_ZONE: {"in_service": False}}})
-    while min((await fleet.in_force("entry-3"))["instances"].values()) < number:
-        await asyncio.sleep(0.05)
-    move.in_force_s = time.monotonic() - began_s
+    watch.out.update(engines)
+    move.in_force_s = await file_and_wait(fleet, False)
     await asyncio.sleep(max(0.0, began_s + FORCE_LIMIT_S - time.monotonic()))
     before = await admitted(fleet, engines)
     await asyncio.sleep(max(0.0, began_s + BACK_AT_S - OUT_AT_S - time.monotonic()))
     move.admitted_late = await admitted(fleet, engines) - before
-    await fleet.file_ticket({"zones": {MOVED_ZONE: {"in_service": True}}})
+    move.back_in_force_s = await file_and_wait(fleet, True)
+    watch.out.clear()
+
+
+async def file_and_wait(fleet: Fleet, in_service: bool) -> float:
+    """File a ticket about the moved zone; return the seconds until in force."""
+    began_s = time.monotonic()
+    number = await fleet.file_ticket(
+        {"zones": {MOVED_ZONE: {"in_service": in_service}}}
+    )
+    last = fleet.plan.routers[-1][0]
+    while min((await fleet.in_force(last))["instances"].values()) < number:
+        await asyncio.sleep(0.05)
+    return time.monotonic() - began_s
 
 
 async def admitted(fleet: Fleet, engines: list[str]) -> int:
     """Return how many requests engines have admitted so far."""
-    found = [await control(fleet, name) for name in engines]
-    return sum(document["admitted"] for document in found)
+    accounts = await stand_in_control(fleet, engines)
+    return sum(account["admitted"] for account in accounts.values())
 
 
-async def control(fleet: Fleet, upstream: str) -> dict:
-    """Return a stand-in's own account."""
-    return await fleet.get_json(fleet.upstream_address(upstream) + "/control")
+@dataclass
+class Window:
+    """Figures between two scrapes while the load is on."""
 
+    begin: Scrape
+    end: Scrape
+    busy_slot_s: float
 
-async def scrape(fleet: Fleet) -> dict[str, float]:
-    """Return service by workspace and control bytes sent, over all routers."""
-    found: Counter = Counter()
-    for name, _ in PLAN.routers:
-        for family in text_string_to_metric_families(await fleet.metrics(name)):
-            for sample in family.samples:
-                if sample.name == "carobstair_served_tokens_total":
-                    found[sample.labels["workspace"]] += sample.value
-                elif sample.name == "carobstair_peer_bytes_total":
-                    found["control bytes"] += sample.value
-    return found
+    @property
+    def seconds(self) -> float:
+        """Length in seconds."""
+        return self.end.at_s - self.begin.at_s
 
+    def served(self, workspace: str) -> float:
+        """Return the service of a workspace in weighted tokens."""
+        key = (MODEL, workspace)
+        return self.end.served[key] - self.begin.served[key]
 
-async def busy_slot_s(fleet: Fleet) -> float:
-    """Return the slot seconds that all engines have spent on requests."""
-    engines = [u.name for u in PLAN.upstreams if u.kind == "engine"]
-    return sum([(await control(fleet, n))["busy_slot_s"] for n in engines])
+
+@dataclass
+class Gap:
+    """Greatest difference in service per weight, and its bound.
+
+    The bound is ``R x D + 2 x (W_max + C_max)``, where the service in flight of
+    one workspace is at most all slots times the longest answer.
+    """
+
+    workspaces: list[str]
+    tokens: float = 0.0
+    bound_tokens: float = 0.0
+
+    @classmethod
+    def of(cls, window: Window, names: list[str], plan: FleetPlan) -> Gap:
+        """Return the gap over the workspaces that were backlogged throughout."""
+        if len(names) < 2:
+            return cls(names)
+        shares = [window.served(name) / plan.workspaces[name] for name in names]
+        least_weight = min(plan.workspaces[name] for name in names)
+        longest = max(b.tokens[1] for b in BACKLOGGED)
+        slots = sum(u.max_requests for u in plan.upstreams if u.kind == "engine")
+        rate = sum(window.served(name) for name in plan.workspaces) / window.seconds
+        bound = rate * EXCHANGE_DELAY_S + 2 * (slots * longest + longest)
+        return cls(names, max(shares) - min(shares), bound / least_weight)
+
+
+@dataclass
+class Findings:
+    """Everything that the demo prints and judges."""
+
+    load: DemoLoad
+    move: ZoneMove
+    watch: Watch
+    window: Window
+    gap: Gap
+    journal: list[dict]
+    fallen: int
+    exits: list[int | None]
+    left_running: int
+    doubled: int = field(init=False)
+    untrue: int = field(init=False)
+
+    def __post_init__(self) -> None:
+        runs = Counter(json.loads(entry["body"])["key"] for entry in self.journal)
+        self.doubled = sum(count - 1 for count in runs.values())
+        said = self.load.said_not_run.keys() - self.load.answered_keys
+        # Both calls under a key said "not run", and the ledger ran it.
+        self.untrue = sum(
+            runs[key] > 0 and self.load.said_not_run[key] > 1 for key in said
+        )
+
+    def broken(self) -> list[str]:
+        """Return the invariants that broke."""
+        judged = {
+            "an action ran twice": self.doubled,
+            'a refusal that said "not run" was untrue': self.untrue,
+            "an answer was not whole": self.load.results.faults(),
+            "work entered the zone 4 s after it left": self.move.admitted_late,
+            "a ticket was not in force within 4 s": (
+                max(self.move.in_force_s, self.move.back_in_force_s) > FORCE_LIMIT_S
+            ),
+            "a cold engine fell over": self.fallen,
+            "fewer than two workspaces were backlogged": len(self.gap.workspaces) < 2,
+            "the fairness gap exceeds its bound": (
+                self.gap.tokens > self.gap.bound_tokens
+            ),
+            "a router did not end with 0": any(self.exits),
+            "a process is left": self.left_running,
+        }
+        return [name for name, value in judged.items() if value]
+
+    def rows(self) -> dict[str, object]:
+        """Return the table."""
+        results, plan = self.load.results.results(), self.load.fleet.plan
+        slots = sum(u.max_requests for u in plan.upstreams if u.kind == "engine")
+        used = self.window.busy_slot_s / (slots * self.window.seconds)
+        sent = self.window.end.control_bytes - self.window.begin.control_bytes
+        served = (
+            f"{name} {self.window.served(name):.0f} (weight {plan.workspaces[name]:g})"
+            for name in self.gap.workspaces
+        )
+        rows = {
+            "requests answered": results["answered"],
+            "requests refused": results["refused"] + results["not sent"],
+            "weighted tokens served": ", ".join(served),
+            "fairness gap / bound (weighted tokens per weight)": (
+                f"{self.gap.tokens:.0f} / {self.gap.bound_tokens:.0f}"
+            ),
+            "engine slots used, zone move included": f"{used:.1%}",
+            "slots idle while work waits (target 1 %)": (
+                f"{self.watch.idle_part():.1%}"
+            ),
+            "control bytes per node and second": round(
+                sent / len(plan.routers) / self.window.seconds
+            ),
+        }
+        for name, series in sorted(self.load.by_class.items()):
+            found = series.first_token
+            values = (found.get_value_at_percentile(p) / 1e6 for p in (50, 95, 99))
+            rows[f"first token {name} p50/p95/p99 (s)"] = " / ".join(
+                f"{value:.3f}" for value in values
+            )
+        return rows | {
+            "zone out / back in force everywhere (s)": (
+                f"{self.move.in_force_s:.3f} / {self.move.back_in_force_s:.3f}"
+            ),
+            "requests in the zone after 4 s out": self.move.admitted_late,
+            "answers cut or not whole": self.load.results.faults(),
+            "keyed actions run / double runs": f"{len(self.journal)} / {self.doubled}",
+            'untrue "not run"': self.untrue,
+            "engines fallen over while cold": self.fallen,
+            "routers that ended with 0": (
+                f"{self.exits.count(0)} of {len(self.exits)}"
+            ),
+        }
+
+
+async def measure(fleet: Fleet, names: list[str]) -> Window:
+    """Return the figures of the middle of the load."""
+    begin, before = await Scrape.of(fleet), await stand_in_control(fleet, names)
+    await asyncio.sleep(LOAD_S - WARM_S - 1.0)
+    end, after = await Scrape.of(fleet), await stand_in_control(fleet, names)
+    busy_s = sum(after[n]["busy_slot_s"] - before[n]["busy_slot_s"] for n in names)
+    return Window(begin, end, busy_s)
+
+
+async def observe(fleet: Fleet) -> Findings:
+    """Run load and zone move, then end the routers."""
+    engines = engines_of(fleet)
+    load = DemoLoad(fleet, MODEL, SERVICE, BACKLOGGED, QUESTIONS, BOOKINGS, LOAD_S)
+    watch, move = Watch(fleet, MODEL), ZoneMove()
+    work = asyncio.gather(load.run(), move_zone(fleet, watch, move))
+    await asyncio.sleep(WARM_S)
+    watching = asyncio.create_task(watch.run())
+    window = await measure(fleet, engines)
+    watching.cancel()
+    await work
+    journal = await fleet.get_json(fleet.upstream_address(LEDGER) + "/journal")
+    accounts = await stand_in_control(fleet, engines)
+    exits = [await fleet.end(name) for name, _ in fleet.plan.routers]
+    names = watch.backlogged([b.name for b in BACKLOGGED])
+    return Findings(
+        load,
+        move,
+        watch,
+        window,
+        Gap.of(window, names, fleet.plan),
+        journal["journal"],
+        sum(account["fallen"] for account in accounts.values()),
+        exits,
+        0,
+    )
 
 
 async def run_demo() -> int:
     """Run the demo and return the exit status."""
-    results, move = Results(), ZoneMove()
-    async with Fleet(PLAN) as fleet:
-        print(f"{len(PLAN.routers)} routers and {len(PLAN.upstreams)} upstreams run")
-        await asyncio.sleep(1.0)
-        load = asyncio.create_task(Callers(fleet, results).run())
-        mover = asyncio.create_task(move_zone(fleet, move))
-        await asyncio.sleep(3.0)
-        begin, begin_busy = await scrape(fleet), await busy_slot_s(fleet)
-        began_s = time.monotonic()
-        await asyncio.sleep(LOAD_S - 4.0)
-        end, end_busy = await scrape(fleet), await busy_slot_s(fleet)
-        window_s = time.monotonic() - began_s
-        await asyncio.gather(load, mover)
-        journal = await fleet.get_json(fleet.upstream_address("ledger-1") + "/journal")
-        fallen = sum(
-            [
-                (await control(fleet, u.name))["fallen"]
-                for u in PLAN.upstreams
-                if u.kind == "engine"
-            ]
-        )
-        exits = [await fleet.end(name) for name, _ in PLAN.routers]
-    served = [end[name] - begin[name] for name in BACKLOGGED]
-    bodies = Counter(entry["body"] for entry in journal["journal"])
-    doubled = sum(count - 1 for count in bodies.values())
-    slots_s = sum(u.max_requests for u in PLAN.upstreams if u.kind == "engine")
-    control_bytes = end["control bytes"] - begin["control bytes"]
-    agents = sorted(results.first_token_s.get("agents", [0.0]))
-    rows = {
-        "requests answered": results.outcomes["answered"],
-        "requests refused": sum(
-            n for name, n in results.outcomes.items() if name != "answered"
-        ),
-        "fairness gap (weighted tokens)": round(abs(served[0] - served[1])),
-        "served to flood / bulk": f"{served[0]:.0f} / {served[1]:.0f}",
-        "utilisation": f"{(end_busy - begin_busy) / (slots_s * window_s):.1%}",
-        "control bytes per node per second": round(
-            control_bytes / len(PLAN.routers) / window_s
-        ),
-        "quick question first token p50 / p95 (s)": (
-            f"{agents[len(agents) // 2]:.3f} / {agents[int(len(agents) * 0.95)]:.3f}"
-        ),
-        "ticket in force everywhere (s)": round(move.in_force_s, 3),
-        "requests in the zone after 4 s out": move.admitted_late,
-        "answers not whole": len(results.broken),
-        "engines fallen over while cold": fallen,
-        "double runs": doubled,
-        "routers that ended with 0": f"{exits.count(0)} of {len(exits)}",
-    }
+    ticket = json.loads((EXAMPLE / "ticket-0001-first.json").read_text())
+    names = (*(b.name for b in BACKLOGGED), QUESTIONS, BOOKINGS)
+    plan = FleetPlan.from_ticket(ticket, names, ("--cold-s", "2"))
+    async with Fleet(plan) as fleet:
+        print(f"{len(plan.routers)} routers and {len(plan.upstreams)} upstreams run")
+        started = list(fleet.processes.values())
+        findings = await observe(fleet)
+    findings.left_running = sum(process.poll() is None for process in started)
+    rows = findings.rows()
     width = max(map(len, rows))
     for name, value in rows.items():
         print(f"{name:<{width}}  {value}")
-    print(dict(results.outcomes))
-    for line in results.broken[:5]:
-        print("not whole:", line)
-    broke = (
-        doubled
-        or move.admitted_late
-        or move.in_force_s > FORCE_LIMIT_S
-        or results.broken
-        or fallen
-        or any(exits)
-    )
-    print("an invariant broke" if broke else "all invariants held")
-    return 1 if broke else 0
+    print(findings.load.results.table())
+    broken = findings.broken()
+    for name in broken:
+        print(f"broken: {name}")
+    print("an invariant broke" if broken else "all invariants held")
+    return 1 if broken else 0
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/bench/demo_load.py
@@ -0,0 +1,141 @@
+"""The load of the demo: backlogged workspaces beside questions and bookings."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections import Counter
+from dataclasses import dataclass, field
+from itertools import count
+
+from carobstair.load.client import Client, Outcome
+from carobstair.load.plan import PlannedAction, PlannedChat
+from carobstair.load.results import LoadResults, SeriesResults
+from carobstair.load.runner import run_load
+from carobstair.load.settings import LoadSection, LoadSettings, WorkspaceLoad
+from carobstair.standins.engine import answer_token
+from fleet import Fleet, key_of
+
+__all__ = ["Backlogged", "DemoLoad", "expected_text"]
+
+QUICK_TOKENS = 128
+
+
+@dataclass(frozen=True)
+class Backlogged:
+    """A workspace that always has requests waiting.
+
+    Attributes
+    ----------
+    clients : int
+        Callers that each send the next request when the last is answered.
+    tokens : (int, int)
+        Least and greatest length of an answer.
+    routers : int
+        It enters by the first so many routers.
+    """
+
+    name: str
+    clients: int
+    tokens: tuple[int, int]
+    routers: int
+
+
+def expected_text(request: PlannedChat) -> str:
+    """Return what an engine stand-in answers to a chat."""
+    numbers = range(1, request.tokens + 1)
+    return "".join(answer_token(f"user: {request.prompt}", n) for n in numbers)
+
+
+@dataclass
+class DemoLoad:
+    """Sends the demo's load and keeps what came of it."""
+
+    fleet: Fleet
+    model: str
+    service: str
+    backlogged: tuple[Backlogged, ...]
+    questions: str
+    bookings: str
+    seconds: float
+    results: LoadResults = field(default_factory=LoadResults)
+    by_class: dict[str, SeriesResults] = field(default_factory=dict)
+    said_not_run: Counter[str] = field(default_factory=Counter)
+    answered_keys: set[str] = field(default_factory=set)
+    _numbers: count = field(default_factory=lambda: count(1_000_000))
+
+    async def run(self) -> None:
+        """Send load until the time is over and the last answer has come."""
+        addresses = [self.fleet.address(name) for name, _ in self.fleet.plan.routers]
+        keys = {name: key_of(name) for name in self.fleet.plan.workspaces}
+        client = Client(
+            self.fleet.session, addresses, keys, expected_text=expected_text
+        )
+        end_s = time.monotonic() + self.seconds
+        work = [
+            self._closed_loop(client, workspace, number, end_s)
+            for workspace in self.backlogged
+            for number in range(workspace.clients)
+        ]
+        await asyncio.gather(*work, self._open_loop(addresses))
+
+    async def _closed_loop(
+        self, client: Client, workspace: Backlogged, number: int, end_s: float
+    ) -> None:
+        generator = random.Random(f"{workspace.name}/{number}")
+        while time.monotonic() < end_s:
+            tokens = generator.randint(*workspace.tokens)
+            prompt = f"{generator.random()} answer_tokens={tokens}"
+            router = generator.randrange(workspace.routers)
+            request = PlannedChat(
+                0.0,
+                next(self._numbers),
+                workspace.name,
+                router,
+                self.model,
+                prompt,
+                tokens,
+            )
+            outcome = await client.send(request)
+            self._take(outcome)
+            if outcome.result != "answered":
+                await asyncio.sleep(0.5)
+
+    async def _open_loop(self, addresses: list[str]) -> None:
+        settings = LoadSettings(
+            load=LoadSection(
+                routers=addresses, rate_per_s=13.0, seconds=self.seconds, seed=7
+            ),
+            workspace={
+                self.questions: WorkspaceLoad(
+                    key=key_of(self.questions),
+                    weight=3.0,
+                    model=self.model,
+                    median_tokens=12,
+                    sigma=0.5,
+                    prompt_words=5,
+                ),
+                self.bookings: WorkspaceLoad(
+                    key=key_of(self.bookings),
+                    weight=10.0,
+                    service=self.service,
+                    action_fraction=1.0,
+                    repeat_fraction=1.0,
+                ),
+            },
+        )
+        await run_load(settings, expected_text=expected_text, on_outcome=self._take)
+
+    def _take(self, outcome: Outcome) -> None:
+        self.results.add(outcome)
+        request = outcome.request
+        if isinstance(request, PlannedChat):
+            quick = request.tokens <= QUICK_TOKENS
+            name = "quick" if quick else "long"
+            self.by_class.setdefault(name, SeriesResults()).add(outcome)
+        elif isinstance(request, PlannedAction):
+            if outcome.result == "answered":
+                self.answered_keys.add(request.key)
+            elif outcome.ran == "no":
+                self.said_not_run[request.key] += 1
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -18,6 +18,7 @@
 __all__ = ["Fleet", "FleetPlan", "PlannedUpstream", "key_of"]
 
 OPERATOR_KEY = "demo-operator-key"
+SCALED_REQUESTS = 8
 START_TIMEOUT_S = 30.0
 END_TIMEOUT_S = 45.0
 
@@ -53,6 +54,56 @@
     workspaces: dict[str, float]
     settings: dict[str, dict[str, str]] = field(default_factory=dict)
 
+    @classmethod
+    def from_ticket(
+        cls,
+        ticket: dict,
+        workspaces: tuple[str, ...],
+        engine_arguments: tuple[str, ...] = (),
+    ) -> FleetPlan:
+        """Return a deployment scaled down to one machine.
+
+        Parameters
+        ----------
+        ticket : dict
+            First ticket of the deployment.
+        workspaces : tuple of str
+            Those of the ticket's workspaces that are kept.
+        engine_arguments : tuple of str, optional
+            Arguments of the engine stand-ins.
+
+        Returns
+        -------
+        FleetPlan
+            One router and one engine in each zone, and one plain service.
+        """
+        zones = list(ticket["zones"])
+        found = ticket["upstreams"].items()
+        engines = [
+            next(n for n, u in found if u["kind"] == "engine" and u["zone"] == zone)
+            for zone in zones
+        ]
+        service = next(n for n, u in found if u["kind"] == "service")
+        return cls(
+            tuple((f"entry-{n + 1}", zone) for n, zone in enumerate(zones)),
+            tuple(
+                PlannedUpstream(
+                    name,
+                    upstream["pool"],
+                    upstream["kind"],
+                    upstream["zone"],
+                    # A stand-in and its callers share the machine's few cores.
+                    min(SCALED_REQUESTS, upstream["max_requests"]),
+                    upstream["cold_limit"],
+                    tuple(upstream.get("routes", ())),
+                    engine_arguments if upstream["kind"] == "engine" else (),
+                )
+                for name, upstream in found
+                if name in (*engines, service)
+            ),
+            {name: ticket["workspaces"][name]["weight"] for name in workspaces},
+        )
+
 
 def key_of(workspace: str) -> str:
     """Return the key under which a workspace of the demo calls."""
--- a/src/carobstair/cli/program.py
+++ b/src/carobstair/cli/program.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import sys
 from collections.abc import Sequence
 from pathlib import Path
@@ -52,6 +53,11 @@
     except cyclopts.CycloptsError as error:
         text = " ".join(str(error).split())
         fail(f"{app.name[0]}: {text} See --help.", EXIT_USAGE)
+    except BrokenPipeError:
+        # The reader, such as head, has seen enough; the interpreter must not
+        # flush into the closed pipe at its end.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        sys.exit(EXIT_FAILED)
 
 
 def read_settings(
--- a/src/carobstair/load/runner.py
+++ b/src/carobstair/load/runner.py
@@ -9,7 +9,7 @@
 
 import aiohttp
 
-from carobstair.load.client import Client
+from carobstair.load.client import Client, Outcome
 from carobstair.load.plan import PlannedChat, PlannedRequest, make_plan
 from carobstair.load.results import LoadResults
 from carobstair.load.settings import LoadSettings
@@ -34,6 +34,7 @@
     settings: LoadSettings,
     on_progress: Callable[[Progress], None] = lambda progress: None,
     expected_text: Callable[[PlannedChat], str] | None = None,
+    on_outcome: Callable[[Outcome], None] = lambda outcome: None,
 ) -> LoadResults:
     """Send the plan's requests and return what came of them.
 
@@ -44,6 +45,8 @@
         Called each `progress_s` seconds.
     expected_text : callable, optional
         Returns the text that a chat must be answered with, where it is known.
+    on_outcome : callable, optional
+        Called with each outcome.
     """
     timeout = aiohttp.ClientTimeout(total=settings.load.deadline_s + GRACE_S)
     connector = aiohttp.TCPConnector(limit=0)
@@ -56,7 +59,7 @@
             settings.load.check_answers,
             expected_text,
         )
-        return await _Run(settings, client, on_progress).run()
+        return await _Run(settings, client, on_progress, on_outcome).run()
 
 
 class _Run:
@@ -65,10 +68,12 @@
         settings: LoadSettings,
         client: Client,
         on_progress: Callable[[Progress], None],
+        on_outcome: Callable[[Outcome], None],
     ):
         self._settings = settings
         self._client = client
         self._on_progress = on_progress
+        self._on_outcome = on_outcome
         self._results = LoadResults()
         self._open: set[asyncio.Task] = set()
         self._sent = 0
@@ -100,7 +105,9 @@
         task.add_done_callback(self._open.discard)
 
     async def _send(self, request: PlannedRequest, due_s: float) -> None:
-        self._results.add(await self._client.send(request, due_s))
+        outcome = await self._client.send(request, due_s)
+        self._results.add(outcome)
+        self._on_outcome(outcome)
 
     async def _report(self) -> None:
         while True:
