--- a/src/carobstair/core/refusals.py
+++ b/src/carobstair/core/refusals.py
@@ -5,7 +5,15 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-__all__ = ["CATALOGUE", "PROBLEM_JSON", "Ran", "Refusal", "RefusalType", "refuse"]
+__all__ = [
+    "CATALOGUE",
+    "PROBLEM_JSON",
+    "Ran",
+    "Refusal",
+    "RefusalType",
+    "catalogue_table",
+    "refuse",
+]
 
 PROBLEM_JSON = "application/problem+json"
 TYPE_PREFIX = "urn:carobstair:refusal:"
@@ -274,3 +282,16 @@
     kind = CATALOGUE[name]
     delay_s = kind.retry_after_s if retry_after_s is None else retry_after_s
     return Refusal(kind, detail, delay_s)
+
+
+def catalogue_table() -> str:
+    """Return the catalogue as the Markdown table of docs/REFUSALS.md."""
+    heads = ("cause", "status", "`type`", "`ran`", "`Retry-After`", "what to do")
+    lines = [f"| {' | '.join(heads)} |", "| --- " * len(heads) + "|"]
+    for kind in _TYPES:
+        delay = "" if kind.retry_after_s is None else f"{kind.retry_after_s:g} s"
+        lines.append(
+            f"| {kind.title} | {kind.status} | `{kind.name}` | `{kind.ran}` "
+            f"| {delay} | {kind.advice} |"
+        )
+    return "\n".join(lines)
--- a/src/carobstair/metrics.py
+++ b/src/carobstair/metrics.py
@@ -111,6 +111,11 @@
             "answers_mismatched", "Answers that belonged to another request", ()
         )
 
+        self.attempts = self._counter(
+            "upstream_attempts",
+            "Attempts at an upstream, first ones and repeats",
+            ("upstream",),
+        )
         self.ejections = self._counter(
             "upstream_ejections",
             "Times that an upstream was ejected for failing",
--- a/src/carobstair/net/chat.py
+++ b/src/carobstair/net/chat.py
@@ -157,6 +157,7 @@
             upstream.name, generation.waiting.prefix
         )
         self._retries.note_attempt(upstream.name, time.monotonic())
+        self._metrics.attempts.labels(upstream.name).inc()
         stream = self._upstreams.stream(
             upstream,
             attempt_id,
--- a/src/carobstair/net/gateway.py
+++ b/src/carobstair/net/gateway.py
@@ -142,7 +142,7 @@
         Raises
         ------
         Refusal
-            ``bad-request``, ``not-found`` or ``forbidden``.
+            ``bad-request``, ``not-found``, ``forbidden`` or ``no-capacity``.
         """
         try:
             model = parse_model(ChatRequestModel, body)
@@ -215,7 +215,7 @@
         Raises
         ------
         Refusal
-            ``bad-request``, ``not-found`` or ``forbidden``.
+            ``bad-request``, ``not-found``, ``forbidden`` or ``no-capacity``.
         """
         self._check_pool(context.workspace, service, UpstreamKind.SERVICE)
         repeatable = self.state.is_repeatable(service, method, path)
@@ -282,6 +282,8 @@
             raise refuse("not-found", f"{kind} {pool} is not served")
         if pool not in workspace.pools:
             raise refuse("forbidden", f"{kind} {pool}")
+        if not any(map(self.state.accepts_work, self.state.pool_upstreams(pool))):
+            raise refuse("no-capacity", f"{kind} {pool}")
 
     def _set_retry_after(
         self, refusal: Refusal, pool: str, context: CallerContext
--- a/src/carobstair/net/router.py
+++ b/src/carobstair/net/router.py
@@ -8,6 +8,7 @@
 import signal
 import time
 
+from carobstair.core.action_sweep import SweepSettings
 from carobstair.core.capacity import CapacityNode
 from carobstair.core.messages import PeerAddress
 from carobstair.core.refusals import refuse
@@ -25,6 +26,7 @@
 from carobstair.net.http import HttpServer
 from carobstair.net.peers import PeerTransport
 from carobstair.net.services import ServiceCaller
+from carobstair.net.sweep import SweepDriver
 from carobstair.net.upstream import UpstreamClient
 from carobstair.platform import ObjectApi
 from carobstair.settings import RouterSettings
@@ -125,6 +127,13 @@
             self.actions,
             self.metrics,
         )
+        self._sweep = SweepDriver(
+            instance.name,
+            self._store,
+            self.agent.live_peers,
+            lambda: self.capacity.state,
+            SweepSettings(),
+        )
         app = make_app(self.gateway, self.agent, self.metrics, settings)
         self._server = HttpServer(app, instance.host, instance.http_port)
         self._stopping = asyncio.Event()
@@ -139,6 +148,7 @@
             asyncio.create_task(self.agent.run()),
             asyncio.create_task(self.capacity.run()),
             asyncio.create_task(self._refresh_peers()),
+            asyncio.create_task(self._sweep.run()),
         ]
         serving = asyncio.create_task(self._server.serve())
         logger.info("router_started", instance=self.own.instance, zone=self.own.zone)
--- a/src/carobstair/net/services.py
+++ b/src/carobstair/net/services.py
@@ -154,6 +154,7 @@
         call.progress.upstream = upstream.name
         began_s = time.monotonic()
         self._retries.note_attempt(upstream.name, began_s)
+        self._metrics.attempts.labels(upstream.name).inc()
         try:
             answer = await self._upstreams.call(
                 upstream,
--- a/src/carobstair/standins/engine.py
+++ b/src/carobstair/standins/engine.py
@@ -68,6 +68,7 @@
     peak_running: int = 0
     peak_cold_running: int = 0
     stalled: bool = False
+    failing: bool = False
     leaving: bool = False
     busy_slot_s: float = 0.0
 
@@ -156,6 +157,8 @@
     async def on_post(self, req, resp) -> None:
         body = json.loads(await req.stream.read())
         request_id = req.get_header("X-Request-Id", required=True)
+        if self._engine.failing:
+            raise falcon.HTTPInternalServerError()
         start = int(req.get_header("Last-Event-ID") or 0)
         prompt = "\n".join(f"{m['role']}: {m['content']}" for m in body["messages"])
         length = answer_tokens(prompt, body.get("max_tokens"))
