--- a/src/carobstair/core/fairness.py
+++ b/src/carobstair/core/fairness.py
@@ -66,6 +66,8 @@
         Largest reservation of one workspace's running requests, per weight.
     largest_cost_tokens : float
         Largest cost of one request, per weight.
+    ahead_tokens : float
+        How far quick requests may run ahead, per weight.
     least_weight : float
         Lowest weight of the two workspaces.
     """
@@ -74,6 +76,7 @@
     delay_s: float
     in_flight_tokens: float
     largest_cost_tokens: float
+    ahead_tokens: float = 0.0
     least_weight: float = 1.0
 
 
@@ -99,10 +102,12 @@
     """Return the most by which the service of two workspaces may differ.
 
     The difference is that of the service per weight over any time in which both
-    are backlogged on the same upstreams: ``R x D / w + 2 x (W_max + C_max)``.
+    are backlogged on the same upstreams:
+    ``R x D / w + 2 x (W_max + C_max) + A``, where A is `ahead_tokens`.
     """
     unknown = terms.rate_tokens_per_s * terms.delay_s / terms.least_weight
-    return unknown + 2.0 * (terms.in_flight_tokens + terms.largest_cost_tokens)
+    known = 2.0 * (terms.in_flight_tokens + terms.largest_cost_tokens)
+    return unknown + known + terms.ahead_tokens
 
 
 class VirtualTime:
@@ -150,6 +155,14 @@
         lift = self._lifts.get((pool, workspace), 0.0)
         return self._totals.total(pool, workspace) + lift
 
+    def lag(self, pool: str, workspace: str, now_s: float) -> float:
+        """Return how far a workspace is behind the mean of the others that wait."""
+        others = self._totals.backlogged(pool, now_s) - {workspace}
+        if not others:
+            return 0.0
+        mean = sum(self.value(pool, other) for other in others) / len(others)
+        return mean - self.value(pool, workspace)
+
     def on_backlogged(self, pool: str, workspace: str, now_s: float) -> None:
         """Lift a workspace that begins to wait, so that idleness earns no credit.
 
--- a/src/carobstair/net/router.py
+++ b/src/carobstair/net/router.py
@@ -24,6 +24,7 @@
 from carobstair.net.chat import ChatRelay
 from carobstair.net.gateway import Gateway
 from carobstair.net.http import HttpServer
+from carobstair.net.orders import OrderDriver
 from carobstair.net.peers import PeerTransport
 from carobstair.net.services import ServiceCaller
 from carobstair.net.sweep import SweepDriver
@@ -96,6 +97,8 @@
             self._on_state,
         )
         self.capacity.on_leaving_report = self.agent.note_leaving
+        self._orders = OrderDriver(self.agent.node.orders, self._upstreams)
+        self.agent.on_order = self._orders.send
         self._retries = RetryPolicy(
             RetrySettings(),
             EjectionSettings(),
@@ -146,6 +149,7 @@
         work = [
             asyncio.create_task(self._peers.run()),
             asyncio.create_task(self.agent.run()),
+            asyncio.create_task(self._orders.run()),
             asyncio.create_task(self.capacity.run()),
             asyncio.create_task(self._refresh_peers()),
             asyncio.create_task(self._sweep.run()),
@@ -167,6 +171,7 @@
 
     def _on_state(self, state: FleetState) -> None:
         self.capacity.set_state(state)
+        self._orders.set_state(state)
         self.metrics.keep_in_force(state)
         self._retries.keep(state.workspaces, state.upstreams)
         self.gateway.keep_in_force(state)
