Keep to the cold limit after a failed connection or without load reports

Cause: after a crash, routers granted by the old limit until the next load report, up to 0.5 s after the engine answered again, and a router that woke from a pause granted by the limit from before it. A cold engine fell over.

Change: LimitBook.note_failure holds the cold limit for 2 s at the node that saw a refused or closed connection; net/chat.py and net/services.py call it. An estimator without a load report for 3 s uses the cold limit.

--- a/bench/policies/fifo.py
+++ b/bench/policies/fifo.py
@@ -103,6 +103,9 @@
     def note_service_call(self, upstream: str, duration_s: float) -> None:
         """Ignore the time of calls."""
 
+    def note_failure(self, upstream: str, now_s: float) -> None:
+        """Ignore failures; `enqueue` sees the upstream that a request excludes."""
+
     def on_cache_events(self, upstream: str, incarnation: str, events) -> None:
         """Ignore prefix caches."""
 
--- a/src/carobstair/core/capacity.py
+++ b/src/carobstair/core/capacity.py
@@ -194,6 +194,10 @@
         """Take in how long a call of a plain service took."""
         self.limits.note_token_interval(upstream, duration_s * 1000.0)
 
+    def note_failure(self, upstream: str, now_s: float) -> None:
+        """Take in that an upstream refused or closed a connection."""
+        self.limits.note_failure(upstream, now_s)
+
     def on_load_report(
         self, name: str, report: LoadReport, now_s: float
     ) -> list[Effect]:
--- a/src/carobstair/core/estimates.py
+++ b/src/carobstair/core/estimates.py
@@ -41,11 +41,15 @@
         Age up to which a new estimator goes on from the former one's limit.
     use_every_s : float
         Time between two reports to the estimators.
+    doubt_s : float
+        How long the cold limit holds after a refused or closed connection; longer
+        than the interval and the lag of load reports together.
     """
 
     limit_valid_s: float = 3.0
     resume_within_s: float = 10.0
     use_every_s: float = 1.0
+    doubt_s: float = 2.0
 
 
 @dataclass(slots=True)
@@ -93,6 +97,7 @@
         self._estimator: dict[str, str] = {}
         self._estimator_version = -1
         self._times_ms: dict[str, deque[float]] = {}
+        self._failed_s: dict[str, float] = {}
         self._sequence = first_sequence(own[1])
         self.dropped_count = 0
 
@@ -104,6 +109,8 @@
             del self._estimates[name]
         for name in set(self._announced) - set(state.upstreams):
             del self._announced[name]
+        for name in set(self._failed_s) - set(state.upstreams):
+            del self._failed_s[name]
         for name in set(self._times_ms) - set(state.upstreams):
             del self._times_ms[name]
         for name, estimate in self._estimates.items():
@@ -141,18 +148,33 @@
     def limits(self, name: str, now_s: float) -> tuple[int, int]:
         """Return the limits on requests and KV tokens that hold now."""
         upstream = self._state.upstreams[name]
+        cold = min(upstream.cold_limit, upstream.max_requests)
         if self.estimator_of(name) == self._own[0]:
             estimate = self._estimate(name, now_s)
-            limit = max(0, estimate.limiter.limit - estimate.unexplained)
-            return limit, upstream.max_kv_tokens
+            limit = estimate.limiter.limit
+            if not estimate.limiter.is_current(now_s) or self._is_doubtful(name, now_s):
+                limit = min(limit, cold)
+            return max(0, limit - estimate.unexplained), upstream.max_kv_tokens
         found = self._announced.get(name)
         if found is None or now_s > found.received_s + found.message.valid_s:
-            return min(upstream.cold_limit, upstream.max_requests), (
-                upstream.max_kv_tokens
-            )
-        return min(found.message.max_requests, upstream.max_requests), (
-            upstream.max_kv_tokens
-        )
+            return cold, upstream.max_kv_tokens
+        limit = min(found.message.max_requests, upstream.max_requests)
+        if self._is_doubtful(name, now_s):
+            limit = min(limit, cold)
+        return limit, upstream.max_kv_tokens
+
+    def note_failure(self, name: str, now_s: float) -> None:
+        """Take in that an upstream refused or closed a connection.
+
+        It may have restarted cold, which its load report shows later. Until then
+        this node keeps to the cold limit.
+        """
+        if name in self._state.upstreams:
+            self._failed_s[name] = now_s
+
+    def _is_doubtful(self, name: str, now_s: float) -> bool:
+        failed_s = self._failed_s.get(name, -math.inf)
+        return now_s - failed_s < self._settings.doubt_s
 
     def leaving(self, now_s: float) -> frozenset[str]:
         """Return the upstreams whose own report says that they leave."""
--- a/src/carobstair/core/limits.py
+++ b/src/carobstair/core/limits.py
@@ -64,7 +64,7 @@
     window: int = 256
     min_samples: int = 20
     min_service_samples: int = 3
-    report_validity_s: float = 5.0
+    report_validity_s: float = 3.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -109,6 +109,7 @@
         self._usual_ms = math.inf
         self._limit = float(upstream.cold_limit)
         self._changed_s = now_s
+        self._reported_s = -math.inf
         self.phase = UpstreamPhase.COLD
         self.cold_count = 0
         self.dropped_count = 0
@@ -125,6 +126,10 @@
         """Incarnation of the upstream as last reported."""
         return self._incarnation
 
+    def is_current(self, now_s: float) -> bool:
+        """Return whether a load report is recent enough to trust the limit."""
+        return now_s - self._reported_s <= self._settings.report_validity_s
+
     def set_upstream(self, upstream: Upstream) -> None:
         """Take over a ticket's new state; the limit stays within its bounds."""
         self._upstream = upstream
@@ -142,6 +147,7 @@
         if not report.is_sane():
             self.dropped_count += 1
             return False
+        self._reported_s = now_s
         restarted = report.incarnation != self._incarnation
         self._incarnation = report.incarnation
         self.leaving = report.leaving
--- a/src/carobstair/net/chat.py
+++ b/src/carobstair/net/chat.py
@@ -166,6 +166,9 @@
             generation.progress.may_have_run = True
         if isinstance(error, AnswerMismatch):
             self._metrics.mismatched.inc()
+        else:
+            upstream = grant.offer.upstream
+            self._capacity.node.note_failure(upstream, time.monotonic())
         self._metrics.resumed.labels(type(error).__name__).inc()
         if generation.attempts >= MAX_ATTEMPTS:
             name = "upstream-refused" if not generation.chunks else "answer-lost"
--- a/src/carobstair/net/services.py
+++ b/src/carobstair/net/services.py
@@ -150,6 +150,8 @@
         except UpstreamError as error:
             if isinstance(error, AnswerMismatch):
                 self._metrics.mismatched.inc()
+            if isinstance(error, NotSent):
+                self._capacity.node.note_failure(upstream.name, time.monotonic())
             if not isinstance(error, NotSent | UpstreamRefused):
                 call.progress.may_have_run = True
             raise
--- a/src/carobstair/scenario/gateway.py
+++ b/src/carobstair/scenario/gateway.py
@@ -231,6 +231,7 @@
     def _on_broken(self, attempt_id: str) -> None:
         stream = self._streams.get(attempt_id)
         if stream is not None:
+            self._node.note_failure(stream.grant.offer.upstream, self._now_s)
             self._break(stream)
 
     def _break(self, stream: _Stream) -> None:
--- a/tests/scenario_defects.py
+++ b/tests/scenario_defects.py
@@ -34,7 +34,7 @@
     return SlotShare(max_requests, max_kv_tokens, 0)
 
 
-def _order_by_name(allocator: Allocator, pool: str) -> list[str]:
+def _order_by_name(allocator: Allocator, pool: str, *rest) -> list[str]:
     return sorted(allocator.demand.workspaces(pool))
 
 
