--- a/src/carobstair/net/chat.py
+++ b/src/carobstair/net/chat.py
@@ -226,6 +226,9 @@
             generation.progress.may_have_run = True
         if isinstance(error, AnswerMismatch):
             self._metrics.mismatched.inc()
+        else:
+            upstream = grant.offer.upstream
+            self._capacity.node.note_failure(upstream, time.monotonic())
         self._metrics.resumed.labels(type(error).__name__).inc()
         name = grant.offer.upstream
         if not isinstance(error, UpstreamRefused) and (
--- a/src/carobstair/net/services.py
+++ b/src/carobstair/net/services.py
@@ -171,6 +171,8 @@
             self._note_failure(upstream.name, error)
             if isinstance(error, AnswerMismatch):
                 self._metrics.mismatched.inc()
+            if isinstance(error, NotSent):
+                self._capacity.node.note_failure(upstream.name, time.monotonic())
             if not isinstance(error, NotSent | UpstreamRefused):
                 call.progress.may_have_run = True
             raise
