Measure what a router spends per token, request and action

Change: bench/relay_cost.py reads the CPU time and memory of a real router at idle, under short answers, long answers and keyed actions, and solves for the cost per token and per request.

--- /dev/null
+++ b/bench/relay_cost.py
@@ -0,0 +1,193 @@
+"""CPU per relayed token, per request and per keyed action of a real router.
+
+One router relays answers of one engine stand-in. CPU seconds and resident memory
+are the process's own, read from its metrics page. Idle CPU is measured first and
+taken off; short and long answers give two equations for the cost of a request
+and of a token. The last lines say what that is at the size of the design.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+import time
+from collections import Counter
+from dataclasses import dataclass
+from itertools import count
+
+from prometheus_client.parser import text_string_to_metric_families
+
+from carobstair.load.client import Client
+from carobstair.load.plan import PlannedAction, PlannedChat
+from fleet import Fleet, FleetPlan, PlannedUpstream, key_of
+
+ROUTER, MODEL, SERVICE, WORKSPACE = "entry-1", "model", "ledger", "callers"
+SLOTS = 64
+IDLE_S, PHASE_S, SETTLE_S = 10.0, 15.0, 3.0
+SHORT_TOKENS, LONG_TOKENS = 2, 200
+# The size to reach, of docs/design.md: per node of 370.
+NODE_TOKENS_PER_S, NODE_REQUESTS_PER_S = 1_300_000 / 370, 2_800 / 370
+PLAN = FleetPlan(
+    routers=((ROUTER, "zone-a"),),
+    upstreams=(
+        PlannedUpstream(
+            "engine-1",
+            MODEL,
+            "engine",
+            "zone-a",
+            SLOTS,
+            SLOTS,
+            (),
+            (
+                *("--cold-s", "0", "--max-running", str(SLOTS)),
+                *("--base-interval-ms", "20", "--interval-ms-per-request", "0"),
+            ),
+        ),
+        PlannedUpstream("ledger-1", SERVICE, "service", "zone-a", SLOTS, SLOTS),
+    ),
+    workspaces={WORKSPACE: 1.0},
+)
+NUMBERS = count(1)
+
+
+@dataclass(frozen=True)
+class Reading:
+    """One look at the router's metrics page."""
+
+    at_s: float
+    cpu_s: float
+    resident_bytes: float
+    tokens: float
+    requests: float
+
+
+@dataclass(frozen=True)
+class Phase:
+    """What one kind of load cost, idle cost not yet taken off."""
+
+    name: str
+    seconds: float
+    cpu_s: float
+    tokens: float
+    requests: float
+    resident_bytes: float
+
+    @property
+    def core(self) -> float:
+        """Part of a core in use."""
+        return self.cpu_s / self.seconds
+
+
+async def read(fleet: Fleet) -> Reading:
+    """Return the present reading."""
+    found: Counter[str] = Counter()
+    for family in text_string_to_metric_families(await fleet.metrics(ROUTER)):
+        for sample in family.samples:
+            found[sample.name] += sample.value
+    intervals = found["carobstair_token_interval_seconds_count"]
+    return Reading(
+        time.monotonic(),
+        found["process_cpu_seconds_total"],
+        found["process_resident_memory_bytes"],
+        # The last interval of each answer ends with its closing event.
+        intervals,
+        found["carobstair_requests_total"],
+    )
+
+
+async def measure(fleet: Fleet, name: str, seconds: float, make, clients: int) -> Phase:
+    """Run closed loops and return what the router spent between two readings."""
+    stop = asyncio.Event()
+
+    async def loop(client: Client) -> None:
+        while not stop.is_set():
+            outcome = await client.send(make())
+            if outcome.result != "answered":
+                raise RuntimeError(f"{outcome.result}: {outcome.detail}")
+
+    client = Client(
+        fleet.session, [fleet.address(ROUTER)], {WORKSPACE: key_of(WORKSPACE)}
+    )
+    async with asyncio.TaskGroup() as group:
+        for _ in range(clients):
+            group.create_task(loop(client))
+        await asyncio.sleep(SETTLE_S)
+        begin = await read(fleet)
+        await asyncio.sleep(seconds)
+        end = await read(fleet)
+        stop.set()
+    return Phase(
+        name,
+        end.at_s - begin.at_s,
+        end.cpu_s - begin.cpu_s,
+        end.tokens - begin.tokens,
+        end.requests - begin.requests,
+        end.resident_bytes,
+    )
+
+
+def chat(tokens: int):
+    """Return a maker of chats of one length."""
+
+    def make() -> PlannedChat:
+        number = next(NUMBERS)
+        prompt = f"{number} answer_tokens={tokens}"
+        return PlannedChat(0.0, number, WORKSPACE, 0, MODEL, prompt, tokens)
+
+    return make
+
+
+def action() -> PlannedAction:
+    """Return a keyed action."""
+    number = next(NUMBERS)
+    return PlannedAction(0.0, number, WORKSPACE, 0, SERVICE, "holds", f"key-{number}")
+
+
+def costs(idle: Phase, short: Phase, long: Phase) -> tuple[float, float]:
+    """Return CPU seconds per token and per request.
+
+    Parameters
+    ----------
+    idle, short, long : Phase
+        Phases without load, with short and with long answers.
+    """
+    a, b = (
+        short.cpu_s - idle.core * short.seconds,
+        long.cpu_s - idle.core * long.seconds,
+    )
+    determinant = short.tokens * long.requests - long.tokens * short.requests
+    per_token = (a * long.requests - b * short.requests) / determinant
+    per_request = (short.tokens * b - long.tokens * a) / determinant
+    return per_token, per_request
+
+
+async def run() -> int:
+    """Measure all phases and print them."""
+    async with Fleet(PLAN) as fleet:
+        await asyncio.sleep(SETTLE_S)
+        idle = await measure(fleet, "idle", IDLE_S, None, 0)
+        short = await measure(fleet, "short", PHASE_S, chat(SHORT_TOKENS), 8)
+        long = await measure(fleet, "long", PHASE_S, chat(LONG_TOKENS), 16)
+        actions = await measure(fleet, "actions", PHASE_S, action, 4)
+    print(f"{'phase':<9}{'tokens/s':>10}{'requests/s':>12}{'core':>8}{'MB':>8}")
+    for phase in (idle, short, long, actions):
+        print(
+            f"{phase.name:<9}{phase.tokens / phase.seconds:>10.0f}"
+            f"{phase.requests / phase.seconds:>12.1f}{phase.core:>8.1%}"
+            f"{phase.resident_bytes / 1e6:>8.1f}"
+        )
+    per_token, per_request = costs(idle, short, long)
+    per_action = (actions.cpu_s - idle.core * actions.seconds) / actions.requests
+    print(f"CPU per relayed token {per_token * 1e6:.0f} us")
+    print(f"CPU per chat request {per_request * 1e3:.2f} ms")
+    print(f"CPU per keyed action {per_action * 1e3:.2f} ms")
+    cores = NODE_TOKENS_PER_S * per_token + NODE_REQUESTS_PER_S * per_request
+    print(
+        f"at {NODE_TOKENS_PER_S:.0f} tokens/s and {NODE_REQUESTS_PER_S:.1f} requests/s "
+        f"of one node of 370: {cores:.2f} cores"
+    )
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(asyncio.run(run()))
