--- a/src/carobstair/net/capacity.py
+++ b/src/carobstair/net/capacity.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Iterable
 from functools import singledispatchmethod
 
+from carobstair.core.allocator import AllocatorSettings
 from carobstair.core.capacity import CapacityNode, CapacitySettings
 from carobstair.core.effects import Effect, Granted, RefuseWaiting, Send
 from carobstair.core.grants import HeldGrant
@@ -25,6 +26,8 @@
     UpstreamUseReport,
 )
 from carobstair.core.queueing import WaitingRequest
+from carobstair.core.refusals import Refusal
+from carobstair.core.reserve import QuickReserveSettings
 from carobstair.core.state import FleetState, UpstreamKind
 from carobstair.logs import get_logger
 from carobstair.metrics import RouterMetrics
@@ -79,7 +82,9 @@
         self._metrics = metrics
         node_settings = CapacitySettings(
             totals_every_s=settings.peers.exchange_s,
-            quick_fraction=settings.gateway.quick_fraction,
+            allocator=AllocatorSettings(
+                quick=QuickReserveSettings(settings.gateway.quick_fraction)
+            ),
         )
         self.node = CapacityNode(
             (own.instance, own.incarnation),
@@ -131,6 +136,12 @@
             self._futures.pop(request.request_id, None)
             self.node.withdraw(request)
 
+    def refuse_waiting(self, refusal: Refusal) -> None:
+        """End the wait of all requests that have no grant yet."""
+        for future in self._futures.values():
+            if not future.done():
+                future.set_exception(refusal)
+
     def release(self, grant: HeldGrant) -> None:
         """Give back a grant's slot."""
         self._carry_out(self.node.release(grant, time.monotonic()))
--- a/src/carobstair/standins/agent_fleet.py
+++ b/src/carobstair/standins/agent_fleet.py
@@ -21,7 +21,8 @@
     Warn,
 )
 from carobstair.core.messages import PeerAddress, encode
-from carobstair.core.share_keeper import NoCapacity
+from carobstair.core.orders import OrderOutcome
+from carobstair.core.share_keeper import CapacityView, NoCapacity
 from carobstair.core.shares import ShareTable
 from carobstair.core.state import Ticket
 from carobstair.core.store_calls import (
@@ -83,6 +84,7 @@
 class _Process:
     node: AgentNode
     address: PeerAddress
+    capacity: CapacityView
     paused: bool = False
     backlog: list[Callable[[], None]] = field(default_factory=list)
 
@@ -96,20 +98,31 @@
         Availability zone by instance.
     seed : int
     settings : AgentSettings, optional
+    make_capacity : callable, optional
+        Returns the capacity view of a process from its share table. It is called
+        at each start; a ``tick`` method of the view runs before the node's.
     """
 
     def __init__(
-        self, zones: dict[str, str], seed: int, settings: AgentSettings | None = None
+        self,
+        zones: dict[str, str],
+        seed: int,
+        settings: AgentSettings | None = None,
+        make_capacity: Callable[[ShareTable], CapacityView] = lambda _: NoCapacity(),
     ):
         self.zones = dict(zones)
         self.settings = settings or AgentSettings()
+        self._make_capacity = make_capacity
         self.network = Network()
         self.store = MemoryStore()
         self.now_s = 0.0
         self.processes: dict[str, _Process] = {}
         self.settled: dict[int, TicketSettled] = {}
         self.found: list[InForceFound] = []
-        self.orders: list[SendOrder] = []
+        self.orders: list[tuple[float, str, SendOrder]] = []
+        self.order_s = 2.0
+        # Incarnation by upstream; one that is missing here gives no load report.
+        self.incarnations: dict[str, str] = {}
         self.warnings: Counter = Counter()
         self.sent_messages: Counter = Counter()
         self.sent_bytes: Counter = Counter()
@@ -132,16 +145,18 @@
         port = self._ports.setdefault(name, 1000 + len(self._ports))
         address = PeerAddress(name, incarnation, "h", port, 1, self.zones[name])
         seeds = [f"seed {n}" for n in sorted(self.zones) if n != name][:3]
+        shares = ShareTable((name, incarnation), LAPSE_S)
+        capacity = self._make_capacity(shares)
         node = AgentNode(
             address,
             seeds,
             self.settings,
             random.Random(f"{self._random.random()}/{name}"),
             JsonCodec(),
-            ShareTable((name, incarnation), LAPSE_S),
-            NoCapacity(),
+            shares,
+            capacity,
         )
-        process = _Process(node, address)
+        process = _Process(node, address, capacity)
         self.processes[name] = process
         self._at(self._random.random() * TICK_S, lambda: self._tick(process))
         return node
@@ -217,6 +232,12 @@
         if self.processes.get(process.address.instance) is not process:
             return
         if not process.paused:
+            if hasattr(process.capacity, "tick"):
+                process.capacity.tick()
+            for upstream in process.node.orders.ordered_upstreams():
+                if upstream in self.incarnations:
+                    incarnation = self.incarnations[upstream]
+                    process.node.orders.note_incarnation(upstream, incarnation)
             effects = process.node.tick(self.now_s)
             self.carry_out(process.address.instance, effects)
         self._at(TICK_S, lambda: self._tick(process))
@@ -251,7 +272,15 @@
 
     @_do.register
     def _(self, effect: SendOrder, process: _Process) -> None:
-        self.orders.append(effect)
+        name = process.address.instance
+        self.orders.append((self.now_s, name, effect))
+
+        def event() -> list:
+            node = process.node
+            node.orders.on_answer(effect.order, OrderOutcome.DONE, self.now_s)
+            return []
+
+        self._at(self.order_s, lambda: self._deliver(process, event))
 
     @_do.register(StateChanged)
     @_do.register(EpochLearned)
