Replace silent connections, tell leaving from failing, pass bodies through

Cause: a request bound to an upstream that left service before the send spent retry budget, so a zone that is taken out could use the budgets up; the client unpacked compressed bodies but passed Content-Encoding on; silence of store, peer link and caller had no test.

Change: UpstreamLeft costs no budget and counts as no failure. Bodies pass through as they are. tests/test_silence.py sends store calls and peer messages through the proxy, and checks callers that take no bytes and heads that never end.

--- a/src/carobstair/net/actions.py
+++ b/src/carobstair/net/actions.py
@@ -63,14 +63,10 @@
 )
 from carobstair.core.refusals import Refusal, refuse
 from carobstair.logs import get_logger
+from carobstair.net.events import NotSent, UpstreamError, UpstreamRefused
 from carobstair.net.peers import PeerTransport
 from carobstair.net.services import ServiceCall
-from carobstair.net.upstream import (
-    NotSent,
-    ServiceAnswer,
-    UpstreamError,
-    UpstreamRefused,
-)
+from carobstair.net.upstream import ServiceAnswer
 from carobstair.platform import Conflict, Missing, ObjectApi
 
 __all__ = ["ActionDriver"]
@@ -106,7 +102,7 @@
     ) -> ServiceAnswer:
         """Send a call on a slot, once."""
 
-    def may_retry(self, call: ServiceCall, upstream: str) -> bool:
+    def may_retry(self, call: ServiceCall, upstream: str, error: UpstreamError) -> bool:
         """Return whether the budgets and the deadline allow another send."""
 
     def note_request(self, call: ServiceCall) -> None:
@@ -325,7 +321,7 @@
             )
         except (NotSent, UpstreamRefused) as error:
             run.excluded.add(upstream)
-            may_retry = self._sender.may_retry(run.call, upstream)
+            may_retry = self._sender.may_retry(run.call, upstream, error)
             return NotRun(str(error), isinstance(error, UpstreamRefused), may_retry)
         except UpstreamError as error:
             logger.warning(
--- a/src/carobstair/net/capacity.py
+++ b/src/carobstair/net/capacity.py
@@ -31,8 +31,9 @@
 from carobstair.core.state import FleetState, UpstreamKind
 from carobstair.logs import get_logger
 from carobstair.metrics import RouterMetrics
+from carobstair.net.events import UpstreamError
 from carobstair.net.peers import PeerTransport
-from carobstair.net.upstream import UpstreamClient, UpstreamError
+from carobstair.net.upstream import UpstreamClient
 from carobstair.settings import RouterSettings
 
 __all__ = ["CapacityDriver"]
--- a/src/carobstair/net/chat.py
+++ b/src/carobstair/net/chat.py
@@ -21,14 +21,15 @@
 from carobstair.models import ChatRequestModel
 from carobstair.net.capacity import CapacityDriver
 from carobstair.net.context import CallerContext, Progress
-from carobstair.net.upstream import (
+from carobstair.net.events import (
     AnswerMismatch,
     Chunk,
     NotSent,
-    UpstreamClient,
     UpstreamError,
+    UpstreamLeft,
     UpstreamRefused,
 )
+from carobstair.net.upstream import UpstreamClient
 from carobstair.settings import GatewaySettings
 
 __all__ = ["ChatRelay", "Generation", "collect_answer"]
@@ -148,7 +149,7 @@
     ) -> AsyncIterator[Chunk]:
         upstream = self.state.upstreams.get(grant.offer.upstream)
         if upstream is None or not self.state.accepts_work(upstream):
-            raise UpstreamRefused("the upstream left service")
+            raise UpstreamLeft("the upstream left service")
         generation.progress.upstream = upstream.name
         # Unique whatever id the caller chose, and free of that choice.
         attempt_id = uuid.uuid4().hex
@@ -249,7 +250,7 @@
         An attempt that brought the answer on costs no budget: what it resumes
         is not sent again.
         """
-        if generation.chunks > before:
+        if generation.chunks > before or isinstance(error, UpstreamLeft):
             return
         workspace, upstream = grant.offer.workspace, grant.offer.upstream
         now_s = time.monotonic()
--- a/src/carobstair/net/events.py
+++ b/src/carobstair/net/events.py
@@ -18,6 +18,7 @@
     "ProgressLimits",
     "StreamBroken",
     "UpstreamError",
+    "UpstreamLeft",
     "UpstreamRefused",
     "read_chunks",
 ]
@@ -37,6 +38,14 @@
     """The upstream answered that it did not run the request."""
 
 
+class UpstreamLeft(UpstreamRefused):
+    """The upstream left service before the request was sent.
+
+    It says nothing about the upstream's health, and sending the request elsewhere
+    is no repeat.
+    """
+
+
 class StreamBroken(UpstreamError):
     """The answer broke off or went silent; it may have run in part."""
 
--- a/src/carobstair/net/gateway.py
+++ b/src/carobstair/net/gateway.py
@@ -30,8 +30,9 @@
 from carobstair.net.capacity import CapacityDriver
 from carobstair.net.chat import ChatRelay, Generation
 from carobstair.net.context import CallerContext, Progress
+from carobstair.net.events import Chunk
 from carobstair.net.services import ServiceCall, ServiceCaller
-from carobstair.net.upstream import Chunk, ServiceAnswer
+from carobstair.net.upstream import ServiceAnswer
 from carobstair.settings import RouterSettings
 
 __all__ = ["Gateway"]
--- a/src/carobstair/net/orders.py
+++ b/src/carobstair/net/orders.py
@@ -11,7 +11,8 @@
 from carobstair.core.orders import OrderKeeper, OrderOutcome
 from carobstair.core.state import FleetState, Upstream
 from carobstair.logs import get_logger
-from carobstair.net.upstream import UpstreamClient, UpstreamError
+from carobstair.net.events import UpstreamError
+from carobstair.net.upstream import UpstreamClient
 
 __all__ = ["OrderDriver"]
 
--- a/src/carobstair/net/services.py
+++ b/src/carobstair/net/services.py
@@ -17,14 +17,14 @@
 from carobstair.metrics import RouterMetrics
 from carobstair.net.capacity import CapacityDriver
 from carobstair.net.context import CallerContext, Progress
-from carobstair.net.upstream import (
+from carobstair.net.events import (
     AnswerMismatch,
     NotSent,
-    ServiceAnswer,
-    UpstreamClient,
     UpstreamError,
+    UpstreamLeft,
     UpstreamRefused,
 )
+from carobstair.net.upstream import ServiceAnswer, UpstreamClient
 
 __all__ = ["ServiceCall", "ServiceCaller"]
 
@@ -150,7 +150,7 @@
         """
         upstream = self._capacity.state.upstreams.get(grant.offer.upstream)
         if upstream is None or not self._capacity.state.accepts_work(upstream):
-            raise UpstreamRefused("the upstream left service")
+            raise UpstreamLeft("the upstream left service")
         call.progress.upstream = upstream.name
         began_s = time.monotonic()
         self._retries.note_attempt(upstream.name, began_s)
@@ -192,8 +192,10 @@
         """Count a caller's request for the budgets."""
         self._retries.note_request(call.context.workspace.name, time.monotonic())
 
-    def may_retry(self, call: ServiceCall, upstream: str) -> bool:
+    def may_retry(self, call: ServiceCall, upstream: str, error: UpstreamError) -> bool:
         """Return whether the budgets and the deadline allow another attempt."""
+        if isinstance(error, UpstreamLeft):
+            return True
         now_s, workspace = time.monotonic(), call.context.workspace.name
         if now_s < call.context.deadline_s and self._retries.allow(
             workspace, upstream, now_s
@@ -211,7 +213,7 @@
     ) -> Refusal | None:
         """Return the refusal that ends a call, or None if it may be sent again."""
         repeatable = call.repeatable or not may_have_run
-        if repeatable and self.may_retry(call, grant.offer.upstream):
+        if repeatable and self.may_retry(call, grant.offer.upstream, error):
             return None
         name = "upstream-refused"
         if isinstance(error, NotSent):
--- a/src/carobstair/net/upstream.py
+++ b/src/carobstair/net/upstream.py
@@ -27,16 +27,7 @@
 )
 from carobstair.settings import GatewaySettings
 
-__all__ = [
-    "AnswerMismatch",
-    "Chunk",
-    "NotSent",
-    "ServiceAnswer",
-    "StreamBroken",
-    "UpstreamClient",
-    "UpstreamError",
-    "UpstreamRefused",
-]
+__all__ = ["ServiceAnswer", "UpstreamClient"]
 
 HOP_HEADERS = frozenset(
     {
@@ -253,7 +244,12 @@
             )
             connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=15)
             self._session = aiohttp.ClientSession(
-                timeout=timeout, connector=connector, response_class=_Response
+                timeout=timeout,
+                connector=connector,
+                response_class=_Response,
+                # Bodies pass through as they are, with their Content-Encoding.
+                auto_decompress=False,
+                headers={"Accept-Encoding": "identity"},
             )
             # aiohttp sends PUT and DELETE again when a kept connection breaks; an
             # action must not run twice, and it has no public switch for this.
--- a/src/carobstair/standins/ledger.py
+++ b/src/carobstair/standins/ledger.py
@@ -39,6 +39,7 @@
     refuse: float = 0.0
     cross_answers: int = 0
     answer_s: float = 0.01
+    answer_headers: dict[str, str] = field(default_factory=dict)
     refuse_body: dict = field(default_factory=lambda: {"ran": "no"})
 
     def __post_init__(self) -> None:
@@ -81,6 +82,7 @@
         resp.set_header("X-Request-Id", request_id)
         resp.data = json.dumps({"number": number, "path": req.path}).encode()
         resp.content_type = falcon.MEDIA_JSON
+        resp.set_headers(ledger.answer_headers)
 
 
 async def _break_off() -> AsyncIterator[bytes]:
--- a/src/carobstair/standins/proxy.py
+++ b/src/carobstair/standins/proxy.py
@@ -62,6 +62,7 @@
     delay_s: float = 0.0
     accepted: int = 0
     _links: set[_Link] = field(default_factory=set)
+    _tasks: set[asyncio.Task] = field(default_factory=set)
     _server: asyncio.Server | None = None
 
     async def start(self) -> None:
@@ -73,6 +74,7 @@
         """Stop listening and cut all connections."""
         self._server.close()
         self.cut_open()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._server.wait_closed()
 
     def silence_open(self) -> None:
@@ -97,6 +99,9 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self.accepted += 1
+        task = asyncio.current_task()
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
         link = _Link(writer, silent=self.silence_new)
         self._links.add(link)
         try:
@@ -117,6 +122,7 @@
         pipes = {
             asyncio.create_task(self._pipe(link, reader, link.server)),
             asyncio.create_task(self._pipe(link, server_reader, link.client)),
+            asyncio.create_task(link.cut.wait()),
         }
         try:
             await asyncio.wait(pipes, return_when=asyncio.FIRST_COMPLETED)
--- /dev/null
+++ b/tests/test_silence.py
@@ -0,0 +1,121 @@
+"""Tests of connections that stay open and silent, through the project's proxy."""
+
+import asyncio
+import socket
+import unittest
+from unittest import mock
+
+from returns.result import Failure, Success
+
+from carobstair.core.messages import GrantReturn, PeerAddress
+from carobstair.metrics import RouterMetrics
+from carobstair.net import http
+from carobstair.net.http import ON_END, DisconnectGuard, HttpServer
+from carobstair.net.peers import PeerTransport
+from carobstair.platform import ObjectApi
+from carobstair.settings import InstanceSettings, PeerSettings, PlatformSettings
+from carobstair.standins import object_api
+from carobstair.standins.proxy import TcpProxy
+
+PATIENCE_S = 30
+
+
+class SilentStoreTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against a store client that waits on a dead connection."""
+
+    async def test_silent_connection_is_replaced(self):
+        server = HttpServer(
+            object_api.make_app(object_api.ObjectStore()), "127.0.0.1", 0
+        )
+        serving = asyncio.create_task(server.serve())
+        proxy = TcpProxy("127.0.0.1", server.port)
+        await proxy.start()
+        address = f"http://127.0.0.1:{proxy.port}"
+        store = ObjectApi(PlatformSettings(address=address, timeout_s=0.5))
+        self.assertIsInstance(await store.create("a", b"1"), Success)
+        proxy.silence_open()
+        self.assertIsInstance(await store.update("a", b"2", 1), Failure)
+        self.assertIsInstance(await store.get("a"), Success)
+        await store.close()
+        await proxy.close()
+        server.stop()
+        await serving
+
+
+class SilentPeerTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against a peer link that swallows messages for good."""
+
+    def transport(self, name, port):
+        own = PeerAddress(name, 1, "127.0.0.1", port, 0, "zone")
+        instance = InstanceSettings(name=name, zone="zone", peer_port=port)
+        return PeerTransport(own, instance, PeerSettings(), RouterMetrics())
+
+    async def test_silent_link_is_replaced(self):
+        listeners = [socket.create_server(("127.0.0.1", 0)) for _ in range(2)]
+        ports = [listener.getsockname()[1] for listener in listeners]
+        for listener in listeners:
+            listener.close()
+        near, far = self.transport("near", ports[0]), self.transport("far", ports[1])
+        proxy = TcpProxy("127.0.0.1", ports[1])
+        await proxy.start()
+        near.connect(PeerAddress("far", 1, "127.0.0.1", proxy.port, 0, "zone"))
+        heard = asyncio.Event()
+        far.subscribe(GrantReturn, lambda envelope, payload: heard.set())
+        running = asyncio.create_task(far.run())
+        await self.speak(near, heard)
+        proxy.silence_open()
+        heard.clear()
+        await self.speak(near, heard)
+        self.assertGreater(proxy.accepted, 1)
+        running.cancel()
+        await asyncio.gather(running, return_exceptions=True)
+        await proxy.close()
+        near.close()
+        far.close()
+
+    async def speak(self, near, heard):
+        async with asyncio.timeout(PATIENCE_S):
+            while not heard.is_set():
+                near.send("far", GrantReturn([1]))
+                await asyncio.sleep(0.1)
+
+
+class SilentCallerTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against callers that hold a request by doing nothing."""
+
+    async def test_caller_that_takes_no_bytes_is_given_up(self):
+        ended = asyncio.Event()
+
+        async def app(scope, receive, send):
+            async def end():
+                ended.set()
+
+            scope[ON_END].append(end)
+            await send({"type": "http.response.body"})
+
+        async def never(*message):
+            await asyncio.Event().wait()
+
+        with mock.patch.object(http, "CALLER_STALL_S", 0.05):
+            async with asyncio.timeout(PATIENCE_S):
+                await DisconnectGuard(app)({"type": "http"}, never, never)
+        self.assertTrue(ended.is_set())
+
+    async def test_head_that_never_ends_is_refused(self):
+        server = HttpServer(lambda *args: None, "127.0.0.1", 0)
+        serving = asyncio.create_task(server.serve())
+        with mock.patch.object(http, "HEADER_TIMEOUT_S", 0.1):
+            for piece, status in ((b"", b"408"), (b"x" * 40_000, b"431")):
+                streams = await asyncio.open_connection("127.0.0.1", server.port)
+                streams[1].write(b"GET / HTTP/1.1\r\nX-A: " + piece)
+                async with asyncio.timeout(PATIENCE_S):
+                    answer = await streams[0].read()
+                self.assertEqual(answer.split()[1], status)
+                self.assertIn(b'"ran": "no"', answer)
+                streams[1].close()
+        server.stop()
+        await serving
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -24,6 +24,11 @@
 SETTINGS = GatewaySettings(progress_timeout_s=0.3, first_token_timeout_s=0.5)
 
 
+def lower(headers):
+    """Return headers with names in lower case."""
+    return [(name.lower(), value) for name, value in headers]
+
+
 class UpstreamCase(unittest.IsolatedAsyncioTestCase):
     """Base: an upstream stand-in behind a proxy, and a client."""
 
@@ -88,6 +93,12 @@
         answer = await self.call()
         self.assertEqual(answer.status, 503)
 
+    async def test_encoded_body_passes_through(self):
+        self.ledger.answer_headers = {"Content-Encoding": "gzip"}
+        answer = await self.call()
+        self.assertIn(("content-encoding", "gzip"), lower(answer.headers))
+        self.assertEqual(json.loads(answer.body)["number"], 1)
+
     async def test_silent_path_is_a_lost_answer_and_the_next_call_works(self):
         self.proxy.silence_new = True
         with self.assertRaises(StreamBroken):
