Send fewer totals and lifts, and decide less often

Workspaces that wait only for moments, and whose virtual time is low, held the level at which others start low; every node then lifted the same workspaces to the catch-up cap each second and told all others. Every tick looked at every pool, and the lag of each queue was computed from all that wait.

Change: others start at the level of workspaces that have waited for 2 s. Lifts to the cap are not told, since all nodes find them; others go along only while the workspace waits. The tick looks at pools that changed, and at all every 0.2 s.

--- a/bench/capacity_sim.py
+++ b/bench/capacity_sim.py
@@ -7,6 +7,7 @@
 
 import heapq
 import random
+import time
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -53,6 +54,12 @@
     seed: int = 1
     settings: CapacitySettings = field(default_factory=CapacitySettings)
 
+    def pool_of(self, workspace: str, generator: random.Random) -> str:
+        """Return one of the two pools that a workspace uses."""
+        first = list(self.weights).index(workspace) if len(self.pools) > 1 else 0
+        second = first + generator.randrange(2)
+        return self.pools[second % len(self.pools)]
+
 
 @dataclass
 class Engine:
@@ -83,6 +90,7 @@
     refused: Counter = field(default_factory=Counter)
     first_token_s: dict[str, list[float]] = field(default_factory=dict)
     peer_bytes: Counter = field(default_factory=Counter)
+    peer_messages: int = 0
     busy_slot_s: float = 0.0
     idle_waiting_slot_s: float = 0.0
     slot_s: float = 0.0
@@ -126,6 +134,8 @@
         self._in_flight: Counter = Counter()
         self.nodes: dict[str, CapacityNode] = {}
         self.cut: set[frozenset[str]] = set()
+        # CPU time in the nodes and the codec, without callers and engines.
+        self.control_s = 0.0
         self.state = _state(plan)
         self.engines = {n: Engine(u) for n, u in self.state.upstreams.items()}
         for index in range(plan.nodes):
@@ -167,7 +177,7 @@
         hint = output_tokens if hint_tokens is None else hint_tokens
         request = WaitingRequest(
             f"r{self._requests}",
-            self.plan.pools[0],
+            self.plan.pool_of(workspace, self.random),
             workspace,
             classify(hint, input_tokens, ClassLimits()),
             engine_cost_tokens(hint, input_tokens),
@@ -178,7 +188,9 @@
         )
         self._callers[request.request_id] = (request, node, output_tokens, on_end)
         try:
+            began_s = time.process_time()
             effects = self.nodes[node].enqueue(request, self.now_s)
+            self.control_s += time.process_time() - began_s
         except Refusal:
             self._refuse(request.request_id)
             return
@@ -234,11 +246,17 @@
         if self.nodes[name] is not node:
             return
         self.at(TICK_S, lambda: self._tick(name, node))
-        self.carry_out(name, node.tick(self.now_s))
+        began_s = time.process_time()
+        effects = node.tick(self.now_s)
+        self.control_s += time.process_time() - began_s
+        self.carry_out(name, effects)
 
     def _flush(self, name: str) -> None:
         self._flushing.discard(name)
-        self.carry_out(name, self.nodes[name].flush_demand(self.now_s))
+        began_s = time.process_time()
+        effects = self.nodes[name].flush_demand(self.now_s)
+        self.control_s += time.process_time() - began_s
+        self.carry_out(name, effects)
 
     def _poll(self, name: str, node: CapacityNode) -> None:
         if self.nodes[name] is not node:
@@ -257,8 +275,11 @@
 
     def _send(self, sender: str, effect: Send) -> None:
         incarnation = self.nodes[sender].totals.incarnation
+        began_s = time.process_time()
         data = encode(effect.payload, sender, incarnation, 1, self._count)
+        self.control_s += time.process_time() - began_s
         self.measured.peer_bytes[kind_of(effect.payload)] += len(data)
+        self.measured.peer_messages += 1
         if self.random.random() < self.plan.loss:
             return
         if frozenset((sender, effect.to)) in self.cut:
@@ -267,8 +288,10 @@
         self.at(delay_s, lambda: self._deliver(effect.to, data))
 
     def _deliver(self, to: str, data: bytes) -> None:
+        began_s = time.process_time()
         envelope, payload = decode(data)
         effects = self.nodes[to].on_message(envelope.sender, payload, self.now_s)
+        self.control_s += time.process_time() - began_s
         self.carry_out(to, effects)
 
     def _dispatch(self, node: str, effect: Granted) -> None:
@@ -325,7 +348,10 @@
         self.measured.answered[request.workspace] += 1
         on_end = self._callers.pop(request.request_id)[3]
         if self.nodes[name] is node:
-            self.carry_out(name, node.release(grant, self.now_s))
+            began_s = time.process_time()
+            effects = node.release(grant, self.now_s)
+            self.control_s += time.process_time() - began_s
+            self.carry_out(name, effects)
         on_end()
 
     def _refuse(self, request_id: str) -> None:
--- a/src/carobstair/core/adverts.py
+++ b/src/carobstair/core/adverts.py
@@ -12,7 +12,7 @@
 
 __all__ = ["SlotAdverts"]
 
-EVERY_S = 0.1
+EVERY_S = 0.05
 ASKED_PER_ROW = 2
 
 
--- a/src/carobstair/core/announcing.py
+++ b/src/carobstair/core/announcing.py
@@ -160,15 +160,17 @@
     def _adapt_reach(self, now_s: float) -> None:
         """Tell more allocators of what lags behind, and fewer of what does not."""
         reach: dict[tuple[str, str], int] = {}
+        means: dict[str, float | None] = {}
         if len(self._live) + 1 > ALL_HOLD_UP_TO_MEMBERS:
             for entry in self._queue.demand():
-                key = (entry.pool, entry.workspace)
-                lag = self._virtual_time.lag(*key, now_s)
+                pool, workspace = key = (entry.pool, entry.workspace)
+                if pool not in means:
+                    means[pool] = self._virtual_time.mean_waiting(pool, now_s)
                 known = self._reach.get(key, ALLOCATORS_PER_POOL)
-                if lag > LAG_COSTS * entry.head_cost_tokens:
-                    known = min(2 * known, MOST_ALLOCATORS)
-                elif lag < 0.0:
-                    known = max(known * 3 // 4, ALLOCATORS_PER_POOL)
+                mean = means[pool]
+                if mean is not None:
+                    lag = mean - self._virtual_time.value(pool, workspace)
+                    known = _next_reach(known, lag, entry.head_cost_tokens)
                 reach[key] = max(known, reach.get(key, 0))
         self._reach = reach
 
@@ -225,3 +227,11 @@
                 abs_tol=1.0,
             )
         )
+
+
+def _next_reach(known: int, lag: float, cost_tokens: float) -> int:
+    if lag > LAG_COSTS * cost_tokens:
+        return min(2 * known, MOST_ALLOCATORS)
+    if lag < 0.0:
+        return max(known * 3 // 4, ALLOCATORS_PER_POOL)
+    return known
--- a/src/carobstair/core/capacity.py
+++ b/src/carobstair/core/capacity.py
@@ -44,6 +44,7 @@
 __all__ = ["CapacityNode", "CapacitySettings"]
 
 UPKEEP_EVERY_S = 1.0
+SWEEP_EVERY_S = 0.2
 # Long after the last message of a removed process no copy of one can be on its way.
 RETIRE_AFTER_S = 60.0
 
@@ -114,6 +115,7 @@
         self._next_renewal_s = 0.0
         self._next_use_s = 0.0
         self._next_upkeep_s = 0.0
+        self._next_sweep_s = 0.0
         self._now_s = 0.0
 
     # Events from the own gateway
@@ -218,17 +220,21 @@
         """Do what is due; to be called about every 50 ms."""
         self._now_s = now_s
         self.shares.settle(now_s)
-        self.allocator.expire(now_s)
-        effects: list[Effect] = []
+        lapsed = self.allocator.expire(now_s)
+        effects = self._allocate({g.offer.pool for g in lapsed}, now_s)
         for request in self.queue.expired(now_s):
             self.withdraw(request)
             refusal = refuse("deadline-exceeded")
             effects.append(RefuseWaiting(request.request_id, refusal))
-        self.limits.tick(now_s)
         if now_s >= self._next_upkeep_s:
             self._next_upkeep_s = now_s + UPKEEP_EVERY_S
             self._keep_up(now_s)
-        effects += self._allocate_all(now_s)
+        if now_s >= self._next_sweep_s:
+            # Events allocate by themselves; this is for limits that rise, shares
+            # that open and demand that was not refreshed.
+            self._next_sweep_s = now_s + SWEEP_EVERY_S
+            self.limits.tick(now_s)
+            effects += self._allocate_all(now_s)
         if now_s >= self._next_renewal_s:
             self._next_renewal_s = now_s + self._settings.timings.renew_every_s
             effects += self._renew(now_s)
@@ -376,7 +382,7 @@
     def _note_queue(self, request: WaitingRequest) -> None:
         key = (request.pool, request.workspace, request.work_class)
         waits = self.queue.waiting(request.pool, request.workspace) > 0
-        self.totals.set_waiting(key[:2], waits)
+        self.totals.set_waiting(key[:2], waits, self._now_s)
         entry = self.queue.entry(*key)
         self.allocator.demand.set_entry(self._own[0], entry, self._now_s)
         self.announcer.note_change(key)
--- a/src/carobstair/core/exchange.py
+++ b/src/carobstair/core/exchange.py
@@ -26,6 +26,8 @@
 __all__ = ["ExchangeSettings", "Grid", "TotalsExchange", "row_count", "row_of"]
 
 FULL_MESH_UP_TO_NODES = 12
+# Peers believe for more than 6 intervals that a workspace waits.
+REPEAT_WAITING_EVERY = 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,8 +41,8 @@
     relay_every_s : float
         Time between two updates of row sums.
     idle_every : int
-        On the grid, entries of workspaces that nobody waits for go along with
-        every so many updates only.
+        Entries of workspaces that do not wait anywhere go along with every so
+        many updates only, since nobody is compared with them.
     refresh_rounds : int
         Number of updates over which all entries are repeated once.
     """
@@ -107,6 +109,7 @@
     round: int = 0
     repeat: set[Key] = field(default_factory=set)
     repeat_lifts: set[Key] = field(default_factory=set)
+    told_waiting: set[Key] = field(default_factory=set)
 
     def is_due(self, now_s: float) -> bool:
         if now_s < self.next_s:
@@ -213,13 +216,14 @@
         changed, self._totals.changed = self._totals.changed, set()
         keys = self._chosen(self._own_pace, changed, self._totals.own_keys, now_s)
         self._totals.changed |= changed - keys
-        keys |= {key for key in self._totals.own_keys if self._totals.waits_here(key)}
+        if self._own_pace.round % REPEAT_WAITING_EVERY == 0:
+            keys |= self._totals.waiting_here
         self._sequence += 1
         update = TotalsUpdate(
             self._totals.incarnation,
             self._sequence,
             self._totals.own_rows(sorted(keys)),
-            self._lifts(self._own_pace, self._virtual_time.changed_lifts),
+            self._lifts(self._own_pace, self._virtual_time.changed_lifts, now_s),
         )
         asked = self._asked_peer()
         return [
@@ -243,7 +247,7 @@
             self._totals.incarnation,
             self._sequence,
             self._totals.row_sums(sorted(keys), now_s),
-            self._lifts(self._row_pace, self._virtual_time.changed_lifts_in_row),
+            self._lifts(self._row_pace, self._virtual_time.changed_lifts_in_row, now_s),
             row=self.grid.own_row,
         )
         return [(peer, update) for peer in self.grid.relay_peers]
@@ -252,14 +256,15 @@
         self, pace: _Pace, changed: set[Key], known: Iterable[Key], now_s: float
     ) -> set[Key]:
         keys = self._slice(pace, known)
-        if self.grid.rows == 1 or pace.round % self._settings.idle_every == 0:
-            keys |= changed | pace.repeat
+        waits = {key for key in changed if self._totals.is_backlogged(key, now_s)}
+        # What has just ceased to wait is news as well.
+        keys |= waits | (pace.told_waiting & changed)
+        pace.told_waiting = waits
+        if pace.round % self._settings.idle_every == 0:
             # The last change of an entry is sent twice, so that one lost message
             # does not leave a reservation or a backlog standing.
+            keys |= changed | pace.repeat
             pace.repeat = set(changed)
-        else:
-            waits = self._totals.is_backlogged
-            keys |= {key for key in changed if waits(key, now_s)}
         return keys
 
     def _slice(self, pace: _Pace, known: Iterable[Key]) -> set[Key]:
@@ -267,10 +272,12 @@
         turn = pace.round % rounds
         return {key for key in known if _hash(key) % rounds == turn}
 
-    def _lifts(self, pace: _Pace, changed: set[Key]) -> list[LiftEntry]:
-        sent = changed | pace.repeat_lifts
+    def _lifts(self, pace: _Pace, changed: set[Key], now_s: float) -> list[LiftEntry]:
+        # A workspace that does not wait any more is lifted again when it does.
+        waits = {key for key in changed if self._totals.is_backlogged(key, now_s)}
+        sent = waits | pace.repeat_lifts
         sent |= self._slice(pace, self._virtual_time.lifted)
-        pace.repeat_lifts = set(changed)
+        pace.repeat_lifts = waits
         changed.clear()
         return self._virtual_time.lifts(sorted(sent))
 
--- a/src/carobstair/core/fairness.py
+++ b/src/carobstair/core/fairness.py
@@ -155,13 +155,12 @@
         lift = self._lifts.get((pool, workspace), 0.0)
         return self._totals.total(pool, workspace) + lift
 
-    def lag(self, pool: str, workspace: str, now_s: float) -> float:
-        """Return how far a workspace is behind the mean of the others that wait."""
-        others = self._totals.backlogged(pool, now_s) - {workspace}
-        if not others:
-            return 0.0
-        mean = sum(self.value(pool, other) for other in others) / len(others)
-        return mean - self.value(pool, workspace)
+    def mean_waiting(self, pool: str, now_s: float) -> float | None:
+        """Return the mean virtual time of what waits, None for less than two."""
+        waiting = self._totals.backlogged(pool, now_s)
+        if len(waiting) < 2:
+            return None
+        return sum(self.value(pool, ws) for ws in waiting) / len(waiting)
 
     def on_backlogged(self, pool: str, workspace: str, now_s: float) -> None:
         """Lift a workspace that begins to wait, so that idleness earns no credit.
@@ -171,7 +170,8 @@
         """
         if self._totals.is_backlogged((pool, workspace), now_s):
             return
-        others = self._totals.backlogged(pool, now_s) - {workspace}
+        others = self._totals.established(pool, now_s)
+        others = others or self._totals.backlogged(pool, now_s)
         if others:
             floor = min(self.served(pool, other) for other in others)
         else:
@@ -186,14 +186,15 @@
         Reservations don't count: a lift never goes back, and a large hint that is
         corrected later would lift all others for good.
         """
-        waiting = self._totals.backlogged(pool, now_s)
+        waiting = self._totals.established(pool, now_s)
         if len(waiting) < 2:
             return
         served = {workspace: self.served(pool, workspace) for workspace in waiting}
         floor = max(served.values()) - self._settings.catch_up_cap_tokens
         for workspace, value in served.items():
+            # All nodes find this by themselves, so none has to tell the others.
             if value < floor:
-                self._lift_to(pool, workspace, floor)
+                self._lift_to(pool, workspace, floor, is_news=False)
 
     def lifts(self, keys: Iterable[Key] | None = None) -> list[LiftEntry]:
         """Return lifts to tell peers, all of them by default."""
@@ -222,10 +223,14 @@
                 if not from_row:
                     self.changed_lifts_in_row.add(key)
 
-    def _lift_to(self, pool: str, workspace: str, floor: float) -> None:
+    def _lift_to(
+        self, pool: str, workspace: str, floor: float, is_news: bool = True
+    ) -> None:
         missing = floor - self.served(pool, workspace)
         if missing > 0.0 and self.may_lift and math.isfinite(missing):
             key = (pool, workspace)
-            self._lifts[key] = self._lifts.get(key, 0.0) + missing
-            self.changed_lifts.add(key)
-            self.changed_lifts_in_row.add(key)
+            # Whole tokens take a third of the bytes of a float.
+            self._lifts[key] = math.ceil(self._lifts.get(key, 0.0) + missing)
+            if is_news:
+                self.changed_lifts.add(key)
+                self.changed_lifts_in_row.add(key)
--- a/src/carobstair/core/totals.py
+++ b/src/carobstair/core/totals.py
@@ -39,12 +39,15 @@
         one before its missed service is forgotten.
     backlog_validity_s : float
         How long a source's word that a workspace is backlogged holds.
+    established_s : float
+        How long a workspace must have waited for others to start at its level.
     sync_patience_s : float
         How long a new process waits for the totals of a peer that has them.
     """
 
     catch_up_cap_tokens: float = 20_000.0
-    backlog_validity_s: float = 3.5
+    backlog_validity_s: float = 6.5
+    established_s: float = 2.0
     sync_patience_s: float = 3.0
 
 
@@ -89,6 +92,7 @@
         self._sums: dict[Key, _Sum] = {}
         self._own_waiting: set[Key] = set()
         self._waiting: dict[str, dict[str, dict[str | int, float]]] = {}
+        self._since_s: dict[Key, float] = {}
         self._tombstones: OrderedDict[str, int] = OrderedDict()
         self._adopted = False
         self.changed: set[Key] = set()
@@ -129,20 +133,15 @@
         """Change the reservation, per weight, of the own gateway's grants."""
         self._adjust_own((pool, workspace), 0.0, tokens)
 
-    def set_waiting(self, key: Key, waits: bool) -> None:
+    def set_waiting(self, key: Key, waits: bool, now_s: float) -> None:
         """State whether a workspace waits for a pool at the own gateway."""
         if waits == (key in self._own_waiting):
             return
         (self._own_waiting.add if waits else self._own_waiting.discard)(key)
-        self._mark_waiting(self._own_name, key, math.inf if waits else -math.inf)
+        until_s = math.inf if waits else -math.inf
+        self._mark_waiting(self._own_name, key, until_s, now_s)
         self._adjust_own(key, 0.0, 0.0)
 
-    def set_backlogged(self, backlogged: Iterable[Key]) -> None:
-        """State all pools and workspaces that wait at the own gateway."""
-        now_waiting = set(backlogged)
-        for key in now_waiting ^ self._own_waiting:
-            self.set_waiting(key, key in now_waiting)
-
     def merge(self, sender: str, update: TotalsUpdate, now_s: float) -> int:
         """Take in a peer's update and return how many entries were news.
 
@@ -195,6 +194,19 @@
             if any(until_s > now_s for until_s in until.values())
         }
 
+    def established(self, pool: str, now_s: float) -> set[str]:
+        """Return the workspaces that have waited for a pool for some time.
+
+        One whose requests are served at once waits only for moments, and its
+        level says nothing about how far the others have come.
+        """
+        oldest_s = now_s - self._settings.established_s
+        return {
+            workspace
+            for workspace in self.backlogged(pool, now_s)
+            if self._since_s.get((pool, workspace), now_s) <= oldest_s
+        }
+
     def is_backlogged(self, key: Key, now_s: float) -> bool:
         """Return whether a workspace waits for a pool anywhere in the fleet."""
         until = self._waiting.get(key[0], {}).get(key[1], {})
@@ -209,9 +221,10 @@
             if until_s > now_s
         }
 
-    def waits_here(self, key: Key) -> bool:
-        """Return whether a workspace waits for a pool at the own gateway."""
-        return key in self._own_waiting
+    @property
+    def waiting_here(self) -> frozenset[Key]:
+        """Pools and workspaces that wait at the own gateway."""
+        return frozenset(self._own_waiting)
 
     def own_rows(self, keys: Iterable[Key]) -> list[PoolTotals]:
         """Return the own gateway's entries for some keys, grouped by pool."""
@@ -268,7 +281,7 @@
 
     def _drop_held(self, name: str | int, key: Key, held: _Held) -> None:
         self._sums[key].reserved -= held.reserved
-        self._mark_waiting(name, key, -math.inf)
+        self._mark_waiting(name, key, -math.inf, -math.inf)
 
     def _adjust_own(self, key: Key, total: float, reserved: float) -> None:
         held = self._own.entries.setdefault(key, _Held())
@@ -320,12 +333,14 @@
         summed.reserved += row.reserved - held.reserved
         held.reserved = row.reserved
         until_s = now_s + self._settings.backlog_validity_s
-        self._mark_waiting(name, key, until_s if row.backlogged else -math.inf)
+        self._mark_waiting(name, key, until_s if row.backlogged else -math.inf, now_s)
         if isinstance(name, str):
             self.changed_in_row.add(key)
         return True
 
-    def _mark_waiting(self, name: str | int, key: Key, until_s: float) -> None:
+    def _mark_waiting(
+        self, name: str | int, key: Key, until_s: float, now_s: float
+    ) -> None:
         pool, workspace = key
         if until_s == -math.inf:
             by_workspace = self._waiting.get(pool, {})
@@ -333,9 +348,12 @@
             until.pop(name, None)
             if not until:
                 by_workspace.pop(workspace, None)
-        else:
-            by_workspace = self._waiting.setdefault(pool, {})
-            by_workspace.setdefault(workspace, {})[name] = until_s
+                self._since_s.pop(key, None)
+            return
+        if not self.is_backlogged(key, now_s):
+            self._since_s[key] = now_s
+        by_workspace = self._waiting.setdefault(pool, {})
+        by_workspace.setdefault(workspace, {})[name] = until_s
 
     def _row_sum(self, key: Key, now_s: float) -> tuple[Key, float, float, bool]:
         summed = self._sums[key]
