--- a/src/carobstair/core/agent.py
+++ b/src/carobstair/core/agent.py
@@ -45,6 +45,8 @@
     TicketPull,
     TicketPush,
 )
+from carobstair.core.orders import OrderKeeper, OrderSettings
+from carobstair.core.readiness import unready_reason
 from carobstair.core.share_keeper import (
     CapacityView,
     ShareKeeper,
@@ -83,6 +85,7 @@
     distribution: DistributionSettings = field(default_factory=DistributionSettings)
     epoch: EpochSettings = field(default_factory=EpochSettings)
     shares: ShareKeeperSettings = field(default_factory=ShareKeeperSettings)
+    orders: OrderSettings = field(default_factory=OrderSettings)
     start_wait_s: float = 1.0
     query_s: float = 0.5
 
@@ -144,6 +147,13 @@
             self._learn,
             self._on_instances,
         )
+        self.orders = OrderKeeper(
+            (own.instance, own.incarnation),
+            settings.orders,
+            self._calls,
+            generator,
+            self.membership.is_gone,
+        )
         self._state = FleetState()
         self._store_from_s = -math.inf if not seeds else math.inf
         self._queries = InForceQueries(settings.query_s)
@@ -167,22 +177,9 @@
 
     def unready_reason(self) -> str | None:
         """Return why this router should get no callers, or None."""
-        if self.leaving:
-            return "shutting down"
-        number = self.log.state.number
-        if number == 0:
-            return f"no ticket is in force yet; {self._missing_source()}"
-        if not self.log.state.zone_in_service(self._own.zone):
-            return f"zone {self._own.zone} is out of service by ticket"
-        return None
-
-    def _missing_source(self) -> str:
-        peers = len(self.membership.live())
-        error = self._distribution.store_error
-        store = f"the object API is {error}" if error else "the object API has none"
-        if not self._distribution.is_watcher:
-            store = "the object API is read by peers"
-        return f"{store}, and none of {peers} live peers has sent one"
+        return unready_reason(
+            self._own, self.log.state, self.membership, self._distribution
+        )
 
     # Events from the own process
 
@@ -201,6 +198,8 @@
         effects += self._epochs.tick(
             now_s, writes, self.membership.members, not self.leaving
         )
+        live = self.membership.live()
+        effects += self.orders.tick(self._state, live, reads, now_s)
         effects += self._keeper.acknowledge(now_s)
         if self.leaving:
             effects += self._keeper.transfer(now_s, self.membership)
--- a/src/carobstair/net/agent.py
+++ b/src/carobstair/net/agent.py
@@ -15,11 +15,13 @@
 from carobstair.core.distribution import DistributionSettings
 from carobstair.core.effects import (
     Connect,
+    Disconnect,
     Effect,
     EpochLearned,
     InForceFound,
     Reconnect,
     Send,
+    SendOrder,
     StateChanged,
     TicketSettled,
     Warn,
@@ -41,6 +43,7 @@
     TicketPull,
     TicketPush,
 )
+from carobstair.core.orders import OrderSettings
 from carobstair.core.refusals import refuse
 from carobstair.core.share_keeper import CapacityView
 from carobstair.core.shares import ShareTable
@@ -111,6 +114,8 @@
         self._store = store
         self._metrics = metrics
         self._on_state = on_state
+        # Called with each order that is to be sent to an upstream.
+        self.on_order: Callable[[SendOrder], None] = lambda order: None
         self._store_driver = StoreDriver(store, self._on_store_answer, self._on_watch)
         seeds = [f"seed {seed}" for seed in settings.peers.seeds]
         self.node = AgentNode(
@@ -260,6 +265,10 @@
     def _(self, effect: Connect) -> None:
         self._peers.connect(effect.address)
 
+    @_do.register
+    def _(self, effect: Disconnect) -> None:
+        self._peers.disconnect(effect.instance)
+
     @_do.register
     def _(self, effect: Reconnect) -> None:
         self._peers.reconnect(effect.instance)
@@ -292,6 +301,10 @@
         if future is not None and not future.done():
             future.set_result(effect.numbers)
 
+    @_do.register
+    def _(self, effect: SendOrder) -> None:
+        self.on_order(effect)
+
     @_do.register
     def _(self, effect: Warn) -> None:
         now_s = time.monotonic()
@@ -315,4 +328,5 @@
         distribution=DistributionSettings(
             watchers_per_zone=settings.platform.watchers_per_zone
         ),
+        orders=OrderSettings(load_slots=settings.platform.load_slots),
     )
--- a/src/carobstair/scenario/gateway.py
+++ b/src/carobstair/scenario/gateway.py
@@ -14,7 +14,7 @@
 from carobstair.core.fairness import engine_cost_tokens, service_cost_tokens
 from carobstair.core.grants import HeldGrant
 from carobstair.core.queueing import WaitingRequest
-from carobstair.core.refusals import Refusal
+from carobstair.core.refusals import CATALOGUE, Refusal
 from carobstair.core.state import UpstreamKind
 from carobstair.scenario.engine import Attempt
 
@@ -51,6 +51,18 @@
     first_token_s: float | None = None
     ended: bool = False
     admitted: bool = False
+    last_token_s: float = 0.0
+    longest_silence_s: float = 0.0
+
+    def note_token(self, number: int, now_s: float) -> None:
+        """Take in a token for the caller."""
+        if self.first_token_s is None:
+            self.first_token_s = now_s
+        else:
+            silence_s = now_s - self.last_token_s
+            self.longest_silence_s = max(self.longest_silence_s, silence_s)
+        self.last_token_s = now_s
+        self.received.append(number)
 
     def end(self, outcome: str) -> None:
         """Tell the caller the outcome, once."""
@@ -80,6 +92,7 @@
     def __init__(self, router: SimRouter):
         self._router = router
         self._node = router.node
+        self._kinds = {e.name: e.kind for e in router.world.scenario.engines}
         self._exchanges: dict[str, Exchange] = {}
         self._streams: dict[str, _Stream] = {}
         self._attempts: dict[str, int] = {}
@@ -193,9 +206,7 @@
             return
         exchange = stream.exchange
         self._account(stream, number, cached)
-        exchange.received.append(number)
-        if exchange.first_token_s is None:
-            exchange.first_token_s = self._now_s
+        exchange.note_token(number, self._now_s)
         if number >= exchange.output_tokens:
             self._stop(stream)
             self._end(exchange, "answered")
@@ -203,11 +214,10 @@
 
     def _account(self, stream: _Stream, number: int, cached: int) -> None:
         exchange, offer = stream.exchange, stream.grant.offer
-        kind = self._node.state.upstreams[offer.upstream].kind
-        if kind is UpstreamKind.SERVICE:
-            cost = service_cost_tokens(self._now_s - stream.last_progress_s)
-            took_s = self._now_s - stream.last_progress_s
-            self._node.note_service_call(offer.upstream, took_s)
+        if self._kinds[offer.upstream] is UpstreamKind.SERVICE:
+            taken_s = self._now_s - stream.last_progress_s
+            cost = service_cost_tokens(taken_s)
+            self._node.note_service_call(offer.upstream, taken_s)
         else:
             cost = 1.0
             if not exchange.received:
@@ -221,6 +231,7 @@
     def _on_broken(self, attempt_id: str) -> None:
         stream = self._streams.get(attempt_id)
         if stream is not None:
+            self._node.note_failure(stream.grant.offer.upstream, self._now_s)
             self._break(stream)
 
     def _break(self, stream: _Stream) -> None:
@@ -246,6 +257,10 @@
         del self._streams[stream.attempt_id]
 
     def _end(self, exchange: Exchange, outcome: str) -> None:
+        if outcome in CATALOGUE and exchange.admitted:
+            # As the real gateway, which tells the caller that the request may
+            # have run wherever an attempt was not refused outright.
+            outcome = "answer-lost"
         self._exchanges.pop(exchange.waiting.request_id, None)
         self._attempts.pop(exchange.waiting.request_id, None)
         exchange.end(outcome)
--- a/src/carobstair/scenario/router.py
+++ b/src/carobstair/scenario/router.py
@@ -22,7 +22,9 @@
 
 TICK_S = 0.05
 LOAD_POLL_S = 0.5
+CACHE_POLL_S = 1.0
 BALANCER_LAG_S = 1.0
+PEER_PORT, HTTP_PORT = 7000, 8000
 # Coalesces the arrivals of one moment into one message per allocator.
 DEMAND_DELAY_S = 0.002
 
@@ -51,7 +53,9 @@
         self.world = world
         self.name = spec.name
         self.zone = spec.zone
-        self.address = PeerAddress(spec.name, incarnation, "sim", 1, 2, spec.zone)
+        self.address = PeerAddress(
+            spec.name, incarnation, spec.name, PEER_PORT, HTTP_PORT, spec.zone
+        )
         seed = f"{world.scenario.seed}/{spec.name}/{incarnation}"
         self.node = make_node(
             (spec.name, incarnation), CapacitySettings(), random.Random(seed)
@@ -66,6 +70,7 @@
         phase_s = world.generator.random() * TICK_S
         self._repeat(TICK_S, self._tick, phase_s)
         self._repeat(LOAD_POLL_S, self._poll_loads, phase_s)
+        self._repeat(CACHE_POLL_S, self._poll_caches, phase_s)
 
     @property
     def now_s(self) -> float:
@@ -80,10 +85,7 @@
     @property
     def is_ready(self) -> bool:
         """Whether the load balancer sends callers here."""
-        state = self.node.state
-        return (
-            not self.is_dead and state.number > 0 and state.zone_in_service(self.zone)
-        )
+        return not self.is_dead and self.control.node.unready_reason() is None
 
     def run(self, action: Callable[[], None]) -> None:
         """Run an action of this process: now, after its pause, or never."""
@@ -161,6 +163,10 @@
         for name in self.node.estimated_upstreams():
             self.world.poll_load(self, name)
 
+    def _poll_caches(self) -> None:
+        for name in self.node.held_upstreams():
+            self.world.poll_cache(self, name)
+
     def on_load_report(self, name: str, report) -> None:
         """Take in an upstream's load report."""
         self.control.note_leaving(name, report.leaving)
