--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -1,7 +1,9 @@
 """The example deployments are valid, whole and fit each other."""
 
 import hashlib
+import importlib
 import json
+import runpy
 import unittest
 from pathlib import Path
 
@@ -62,5 +64,27 @@
         self.assertEqual(list(operator["zones"].values()), [{"in_service": False}])
 
 
+class TestLibrary(unittest.TestCase):
+    """The surface for other programs."""
+
+    def test_names_exist_are_documented(self):
+        core = importlib.import_module("carobstair.core")
+        self.assertEqual(len(core.__all__), len(set(core.__all__)))
+        for name in core.__all__:
+            found = getattr(core, name)
+            if isinstance(found, type) or callable(found):
+                self.assertTrue(found.__doc__, name)
+
+    def test_embedding_example_serves_by_weight_within_the_bound(self):
+        example = runpy.run_path(str(EXAMPLES / "embed.py"))
+        served = example["serve"](60.0)
+        tokens, slots = example["REQUEST_TOKENS"], example["SLOTS"]
+        # R x D is 0 with one node; all slots in flight are W_max.
+        bound = 2 * (slots * tokens + tokens)
+        shares = [served[name] / w for name, w in example["WEIGHTS"].items()]
+        self.assertLessEqual(abs(shares[0] - shares[1]), bound)
+        self.assertGreater(sum(served.values()), 0.95 * 60 * slots * tokens)
+
+
 if __name__ == "__main__":
     unittest.main()
