--- a/src/carobstair/net/chat.py
+++ b/src/carobstair/net/chat.py
@@ -157,6 +157,7 @@
             upstream.name, generation.waiting.prefix
         )
         self._retries.note_attempt(upstream.name, time.monotonic())
+        self._metrics.attempts.labels(upstream.name).inc()
         stream = self._upstreams.stream(
             upstream,
             attempt_id,
@@ -225,6 +226,9 @@
             generation.progress.may_have_run = True
         if isinstance(error, AnswerMismatch):
             self._metrics.mismatched.inc()
+        else:
+            upstream = grant.offer.upstream
+            self._capacity.node.note_failure(upstream, time.monotonic())
         self._metrics.resumed.labels(type(error).__name__).inc()
         name = grant.offer.upstream
         if not isinstance(error, UpstreamRefused) and (
