Adapt the defect without fair order to the allocator's keys

Cause: the allocator now orders pool, workspace and class together, so the defect returned bare names and five scenario tests ended with an error. Change: the defect sorts the keys that the allocator orders. Conclusion: the defect can be switched on again.

--- a/tests/scenario_defects.py
+++ b/tests/scenario_defects.py
@@ -9,6 +9,7 @@
 from unittest.mock import PropertyMock, patch
 
 from carobstair.core.allocator import Allocator
+from carobstair.core.demand import DemandKey
 from carobstair.core.effects import TicketSettled
 from carobstair.core.estimates import LimitBook
 from carobstair.core.membership import Membership
@@ -34,8 +35,8 @@
     return SlotShare(max_requests, max_kv_tokens, 0)
 
 
-def _order_by_name(allocator: Allocator, pool: str, *rest) -> list[str]:
-    return sorted(allocator.demand.workspaces(pool))
+def _order_by_name(allocator: Allocator, pool: str, *rest) -> list[DemandKey]:
+    return sorted(_ORDER(allocator, pool, *rest))
 
 
 def _configured_limits(book: LimitBook, name: str, now_s: float) -> tuple[int, int]:
@@ -78,6 +79,7 @@
     _END(gateway, exchange, outcome)
 
 
+_ORDER = Allocator._order
 _LEARN = ShareTable.learn
 _PUSH = GatewayQueue.push
 _EXPIRED = GatewayQueue.expired
