--- a/bench/fleet_state.py
+++ b/bench/fleet_state.py
@@ -22,7 +22,10 @@
 TICKETS = 10
 PLAN = FleetPlan(
     routers=tuple((f"entry-{i + 1}", ZONES[i % 3]) for i in range(ROUTERS)),
-    upstreams=(PlannedUpstream("engine-1", "proposals", "engine", "lac"),),
+    upstreams=(
+        PlannedUpstream("engine-1", "proposals", "engine", "lac"),
+        PlannedUpstream("engine-2", "proposals", "engine", "ariana"),
+    ),
     workspaces={"agents": 1.0},
 )
 NAMES = [name for name, _ in PLAN.routers]
@@ -164,6 +167,43 @@
     findings.check(status == 0 and "6 of 6" in text, f"status --wait: {text}")
 
 
+async def orders(fleet: Fleet, findings: Findings) -> None:
+    """Wish for versions on both engines and count the orders that arrive."""
+    engines = {u.name: fleet.upstream_state(u) for u in PLAN.upstreams}
+    for i, state in enumerate(engines.values()):
+        state.update(wanted_versions=["base-2"], checks_fencing=i == 0)
+    began_s = time.monotonic()
+    await fleet.file_ticket({"upstreams": engines})
+    given: list[list] = []
+    while time.monotonic() < began_s + CATCH_UP_S:
+        urls = [fleet.upstream_address(name) + "/control" for name in engines]
+        given = [(await fleet.get_json(url))["orders"] for url in urls]
+        if all(given):
+            findings.rows["orders given after (s)"] = (
+                f"{time.monotonic() - began_s:.2f}"
+            )
+            break
+        await asyncio.sleep(0.05)
+    await asyncio.sleep(5.0)
+    given = [(await fleet.get_json(url))["orders"] for url in urls]
+    wish = [{"versions": ["base-2"], "role": ""}]
+    findings.check(given == [wish, wish], f"orders: {given}")
+
+
+async def snapshot(fleet: Fleet, findings: Findings) -> None:
+    """Restart a router after a snapshot and read a ticket from before it."""
+    for i in range(TICKETS):
+        await zone_ticket(fleet, NAMES[1], i % 2 == 1)
+    await asyncio.sleep(3.0)
+    stored = await fleet.get_json(fleet.store_address + "/objects/snapshot")
+    findings.rows["snapshot at ticket"] = str(stored["number"])
+    await fleet.end(NAMES[0], signal.SIGKILL)
+    fleet.start_router(NAMES[0])
+    await fleet.wait_ready(NAMES[0])
+    status, text = await program(fleet, "show", "1")
+    findings.check(status == 0 and '"workspaces"' in text, f"show 1: {text}")
+
+
 async def store_calls(fleet: Fleet, findings: Findings) -> None:
     """Count the store's calls over ten quiet seconds."""
     url = fleet.store_address + "/control"
@@ -174,11 +214,23 @@
     findings.rows["store calls per second"] = f"{rate:.1f}"
 
 
+PARTS = (
+    plain_tickets,
+    race,
+    lost_answer,
+    outage,
+    paused,
+    orders,
+    snapshot,
+    store_calls,
+)
+
+
 async def run() -> int:
     """Run all parts and return the exit status."""
     findings = Findings()
     async with Fleet(PLAN) as fleet:
-        for part in (plain_tickets, race, lost_answer, outage, paused, store_calls):
+        for part in PARTS:
             await part(fleet, findings)
         held = {(await fleet.in_force(n))["number"] for n in NAMES}
         findings.check(len(held) == 1, f"not converged: {held}")
