--- a/src/carobstair/core/capacity.py
+++ b/src/carobstair/core/capacity.py
@@ -86,7 +86,7 @@
             own[0],
             self.totals,
             self.virtual_time,
-            ExchangeSettings(settings.totals_every_s, 2.0 * settings.totals_every_s),
+            ExchangeSettings(settings.totals_every_s, 4.0 * settings.totals_every_s),
             settings.fairness,
         )
         self.prefixes = PrefixIndex()
--- a/src/carobstair/core/exchange.py
+++ b/src/carobstair/core/exchange.py
@@ -48,7 +48,7 @@
     """
 
     every_s: float = 1.0
-    relay_every_s: float = 2.0
+    relay_every_s: float = 4.0
     idle_every: int = 5
     refresh_rounds: int = 60
 
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -131,6 +131,7 @@
         for tick in range(100):
             for _ in range(30):
                 book.note_token_interval("e1", 30.0)
+            book.on_report("e1", READY, 0, tick / 10)
             book.tick(tick / 10)
         self.assertEqual(book.limits("e1", 10.0)[0], 8)
         away = replace(ENGINE, state=UpstreamState.LEAVING)
@@ -147,6 +148,7 @@
             for to, report in holder.use_reports(["e1"], {}).items():
                 self.assertEqual(to, self.estimator)
                 estimator.on_use_report(self.holder, report, tick / 10)
+            estimator.on_report("e1", READY, 0, tick / 10)
             estimator.tick(tick / 10)
         self.assertEqual(estimator.limits("e1", 10.0)[0], 8)
 
