Run keyed actions in scenarios, through kills, pauses, cuts and lost answers

Cause: invariant 7 had no scenario in which records, grants, peers and faults meet.

Three files: invariant-07-actions-at-most-once, pair-actions-and-store-outage, pair-actions-and-partition. A new defect lets action records replace others.

--- a/src/carobstair/scenario/builder.py
+++ b/src/carobstair/scenario/builder.py
@@ -30,7 +30,9 @@
     "quick": ((8, 40), (30, 200)),
     "long": ((100, 400), (200, 1200)),
     "calls": ((1, 1), (10, 10)),
+    "actions": ((1, 1), (10, 10)),
 }
+CALLS = ("calls", "actions")
 FORMULA_MEASURES = ("gap", "unserved")
 
 
@@ -138,13 +140,14 @@
         values = dict(_options(options))
         start_s, end_s = values.pop("span", (FLEET_START_S, float("inf")))
         load = LoadSpec(workspace, "", work_class, output, inputs)
-        load = replace(load, start_s=start_s, end_s=end_s, **values)
+        keyed = kind == "actions"
+        load = replace(load, start_s=start_s, end_s=end_s, keyed=keyed, **values)
         if (load.per_s > 0) == (load.clients > 0):
             raise self._error(
                 "state either a rate (at 3/s) or clients (with 5 clients)"
             )
         self._checks.append((self._line, "router", load.through))
-        wanted = UpstreamKind.SERVICE if kind == "calls" else UpstreamKind.ENGINE
+        wanted = UpstreamKind.SERVICE if kind in CALLS else UpstreamKind.ENGINE
         if not load.pool:
             load = replace(load, pool=self._default_pool(wanted))
         self._checks.append((self._line, "pool", (load.pool,)))
--- a/src/carobstair/scenario/callers.py
+++ b/src/carobstair/scenario/callers.py
@@ -8,6 +8,7 @@
 from carobstair.core.fairness import engine_cost_tokens
 from carobstair.core.queueing import MAX_HINT_TOKENS, WaitingRequest
 from carobstair.scenario.gateway import Exchange
+from carobstair.scenario.keyed import KeyedCaller
 from carobstair.scenario.plan import LoadSpec
 
 if TYPE_CHECKING:
@@ -68,6 +69,10 @@
     def _ask(self, choice: int, on_end) -> None:
         world = self._world
         self._sent += 1
+        if self._load.keyed:
+            key = f"{self._load.workspace}/{self._number}-{self._sent}"
+            KeyedCaller(world, self._load, key, self._random).ask()
+            return
         exchange = self._exchange(on_end)
         world.log.opened(exchange)
         router = world.choose_router(self._load.through, choice)
--- a/src/carobstair/scenario/engine.py
+++ b/src/carobstair/scenario/engine.py
@@ -38,6 +38,8 @@
     on_token : callable
         Receives the number of the token just produced and the tokens that were
         served from the cache.
+    on_run : callable
+        Called when a plain service has carried the call out.
     on_broken : callable
         Called when the upstream gives up the attempt.
     """
@@ -55,6 +57,7 @@
     on_broken: Callable[[], None]
     cached_tokens: int = 0
     silent: bool = False
+    on_run: Callable[[], None] = lambda: None
 
 
 class SimEngine:
@@ -212,6 +215,7 @@
             return
         self.cancel(attempt.attempt_id)
         self._charge(attempt.pool, attempt.workspace, service_cost_tokens(duration_s))
+        attempt.on_run()
         if not attempt.silent:
             attempt.on_token(attempt.last_token, 0)
 
--- a/src/carobstair/scenario/expectations.py
+++ b/src/carobstair/scenario/expectations.py
@@ -155,6 +155,18 @@
     return max(log.sent_bytes.values(), default=0) / log.scenario.duration_s
 
 
+def _false_not_run_actions(log: RunLog, expectation: Expectation, span) -> float:
+    return sum(a.said_not_run and log.runs[a.record] > 0 for a in log.actions)
+
+
+def _answered_actions(log: RunLog, expectation: Expectation, span) -> float:
+    return sum(a.answered and span[0] <= a.born_s <= span[1] for a in log.actions)
+
+
+def _unanswered_actions(log: RunLog, expectation: Expectation, span) -> float:
+    return sum(span[0] <= born_s <= span[1] for born_s in log.open_actions.values())
+
+
 def _count(times: list[float], span: tuple[float, float]) -> int:
     return sum(span[0] <= at_s <= span[1] for at_s in times)
 
@@ -189,6 +201,10 @@
     "refusal-delay": _refusal_delay,
     "late-refusals": _late_refusals,
     "longest-silence": _longest_silence,
+    "doubled-actions": lambda log, e, span: sum(n > 1 for n in log.runs.values()),
+    "false-not-run-actions": _false_not_run_actions,
+    "answered-actions": _answered_actions,
+    "unanswered-actions": _unanswered_actions,
     "open-requests": _open_requests,
     "control-bytes": _control_bytes,
 }
--- a/src/carobstair/scenario/gateway.py
+++ b/src/carobstair/scenario/gateway.py
@@ -96,6 +96,7 @@
         self._exchanges: dict[str, Exchange] = {}
         self._streams: dict[str, _Stream] = {}
         self._attempts: dict[str, int] = {}
+        self._slots: dict[str, Callable[[HeldGrant | Refusal], None]] = {}
 
     @property
     def is_idle(self) -> bool:
@@ -118,11 +119,27 @@
             return
         self.carry_out(effects)
 
+    def acquire(
+        self, request: WaitingRequest, on_slot: Callable[[HeldGrant | Refusal], None]
+    ) -> None:
+        """Wait for a slot of which the asker takes care itself."""
+        self._slots[request.request_id] = on_slot
+        try:
+            effects = self._node.enqueue(request, self._router.now_s)
+        except Refusal as refusal:
+            self._slots.pop(request.request_id)(refusal)
+            return
+        self.carry_out(effects)
+
     def carry_out(self, effects: Iterable[Effect]) -> None:
         """Carry out what a decision asks for."""
         for effect in effects:
             if isinstance(effect, Send):
                 self._router.send(effect.to, effect.payload)
+            elif effect.request_id in self._slots:
+                granted = isinstance(effect, Granted)
+                on_slot = self._slots.pop(effect.request_id)
+                on_slot(effect.grant if granted else effect.refusal)
             elif isinstance(effect, Granted):
                 self._start(effect)
             elif isinstance(effect, RefuseWaiting):
--- a/src/carobstair/scenario/log.py
+++ b/src/carobstair/scenario/log.py
@@ -16,7 +16,7 @@
     from carobstair.scenario.router import SimRouter
     from carobstair.scenario.world import World
 
-__all__ = ["Ended", "RunLog", "Sample"]
+__all__ = ["Ended", "EndedAction", "RunLog", "Sample"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,6 +43,23 @@
     longest_silence_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class EndedAction:
+    """How one action ended for its caller, after all repeats.
+
+    Attributes
+    ----------
+    said_not_run : bool
+        Whether the last answer said that the action did not run.
+    """
+
+    record: str
+    born_s: float
+    end_s: float
+    answered: bool
+    said_not_run: bool
+
+
 @dataclass(frozen=True, slots=True)
 class Sample:
     """State of the fleet at one moment.
@@ -87,6 +104,9 @@
     )
     accepted_s: dict[int, float] = field(default_factory=dict)
     untrue_filings: int = 0
+    runs: Counter = field(default_factory=Counter)
+    actions: list[EndedAction] = field(default_factory=list)
+    open_actions: dict[str, float] = field(default_factory=dict)
     reverted: int = 0
     alive: set[str] = field(default_factory=set)
     _service: dict[tuple[str, str], float] = field(
@@ -122,6 +142,10 @@
             )
         )
 
+    def note_run(self, record: str) -> None:
+        """Record that a plain service carried an action out."""
+        self.runs[record] += 1
+
     def sample(self, world: World) -> None:
         """Record the state of the fleet."""
         waiting: Counter[tuple[str, str, str]] = Counter()
--- a/src/carobstair/scenario/parser.py
+++ b/src/carobstair/scenario/parser.py
@@ -20,7 +20,7 @@
     "NUMBER": "a number",
     "RATE": "a rate such as 3/s",
     "RANGE": "a range such as 60..200",
-    "KIND": "quick, long or calls",
+    "KIND": "quick, long, calls or actions",
     "CLASS": "quick or long",
     "ZONE_STATE": "in or out",
     "UPSTREAM_STATE": "live, leaving or gone",
--- a/src/carobstair/scenario/plan.py
+++ b/src/carobstair/scenario/plan.py
@@ -138,6 +138,9 @@
         Poisson arrivals per second; 0 with `clients`.
     clients : int
         Callers that each send the next request when the last one has ended.
+    keyed : bool
+        Whether each request is an action under a key, which its caller repeats
+        until it has an outcome or the deadline has passed.
     hint_factor : float
         Multiple of the true output length that the caller states.
     """
@@ -155,6 +158,7 @@
     deadline_s: float = 60.0
     hint_factor: float = 1.0
     prefixes: int = 0
+    keyed: bool = False
 
     def largest_cost_tokens(self) -> float:
         """Return the weighted tokens of the largest request."""
--- a/src/carobstair/scenario/router.py
+++ b/src/carobstair/scenario/router.py
@@ -9,8 +9,15 @@
 import msgspec
 
 from carobstair.core.capacity import CapacityNode, CapacitySettings
-from carobstair.core.messages import PeerAddress, decode, encode
+from carobstair.core.messages import (
+    OutcomeAnswer,
+    OutcomeQuery,
+    PeerAddress,
+    decode,
+    encode,
+)
 from carobstair.core.shares import MemberId
+from carobstair.scenario.actions import SimActions
 from carobstair.scenario.control import RouterControl
 from carobstair.scenario.gateway import Exchange, SimGateway
 from carobstair.scenario.plan import RouterSpec
@@ -62,6 +69,7 @@
         )
         self.gateway = SimGateway(self)
         self.control = RouterControl(self)
+        self.actions = SimActions(self)
         self.is_dead = False
         self._paused_until_s = 0.0
         self._frozen: list[Callable[[], None]] = []
@@ -107,6 +115,7 @@
             return
         self.is_dead = True
         self.gateway.close()
+        self.actions.close()
         self.control.close()
         self.world.store.drop_instance(
             self.name, lambda: self.world.routers[self.name] is self
@@ -118,7 +127,7 @@
         self.world.clock.after(BALANCER_LAG_S, lambda: self.run(self._drain))
 
     def _drain(self) -> None:
-        if self.gateway.is_idle:
+        if self.gateway.is_idle and self.actions.is_idle:
             self.control.goodbye()
             self.kill()
         else:
@@ -141,6 +150,10 @@
     def receive(self, data: bytes) -> None:
         """Take in a peer's message."""
         envelope, payload = decode(data)
+        if isinstance(payload, OutcomeQuery):
+            self.actions.on_query(envelope, payload)
+        elif isinstance(payload, OutcomeAnswer):
+            self.actions.on_answer(envelope, payload)
         self.control.receive(envelope, payload)
         effects = self.node.on_message(envelope.sender, payload, self.now_s)
         self.gateway.carry_out(effects)
--- a/src/carobstair/scenario/store.py
+++ b/src/carobstair/scenario/store.py
@@ -24,7 +24,7 @@
 from carobstair.scenario.network import Network
 from carobstair.standins.memory_store import MemoryStore
 
-__all__ = ["STORE", "SimStore", "StoreClient"]
+__all__ = ["STORE", "SimStore", "StoreClient", "StoreDelete"]
 
 STORE = "store"
 DELAY_S = (0.002, 0.008)
@@ -34,6 +34,15 @@
 LIST_LAG_S = 10.0
 
 
+@dataclass(frozen=True, slots=True)
+class StoreDelete:
+    """Remove an object if it still has this version."""
+
+    call: int
+    name: str
+    version: int
+
+
 @dataclass(slots=True, eq=False)
 class StoreClient:
     """A process's link to the store.
@@ -163,12 +172,21 @@
         self._watches = {k: w for k, w in self._watches.items() if k[0] is not client}
 
     def _call(self, call) -> StoreAnswer:
+        if isinstance(call, StoreDelete):
+            return self._delete(call)
         before = len(self._objects.history)
         answer = self._objects.answer(call)
         for stored in self._objects.history[before:]:
             self._note_written(stored)
         return answer
 
+    def _delete(self, call: StoreDelete) -> StoreAnswer:
+        found = self._objects.objects.get(call.name)
+        if found is None or found.version != call.version:
+            return StoreAnswer(call.call, StoreOutcome.CONFLICT)
+        del self._objects.objects[call.name]
+        return StoreAnswer(call.call, StoreOutcome.OK)
+
     def _note_written(self, stored: StoredObject) -> None:
         if stored.name.startswith(TICKET_PREFIX):
             self.state = self.state.apply(JsonCodec.decode_ticket(stored.value))
--- a/tests/scenario_defects.py
+++ b/tests/scenario_defects.py
@@ -16,11 +16,13 @@
 from carobstair.core.refusals import CATALOGUE, refuse
 from carobstair.core.shares import Epoch, ShareTable, SlotShare
 from carobstair.core.state import FleetState
+from carobstair.core.store_calls import StoreAnswer, StoreCreate
 from carobstair.core.tickets import TicketFiling, TicketLog
 from carobstair.core.totals import ServiceTotals
 from carobstair.scenario.engine import SimEngine
 from carobstair.scenario.gateway import SimGateway
 from carobstair.scenario.router import SimRouter
+from carobstair.standins.memory_store import MemoryStore
 
 __all__ = ["DEFECTS", "defect"]
 
@@ -78,6 +80,13 @@
     _END(gateway, exchange, outcome)
 
 
+def _overwrite_records(store: MemoryStore, call) -> StoreAnswer:
+    if isinstance(call, StoreCreate) and call.name.startswith("actions/"):
+        store.objects.pop(call.name, None)
+    return _ANSWER(store, call)
+
+
+_ANSWER = MemoryStore.answer
 _LEARN = ShareTable.learn
 _PUSH = GatewayQueue.push
 _EXPIRED = GatewayQueue.expired
@@ -98,6 +107,7 @@
         PropertyMock(return_value=SHORT_LAPSE_S),
     ),
     "zones and leaving ignored": (FleetState, "accepts_work", lambda *a: True),
+    "action records that replace others": (MemoryStore, "answer", _overwrite_records),
     "queue without bound": (GatewayQueue, "push", _push_without_bound),
     "deadlines noticed late": (GatewayQueue, "expired", _expired_late),
     "tickets stuck": (TicketLog, "take", _take_first),
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -21,6 +21,7 @@
 NO_STATE = "zones and leaving ignored"
 STUCK = "tickets stuck"
 DOUBT = "doubtful ticket refused"
+NO_CONDITION = "action records that replace others"
 NO_DEADLINE = "no progress deadline"
 
 DEFECT_OF = {
@@ -47,12 +48,15 @@
     "invariant-04-zone-out": NO_STATE,
     "invariant-05-whole-answers": "answers start again",
     "invariant-06-true-refusals": "untrue refusals",
+    "invariant-07-actions-at-most-once": NO_CONDITION,
     "invariant-08-upstream-leaves": NO_STATE,
     "invariant-09-graceful-shutdown": "shutdown cuts",
     "invariant-10-ticket-in-force": STUCK,
     "invariant-11-no-idle-capacity": "no peer believed alive",
     "invariant-12-final-answer-at-once": "deadlines noticed late",
     "invariant-12-no-upstream-left": STUCK,
+    "pair-actions-and-partition": NO_CONDITION,
+    "pair-actions-and-store-outage": NO_CONDITION,
     "pair-flood-and-cold-engine": NO_COLD,
     "pair-flood-and-restart": NO_ORDER,
     "pair-partition-and-flood": NO_ORDER,
