Follow the new order of the allocator in the scenario defects

Cause: Allocator._order now returns queues instead of workspaces, and two tests of core/limits.py asked an estimator for its limit 10 s after its only load report, which by now means the cold limit.

Change: the defect orders queues by name; quick-beside-long and invariant-02-short-queue get defects of their own (quick requests last, longest queue first). The two tests report the load with each tick, as the driver does, and expect the same limits as before.

--- a/tests/scenario_defects.py
+++ b/tests/scenario_defects.py
@@ -9,10 +9,11 @@
 from unittest.mock import PropertyMock, patch
 
 from carobstair.core.allocator import Allocator
+from carobstair.core.demand import Demand, DemandBook, DemandKey
 from carobstair.core.effects import TicketSettled
 from carobstair.core.estimates import LimitBook
 from carobstair.core.membership import Membership
-from carobstair.core.queueing import GatewayQueue
+from carobstair.core.queueing import GatewayQueue, WorkClass
 from carobstair.core.refusals import CATALOGUE, refuse
 from carobstair.core.shares import Epoch, ShareTable, SlotShare
 from carobstair.core.state import FleetState
@@ -36,8 +37,21 @@
     return SlotShare(max_requests, max_kv_tokens, 0)
 
 
-def _order_by_name(allocator: Allocator, pool: str, *rest) -> list[str]:
-    return sorted(allocator.demand.workspaces(pool))
+def _order_by_name(allocator: Allocator, pool: str, *rest) -> list[DemandKey]:
+    return [
+        (pool, workspace, work_class)
+        for workspace in sorted(allocator.demand.workspaces(pool))
+        for work_class in WorkClass
+    ]
+
+
+def _quick_last(allocator: Allocator, pool: str, *rest) -> list[DemandKey]:
+    ordered = _ORDER(allocator, pool, *rest)
+    return sorted(ordered, key=lambda key: key[2] == WorkClass.QUICK)
+
+
+def _longest_first(book: DemandBook, *key: str) -> list[Demand]:
+    return sorted(_OF(book, *key), key=lambda d: (-d.open, d.gateway))
 
 
 def _configured_limits(book: LimitBook, name: str, now_s: float) -> tuple[int, int]:
@@ -86,6 +100,8 @@
     return _ANSWER(store, call)
 
 
+_ORDER = Allocator._order
+_OF = DemandBook.of
 _ANSWER = MemoryStore.answer
 _LEARN = ShareTable.learn
 _PUSH = GatewayQueue.push
@@ -98,6 +114,8 @@
 DEFECTS = {
     "shares that ignore the epoch": (Epoch, "share", _whole_limit),
     "order without fairness": (Allocator, "_order", _order_by_name),
+    "quick requests last": (Allocator, "_order", _quick_last),
+    "longest queue first": (DemandBook, "of", _longest_first),
     "fairness without exchange": (ServiceTotals, "merge", lambda *a: 0),
     "no cold limit": (LimitBook, "limits", _configured_limits),
     "epoch that never changes": (ShareTable, "learn", _learn_first),
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -129,6 +129,7 @@
         book = self.books[self.estimator]
         book.on_report("e1", READY, 0, 0.0)
         for tick in range(100):
+            book.on_report("e1", READY, 0, tick / 10)
             for _ in range(30):
                 book.note_token_interval("e1", 30.0)
             book.tick(tick / 10)
@@ -142,6 +143,7 @@
         holder, estimator = self.books[self.holder], self.books[self.estimator]
         estimator.on_report("e1", READY, 0, 0.0)
         for tick in range(100):
+            estimator.on_report("e1", READY, 0, tick / 10)
             for _ in range(30):
                 holder.note_token_interval("e1", 30.0)
             for to, report in holder.use_reports(["e1"], {}).items():
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -43,7 +43,7 @@
     "failure-store-slow": STUCK,
     "invariant-01-bounded-gap": "fairness without exchange",
     "invariant-02-no-starvation": NO_ORDER,
-    "invariant-02-short-queue": NO_ORDER,
+    "invariant-02-short-queue": "longest queue first",
     "invariant-03-cold-start": NO_COLD,
     "invariant-04-zone-out": NO_STATE,
     "invariant-05-whole-answers": "answers start again",
@@ -72,7 +72,7 @@
     "pair-zone-out-and-lost-answers": DOUBT,
     "pair-zone-out-and-partition": STUCK,
     "pair-zone-out-and-restart": NO_STATE,
-    "quick-beside-long": NO_ORDER,
+    "quick-beside-long": "quick requests last",
 }
 
 
