--- a/tests/scenario_defects.py
+++ b/tests/scenario_defects.py
@@ -9,19 +9,21 @@
 from unittest.mock import PropertyMock, patch
 
 from carobstair.core.allocator import Allocator
-from carobstair.core.demand import DemandKey
+from carobstair.core.demand import Demand, DemandBook, DemandKey
 from carobstair.core.effects import TicketSettled
 from carobstair.core.estimates import LimitBook
 from carobstair.core.membership import Membership
-from carobstair.core.queueing import GatewayQueue
+from carobstair.core.queueing import GatewayQueue, WorkClass
 from carobstair.core.refusals import CATALOGUE, refuse
 from carobstair.core.shares import Epoch, ShareTable, SlotShare
 from carobstair.core.state import FleetState
+from carobstair.core.store_calls import StoreAnswer, StoreCreate
 from carobstair.core.tickets import TicketFiling, TicketLog
 from carobstair.core.totals import ServiceTotals
 from carobstair.scenario.engine import SimEngine
 from carobstair.scenario.gateway import SimGateway
 from carobstair.scenario.router import SimRouter
+from carobstair.standins.memory_store import MemoryStore
 
 __all__ = ["DEFECTS", "defect"]
 
@@ -36,7 +38,20 @@
 
 
 def _order_by_name(allocator: Allocator, pool: str, *rest) -> list[DemandKey]:
-    return sorted(_ORDER(allocator, pool, *rest))
+    return [
+        (pool, workspace, work_class)
+        for workspace in sorted(allocator.demand.workspaces(pool))
+        for work_class in WorkClass
+    ]
+
+
+def _quick_last(allocator: Allocator, pool: str, *rest) -> list[DemandKey]:
+    ordered = _ORDER(allocator, pool, *rest)
+    return sorted(ordered, key=lambda key: key[2] == WorkClass.QUICK)
+
+
+def _longest_first(book: DemandBook, *key: str) -> list[Demand]:
+    return sorted(_OF(book, *key), key=lambda d: (-d.open, d.gateway))
 
 
 def _configured_limits(book: LimitBook, name: str, now_s: float) -> tuple[int, int]:
@@ -79,7 +94,15 @@
     _END(gateway, exchange, outcome)
 
 
+def _overwrite_records(store: MemoryStore, call) -> StoreAnswer:
+    if isinstance(call, StoreCreate) and call.name.startswith("actions/"):
+        store.objects.pop(call.name, None)
+    return _ANSWER(store, call)
+
+
 _ORDER = Allocator._order
+_OF = DemandBook.of
+_ANSWER = MemoryStore.answer
 _LEARN = ShareTable.learn
 _PUSH = GatewayQueue.push
 _EXPIRED = GatewayQueue.expired
@@ -91,6 +114,8 @@
 DEFECTS = {
     "shares that ignore the epoch": (Epoch, "share", _whole_limit),
     "order without fairness": (Allocator, "_order", _order_by_name),
+    "quick requests last": (Allocator, "_order", _quick_last),
+    "longest queue first": (DemandBook, "of", _longest_first),
     "fairness without exchange": (ServiceTotals, "merge", lambda *a: 0),
     "no cold limit": (LimitBook, "limits", _configured_limits),
     "epoch that never changes": (ShareTable, "learn", _learn_first),
@@ -100,6 +125,7 @@
         PropertyMock(return_value=SHORT_LAPSE_S),
     ),
     "zones and leaving ignored": (FleetState, "accepts_work", lambda *a: True),
+    "action records that replace others": (MemoryStore, "answer", _overwrite_records),
     "queue without bound": (GatewayQueue, "push", _push_without_bound),
     "deadlines noticed late": (GatewayQueue, "expired", _expired_late),
     "tickets stuck": (TicketLog, "take", _take_first),
