Show the part of system calls in the cost of relaying

Cause: the cost per token did not tell whether Python or the kernel spends it. Change: bench/relay_cost.py reads the system time of the router's process.

--- a/bench/relay_cost.py
+++ b/bench/relay_cost.py
@@ -9,11 +9,13 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import sys
 import time
 from collections import Counter
 from dataclasses import dataclass
 from itertools import count
+from pathlib import Path
 
 from prometheus_client.parser import text_string_to_metric_families
 
@@ -56,6 +58,7 @@
 
     at_s: float
     cpu_s: float
+    kernel_s: float
     resident_bytes: float
     tokens: float
     requests: float
@@ -68,6 +71,7 @@
     name: str
     seconds: float
     cpu_s: float
+    kernel_s: float
     tokens: float
     requests: float
     resident_bytes: float
@@ -88,6 +92,7 @@
     return Reading(
         time.monotonic(),
         found["process_cpu_seconds_total"],
+        kernel_s(fleet.processes[ROUTER].pid),
         found["process_resident_memory_bytes"],
         # The last interval of each answer ends with its closing event.
         intervals,
@@ -95,6 +100,14 @@
     )
 
 
+def kernel_s(pid: int) -> float:
+    """Return the CPU seconds that a process has spent in system calls."""
+    # The name, which may hold spaces, ends with the last bracket; the system time
+    # is the 15th field of the line, the 13th after the name.
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return int(fields[12]) / os.sysconf("SC_CLK_TCK")
+
+
 async def measure(fleet: Fleet, name: str, seconds: float, make, clients: int) -> Phase:
     """Run closed loops and return what the router spent between two readings."""
     stop = asyncio.Event()
@@ -120,6 +133,7 @@
         name,
         end.at_s - begin.at_s,
         end.cpu_s - begin.cpu_s,
+        end.kernel_s - begin.kernel_s,
         end.tokens - begin.tokens,
         end.requests - begin.requests,
         end.resident_bytes,
@@ -169,11 +183,14 @@
         short = await measure(fleet, "short", PHASE_S, chat(SHORT_TOKENS), 8)
         long = await measure(fleet, "long", PHASE_S, chat(LONG_TOKENS), 16)
         actions = await measure(fleet, "actions", PHASE_S, action, 4)
-    print(f"{'phase':<9}{'tokens/s':>10}{'requests/s':>12}{'core':>8}{'MB':>8}")
+    print(
+        f"{'phase':<9}{'tokens/s':>10}{'requests/s':>12}{'core':>8}{'kernel':>8}{'MB':>8}"
+    )
     for phase in (idle, short, long, actions):
         print(
             f"{phase.name:<9}{phase.tokens / phase.seconds:>10.0f}"
             f"{phase.requests / phase.seconds:>12.1f}{phase.core:>8.1%}"
+            f"{phase.kernel_s / max(phase.cpu_s, 1e-9):>8.0%}"
             f"{phase.resident_bytes / 1e6:>8.1f}"
         )
     per_token, per_request = costs(idle, short, long)
