Let one process collect into a history file

Cause: two collectors on one file would each leave out values that the other has not written, and the second one's opening rewrites the file. Change: the writer takes a lock beside the file; a second collect ends with one line. Conclusion: tests/test_report.py holds a second writer off.

--- a/bench/metrics_cost.py
+++ b/bench/metrics_cost.py
@@ -10,6 +10,7 @@
 import json
 import tempfile
 import time
+from contextlib import closing
 from pathlib import Path
 
 from carobstair.metrics import RouterMetrics
@@ -52,7 +53,8 @@
         found = read_page(page.decode())
         with tempfile.TemporaryDirectory() as folder:
             path = Path(folder) / "history.jsonl"
-            HistoryWriter(path, 1.0).append(Round(0.0, {"entry-1": found}))
+            with closing(HistoryWriter(path, 1.0)) as writer:
+                writer.append(Round(0.0, {"entry-1": found}))
             json.loads(path.read_text())
             added = path.stat().st_size
         text = page.decode()
--- a/src/carobstair/cli/report.py
+++ b/src/carobstair/cli/report.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import time
 from dataclasses import dataclass
 from pathlib import Path
@@ -13,7 +14,7 @@
 from carobstair.cli.program import EXIT_FAILED, fail, make_app, read_settings
 from carobstair.cli.program import run as run_program
 from carobstair.report.burn import DAY_S, make_report
-from carobstair.report.history import History, HistoryWriter, read_history
+from carobstair.report.history import History, HistoryBusy, HistoryWriter, read_history
 from carobstair.report.render import render_html, render_json, render_text
 from carobstair.report.scrape import scrape_all
 from carobstair.report.settings import ReportSettings
@@ -73,7 +74,10 @@
     loaded = read_settings(settings, ReportSettings)
     try:
         writer = HistoryWriter(history, loaded.report.history_days * DAY_S)
-        asyncio.run(_collect(loaded, writer, seconds))
+        with contextlib.closing(writer):
+            asyncio.run(_collect(loaded, writer, seconds))
+    except HistoryBusy as error:
+        fail(f"{history}: {error}", EXIT_FAILED)
     except OSError as error:
         fail(f"{history}: {error.strerror}", EXIT_FAILED)
     except KeyboardInterrupt:
--- a/src/carobstair/report/history.py
+++ b/src/carobstair/report/history.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import fcntl
 import json
 from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
@@ -16,6 +17,7 @@
 
 __all__ = [
     "History",
+    "HistoryBusy",
     "HistoryWriter",
     "Increment",
     "RouterStatus",
@@ -183,22 +185,46 @@
     return abs(new.started_s - old.started_s) > 1.0
 
 
+class HistoryBusy(Exception):
+    """Another process appends to the history file."""
+
+
 class HistoryWriter:
     """Appends rounds to a history file.
 
+    Two writers would each leave out what they know and the file doesn't, so a lock
+    beside the file lets one in.
+
     Parameters
     ----------
     path : Path
         JSON-lines file; it is created where it is missing.
     keep_s : float
         Rounds older than this many seconds are dropped when the file is opened.
+
+    Raises
+    ------
+    HistoryBusy
+        If another process holds the lock.
+    OSError
+        If the file can't be written.
     """
 
     def __init__(self, path: Path, keep_s: float):
         self._path = path
         self._known: dict[str, RouterTallies] = {}
+        self._lock = open(path.with_name(path.name + ".lock"), "w")  # noqa: SIM115
+        try:
+            fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except BlockingIOError as error:
+            self._lock.close()
+            raise HistoryBusy("another process collects into this file") from error
         self._prune(keep_s)
 
+    def close(self) -> None:
+        """Let another writer in."""
+        self._lock.close()
+
     def append(self, found: Round) -> None:
         """Write one round as a line."""
         with open(self._path, "a", encoding="utf-8") as file:
--- a/tests/test_report.py
+++ b/tests/test_report.py
@@ -10,6 +10,7 @@
 from carobstair.report.burn import DAY_S, make_report
 from carobstair.report.history import (
     History,
+    HistoryBusy,
     HistoryWriter,
     Round,
     read_history,
@@ -197,6 +198,9 @@
                 counts = {"w": (day, 10.0 * day), "idle": (0, 3)}
                 found = {"r-1": tallies(START_S, **counts), "r-2": "refused"}
                 writer.append(Round(START_S + DAY_S * day, found))
+            with self.assertRaises(HistoryBusy):
+                HistoryWriter(path, DAY_S)
+            writer.close()
             whole = read_history(path)
             text = path.read_text()
             self.assertEqual(text.count('"idle"'), 1)
@@ -204,7 +208,7 @@
             cut = read_history(path)
             self.assertEqual((cut.rounds, cut.bad_lines), (3, 1))
             path.write_text(text)
-            HistoryWriter(path, 1.5 * DAY_S)
+            HistoryWriter(path, 1.5 * DAY_S).close()
             pruned = read_history(path)
         self.assertEqual((whole.rounds, pruned.rounds), (4, 2))
         kept = pruned.increments[(key("w"), "r-1")]
