Estimate the quick reserve from full windows; bound the lead of quick work

Quick queues whose waits touched each other lost their precedence after 3 s.

Change: rates are corrected for the part of the window seen; precedence depends on the lead only; what gateways say waits counts for the time of a backlog. The ramp interval is 2 s again.

--- a/src/carobstair/core/allocator.py
+++ b/src/carobstair/core/allocator.py
@@ -33,8 +33,8 @@
         How long the cost of a grant to another gateway counts on top of the
         service totals, if these don't tell of it sooner.
     quick_ahead_tokens : float
-        How far a workspace of weight 1 may run ahead of the others with quick
-        requests that are no backlog; a term of the bound on the gap.
+        How far a workspace may run ahead of the others with quick requests, per
+        weight; a term of the bound on the gap.
     drain_after_s : float
         How long the request whose turn it is waits for KV tokens before an
         upstream takes no other work until it fits.
@@ -279,7 +279,7 @@
     ) -> Grant | None:
         free = sum(share.request_slots for share in left.values())
         scarce = free <= reserve - self._quick_use.get(pool, 0)
-        for key in self._order(pool, now_s):
+        for key in self._order(pool):
             if scarce and not self._may_use_reserve(key, now_s):
                 continue
             for demand in self.demand.of(*key):
@@ -293,7 +293,7 @@
             self.demand.waits_since_s(key), now_s
         )
 
-    def _order(self, pool: str, now_s: float) -> list[DemandKey]:
+    def _order(self, pool: str) -> list[DemandKey]:
         """Return what waits for a pool in the order in which it is to be served."""
         allowed = self._state.workspaces
         ordered = []
@@ -305,8 +305,8 @@
             classes = self._classes.ordered(pool, workspace)
             for place, work_class in enumerate(classes):
                 key = (pool, workspace, work_class)
-                ahead = self._may_use_reserve(key, now_s)
-                start = value - self._settings.quick_ahead_tokens if ahead else value
+                quick = work_class == WorkClass.QUICK
+                start = value - self._settings.quick_ahead_tokens if quick else value
                 ordered.append((start, workspace, place, key))
         return [key for _, _, _, key in sorted(ordered)]
 
--- a/src/carobstair/core/demand.py
+++ b/src/carobstair/core/demand.py
@@ -56,7 +56,10 @@
         self._validity_s = validity_s
         self._gateways: dict[str, _Gateway] = {}
         self._index: dict[str, dict[str, dict[str, dict[str, Demand]]]] = {}
+        # Offers on the way close demand for a moment, so what counts for the time
+        # is that gateways say that something waits.
         self._since_s: dict[DemandKey, float] = {}
+        self._gateways_of: dict[DemandKey, int] = {}
         self.dropped_count = 0
 
     def update(
@@ -133,7 +136,7 @@
         return sorted(found, key=lambda d: (d.turn, -d.open, d.gateway))
 
     def waits_since_s(self, key: DemandKey) -> float:
-        """Return since when there has been open demand without a break."""
+        """Return since when gateways have had something waiting without a break."""
         return self._since_s.get(key, math.inf)
 
     def sequence(self, gateway: str, key: DemandKey) -> int:
@@ -168,6 +171,8 @@
         demand = held.entries.get(key)
         if demand is None:
             demand = held.entries[key] = Demand(gateway, entry, waiting)
+            self._gateways_of[key] = self._gateways_of.get(key, 0) + 1
+            self._since_s.setdefault(key, now_s)
         demand.entry, demand.open = entry, waiting
         if waiting > 0:
             pool, workspace, work_class = key
@@ -179,13 +184,16 @@
                 turns = [d.turn for d in by_gateway.values()]
                 demand.turn = max(demand.turn, min(turns, default=0.0))
             by_gateway[gateway] = demand
-            self._since_s.setdefault(key, now_s)
         else:
             self._unindex(gateway, key)
 
     def _remove(self, gateway: str, held: _Gateway, key: DemandKey) -> None:
-        if held.entries.pop(key, None) is not None:
-            self._unindex(gateway, key)
+        if held.entries.pop(key, None) is None:
+            return
+        self._unindex(gateway, key)
+        self._gateways_of[key] -= 1
+        if not self._gateways_of[key]:
+            del self._gateways_of[key], self._since_s[key]
 
     def _unindex(self, gateway: str, key: DemandKey) -> None:
         pool, workspace, work_class = key
@@ -195,7 +203,6 @@
         by_gateway.pop(gateway, None)
         if not by_gateway:
             by_class.pop(work_class, None)
-            self._since_s.pop(key, None)
         if not by_class:
             by_workspace.pop(workspace, None)
         if not by_workspace:
--- a/src/carobstair/core/limits.py
+++ b/src/carobstair/core/limits.py
@@ -58,7 +58,7 @@
     target_ms: float = 60.0
     cold_jump: float = 4.0
     ramp_margin: float = 1.5
-    ramp_interval_s: float = 1.0
+    ramp_interval_s: float = 2.0
     adapt_interval_s: float = 1.0
     decrease_factor: float = 0.8
     window: int = 256
--- a/src/carobstair/core/reserve.py
+++ b/src/carobstair/core/reserve.py
@@ -19,6 +19,7 @@
 # One process sees a few releases a second at most; a shorter window would switch
 # the reserve on and off by chance.
 RATE_WINDOW_S = 30.0
+SHORTEST_WINDOW_S = 2.0
 LATE_PART = 0.05
 SHORTEST_SERVICE_S = 0.01
 
@@ -53,12 +54,19 @@
     def __init__(self) -> None:
         self._value = 0.0
         self._at_s = 0.0
+        self._first_s = math.inf
 
     def note(self, now_s: float) -> None:
-        self._value = self.at(now_s) + 1.0 / RATE_WINDOW_S
+        self._value = self._faded(now_s) + 1.0 / RATE_WINDOW_S
         self._at_s = now_s
+        self._first_s = min(self._first_s, now_s)
 
     def at(self, now_s: float) -> float:
+        # The window is not full at first, which would show too low a rate.
+        seen_s = max(SHORTEST_WINDOW_S, now_s - self._first_s)
+        return self._faded(now_s) / (1.0 - math.exp(-seen_s / RATE_WINDOW_S))
+
+    def _faded(self, now_s: float) -> float:
         return self._value * math.exp((self._at_s - now_s) / RATE_WINDOW_S)
 
 
