Rank names only when the view of live peers changes

Cause: each tick ranked all live names for the roles of writer and watcher, and for each upstream with a wish, so the work grew with the square of the fleet.

Change: Membership.live returns the same frozenset until it changes; the agent and the order keeper choose again only then. News moves to core/news.py.

--- a/src/carobstair/core/agent.py
+++ b/src/carobstair/core/agent.py
@@ -155,6 +155,8 @@
             self.membership.is_gone,
         )
         self._state = FleetState()
+        self._ranked_live: frozenset[str] | None = None
+        self._writes = self._watches = False
         self._store_from_s = -math.inf if not seeds else math.inf
         self._queries = InForceQueries(settings.query_s)
         self._keeper = ShareKeeper(own, settings.shares, shares, capacity)
@@ -173,7 +175,7 @@
 
     def live_peers(self) -> frozenset[str]:
         """Return the other instances that may be given work."""
-        return frozenset(self.membership.live())
+        return self.membership.live()
 
     def unready_reason(self) -> str | None:
         """Return why this router should get no callers, or None."""
@@ -191,14 +193,18 @@
         self.shares.settle(now_s)
         effects = self.membership.tick(now_s)
         reads = now_s >= self._store_from_s and not self.leaving
-        writes = reads and self._is_first("epoch writer")
-        watches = reads and self._is_watcher()
+        live = self.membership.live()
+        if live is not self._ranked_live:
+            # Ranking hashes every name, too much work for each tick.
+            self._ranked_live = live
+            self._writes = self._is_first("epoch writer")
+            self._watches = self._is_watcher()
+        writes, watches = reads and self._writes, reads and self._watches
         effects += self._distribution.tick(now_s, watches, writes)
         effects += self._filing.tick(now_s)
         effects += self._epochs.tick(
             now_s, writes, self.membership.members, not self.leaving
         )
-        live = self.membership.live()
         effects += self.orders.tick(self._state, live, reads, now_s)
         effects += self._keeper.acknowledge(now_s)
         if self.leaving:
--- a/src/carobstair/core/membership.py
+++ b/src/carobstair/core/membership.py
@@ -30,6 +30,7 @@
     ProbeAck,
     ProbeRequest,
 )
+from carobstair.core.news import NewsQueue
 
 __all__ = ["Member", "MemberStatus", "Membership", "MembershipSettings"]
 
@@ -64,9 +65,11 @@
         self.refutation = 0
         self.leaving = False
         self.members: dict[str, Member] = {}
+        self._live: frozenset[str] | None = None
+        self._next_sweep_s = 0.0
         self._retained: frozenset[str] = frozenset()
         self.is_superseded = False
-        self._news: dict[str, int] = {}
+        self._news = NewsQueue()
         self._round: list[str] = []
         self._last_number = 0
         self._pending: dict[int, PendingProbe] = {}
@@ -76,14 +79,19 @@
         self._next_dead_probe_s = 0.0
         self._next_sync_s = 0.0
 
-    def live(self) -> set[str]:
-        """Return the other instances that may be given work."""
-        wanted = (MemberStatus.ALIVE, MemberStatus.SUSPECT)
-        return {
-            name
-            for name, m in self.members.items()
-            if m.status in wanted and not (m.heartbeat and m.heartbeat.leaving)
-        }
+    def live(self) -> frozenset[str]:
+        """Return the other instances that may be given work.
+
+        The same object is returned until the view changes.
+        """
+        if self._live is None:
+            wanted = (MemberStatus.ALIVE, MemberStatus.SUSPECT)
+            self._live = frozenset(
+                name
+                for name, m in self.members.items()
+                if m.status in wanted and not (m.heartbeat and m.heartbeat.leaving)
+            )
+        return self._live
 
     def reachable(self) -> list[str]:
         """Return the other instances that messages are worth sending to."""
@@ -127,7 +135,9 @@
     def tick(self, now_s: float) -> list[Effect]:
         """Do what is due; to be called about every 50 ms."""
         effects = self._time_out_probes(now_s)
-        effects += self._time_out_suspects(now_s)
+        if now_s >= self._next_sweep_s:
+            self._next_sweep_s = now_s + self._settings.probe_timeout_s
+            effects += self._time_out_suspects(now_s)
         if now_s >= self._next_probe_s:
             self._next_probe_s = now_s + self._settings.probe_every_s
             effects += self._probe_next(now_s)
@@ -197,10 +207,15 @@
         effects = self._merge(own_word, now_s)
         member = self.members.get(address.instance)
         if member is not None and member.address == address:
+            if (
+                member.heartbeat is None
+                or member.heartbeat.leaving != heartbeat.leaving
+            ):
+                self._live = None
             member.heartbeat, member.heard_s = heartbeat, now_s
             if member.status in (MemberStatus.SUSPECT, MemberStatus.DEAD):
                 # It speaks, so it has to learn what it must refute.
-                self._news[address.instance] = self._transmissions()
+                self._news.add(address.instance, len(self.members))
         for update in updates:
             effects += self._merge(update, now_s)
         return effects
@@ -226,8 +241,9 @@
         if known is not None and same_process:
             news.heartbeat, news.heard_s = known.heartbeat, known.heard_s
         self.members[name] = news
+        self._live = None
         if spread:
-            self._news[name] = self._transmissions()
+            self._news.add(name, len(self.members))
         effects: list[Effect] = []
         if not same_process:
             effects.append(Connect(update.address))
@@ -244,7 +260,8 @@
             older = other.incarnation < address.incarnation
             if same and older and other.instance != address.instance:
                 member.status, member.changed_s = MemberStatus.LEFT, now_s
-                self._news[other.instance] = self._transmissions()
+                self._live = None
+                self._news.add(other.instance, len(self.members))
 
     def _refute(self, update: MemberUpdate) -> None:
         own = MemberStatus.LEAVING if self.leaving else MemberStatus.ALIVE
@@ -256,7 +273,7 @@
             return
         if update.status > own and update.refutation >= self.refutation:
             self.refutation = update.refutation + 1
-            self._news[self._own.instance] = self._transmissions()
+            self._news.add(self._own.instance, len(self.members))
 
     # Probes
 
@@ -327,10 +344,12 @@
             age_s = now_s - member.changed_s
             if member.status is MemberStatus.SUSPECT and age_s >= limit_s:
                 member.status, member.changed_s = MemberStatus.DEAD, now_s
-                self._news[name] = self._transmissions()
+                self._live = None
+                self._news.add(name, len(self.members))
             elif self._is_forgotten(member, age_s):
                 del self.members[name]
-                self._news.pop(name, None)
+                self._live = None
+                self._news.discard(name)
                 effects.append(Disconnect(name))
         return effects
 
@@ -353,13 +372,8 @@
         chosen = []
         if member is not None and member.status >= MemberStatus.SUSPECT:
             chosen.append(member.update())
-        for name in sorted(self._news, key=self._news.get, reverse=True):
-            if len(chosen) >= self._settings.max_updates:
-                break
-            if name != receiver:
-                chosen.append(self._update_of(name))
-                self._spend(name)
-        return chosen
+        limit = self._settings.max_updates - len(chosen)
+        return chosen + [self._update_of(n) for n in self._news.take(limit, receiver)]
 
     def _update_of(self, name: str) -> MemberUpdate:
         if name != self._own.instance:
@@ -367,14 +381,6 @@
         status = MemberStatus.LEAVING if self.leaving else MemberStatus.ALIVE
         return MemberUpdate(self._own, self.refutation, int(status))
 
-    def _spend(self, name: str) -> None:
-        self._news[name] -= 1
-        if self._news[name] <= 0:
-            del self._news[name]
-
-    def _transmissions(self) -> int:
-        return 3 * math.ceil(math.log2(len(self.members) + 2))
-
     def _all(self) -> list[MemberUpdate]:
         own = self._update_of(self._own.instance)
         return [own, *(m.update() for m in self.members.values())]
--- a/src/carobstair/core/orders.py
+++ b/src/carobstair/core/orders.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import StrEnum
 
@@ -92,6 +92,9 @@
         ]
         self._slot_users: dict[str, str] = {}
         self._ordered: tuple[str, ...] = ()
+        self._chosen: dict[str, Upstream] = {}
+        self._chosen_live: frozenset[str] | None = None
+        self._chosen_state: FleetState | None = None
 
     def ordered_upstreams(self) -> tuple[str, ...]:
         """Return the upstreams whose incarnation this process has to learn."""
@@ -113,31 +116,41 @@
             job.next_s = now_s + self._settings.retry_s
 
     def tick(
-        self, state: FleetState, live: Iterable[str], reads: bool, now_s: float
+        self, state: FleetState, live: frozenset[str], reads: bool, now_s: float
     ) -> list[Effect]:
         """Do what is due.
 
         Parameters
         ----------
-        live : iterable of str
-            The other live instances.
+        live : frozenset of str
+            The other live instances; the same object as long as none changes.
         reads : bool
             Whether this process may begin orders at all.
         """
-        names = [*live, self._own[0]]
-        chosen = {
-            name: upstream
-            for name, upstream in state.upstreams.items()
-            if reads and _wants_orders(upstream) and self._is_chosen(name, names)
-        }
-        self._ordered = tuple(sorted(chosen))
+        if not reads:
+            chosen: dict[str, Upstream] = {}
+        else:
+            if live is not self._chosen_live or state is not self._chosen_state:
+                self._choose(state, live)
+            chosen = self._chosen
+        self._ordered = tuple(chosen)
+        if not chosen and not self._jobs:
+            return []
         effects: list[Effect] = []
         for name in sorted(chosen.keys() | self._jobs.keys()):
             effects += self._advance(name, chosen.get(name), now_s)
         return effects
 
-    def _is_chosen(self, upstream: str, names: list[str]) -> bool:
-        return rendezvous_rank(upstream, names)[0] == self._own[0]
+    def _choose(self, state: FleetState, live: frozenset[str]) -> None:
+        """Find the upstreams to order; ranking is too much work for each tick."""
+        self._chosen_state, self._chosen_live = state, live
+        names = [*live, self._own[0]]
+        self._chosen = {
+            name: upstream
+            for name, upstream in sorted(state.upstreams.items())
+            if _wants_orders(upstream)
+            and rendezvous_rank(name, names)[0] == self._own[0]
+        }
 
     def _advance(
         self, name: str, upstream: Upstream | None, now_s: float
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -85,7 +85,7 @@
         self.assertLessEqual(rates[1], 1.1 * rates[0])
         membership = fleet.node("n0").membership
         for name in membership.members:
-            membership._news[name] = 5
+            membership._news.add(name, 24)
         self.assertEqual(len(membership._take_news("n1")), 8)
 
     def test_forgotten_process_is_gone_from_the_view(self):
