--- a/tests/test_actions.py
+++ b/tests/test_actions.py
@@ -239,6 +239,22 @@
         world.run()
         self.assertEqual(world.calls[1].result.body, b"1")
 
+    def test_action_told_as_not_run_is_not_sent_when_its_record_shows_up(self):
+        for abandoned, now_s in ((True, 5.0), (False, 10.0)):
+            attempts = OwnAttempts(("r9", 1), random.Random(1))
+            machine = ActionMachine("b", attempts, ActionSettings(), 10.0)
+            machine.begin()
+            machine.on(ev.RecordMissing(), 0, 0)
+            [create] = machine.on(ev.SlotGranted(), 0, 0)
+            machine.on(ev.StoreDoubtful(), 1, 0)
+            if abandoned:
+                self.assertTrue(is_no(machine.late_refusal(only_caller=True)))
+                machine.abandon()
+            effects = machine.on(ev.RecordFound(create.record, 1), now_s, 0)
+            self.assertEqual(effects[0], ev.ReleaseSlot())
+            self.assertTrue(is_no(effects[1].result))
+            self.assertTrue(attempts.was_not_sent(create.record.attempt_id))
+
     def test_other_body_is_refused(self):
         world = self.world()
         world.call("r0", "k", "one")
