--- a/src/carobstair/core/orders.py
+++ b/src/carobstair/core/orders.py
@@ -1,21 +1,20 @@
 """Orders to upstreams: load versions and change role, as tickets state.
 
-One process per upstream, chosen by rendezvous hash over the live ones, compares
-the wanted state with what was last finished. It gives the order under a lease
-with a fencing number and, as loading uses the weight store, under one of few
-load slots.
+One process per upstream, its first live share holder, compares the wanted state
+with what was last finished. It gives the order under a lease with a fencing
+number and, as loading uses the weight store, under one of few load slots.
 """
 
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import StrEnum
 
 from carobstair.core.effects import Effect, SendOrder
 from carobstair.core.leases import Lease, LeaseSettings
-from carobstair.core.shares import MemberId, rendezvous_rank
+from carobstair.core.shares import Epoch, MemberId
 from carobstair.core.state import FleetState, Upstream, UpstreamState
 from carobstair.core.store_calls import StoreCalls
 
@@ -92,6 +91,9 @@
         ]
         self._slot_users: dict[str, str] = {}
         self._ordered: tuple[str, ...] = ()
+        self._chosen: dict[str, Upstream] = {}
+        self._basis: tuple[int, int, int] | None = None
+        self._kept: tuple[FleetState, frozenset[str]] | None = None
 
     def ordered_upstreams(self) -> tuple[str, ...]:
         """Return the upstreams whose incarnation this process has to learn."""
@@ -113,31 +115,58 @@
             job.next_s = now_s + self._settings.retry_s
 
     def tick(
-        self, state: FleetState, live: Iterable[str], reads: bool, now_s: float
+        self,
+        state: FleetState,
+        live: frozenset[str],
+        epoch: Epoch,
+        reads: bool,
+        now_s: float,
     ) -> list[Effect]:
         """Do what is due.
 
         Parameters
         ----------
-        live : iterable of str
-            The other live instances.
+        live : frozenset of str
+            The other live instances; the same object as long as none changes.
+        epoch : Epoch
+            The newest one, which names the share holders.
         reads : bool
             Whether this process may begin orders at all.
         """
-        names = [*live, self._own[0]]
-        chosen = {
-            name: upstream
-            for name, upstream in state.upstreams.items()
-            if reads and _wants_orders(upstream) and self._is_chosen(name, names)
-        }
-        self._ordered = tuple(sorted(chosen))
+        if not reads:
+            chosen: dict[str, Upstream] = {}
+        else:
+            basis = (id(state), id(live), epoch.number)
+            if basis != self._basis:
+                # The objects are kept, so that their ids stay theirs.
+                self._basis, self._kept = basis, (state, live)
+                self._choose(state, live, epoch)
+            chosen = self._chosen
+        self._ordered = tuple(chosen)
+        if not chosen and not self._jobs:
+            return []
         effects: list[Effect] = []
         for name in sorted(chosen.keys() | self._jobs.keys()):
             effects += self._advance(name, chosen.get(name), now_s)
         return effects
 
-    def _is_chosen(self, upstream: str, names: list[str]) -> bool:
-        return rendezvous_rank(upstream, names)[0] == self._own[0]
+    def _choose(self, state: FleetState, live: frozenset[str], epoch: Epoch) -> None:
+        """Find the upstreams of which this is the first live share holder.
+
+        Only holders are asked, because ranking all live names for each upstream
+        would stall a large fleet at every change of the view.
+        """
+        self._chosen = {
+            name: upstream
+            for name, upstream in sorted(state.upstreams.items())
+            if _wants_orders(upstream) and self._is_chosen(name, live, epoch)
+        }
+
+    def _is_chosen(self, upstream: str, live: frozenset[str], epoch: Epoch) -> bool:
+        for holder in epoch.holders(upstream):
+            if holder[0] == self._own[0] or holder[0] in live:
+                return holder == self._own
+        return False
 
     def _advance(
         self, name: str, upstream: Upstream | None, now_s: float
