Cut the span of an expectation at the end of the scenario

On virtual time nothing follows the end; on real processes the last answers do, and counted as unused slots.

Change: the span ends with the scenario at the latest.

--- a/src/carobstair/scenario/expectations.py
+++ b/src/carobstair/scenario/expectations.py
@@ -55,7 +55,8 @@
 def _span(scenario: Scenario, expectation: Expectation) -> tuple[float, float]:
     start_s, end_s = expectation.start_s, expectation.end_s
     start_s = scenario.measure_from_s if start_s is None else start_s
-    return start_s, scenario.duration_s if end_s is None else end_s
+    # Real processes finish what runs after the end of the scenario.
+    return start_s, min(scenario.duration_s, math.inf if end_s is None else end_s)
 
 
 def _formula(scenario: Scenario, expectation: Expectation) -> float:
