Let the catch-up cap grow with the service rate of a pool

Cause: the cap was 20,000 tokens, while the gap bound of a 24-router fleet is about 61,000; a workspace could lose service that it was owed within the exchange delay. Change: the cap is 20,000 tokens plus what the pool serves in 10 s. Conclusion: the cap stays above what the exchange delay can cause.

--- a/src/carobstair/core/fairness.py
+++ b/src/carobstair/core/fairness.py
@@ -29,6 +29,8 @@
 INPUT_WEIGHT = 0.25
 CACHED_INPUT_WEIGHT = 0.025
 SERVICE_TOKENS_PER_S = 20.0
+RATE_SAMPLE_S = 1.0
+RATE_SMOOTHING = 0.2
 
 
 def engine_cost_tokens(
@@ -110,6 +112,26 @@
     return unknown + known + terms.ahead_tokens
 
 
+class _ServiceRate:
+    """Service of a pool per second and weight, smoothed over some seconds."""
+
+    def __init__(self) -> None:
+        self._total: float | None = None
+        self._at_s = 0.0
+        self.tokens_per_s = 0.0
+
+    def is_due(self, now_s: float) -> bool:
+        return self._total is None or now_s - self._at_s >= RATE_SAMPLE_S
+
+    def note(self, total: float, now_s: float) -> None:
+        if self._total is not None and now_s > self._at_s:
+            seen = max(0.0, total - self._total) / (now_s - self._at_s)
+            # A rejoining partition brings much service at once; one sample of it
+            # must not lift the cap far.
+            self.tokens_per_s += RATE_SMOOTHING * (seen - self.tokens_per_s)
+        self._total, self._at_s = total, now_s
+
+
 class VirtualTime:
     """Order of the workspaces of a pool: the lowest virtual time is served next.
 
@@ -124,6 +146,7 @@
         self._settings = settings
         self._weights: Mapping[str, float] = {}
         self._lifts: dict[Key, float] = {}
+        self._rates: dict[str, _ServiceRate] = {}
         self.changed_lifts: set[Key] = set()
         self.changed_lifts_in_row: set[Key] = set()
         # A process that does not know yet what was served before it started
@@ -190,12 +213,21 @@
         if len(waiting) < 2:
             return
         served = {workspace: self.served(pool, workspace) for workspace in waiting}
-        floor = max(served.values()) - self._settings.catch_up_cap_tokens
+        floor = max(served.values()) - self._catch_up_cap_tokens(pool, now_s)
         for workspace, value in served.items():
             # All nodes find this by themselves, so none has to tell the others.
             if value < floor:
                 self._lift_to(pool, workspace, floor, is_news=False)
 
+    def _catch_up_cap_tokens(self, pool: str, now_s: float) -> float:
+        rate = self._rates.setdefault(pool, _ServiceRate())
+        if rate.is_due(now_s):
+            known = self._totals.known_workspaces(pool)
+            rate.note(sum(self._totals.total(pool, ws) for ws in known), now_s)
+        settings = self._settings
+        during_delay = rate.tokens_per_s * settings.catch_up_cap_s
+        return settings.catch_up_cap_tokens + during_delay
+
     def lifts(self, keys: Iterable[Key] | None = None) -> list[LiftEntry]:
         """Return lifts to tell peers, all of them by default."""
         chosen = self._lifts if keys is None else keys
--- a/src/carobstair/core/totals.py
+++ b/src/carobstair/core/totals.py
@@ -34,9 +34,11 @@
 
     Attributes
     ----------
-    catch_up_cap_tokens : float
-        How far a workspace of weight 1 may lag behind the leading backlogged
-        one before its missed service is forgotten.
+    catch_up_cap_tokens, catch_up_cap_s : float
+        A backlogged workspace may lag behind the leading one by so many tokens
+        per weight, plus what the pool serves in so many seconds, before its
+        missed service is forgotten. The seconds must exceed the exchange delay,
+        within which a workspace can fall behind through no fault of its own.
     backlog_validity_s : float
         How long a source's word that a workspace is backlogged holds.
     established_s : float
@@ -46,6 +48,7 @@
     """
 
     catch_up_cap_tokens: float = 20_000.0
+    catch_up_cap_s: float = 10.0
     backlog_validity_s: float = 6.5
     established_s: float = 2.0
     sync_patience_s: float = 3.0
--- a/tests/test_fairness.py
+++ b/tests/test_fairness.py
@@ -73,6 +73,18 @@
             self.order.on_backlogged("draft", workspace, 0.0)
             self.totals.set_waiting(("draft", workspace), True, 0.0)
 
+    def test_cap_leaves_what_can_be_owed_within_the_exchange_delay(self):
+        self.wait("leader", "behind")
+        for second in range(30):
+            self.totals.charge("draft", "leader", 10_000.0)
+            self.totals.charge("draft", "behind", 10_000.0)
+            self.order.cap_catch_up("draft", float(second))
+        # One more exchange delay, in which only one of the two gets service.
+        for second in range(30, 35):
+            self.totals.charge("draft", "leader", 20_000.0)
+            self.order.cap_catch_up("draft", float(second))
+        self.assertEqual(self.order.lifts(), [])
+
     def test_newly_backlogged_workspace_starts_level(self):
         self.totals.charge("draft", "busy", 1000.0)
         self.wait("busy", "late")
