Count and log bad input, and send no action on a lapsed grant

Cause: dropped hints, totals, limits and reports were counted on objects and shown nowhere; a process paused after it got a slot sent its call after the lease. Change: carobstair_bad_input_total and one log line per source and 10 s; a service call checks its grant before it is sent. Conclusion: operators see nonsense that arrives, and a pause can't overfill a slot.

--- /dev/null
+++ b/src/carobstair/core/bad_input.py
@@ -0,0 +1,53 @@
+"""Counts of input that a capacity node dropped or corrected."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from enum import StrEnum
+
+from carobstair.core.capacity import CapacityNode
+
+__all__ = ["BadInputNews", "BadInputSource", "bad_input_counts"]
+
+
+class BadInputSource(StrEnum):
+    """Where input that makes no sense came from."""
+
+    HINT = "hint"
+    DEMAND = "demand"
+    TOTALS = "totals"
+    LIMIT = "limit"
+    LOAD = "load"
+    CACHE_EVENTS = "cache_events"
+
+
+def bad_input_counts(node: CapacityNode) -> dict[BadInputSource, int]:
+    """Return how much input of each source a node has dropped or corrected."""
+    return {
+        BadInputSource.HINT: node.bad_hint_count,
+        BadInputSource.DEMAND: node.allocator.demand.dropped_count,
+        BadInputSource.TOTALS: node.totals.dropped_count,
+        BadInputSource.LIMIT: node.limits.dropped_count,
+        BadInputSource.LOAD: node.limits.dropped_report_count(),
+        BadInputSource.CACHE_EVENTS: node.prefixes.gap_count,
+    }
+
+
+class BadInputNews:
+    """Tells what has been dropped since the last look."""
+
+    def __init__(self) -> None:
+        self._seen: dict[BadInputSource, int] = {}
+
+    def take(self, counts: Mapping[BadInputSource, int]) -> dict[BadInputSource, int]:
+        """Return the increase of each source that has one.
+
+        A count can fall, since that of an upstream ends with the upstream.
+        """
+        news = {}
+        for source, count in counts.items():
+            increase = count - self._seen.get(source, 0)
+            if increase > 0:
+                news[source] = increase
+        self._seen = dict(counts)
+        return news
--- a/src/carobstair/core/estimates.py
+++ b/src/carobstair/core/estimates.py
@@ -128,6 +128,10 @@
                 if name in self._estimates:
                     self._estimates[name].limiter.turn_cold(now_s)
 
+    def dropped_report_count(self) -> int:
+        """Return how many load reports and token times made no sense."""
+        return sum(e.limiter.dropped_count for e in self._estimates.values())
+
     def set_live(self, live_peers: frozenset[str]) -> None:
         """Take over who is believed to be alive."""
         if live_peers != self._live:
--- a/src/carobstair/metrics.py
+++ b/src/carobstair/metrics.py
@@ -93,6 +93,11 @@
         self.peer_dropped = self._counter(
             "peer_messages_dropped", "Peer messages that were dropped", ("reason",)
         )
+        self.bad_input = self._counter(
+            "bad_input",
+            "Input that made no sense and was dropped or corrected",
+            ("source",),
+        )
         self.store_calls = self._counter(
             "store_calls", "Calls to the object API", ("operation", "outcome")
         )
--- a/src/carobstair/net/capacity.py
+++ b/src/carobstair/net/capacity.py
@@ -9,6 +9,7 @@
 from functools import singledispatchmethod
 
 from carobstair.core.allocator import AllocatorSettings
+from carobstair.core.bad_input import BadInputNews, bad_input_counts
 from carobstair.core.capacity import CapacityNode, CapacitySettings
 from carobstair.core.effects import Effect, Granted, RefuseWaiting, Send
 from carobstair.core.grants import HeldGrant
@@ -41,6 +42,7 @@
 logger = get_logger(__name__)
 
 TICK_S = 0.05
+BAD_INPUT_EVERY_S = 10.0
 LOAD_POLL_S = 0.5
 CACHE_POLL_S = 1.0
 # Coalesces the arrivals of one moment into one message per allocator.
@@ -153,7 +155,12 @@
 
     async def run(self) -> None:
         """Drive all periodic work until cancelled."""
-        await asyncio.gather(self._tick(), self._poll_loads(), self._poll_caches())
+        await asyncio.gather(
+            self._tick(),
+            self._poll_loads(),
+            self._poll_caches(),
+            self._report_bad_input(),
+        )
 
     async def _tick(self) -> None:
         while True:
@@ -163,6 +170,14 @@
                 logger.exception("capacity_tick_failed")
             await asyncio.sleep(TICK_S)
 
+    async def _report_bad_input(self) -> None:
+        news = BadInputNews()
+        while True:
+            await asyncio.sleep(BAD_INPUT_EVERY_S)
+            for source, count in news.take(bad_input_counts(self.node)).items():
+                self._metrics.bad_input.labels(source).inc(count)
+                logger.warning("bad_input_dropped", source=str(source), count=count)
+
     def _on_message(self, envelope: Envelope, payload) -> None:
         now_s = time.monotonic()
         self._carry_out(self.node.on_message(envelope.sender, payload, now_s))
--- a/src/carobstair/net/peers.py
+++ b/src/carobstair/net/peers.py
@@ -135,6 +135,7 @@
             envelope, payload = decode(data)
         except CodecError as error:
             self._metrics.peer_dropped.labels(error.reason).inc()
+            logger.warning("peer_message_dropped", reason=error.reason)
             return
         self._count("received", envelope.kind, len(data))
         for handler in self._handlers.get(type(payload), ()):
--- a/src/carobstair/net/services.py
+++ b/src/carobstair/net/services.py
@@ -151,6 +151,9 @@
         upstream = self._capacity.state.upstreams.get(grant.offer.upstream)
         if upstream is None or not self._capacity.state.accepts_work(upstream):
             raise UpstreamLeft("the upstream left service")
+        if not self._capacity.is_valid(grant):
+            # A process that was paused may find its slot given to others.
+            raise UpstreamLeft("the grant's lease lapsed before the call was sent")
         call.progress.upstream = upstream.name
         began_s = time.monotonic()
         self._retries.note_attempt(upstream.name, began_s)
