Let the agent read slots in use from the capacity node itself

Cause: the router and the scenario runner had the same adapter between the two nodes. Change: CapacityParts.in_use replaces both adapters. Conclusion: one piece of code for both drivers.

--- a/src/carobstair/core/capacity_parts.py
+++ b/src/carobstair/core/capacity_parts.py
@@ -122,6 +122,10 @@
         self._check_shares()
         return self.holdings.share_of(upstream, self._now_s)
 
+    def in_use(self) -> dict[str, SlotShare]:
+        """Return what the own grants take on each upstream."""
+        return {name: self.allocator.in_use(name) for name in self.state.upstreams}
+
     def fits_newest_epoch(self) -> bool:
         """Return whether the grants in use fit the shares of the newest epoch."""
         return self.holdings.fit_newest_epoch(self.allocator.uses(), self._now_s)
--- a/src/carobstair/net/router.py
+++ b/src/carobstair/net/router.py
@@ -9,11 +9,9 @@
 import time
 
 from carobstair.core.action_sweep import SweepSettings
-from carobstair.core.capacity import CapacityNode
 from carobstair.core.messages import PeerAddress
 from carobstair.core.refusals import refuse
 from carobstair.core.retries import EjectionSettings, RetryPolicy, RetrySettings
-from carobstair.core.shares import SlotShare
 from carobstair.core.state import FleetState
 from carobstair.logs import get_logger
 from carobstair.metrics import RouterMetrics
@@ -43,20 +41,6 @@
 STOP_GRACE_S = 3.0
 
 
-class _CapacityView:
-    """What the agent reads of the capacity node."""
-
-    def __init__(self, node: CapacityNode):
-        self._node = node
-
-    def fits_newest_epoch(self) -> bool:
-        return self._node.fits_newest_epoch()
-
-    def in_use(self) -> dict[str, SlotShare]:
-        names = self._node.state.upstreams
-        return {name: self._node.allocator.in_use(name) for name in names}
-
-
 class Router:
     """One router: gateway, allocator and agent in one event loop.
 
@@ -92,7 +76,7 @@
             self._peers,
             self._store,
             self.capacity.node.shares,
-            _CapacityView(self.capacity.node),
+            self.capacity.node,
             self.metrics,
             self._on_state,
         )
--- a/src/carobstair/scenario/control.py
+++ b/src/carobstair/scenario/control.py
@@ -11,7 +11,6 @@
 from carobstair.core.effects import Effect, Send, StateChanged, TicketSettled
 from carobstair.core.messages import Envelope
 from carobstair.core.share_keeper import CapacityView, NoCapacity
-from carobstair.core.shares import SlotShare
 from carobstair.core.state import Ticket
 from carobstair.core.store_calls import StoreCall, WatchClose, WatchOpen
 from carobstair.models import JsonCodec
@@ -27,20 +26,6 @@
 SEEDS = 3
 
 
-class _NodeView:
-    """What the agent sees of a capacity node."""
-
-    def __init__(self, node):
-        self._node = node
-
-    def fits_newest_epoch(self) -> bool:
-        return self._node.fits_newest_epoch()
-
-    def in_use(self) -> dict[str, SlotShare]:
-        names = self._node.state.upstreams
-        return {name: self._node.allocator.in_use(name) for name in names}
-
-
 class RouterControl:
     """Membership, epoch and tickets of one router process.
 
@@ -150,4 +135,4 @@
 
 
 def _view(node) -> CapacityView:
-    return _NodeView(node) if hasattr(node, "allocator") else NoCapacity()
+    return node if hasattr(node, "allocator") else NoCapacity()
