Bound the wait for a body that never begins

Cause: Falcon reads the first part of a body before any code of the application, so a sender that never began was not bound by the time limit; a new test hung on it. Conclusion: a slow sender gets 408 whether it stops before or within the body.

--- a/src/carobstair/net/app.py
+++ b/src/carobstair/net/app.py
@@ -23,7 +23,7 @@
 from carobstair.net.chat import collect_answer
 from carobstair.net.gateway import Gateway
 from carobstair.net.http import ON_END
-from carobstair.settings import RouterSettings
+from carobstair.settings import GatewaySettings, RouterSettings
 
 __all__ = ["make_app"]
 
@@ -31,7 +31,6 @@
 
 REQUEST_ID = re.compile(r"[A-Za-z0-9._:-]{1,128}")
 # A body must be in by then; slow senders would hold connections and memory.
-BODY_TIMEOUT_S = 15.0
 
 
 class _Envelope:
@@ -59,7 +58,7 @@
 
     async def on_post(self, req, resp) -> None:
         context = _context(self._gateway, req)
-        body = await _read_body(req, self._settings.gateway.max_body_bytes)
+        body = await _read_body(req, self._settings.gateway)
         generation = self._gateway.parse_generation(context, body)
         chunks = self._gateway.generate(generation)
         # A caller that leaves frees its slot and its engine without delay.
@@ -111,7 +110,7 @@
 
     async def __call__(self, req, resp, service: str, path: str = "") -> None:
         context = _context(self._gateway, req)
-        body = await _read_body(req, self._settings.gateway.max_body_bytes)
+        body = await _read_body(req, self._settings.gateway)
         query = f"?{req.query_string}" if req.query_string else ""
         call = self._gateway.parse_service_call(
             context, service, req.method, f"/{path}{query}", req.headers, body
@@ -146,7 +145,7 @@
         self._settings = settings
 
     async def on_post(self, req, resp) -> None:
-        body = await _read_body(req, self._settings.gateway.max_body_bytes)
+        body = await _read_body(req, self._settings.gateway)
         try:
             ticket = parse_model(TicketModel, body)
         except ModelError as error:
@@ -248,14 +247,14 @@
         raise refuse("unauthenticated")
 
 
-async def _read_body(req, max_bytes: int) -> bytes:
+async def _read_body(req, settings: GatewaySettings) -> bytes:
+    max_bytes = settings.max_body_bytes
     if (req.content_length or 0) > max_bytes:
         raise refuse("too-large", f"at most {max_bytes} bytes")
     try:
-        async with asyncio.timeout(BODY_TIMEOUT_S):
-            body = await req.stream.read(max_bytes + 1)
+        body = await req.stream.read(max_bytes + 1)
     except TimeoutError as error:
-        text = f"the body took longer than {BODY_TIMEOUT_S:.0f} s"
+        text = f"the body took longer than {settings.body_timeout_s:g} s"
         raise refuse("request-timeout", text) from error
     if len(body) > max_bytes:
         raise refuse("too-large", f"at most {max_bytes} bytes")
--- a/src/carobstair/net/http.py
+++ b/src/carobstair/net/http.py
@@ -23,6 +23,7 @@
 # has ended in whatever way.
 ON_END = "carobstair.on_end"
 MAX_HEADER_BYTES = 32 * 1024
+BODY_TIMEOUT_S = 15.0
 HEADER_TIMEOUT_S = 10.0
 # A caller that takes no bytes for so long is treated as gone.
 CALLER_STALL_S = 20.0
@@ -41,8 +42,9 @@
     # Two messages in hand keep a fast sender from filling memory.
     MAX_BUFFERED_MESSAGES = 2
 
-    def __init__(self, app):
+    def __init__(self, app, body_timeout_s: float = BODY_TIMEOUT_S):
         self._app = app
+        self._body_timeout_s = body_timeout_s
 
     async def __call__(self, scope, receive, send) -> None:
         """Handle one ASGI connection."""
@@ -52,14 +54,18 @@
         scope[ON_END] = []
         messages: asyncio.Queue = asyncio.Queue(self.MAX_BUFFERED_MESSAGES)
         sender = _StallGuard(send)
-        handler = asyncio.create_task(self._app(scope, messages.get, sender))
+        body = _BodyReader(messages.get, self._body_timeout_s)
+        handler = asyncio.create_task(self._app(scope, body, sender))
         pump = asyncio.create_task(self._pump(receive, messages))
         try:
             await asyncio.wait({handler, pump}, return_when=asyncio.FIRST_COMPLETED)
             if not handler.done():
                 handler.cancel()
             with contextlib.suppress(asyncio.CancelledError, CallerStalled):
-                await handler
+                try:
+                    await handler
+                except BodyTimeout:
+                    await _send_problem(sender, refuse("request-timeout"))
         finally:
             sender.close()
             pump.cancel()
@@ -74,6 +80,42 @@
             await messages.put(message)
 
 
+class BodyTimeout(TimeoutError):
+    """The body of a request did not come in time."""
+
+
+class _BodyReader:
+    """Hands on the body of a request within one time limit.
+
+    Falcon waits for the first part before it calls any code of the application,
+    so a limit there would miss a sender that never begins.
+    """
+
+    def __init__(self, get: Callable[[], Awaitable[dict]], timeout_s: float):
+        self._get = get
+        self._until_s = asyncio.get_running_loop().time() + timeout_s
+        self._complete = False
+
+    async def __call__(self) -> dict:
+        if self._complete:
+            return await self._get()
+        try:
+            async with asyncio.timeout_at(self._until_s):
+                message = await self._get()
+        except TimeoutError as error:
+            raise BodyTimeout from error
+        self._complete = not message.get("more_body", False)
+        return message
+
+
+async def _send_problem(send: Callable[[dict], Awaitable[None]], refusal: Refusal):
+    body = json.dumps(refusal.problem("")).encode()
+    headers = [(b"content-type", PROBLEM_JSON.encode()), (b"connection", b"close")]
+    start = {"type": "http.response.start", "status": refusal.status}
+    await send(start | {"headers": headers})
+    await send({"type": "http.response.body", "body": body})
+
+
 class CallerStalled(Exception):
     """The caller takes no bytes although its connection stands."""
 
@@ -185,9 +227,11 @@
 class HttpServer:
     """A uvicorn server that leaves signals to the program."""
 
-    def __init__(self, app, host: str, port: int):
+    def __init__(
+        self, app, host: str, port: int, body_timeout_s: float = BODY_TIMEOUT_S
+    ):
         config = uvicorn.Config(
-            DisconnectGuard(app),
+            DisconnectGuard(app, body_timeout_s),
             loop="none",
             http=BorderProtocol,
             lifespan="off",
--- a/src/carobstair/net/router.py
+++ b/src/carobstair/net/router.py
@@ -122,7 +122,9 @@
             SweepSettings(),
         )
         app = make_app(self.gateway, self.agent, self.metrics, settings)
-        self._server = HttpServer(app, instance.host, instance.http_port)
+        self._server = HttpServer(
+            app, instance.host, instance.http_port, settings.gateway.body_timeout_s
+        )
         self._stopping = asyncio.Event()
 
     async def run(self) -> None:
--- a/src/carobstair/settings.py
+++ b/src/carobstair/settings.py
@@ -153,6 +153,7 @@
     quick_input_tokens: int = Field(2_000, ge=1)
     quick_fraction: float = Field(0.1, ge=0, lt=1)
     progress_timeout_s: float = Field(2.0, gt=0, le=60)
+    body_timeout_s: float = Field(15.0, gt=0, le=600)
     first_token_timeout_s: float = Field(5.0, gt=0, le=600)
     shutdown_limit_s: float = Field(30.0, ge=0, le=3600)
     balancer_lag_s: float = Field(1.0, ge=0, le=60)
