Read the events of the rolling restart as JSON

Cause: bench/rolling_restart.py searched for a text with a space after the colon, and the relay now writes compact JSON; all streams counted as cut. Change: the events are parsed.

--- a/bench/rolling_restart.py
+++ b/bench/rolling_restart.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import contextlib
+import json
 import random
 import sys
 import time
@@ -109,8 +110,8 @@
                     return
                 async for line in response.content:
                     if line.startswith(b'data: {"id"'):
-                        text = line.decode().partition('"content": "')[2]
-                        parts.append(text.split('"')[0])
+                        delta = json.loads(line[5:])["choices"][0]["delta"]
+                        parts.append(delta.get("content", ""))
         except aiohttp.ClientError as error:
             self._note(f"stream {error!r} at {router}", False)
             return
