--- /dev/null
+++ b/bench/zone_move.py
@@ -0,0 +1,77 @@
+"""Service before, during and after a zone leaves and returns, against baselines.
+
+Usage: PYTHONPATH=src python bench/zone_move.py [--seed N]. Virtual time; the zone is
+out of service from 20 s to 35 s of 60 s, at 70 and 90 % of the fleet's capacity.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from multiprocessing import Pool
+
+import cyclopts
+
+from carobstair.scenario.log import RunLog
+from carobstair.scenario.measures import (
+    first_token_s,
+    idle_while_waiting,
+    percentile,
+    utilisation,
+)
+from carobstair.scenario.world import run_world
+from cases import CASES, DRAFT
+from compare import POLICIES
+
+SITES = ("three-zones", "four-zones")
+LOADS = ("zone-out-70", "zone-out-90")
+PHASES = {"before": (12.0, 20.0), "during": (20.0, 35.0), "after": (35.0, 60.0)}
+
+
+@dataclass(frozen=True)
+class Service:
+    """What callers got in one phase; times in seconds."""
+
+    quick_s: tuple[float, float]
+    long_s: tuple[float, float]
+    used: float
+    idle: float
+
+
+def service(log: RunLog, span: tuple[float, float]) -> Service:
+    """Return the service of one phase."""
+    quick, long = (
+        (percentile(waits, 0.95), percentile(waits, 0.99))
+        for waits in (first_token_s(log, c, *span) for c in ("quick", "long"))
+    )
+    used, idle = utilisation(log, DRAFT, *span), idle_while_waiting(log, DRAFT, *span)
+    return Service(quick, long, used, idle)
+
+
+def run_one(job: tuple[str, str, int]) -> tuple[dict[str, Service], int]:
+    """Return the service of each phase, and how many requests got no answer."""
+    case, policy, seed = job
+    log = run_world(CASES[case]().with_seed(seed), POLICIES[policy])
+    refused = sum(n for outcome, n in log.outcomes.items() if outcome != "answered")
+    return {name: service(log, span) for name, span in PHASES.items()}, refused
+
+
+def main(*, seed: int = 1, workers: int = 3) -> None:
+    """Run all cases under all policies and print a table."""
+    cases = [f"{site}/{load}" for site in SITES for load in LOADS]
+    jobs = [(case, policy, seed) for case in cases for policy in POLICIES]
+    print("| case | policy | phase | quick p95/p99 s | long p95/p99 s | used | idle |")
+    print("| --- | --- | --- | --- | --- | --- | --- |")
+    with Pool(workers) as pool:
+        for job, (phases, refused) in zip(jobs, pool.imap(run_one, jobs), strict=True):
+            for name, found in phases.items():
+                print(
+                    f"| {job[0]} | {job[1]} | {name} "
+                    f"| {found.quick_s[0]:.2f}/{found.quick_s[1]:.2f} "
+                    f"| {found.long_s[0]:.2f}/{found.long_s[1]:.2f} "
+                    f"| {found.used:.1%} | {found.idle:.1%} |"
+                )
+            print(f"| {job[0]} | {job[1]} | not answered: {refused} | | | | |")
+
+
+if __name__ == "__main__":
+    cyclopts.run(main)
