--- a/src/carobstair/cli/router.py
+++ b/src/carobstair/cli/router.py
@@ -6,10 +6,9 @@
 from pathlib import Path
 from typing import Literal
 
-from carobstair.cli.program import make_app, read_settings, run
+from carobstair.cli.program import EXIT_USAGE, fail, make_app, read_settings, run
 from carobstair.logs import configure_logging
-from carobstair.net.router import Router
-from carobstair.settings import RouterSettings
+from carobstair.settings import RouterSettings, SettingsError
 
 __all__ = ["main"]
 
@@ -19,7 +18,7 @@
 @app.default
 def serve(
     *,
-    settings: Path,
+    settings: Path | None = None,
     check_settings: bool = False,
     log_level: Literal["debug", "info", "warning", "error"] = "info",
 ) -> None:
@@ -27,20 +26,49 @@
 
     Parameters
     ----------
-    settings : Path
-        INI file.
+    settings : Path, optional
+        INI file. Without it, the file that the users' platform provides.
     check_settings : bool
         Print the settings in effect, secrets hidden, and end.
     log_level : str
         Least level of the events that are logged.
     """
+    if settings is None:
+        _serve_platform(check_settings, log_level)
+        return
+    # Either router is imported only where it runs: each costs memory and time.
+    from carobstair.net.router import Router
+
     loaded = read_settings(settings, RouterSettings, check_settings)
     configure_logging(log_level, zone=loaded.instance.zone)
-    asyncio.run(_serve(loaded))
 
+    async def run_router() -> None:
+        await Router(loaded).run()
+
+    asyncio.run(run_router())
+
+
+def _serve_platform(check_settings: bool, log_level: str) -> None:
+    from carobstair.edge.router import EdgeRouter
+    from carobstair.platform.adapter import platform_parts
+    from carobstair.platform.boot import BOOT_VARIABLE, boot_path, load_boot_settings
+
+    path = boot_path()
+    if path is None:
+        fail(f"carobstair-router: --settings or {BOOT_VARIABLE} is needed.", EXIT_USAGE)
+    try:
+        loaded = load_boot_settings(path)
+    except SettingsError as error:
+        fail(f"carobstair-router: {error}", EXIT_USAGE)
+    if check_settings:
+        print(loaded.model_dump_json(indent=2))
+        return
+    configure_logging(log_level, zone=loaded.zone)
+
+    async def run_router() -> None:
+        await EdgeRouter(loaded, platform_parts(loaded, path)).run()
 
-async def _serve(settings: RouterSettings) -> None:
-    await Router(settings).run()
+    asyncio.run(run_router())
 
 
 def main() -> None:
--- /dev/null
+++ b/src/carobstair/core/directory.py
@@ -0,0 +1,183 @@
+"""Which upstreams exist, and which of them may be sent requests now.
+
+Facts carry the revision at which the store knew them. An older fact never
+replaces a newer one, whichever way it came.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+__all__ = ["DirectorySettings", "ListedUpstream", "UpstreamDirectory", "UpstreamEntry"]
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamEntry:
+    """What an upstream says of itself in the store.
+
+    Attributes
+    ----------
+    born_ms : int
+        Unix time of its start; a restart under the same id has another one.
+    cold_s : float
+        How much longer it stays cold, counted from when the entry was read.
+    """
+
+    upstream_id: str
+    service: str
+    host: str
+    port: int
+    zone: str
+    slots: int
+    draining: bool
+    cold_s: float
+    born_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class DirectorySettings:
+    """Times of the upstream directory.
+
+    Attributes
+    ----------
+    lapse_grace_s : float
+        How long an upstream that vanished from the list during or just after a
+        store outage is still used. The platform restores lapsed entries within
+        two seconds of the store's return and takes the others as gone.
+    warm_up_doubt_s : float
+        How long the upstreams of a zone count as cold after the zone has been
+        taken back: two heartbeats of 1.2 s and the lag of the list.
+    """
+
+    lapse_grace_s: float = 2.0
+    warm_up_doubt_s: float = 3.2
+
+
+@dataclass(slots=True)
+class ListedUpstream:
+    """An upstream with what is known of it."""
+
+    entry: UpstreamEntry
+    revision: int
+    cold_until_s: float
+    gone_at_s: float | None = None
+
+    @property
+    def upstream_id(self) -> str:
+        """Id under which the upstream registered."""
+        return self.entry.upstream_id
+
+
+@dataclass(slots=True)
+class UpstreamDirectory:
+    """Upstreams by id and by service, evacuated zones and cold periods."""
+
+    settings: DirectorySettings = DirectorySettings()
+    _upstreams: dict[str, ListedUpstream] = field(default_factory=dict)
+    _by_service: dict[str, dict[str, ListedUpstream]] = field(default_factory=dict)
+    _removed_revisions: dict[str, int] = field(default_factory=dict)
+    _evacuated: dict[str, int] = field(default_factory=dict)
+    _restored_until_s: dict[str, float] = field(default_factory=dict)
+
+    def put(self, entry: UpstreamEntry, revision: int, now_s: float) -> bool:
+        """Take in an entry; return whether it is news."""
+        known = self._upstreams.get(entry.upstream_id)
+        if revision <= self._removed_revisions.get(entry.upstream_id, -1):
+            return False
+        if known is not None and revision <= known.revision:
+            if known.gone_at_s is not None and revision == known.revision:
+                known.gone_at_s = None
+            return False
+        cold_until_s = now_s + entry.cold_s if entry.cold_s > 0 else 0.0
+        if known is not None and known.entry.born_ms == entry.born_ms:
+            cold_until_s = max(cold_until_s, known.cold_until_s)
+        if known is not None:
+            self._by_service[known.entry.service].pop(entry.upstream_id, None)
+        listed = ListedUpstream(entry, revision, cold_until_s)
+        self._upstreams[entry.upstream_id] = listed
+        self._by_service.setdefault(entry.service, {})[entry.upstream_id] = listed
+        return True
+
+    def remove(self, upstream_id: str, revision: int, lapsed_at_s: float | None):
+        """Forget an upstream that has left the list.
+
+        Parameters
+        ----------
+        lapsed_at_s : float or None
+            Monotonic time until which it may still be used because the store was
+            away; None where the list can be believed at once.
+        """
+        known = self._upstreams.get(upstream_id)
+        if known is None or known.revision > revision:
+            return
+        if lapsed_at_s is not None:
+            if known.gone_at_s is None:
+                known.gone_at_s = lapsed_at_s
+            return
+        self._drop(upstream_id, revision)
+
+    def remove_unlisted(
+        self, listed: Iterable[str], revision: int, lapsed_at_s: float | None
+    ) -> None:
+        """Forget the upstreams that a complete list of this revision lacks."""
+        present = set(listed)
+        for upstream_id in [u for u in self._upstreams if u not in present]:
+            self.remove(upstream_id, revision, lapsed_at_s)
+
+    def set_evacuated(self, zones: Iterable[str], now_s: float) -> None:
+        """Replace the set of zones whose upstreams are sent nothing."""
+        current = set(zones)
+        for zone in set(self._evacuated) - current:
+            del self._evacuated[zone]
+            self._restored_until_s[zone] = now_s + self.settings.warm_up_doubt_s
+        for zone in current:
+            self._evacuated[zone] = 1
+
+    @property
+    def evacuated(self) -> frozenset[str]:
+        """Zones whose upstreams are sent nothing."""
+        return frozenset(self._evacuated)
+
+    def mark_cold(self, upstream_id: str, until_s: float) -> None:
+        """Treat an upstream as cold until a time."""
+        known = self._upstreams.get(upstream_id)
+        if known is not None:
+            known.cold_until_s = max(known.cold_until_s, until_s)
+
+    def find(self, upstream_id: str) -> ListedUpstream | None:
+        """Return an upstream by its id."""
+        return self._upstreams.get(upstream_id)
+
+    def is_usable(self, entry: UpstreamEntry, now_s: float) -> bool:
+        """Return whether requests may be sent to an incarnation now."""
+        known = self._upstreams.get(entry.upstream_id)
+        if known is None or known.entry.born_ms != entry.born_ms:
+            return False
+        if known.entry.draining or known.entry.zone in self._evacuated:
+            return False
+        if known.gone_at_s is not None and now_s >= known.gone_at_s:
+            self._drop(entry.upstream_id, known.revision)
+            return False
+        return True
+
+    def is_cold(self, entry: UpstreamEntry, now_s: float) -> bool:
+        """Return whether an upstream counts as cold."""
+        known = self._upstreams.get(entry.upstream_id)
+        if known is None or now_s < known.cold_until_s:
+            return True
+        return now_s < self._restored_until_s.get(known.entry.zone, 0.0)
+
+    def usable(self, service: str, now_s: float) -> list[UpstreamEntry]:
+        """Return the upstreams of a service that may be sent requests."""
+        listed = list(self._by_service.get(service, {}).values())
+        return [u.entry for u in listed if self.is_usable(u.entry, now_s)]
+
+    def ids(self) -> list[str]:
+        """Return the ids of all known upstreams."""
+        return list(self._upstreams)
+
+    def _drop(self, upstream_id: str, revision: int) -> None:
+        known = self._upstreams.pop(upstream_id)
+        self._by_service[known.entry.service].pop(upstream_id, None)
+        self._removed_revisions[upstream_id] = max(revision, known.revision)
--- /dev/null
+++ b/src/carobstair/core/dispatch.py
@@ -0,0 +1,109 @@
+"""Which upstream a request goes to, and whether it may still be sent there."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Collection
+from dataclasses import dataclass, field
+
+import xxhash
+
+from carobstair.core.directory import UpstreamDirectory, UpstreamEntry
+from carobstair.core.engine_load import LoadBook, PromptShape
+from carobstair.core.routing import ServicePool
+from carobstair.core.send_limits import ColdSendLimit, ResendLimit
+from carobstair.core.upstream_health import UpstreamHealth
+
+__all__ = ["Dispatcher"]
+
+
+@dataclass(slots=True)
+class Dispatcher:
+    """Placement over the upstreams that may be sent requests now.
+
+    Parameters
+    ----------
+    name : str
+        Name of this router, which decides its rank among the others.
+    """
+
+    name: str
+    directory: UpstreamDirectory
+    loads: LoadBook
+    health: UpstreamHealth
+    cold: ColdSendLimit
+    resends: ResendLimit
+    rng: random.Random
+    routers: frozenset[str] = field(default_factory=frozenset)
+
+    def choose(
+        self,
+        pool: ServicePool,
+        prompt: PromptShape,
+        avoided: Collection[str],
+        now_s: float,
+    ) -> UpstreamEntry | None:
+        """Return the upstream that a request should go to, or None."""
+        entries = {
+            entry.upstream_id: entry
+            for entry in self.directory.usable(pool.name, now_s)
+            if entry.upstream_id not in avoided
+        }
+        open_ids = [
+            u for u, entry in entries.items() if self._admits(entry, pool, now_s)
+        ]
+        if not open_ids:
+            return None
+        stalled_s = {u: self.loads.stalled_s(u, now_s) for u in open_ids}
+        sound = self.health.preferred(open_ids, stalled_s, now_s)
+        candidates = [(u, entries[u].zone) for u in open_ids if u in sound]
+        if pool.engine is not None:
+            ranked = self.loads.order(candidates, prompt, self.rng)
+        else:
+            ranked = self.loads.order_plain(candidates, self.rng)
+        return entries[ranked[0]]
+
+    def confirm(self, entry: UpstreamEntry, pool: ServicePool, now_s: float) -> bool:
+        """Return whether a request may be sent, directly before the send.
+
+        Counts the send towards the limit of a cold upstream.
+        """
+        if not self.directory.is_usable(entry, now_s):
+            return False
+        if not self._admits(entry, pool, now_s):
+            return False
+        if pool.cold_rate > 0:
+            self.cold.note_send(entry.upstream_id, now_s)
+        return True
+
+    def note_unreachable(
+        self, entry: UpstreamEntry, pool: ServicePool, now_s: float
+    ) -> None:
+        """Note that no connection to an upstream came about.
+
+        It may come back cold before the store says so.
+        """
+        self.health.note_unreachable(entry.upstream_id, now_s)
+        if pool.cold_rate > 0:
+            until_s = now_s + pool.cold_start_s
+            self.directory.mark_cold(entry.upstream_id, until_s)
+
+    def rank(self, upstream_id: str) -> int:
+        """Return this router's place among all for an upstream."""
+        own = _weight(self.name, upstream_id)
+        return sum(
+            _weight(router, upstream_id) > own
+            for router in self.routers
+            if router != self.name
+        )
+
+    def _admits(self, entry: UpstreamEntry, pool: ServicePool, now_s: float) -> bool:
+        if pool.cold_rate <= 0 or not self.directory.is_cold(entry, now_s):
+            return True
+        routers = max(1, len(self.routers | {self.name}))
+        part = self.cold.part(pool.cold_rate, routers, self.rank(entry.upstream_id))
+        return self.cold.allows(entry.upstream_id, part, now_s)
+
+
+def _weight(router: str, upstream_id: str) -> int:
+    return xxhash.xxh64_intdigest(f"{router}/{upstream_id}")
--- /dev/null
+++ b/src/carobstair/core/engine_load.py
@@ -0,0 +1,270 @@
+"""Estimates of an upstream's load, and placement by the time to the first token.
+
+Answers the load of many callers with long prompts that share parts: engines read
+prompts at a limited rate and keep the parts they have read, so where a request
+goes decides both how long it waits and whether a part is read again.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import OrderedDict
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+__all__ = ["LoadBook", "PlacementSettings", "PromptShape", "SentRequest"]
+
+Parts = tuple[tuple[str, int], ...]
+
+
+@dataclass(frozen=True, slots=True)
+class PromptShape:
+    """Sizes of a model request.
+
+    Attributes
+    ----------
+    prompt_tokens, max_output_tokens : int
+    parts : tuple of (str, int)
+        Parts of the prompt in order, each an id with its tokens.
+    """
+
+    prompt_tokens: int = 0
+    max_output_tokens: int = 0
+    parts: Parts = ()
+
+
+@dataclass(frozen=True, slots=True)
+class PlacementSettings:
+    """Weights of the estimated time to the first token.
+
+    Attributes
+    ----------
+    read_tokens_per_s : float
+        Prompt tokens that an engine reads in a second, from its data sheet.
+    backlog_weight : float
+        Weight of prompt tokens that wait at an engine ahead of the request.
+    unread_weight : float
+        Weight of the request's own tokens that the engine must read. Above 1
+        because what is read twice takes time from every other request.
+    running_s : float
+        Delay by each request that runs: the step grows with the batch.
+    other_zone_s : float
+        Cost of leaving the zone, for the hop and the bytes.
+    held_parts : int
+        Parts that are remembered for one engine; older ones count as evicted.
+    """
+
+    read_tokens_per_s: float = 56_600.0
+    backlog_weight: float = 3.0
+    unread_weight: float = 4.0
+    running_s: float = 0.002
+    other_zone_s: float = 0.005
+    held_parts: int = 600
+
+
+@dataclass(slots=True)
+class SentRequest:
+    """A request that an upstream holds."""
+
+    upstream_id: str
+    unread_tokens: int
+    sent_s: float
+    began_s: float | None = None
+
+
+@dataclass(slots=True)
+class _Load:
+    backlog_tokens: int = 0
+    running: int = 0
+    unanswered: dict[int, SentRequest] = field(default_factory=dict)
+    heard_s: float = 0.0
+    reported_running: int = 0
+    reported_waiting: int = 0
+    reported_slots: int = 0
+    reported_s: float = -1.0
+    held: OrderedDict[str, int] = field(default_factory=OrderedDict)
+
+
+@dataclass(slots=True)
+class LoadBook:
+    """Load per upstream: own requests, what peers say and what answers carry."""
+
+    settings: PlacementSettings
+    zone: str
+    _loads: dict[str, _Load] = field(default_factory=dict)
+    _peers: dict[str, dict[str, tuple[int, int]]] = field(default_factory=dict)
+    _news: list[tuple[str, str, int]] = field(default_factory=list)
+
+    # Own requests
+
+    def begin(self, upstream_id: str, prompt: PromptShape, now_s: float) -> SentRequest:
+        """Count a request that is being sent."""
+        load = self._load(upstream_id)
+        sent = SentRequest(upstream_id, self.unread_tokens(upstream_id, prompt), now_s)
+        load.backlog_tokens += sent.unread_tokens
+        load.running += 1
+        load.unanswered[id(sent)] = sent
+        for part, tokens in prompt.parts:
+            self.note_part(upstream_id, part, tokens)
+        # The last part is the request's own; peers can't make use of it.
+        self._news.extend((upstream_id, p, t) for p, t in prompt.parts[:-1])
+        return sent
+
+    def note_first_byte(self, sent: SentRequest, now_s: float) -> None:
+        """Note that an engine has read a prompt."""
+        load = self._load(sent.upstream_id)
+        load.heard_s = now_s
+        if sent.began_s is None:
+            sent.began_s = now_s
+            load.backlog_tokens -= sent.unread_tokens
+            load.unanswered.pop(id(sent), None)
+
+    def note_heard(self, upstream_id: str, now_s: float) -> None:
+        """Note that an upstream has sent something."""
+        self._load(upstream_id).heard_s = now_s
+
+    def end(self, sent: SentRequest, now_s: float) -> None:
+        """Count a request no longer."""
+        load = self._load(sent.upstream_id)
+        if sent.began_s is None:
+            load.backlog_tokens -= sent.unread_tokens
+            load.unanswered.pop(id(sent), None)
+        load.running -= 1
+
+    # Parts
+
+    def note_part(self, upstream_id: str, part: str, tokens: int) -> None:
+        """Remember that an engine has read a part or is reading it."""
+        held = self._load(upstream_id).held
+        held[part] = tokens
+        held.move_to_end(part)
+        if len(held) > self.settings.held_parts:
+            held.popitem(last=False)
+
+    def forget_parts(self, upstream_id: str) -> None:
+        """Forget the parts of an engine that has restarted."""
+        self._load(upstream_id).held.clear()
+
+    def unread_tokens(self, upstream_id: str, prompt: PromptShape) -> int:
+        """Return the prompt tokens that an engine would have to read."""
+        held = self._load(upstream_id).held
+        unread = prompt.prompt_tokens
+        for part, tokens in prompt.parts:
+            if part not in held:
+                break
+            unread -= tokens
+        return max(0, unread)
+
+    # What others say
+
+    def note_report(
+        self, upstream_id: str, running: int, waiting: int, slots: int, now_s: float
+    ) -> None:
+        """Take in the load that an answer carried."""
+        load = self._load(upstream_id)
+        load.reported_running, load.reported_waiting = running, waiting
+        load.reported_slots, load.reported_s = slots, now_s
+
+    def note_peer(self, peer: str, rows: Iterable[tuple[str, int, int]]) -> None:
+        """Replace what a peer has in hand: backlog tokens and requests running."""
+        self._peers[peer] = {u: (tokens, running) for u, tokens, running in rows}
+
+    def forget_peer(self, peer: str) -> None:
+        """Forget the load of a peer that is gone."""
+        self._peers.pop(peer, None)
+
+    def own_rows(self) -> list[tuple[str, int, int]]:
+        """Return upstream, backlog tokens and requests running of this router."""
+        return [
+            (u, load.backlog_tokens, load.running)
+            for u, load in self._loads.items()
+            if load.running
+        ]
+
+    def take_part_news(self, limit: int) -> list[tuple[str, str, int]]:
+        """Return the parts sent since the last call, newest first kept."""
+        news, self._news = self._news[-limit:], []
+        return news
+
+    def keep(self, upstream_ids: set[str]) -> None:
+        """Forget upstreams that are gone and hold nothing of ours."""
+        for upstream_id in [u for u in self._loads if u not in upstream_ids]:
+            if not self._loads[upstream_id].running:
+                del self._loads[upstream_id]
+
+    # Estimates
+
+    def backlog_tokens(self, upstream_id: str) -> int:
+        """Return the prompt tokens that wait at an engine for all routers."""
+        peers = sum(rows.get(upstream_id, (0, 0))[0] for rows in self._peers.values())
+        return self._load(upstream_id).backlog_tokens + peers
+
+    def running(self, upstream_id: str) -> int:
+        """Return the requests that all routers have at an upstream."""
+        peers = sum(rows.get(upstream_id, (0, 0))[1] for rows in self._peers.values())
+        return self._load(upstream_id).running + peers
+
+    def own_running(self, upstream_id: str) -> int:
+        """Return the requests that this router has at an upstream."""
+        return self._load(upstream_id).running
+
+    def stalled_s(self, upstream_id: str, now_s: float) -> float:
+        """Return for how long an upstream has owed an answer and said nothing."""
+        load = self._load(upstream_id)
+        if not load.unanswered:
+            return 0.0
+        oldest_s = next(iter(load.unanswered.values())).sent_s
+        return max(0.0, now_s - max(oldest_s, load.heard_s))
+
+    def first_token_s(self, upstream_id: str, zone: str, prompt: PromptShape) -> float:
+        """Return the weighted estimate that placement compares."""
+        rules = self.settings
+        work = (
+            rules.backlog_weight * self.backlog_tokens(upstream_id)
+            + rules.unread_weight * self.unread_tokens(upstream_id, prompt)
+        ) / rules.read_tokens_per_s
+        hop_s = 0.0 if zone == self.zone else rules.other_zone_s
+        return work + rules.running_s * self.running(upstream_id) + hop_s
+
+    def expected_wait_s(self, upstream_id: str, prompt: PromptShape) -> float:
+        """Return the plain estimate of the time to the first token."""
+        tokens = self.backlog_tokens(upstream_id)
+        tokens += self.unread_tokens(upstream_id, prompt)
+        return tokens / self.settings.read_tokens_per_s
+
+    def order(
+        self,
+        candidates: Iterable[tuple[str, str]],
+        prompt: PromptShape,
+        rng: random.Random,
+    ) -> list[str]:
+        """Return upstream ids from the best to the worst.
+
+        Parameters
+        ----------
+        candidates : iterable of (str, str)
+            Upstream id and zone.
+        """
+        ranked = [
+            (self.first_token_s(u, zone, prompt), rng.random(), u)
+            for u, zone in candidates
+        ]
+        return [u for _, _, u in sorted(ranked)]
+
+    def order_plain(
+        self, candidates: Iterable[tuple[str, str]], rng: random.Random
+    ) -> list[str]:
+        """Return upstreams of a plain service, least loaded first."""
+        ranked = []
+        for u, zone in candidates:
+            cost = float(self.running(u))
+            if zone != self.zone:
+                cost += 0.5
+            ranked.append((cost, rng.random(), u))
+        return [u for _, _, u in sorted(ranked)]
+
+    def _load(self, upstream_id: str) -> _Load:
+        load = self._loads.get(upstream_id)
+        if load is None:
+            load = self._loads[upstream_id] = _Load()
+        return load
--- a/src/carobstair/core/messages.py
+++ b/src/carobstair/core/messages.py
@@ -36,6 +36,7 @@
     "Envelope",
     "EpochAck",
     "EpochNotice",
+    "FleetDigest",
     "FreeSlots",
     "GrantRenewal",
     "GrantRenewed",
@@ -48,17 +49,22 @@
     "LeavingNotice",
     "LiftEntry",
     "LimitAnnouncement",
+    "LoadRow",
     "MemberSync",
     "MemberUpdate",
     "Offer",
     "OutcomeAnswer",
     "OutcomeQuery",
+    "PartRow",
     "PeerAddress",
     "PoolTotals",
     "Probe",
     "ProbeAck",
     "ProbeRequest",
     "ShareTransfer",
+    "StateNews",
+    "StatePull",
+    "StateRow",
     "TicketPull",
     "TicketPush",
     "TokenTimes",
@@ -271,7 +277,64 @@
     payload: msgspec.Raw
 
 
+class LoadRow(msgspec.Struct, frozen=True, array_like=True):
+    """What the sender has in hand at one upstream."""
+
+    upstream: str
+    backlog_tokens: int
+    running: int
+
+
+class PartRow(msgspec.Struct, frozen=True, array_like=True):
+    """A part of a prompt that the sender has sent to an upstream."""
+
+    upstream: str
+    part: str
+    tokens: int
+
+
+class FleetDigest(msgspec.Struct, frozen=True, array_like=True):
+    """Load of a router, and how new its copy of the store is.
+
+    `revisions` names the last known change of each kind of state.
+    """
+
+    address: PeerAddress
+    revisions: dict[str, int]
+    loads: list[LoadRow]
+    parts: list[PartRow]
+
+
+class StatePull(msgspec.Struct, frozen=True, array_like=True):
+    """Asks for the changes of state after these revisions."""
+
+    revisions: dict[str, int]
+
+
+class StateRow(msgspec.Struct, frozen=True, array_like=True):
+    """An object of the store, or its removal where `spec` is None."""
+
+    name: str
+    revision: int
+    spec: bytes | None
+
+
+class StateNews(msgspec.Struct, frozen=True, array_like=True):
+    """Changes of one kind of state.
+
+    `steady` tells that the sender's store has been answering for long enough for
+    a removal to be believed at once.
+    """
+
+    kind: str
+    rows: list[StateRow]
+    steady: bool
+
+
 _PAYLOADS = (
+    FleetDigest,
+    StateNews,
+    StatePull,
     InForceAnswer,
     InForceQuery,
     LeavingNotice,
--- /dev/null
+++ b/src/carobstair/edge/__init__.py
@@ -0,0 +1,1 @@
+"""The edge router: forwards callers' requests to upstreams without a grant."""
--- /dev/null
+++ b/src/carobstair/edge/follower.py
@@ -0,0 +1,109 @@
+"""Follows the store: one list, then watches, for each kind of state."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections.abc import Callable
+
+from carobstair.core.fleet_view import FleetView, StateKind, StoreTrust
+from carobstair.edge.settings import SyncSettings
+from carobstair.edge.state_store import HistoryLost, StateStore, StoreError
+from carobstair.logs import get_logger
+
+__all__ = ["StoreFollower"]
+
+logger = get_logger(__name__)
+
+
+class StoreFollower:
+    """Keeps a `FleetView` as new as the store.
+
+    Parameters
+    ----------
+    store : StateStore
+    view : FleetView
+    trust : StoreTrust
+    settings : SyncSettings
+    rng : random.Random
+    on_news : callable
+        Called with the kind and the names that changed.
+    """
+
+    def __init__(
+        self,
+        store: StateStore,
+        view: FleetView,
+        trust: StoreTrust,
+        settings: SyncSettings,
+        rng: random.Random,
+        on_news: Callable[[StateKind, list[str]], None],
+    ):
+        self._store = store
+        self._view = view
+        self._trust = trust
+        self._settings = settings
+        self._rng = rng
+        self._on_news = on_news
+        self._revisions: dict[StateKind, int] = {}
+
+    async def run(self) -> None:
+        """Follow all kinds until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            for kind in StateKind:
+                group.create_task(self._follow(kind))
+
+    async def _follow(self, kind: StateKind) -> None:
+        delay_s = self._settings.retry_s
+        while True:
+            try:
+                await self._step(kind)
+            except HistoryLost:
+                logger.info("store_history_lost", kind=str(kind))
+                self._revisions.pop(kind, None)
+                continue
+            except StoreError as error:
+                self._note_failure(kind, error)
+                # Jitter keeps the routers from returning to the store at once.
+                await asyncio.sleep(delay_s * self._rng.uniform(0.5, 1.5))
+                delay_s = min(2 * delay_s, self._settings.longest_retry_s)
+            else:
+                delay_s = self._settings.retry_s
+
+    async def _step(self, kind: StateKind) -> None:
+        revision = self._revisions.get(kind)
+        if revision is None:
+            listing = await self._store.list(kind)
+            lapse_until_s = self._note_success()
+            names = self._view.apply_list(
+                kind,
+                listing.changes,
+                listing.revision,
+                lapse_until_s,
+                time.monotonic(),
+            )
+        else:
+            wait_s = self._settings.watch_wait_s
+            if kind is StateKind.ROUTERS:
+                wait_s = self._settings.routers_wait_s
+            listing = await self._store.watch(kind, revision, wait_s)
+            lapse_until_s = self._note_success()
+            names = self._view.apply(
+                kind, listing.changes, lapse_until_s, time.monotonic()
+            )
+        self._revisions[kind] = listing.revision
+        if names:
+            self._on_news(kind, names)
+
+    def _note_success(self) -> float | None:
+        now_s = time.monotonic()
+        if self._trust.note_success(now_s):
+            logger.info("store_regained")
+            # What was missed meanwhile may be older than the history that is left.
+        return self._trust.lapse_until_s(now_s)
+
+    def _note_failure(self, kind: StateKind, error: StoreError) -> None:
+        if self._trust.lapse_until_s(time.monotonic()) is None:
+            logger.warning("store_lost", kind=str(kind), error=str(error))
+        self._trust.note_failure(time.monotonic())
--- /dev/null
+++ b/src/carobstair/edge/front.py
@@ -0,0 +1,268 @@
+"""The callers' side of the edge router: an ASGI application over the relay."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from carobstair.core.fleet_view import FleetView
+from carobstair.core.refusals import PROBLEM_JSON, Refusal, refuse
+from carobstair.core.routing import RequestLimits, Route, RoutingTable, ServicePool
+from carobstair.edge.metrics import EdgeMetrics
+from carobstair.edge.relay import BrokenAnswer, Exchange, Relay
+from carobstair.edge.terms import BadRequest, Dialect, RequestTerms
+from carobstair.logs import get_logger
+
+__all__ = ["Front"]
+
+logger = get_logger(__name__)
+
+# For callers that name no deadline and routes that name no time-out.
+LONGEST_ANSWER_S = 60.0
+# One line for this many requests that went well; failures are always logged.
+SUCCESS_SAMPLE = 20
+
+
+@dataclass(slots=True)
+class _Caller:
+    """Watches for the end of a caller's connection while it waits."""
+
+    receive: Callable
+    gone: bool = False
+
+    async def watch(self, handler: asyncio.Task) -> None:
+        while (await self.receive())["type"] != "http.disconnect":
+            pass
+        self.gone = True
+        handler.cancel()
+
+
+class Front:
+    """Checks requests, hands them to the relay and answers refusals.
+
+    Parameters
+    ----------
+    view : FleetView
+    relay : Relay
+    dialect : Dialect
+    metrics : EdgeMetrics
+    rng : random.Random
+    max_open : int
+        Requests in hand beyond which more are refused.
+    """
+
+    def __init__(
+        self,
+        view: FleetView,
+        relay: Relay,
+        dialect: Dialect,
+        metrics: EdgeMetrics,
+        rng: random.Random,
+        max_open: int,
+    ):
+        self._view = view
+        self._relay = relay
+        self._dialect = dialect
+        self._metrics = metrics
+        self._rng = rng
+        self._max_open = max_open
+        self._ended = 0
+        self.open_requests: set[asyncio.Task] = set()
+        self.closing = False
+        self.refuses_new = False
+
+    async def __call__(self, scope, receive, send) -> None:
+        """Handle one ASGI connection."""
+        if scope["type"] != "http":
+            return
+        arrived_s = time.monotonic()
+        task = asyncio.current_task()
+        self.open_requests.add(task)
+        caller = _Caller(receive)
+        watcher: asyncio.Task | None = None
+        exchange: Exchange | None = None
+        outcome = "cancelled"
+        try:
+            try:
+                table, limits = self._in_force()
+                terms = self._read_terms(scope, limits)
+                route, workspace = self._admit(table, terms, scope["path"])
+                body = await self._read_body(caller, limits)
+                exchange = self._exchange(
+                    scope, table, terms, route, workspace, body, arrived_s
+                )
+                watcher = asyncio.create_task(caller.watch(task))
+                await self._relay.run(exchange, send)
+                outcome = "answered"
+            except Refusal as refusal:
+                outcome = refusal.kind.name
+                await self._refuse(scope, send, refusal)
+            except BrokenAnswer as error:
+                outcome = "broken"
+                exchange.detail = str(error)
+                raise
+            except asyncio.CancelledError:
+                if not caller.gone:
+                    raise
+                outcome = "caller_left"
+                task.uncancel()
+        finally:
+            if watcher is not None:
+                watcher.cancel()
+            self.open_requests.discard(task)
+            self._note_end(scope, exchange, outcome, arrived_s)
+
+    # Checks
+
+    def _in_force(self) -> tuple[RoutingTable, RequestLimits]:
+        if self.refuses_new:
+            raise refuse("shutting-down")
+        table = self._view.table
+        if table is None:
+            raise refuse("not-ready", retry_after_s=0.5)
+        if len(self.open_requests) > self._max_open:
+            raise refuse("overloaded", "too many open requests")
+        return table, table.config.limits
+
+    def _read_terms(self, scope, limits: RequestLimits) -> RequestTerms:
+        size = sum(len(n) + len(v) + 4 for n, v in scope["headers"])
+        if size + len(scope["raw_path"]) > limits.max_header_bytes:
+            raise refuse("headers-too-large")
+        try:
+            return self._dialect.read_request(scope["headers"])
+        except BadRequest as error:
+            raise refuse("bad-request", str(error)) from error
+
+    def _admit(
+        self, table: RoutingTable, terms: RequestTerms, path: str
+    ) -> tuple[Route, str | None]:
+        route = table.find_route(terms.host, path)
+        if route is None:
+            raise refuse("not-found", "no route for this host and path")
+        if not table.requires_key:
+            return route, None
+        workspace = table.find_workspace(terms.key)
+        if workspace is None and not route.public:
+            raise refuse("unauthenticated")
+        return route, workspace.name if workspace else None
+
+    async def _read_body(self, caller: _Caller, limits: RequestLimits) -> bytes:
+        parts: list[bytes] = []
+        size = 0
+        while True:
+            message = await caller.receive()
+            if message["type"] == "http.disconnect":
+                caller.gone = True
+                raise asyncio.CancelledError
+            part = message.get("body", b"")
+            size += len(part)
+            if size > limits.max_body_bytes:
+                raise refuse("too-large", f"at most {limits.max_body_bytes} bytes")
+            parts.append(part)
+            if not message.get("more_body", False):
+                return parts[0] if len(parts) == 1 else b"".join(parts)
+
+    def _exchange(
+        self,
+        scope,
+        table: RoutingTable,
+        terms: RequestTerms,
+        route: Route,
+        workspace: str | None,
+        body: bytes,
+        arrived_s: float,
+    ) -> Exchange:
+        pool = self._pick_pool(table, route)
+        allowed_s = route.timeout_s or LONGEST_ANSWER_S
+        if terms.deadline_s is not None:
+            allowed_s = min(allowed_s, terms.deadline_s)
+        target = scope["raw_path"]
+        if scope["query_string"]:
+            target += b"?" + scope["query_string"]
+        return Exchange(
+            terms,
+            route,
+            pool,
+            workspace,
+            scope["method"],
+            target,
+            scope["headers"],
+            body,
+            arrived_s,
+            arrived_s + allowed_s,
+            closing=self.closing,
+        )
+
+    def _pick_pool(self, table: RoutingTable, route: Route) -> ServicePool:
+        service = table.pick_service(route, table.services, self._rng)
+        if service is None:
+            raise refuse("no-capacity", route.name, 0.5)
+        return table.services[service]
+
+    # Ends
+
+    async def _refuse(self, scope, send, refusal: Refusal) -> None:
+        body = json.dumps(refusal.problem("")).encode()
+        headers = [
+            (b"content-type", PROBLEM_JSON.encode()),
+            (b"content-length", b"%d" % len(body)),
+        ]
+        if refusal.retry_after_s is not None:
+            headers.append((b"retry-after", b"%.2f" % refusal.retry_after_s))
+        if self.closing or refusal.status in (400, 408, 413, 431):
+            headers.append((b"connection", b"close"))
+        start = {"type": "http.response.start", "status": refusal.status}
+        await send(start | {"headers": headers})
+        if scope["method"] == "HEAD":
+            body = b""
+        await send({"type": "http.response.body", "body": body})
+
+    def _note_end(
+        self, scope, exchange: Exchange | None, outcome: str, arrived_s: float
+    ) -> None:
+        took_s = time.monotonic() - arrived_s
+        if exchange is None:
+            self._metrics.requests.labels("", outcome).inc()
+            logger.info(
+                "request_refused",
+                request_id=_given_id(scope),
+                outcome=outcome,
+                version=self._view.version,
+                took_s=round(took_s, 4),
+            )
+            return
+        service = exchange.pool.name
+        self._metrics.requests.labels(service, outcome).inc()
+        if exchange.first_byte_s is not None:
+            first_s = exchange.first_byte_s - arrived_s
+            self._metrics.first_byte_s.labels(service).observe(first_s)
+        self._ended += 1
+        smooth = outcome == "answered" and exchange.attempts == 1
+        if smooth and self._ended % SUCCESS_SAMPLE:
+            return
+        logger.info(
+            "request_ended",
+            request_id=exchange.terms.request_id,
+            route=exchange.route.name,
+            workspace=exchange.workspace,
+            service=service,
+            upstream=exchange.upstream_id,
+            outcome=outcome,
+            status=exchange.status,
+            attempts=exchange.attempts,
+            may_have_run=exchange.may_have_run,
+            version=self._view.version,
+            detail=exchange.detail,
+            took_s=round(took_s, 4),
+        )
+
+
+def _given_id(scope) -> str:
+    for name, value in scope["headers"]:
+        if name.endswith(b"-id"):
+            return value[:64].decode("latin-1")
+    return ""
--- /dev/null
+++ b/src/carobstair/edge/gossip.py
@@ -0,0 +1,213 @@
+"""What routers tell each other: load, parts of prompts, and changes of state.
+
+Nothing here is waited for by a request. A router that the store turns away gets
+changes from a peer that is ahead of it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections.abc import Callable
+
+from carobstair.core.engine_load import LoadBook
+from carobstair.core.fleet_view import FleetView, StateKind, StoreChange, StoreTrust
+from carobstair.core.messages import (
+    Envelope,
+    FleetDigest,
+    LoadRow,
+    PartRow,
+    PeerAddress,
+    StateNews,
+    StatePull,
+    StateRow,
+)
+from carobstair.edge.settings import EdgeSettings
+from carobstair.logs import get_logger
+from carobstair.net.peers import PeerTransport
+
+__all__ = ["Gossip"]
+
+logger = get_logger(__name__)
+
+# Peers at which digests go out at the full rate; larger fleets slow down, so that
+# the messages that a router receives stay the same in number.
+FULL_RATE_PEERS = 12
+MAX_PART_ROWS = 64
+# Rows of one state message; a pull is repeated until nothing is missing.
+MAX_STATE_ROWS = 400
+
+
+class Gossip:
+    """Digests to all peers, and pulls of state that this router has missed.
+
+    Parameters
+    ----------
+    own : PeerAddress
+    settings : EdgeSettings
+    transport : PeerTransport
+    view : FleetView
+    trust : StoreTrust
+    loads : LoadBook
+    rng : random.Random
+    on_news : callable
+        Called with the kind and the names that changed.
+    """
+
+    def __init__(
+        self,
+        own: PeerAddress,
+        settings: EdgeSettings,
+        transport: PeerTransport,
+        view: FleetView,
+        trust: StoreTrust,
+        loads: LoadBook,
+        rng: random.Random,
+        on_news: Callable[[StateKind, list[str]], None],
+    ):
+        self._own = own
+        self._settings = settings
+        self._transport = transport
+        self._view = view
+        self._trust = trust
+        self._loads = loads
+        self._rng = rng
+        self._on_news = on_news
+        self._peers: dict[str, PeerAddress] = {}
+        self._heard_s: dict[str, float] = {}
+        self._behind_since_s: dict[str, float] = {}
+        self._pulled_s = 0.0
+        transport.subscribe(FleetDigest, self._on_digest)
+        transport.subscribe(StatePull, self._on_pull)
+        transport.subscribe(StateNews, self._on_state)
+
+    @property
+    def peers(self) -> frozenset[str]:
+        """Names of the peers that were heard or are listed."""
+        return frozenset(self._peers)
+
+    def alive(self, now_s: float) -> int:
+        """Return how many peers were heard lately."""
+        silence_s = self._settings.sync.peer_silence_s
+        return sum(now_s - heard_s < silence_s for heard_s in self._heard_s.values())
+
+    def add(self, address: PeerAddress) -> None:
+        """Open a link to a router that the store or a peer names."""
+        if address.instance == self._own.instance:
+            return
+        known = self._peers.get(address.instance)
+        if known is not None and known.incarnation >= address.incarnation:
+            return
+        self._peers[address.instance] = address
+        self._transport.connect(address)
+
+    def remove(self, name: str) -> None:
+        """Close the link to a router that has left."""
+        if self._peers.pop(name, None) is not None:
+            self._transport.disconnect(name)
+            self._loads.forget_peer(name)
+            self._heard_s.pop(name, None)
+
+    async def run(self) -> None:
+        """Send digests until cancelled."""
+        seeds = self._connect_seeds()
+        while True:
+            interval_s = self._settings.sync.digest_s
+            interval_s *= max(1.0, len(self._peers) / FULL_RATE_PEERS)
+            await asyncio.sleep(interval_s * self._rng.uniform(0.9, 1.1))
+            digest = self._digest()
+            for name in self._peers:
+                self._transport.send(name, digest)
+            for name in seeds:
+                if not self._heard_s:
+                    self._transport.send(name, digest)
+            self._forget_silent(time.monotonic())
+
+    def _connect_seeds(self) -> list[str]:
+        """Open links to the addresses in the settings, whose names aren't known."""
+        names = []
+        for seed in self._settings.sync.seeds:
+            host, _, port = seed.rpartition(":")
+            if host == self._own.host:
+                continue
+            name = f"seed/{seed}"
+            self._transport.connect(PeerAddress(name, 0, host, int(port), 0, ""))
+            names.append(name)
+        return names
+
+    def _digest(self) -> FleetDigest:
+        return FleetDigest(
+            self._own,
+            self._view.revisions(),
+            [LoadRow(*row) for row in self._loads.own_rows()],
+            [PartRow(*row) for row in self._loads.take_part_news(MAX_PART_ROWS)],
+        )
+
+    def _forget_silent(self, now_s: float) -> None:
+        for name, heard_s in list(self._heard_s.items()):
+            if now_s - heard_s > self._settings.sync.peer_silence_s:
+                del self._heard_s[name]
+                self._loads.forget_peer(name)
+                self._transport.reconnect(name)
+                logger.info("peer_lost", peer=name)
+
+    # Messages
+
+    def _on_digest(self, envelope: Envelope, digest: FleetDigest) -> None:
+        now_s = time.monotonic()
+        peer = digest.address.instance
+        if peer == self._own.instance:
+            return
+        self.add(digest.address)
+        if peer not in self._heard_s:
+            logger.info("peer_heard", peer=peer, incarnation=envelope.incarnation)
+        self._heard_s[peer] = now_s
+        self._loads.note_peer(
+            peer, ((r.upstream, r.backlog_tokens, r.running) for r in digest.loads)
+        )
+        for row in digest.parts:
+            self._loads.note_part(row.upstream, row.part, row.tokens)
+        self._compare(peer, digest.revisions, now_s)
+
+    def _compare(self, peer: str, revisions: dict[str, int], now_s: float) -> None:
+        own = self._view.revisions()
+        if all(own[kind] >= revisions.get(kind, 0) for kind in own):
+            self._behind_since_s.pop(peer, None)
+            return
+        since_s = self._behind_since_s.setdefault(peer, now_s)
+        wait_s = self._settings.sync.behind_s
+        new = self._view.version == 0
+        if not new and now_s - since_s < wait_s:
+            return
+        if now_s - self._pulled_s < wait_s:
+            return
+        self._pulled_s = now_s
+        self._transport.send(peer, StatePull(own))
+
+    def _on_pull(self, envelope: Envelope, pull: StatePull) -> None:
+        steady = self._trust.lapse_until_s(time.monotonic()) is None
+        for kind in StateKind:
+            changes = self._view.changes_since(kind, pull.revisions.get(kind.value, 0))
+            if changes:
+                rows = [
+                    StateRow(c.name, c.revision, c.spec)
+                    for c in changes[:MAX_STATE_ROWS]
+                ]
+                news = StateNews(kind.value, rows, steady)
+                self._transport.send(envelope.sender, news)
+
+    def _on_state(self, envelope: Envelope, news: StateNews) -> None:
+        now_s = time.monotonic()
+        kind = StateKind(news.kind)
+        lapse_until_s = None if news.steady else now_s + self._trust.grace_s
+        changes = [StoreChange(row.name, row.revision, row.spec) for row in news.rows]
+        names = self._view.apply(kind, changes, lapse_until_s, now_s)
+        if names:
+            logger.info(
+                "state_from_peer",
+                peer=envelope.sender,
+                kind=news.kind,
+                count=len(names),
+            )
+            self._on_news(kind, names)
--- /dev/null
+++ b/src/carobstair/edge/metrics.py
@@ -0,0 +1,49 @@
+"""Prometheus metrics of the edge router; labels are bounded by the configuration."""
+
+from __future__ import annotations
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+
+from carobstair.metrics import FIRST_TOKEN_BUCKETS_S
+
+__all__ = ["EdgeMetrics"]
+
+PREFIX = "carobstair_edge_"
+
+
+class EdgeMetrics:
+    """All metrics of one edge router, in a registry of its own."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self.requests = self._counter(
+            "requests", "Requests that ended, by outcome", ("service", "outcome")
+        )
+        self.first_byte_s = Histogram(
+            PREFIX + "first_byte_seconds",
+            "Time from arrival to the first byte of the answer",
+            ("service",),
+            registry=self.registry,
+            buckets=FIRST_TOKEN_BUCKETS_S,
+        )
+        self.store_calls = self._counter(
+            "store_calls", "Calls to the store", ("operation", "outcome")
+        )
+        self.peer_bytes = self._counter(
+            "peer_bytes", "Bytes between routers", ("direction", "kind")
+        )
+        self.peer_messages = self._counter(
+            "peer_messages", "Messages between routers", ("direction", "kind")
+        )
+        self.peer_dropped = self._counter(
+            "peer_messages_dropped", "Peer messages that were dropped", ("reason",)
+        )
+        self.version = self._gauge("version_in_force", "Number of the configuration")
+        self.open_requests = self._gauge("open_requests", "Requests in hand")
+        self.peers = self._gauge("peers_heard", "Peers that were heard lately")
+
+    def _counter(self, name: str, text: str, labels: tuple[str, ...]) -> Counter:
+        return Counter(PREFIX + name, text, labels, registry=self.registry)
+
+    def _gauge(self, name: str, text: str) -> Gauge:
+        return Gauge(PREFIX + name, text, registry=self.registry)
--- /dev/null
+++ b/src/carobstair/edge/router.py
@@ -0,0 +1,286 @@
+"""Assembly of an edge router process from its parts."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import os
+import random
+import signal
+import time
+from collections.abc import Callable
+
+import msgspec
+from prometheus_client import generate_latest
+
+from carobstair.core.directory import UpstreamDirectory
+from carobstair.core.dispatch import Dispatcher
+from carobstair.core.engine_load import LoadBook
+from carobstair.core.fleet_view import FleetView, StateKind, StoreTrust
+from carobstair.core.messages import PeerAddress
+from carobstair.core.send_limits import ColdSendLimit, ResendLimit
+from carobstair.core.upstream_health import UpstreamHealth
+from carobstair.edge.follower import StoreFollower
+from carobstair.edge.front import Front
+from carobstair.edge.gossip import Gossip
+from carobstair.edge.metrics import EdgeMetrics
+from carobstair.edge.relay import Relay
+from carobstair.edge.server import CallerServer, PageServer
+from carobstair.edge.settings import EdgeSettings
+from carobstair.edge.state_store import StateStore, StoreError
+from carobstair.edge.terms import Dialect
+from carobstair.edge.upstream_pool import UpstreamPool
+from carobstair.logs import get_logger
+from carobstair.net.peers import PeerTransport
+from carobstair.settings import InstanceSettings, PeerSettings
+
+__all__ = ["EdgeRouter", "PlatformParts"]
+
+logger = get_logger(__name__)
+
+UPKEEP_S = 0.25
+EXIT_FORCED = 1
+
+
+class PlatformParts(msgspec.Struct):
+    """What a platform's adapter brings.
+
+    Attributes
+    ----------
+    make_store : callable
+        Returns the store's client, given a function that counts calls.
+    decode_routing, decode_upstream : callable
+        See `FleetView`.
+    reload : callable
+        Returns the settings as they are now; raises `SettingsError`.
+    """
+
+    dialect: Dialect
+    make_store: Callable[[Callable[[str, str], None]], StateStore]
+    decode_routing: Callable
+    decode_upstream: Callable
+    reload: Callable[[], EdgeSettings]
+
+
+class EdgeRouter:
+    """One edge router: callers' side, relay, store follower and gossip.
+
+    Parameters
+    ----------
+    settings : EdgeSettings
+    platform : PlatformParts
+    """
+
+    def __init__(self, settings: EdgeSettings, platform: PlatformParts):
+        self._settings = settings
+        self._platform = platform
+        started_s = time.monotonic()
+        listen = settings.listen
+        self._own = PeerAddress(
+            settings.name,
+            time.time_ns() // 1_000_000,
+            listen.host,
+            listen.peer_port,
+            listen.callers_port,
+            settings.zone,
+        )
+        self._rng = random.Random()
+        self.metrics = EdgeMetrics()
+        self._store = platform.make_store(self._count_store_call)
+        self._directory = UpstreamDirectory(settings.directory)
+        self.view = FleetView(
+            self._directory, platform.decode_routing, platform.decode_upstream
+        )
+        self._trust = StoreTrust(settings.directory.lapse_grace_s)
+        self._loads = LoadBook(settings.placement, settings.zone)
+        self._health = UpstreamHealth(settings.health)
+        self._dispatcher = Dispatcher(
+            settings.name,
+            self._directory,
+            self._loads,
+            self._health,
+            ColdSendLimit(settings.send_limits, started_s),
+            ResendLimit(settings.send_limits),
+            self._rng,
+        )
+        self._connections = UpstreamPool()
+        relay = Relay(self._dispatcher, self._connections, platform.dialect)
+        self.front = Front(
+            self.view,
+            relay,
+            platform.dialect,
+            self.metrics,
+            self._rng,
+            settings.max_open_requests,
+        )
+        self._callers = CallerServer(self.front, listen.host, listen.callers_port)
+        self._ready = PageServer(self._ready_page, listen.host, listen.ready_port)
+        self._pages = PageServer(self._metrics_page, listen.host, listen.metrics_port)
+        transport = PeerTransport(
+            self._own,
+            InstanceSettings(
+                name=settings.name[:63],
+                zone=settings.zone[:63],
+                host=listen.host,
+                http_port=listen.callers_port,
+                peer_port=listen.peer_port,
+            ),
+            PeerSettings(),
+            self.metrics,
+        )
+        self._transport = transport
+        self._gossip = Gossip(
+            self._own,
+            settings,
+            transport,
+            self.view,
+            self._trust,
+            self._loads,
+            self._rng,
+            self._on_news,
+        )
+        self._follower = StoreFollower(
+            self._store, self.view, self._trust, settings.sync, self._rng, self._on_news
+        )
+        self._stopping = asyncio.Event()
+
+    async def run(self) -> None:
+        """Serve until a signal, then finish what runs and leave."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._on_signal)
+        loop.add_signal_handler(signal.SIGHUP, self._on_reload)
+        # Broken answers are logged with their request, not as server errors.
+        logging.getLogger("uvicorn.error").disabled = True
+        work = [
+            asyncio.create_task(self._callers.serve()),
+            asyncio.create_task(self._ready.serve()),
+            asyncio.create_task(self._pages.serve()),
+            asyncio.create_task(self._transport.run()),
+            asyncio.create_task(self._follower.run()),
+            asyncio.create_task(self._gossip.run()),
+            asyncio.create_task(self._register()),
+            asyncio.create_task(self._keep_up()),
+        ]
+        logger.info(
+            "router_started",
+            instance=self._own.instance,
+            incarnation=self._own.incarnation,
+        )
+        await self._stopping.wait()
+        await self._drain()
+        logger.info("router_stopped", open=len(self.front.open_requests))
+        for task in work:
+            task.cancel()
+        # The platform ends what lingers; connections end with the process.
+        os._exit(0)
+
+    def _on_signal(self) -> None:
+        if self._stopping.is_set():
+            os._exit(EXIT_FORCED)
+        self._stopping.set()
+
+    def _on_reload(self) -> None:
+        try:
+            fresh = self._platform.reload()
+        except Exception as error:
+            logger.warning("settings_not_reloaded", error=str(error))
+            return
+        changed = [
+            name
+            for name in EdgeSettings.model_fields
+            if getattr(fresh, name) != getattr(self._settings, name)
+        ]
+        logger.info("settings_reloaded", needs_restart=",".join(changed) or None)
+
+    async def _drain(self) -> None:
+        """Turn unready, take what still comes, and end what runs in time."""
+        began_s = time.monotonic()
+        stop = self._settings.stop
+        end_s = began_s + stop.grace_s - stop.margin_s
+        logger.info("router_stopping", open=len(self.front.open_requests))
+        self.front.closing = True
+        leaving = asyncio.create_task(self._unregister())
+        await asyncio.sleep(min(stop.accept_s, stop.grace_s / 2))
+        self.front.refuses_new = True
+        while self.front.open_requests and time.monotonic() < end_s:
+            await asyncio.sleep(0.02)
+        for task in list(self.front.open_requests):
+            task.cancel()
+        leaving.cancel()
+        await asyncio.sleep(0.05)
+
+    async def _register(self) -> None:
+        """Make this router known to the others, until it has worked."""
+        delay_s = self._settings.sync.retry_s
+        while True:
+            try:
+                spec = msgspec.to_builtins(self._own)
+                await self._store.put(StateKind.ROUTERS, self._own.instance, spec)
+                return
+            except StoreError as error:
+                logger.info("registration_delayed", error=str(error))
+                await asyncio.sleep(delay_s * self._rng.uniform(0.5, 1.5))
+                delay_s = min(2 * delay_s, 2.0)
+
+    async def _unregister(self) -> None:
+        try:
+            await self._store.delete(StateKind.ROUTERS, self._own.instance)
+        except StoreError as error:
+            logger.info("registration_kept", error=str(error))
+
+    async def _keep_up(self) -> None:
+        """Forget what concerns upstreams that are gone."""
+        while True:
+            await asyncio.sleep(UPKEEP_S)
+            ids = set(self._directory.ids())
+            self._loads.keep(ids)
+            self._health.keep(ids)
+            self._dispatcher.cold.keep(ids)
+            found = map(self._directory.find, ids)
+            self._connections.keep(
+                {(u.upstream_id, u.entry.born_ms) for u in found if u is not None}
+            )
+
+    def _on_news(self, kind: StateKind, names: list[str]) -> None:
+        if kind is StateKind.ROUTERS:
+            for name in names:
+                self._note_router(name)
+            return
+        logger.info(
+            "state_changed",
+            kind=str(kind),
+            count=len(names),
+            names=",".join(names[:4]),
+            version=self.view.version,
+            revision=self.view.revisions()[kind.value],
+        )
+
+    def _note_router(self, name: str) -> None:
+        change = self.view.objects(StateKind.ROUTERS).get(name)
+        if change is None:
+            self._gossip.remove(name)
+        else:
+            try:
+                address = msgspec.json.decode(change.spec, type=PeerAddress)
+            except msgspec.DecodeError as error:
+                logger.warning("router_entry_unreadable", name=name, error=str(error))
+                return
+            self._gossip.add(address)
+        self._dispatcher.routers = self._gossip.peers | {self._own.instance}
+
+    def _ready_page(self) -> tuple[int, bytes]:
+        if self.front.closing:
+            return 503, b"stopping"
+        if self.view.table is None:
+            return 503, b"no configuration"
+        return 200, b"ready"
+
+    def _metrics_page(self) -> tuple[int, bytes]:
+        self.metrics.version.set(self.view.version)
+        self.metrics.open_requests.set(len(self.front.open_requests))
+        self.metrics.peers.set(self._gossip.alive(time.monotonic()))
+        return 200, generate_latest(self.metrics.registry)
+
+    def _count_store_call(self, operation: str, outcome: str) -> None:
+        self.metrics.store_calls.labels(operation, outcome).inc()
--- /dev/null
+++ b/src/carobstair/edge/server.py
@@ -0,0 +1,83 @@
+"""HTTP servers of the edge router on uvicorn."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+from collections.abc import Callable, Iterator
+
+import uvicorn
+
+from carobstair.net.http import BorderProtocol
+
+__all__ = ["CallerServer", "PageServer"]
+
+BACKLOG = 1024
+# Callers reuse connections for up to four fifths of the limit in force, which the
+# operator may raise; a connection that is kept longer does no harm.
+IDLE_TIMEOUT_S = 75
+
+
+class _Server(uvicorn.Server):
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        yield
+
+
+class CallerServer:
+    """Serves an ASGI application to callers.
+
+    Parameters
+    ----------
+    app : ASGI application
+    host : str
+    port : int
+    """
+
+    def __init__(self, app, host: str, port: int):
+        config = uvicorn.Config(
+            app,
+            loop="none",
+            http=BorderProtocol,
+            lifespan="off",
+            log_config=None,
+            access_log=False,
+            timeout_keep_alive=IDLE_TIMEOUT_S,
+            server_header=False,
+            date_header=False,
+        )
+        self._server = _Server(config)
+        self._socket = socket.create_server((host, port), backlog=BACKLOG)
+        self.port = self._socket.getsockname()[1]
+
+    async def serve(self) -> None:
+        """Serve until cancelled."""
+        await self._server.serve(sockets=[self._socket])
+
+
+class PageServer(CallerServer):
+    """Serves one page, made anew for each request, on every path.
+
+    Parameters
+    ----------
+    page : callable
+        Returns the status and the body.
+    host : str
+    port : int
+    """
+
+    def __init__(self, page: Callable[[], tuple[int, bytes]], host: str, port: int):
+        self._page = page
+        super().__init__(self._respond, host, port)
+
+    async def _respond(self, scope, receive, send) -> None:
+        if scope["type"] != "http":
+            return
+        status, body = self._page()
+        headers = [
+            (b"content-type", b"text/plain; charset=utf-8"),
+            (b"content-length", b"%d" % len(body)),
+        ]
+        start = {"type": "http.response.start", "status": status}
+        await send(start | {"headers": headers})
+        await send({"type": "http.response.body", "body": body})
--- /dev/null
+++ b/src/carobstair/edge/settings.py
@@ -0,0 +1,84 @@
+"""Settings of the edge router, whatever file they come from."""
+
+from __future__ import annotations
+
+from pydantic import BaseModel, ConfigDict, Field
+
+from carobstair.core.directory import DirectorySettings
+from carobstair.core.engine_load import PlacementSettings
+from carobstair.core.send_limits import SendLimitSettings
+from carobstair.core.upstream_health import HealthSettings
+
+__all__ = ["EdgeSettings", "ListenSettings", "StopSettings", "SyncSettings"]
+
+
+class _Model(BaseModel):
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class ListenSettings(_Model):
+    """Addresses of this process."""
+
+    host: str
+    callers_port: int = Field(ge=1, le=65535)
+    ready_port: int = Field(ge=1, le=65535)
+    peer_port: int = Field(ge=1, le=65535)
+    metrics_port: int = Field(ge=1, le=65535)
+
+
+class SyncSettings(_Model):
+    """How the router follows the store and its peers.
+
+    Attributes
+    ----------
+    watch_wait_s : float
+        How long a watch waits for a change. A silent connection is noticed after
+        this and the client's margin, within the three seconds after which a
+        router counts as in touch again.
+    behind_s : float
+        How long a peer may be ahead before its changes are fetched from it.
+    """
+
+    store_address: str = Field(pattern=r"^\S+:\d+$")
+    watch_wait_s: float = Field(1.5, gt=0, le=30)
+    routers_wait_s: float = Field(10.0, gt=0, le=30)
+    retry_s: float = Field(0.1, gt=0, le=10)
+    longest_retry_s: float = Field(0.5, gt=0, le=30)
+    digest_s: float = Field(0.1, gt=0, le=10)
+    behind_s: float = Field(0.2, gt=0, le=10)
+    peer_silence_s: float = Field(1.0, gt=0, le=60)
+    seeds: list[str] = []
+
+
+class StopSettings(_Model):
+    """How a router leaves.
+
+    Attributes
+    ----------
+    grace_s : float
+        Time between the signal to stop and the end of the process by force.
+    accept_s : float
+        How long new requests are still taken: the balancer asks once a second
+        and takes a router out after two misses.
+    """
+
+    grace_s: float = Field(8.0, gt=0, le=3600)
+    accept_s: float = Field(3.0, ge=0, le=3600)
+    margin_s: float = Field(0.8, ge=0, le=60)
+
+
+class EdgeSettings(_Model):
+    """All settings of an edge router."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True, arbitrary_types_allowed=True)
+
+    name: str = Field(min_length=1, max_length=255)
+    zone: str = Field(min_length=1, max_length=255)
+    listen: ListenSettings
+    sync: SyncSettings
+    stop: StopSettings = StopSettings()
+    send_limits: SendLimitSettings = SendLimitSettings()
+    placement: PlacementSettings = PlacementSettings()
+    health: HealthSettings = HealthSettings()
+    directory: DirectorySettings = DirectorySettings()
+    max_open_requests: int = Field(2_000, ge=1)
--- /dev/null
+++ b/src/carobstair/platform/adapter.py
@@ -0,0 +1,26 @@
+"""What the edge router needs to run on the users' platform."""
+
+from __future__ import annotations
+
+from functools import partial
+from pathlib import Path
+
+from carobstair.edge.router import PlatformParts
+from carobstair.edge.settings import EdgeSettings
+from carobstair.platform.boot import load_boot_settings
+from carobstair.platform.documents import decode_routing, decode_upstream
+from carobstair.platform.headers import PlatformDialect
+from carobstair.platform.store import PlatformStore
+
+__all__ = ["platform_parts"]
+
+
+def platform_parts(settings: EdgeSettings, path: Path) -> PlatformParts:
+    """Return the adapter's parts for the settings of a file."""
+    return PlatformParts(
+        PlatformDialect(),
+        partial(PlatformStore, settings.sync.store_address),
+        decode_routing,
+        decode_upstream,
+        partial(load_boot_settings, path),
+    )
--- /dev/null
+++ b/src/carobstair/platform/boot.py
@@ -0,0 +1,123 @@
+"""The settings file that the users' platform writes for a process."""
+
+from __future__ import annotations
+
+import os
+import tomllib
+from pathlib import Path
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic.alias_generators import to_camel
+
+from carobstair.core.send_limits import SendLimitSettings
+from carobstair.edge.settings import (
+    EdgeSettings,
+    ListenSettings,
+    StopSettings,
+    SyncSettings,
+)
+from carobstair.settings import SettingsError
+
+__all__ = ["BOOT_VARIABLE", "boot_path", "load_boot_settings"]
+
+BOOT_VARIABLE = "CAROBSTAIR_BOOT"
+# Places of our own services within the platform's range of internal ports.
+PEER_PORT_INDEX = 0
+METRICS_PORT_INDEX = 1
+
+
+class _Part(BaseModel):
+    # Fields that this version doesn't know are ignored: the platform adds some.
+    model_config = ConfigDict(extra="ignore", alias_generator=to_camel)
+
+
+class _Listen(_Part):
+    front: str = Field(pattern=r"^[^:\s]+:\d{1,5}$")
+    ready: str = Field(pattern=r"^[^:\s]+:\d{1,5}$")
+
+
+class _Platform(_Part):
+    address: str = Field(pattern=r"^[^:\s]+:\d{1,5}$")
+
+
+class _Bounds(_Part):
+    grace_s: float = Field(8.0, gt=0)
+    retry_budget_ratio: float = Field(0.2, ge=0)
+    retry_window_s: float = Field(10.0, gt=0)
+    retry_slack: float = Field(50.0, ge=0)
+    cold_overshoot: float = Field(1.5, ge=0)
+    cold_slack: float = Field(5.0, ge=0)
+
+
+class _Boot(_Part):
+    node_name: str = Field(min_length=1)
+    ip_address: str = Field(min_length=1)
+    zone: str = Field(min_length=1)
+    internal_port_range: list[int] = Field(min_length=2, max_length=2)
+    # Control addresses of a few machines; peers listen on the internal ports.
+    seed_nodes: list[str] = []
+    listen: _Listen
+    platform: _Platform
+    bounds: _Bounds = _Bounds()
+
+
+def boot_path() -> Path | None:
+    """Return the path that the platform gave this process, if there is one."""
+    value = os.environ.get(BOOT_VARIABLE)
+    return Path(value) if value else None
+
+
+def load_boot_settings(path: Path) -> EdgeSettings:
+    """Return the settings in a file of the platform.
+
+    Raises
+    ------
+    SettingsError
+        With one line that names the field, its value and what is allowed.
+    """
+    try:
+        boot = _Boot.model_validate(tomllib.loads(path.read_text()))
+    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+        raise SettingsError(f"{path}: {error}") from error
+    except ValidationError as error:
+        first = error.errors()[0]
+        name = ".".join(map(str, first["loc"]))
+        raise SettingsError(
+            f"{path}: {name} = {first['input']!r}: {first['msg']}"
+        ) from error
+    return _to_settings(boot)
+
+
+def _to_settings(boot: _Boot) -> EdgeSettings:
+    ports = boot.internal_port_range
+    peer_port = ports[0] + PEER_PORT_INDEX
+    bounds = boot.bounds
+    return EdgeSettings(
+        name=boot.node_name,
+        zone=boot.zone,
+        listen=ListenSettings(
+            host=boot.ip_address,
+            callers_port=_port(boot.listen.front),
+            ready_port=_port(boot.listen.ready),
+            peer_port=peer_port,
+            metrics_port=ports[0] + METRICS_PORT_INDEX,
+        ),
+        sync=SyncSettings(
+            store_address=boot.platform.address,
+            seeds=[
+                f"{seed.rpartition(':')[0]}:{peer_port}" for seed in boot.seed_nodes
+            ],
+        ),
+        stop=StopSettings(grace_s=bounds.grace_s),
+        send_limits=SendLimitSettings(
+            bounds.cold_overshoot,
+            bounds.cold_slack,
+            bounds.retry_budget_ratio,
+            bounds.retry_slack,
+            bounds.retry_window_s,
+        ),
+    )
+
+
+def _port(address: str) -> int:
+    return int(address.rpartition(":")[2])
