Serve the readiness page, and count a send as unknown until it is answered

A request whose time ran out before the head of its answer was refused as not run although it had been sent.

--- a/src/carobstair/edge/relay.py
+++ b/src/carobstair/edge/relay.py
@@ -150,11 +150,16 @@
         loads = self.dispatcher.loads
         sent = loads.begin(entry.upstream_id, exchange.terms.prompt, now_s)
         kept = False
+        ran_before = exchange.may_have_run
+        # From here on the outcome is unknown until the upstream has told it.
+        exchange.may_have_run = True
         try:
             connection.send(self._head(exchange, entry, now_s), exchange.body)
             try:
                 outcome = await self._relay(exchange, entry, connection, sent, send)
                 kept = outcome is not Outcome.UNKNOWN
+                if outcome is Outcome.NOT_RUN:
+                    exchange.may_have_run = ran_before
             except ConnectionBroken as error:
                 exchange.detail = str(error)
                 outcome = Outcome.UNKNOWN
@@ -178,7 +183,6 @@
         exchange.avoided.add(entry.upstream_id)
         if outcome is not Outcome.NOT_RUN:
             health.note_error(entry.upstream_id, now_s)
-            exchange.may_have_run = True
         again = self._may_send_again(exchange, outcome, now_s)
         logger.info(
             "attempt_failed",
@@ -321,7 +325,6 @@
             exchange.detail = f"declined with {head.status}"
             await _drain(connection)
             return Outcome.NOT_RUN
-        exchange.may_have_run = True
         if exchange.method == "HEAD":
             await self._finish(exchange, head, b"", send)
             # The parser can't know that no body follows.
--- a/src/carobstair/edge/server.py
+++ b/src/carobstair/edge/server.py
@@ -37,6 +37,9 @@
     def __init__(self, app, host: str, port: int):
         config = uvicorn.Config(
             app,
+            # Left to itself, uvicorn takes a bound method for an older interface.
+            interface="asgi3",
+            proxy_headers=False,
             loop="none",
             http=BorderProtocol,
             lifespan="off",
