Admit by max-min shares of the engines' tokens

Cause: a few workspaces ask for many times their share, engines admit in order of arrival, and everybody is late.

--- a/src/carobstair/core/dispatch.py
+++ b/src/carobstair/core/dispatch.py
@@ -88,6 +88,11 @@
             until_s = now_s + pool.cold_start_s
             self.directory.mark_cold(entry.upstream_id, until_s)
 
+    def fitness(self, service: str, now_s: float) -> float:
+        """Return which part of a service's listed upstreams can be used."""
+        usable, listed = self.directory.counts(service, now_s)
+        return usable / listed if listed else 1.0
+
     def rank(self, upstream_id: str) -> int:
         """Return this router's place among all for an upstream."""
         own = _weight(self.name, upstream_id)
@@ -106,4 +111,4 @@
 
 
 def _weight(router: str, upstream_id: str) -> int:
-    return xxhash.xxh64_intdigest(f"{router}/{upstream_id}")
+    return xxhash.xxh64_intdigest(f"{router}/{upstream_id}".encode())
--- a/src/carobstair/core/engine_load.py
+++ b/src/carobstair/core/engine_load.py
@@ -23,13 +23,14 @@
 
     Attributes
     ----------
-    prompt_tokens, max_output_tokens : int
+    prompt_tokens, output_tokens : int
+        The output as the caller expects it, or its maximum.
     parts : tuple of (str, int)
         Parts of the prompt in order, each an id with its tokens.
     """
 
     prompt_tokens: int = 0
-    max_output_tokens: int = 0
+    output_tokens: int = 0
     parts: Parts = ()
 
 
--- a/src/carobstair/core/messages.py
+++ b/src/carobstair/core/messages.py
@@ -32,6 +32,7 @@
     "PROTOCOL_VERSION",
     "CodecError",
     "DemandEntry",
+    "DemandRow",
     "DemandUpdate",
     "Envelope",
     "EpochAck",
@@ -293,6 +294,14 @@
     tokens: int
 
 
+class DemandRow(msgspec.Struct, frozen=True, array_like=True):
+    """Weighted tokens a second that callers ask of the sender."""
+
+    pool: str
+    workspace: str
+    rate: float
+
+
 class FleetDigest(msgspec.Struct, frozen=True, array_like=True):
     """Load of a router, and how new its copy of the store is.
 
@@ -303,6 +312,7 @@
     revisions: dict[str, int]
     loads: list[LoadRow]
     parts: list[PartRow]
+    demands: list[DemandRow] = []
 
 
 class StatePull(msgspec.Struct, frozen=True, array_like=True):
--- a/src/carobstair/edge/front.py
+++ b/src/carobstair/edge/front.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from carobstair.core.fair_admission import FairAdmission
 from carobstair.core.fleet_view import FleetView
 from carobstair.core.refusals import PROBLEM_JSON, Refusal, refuse
 from carobstair.core.routing import RequestLimits, Route, RoutingTable, ServicePool
@@ -48,6 +49,7 @@
     ----------
     view : FleetView
     relay : Relay
+    admission : FairAdmission
     dialect : Dialect
     metrics : EdgeMetrics
     rng : random.Random
@@ -59,6 +61,7 @@
         self,
         view: FleetView,
         relay: Relay,
+        admission: FairAdmission,
         dialect: Dialect,
         metrics: EdgeMetrics,
         rng: random.Random,
@@ -66,6 +69,7 @@
     ):
         self._view = view
         self._relay = relay
+        self._admission = admission
         self._dialect = dialect
         self._metrics = metrics
         self._rng = rng
@@ -95,6 +99,7 @@
                 exchange = self._exchange(
                     scope, table, terms, route, workspace, body, arrived_s
                 )
+                self._check_share(exchange, limits)
                 watcher = asyncio.create_task(caller.watch(task))
                 await self._relay.run(exchange, send)
                 outcome = "answered"
@@ -110,6 +115,12 @@
                     raise
                 outcome = "caller_left"
                 task.uncancel()
+            except Exception:
+                outcome = "internal-error"
+                logger.exception("request_failed", request_id=_given_id(scope))
+                if exchange is not None and exchange.started:
+                    raise
+                await self._refuse(scope, send, refuse("internal-error"))
         finally:
             if watcher is not None:
                 watcher.cancel()
@@ -203,6 +214,27 @@
             raise refuse("no-capacity", route.name, 0.5)
         return table.services[service]
 
+    def _check_share(self, exchange: Exchange, limits: RequestLimits) -> None:
+        """Refuse what goes beyond the workspace's share of busy engines."""
+        pool, prompt = exchange.pool, exchange.terms.prompt
+        if pool.engine is None or not limits.tokens_per_s or not exchange.workspace:
+            return
+        now_s = time.monotonic()
+        weight = self._admission.settings.output_weight
+        verdict = self._admission.decide(
+            pool.name,
+            exchange.workspace,
+            prompt.prompt_tokens + weight * prompt.output_tokens,
+            limits.tokens_per_s * self._relay.dispatcher.fitness(pool.name, now_s),
+            now_s,
+        )
+        if verdict.admitted:
+            return
+        exchange.detail = f"share {verdict.share:.0f} of demand {verdict.demand:.0f}"
+        # Spread, so that those refused together don't come back together.
+        wait_s = verdict.retry_after_s * self._rng.uniform(0.7, 1.3)
+        raise refuse("overloaded", exchange.detail, wait_s)
+
     # Ends
 
     async def _refuse(self, scope, send, refusal: Refusal) -> None:
--- a/src/carobstair/edge/gossip.py
+++ b/src/carobstair/edge/gossip.py
@@ -12,8 +12,10 @@
 from collections.abc import Callable
 
 from carobstair.core.engine_load import LoadBook
+from carobstair.core.fair_admission import FairAdmission
 from carobstair.core.fleet_view import FleetView, StateKind, StoreChange, StoreTrust
 from carobstair.core.messages import (
+    DemandRow,
     Envelope,
     FleetDigest,
     LoadRow,
@@ -50,6 +52,7 @@
     view : FleetView
     trust : StoreTrust
     loads : LoadBook
+    admission : FairAdmission
     rng : random.Random
     on_news : callable
         Called with the kind and the names that changed.
@@ -63,6 +66,7 @@
         view: FleetView,
         trust: StoreTrust,
         loads: LoadBook,
+        admission: FairAdmission,
         rng: random.Random,
         on_news: Callable[[StateKind, list[str]], None],
     ):
@@ -72,6 +76,7 @@
         self._view = view
         self._trust = trust
         self._loads = loads
+        self._admission = admission
         self._rng = rng
         self._on_news = on_news
         self._peers: dict[str, PeerAddress] = {}
@@ -106,7 +111,7 @@
         """Close the link to a router that has left."""
         if self._peers.pop(name, None) is not None:
             self._transport.disconnect(name)
-            self._loads.forget_peer(name)
+            self._forget_load(name)
             self._heard_s.pop(name, None)
 
     async def run(self) -> None:
@@ -142,16 +147,21 @@
             self._view.revisions(),
             [LoadRow(*row) for row in self._loads.own_rows()],
             [PartRow(*row) for row in self._loads.take_part_news(MAX_PART_ROWS)],
+            [DemandRow(*row) for row in self._admission.own_rows(time.monotonic())],
         )
 
     def _forget_silent(self, now_s: float) -> None:
         for name, heard_s in list(self._heard_s.items()):
             if now_s - heard_s > self._settings.sync.peer_silence_s:
                 del self._heard_s[name]
-                self._loads.forget_peer(name)
+                self._forget_load(name)
                 self._transport.reconnect(name)
                 logger.info("peer_lost", peer=name)
 
+    def _forget_load(self, name: str) -> None:
+        self._loads.forget_peer(name)
+        self._admission.forget_peer(name)
+
     # Messages
 
     def _on_digest(self, envelope: Envelope, digest: FleetDigest) -> None:
@@ -166,6 +176,9 @@
         self._loads.note_peer(
             peer, ((r.upstream, r.backlog_tokens, r.running) for r in digest.loads)
         )
+        self._admission.note_peer(
+            peer, ((r.pool, r.workspace, r.rate) for r in digest.demands)
+        )
         for row in digest.parts:
             self._loads.note_part(row.upstream, row.part, row.tokens)
         self._compare(peer, digest.revisions, now_s)
--- a/src/carobstair/edge/router.py
+++ b/src/carobstair/edge/router.py
@@ -16,6 +16,7 @@
 from carobstair.core.directory import UpstreamDirectory
 from carobstair.core.dispatch import Dispatcher
 from carobstair.core.engine_load import LoadBook
+from carobstair.core.fair_admission import FairAdmission
 from carobstair.core.fleet_view import FleetView, StateKind, StoreTrust
 from carobstair.core.messages import PeerAddress
 from carobstair.core.send_limits import ColdSendLimit, ResendLimit
@@ -103,11 +104,13 @@
             ResendLimit(settings.send_limits),
             self._rng,
         )
+        self._admission = FairAdmission(settings.admission)
         self._connections = UpstreamPool()
         relay = Relay(self._dispatcher, self._connections, platform.dialect)
         self.front = Front(
             self.view,
             relay,
+            self._admission,
             platform.dialect,
             self.metrics,
             self._rng,
@@ -136,6 +139,7 @@
             self.view,
             self._trust,
             self._loads,
+            self._admission,
             self._rng,
             self._on_news,
         )
--- a/src/carobstair/edge/settings.py
+++ b/src/carobstair/edge/settings.py
@@ -6,6 +6,7 @@
 
 from carobstair.core.directory import DirectorySettings
 from carobstair.core.engine_load import PlacementSettings
+from carobstair.core.fair_admission import AdmissionSettings
 from carobstair.core.send_limits import SendLimitSettings
 from carobstair.core.upstream_health import HealthSettings
 
@@ -80,5 +81,6 @@
     send_limits: SendLimitSettings = SendLimitSettings()
     placement: PlacementSettings = PlacementSettings()
     health: HealthSettings = HealthSettings()
+    admission: AdmissionSettings = AdmissionSettings()
     directory: DirectorySettings = DirectorySettings()
     max_open_requests: int = Field(2_000, ge=1)
--- a/src/carobstair/platform/headers.py
+++ b/src/carobstair/platform/headers.py
@@ -23,6 +23,8 @@
 EXPECT_INSTANCE = b"carobstair-expect-instance"
 TOKEN_COUNTS = b"carobstair-token-counts"
 PROMPT_PREFIX = b"carobstair-prompt-prefix"
+# The caller's estimate of the output tokens: right at the median, often far off.
+LENGTH_HINT = b"carobstair-length-hint"
 LAST_EVENT_ID = b"last-event-id"
 NOT_EXECUTED = b"carobstair-not-executed"
 ENGINE_LOAD = b"carobstair-engine-load"
@@ -91,7 +93,11 @@
             found.get(b"host", b"").decode("latin-1"),
             deadline_s,
             None if key is None else key.decode("latin-1"),
-            _read_prompt(found.get(TOKEN_COUNTS), found.get(PROMPT_PREFIX)),
+            _read_prompt(
+                found.get(TOKEN_COUNTS),
+                found.get(PROMPT_PREFIX),
+                found.get(LENGTH_HINT, b""),
+            ),
             None if last_event_id is None else last_event_id.decode("latin-1"),
         )
 
@@ -134,12 +140,16 @@
     }
 
 
-def _read_prompt(counts: bytes | None, prefix: bytes | None) -> PromptShape:
+def _read_prompt(
+    counts: bytes | None, prefix: bytes | None, hint: bytes
+) -> PromptShape:
     """Return the sizes of a prompt; values that make no sense count as absent."""
     numbers = [part.strip() for part in (counts or b"").split(b",")]
     if len(numbers) != 2 or not all(map(INTEGER.fullmatch, numbers)):
         return PromptShape()
     prompt_tokens, output_tokens = (min(int(n), MAX_TOKENS) for n in numbers)
+    if INTEGER.fullmatch(hint):
+        output_tokens = min(output_tokens, int(hint))
     parts = []
     for entry in (prefix or b"").split(b",")[:MAX_PARTS]:
         part, _, tokens = entry.strip().partition(b":")
