--- a/src/carobstair/core/dispatch.py
+++ b/src/carobstair/core/dispatch.py
@@ -93,6 +93,13 @@
         usable, listed = self.directory.counts(service, now_s)
         return usable / listed if listed else 1.0
 
+    def has_room(self, service: str, now_s: float) -> bool:
+        """Return whether an engine would begin a request without much delay."""
+        return any(
+            self.loads.has_room(entry.upstream_id, entry.slots)
+            for entry in self.directory.usable(service, now_s)
+        )
+
     def rank(self, upstream_id: str) -> int:
         """Return this router's place among all for an upstream."""
         own = _weight(self.name, upstream_id)
--- a/src/carobstair/core/engine_load.py
+++ b/src/carobstair/core/engine_load.py
@@ -51,6 +51,11 @@
         Delay by each request that runs: the step grows with the batch.
     other_zone_s : float
         Cost of leaving the zone, for the hop and the bytes.
+    room_wait_s : float
+        Wait for prompts ahead below which an engine has room.
+    room_slots : float
+        Part of an engine's slots below which it has room; beyond, each token
+        takes so long that long answers miss their deadline.
     held_parts : int
         Parts that are remembered for one engine; older ones count as evicted.
     """
@@ -60,6 +65,8 @@
     unread_weight: float = 4.0
     running_s: float = 0.002
     other_zone_s: float = 0.005
+    room_wait_s: float = 0.1
+    room_slots: float = 0.5
     held_parts: int = 600
 
 
@@ -233,6 +240,14 @@
         tokens += self.unread_tokens(upstream_id, prompt)
         return tokens / self.settings.read_tokens_per_s
 
+    def has_room(self, upstream_id: str, slots: int) -> bool:
+        """Return whether a request would begin without much delay."""
+        rules = self.settings
+        wait_s = self.backlog_tokens(upstream_id) / rules.read_tokens_per_s
+        if wait_s > rules.room_wait_s:
+            return False
+        return not slots or self.running(upstream_id) < rules.room_slots * slots
+
     def order(
         self,
         candidates: Iterable[tuple[str, str]],
--- a/src/carobstair/edge/front.py
+++ b/src/carobstair/edge/front.py
@@ -228,7 +228,7 @@
             limits.tokens_per_s * self._relay.dispatcher.fitness(pool.name, now_s),
             now_s,
         )
-        if verdict.admitted:
+        if verdict.admitted or self._relay.dispatcher.has_room(pool.name, now_s):
             return
         exchange.detail = f"share {verdict.share:.0f} of demand {verdict.demand:.0f}"
         # Spread, so that those refused together don't come back together.
