--- a/src/carobstair/core/engine_load.py
+++ b/src/carobstair/core/engine_load.py
@@ -65,8 +65,8 @@
     unread_weight: float = 4.0
     running_s: float = 0.002
     other_zone_s: float = 0.005
-    room_wait_s: float = 0.1
-    room_slots: float = 0.5
+    room_wait_s: float = 0.02
+    room_slots: float = 0.2
     held_parts: int = 600
 
 
--- /dev/null
+++ b/tests/platform_world.py
@@ -0,0 +1,342 @@
+"""Stand-ins of the users' platform: a store and upstreams on loopback.
+
+The upstream is scripted: a list of behaviours, one for each request that comes in.
+"""
+
+import asyncio
+import itertools
+import json
+
+SEAL = "seal"
+PART_TOKENS = 5
+
+
+def make_server(port, **changes):
+    """Return the entry of an upstream that is ready."""
+    entry = {
+        "service": "plain",
+        "address": f"127.0.0.1:{port}",
+        "zone": "a",
+        "version": "v1",
+        "slots": 8,
+        "state": "ready",
+        "coldRemainingMs": 0,
+        "sequence": 1,
+        "born": 1,
+    }
+    return entry | changes
+
+
+def make_route(prefix, **changes):
+    """Return a route of a configuration."""
+    route = {
+        "name": f"r{prefix}",
+        "host": "api.test",
+        "pathPrefix": prefix,
+        "kind": "safe",
+        "timeoutMs": 1000,
+        "targetLatencyMs": 200,
+        "priority": 1,
+        "service": "plain",
+        "maxAttempts": 2,
+        "public": False,
+        "resumable": False,
+    }
+    return route | changes
+
+
+def make_config(version=1, **changes):
+    """Return a configuration with a route for each kind of request."""
+    config = {
+        "version": version,
+        "routes": [
+            make_route("/safe/"),
+            make_route("/unsafe/", kind="unsafe"),
+            make_route("/stream/", kind="streaming", timeoutMs=2000),
+            make_route("/resume/", kind="streaming", resumable=True, timeoutMs=2000),
+            make_route("/open/", public=True),
+        ],
+        "services": [{"name": "plain", "healthPath": "/health", "maxConnections": 90}],
+        "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 100000},
+        "tenants": [{"name": "team", "apiKeys": ["key1"]}],
+    }
+    return config | changes
+
+
+def make_script(text):
+    """Return the behaviours named in a text; the last one repeats."""
+    names = text.split()
+    return itertools.chain(names, itertools.repeat(names[-1]))
+
+
+class HttpStandIn:
+    """A small HTTP/1.1 server that hands requests to `respond`."""
+
+    def __init__(self):
+        self.port = 0
+        self.connections = 0
+        self._server = None
+        self._writers = set()
+
+    async def start(self):
+        """Listen on a free port."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+        return self
+
+    async def stop(self):
+        """Close the listener and all connections."""
+        self._server.close()
+        for writer in self._writers:
+            writer.transport.abort()
+
+    async def _serve(self, reader, writer):
+        self.connections += 1
+        self._writers.add(writer)
+        try:
+            while await self._one(reader, writer):
+                pass
+        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            # The other side is gone, or the test has ended.
+            pass
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+    async def _one(self, reader, writer):
+        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
+        method, target, _ = head[0].split(" ")
+        headers = [
+            (name.lower(), value.strip())
+            for name, _, value in (line.partition(":") for line in head[1:] if line)
+        ]
+        length = int(dict(headers).get("content-length", 0))
+        body = await reader.readexactly(length)
+        request = Request(method, target, headers, body)
+        return await self.respond(request, writer)
+
+    async def respond(self, request, writer):
+        """Answer a request; return whether the connection is kept."""
+        raise NotImplementedError
+
+
+class Request:
+    """A request as it came in."""
+
+    def __init__(self, method, target, headers, body):
+        self.method, self.target, self.body = method, target, body
+        self.pairs = headers
+        self.headers = dict(headers)
+
+
+class StoreStandIn(HttpStandIn):
+    """The platform's store, as far as routers use it."""
+
+    def __init__(self):
+        super().__init__()
+        self.objects = {}
+        self.events = []
+        self.revision = 1
+        self.oldest = 0
+        self.down = False
+        self.calls = 0
+        self._changed = asyncio.Event()
+
+    def put(self, kind, name, spec):
+        """Write an object as the operator or an upstream does."""
+        self.revision += 1
+        metadata = {"name": name, "revision": self.revision}
+        stored = {"metadata": metadata, "spec": spec}
+        self.objects[kind, name] = stored
+        self._note(kind, stored, False)
+
+    def delete(self, kind, name):
+        """Remove an object."""
+        stored = self.objects.pop((kind, name))
+        self.revision += 1
+        metadata = {"name": name, "revision": self.revision}
+        self._note(kind, stored | {"metadata": metadata}, True)
+
+    def forget_history(self):
+        """Drop the changes so far, as a compaction does."""
+        self.oldest = self.revision
+        self.events.clear()
+
+    async def respond(self, request, writer):
+        """Answer a call."""
+        self.calls += 1
+        if self.down:
+            writer.transport.abort()
+            return False
+        path, _, query = request.target.partition("?")
+        options = dict(part.split("=") for part in query.split("&") if part)
+        kind, _, name = path.removeprefix("/v1/objects/").partition("/")
+        if request.method == "GET":
+            status, document = await self._read(kind, options)
+        else:
+            status, document = self._write(request, kind, name)
+        body = json.dumps(document).encode()
+        writer.write(
+            f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n\r\n".encode()
+            + body
+        )
+        return True
+
+    async def _read(self, kind, options):
+        if "watch" not in options:
+            after = options.get("after", "")
+            names = sorted(n for k, n in self.objects if k == kind and n > after)
+            # Two entries a page, so that every list has pages.
+            entries = [self.objects[kind, n] for n in names[:2]]
+            more = len(names) > 2
+            answer = {"entries": entries, "hasMore": more, "currentRev": self.revision}
+            return 200, answer
+        since = int(options["watch"])
+        if since < self.oldest:
+            return 410, {}
+        until = asyncio.get_running_loop().time() + int(options["waitMs"]) / 1000
+        while True:
+            news = [e for k, r, e in self.events if k == kind and r > since]
+            left_s = until - asyncio.get_running_loop().time()
+            if news or left_s <= 0:
+                return 200, {"events": news, "currentRev": self.revision}
+            self._changed = asyncio.Event()
+            try:
+                await asyncio.wait_for(self._changed.wait(), left_s)
+            except TimeoutError:
+                continue
+
+    def _write(self, request, kind, name):
+        if request.method == "DELETE":
+            if (kind, name) not in self.objects:
+                return 404, {}
+            self.delete(kind, name)
+            return 200, {}
+        document = json.loads(request.body)
+        name = name or document["metadata"]["name"]
+        if request.method == "POST" and (kind, name) in self.objects:
+            return 409, self.objects[kind, name]
+        self.put(kind, name, document["spec"])
+        return 200, self.objects[kind, name]
+
+    def _note(self, kind, stored, deleted):
+        event = {"object": stored, "deleted": deleted}
+        self.events.append((kind, self.revision, event))
+        self._changed.set()
+
+
+class UpstreamStandIn(HttpStandIn):
+    """A service or engine whose answers follow a script.
+
+    Parameters
+    ----------
+    script : iterator of str
+        Behaviour for each request in turn; several upstreams may share it.
+    """
+
+    def __init__(self, script):
+        super().__init__()
+        self.requests = []
+        self._script = script
+        self.left = 0
+
+    async def respond(self, request, writer):
+        """Answer as the script says."""
+        self.requests.append(request)
+        behaviour = next(self._script)
+        return await getattr(self, "_" + behaviour)(request, writer)
+
+    def _head(self, request, status=200, extra=(), seal=True):
+        lines = [f"HTTP/1.1 {status} X"]
+        identity = request.headers["carobstair-attempt-id"]
+        lines.append(f"Carobstair-Attempt-Id: {identity}")
+        if seal:
+            lines.append(f"Carobstair-Response-Seal: {SEAL}")
+        return ("\r\n".join([*lines, *extra]) + "\r\n\r\n").encode()
+
+    def _whole(self, request, status=200, body=b"whole"):
+        return self._head(request, status, [f"Content-Length: {len(body)}"]) + body
+
+    async def _ok(self, request, writer):
+        writer.write(self._whole(request))
+        return True
+
+    async def _error(self, request, writer):
+        writer.write(self._whole(request, 500, b"failed"))
+        return True
+
+    async def _full(self, request, writer):
+        extra = ["Carobstair-Not-Executed: 1", "Content-Length: 0"]
+        writer.write(self._head(request, 503, extra, seal=False))
+        return True
+
+    async def _busy_without_word(self, request, writer):
+        writer.write(self._whole(request, 503, b"?"))
+        return True
+
+    async def _reset(self, request, writer):
+        writer.transport.abort()
+        return False
+
+    async def _junk(self, request, writer):
+        writer.write(b"no answer in the protocol\r\n\r\n")
+        return True
+
+    async def _truncated(self, request, writer):
+        writer.write(self._head(request, 200, ["Content-Length: 100"]) + b"begin")
+        await writer.drain()
+        return False
+
+    async def _extra(self, request, writer):
+        writer.write(self._whole(request) + self._whole(request, body=b"extra"))
+        return True
+
+    async def _late_extra(self, request, writer):
+        writer.write(self._whole(request))
+        await asyncio.sleep(0.05)
+        writer.write(self._whole(request, body=b"extra"))
+        return True
+
+    async def _other_id(self, request, writer):
+        other = Request("GET", "/", [("carobstair-attempt-id", "other")], b"")
+        writer.write(self._whole(other, body=b"not yours") + self._whole(request))
+        return True
+
+    async def _unsealed(self, request, writer):
+        writer.write(self._head(request, 200, ["Content-Length: 2"], False) + b"no")
+        return True
+
+    async def _no_length(self, request, writer):
+        writer.write(self._head(request) + b"until the end")
+        await writer.drain()
+        return False
+
+    async def _hang(self, request, writer):
+        try:
+            await asyncio.sleep(30)
+        finally:
+            self.left += 1
+        return False
+
+    def _event(self, number):
+        event = b"id: %d\ndata: part\n\n" % number
+        return b"%x\r\n%s\r\n" % (len(event), event)
+
+    async def _stream(self, request, writer, cut_at=None):
+        writer.write(self._head(request, 200, ["Transfer-Encoding: chunked"]))
+        first = int(request.headers.get("last-event-id", 0)) + 1
+        for number in range(first, 6):
+            if number == cut_at:
+                writer.write(b"%x\r\n%s\r\n" % (8, b"id: 3\nda"))
+                await writer.drain()
+                await asyncio.sleep(0.02)
+                writer.transport.abort()
+                return False
+            writer.write(self._event(number))
+            await writer.drain()
+            await asyncio.sleep(0.01)
+        writer.write(b"0\r\n\r\n")
+        return True
+
+    async def _cut_stream(self, request, writer):
+        return await self._stream(request, writer, cut_at=3)
--- /dev/null
+++ b/tests/test_send_limits.py
@@ -0,0 +1,181 @@
+"""Tests of limits that hold in sum over all routers."""
+
+import random
+import unittest
+
+from carobstair.core.directory import UpstreamDirectory
+from carobstair.core.dispatch import Dispatcher
+from carobstair.core.engine_load import LoadBook, PlacementSettings, PromptShape
+from carobstair.core.routing import EngineShape, ServicePool
+from carobstair.core.send_limits import (
+    ColdSendLimit,
+    ResendLimit,
+    SendLimitSettings,
+)
+from carobstair.core.upstream_health import UpstreamHealth
+from test_directory import make_entry
+
+SETTINGS = SendLimitSettings(1.5, 5.0, 0.2, 52.0, 10.0)
+POOL = ServicePool("model", cold_start_s=3.0, cold_rate=10.0, engine=EngineShape(8, 0))
+
+
+def make_dispatcher(name="r0", routers=("r0",), started_s=0.0):
+    """Return a dispatcher of one router among others."""
+    return Dispatcher(
+        name,
+        UpstreamDirectory(),
+        LoadBook(PlacementSettings(), "a"),
+        UpstreamHealth(),
+        ColdSendLimit(SETTINGS, started_s),
+        ResendLimit(SETTINGS),
+        random.Random(1),
+        frozenset(routers),
+    )
+
+
+class ColdSendLimitTest(unittest.TestCase):
+    """Guards against a cold upstream that falls over under the sum of all."""
+
+    def send_all(self, routers, seconds):
+        """Return send times when every router sends as much as it may."""
+        names = [f"r{i}" for i in range(routers)]
+        fleet = [make_dispatcher(name, names, -10.0) for name in names]
+        for dispatcher in fleet:
+            dispatcher.directory.put(make_entry(cold_s=1000.0), 1, 0.0)
+        entry = make_entry()
+        return [
+            step / 100
+            for step in range(int(seconds * 100))
+            for dispatcher in fleet
+            if dispatcher.confirm(entry, POOL, step / 100)
+        ]
+
+    def test_sum_over_routers_stays_within_rate_and_slack(self):
+        for routers in (1, 2, 6, 8, 30, 84):
+            times = self.send_all(routers, 4.0)
+            worst = max(sum(t <= u < t + 1.0 for u in times) for t in times)
+            with self.subTest(routers=routers):
+                self.assertLessEqual(worst, 20)
+                # Cold capacity is used: the upstream bears ten a second.
+                self.assertGreaterEqual(len(times) / 4.0, 8)
+
+    def test_restarted_router_does_not_spend_its_part_twice(self):
+        dispatcher = make_dispatcher(started_s=5.0)
+        dispatcher.directory.put(make_entry(cold_s=100.0), 1, 5.0)
+        self.assertFalse(dispatcher.confirm(make_entry(), POOL, 5.5))
+        self.assertTrue(dispatcher.confirm(make_entry(), POOL, 6.2))
+
+    def test_upstream_that_was_unreachable_counts_as_cold(self):
+        dispatcher = make_dispatcher(started_s=-10.0)
+        dispatcher.directory.put(make_entry(), 1, 0.0)
+        dispatcher.note_unreachable(make_entry(), POOL, 1.0)
+        sent = sum(dispatcher.confirm(make_entry(), POOL, 2.0) for _ in range(100))
+        self.assertLessEqual(sent, 20)
+
+    def test_sends_before_it_turned_cold_count(self):
+        dispatcher = make_dispatcher(started_s=-10.0)
+        dispatcher.directory.put(make_entry(), 1, 0.0)
+        for _ in range(50):
+            self.assertTrue(dispatcher.confirm(make_entry(), POOL, 1.0))
+        dispatcher.directory.mark_cold("u1", 9.0)
+        self.assertFalse(dispatcher.confirm(make_entry(), POOL, 1.1))
+
+
+class ResendLimitTest(unittest.TestCase):
+    """Guards against retries that amplify an overload beyond the fleet's budget."""
+
+    def test_sum_over_routers_stays_within_ratio_and_slack(self):
+        fleet = [ResendLimit(SETTINGS) for _ in range(8)]
+        requests, resends = [], []
+        rng = random.Random(3)
+        for step in range(4000):
+            now_s = step / 100
+            limit = rng.choice(fleet)
+            limit.note_request("model", now_s)
+            requests.append(now_s)
+            for _ in range(3):
+                if limit.take("model", len(fleet), now_s):
+                    resends.append(now_s)
+        for end in range(10, 40):
+            asked = sum(end - 10 <= t < end for t in requests)
+            again = sum(end - 10 <= t < end for t in resends)
+            self.assertLessEqual(again, 0.2 * asked + 52.0)
+        self.assertGreater(len(resends), 100)
+
+
+class PlacementTest(unittest.TestCase):
+    """Guards against prompts that are read again, or pile up on one engine."""
+
+    def test_request_goes_where_its_parts_are_held(self):
+        dispatcher = make_dispatcher(started_s=-10.0)
+        for number in range(4):
+            dispatcher.directory.put(make_entry(f"u{number}"), number + 1, 0.0)
+        prompt = PromptShape(6000, 100, (("p", 5000), ("own", 1000)))
+        first = dispatcher.choose(POOL, prompt, (), 1.0)
+        sent = dispatcher.loads.begin(first.upstream_id, prompt, 1.0)
+        dispatcher.loads.note_first_byte(sent, 1.1)
+        dispatcher.loads.end(sent, 1.2)
+        again = PromptShape(6000, 100, (("p", 5000), ("other", 1000)))
+        for _ in range(5):
+            chosen = dispatcher.choose(POOL, again, (), 2.0)
+            self.assertEqual(chosen.upstream_id, first.upstream_id)
+
+    def test_hot_part_spreads_before_its_engine_becomes_the_bottleneck(self):
+        dispatcher = make_dispatcher(started_s=-10.0)
+        for number in range(4):
+            dispatcher.directory.put(make_entry(f"u{number}"), number + 1, 0.0)
+        used = set()
+        for number in range(40):
+            prompt = PromptShape(2000, 100, (("hot", 1000), (f"o{number}", 1000)))
+            chosen = dispatcher.choose(POOL, prompt, (), 1.0).upstream_id
+            dispatcher.loads.begin(chosen, prompt, 1.0)
+            used.add(chosen)
+        self.assertEqual(len(used), 4)
+
+    def test_backlog_that_peers_tell_counts(self):
+        dispatcher = make_dispatcher(started_s=-10.0)
+        dispatcher.directory.put(make_entry("u0"), 1, 0.0)
+        dispatcher.directory.put(make_entry("u1"), 2, 0.0)
+        dispatcher.loads.note_peer("r1", [("u0", 50_000, 3)])
+        prompt = PromptShape(1000, 10)
+        chosen = dispatcher.choose(POOL, prompt, (), 1.0)
+        self.assertEqual(chosen.upstream_id, "u1")
+        dispatcher.loads.forget_peer("r1")
+        self.assertEqual(dispatcher.loads.backlog_tokens("u0"), 0)
+
+
+class HealthTest(unittest.TestCase):
+    """Guards against requests that keep going to a failing upstream."""
+
+    def setUp(self):
+        self.health = UpstreamHealth()
+
+    def test_failing_upstream_is_put_behind_its_peers_and_tried_again(self):
+        for step in range(20):
+            self.health.note_error("bad", step / 10)
+            self.health.note_success("good", step / 10)
+            self.health.note_success("fine", step / 10)
+        ids = ["bad", "good", "fine"]
+        self.assertEqual(self.health.preferred(ids, {}, 2.0), {"good", "fine"})
+        self.assertEqual(self.health.preferred(ids, {}, 12.0), set(ids))
+
+    def test_all_are_used_where_all_fail(self):
+        for step in range(20):
+            for upstream in ("a", "b"):
+                self.health.note_error(upstream, step / 10)
+        self.assertEqual(self.health.preferred(["a", "b"], {}, 2.0), {"a", "b"})
+
+    def test_silent_upstream_is_avoided_while_it_owes_an_answer(self):
+        sound = self.health.preferred(["a", "b", "c"], {"a": 2.0}, 2.0)
+        self.assertEqual(sound, {"b", "c"})
+
+    def test_unreachable_upstream_rests_for_longer_each_time(self):
+        self.health.note_unreachable("a", 0.0)
+        self.assertEqual(self.health.preferred(["a", "b"], {}, 0.2), {"b"})
+        self.assertEqual(self.health.preferred(["a", "b"], {}, 0.4), {"a", "b"})
+        self.health.note_unreachable("a", 0.4)
+        self.assertEqual(self.health.preferred(["a", "b"], {}, 0.9), {"b"})
+
+
+if __name__ == "__main__":
+    unittest.main()
