--- a/src/carobstair/core/directory.py
+++ b/src/carobstair/core/directory.py
@@ -173,10 +173,10 @@
         listed = list(self._by_service.get(service, {}).values())
         return [u.entry for u in listed if self.is_usable(u.entry, now_s)]
 
-    def counts(self, service: str, now_s: float) -> tuple[int, int]:
-        """Return how many upstreams may be sent requests, and how many are listed."""
+    def counts(self, service: str, now_s: float) -> tuple[list[UpstreamEntry], int]:
+        """Return the upstreams that may be sent requests, and how many are listed."""
         listed = len(self._by_service.get(service, ()))
-        return len(self.usable(service, now_s)), listed
+        return self.usable(service, now_s), listed
 
     def ids(self) -> list[str]:
         """Return the ids of all known upstreams."""
--- a/src/carobstair/core/dispatch.py
+++ b/src/carobstair/core/dispatch.py
@@ -89,9 +89,18 @@
             self.directory.mark_cold(entry.upstream_id, until_s)
 
     def fitness(self, service: str, now_s: float) -> float:
-        """Return which part of a service's listed upstreams can be used."""
-        usable, listed = self.directory.counts(service, now_s)
-        return usable / listed if listed else 1.0
+        """Return which part of their nominal throughput the engines give now.
+
+        Engines that are gone give nothing. Where prompts pile up although the
+        demand is within the nominal throughput, engines are slow or fail, and
+        less is let in until the backlog is read.
+        """
+        entries, listed = self.directory.counts(service, now_s)
+        if not entries:
+            return 1.0
+        wait_s = self.loads.mean_wait_s([entry.upstream_id for entry in entries])
+        pressure = max(1.0, wait_s / self.loads.settings.bearable_wait_s)
+        return len(entries) / listed / pressure
 
     def has_room(self, service: str, now_s: float) -> bool:
         """Return whether an engine would begin a request without much delay."""
--- a/src/carobstair/core/engine_load.py
+++ b/src/carobstair/core/engine_load.py
@@ -9,11 +9,14 @@
 
 import random
 from collections import OrderedDict
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
 
 __all__ = ["LoadBook", "PlacementSettings", "PromptShape", "SentRequest"]
 
+# Memory of an engine until the configuration names it.
+DEFAULT_KV_TOKENS = 500_000
+
 Parts = tuple[tuple[str, int], ...]
 
 
@@ -56,8 +59,12 @@
     room_slots : float
         Part of an engine's slots below which it has room; beyond, each token
         takes so long that long answers miss their deadline.
-    held_parts : int
-        Parts that are remembered for one engine; older ones count as evicted.
+    bearable_wait_s : float
+        Mean wait for prompts ahead from which less is admitted: half of the
+        shortest objective for the first token, 400 ms.
+    held_fraction : float
+        Part of an engine's memory that is taken to hold known parts; the rest
+        goes to running requests and to parts that only peers know.
     """
 
     read_tokens_per_s: float = 56_600.0
@@ -67,7 +74,8 @@
     other_zone_s: float = 0.005
     room_wait_s: float = 0.02
     room_slots: float = 0.2
-    held_parts: int = 600
+    bearable_wait_s: float = 0.2
+    held_fraction: float = 0.5
 
 
 @dataclass(slots=True)
@@ -91,14 +99,22 @@
     reported_slots: int = 0
     reported_s: float = -1.0
     held: OrderedDict[str, int] = field(default_factory=OrderedDict)
+    held_tokens: int = 0
 
 
 @dataclass(slots=True)
 class LoadBook:
-    """Load per upstream: own requests, what peers say and what answers carry."""
+    """Load per upstream: own requests, what peers say and what answers carry.
+
+    Attributes
+    ----------
+    kv_tokens : int
+        Memory of one engine.
+    """
 
     settings: PlacementSettings
     zone: str
+    kv_tokens: int = DEFAULT_KV_TOKENS
     _loads: dict[str, _Load] = field(default_factory=dict)
     _peers: dict[str, dict[str, tuple[int, int]]] = field(default_factory=dict)
     _news: list[tuple[str, str, int]] = field(default_factory=list)
@@ -143,15 +159,18 @@
 
     def note_part(self, upstream_id: str, part: str, tokens: int) -> None:
         """Remember that an engine has read a part or is reading it."""
-        held = self._load(upstream_id).held
-        held[part] = tokens
-        held.move_to_end(part)
-        if len(held) > self.settings.held_parts:
-            held.popitem(last=False)
+        load = self._load(upstream_id)
+        load.held_tokens += tokens - load.held.pop(part, 0)
+        load.held[part] = tokens
+        # The least recently used parts yield, as in the engine.
+        while load.held_tokens > self.settings.held_fraction * self.kv_tokens:
+            load.held_tokens -= load.held.popitem(last=False)[1]
 
     def forget_parts(self, upstream_id: str) -> None:
         """Forget the parts of an engine that has restarted."""
-        self._load(upstream_id).held.clear()
+        load = self._load(upstream_id)
+        load.held.clear()
+        load.held_tokens = 0
 
     def unread_tokens(self, upstream_id: str, prompt: PromptShape) -> int:
         """Return the prompt tokens that an engine would have to read."""
@@ -240,6 +259,11 @@
         tokens += self.unread_tokens(upstream_id, prompt)
         return tokens / self.settings.read_tokens_per_s
 
+    def mean_wait_s(self, upstream_ids: Collection[str]) -> float:
+        """Return the mean wait for the prompts ahead at some engines."""
+        tokens = sum(map(self.backlog_tokens, upstream_ids))
+        return tokens / self.settings.read_tokens_per_s / max(1, len(upstream_ids))
+
     def has_room(self, upstream_id: str, slots: int) -> bool:
         """Return whether a request would begin without much delay."""
         rules = self.settings
--- a/src/carobstair/edge/router.py
+++ b/src/carobstair/edge/router.py
@@ -251,6 +251,10 @@
             for name in names:
                 self._note_router(name)
             return
+        if kind is StateKind.ROUTING and self.view.table is not None:
+            shapes = [p.engine for p in self.view.table.services.values() if p.engine]
+            sizes = [shape.kv_tokens for shape in shapes if shape.kv_tokens]
+            self._loads.kv_tokens = min(sizes, default=self._loads.kv_tokens)
         logger.info(
             "state_changed",
             kind=str(kind),
