Log without blocking, and serve short requests to the end of a stop

Cause: a reader of logs that stops reading would have blocked the event loop; a second SIGTERM ended the process with requests in hand; a stopping router refused plain requests four seconds before its end although they take 30 ms.

--- a/src/carobstair/cli/router.py
+++ b/src/carobstair/cli/router.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import sys
 from pathlib import Path
 from typing import Literal
 
 from carobstair.cli.program import EXIT_USAGE, fail, make_app, read_settings, run
-from carobstair.logs import configure_logging
+from carobstair.logs import LineWriter, configure_logging
 from carobstair.settings import RouterSettings, SettingsError
 
 __all__ = ["main"]
@@ -63,7 +64,8 @@
     if check_settings:
         print(loaded.model_dump_json(indent=2))
         return
-    configure_logging(log_level, zone=loaded.zone)
+    stream = LineWriter(sys.stdout.fileno())
+    configure_logging(log_level, loaded.zone, stream)
 
     async def run_router() -> None:
         await EdgeRouter(loaded, platform_parts(loaded, path)).run()
--- a/src/carobstair/edge/front.py
+++ b/src/carobstair/edge/front.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import math
 import random
 import time
 from collections.abc import Callable
@@ -12,7 +13,13 @@
 from carobstair.core.fair_admission import FairAdmission
 from carobstair.core.fleet_view import FleetView
 from carobstair.core.refusals import PROBLEM_JSON, Refusal, refuse
-from carobstair.core.routing import RequestLimits, Route, RoutingTable, ServicePool
+from carobstair.core.routing import (
+    RequestKind,
+    RequestLimits,
+    Route,
+    RoutingTable,
+    ServicePool,
+)
 from carobstair.edge.metrics import EdgeMetrics
 from carobstair.edge.relay import BrokenAnswer, Exchange, Relay
 from carobstair.edge.terms import BadRequest, Dialect, RequestTerms
@@ -26,6 +33,8 @@
 LONGEST_ANSWER_S = 60.0
 # One line for this many requests that went well; failures are always logged.
 SUCCESS_SAMPLE = 20
+# A new connection reaches another router once this one is out of rotation.
+RETRY_ELSEWHERE_S = 0.3
 
 
 @dataclass(slots=True)
@@ -77,7 +86,9 @@
         self._ended = 0
         self.open_requests: set[asyncio.Task] = set()
         self.closing = False
-        self.refuses_new = False
+        # Monotonic times: streams begin no more, and nothing runs any more.
+        self.last_stream_s = math.inf
+        self.end_s = math.inf
 
     async def __call__(self, scope, receive, send) -> None:
         """Handle one ASGI connection."""
@@ -99,6 +110,7 @@
                 exchange = self._exchange(
                     scope, table, terms, route, workspace, body, arrived_s
                 )
+                self._check_time_left(exchange)
                 self._check_share(exchange, limits)
                 watcher = asyncio.create_task(caller.watch(task))
                 await self._relay.run(exchange, send)
@@ -130,8 +142,6 @@
     # Checks
 
     def _in_force(self) -> tuple[RoutingTable, RequestLimits]:
-        if self.refuses_new:
-            raise refuse("shutting-down")
         table = self._view.table
         if table is None:
             raise refuse("not-ready", retry_after_s=0.5)
@@ -214,6 +224,17 @@
             raise refuse("no-capacity", route.name, 0.5)
         return table.services[service]
 
+    def _check_time_left(self, exchange: Exchange) -> None:
+        """Refuse what would not be finished before this process ends."""
+        if not self.closing:
+            return
+        if exchange.route.kind is RequestKind.STREAM:
+            late = exchange.arrived_s > self.last_stream_s
+        else:
+            late = exchange.until_s > self.end_s
+        if late:
+            raise refuse("shutting-down", retry_after_s=RETRY_ELSEWHERE_S)
+
     def _check_share(self, exchange: Exchange, limits: RequestLimits) -> None:
         """Refuse what goes beyond the workspace's share of busy engines."""
         pool, prompt = exchange.pool, exchange.terms.prompt
@@ -284,6 +305,7 @@
             service=service,
             upstream=exchange.upstream_id,
             outcome=outcome,
+            one_of=SUCCESS_SAMPLE if smooth else None,
             status=exchange.status,
             attempts=exchange.attempts,
             may_have_run=exchange.may_have_run,
--- a/src/carobstair/edge/router.py
+++ b/src/carobstair/edge/router.py
@@ -40,7 +40,6 @@
 logger = get_logger(__name__)
 
 UPKEEP_S = 0.25
-EXIT_FORCED = 1
 
 
 class PlatformParts(msgspec.Struct):
@@ -180,8 +179,7 @@
         os._exit(0)
 
     def _on_signal(self) -> None:
-        if self._stopping.is_set():
-            os._exit(EXIT_FORCED)
+        # A repeated signal changes nothing: what runs still has its grace time.
         self._stopping.set()
 
     def _on_reload(self) -> None:
@@ -203,10 +201,12 @@
         stop = self._settings.stop
         end_s = began_s + stop.grace_s - stop.margin_s
         logger.info("router_stopping", open=len(self.front.open_requests))
+        accept_s = min(stop.accept_s, stop.grace_s / 2)
+        self.front.last_stream_s = began_s + accept_s
+        self.front.end_s = end_s
         self.front.closing = True
         leaving = asyncio.create_task(self._unregister())
-        await asyncio.sleep(min(stop.accept_s, stop.grace_s / 2))
-        self.front.refuses_new = True
+        await asyncio.sleep(accept_s)
         while self.front.open_requests and time.monotonic() < end_s:
             await asyncio.sleep(0.02)
         for task in list(self.front.open_requests):
--- a/src/carobstair/edge/settings.py
+++ b/src/carobstair/edge/settings.py
@@ -59,8 +59,10 @@
     grace_s : float
         Time between the signal to stop and the end of the process by force.
     accept_s : float
-        How long new requests are still taken: the balancer asks once a second
+        How long new streams are still taken: the balancer asks once a second
         and takes a router out after two misses.
+    margin_s : float
+        Time before the end by force at which what still runs is broken off.
     """
 
     grace_s: float = Field(8.0, gt=0, le=3600)
--- a/src/carobstair/logs.py
+++ b/src/carobstair/logs.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import os
 import sys
 import time
 from collections.abc import Callable
@@ -11,7 +12,13 @@
 
 import structlog
 
-__all__ = ["RateLimit", "Suppressed", "configure_logging", "get_logger"]
+__all__ = [
+    "LineWriter",
+    "RateLimit",
+    "Suppressed",
+    "configure_logging",
+    "get_logger",
+]
 
 # A flood of one event must neither fill the disk nor hide the other events.
 EVENTS_PER_INTERVAL = 100
@@ -97,6 +104,39 @@
         return event_dict
 
 
+class LineWriter:
+    """Text stream that drops lines, and counts them, rather than block.
+
+    A reader that stops reading must cost lines, not requests.
+
+    Parameters
+    ----------
+    descriptor : int
+        Open file descriptor; it is set to not block.
+    """
+
+    def __init__(self, descriptor: int):
+        self._descriptor = descriptor
+        self.lost = 0
+        os.set_blocking(descriptor, False)
+
+    def write(self, text: str) -> int:
+        """Write text; what does not fit is lost."""
+        if self.lost:
+            text = f"event=log_lines_lost count={self.lost}\n{text}"
+        data = text.encode(errors="replace")
+        try:
+            written = os.write(self._descriptor, data)
+        except OSError:
+            written = 0
+        # A line that is cut in the middle counts as lost, too.
+        self.lost = 0 if written == len(data) else self.lost + 1
+        return len(text)
+
+    def flush(self) -> None:
+        """Do nothing: nothing is buffered."""
+
+
 def configure_logging(
     level: str = "info",
     zone: str = "",
@@ -141,7 +181,7 @@
         wrapper_class=structlog.make_filtering_bound_logger(
             logging.getLevelNamesMapping()[level.upper()]
         ),
-        logger_factory=structlog.PrintLoggerFactory(stream or sys.stderr),
+        logger_factory=structlog.WriteLoggerFactory(stream or sys.stderr),
         # Tests configure more than once; module loggers must follow.
         cache_logger_on_first_use=False,
     )
--- /dev/null
+++ b/tests/gossip_world.py
@@ -0,0 +1,60 @@
+"""Routers reduced to their gossip, for tests of what peers tell each other."""
+
+import random
+from dataclasses import dataclass
+
+from carobstair.core.directory import UpstreamDirectory
+from carobstair.core.engine_load import LoadBook, PlacementSettings, PromptShape
+from carobstair.core.fair_admission import FairAdmission
+from carobstair.core.fleet_view import FleetView, StoreTrust
+from carobstair.core.messages import PeerAddress
+from carobstair.edge.gossip import Gossip
+from carobstair.edge.metrics import EdgeMetrics
+from carobstair.edge.settings import EdgeSettings, ListenSettings, SyncSettings
+from carobstair.net.peers import PeerTransport
+from carobstair.platform.documents import decode_routing, decode_upstream
+from carobstair.settings import InstanceSettings, PeerSettings
+
+
+@dataclass
+class Node:
+    """What a test looks at."""
+
+    own: PeerAddress
+    directory: UpstreamDirectory
+    view: FleetView
+    loads: LoadBook
+    transport: PeerTransport
+    gossip: Gossip
+    prompt: PromptShape = PromptShape(1000, 10)
+
+
+def make_node(name, port):
+    """Return a router's gossip that listens on a port of loopback."""
+    own = PeerAddress(name, 1, "127.0.0.1", port, 1, "a")
+    instance = InstanceSettings(name=name, zone="a", peer_port=port, http_port=1)
+    directory = UpstreamDirectory()
+    view = FleetView(directory, decode_routing, decode_upstream)
+    loads = LoadBook(PlacementSettings(), "a")
+    listen = ListenSettings(
+        host="127.0.0.1", callers_port=1, ready_port=1, peer_port=port, metrics_port=1
+    )
+    settings = EdgeSettings(
+        name=name,
+        zone="a",
+        listen=listen,
+        sync=SyncSettings(store_address="127.0.0.1:1", digest_s=0.05, behind_s=0.05),
+    )
+    transport = PeerTransport(own, instance, PeerSettings(), EdgeMetrics())
+    gossip = Gossip(
+        own,
+        settings,
+        transport,
+        view,
+        StoreTrust(2.0),
+        loads,
+        FairAdmission(),
+        random.Random(1),
+        lambda kind, names: None,
+    )
+    return Node(own, directory, view, loads, transport, gossip)
--- /dev/null
+++ b/tests/test_boot.py
@@ -0,0 +1,286 @@
+"""Tests of the platform's settings file and of the program that reads it."""
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+
+import aiohttp
+
+from carobstair.core.fleet_view import StateKind, StoreChange
+from carobstair.logs import LineWriter
+from carobstair.platform.boot import BOOT_VARIABLE, load_boot_settings
+from carobstair.settings import SettingsError
+from gossip_world import make_node
+from platform_world import (
+    StoreStandIn,
+    UpstreamStandIn,
+    make_config,
+    make_script,
+    make_server,
+)
+
+BOOT = """
+nodeName = "front-1"
+zone = "a"
+ipAddress = "127.0.0.1"
+internalPortRange = [{peer}, {last}]
+seedNodes = ["127.0.0.1:9", "127.0.0.2:9"]
+somethingNew = true
+[listen]
+front = "127.0.0.1:{front}"
+ready = "127.0.0.1:{ready}"
+[limits]
+unknown = 1
+[bounds]
+graceS = 3
+retrySlack = 52
+coldSlack = 5
+[platform]
+address = "127.0.0.1:{store}"
+"""
+
+
+def free_ports(count):
+    """Return ports that were free a moment ago."""
+    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+    ports = [s.getsockname()[1] for s in sockets]
+    for s in sockets:
+        s.close()
+    return ports
+
+
+def write_boot(folder, text):
+    """Write a settings file and return its path."""
+    path = Path(folder) / "node.toml"
+    path.write_text(text)
+    return path
+
+
+class BootSettingsTest(unittest.TestCase):
+    """Guards against mistakes in the file that show only later."""
+
+    def load(self, text):
+        with tempfile.TemporaryDirectory() as folder:
+            return load_boot_settings(write_boot(folder, text))
+
+    def good(self):
+        return BOOT.format(peer=7400, last=7415, front=1, ready=2, store=3)
+
+    def test_fields_are_decoded_and_unknown_ones_ignored(self):
+        settings = self.load(self.good())
+        self.assertEqual(settings.name, "front-1")
+        self.assertEqual(settings.listen.peer_port, 7400)
+        self.assertEqual(settings.listen.callers_port, 1)
+        self.assertEqual(settings.stop.grace_s, 3)
+        self.assertEqual(settings.send_limits.resend_slack, 52)
+        self.assertEqual(settings.sync.seeds, ["127.0.0.1:7400", "127.0.0.2:7400"])
+
+    def test_mistake_ends_with_one_line_that_names_the_field(self):
+        for old, new, name in (
+            ('nodeName = "front-1"', "nodeName = 5", "nodeName"),
+            ("[7400, 7415]", "[7400]", "internalPortRange"),
+            ("127.0.0.1:1", "nowhere", "listen.front"),
+            ("graceS = 3", "graceS = -1", "bounds.graceS"),
+            ('zone = "a"', "", "zone"),
+            ("[platform]", "[platform", ""),
+        ):
+            with self.subTest(new), self.assertRaises(SettingsError) as caught:
+                self.load(self.good().replace(old, new))
+            self.assertIn(name, str(caught.exception))
+            self.assertNotIn("\n", str(caught.exception))
+
+
+class LineWriterTest(unittest.TestCase):
+    """Guards against a reader of logs that stops all requests."""
+
+    def test_full_pipe_loses_lines_and_tells_how_many(self):
+        reader, writer = os.pipe()
+        try:
+            lines = LineWriter(writer)
+            for _ in range(3000):
+                lines.write("x" * 99 + "\n")
+            self.assertGreater(lines.lost, 0)
+            os.set_blocking(reader, False)
+            while True:
+                try:
+                    os.read(reader, 65536)
+                except BlockingIOError:
+                    break
+            lines.write("next\n")
+            self.assertIn(b"log_lines_lost count=", os.read(reader, 65536))
+        finally:
+            os.close(reader)
+            os.close(writer)
+
+
+class ProgramTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against a router that can't start, stop or find its peers."""
+
+    async def asyncSetUp(self):
+        self.folder = tempfile.TemporaryDirectory()
+        self.store = await StoreStandIn().start()
+        self.upstream = await UpstreamStandIn(make_script("ok")).start()
+        self.processes = []
+        self.session = aiohttp.ClientSession()
+
+    async def asyncTearDown(self):
+        await self.session.close()
+        for process in self.processes:
+            if process.returncode is None:
+                process.kill()
+            await process.wait()
+        await self.store.stop()
+        await self.upstream.stop()
+        self.folder.cleanup()
+
+    async def start(self, name, ports, store_port=None):
+        """Start a router process; `ports` are for peers, callers and readiness."""
+        text = BOOT.format(
+            peer=ports[0],
+            last=ports[0] + 15,
+            front=ports[1],
+            ready=ports[2],
+            store=store_port or self.store.port,
+        )
+        text = text.replace("front-1", name)
+        path = Path(self.folder.name) / f"{name}.toml"
+        path.write_text(text)
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "carobstair.cli.router",
+            env=os.environ | {BOOT_VARIABLE: str(path)},
+            stdout=asyncio.subprocess.PIPE,
+        )
+        self.processes.append(process)
+        return process
+
+    async def ready(self, port):
+        """Return the status of the readiness page, or None."""
+        try:
+            url = f"http://127.0.0.1:{port}/v1/ready"
+            async with self.session.get(url) as response:
+                return response.status
+        except aiohttp.ClientError:
+            return None
+
+    async def until_ready(self, port, status):
+        """Wait until the readiness page has a status."""
+        for _ in range(200):
+            if await self.ready(port) == status:
+                return
+            await asyncio.sleep(0.05)
+        raise AssertionError(f"never {status}")
+
+    async def call(self, port):
+        """Return the status of a request."""
+        headers = {
+            "Host": "api.test",
+            "Carobstair-Attempt-Id": "i1",
+            "Carobstair-Key": "key1",
+        }
+        url = f"http://127.0.0.1:{port}/safe/x"
+        async with self.session.get(url, headers=headers) as response:
+            return response.status
+
+    async def test_start_serve_stop(self):
+        peer, front, ready = free_ports(3)
+        process = await self.start("front-1", (peer, front, ready))
+        await self.until_ready(ready, 503)
+        self.store.put("config", "main", make_config())
+        self.store.put("servers", "u0", make_server(self.upstream.port))
+        await self.until_ready(ready, 200)
+        self.assertEqual(await self.call(front), 200)
+        for _ in range(50):
+            if ("carobstair-routers", "front-1") in self.store.objects:
+                break
+            await asyncio.sleep(0.05)
+        url = f"http://127.0.0.1:{peer + 1}/metrics"
+        async with self.session.get(url) as response:
+            self.assertIn("carobstair_edge_requests_total", await response.text())
+        process.send_signal(signal.SIGHUP)
+        process.send_signal(signal.SIGTERM)
+        process.send_signal(signal.SIGTERM)
+        await self.until_ready(ready, 503)
+        # Open connections are still served while the balancer lags.
+        self.assertEqual(await self.call(front), 200)
+        out, _ = await asyncio.wait_for(process.communicate(), 5)
+        self.assertEqual(process.returncode, 0)
+        for event in ("router_started", "settings_reloaded", "router_stopped"):
+            self.assertIn(event, out.decode())
+        self.assertNotIn(("carobstair-routers", "front-1"), self.store.objects)
+
+    async def test_router_without_the_store_learns_from_a_peer(self):
+        first, second = (free_ports(3) for _ in range(2))
+        self.store.put("config", "main", make_config())
+        self.store.put("servers", "u0", make_server(self.upstream.port))
+        spec = ["front-2", 1, "127.0.0.1", second[0], second[1], "a"]
+        self.store.put("carobstair-routers", "front-2", spec)
+        await self.start("front-1", first)
+        # Nothing listens where the second router looks for the store.
+        await self.start("front-2", second, store_port=1)
+        await self.until_ready(second[2], 200)
+        self.assertEqual(await self.call(second[1]), 200)
+
+    async def test_mistake_in_the_file_ends_the_program_with_one_line(self):
+        path = write_boot(self.folder.name, "nodeName = 3\n")
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "carobstair.cli.router",
+            env=os.environ | {BOOT_VARIABLE: str(path)},
+            stderr=asyncio.subprocess.PIPE,
+        )
+        _, err = await process.communicate()
+        self.assertEqual(process.returncode, 2)
+        self.assertEqual(len(err.decode().strip().splitlines()), 1)
+        self.assertIn("nodeName", err.decode())
+
+
+class GossipStateTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against a router that the store turns away and that stays behind."""
+
+    async def test_state_reaches_a_router_through_its_peer(self):
+        nodes = [make_node(f"r{n}", port) for n, port in enumerate(free_ports(2))]
+        tasks = []
+        try:
+            for node in nodes:
+                tasks.append(asyncio.create_task(node.transport.run()))
+                tasks.append(asyncio.create_task(node.gossip.run()))
+            nodes[0].gossip.add(nodes[1].own)
+            spec = json.dumps(make_config(7)).encode()
+            change = StoreChange("main", 5, spec)
+            nodes[0].view.apply(StateKind.ROUTING, [change], None, 0.0)
+            server = StoreChange("u0", 6, json.dumps(make_server(9)).encode())
+            nodes[0].view.apply(StateKind.UPSTREAMS, [server], None, 0.0)
+            nodes[0].loads.begin("u0", nodes[0].prompt, 0.0)
+            for _ in range(200):
+                if nodes[1].view.version == 7 and nodes[1].directory.ids():
+                    break
+                await asyncio.sleep(0.02)
+            self.assertEqual(nodes[1].view.version, 7)
+            self.assertEqual(nodes[1].directory.ids(), ["u0"])
+            self.assertEqual(nodes[1].loads.running("u0"), 1)
+            gone = StoreChange("u0", 8, None)
+            nodes[0].view.apply(StateKind.UPSTREAMS, [gone], None, 0.0)
+            for _ in range(200):
+                if not nodes[1].directory.ids():
+                    break
+                await asyncio.sleep(0.02)
+            self.assertEqual(nodes[1].directory.ids(), [])
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+            for node in nodes:
+                node.transport.close()
+
+
+if __name__ == "__main__":
+    unittest.main()
