--- a/src/carobstair/edge/router.py
+++ b/src/carobstair/edge/router.py
@@ -33,13 +33,16 @@
 from carobstair.edge.upstream_pool import UpstreamPool
 from carobstair.logs import get_logger
 from carobstair.net.peers import PeerTransport
-from carobstair.settings import InstanceSettings, PeerSettings
+from carobstair.settings import InstanceSettings, PeerSettings, SettingsError
 
 __all__ = ["EdgeRouter", "PlatformParts"]
 
 logger = get_logger(__name__)
 
 UPKEEP_S = 0.25
+SETTINGS_CHECK_S = 1.0
+# The others are read once: addresses, and what decides placement.
+RELOADABLE = frozenset({"send_limits", "stop"})
 
 
 class PlatformParts(msgspec.Struct):
@@ -53,6 +56,8 @@
         See `FleetView`.
     reload : callable
         Returns the settings as they are now; raises `SettingsError`.
+    settings_stamp : callable
+        Returns a value that differs once the settings have changed.
     """
 
     dialect: Dialect
@@ -60,6 +65,7 @@
     decode_routing: Callable
     decode_upstream: Callable
     reload: Callable[[], EdgeSettings]
+    settings_stamp: Callable[[], object]
 
 
 class EdgeRouter:
@@ -152,7 +158,7 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._on_signal)
-        loop.add_signal_handler(signal.SIGHUP, self._on_reload)
+        loop.add_signal_handler(signal.SIGHUP, self._reload, "signal")
         # Broken answers are logged with their request, not as server errors.
         logging.getLogger("uvicorn.error").disabled = True
         work = [
@@ -164,6 +170,7 @@
             asyncio.create_task(self._gossip.run()),
             asyncio.create_task(self._register()),
             asyncio.create_task(self._keep_up()),
+            asyncio.create_task(self._watch_settings()),
         ]
         logger.info(
             "router_started",
@@ -182,18 +189,40 @@
         # A repeated signal changes nothing: what runs still has its grace time.
         self._stopping.set()
 
-    def _on_reload(self) -> None:
+    def _reload(self, reason: str) -> None:
+        """Take over settings that can change while the process runs."""
         try:
             fresh = self._platform.reload()
-        except Exception as error:
-            logger.warning("settings_not_reloaded", error=str(error))
+        except SettingsError as error:
+            logger.warning("settings_not_reloaded", reason=reason, error=str(error))
             return
         changed = [
             name
             for name in EdgeSettings.model_fields
             if getattr(fresh, name) != getattr(self._settings, name)
         ]
-        logger.info("settings_reloaded", needs_restart=",".join(changed) or None)
+        applied = [name for name in changed if name in RELOADABLE]
+        self._settings = self._settings.model_copy(
+            update={name: getattr(fresh, name) for name in applied}
+        )
+        self._dispatcher.cold.settings = self._settings.send_limits
+        self._dispatcher.resends.settings = self._settings.send_limits
+        logger.info(
+            "settings_reloaded",
+            reason=reason,
+            applied=",".join(applied),
+            needs_restart=",".join(n for n in changed if n not in RELOADABLE),
+        )
+
+    async def _watch_settings(self) -> None:
+        """Reload the settings when their file changes without a signal."""
+        seen = self._platform.settings_stamp()
+        while True:
+            await asyncio.sleep(SETTINGS_CHECK_S)
+            stamp = self._platform.settings_stamp()
+            if stamp != seen:
+                seen = stamp
+                self._reload("file changed")
 
     async def _drain(self) -> None:
         """Turn unready, take what still comes, and end what runs in time."""
--- a/src/carobstair/platform/adapter.py
+++ b/src/carobstair/platform/adapter.py
@@ -7,7 +7,7 @@
 
 from carobstair.edge.router import PlatformParts
 from carobstair.edge.settings import EdgeSettings
-from carobstair.platform.boot import load_boot_settings
+from carobstair.platform.boot import load_boot_settings, settings_stamp
 from carobstair.platform.documents import decode_routing, decode_upstream
 from carobstair.platform.headers import PlatformDialect
 from carobstair.platform.store import PlatformStore
@@ -23,4 +23,5 @@
         decode_routing,
         decode_upstream,
         partial(load_boot_settings, path),
+        partial(settings_stamp, path),
     )
--- a/src/carobstair/platform/boot.py
+++ b/src/carobstair/platform/boot.py
@@ -18,7 +18,7 @@
 )
 from carobstair.settings import SettingsError
 
-__all__ = ["BOOT_VARIABLE", "boot_path", "load_boot_settings"]
+__all__ = ["BOOT_VARIABLE", "boot_path", "load_boot_settings", "settings_stamp"]
 
 BOOT_VARIABLE = "CAROBSTAIR_BOOT"
 # Places of our own services within the platform's range of internal ports.
@@ -88,6 +88,15 @@
     return _to_settings(boot)
 
 
+def settings_stamp(path: Path) -> tuple[int, int] | None:
+    """Return a value that changes with the file, or None if there is no file."""
+    try:
+        status = path.stat()
+    except OSError:
+        return None
+    return status.st_mtime_ns, status.st_size
+
+
 def _to_settings(boot: _Boot) -> EdgeSettings:
     ports = boot.internal_port_range
     peer_port = ports[0] + PEER_PORT_INDEX
--- a/tests/test_boot.py
+++ b/tests/test_boot.py
@@ -216,6 +216,20 @@
             self.assertIn(event, out.decode())
         self.assertNotIn(("carobstair-routers", "front-1"), self.store.objects)
 
+    async def test_settings_that_change_without_a_signal_are_read(self):
+        ports = free_ports(3)
+        process = await self.start("front-1", ports)
+        await self.until_ready(ports[2], 503)
+        path = Path(self.folder.name) / "front-1.toml"
+        path.write_text(path.read_text().replace("coldSlack = 5", "coldSlack = 2"))
+        line = b""
+        while b"settings_reloaded" not in line:
+            line = await asyncio.wait_for(process.stdout.readline(), 5)
+        self.assertIn(b"applied=send_limits", line)
+        path.write_text("broken")
+        while b"settings_not_reloaded" not in line:
+            line = await asyncio.wait_for(process.stdout.readline(), 5)
+
     async def test_router_without_the_store_learns_from_a_peer(self):
         first, second = (free_ports(3) for _ in range(2))
         self.store.put("config", "main", make_config())
