--- a/tests/test_send_limits.py
+++ b/tests/test_send_limits.py
@@ -144,6 +144,45 @@
         self.assertEqual(dispatcher.loads.backlog_tokens("u0"), 0)
 
 
+class FitnessTest(unittest.TestCase):
+    """Guards against admission at full rate while engines are slow or gone.
+
+    On a recorded day two of nine engines had crashed and nothing was refused for
+    four seconds, although every engine was late.
+    """
+
+    def setUp(self):
+        self.dispatcher = make_dispatcher(started_s=-10.0)
+        for number in range(4):
+            self.dispatcher.directory.put(make_entry(f"u{number}"), number + 1, 0.0)
+
+    def test_throughput_is_nominal_while_engines_keep_up(self):
+        self.assertEqual(self.dispatcher.fitness("model", 1.0), 1.0)
+        self.assertTrue(self.dispatcher.has_room("model", 1.0))
+
+    def test_draining_engines_give_nothing(self):
+        self.dispatcher.directory.put(make_entry("u0", draining=True), 9, 1.0)
+        self.assertEqual(self.dispatcher.fitness("model", 1.0), 0.75)
+
+    def test_prompts_that_pile_up_lower_the_throughput(self):
+        backlog = [(f"u{number}", 30_000, 5) for number in range(4)]
+        self.dispatcher.loads.note_peer("r1", backlog)
+        self.assertLess(self.dispatcher.fitness("model", 1.0), 0.5)
+        self.assertFalse(self.dispatcher.has_room("model", 1.0))
+
+    def test_known_parts_age_by_their_tokens(self):
+        loads = self.dispatcher.loads
+        loads.kv_tokens = 10_000
+        loads.note_part("u0", "old", 3_000)
+        loads.note_part("u0", "new", 3_000)
+        self.assertEqual(
+            loads.unread_tokens("u0", PromptShape(3000, 1, (("new", 3000),))), 0
+        )
+        self.assertEqual(
+            loads.unread_tokens("u0", PromptShape(3000, 1, (("old", 3000),))), 3000
+        )
+
+
 class HealthTest(unittest.TestCase):
     """Guards against requests that keep going to a failing upstream."""
 
