Tell the way from a request's id to its cause on the platform

The line at a request's end now has the estimate at placement, the tokens to read and the time to the first byte, so that a late token can be told from a wrong estimate.

--- a/src/carobstair/edge/front.py
+++ b/src/carobstair/edge/front.py
@@ -292,8 +292,9 @@
             return
         service = exchange.pool.name
         self._metrics.requests.labels(service, outcome).inc()
+        first_s = None
         if exchange.first_byte_s is not None:
-            first_s = exchange.first_byte_s - arrived_s
+            first_s = round(exchange.first_byte_s - arrived_s, 4)
             self._metrics.first_byte_s.labels(service).observe(first_s)
         self._ended += 1
         smooth = outcome == "answered" and exchange.attempts == 1
@@ -313,6 +314,9 @@
             may_have_run=exchange.may_have_run,
             version=self._view.version,
             detail=exchange.detail,
+            expected_s=round(exchange.expected_s, 4),
+            unread_tokens=exchange.unread_tokens,
+            first_byte_s=first_s,
             took_s=round(took_s, 4),
         )
 
--- a/src/carobstair/edge/relay.py
+++ b/src/carobstair/edge/relay.py
@@ -70,6 +70,10 @@
         Monotonic time at which its final answer is due.
     may_have_run : bool
         Whether some upstream may have begun to work on it.
+    expected_s : float
+        Estimated wait for the first token when it was placed.
+    unread_tokens : int
+        Prompt tokens that the upstream had to read, by the same estimate.
     """
 
     terms: RequestTerms
@@ -96,6 +100,8 @@
     failure: tuple[AnswerHead, bytes] | None = None
     detail: str = ""
     resumed: int = 0
+    expected_s: float = 0.0
+    unread_tokens: int = 0
 
 
 @dataclass(slots=True)
@@ -148,7 +154,10 @@
         exchange.attempts += 1
         exchange.upstream_id = entry.upstream_id
         loads = self.dispatcher.loads
-        sent = loads.begin(entry.upstream_id, exchange.terms.prompt, now_s)
+        prompt = exchange.terms.prompt
+        exchange.expected_s = loads.expected_wait_s(entry.upstream_id, prompt)
+        sent = loads.begin(entry.upstream_id, prompt, now_s)
+        exchange.unread_tokens = sent.unread_tokens
         kept = False
         ran_before = exchange.may_have_run
         # From here on the outcome is unknown until the upstream has told it.
