--- a/src/carobstair/core/engine_load.py
+++ b/src/carobstair/core/engine_load.py
@@ -58,8 +58,8 @@
     other_zone_s : float
         Cost of leaving the zone, for the hop and the bytes.
     full_wait_s : float
-        Mean wait for prompts ahead at which engines have enough: an eighth of the
-        shortest objective for the first token, 400 ms, as waits vary.
+        Mean wait for prompts ahead at which engines have enough: below a third of
+        the shortest objective for the first token, 400 ms, as waits vary.
     full_slots : float
         Part of the slots at which engines have enough; beyond, each token takes
         so long that long answers miss their deadline.
@@ -73,8 +73,8 @@
     unread_weight: float = 16.0
     running_s: float = 0.002
     other_zone_s: float = 0.005
-    full_wait_s: float = 0.05
-    full_slots: float = 0.3
+    full_wait_s: float = 0.12
+    full_slots: float = 0.35
     held_fraction: float = 0.5
 
 
--- a/src/carobstair/core/fair_admission.py
+++ b/src/carobstair/core/fair_admission.py
@@ -12,7 +12,7 @@
 
 import math
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 __all__ = [
     "AdmissionSettings",
@@ -35,10 +35,13 @@
         Time between two corrections of the throughput that is given out.
     gain : float
         Correction for each unit of pressure on the engines above or below 1.
-    most_up, most_down : float
-        Largest corrections at a time: prompts pile up faster than they are read.
+    most_change : float
+        Largest correction at a time.
+    smoothing : float
+        Weight of the newest pressure: single long prompts make it jump.
     least_factor, most_factor : float
-        Bounds of the throughput, as a part of the nominal one.
+        Bounds of the throughput, as a part of the nominal one. Callers are owed
+        the nominal one, so slow engines lower it only a little.
     output_weight : float
         Weight of a generated token against a prompt token that is read.
     burst_s : float
@@ -50,10 +53,10 @@
     demand_window_s: float = 1.0
     control_s: float = 0.1
     gain: float = 0.1
-    most_up: float = 0.05
-    most_down: float = 0.1
-    least_factor: float = 0.3
-    most_factor: float = 2.0
+    most_change: float = 0.05
+    smoothing: float = 0.15
+    least_factor: float = 0.8
+    most_factor: float = 2.5
     output_weight: float = 2.0
     burst_s: float = 1.0
     least_retry_s: float = 0.4
@@ -68,12 +71,16 @@
     ----------
     share, demand : float
         Of the workspace, over all routers, in tokens a second.
+    usable, pressure : float
+        Throughput that is shared out, and the last pressure on the engines.
     """
 
     admitted: bool
     share: float
     demand: float
     retry_after_s: float = 0.0
+    usable: float = 0.0
+    pressure: float = 0.0
 
 
 def max_min_shares(demands: Mapping[str, float], capacity: float) -> dict[str, float]:
@@ -125,6 +132,7 @@
 
     settings: AdmissionSettings
     factor: float = 1.0
+    pressure: float = 0.0
     _at_s: float = float("-inf")
 
     def is_due(self, now_s: float) -> bool:
@@ -142,11 +150,12 @@
         """
         rules = self.settings
         self._at_s = now_s
-        change = rules.gain * (1.0 - pressure)
+        self.pressure += rules.smoothing * (pressure - self.pressure)
+        change = rules.gain * (1.0 - self.pressure)
         if change > 0 and not short:
-            self.factor += rules.most_up * (1.0 - self.factor)
+            self.factor += rules.most_change * (1.0 - self.factor)
             return
-        self.factor *= 1.0 + min(max(change, -rules.most_down), rules.most_up)
+        self.factor *= 1.0 + min(max(change, -rules.most_change), rules.most_change)
         self.factor = min(max(self.factor, rules.least_factor), rules.most_factor)
 
 
@@ -227,7 +236,8 @@
         if share >= demand:
             self._buckets.pop(key, None)
             return Verdict(True, share, demand)
-        return self._take(key, tokens, part, share, demand, now_s)
+        verdict = self._take(key, tokens, part, share, demand, now_s)
+        return replace(verdict, usable=usable, pressure=control.pressure)
 
     def _take(
         self,
--- a/src/carobstair/edge/front.py
+++ b/src/carobstair/edge/front.py
@@ -253,7 +253,10 @@
         )
         if verdict.admitted:
             return
-        exchange.detail = f"share {verdict.share:.0f} of demand {verdict.demand:.0f}"
+        exchange.detail = (
+            f"share {verdict.share:.0f} of demand {verdict.demand:.0f}, "
+            f"all {verdict.usable:.0f}, pressure {verdict.pressure:.2f}"
+        )
         # Spread, so that those refused together don't come back together.
         wait_s = verdict.retry_after_s * self._rng.uniform(0.7, 1.3)
         raise refuse("overloaded", exchange.detail, wait_s)
