--- a/src/carobstair/core/engine_load.py
+++ b/src/carobstair/core/engine_load.py
@@ -58,7 +58,7 @@
     other_zone_s : float
         Cost of leaving the zone, for the hop and the bytes.
     full_wait_s : float
-        Mean wait for prompts ahead at which engines have enough: below a third of
+        Mean wait for prompts ahead at which engines have enough: below two thirds of
         the shortest objective for the first token, 400 ms, as waits vary.
     full_slots : float
         Part of the slots at which engines have enough; beyond, each token takes
@@ -73,7 +73,7 @@
     unread_weight: float = 16.0
     running_s: float = 0.002
     other_zone_s: float = 0.005
-    full_wait_s: float = 0.12
+    full_wait_s: float = 0.25
     full_slots: float = 0.35
     held_fraction: float = 0.5
 
--- a/tests/test_fair_admission.py
+++ b/tests/test_fair_admission.py
@@ -100,7 +100,7 @@
     have room, a hot workspace took all of it and another one starved.
     """
 
-    def play(self, pressure, short, seconds=3.0):
+    def play(self, pressure, short, seconds=6.0):
         control = ThroughputControl(AdmissionSettings())
         for step in range(int(seconds * 10)):
             now_s = step * 0.11
