Start from neutral pressure on the engines

Cause: a router that had just started took the engines for idle and let in up to one and a half times the nominal throughput (test_fair_admission, failing before).

--- a/src/carobstair/core/fair_admission.py
+++ b/src/carobstair/core/fair_admission.py
@@ -132,7 +132,9 @@
 
     settings: AdmissionSettings
     factor: float = 1.0
-    pressure: float = 0.0
+    # A router that has just started takes the engines to be as loaded as they
+    # should be, until it knows.
+    pressure: float = 1.0
     _at_s: float = float("-inf")
 
     def is_due(self, now_s: float) -> bool:
