--- a/src/carobstair/core/fair_admission.py
+++ b/src/carobstair/core/fair_admission.py
@@ -60,7 +60,7 @@
     output_weight: float = 2.0
     burst_s: float = 1.0
     least_retry_s: float = 0.4
-    longest_retry_s: float = 10.0
+    longest_retry_s: float = 3.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -119,8 +119,6 @@
 class _Bucket:
     tokens: float
     at_s: float
-    # Tokens refused of which the callers were told when to come back.
-    awaited: float = 0.0
 
 
 @dataclass(slots=True)
@@ -256,18 +254,13 @@
         bucket = self._buckets.get(key)
         if bucket is None:
             bucket = self._buckets[key] = _Bucket(depth, now_s)
-        gained = rate * (now_s - bucket.at_s)
-        bucket.tokens = min(depth, bucket.tokens + gained)
-        bucket.awaited = max(0.0, bucket.awaited - gained)
+        bucket.tokens = min(depth, bucket.tokens + rate * (now_s - bucket.at_s))
         bucket.at_s = now_s
         # A request may overdraw, so that large ones get their turn as well.
         if bucket.tokens > 0:
             bucket.tokens -= tokens
             return Verdict(True, share, demand)
-        # Who was refused before comes first: each is sent back to where the share
-        # has room again, not all of them to the same moment.
-        wait_s = (bucket.awaited + tokens - bucket.tokens) / max(rate, 1.0)
-        bucket.awaited += tokens
+        wait_s = (tokens - bucket.tokens) / max(rate, 1.0)
         rules = self.settings
         wait_s = min(max(wait_s, rules.least_retry_s), rules.longest_retry_s)
         return Verdict(False, share, demand, wait_s)
