--- a/src/carobstair/edge/follower.py
+++ b/src/carobstair/edge/follower.py
@@ -100,7 +100,6 @@
         now_s = time.monotonic()
         if self._trust.note_success(now_s):
             logger.info("store_regained")
-            # What was missed meanwhile may be older than the history that is left.
         return self._trust.lapse_until_s(now_s)
 
     def _note_failure(self, kind: StateKind, error: StoreError) -> None:
