Take nothing more between the last look and the exit of a stop

Cause: a stopping router takes short requests to its end. Ruled out: the grace time, which had 0.14 s left.

--- a/src/carobstair/edge/router.py
+++ b/src/carobstair/edge/router.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 import os
 import random
 import signal
@@ -40,6 +41,8 @@
 logger = get_logger(__name__)
 
 UPKEEP_S = 0.25
+# For refusals and last bytes to leave the process before it ends.
+LAST_ANSWERS_S = 0.05
 SETTINGS_CHECK_S = 1.0
 # The others are read once: addresses, and what decides placement.
 RELOADABLE = frozenset({"send_limits", "stop"})
@@ -236,12 +239,19 @@
         self.front.closing = True
         leaving = asyncio.create_task(self._unregister())
         await asyncio.sleep(accept_s)
-        while self.front.open_requests and time.monotonic() < end_s:
-            await asyncio.sleep(0.02)
+        await self._until_idle(end_s)
+        # A request that comes in between the last look and the exit would be lost.
+        self.front.last_stream_s = self.front.end_s = -math.inf
+        await asyncio.sleep(LAST_ANSWERS_S)
+        await self._until_idle(end_s)
         for task in list(self.front.open_requests):
             task.cancel()
         leaving.cancel()
-        await asyncio.sleep(0.05)
+        await asyncio.sleep(LAST_ANSWERS_S)
+
+    async def _until_idle(self, end_s: float) -> None:
+        while self.front.open_requests and time.monotonic() < end_s:
+            await asyncio.sleep(0.02)
 
     async def _register(self) -> None:
         """Make this router known to the others, until it has worked."""
