--- a/tests/test_boot.py
+++ b/tests/test_boot.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import math
 import os
 import signal
 import socket
@@ -9,10 +10,14 @@
 import tempfile
 import unittest
 from pathlib import Path
+from types import SimpleNamespace
+from unittest.mock import AsyncMock
 
 import aiohttp
 
 from carobstair.core.fleet_view import StateKind, StoreChange
+from carobstair.edge.router import EdgeRouter
+from carobstair.edge.settings import StopSettings
 from carobstair.logs import LineWriter
 from carobstair.platform.boot import BOOT_VARIABLE, load_boot_settings
 from carobstair.settings import SettingsError
@@ -257,6 +262,20 @@
         self.assertIn("nodeName", err.decode())
 
 
+class DrainTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against a request that is taken just before the exit and lost."""
+
+    async def test_nothing_is_taken_after_the_last_look_at_open_requests(self):
+        router = EdgeRouter.__new__(EdgeRouter)
+        stop = StopSettings(grace_s=0.6, accept_s=0.05, margin_s=0.1)
+        router._settings = SimpleNamespace(stop=stop)
+        router._unregister = AsyncMock()
+        router.front = SimpleNamespace(open_requests=set())
+        await router._drain()
+        self.assertEqual(router.front.end_s, -math.inf)
+        self.assertEqual(router.front.last_stream_s, -math.inf)
+
+
 class GossipStateTest(unittest.IsolatedAsyncioTestCase):
     """Guards against a router that the store turns away and that stays behind."""
 
