Bound idle callers' connections and pace a large fleet's digests and watches

On a fleet of 84 digests come every 0.7 s, while a peer counted as lost after 1 s of silence: links to slow machines were dropped and opened again and again. The silence now follows the interval of the digests. Callers' connections were kept for 75 s whatever the configuration says; they follow its idle limit, also before the first request. Watches wait longer the larger the fleet is, so that the store is asked as often as by a small one; changes travel by peers meanwhile.

Tests: IdleCallerTest, FleetPaceTest; both fail on the code before.

--- a/src/carobstair/edge/follower.py
+++ b/src/carobstair/edge/follower.py
@@ -29,6 +29,8 @@
     rng : random.Random
     on_news : callable
         Called with the kind and the names that changed.
+    count_peers : callable
+        Returns the number of routers beside this one.
     """
 
     def __init__(
@@ -39,6 +41,7 @@
         settings: SyncSettings,
         rng: random.Random,
         on_news: Callable[[StateKind, list[str]], None],
+        count_peers: Callable[[], int] = lambda: 0,
     ):
         self._store = store
         self._view = view
@@ -46,6 +49,7 @@
         self._settings = settings
         self._rng = rng
         self._on_news = on_news
+        self._count_peers = count_peers
         self._revisions: dict[StateKind, int] = {}
 
     async def run(self) -> None:
@@ -84,9 +88,9 @@
                 time.monotonic(),
             )
         else:
-            wait_s = self._settings.watch_wait_s
+            wait_s = self._settings.draw_watch_s(self._count_peers(), self._rng)
             if kind is StateKind.ROUTERS:
-                wait_s = self._settings.routers_wait_s
+                wait_s = max(wait_s, self._settings.routers_wait_s)
             listing = await self._store.watch(kind, revision, wait_s)
             lapse_until_s = self._note_success()
             names = self._view.apply(
--- a/src/carobstair/edge/gossip.py
+++ b/src/carobstair/edge/gossip.py
@@ -33,9 +33,6 @@
 
 logger = get_logger(__name__)
 
-# Peers at which digests go out at the full rate; larger fleets slow down, so that
-# the messages that a router receives stay the same in number.
-FULL_RATE_PEERS = 12
 MAX_PART_ROWS = 64
 # Rows of one state message; a pull is repeated until nothing is missing.
 MAX_STATE_ROWS = 400
@@ -94,7 +91,7 @@
 
     def alive(self, now_s: float) -> int:
         """Return how many peers were heard lately."""
-        silence_s = self._settings.sync.peer_silence_s
+        silence_s = self._settings.sync.silence_s(len(self._peers))
         return sum(now_s - heard_s < silence_s for heard_s in self._heard_s.values())
 
     def add(self, address: PeerAddress) -> None:
@@ -118,8 +115,7 @@
         """Send digests until cancelled."""
         seeds = self._connect_seeds()
         while True:
-            interval_s = self._settings.sync.digest_s
-            interval_s *= max(1.0, len(self._peers) / FULL_RATE_PEERS)
+            interval_s = self._settings.sync.digest_interval_s(len(self._peers))
             await asyncio.sleep(interval_s * self._rng.uniform(0.9, 1.1))
             digest = self._digest()
             for name in self._peers:
@@ -151,8 +147,9 @@
         )
 
     def _forget_silent(self, now_s: float) -> None:
+        silence_s = self._settings.sync.silence_s(len(self._peers))
         for name, heard_s in list(self._heard_s.items()):
-            if now_s - heard_s > self._settings.sync.peer_silence_s:
+            if now_s - heard_s > silence_s:
                 del self._heard_s[name]
                 self._forget_load(name)
                 self._transport.reconnect(name)
--- a/src/carobstair/edge/router.py
+++ b/src/carobstair/edge/router.py
@@ -152,7 +152,13 @@
             self._on_news,
         )
         self._follower = StoreFollower(
-            self._store, self.view, self._trust, settings.sync, self._rng, self._on_news
+            self._store,
+            self.view,
+            self._trust,
+            settings.sync,
+            self._rng,
+            self._on_news,
+            lambda: len(self._gossip.peers),
         )
         self._stopping = asyncio.Event()
 
@@ -291,6 +297,9 @@
                 self._note_router(name)
             return
         if kind is StateKind.ROUTING and self.view.table is not None:
+            limits = self.view.table.config.limits
+            if limits.idle_timeout_s > 0:
+                self._callers.idle_timeout_s = limits.idle_timeout_s
             shapes = [p.engine for p in self.view.table.services.values() if p.engine]
             sizes = [shape.kv_tokens for shape in shapes if shape.kv_tokens]
             self._loads.kv_tokens = min(sizes, default=self._loads.kv_tokens)
--- a/src/carobstair/edge/server.py
+++ b/src/carobstair/edge/server.py
@@ -13,9 +13,28 @@
 __all__ = ["CallerServer", "PageServer"]
 
 BACKLOG = 1024
-# Callers reuse connections for up to four fifths of the limit in force, which the
-# operator may raise; a connection that is kept longer does no harm.
-IDLE_TIMEOUT_S = 75
+# Until a configuration names the limit.
+DEFAULT_IDLE_TIMEOUT_S = 75.0
+
+
+class CallerProtocol(BorderProtocol):
+    """Closes connections that are idle for as long as the limit in force says.
+
+    The limit is read for each wait, so that a change holds for connections that
+    are open already.
+    """
+
+    def connection_made(self, transport) -> None:
+        """Start the idle time of a connection on which nothing has come yet."""
+        super().connection_made(transport)
+        self.timeout_keep_alive_task = self.loop.call_later(
+            self.config.timeout_keep_alive, self.timeout_keep_alive_handler
+        )
+
+    def on_response_complete(self) -> None:
+        """Start the idle time with the limit in force."""
+        self.timeout_keep_alive = self.config.timeout_keep_alive
+        super().on_response_complete()
 
 
 class _Server(uvicorn.Server):
@@ -35,24 +54,33 @@
     """
 
     def __init__(self, app, host: str, port: int):
-        config = uvicorn.Config(
+        self._config = uvicorn.Config(
             app,
             # Left to itself, uvicorn takes a bound method for an older interface.
             interface="asgi3",
             proxy_headers=False,
             loop="none",
-            http=BorderProtocol,
+            http=CallerProtocol,
             lifespan="off",
             log_config=None,
             access_log=False,
-            timeout_keep_alive=IDLE_TIMEOUT_S,
+            timeout_keep_alive=DEFAULT_IDLE_TIMEOUT_S,
             server_header=False,
             date_header=False,
         )
-        self._server = _Server(config)
+        self._server = _Server(self._config)
         self._socket = socket.create_server((host, port), backlog=BACKLOG)
         self.port = self._socket.getsockname()[1]
 
+    @property
+    def idle_timeout_s(self) -> float:
+        """How long a connection without a request stays open."""
+        return self._config.timeout_keep_alive
+
+    @idle_timeout_s.setter
+    def idle_timeout_s(self, timeout_s: float) -> None:
+        self._config.timeout_keep_alive = timeout_s
+
     async def serve(self) -> None:
         """Serve until cancelled."""
         await self._server.serve(sockets=[self._socket])
--- a/src/carobstair/edge/settings.py
+++ b/src/carobstair/edge/settings.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import random
+
 from pydantic import BaseModel, ConfigDict, Field
 
 from carobstair.core.directory import DirectorySettings
@@ -10,6 +12,10 @@
 from carobstair.core.send_limits import SendLimitSettings
 from carobstair.core.upstream_health import HealthSettings
 
+# Digests that may be missed before a peer counts as silent: one is lost now and
+# then, and a slow machine is late with the next.
+MISSED_DIGESTS = 4
+
 __all__ = ["EdgeSettings", "ListenSettings", "StopSettings", "SyncSettings"]
 
 
@@ -38,6 +44,10 @@
         router counts as in touch again.
     behind_s : float
         How long a peer may be ahead before its changes are fetched from it.
+    full_rate_peers : int
+        Peers up to which digests and watches run at the full rate. Larger fleets
+        slow down in proportion, so that what a router receives and what the store
+        is asked in all stay the same in number; news travels by peers meanwhile.
     """
 
     store_address: str = Field(pattern=r"^\S+:\d+$")
@@ -48,8 +58,31 @@
     digest_s: float = Field(0.1, gt=0, le=10)
     behind_s: float = Field(0.2, gt=0, le=10)
     peer_silence_s: float = Field(1.0, gt=0, le=60)
+    full_rate_peers: int = Field(12, ge=1)
     seeds: list[str] = []
 
+    def slowdown(self, peers: int) -> float:
+        """Return by which factor intervals are longer for the fleet's size."""
+        return max(1.0, peers / self.full_rate_peers)
+
+    def digest_interval_s(self, peers: int) -> float:
+        """Return the time between two digests of this router."""
+        return self.digest_s * self.slowdown(peers)
+
+    def silence_s(self, peers: int) -> float:
+        """Return after which silence a peer counts as lost."""
+        return max(self.peer_silence_s, MISSED_DIGESTS * self.digest_interval_s(peers))
+
+    def draw_watch_s(self, peers: int, rng: random.Random) -> float:
+        """Return how long the next watch waits for a change.
+
+        In a large fleet the waits differ, so that some watch ends at any time and
+        a store connection that went silent everywhere is noticed as early as in
+        a small one.
+        """
+        longest_s = self.watch_wait_s * (2.0 * self.slowdown(peers) - 1.0)
+        return rng.uniform(self.watch_wait_s, longest_s)
+
 
 class StopSettings(_Model):
     """How a router leaves.
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -261,6 +261,10 @@
         writer.write(self._whole(request))
         return True
 
+    async def _slow(self, request, writer):
+        await asyncio.sleep(0.3)
+        return await self._ok(request, writer)
+
     async def _error(self, request, writer):
         writer.write(self._whole(request, 500, b"failed"))
         return True
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -454,6 +454,41 @@
         self.assertTrue(answer.startswith(b"HTTP/1.1 400"))
 
 
+class IdleCallerTest(EdgeCase):
+    """Guards against connections of callers that pile up after their last request."""
+
+    async def until_closed(self, reader):
+        """Return how long the server kept a connection."""
+        began_s = asyncio.get_running_loop().time()
+        self.assertEqual(await asyncio.wait_for(reader.read(), 5), b"")
+        return asyncio.get_running_loop().time() - began_s
+
+    async def test_idle_connection_is_closed_after_the_limit_in_force(self):
+        await self.serve("ok")
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.server.port)
+        # The limit changes after the connection was made.
+        self.server.idle_timeout_s = 0.2
+        writer.write(
+            b"GET /safe/x HTTP/1.1\r\nHost: api.test\r\nCarobstair-Key: key1\r\n"
+            b"Carobstair-Attempt-Id: id1\r\n\r\n"
+        )
+        self.assertIn(b"200", await reader.readuntil(b"whole"))
+        self.assertLess(await self.until_closed(reader), 1.0)
+        writer.close()
+
+    async def test_connection_without_a_request_is_closed(self):
+        self.server.idle_timeout_s = 0.2
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.server.port)
+        self.assertLess(await self.until_closed(reader), 1.0)
+        writer.close()
+
+    async def test_running_request_is_not_idle(self):
+        self.server.idle_timeout_s = 0.05
+        await self.serve("slow")
+        status, _, body = await self.call("/safe/x")
+        self.assertEqual((status, body), (200, b"whole"))
+
+
 class PageServerTest(unittest.IsolatedAsyncioTestCase):
     """Guards against a readiness page that answers 500."""
 
--- /dev/null
+++ b/tests/test_edge_settings.py
@@ -0,0 +1,51 @@
+"""Tests of the edge router's settings that follow the size of the fleet."""
+
+import random
+import unittest
+
+from carobstair.edge.settings import SyncSettings
+
+
+class FleetPaceTest(unittest.TestCase):
+    """Guards against intervals that fit small fleets only."""
+
+    def setUp(self):
+        self.settings = SyncSettings(store_address="127.0.0.1:1")
+
+    def test_peers_that_send_on_time_are_never_lost(self):
+        # At 83 peers digests come every 0.7 s. A silence of 1 s dropped links to
+        # slow machines again and again, each with a new set of descriptors.
+        for peers in (0, 5, 12, 58, 83, 369):
+            with self.subTest(peers=peers):
+                interval_s = self.settings.digest_interval_s(peers)
+                self.assertGreaterEqual(self.settings.silence_s(peers), 4 * interval_s)
+
+    def test_small_fleets_keep_the_full_rate(self):
+        self.assertEqual(self.settings.digest_interval_s(11), self.settings.digest_s)
+        self.assertEqual(self.settings.silence_s(5), self.settings.peer_silence_s)
+        wait_s = self.settings.draw_watch_s(7, random.Random(1))
+        self.assertEqual(wait_s, self.settings.watch_wait_s)
+
+    def test_watches_of_a_fleet_cost_the_store_the_same_at_any_size(self):
+        rng = random.Random(1)
+        for peers in (24, 83, 369):
+            with self.subTest(peers=peers):
+                waits = [self.settings.draw_watch_s(peers, rng) for _ in range(4000)]
+                calls_per_s = peers * len(waits) / sum(waits)
+                least = 12 / self.settings.watch_wait_s
+                self.assertAlmostEqual(calls_per_s / least, 1.0, delta=0.1)
+
+    def test_some_watch_of_a_large_fleet_ends_soon(self):
+        # All store connections may go silent at once; the first router whose
+        # watch ends learns of a change and tells the others.
+        rng = random.Random(2)
+        for peers in (24, 83, 369):
+            with self.subTest(peers=peers):
+                first_s = min(
+                    self.settings.draw_watch_s(peers, rng) for _ in range(peers)
+                )
+                self.assertLess(first_s, 2 * self.settings.watch_wait_s)
+
+
+if __name__ == "__main__":
+    unittest.main()
