Tell the story of a request from logs, and split the relay by its two tasks

carobstair-report explain reads the logs of several processes and prints each step of a request with what the process knew then and how old that was. Repeated events are now limited by event and outcome, so that a flood of refusals no longer hides answers that broke. The relay's file of 498 lines becomes exchange.py (one request and the outcomes of a send), answers.py (passing answers on) and relay.py (attempts); no behaviour changed. Tests: ExplainTest, test_logs.

--- a/src/carobstair/cli/report.py
+++ b/src/carobstair/cli/report.py
@@ -14,6 +14,8 @@
 from carobstair.cli.program import EXIT_FAILED, fail, make_app, read_settings
 from carobstair.cli.program import run as run_program
 from carobstair.report.burn import DAY_S, make_report
+from carobstair.report.explain import explain as explain_request
+from carobstair.report.explain import read_lines
 from carobstair.report.history import History, HistoryBusy, HistoryWriter, read_history
 from carobstair.report.render import render_html, render_json, render_text
 from carobstair.report.scrape import scrape_all
@@ -124,6 +126,28 @@
     _show(found, loaded, output or Output())
 
 
+@app.command
+def explain(request_id: str, *logs: Path) -> None:
+    """Tell the story of one request from the logs of several processes.
+
+    Parameters
+    ----------
+    request_id : str
+        As the caller sent it.
+    logs : Path
+        Log files; a file's name is that of its process unless lines name it.
+    """
+    lines = []
+    for path in logs:
+        try:
+            with path.open(encoding="utf-8", errors="replace") as file:
+                lines += read_lines(path.stem, file)
+        except OSError as error:
+            fail(f"{path}: {error.strerror}", EXIT_FAILED)
+    for text in explain_request(request_id, lines):
+        print(text)
+
+
 def main() -> None:
     """Run the program."""
     run_program(app)
--- a/src/carobstair/edge/front.py
+++ b/src/carobstair/edge/front.py
@@ -20,8 +20,9 @@
     RoutingTable,
     ServicePool,
 )
+from carobstair.edge.exchange import BrokenAnswer, Exchange
 from carobstair.edge.metrics import EdgeMetrics
-from carobstair.edge.relay import BrokenAnswer, Exchange, Relay
+from carobstair.edge.relay import Relay
 from carobstair.edge.terms import BadRequest, Dialect, RequestTerms
 from carobstair.logs import get_logger
 
--- a/src/carobstair/edge/relay.py
+++ b/src/carobstair/edge/relay.py
@@ -1,4 +1,4 @@
-"""Sends requests to upstreams and relays their answers, one request at a time.
+"""Places requests and sends them to upstreams, one attempt after the other.
 
 Three outcomes of a send are kept apart: the upstream has not run the request, it
 has answered, or nobody knows. Only the first allows an unrepeatable request to be
@@ -9,99 +9,30 @@
 
 import asyncio
 import time
-from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
-from enum import StrEnum
 
 from carobstair.core.directory import UpstreamEntry
 from carobstair.core.dispatch import Dispatcher
-from carobstair.core.engine_load import SentRequest
 from carobstair.core.refusals import refuse
-from carobstair.core.routing import RequestKind, Route, ServicePool
+from carobstair.core.routing import RequestKind
+from carobstair.edge.answers import AnswerRelay
 from carobstair.edge.event_stream import EventCutter
-from carobstair.edge.terms import AnswerTerms, Dialect, Headers, RequestTerms, SendTerms
-from carobstair.edge.upstream_connection import (
-    AnswerHead,
-    ConnectionBroken,
-    UpstreamConnection,
-)
+from carobstair.edge.exchange import BrokenAnswer, Exchange, Outcome, Send
+from carobstair.edge.terms import Dialect, SendTerms
+from carobstair.edge.upstream_connection import ConnectionBroken, UpstreamConnection
 from carobstair.edge.upstream_pool import PoolFull, UpstreamPool
 from carobstair.logs import get_logger
 
-__all__ = ["BrokenAnswer", "Exchange", "Relay"]
+__all__ = ["Relay"]
 
 logger = get_logger(__name__)
 
-# Larger answers are passed on while they come in.
-MAX_WHOLE_ANSWER_BYTES = 512 * 1024
 # Upstreams that could not be reached, tried for one request.
 MAX_UNREACHED = 4
 # Pause before the next look for a cold upstream's turn or a free connection.
 RETRY_PAUSE_S = 0.02
 # A request waits this part of its objective for an upstream that takes it.
 PLACE_WAIT_FRACTION = 0.4
-# Answers that belong to earlier requests and are skipped on one connection.
-MAX_STRAY_ANSWERS = 4
-PROMISES_NOT_RUN = frozenset({408, 421, 429, 503})
-
-Send = Callable[[dict], Awaitable[None]]
-
-
-class BrokenAnswer(Exception):
-    """The answer to the caller can't be completed; its connection must break."""
-
-
-class Outcome(StrEnum):
-    """What became of one send."""
-
-    ANSWERED = "answered"
-    NOT_RUN = "not_run"
-    FAILED = "failed"
-    UNKNOWN = "unknown"
-
-
-@dataclass(slots=True)
-class Exchange:
-    """One request of a caller on its way.
-
-    Attributes
-    ----------
-    until_s : float
-        Monotonic time at which its final answer is due.
-    may_have_run : bool
-        Whether some upstream may have begun to work on it.
-    expected_s : float
-        Estimated wait for the first token when it was placed.
-    unread_tokens : int
-        Prompt tokens that the upstream had to read, by the same estimate.
-    """
-
-    terms: RequestTerms
-    route: Route
-    pool: ServicePool
-    workspace: str | None
-    method: str
-    target: bytes
-    headers: Headers
-    body: bytes
-    arrived_s: float
-    until_s: float
-    closing: bool = False
-    attempts: int = 0
-    unreached: int = 0
-    avoided: set[str] = field(default_factory=set)
-    may_have_run: bool = False
-    started: bool = False
-    completed: bool = False
-    upstream_id: str = ""
-    status: int = 0
-    first_byte_s: float | None = None
-    cutter: EventCutter | None = None
-    failure: tuple[AnswerHead, bytes] | None = None
-    detail: str = ""
-    resumed: int = 0
-    expected_s: float = 0.0
-    unread_tokens: int = 0
 
 
 @dataclass(slots=True)
@@ -118,6 +49,10 @@
     dispatcher: Dispatcher
     connections: UpstreamPool
     dialect: Dialect
+    answers: AnswerRelay = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.answers = AnswerRelay(self.dispatcher.loads, self.dialect)
 
     async def run(self, exchange: Exchange, send: Send) -> None:
         """Have a request answered.
@@ -165,7 +100,9 @@
         try:
             connection.send(self._head(exchange, entry, now_s), exchange.body)
             try:
-                outcome = await self._relay(exchange, entry, connection, sent, send)
+                outcome = await self.answers.relay(
+                    exchange, entry, connection, sent, send
+                )
                 kept = outcome is not Outcome.UNKNOWN
                 if outcome is Outcome.NOT_RUN:
                     exchange.may_have_run = ran_before
@@ -210,7 +147,7 @@
         if exchange.started:
             raise BrokenAnswer(exchange.detail or str(outcome))
         if exchange.failure is not None:
-            await self._finish(exchange, *exchange.failure, send)
+            await self.answers.finish(exchange, *exchange.failure, send)
             return True
         if exchange.may_have_run:
             raise refuse("answer-lost", exchange.detail)
@@ -310,189 +247,3 @@
         if exchange.body or exchange.method not in ("GET", "HEAD"):
             lines.append(b"content-length: %d" % len(exchange.body))
         return b"\r\n".join(lines) + b"\r\n\r\n"
-
-    # Answers
-
-    async def _relay(
-        self,
-        exchange: Exchange,
-        entry: UpstreamEntry,
-        connection: UpstreamConnection,
-        sent: SentRequest,
-        send: Send,
-    ) -> Outcome:
-        head, terms = await self._own_answer(exchange, connection)
-        now_s = time.monotonic()
-        loads = self.dispatcher.loads
-        loads.note_heard(entry.upstream_id, now_s)
-        if terms.load is not None:
-            load = terms.load
-            loads.note_report(
-                entry.upstream_id, load.running, load.waiting, load.slots, now_s
-            )
-        if terms.not_run or terms.other_incarnation:
-            exchange.detail = f"declined with {head.status}"
-            await _drain(connection)
-            return Outcome.NOT_RUN
-        if exchange.method == "HEAD":
-            await self._finish(exchange, head, b"", send)
-            # The parser can't know that no body follows.
-            connection.close()
-            return Outcome.ANSWERED
-        if not 200 <= head.status < 300:
-            return await self._relay_failure(exchange, head, terms, connection, send)
-        if terms.request_id != exchange.terms.request_id or not terms.sealed:
-            exchange.detail = "the answer names no request or has no seal"
-            return Outcome.UNKNOWN
-        if exchange.route.kind is RequestKind.STREAM:
-            return await self._relay_stream(exchange, head, connection, sent, send)
-        return await self._relay_whole(exchange, head, connection, sent, send)
-
-    async def _own_answer(
-        self, exchange: Exchange, connection: UpstreamConnection
-    ) -> tuple[AnswerHead, AnswerTerms]:
-        """Return the answer to this request, past those of earlier ones."""
-        for _ in range(MAX_STRAY_ANSWERS):
-            head = await connection.read_head()
-            terms = self.dialect.read_answer(head.status, head.headers)
-            own = exchange.terms.request_id
-            if terms.request_id in (None, own):
-                if terms.request_id is None and connection.requests > 1:
-                    # It may belong to an earlier request; then this one still runs.
-                    terms = _as_unknown(terms)
-                return head, terms
-            logger.warning("stray_answer", request_id=own, belongs_to=terms.request_id)
-            await _drain(connection)
-        raise ConnectionBroken("too many stray answers")
-
-    async def _relay_failure(
-        self,
-        exchange: Exchange,
-        head: AnswerHead,
-        terms: AnswerTerms,
-        connection: UpstreamConnection,
-        send: Send,
-    ) -> Outcome:
-        """Pass on a failure, or keep it until no other upstream can answer."""
-        body = await _read_whole(connection)
-        exchange.detail = f"status {head.status}"
-        if terms.request_id != exchange.terms.request_id:
-            return Outcome.UNKNOWN
-        if exchange.started:
-            return Outcome.FAILED
-        if head.status in PROMISES_NOT_RUN:
-            # Passed on, they would promise the caller that it has not run.
-            return Outcome.FAILED
-        if head.status >= 500:
-            exchange.failure = (head, body)
-            return Outcome.FAILED
-        await self._finish(exchange, head, body, send)
-        return Outcome.ANSWERED
-
-    async def _relay_whole(
-        self,
-        exchange: Exchange,
-        head: AnswerHead,
-        connection: UpstreamConnection,
-        sent: SentRequest,
-        send: Send,
-    ) -> Outcome:
-        parts: list[bytes] = []
-        size = 0
-        while (part := await connection.read_body()) is not None:
-            self.dispatcher.loads.note_first_byte(sent, time.monotonic())
-            parts.append(part)
-            size += len(part)
-            if size > MAX_WHOLE_ANSWER_BYTES:
-                return await self._relay_large(exchange, head, connection, parts, send)
-        await self._finish(exchange, head, b"".join(parts), send)
-        return Outcome.ANSWERED
-
-    async def _relay_large(
-        self,
-        exchange: Exchange,
-        head: AnswerHead,
-        connection: UpstreamConnection,
-        parts: list[bytes],
-        send: Send,
-    ) -> Outcome:
-        await self._start(exchange, head, None, send)
-        await _send_body(send, b"".join(parts), more=True)
-        while (part := await connection.read_body()) is not None:
-            await _send_body(send, part, more=True)
-        await _send_body(send, b"", more=False)
-        exchange.completed = True
-        return Outcome.ANSWERED
-
-    async def _relay_stream(
-        self,
-        exchange: Exchange,
-        head: AnswerHead,
-        connection: UpstreamConnection,
-        sent: SentRequest,
-        send: Send,
-    ) -> Outcome:
-        """Pass on events as they come in, whole ones only where resumable."""
-        loads, cutter = self.dispatcher.loads, exchange.cutter
-        if exchange.started:
-            exchange.resumed += 1
-        while (part := await connection.read_body()) is not None:
-            now_s = time.monotonic()
-            loads.note_first_byte(sent, now_s)
-            if cutter is not None:
-                part = cutter.feed(part)
-                if not part:
-                    continue
-            if not exchange.started:
-                exchange.first_byte_s = now_s
-                await self._start(exchange, head, None, send)
-            await _send_body(send, part, more=True)
-        if cutter is not None and not cutter.complete:
-            exchange.detail = "the stream ended within an event"
-            return Outcome.UNKNOWN
-        if not exchange.started:
-            await self._start(exchange, head, None, send)
-        await _send_body(send, b"", more=False)
-        exchange.completed = True
-        return Outcome.ANSWERED
-
-    async def _finish(
-        self, exchange: Exchange, head: AnswerHead, body: bytes, send: Send
-    ) -> None:
-        exchange.first_byte_s = time.monotonic()
-        await self._start(exchange, head, len(body), send)
-        await _send_body(send, body, more=False)
-        exchange.completed = True
-
-    async def _start(
-        self, exchange: Exchange, head: AnswerHead, length: int | None, send: Send
-    ) -> None:
-        headers = self.dialect.write_answer(head.headers)
-        if length is not None and exchange.method != "HEAD":
-            headers.append((b"content-length", b"%d" % length))
-        if exchange.closing:
-            headers.append((b"connection", b"close"))
-        exchange.started = True
-        exchange.status = head.status
-        message = {"type": "http.response.start", "status": head.status}
-        await send(message | {"headers": headers})
-
-
-async def _send_body(send: Send, body: bytes, more: bool) -> None:
-    await send({"type": "http.response.body", "body": body, "more_body": more})
-
-
-async def _drain(connection: UpstreamConnection) -> None:
-    while await connection.read_body() is not None:
-        pass
-
-
-async def _read_whole(connection: UpstreamConnection) -> bytes:
-    parts = []
-    while (part := await connection.read_body()) is not None:
-        parts.append(part)
-    return b"".join(parts)
-
-
-def _as_unknown(terms: AnswerTerms) -> AnswerTerms:
-    return AnswerTerms(None, False, False, False, terms.load)
--- a/src/carobstair/edge/router.py
+++ b/src/carobstair/edge/router.py
@@ -44,6 +44,8 @@
 # For refusals and last bytes to leave the process before it ends.
 LAST_ANSWERS_S = 0.05
 SETTINGS_CHECK_S = 1.0
+# Of the objects that one log line says have changed.
+MAX_NAMES_TOLD = 16
 # The others are read once: addresses, and what decides placement.
 RELOADABLE = frozenset({"send_limits", "stop"})
 
@@ -307,7 +309,7 @@
             "state_changed",
             kind=str(kind),
             count=len(names),
-            names=",".join(names[:4]),
+            names=",".join(names[:MAX_NAMES_TOLD]),
             version=self.view.version,
             revision=self.view.revisions()[kind.value],
         )
--- a/src/carobstair/logs.py
+++ b/src/carobstair/logs.py
@@ -98,7 +98,9 @@
             structlog.get_logger(module=module).warning(
                 "events_suppressed", suppressed_event=event, count=item.count
             )
-        key = (event_dict.get("module", ""), event_dict["event"])
+        # Failures of one kind are not crowded out by many of another.
+        event = f"{event_dict['event']} {event_dict.get('outcome', '')}".strip()
+        key = (event_dict.get("module", ""), event)
         if not self._limit.admits(key, now_s):
             raise structlog.DropEvent
         return event_dict
--- /dev/null
+++ b/tests/test_explain.py
@@ -0,0 +1,84 @@
+"""Tests of the story of one request, told from log lines."""
+
+import contextlib
+import io
+import tempfile
+import unittest
+from pathlib import Path
+
+from carobstair.cli.report import explain as explain_command
+from carobstair.report.explain import explain, read_lines
+
+
+def line(second, event, **fields):
+    """Return a log line as the routers write it."""
+    told = " ".join(f"{name}={value}" for name, value in fields.items())
+    return f"timestamp=2026-01-01T00:00:{second:06.3f}Z level=info event={event} {told}"
+
+
+FIRST = [
+    line(1, "router_started", instance="front-1"),
+    line(2, "state_changed", kind="routing", version=3, revision=41, names="main"),
+    line(3, "state_changed", kind="upstreams", version=3, revision=44, names="u1,u2"),
+    line(4, "store_lost", kind="routing"),
+    line(4.5, "peer_lost", peer="front-2"),
+    line(5, "attempt_failed", request_id="id1", upstream="u1", outcome="unknown"),
+    line(
+        5.1,
+        "request_ended",
+        request_id="id1",
+        upstream="u1",
+        outcome="answer-lost",
+        detail='"closed by \\"it\\""',
+    ),
+    "Traceback (most recent call last):",
+]
+SECOND = [
+    line(5.5, "attempt_failed", request_id="id2", upstream="u1", detail="refused"),
+    line(9.9, "attempt_failed", request_id="id3", upstream="u1", detail="late"),
+]
+
+
+class ExplainTest(unittest.TestCase):
+    """Guards against a failed request whose cause can't be found afterwards."""
+
+    def story(self, request_id="id1"):
+        lines = [*read_lines("front-1", FIRST), *read_lines("front-2", SECOND)]
+        return "\n".join(explain(request_id, lines))
+
+    def test_steps_stand_in_order_with_their_inputs(self):
+        story = self.story()
+        self.assertLess(story.index("attempt_failed"), story.index("request_ended"))
+        self.assertIn('detail=closed by "it"', story)
+
+    def test_what_the_process_knew_stands_with_its_age(self):
+        story = self.story()
+        self.assertIn("in force: version 3, revision 41, 3.0 s old", story)
+        self.assertIn("news of u1: version 3, revision 44, 2.0 s old", story)
+        self.assertIn("store: store_lost 1.0 s before", story)
+        self.assertIn("peers not heard: front-2", story)
+        self.assertIn("router_started 4.0 s before", story)
+
+    def test_failures_of_others_at_the_same_upstream_are_counted(self):
+        # One at another router half a second later; the third is too far away.
+        self.assertIn("1 other failures at u1 within 2 s, on 1 routers", self.story())
+
+    def test_line_with_a_prefix_names_its_process(self):
+        (found,) = read_lines("all", ["12.5 front-7: " + SECOND[0]])
+        self.assertEqual(found.process, "front-7")
+
+    def test_unknown_request_is_said_to_be_unknown(self):
+        self.assertIn("no line", self.story("id9"))
+
+    def test_command_reads_files(self):
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "front-1.log"
+            path.write_text("\n".join(FIRST))
+            out = io.StringIO()
+            with contextlib.redirect_stdout(out):
+                explain_command("id1", path)
+        self.assertIn("front-1 request_ended", out.getvalue())
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -66,6 +66,12 @@
         self.logger.info("attempt_failed", upstream="u")
         self.assertIn("event=attempt_failed", self.lines()[-1])
 
+    def test_a_flood_of_refusals_leaves_room_for_other_outcomes(self):
+        for _ in range(50):
+            self.logger.info("request_ended", outcome="overloaded")
+        self.logger.info("request_ended", outcome="broken", request_id="r-9")
+        self.assertIn("request_id=r-9", self.lines()[-1])
+
 
 if __name__ == "__main__":
     unittest.main()
