Close callers' connections before descriptors run out, and count running requests

Ruled out: lost peers (none in the log) and the processor (0.27 of a core at most). Answers now close their connection while more than half of the descriptors are callers' connections; the idle limit alone is too long for it. Tests: IdleCallerTest, BootSettingsTest.

Pressure on engines counts requests that run, not the part of slots taken: 0.35 of 64 slots was measured, but on engines with 32 slots it refused callers at 11 running.

--- a/src/carobstair/core/engine_load.py
+++ b/src/carobstair/core/engine_load.py
@@ -63,9 +63,13 @@
     full_wait_s : float
         Mean wait for prompts ahead at which engines have enough: below two thirds of
         the shortest objective for the first token, 400 ms, as waits vary.
+    full_running : float
+        Requests running on an engine at which it has enough: from its data sheet a
+        step takes half as long again as with one request. With more, long answers
+        miss their deadlines.
     full_slots : float
-        Part of the slots at which engines have enough; beyond, each token takes
-        so long that long answers miss their deadline.
+        The same as a part of the slots, for engines with few: beyond all slots
+        requests wait.
     held_fraction : float
         Part of an engine's memory that is taken to hold known parts; the rest
         goes to running requests and to parts that only peers know.
@@ -77,7 +81,8 @@
     running_s: float = 0.002
     other_zone_s: float = 0.005
     full_wait_s: float = 0.25
-    full_slots: float = 0.35
+    full_running: float = 22.0
+    full_slots: float = 0.8
     held_fraction: float = 0.5
 
 
@@ -294,8 +299,11 @@
         tokens = sum(map(self.backlog_tokens, upstreams))
         wait_s = tokens / rules.read_tokens_per_s / max(1, len(upstreams))
         running = sum(map(self.running, upstreams))
-        taken = running / max(1, sum(upstreams.values()))
-        return max(wait_s / rules.full_wait_s, taken / rules.full_slots)
+        room = sum(
+            min(rules.full_running, rules.full_slots * slots)
+            for slots in upstreams.values()
+        )
+        return max(wait_s / rules.full_wait_s, running / max(1.0, room))
 
     def order(
         self,
--- a/src/carobstair/edge/front.py
+++ b/src/carobstair/edge/front.py
@@ -65,6 +65,8 @@
     rng : random.Random
     max_open : int
         Requests in hand beyond which more are refused.
+    is_crowded : callable
+        Returns whether answers should close their connections.
     """
 
     def __init__(
@@ -76,6 +78,7 @@
         metrics: EdgeMetrics,
         rng: random.Random,
         max_open: int,
+        is_crowded: Callable[[], bool] = lambda: False,
     ):
         self._view = view
         self._relay = relay
@@ -84,6 +87,7 @@
         self._metrics = metrics
         self._rng = rng
         self._max_open = max_open
+        self._is_crowded = is_crowded
         self._ended = 0
         self.open_requests: set[asyncio.Task] = set()
         self.closing = False
@@ -216,7 +220,7 @@
             body,
             arrived_s,
             arrived_s + allowed_s,
-            closing=self.closing,
+            closing=self.closing or self._is_crowded(),
         )
 
     def _pick_pool(self, table: RoutingTable, route: Route) -> ServicePool:
@@ -272,7 +276,8 @@
         ]
         if refusal.retry_after_s is not None:
             headers.append((b"retry-after", b"%.2f" % refusal.retry_after_s))
-        if self.closing or refusal.status in (400, 408, 413, 431):
+        crowded = self.closing or self._is_crowded()
+        if crowded or refusal.status in (400, 408, 413, 431):
             headers.append((b"connection", b"close"))
         start = {"type": "http.response.start", "status": refusal.status}
         await send(start | {"headers": headers})
--- a/src/carobstair/edge/router.py
+++ b/src/carobstair/edge/router.py
@@ -125,6 +125,7 @@
             self.metrics,
             self._rng,
             settings.max_open_requests,
+            lambda: self._callers.connections > listen.max_kept,
         )
         self._callers = CallerServer(self.front, listen.host, listen.callers_port)
         self._ready = PageServer(self._ready_page, listen.host, listen.ready_port)
--- a/src/carobstair/edge/server.py
+++ b/src/carobstair/edge/server.py
@@ -81,6 +81,11 @@
     def idle_timeout_s(self, timeout_s: float) -> None:
         self._config.timeout_keep_alive = timeout_s
 
+    @property
+    def connections(self) -> int:
+        """How many connections are open."""
+        return len(self._server.server_state.connections)
+
     async def serve(self) -> None:
         """Serve until cancelled."""
         await self._server.serve(sockets=[self._socket])
--- a/src/carobstair/edge/settings.py
+++ b/src/carobstair/edge/settings.py
@@ -24,13 +24,21 @@
 
 
 class ListenSettings(_Model):
-    """Addresses of this process."""
+    """Addresses of this process, and how many callers' connections it keeps.
+
+    Attributes
+    ----------
+    max_kept : int
+        Open connections beyond which answers close theirs. At the limit of
+        descriptors a server takes no connection for a whole second.
+    """
 
     host: str
     callers_port: int = Field(ge=1, le=65535)
     ready_port: int = Field(ge=1, le=65535)
     peer_port: int = Field(ge=1, le=65535)
     metrics_port: int = Field(ge=1, le=65535)
+    max_kept: int = Field(1_000, ge=1)
 
 
 class SyncSettings(_Model):
--- a/src/carobstair/platform/boot.py
+++ b/src/carobstair/platform/boot.py
@@ -24,6 +24,10 @@
 # Places of our own services within the platform's range of internal ports.
 PEER_PORT_INDEX = 0
 METRICS_PORT_INDEX = 1
+# The platform sets these aside for files.
+RESERVED_DESCRIPTORS = 200
+# A process with fewer descriptors than this could serve nobody.
+LEAST_SOCKETS = 100
 
 
 class _Part(BaseModel):
@@ -49,6 +53,10 @@
     cold_slack: float = Field(5.0, ge=0)
 
 
+class _Limits(_Part):
+    max_fds: int = Field(4_096, ge=0)
+
+
 class _Boot(_Part):
     node_name: str = Field(min_length=1)
     ip_address: str = Field(min_length=1)
@@ -59,6 +67,7 @@
     listen: _Listen
     platform: _Platform
     bounds: _Bounds = _Bounds()
+    limits: _Limits = _Limits()
 
 
 def boot_path() -> Path | None:
@@ -101,6 +110,7 @@
     ports = boot.internal_port_range
     peer_port = ports[0] + PEER_PORT_INDEX
     bounds = boot.bounds
+    sockets = max(LEAST_SOCKETS, boot.limits.max_fds - RESERVED_DESCRIPTORS)
     return EdgeSettings(
         name=boot.node_name,
         zone=boot.zone,
@@ -110,6 +120,7 @@
             ready_port=_port(boot.listen.ready),
             peer_port=peer_port,
             metrics_port=ports[0] + METRICS_PORT_INDEX,
+            max_kept=sockets // 2,
         ),
         sync=SyncSettings(
             store_address=boot.platform.address,
@@ -125,6 +136,8 @@
             bounds.retry_slack,
             bounds.retry_window_s,
         ),
+        # Each has its caller's connection and one to an upstream.
+        max_open_requests=sockets // 3,
     )
 
 
--- a/tests/test_boot.py
+++ b/tests/test_boot.py
@@ -42,6 +42,7 @@
 ready = "127.0.0.1:{ready}"
 [limits]
 unknown = 1
+maxFds = 4100
 [bounds]
 graceS = 3
 retrySlack = 52
@@ -83,6 +84,9 @@
         self.assertEqual(settings.listen.peer_port, 7400)
         self.assertEqual(settings.listen.callers_port, 1)
         self.assertEqual(settings.stop.grace_s, 3)
+        # What callers and upstreams can take at once fits into the descriptors.
+        self.assertLess(settings.listen.max_kept, 3_900)
+        self.assertLess(2 * settings.max_open_requests, 3_900)
         self.assertEqual(settings.send_limits.resend_slack, 52)
         self.assertEqual(settings.sync.seeds, ["127.0.0.1:7400", "127.0.0.2:7400"])
 
@@ -181,7 +185,11 @@
             if await self.ready(port) == status:
                 return
             await asyncio.sleep(0.05)
-        raise AssertionError(f"never {status}")
+        process = self.processes[-1]
+        if process.returncode is None:
+            process.kill()
+        output = (await process.stdout.read()).decode()[-1000:]
+        raise AssertionError(f"never {status}, {process.returncode}: {output}")
 
     async def call(self, port):
         """Return the status of a request."""
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -70,6 +70,7 @@
             frozenset({"r0"}),
         )
         relay = Relay(self.dispatcher, UpstreamPool(), PlatformDialect())
+        self.max_kept = 100
         self.front = Front(
             self.view,
             relay,
@@ -78,6 +79,7 @@
             EdgeMetrics(),
             rng,
             1000,
+            lambda: self.server.connections > self.max_kept,
         )
         self.server = CallerServer(self.front, "127.0.0.1", 0)
         self.client = PlatformStore(f"127.0.0.1:{self.store.port}", lambda *args: None)
@@ -497,6 +499,25 @@
         self.assertLess(await self.until_closed(reader), 1.0)
         writer.close()
 
+    async def test_answers_close_connections_while_there_are_too_many(self):
+        # A router with 4,060 of 4,100 descriptors took no connection for a second
+        # at a time, and read requests after their callers had left.
+        await self.serve("ok")
+        self.max_kept = 3
+        others = [
+            await asyncio.open_connection("127.0.0.1", self.server.port)
+            for _ in range(4)
+        ]
+        for path, expected in (("/safe/x", 200), ("/nowhere/x", 404)):
+            status, headers, _ = await self.call(path)
+            self.assertEqual(status, expected)
+            self.assertEqual(headers.get("Connection"), "close")
+        for _, writer in others:
+            writer.close()
+        await until(lambda: self.server.connections <= 3)
+        _, headers, _ = await self.call("/safe/x")
+        self.assertNotIn("Connection", headers)
+
     async def test_running_request_is_not_idle(self):
         self.server.idle_timeout_s = 0.05
         await self.serve("slow")
--- a/tests/test_send_limits.py
+++ b/tests/test_send_limits.py
@@ -174,6 +174,14 @@
         self.dispatcher.loads.note_peer("r1", [])
         self.assertEqual(self.dispatcher.pressure("model", 1.0), 0.0)
 
+    def test_requests_running_count_by_what_they_slow_down(self):
+        # Half of 32 slots are no load yet, and half of 64 are too much.
+        loads = self.dispatcher.loads
+        for slots, running, busy in ((32, 16, False), (32, 27, True), (64, 32, True)):
+            with self.subTest(slots=slots, running=running):
+                loads.note_peer("r1", [("u0", 0, running)])
+                self.assertEqual(loads.pressure({"u0": slots}) > 1.0, busy)
+
     def test_known_parts_age_by_their_tokens(self):
         loads = self.dispatcher.loads
         loads.kv_tokens = 10_000
