Tell a fast-changing load early, ask the store less in large fleets, add a soak

On the grown sites one router gets up to three fifths of the requests, and the others hear of its load every 0.5 to 1.5 s. A router now sends a digest as soon as its backlog of prompts has changed by 8,000 tokens times the fleet's slowdown.

soak/ runs real router processes on loopback against stand-ins of the store and of engines, with seeded faults that overlap: signals, silent, slow and cut connections, lost answers, engines that crash, leave or turn cold, configuration storms, revoked keys, evacuations.

--- /dev/null
+++ b/soak/callers.py
@@ -0,0 +1,152 @@
+"""Callers that keep connections open and note what they got."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import random
+import re
+import time
+from dataclasses import dataclass, field
+
+import aiohttp
+
+from engines import LAST_EVENT
+from routers import Router
+
+__all__ = ["DEADLINE_S", "KINDS", "Attempt", "Callers"]
+
+DEADLINE_S = 2.0
+# A caller waits longer than the route allows, to see late answers as such.
+PATIENCE_S = 5.0
+KINDS = ("safe", "unsafe", "stream", "resume")
+EVENT = re.compile(rb"id: (\d+)\ndata: (\S+)\n\n")
+
+
+@dataclass(slots=True)
+class Attempt:
+    """One request and its answer.
+
+    Attributes
+    ----------
+    kind : str
+        One of `KINDS`, or ``version`` for a request that shows which
+        configuration is in force.
+    version : int
+        Of the route that a version request asks for.
+    status : int, optional
+        None if the connection ended before an answer began.
+    complete : bool
+        Whether the answer ended as whole.
+    """
+
+    request_id: str
+    kind: str
+    router: str
+    incarnation: int
+    sent_s: float
+    key: str
+    version: int = 0
+    status: int | None = None
+    body: bytes = b""
+    complete: bool = False
+    ended_s: float = 0.0
+    error: str = ""
+
+    def events(self) -> list[tuple[int, str]]:
+        """Return the whole events of a stream: number and the id they name."""
+        return [(int(n), d.decode()) for n, d in EVENT.findall(self.body)]
+
+    def wrong_body(self) -> str:
+        """Return what is wrong with a success that ended as whole, or nothing."""
+        if self.kind in ("stream", "resume"):
+            expected = [(n, self.request_id) for n in range(1, LAST_EVENT + 1)]
+            return "" if self.events() == expected else f"events {self.events()}"
+        if self.body.startswith(self.request_id.encode() + b" from "):
+            return ""
+        return f"body {self.body[:60]!r}"
+
+
+@dataclass(eq=False)
+class Callers:
+    """Sends requests to routers at random until stopped.
+
+    Parameters
+    ----------
+    routers : list of Router
+    rng : random.Random
+    keys : list of str
+        Keys that callers use now.
+    """
+
+    routers: list[Router]
+    rng: random.Random
+    keys: list[str]
+    rate_per_s: float = 60.0
+    version: int = 0
+    attempts: list[Attempt] = field(default_factory=list)
+    _numbers: itertools.count = field(default_factory=itertools.count)
+    _session: aiohttp.ClientSession | None = None
+    _tasks: set[asyncio.Task] = field(default_factory=set)
+
+    async def run(self) -> None:
+        """Send until cancelled."""
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=30)
+        )
+        while True:
+            await asyncio.sleep(self.rng.expovariate(self.rate_per_s))
+            router = self.rng.choice(self.routers)
+            if self.rng.random() < 0.15 and self.version > 1:
+                version = self.version - self.rng.randrange(2)
+                self.send(router, "version", version)
+            else:
+                self.send(router, self.rng.choice(KINDS))
+
+    async def close(self) -> None:
+        """Wait for what runs and close all connections."""
+        if self._tasks:
+            await asyncio.wait(self._tasks, timeout=PATIENCE_S + 1)
+        await self._session.close()
+
+    def send(self, router: Router, kind: str, version: int = 0) -> asyncio.Task:
+        """Send one request."""
+        attempt = Attempt(
+            f"a{next(self._numbers)}",
+            kind,
+            router.name,
+            router.incarnation,
+            time.monotonic(),
+            self.rng.choice(self.keys),
+            version,
+        )
+        self.attempts.append(attempt)
+        task = asyncio.create_task(self._call(router, attempt))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    async def _call(self, router: Router, attempt: Attempt) -> Attempt:
+        path = attempt.kind if attempt.kind != "version" else f"ver-{attempt.version}"
+        headers = {
+            "Host": "api.test",
+            "Carobstair-Attempt-Id": attempt.request_id,
+            "Carobstair-Key": attempt.key,
+            "Carobstair-Deadline-Ms": str(int(DEADLINE_S * 1000)),
+            "X-Soak-Router": router.name,
+        }
+        url = f"http://127.0.0.1:{router.front_port}/{path}/x"
+        timeout = aiohttp.ClientTimeout(total=PATIENCE_S)
+        try:
+            # The client library repeats no POST by itself.
+            async with self._session.post(
+                url, headers=headers, data=b"x", timeout=timeout
+            ) as response:
+                attempt.status = response.status
+                async for part in response.content.iter_any():
+                    attempt.body += part
+                attempt.complete = True
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            attempt.error = f"{type(error).__name__}: {error}"
+        attempt.ended_s = time.monotonic()
+        return attempt
--- /dev/null
+++ b/soak/engines.py
@@ -0,0 +1,147 @@
+"""Engine stand-ins that register themselves and keep what reached them."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import time
+from dataclasses import dataclass, field
+
+from carobstair.standins.proxy import TcpProxy
+from platform_world import SEAL, HttpStandIn, StoreStandIn, make_server
+
+__all__ = ["COLD_PER_S", "COLD_START_S", "LAST_EVENT", "Arrival", "Engine"]
+
+COLD_PER_S = 5.0
+COLD_START_S = 2.0
+LAST_EVENT = 12
+EVENT_GAP_S = 0.03
+WORK_S = 0.02
+
+_births = itertools.count(1)
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """A request that an engine began to run.
+
+    Attributes
+    ----------
+    router : str
+        Where the caller sent it.
+    """
+
+    request_id: str
+    router: str
+    engine_id: str
+    at_s: float
+
+
+@dataclass(eq=False)
+class Engine(HttpStandIn):
+    """One engine behind a proxy; each start is a new incarnation.
+
+    Parameters
+    ----------
+    name : str
+    zone : str
+    store : StoreStandIn
+    arrivals : list of Arrival
+        Where to note what runs.
+    """
+
+    name: str
+    zone: str
+    store: StoreStandIn
+    arrivals: list[Arrival]
+    engine_id: str = ""
+    cold_until_s: float = 0.0
+    cold_spans: list[tuple[str, float, float]] = field(default_factory=list)
+    proxy: TcpProxy | None = None
+    up: bool = False
+
+    def __post_init__(self):
+        super().__init__()
+
+    async def boot(self, cold: bool) -> None:
+        """Start a new incarnation and register it."""
+        if self._server is None:
+            await self.start()
+            self.proxy = TcpProxy("127.0.0.1", self.port)
+            await self.proxy.start()
+        born = next(_births)
+        self.engine_id = f"{self.name}-{born}"
+        self.proxy.refuse_new = False
+        self.up = True
+        self.cold_until_s = 0.0
+        if cold:
+            self.chill()
+        self.store.put("servers", self.engine_id, self._entry(born))
+
+    def chill(self) -> None:
+        """Turn cold without notice."""
+        now_s = time.monotonic()
+        self.cold_until_s = now_s + COLD_START_S
+        self.cold_spans.append((self.engine_id, now_s, self.cold_until_s))
+
+    def crash(self) -> None:
+        """End with all connections; the entry lapses later."""
+        self.up = False
+        self.proxy.refuse_new = True
+        self.proxy.cut_open()
+
+    def report_draining(self) -> None:
+        """Report that no more is to be sent."""
+        self.store.put("servers", self.engine_id, self._entry(1, state="draining"))
+
+    def remove_entry(self) -> None:
+        """Take the entry out of the store."""
+        if ("servers", self.engine_id) in self.store.objects:
+            self.store.delete("servers", self.engine_id)
+
+    def _entry(self, born: int, **changes) -> dict:
+        left_ms = max(0, int((self.cold_until_s - time.monotonic()) * 1000))
+        return make_server(
+            self.proxy.port,
+            zone=self.zone,
+            coldRemainingMs=left_ms,
+            born=born,
+            **changes,
+        )
+
+    async def respond(self, request, writer):
+        """Run a request, unless it is for another incarnation."""
+        request_id = request.headers["carobstair-attempt-id"]
+        head = f"Carobstair-Attempt-Id: {request_id}\r\n"
+        if request.headers.get("carobstair-expect-instance") != self.engine_id:
+            writer.write(
+                f"HTTP/1.1 421 X\r\n{head}Carobstair-Not-Executed: 1\r\n"
+                "Content-Length: 0\r\n\r\n".encode()
+            )
+            return True
+        router = request.headers.get("x-soak-router", "")
+        arrival = Arrival(request_id, router, self.engine_id, time.monotonic())
+        self.arrivals.append(arrival)
+        head += f"Carobstair-Response-Seal: {SEAL}\r\n"
+        if "/stream/" in request.target or "/resume/" in request.target:
+            return await self._run_stream(request, head, writer)
+        await asyncio.sleep(WORK_S)
+        body = f"{request_id} from {self.engine_id}".encode()
+        head += f"Content-Length: {len(body)}\r\n"
+        writer.write(f"HTTP/1.1 200 X\r\n{head}\r\n".encode() + body)
+        await writer.drain()
+        return True
+
+    async def _run_stream(self, request, head: str, writer):
+        request_id = request.headers["carobstair-attempt-id"]
+        head += "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
+        writer.write(f"HTTP/1.1 200 X\r\n{head}\r\n".encode())
+        first = int(request.headers.get("last-event-id", 0)) + 1
+        for number in range(first, LAST_EVENT + 1):
+            event = f"id: {number}\ndata: {request_id}\n\n".encode()
+            writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+            await writer.drain()
+            await asyncio.sleep(EVENT_GAP_S)
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+        return True
--- /dev/null
+++ b/soak/faults.py
@@ -0,0 +1,301 @@
+"""Faults that overlap, drawn from a seed and put in from outside the routers."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+from world import ZONES, World
+
+__all__ = ["FAULTS", "Fault", "draw_faults", "play"]
+
+# Calm at the begin, so that the first seconds show the world without faults.
+FIRST_FAULT_S = 2.0
+MEAN_GAP_S = 1.2
+# Engines keep answering so long after they have said that they leave.
+DRAIN_S = 3.0
+LAPSE_S = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """One fault: when it begins, its kind, how long it lasts, what it strikes."""
+
+    at_s: float
+    kind: str
+    for_s: float
+    target: int
+
+
+def draw_faults(seed: int, seconds: float) -> list[Fault]:
+    """Return the faults of a run, the same for the same seed and length."""
+    rng = random.Random(seed)
+    faults = []
+    at_s = FIRST_FAULT_S
+    while at_s < seconds:
+        kind = rng.choice(sorted(FAULTS))
+        faults.append(
+            Fault(round(at_s, 3), kind, rng.uniform(0.5, 4.0), rng.randrange(1000))
+        )
+        at_s += rng.expovariate(1 / MEAN_GAP_S)
+    return faults
+
+
+async def play(world: World, faults: list[Fault]) -> None:
+    """Put all faults in at their times and wait until the last has ended."""
+    loop = asyncio.get_running_loop()
+    began_s = loop.time()
+    running = []
+    for fault in faults:
+        await asyncio.sleep(max(0.0, began_s + fault.at_s - loop.time()))
+        running.append(asyncio.create_task(FAULTS[fault.kind](world, fault)))
+    await asyncio.gather(*running)
+
+
+def _router(world: World, fault: Fault):
+    return world.routers[fault.target % len(world.routers)]
+
+
+def _engine(world: World, fault: Fault):
+    return world.engines[fault.target % len(world.engines)]
+
+
+async def _kill(world: World, fault: Fault) -> None:
+    router = _router(world, fault)
+    span = world.disturbed.begin(("router", router.name))
+    router.signal(signal.SIGKILL)
+    await router.gone(5.0)
+    await asyncio.sleep(min(fault.for_s, 1.0))
+    await _restart(router)
+    world.disturbed.end(span)
+
+
+async def _kill_all(world: World, fault: Fault) -> None:
+    spans = [world.disturbed.begin(("router", r.name)) for r in world.routers]
+    for router in world.routers:
+        router.signal(signal.SIGKILL)
+    for router in world.routers:
+        await router.gone(5.0)
+    await asyncio.sleep(0.5)
+    for router in world.routers:
+        await _restart(router)
+    for span in spans:
+        world.disturbed.end(span)
+
+
+async def _restart(router) -> None:
+    # Another fault may have restarted it already.
+    if not router.running:
+        await router.start()
+
+
+async def _pause(world: World, fault: Fault) -> None:
+    router = _router(world, fault)
+    span = world.disturbed.begin(("router", router.name))
+    router.signal(signal.SIGSTOP)
+    await asyncio.sleep(fault.for_s)
+    router.signal(signal.SIGCONT)
+    world.disturbed.end(span)
+
+
+async def _terminate(world: World, fault: Fault) -> None:
+    router = _router(world, fault)
+    span = world.disturbed.begin(("stop", router.name))
+    router.signal(signal.SIGTERM)
+    if fault.target % 3 == 0:
+        await asyncio.sleep(0.3)
+        router.signal(signal.SIGTERM)
+    if not await router.gone(6.0):
+        # The platform does the same after its grace time.
+        router.signal(signal.SIGKILL)
+        await router.gone(5.0)
+    await _restart(router)
+    world.disturbed.end(span)
+
+
+async def _reload(world: World, fault: Fault) -> None:
+    router = _router(world, fault)
+    router.cold_slack = 5 - fault.target % 2
+    router.write_settings()
+    router.signal(signal.SIGHUP)
+
+
+async def _store_down(world: World, fault: Fault) -> None:
+    span = world.disturbed.begin(("store",))
+    world.store.down = True
+    await asyncio.sleep(fault.for_s)
+    world.store.down = False
+    world.disturbed.end(span)
+
+
+async def _store_silent(world: World, fault: Fault) -> None:
+    routers = [r for n, r in enumerate(world.routers) if (fault.target >> n) & 1]
+    spans = [world.disturbed.begin(("store", r.name)) for r in routers]
+    for router in routers:
+        router.store_link.silence_new = True
+        router.store_link.silence_open()
+    await asyncio.sleep(fault.for_s)
+    for router in routers:
+        router.store_link.silence_new = False
+    for span in spans:
+        world.disturbed.end(span)
+
+
+async def _store_connections_silent(world: World, fault: Fault) -> None:
+    router = _router(world, fault)
+    span = world.disturbed.begin(("store", router.name))
+    router.store_link.silence_open()
+    world.disturbed.end(span)
+
+
+async def _store_slow(world: World, fault: Fault) -> None:
+    spans = [world.disturbed.begin(("store", r.name)) for r in world.routers]
+    for router in world.routers:
+        router.store_link.delay_s = 0.3
+    await asyncio.sleep(fault.for_s)
+    for router in world.routers:
+        router.store_link.delay_s = 0.0
+    for span in spans:
+        world.disturbed.end(span)
+
+
+async def _store_answers_lost(world: World, fault: Fault) -> None:
+    router = _router(world, fault)
+    span = world.disturbed.begin(("store", router.name))
+    router.store_link.cut_answers = True
+    await asyncio.sleep(fault.for_s)
+    router.store_link.cut_answers = False
+    world.disturbed.end(span)
+
+
+async def _store_history_lost(world: World, fault: Fault) -> None:
+    span = world.disturbed.begin(("store",))
+    world.store.forget_history()
+    for router in world.routers:
+        router.store_link.cut_open()
+    world.disturbed.end(span)
+
+
+async def _engine_crash(world: World, fault: Fault) -> None:
+    engine = _engine(world, fault)
+    if not engine.up:
+        return
+    span = world.disturbed.begin(("engine", engine.name))
+    engine.crash()
+    await asyncio.sleep(LAPSE_S)
+    engine.remove_entry()
+    await asyncio.sleep(fault.for_s)
+    await engine.boot(cold=True)
+    world.disturbed.end(span)
+
+
+async def _engine_leaves(world: World, fault: Fault) -> None:
+    engine = _engine(world, fault)
+    if not engine.up:
+        return
+    span = world.disturbed.begin(("engine", engine.name))
+    engine.up = False
+    engine.report_draining()
+    world.acknowledged.drained[engine.engine_id] = asyncio.get_running_loop().time()
+    await asyncio.sleep(DRAIN_S)
+    engine.crash()
+    engine.remove_entry()
+    await asyncio.sleep(0.5)
+    await engine.boot(cold=True)
+    world.disturbed.end(span)
+
+
+async def _engine_cold(world: World, fault: Fault) -> None:
+    engine = _engine(world, fault)
+    if engine.up:
+        # The entry says so at once; routers learn it within moments.
+        await engine.boot(cold=True)
+
+
+async def _engine_resets(world: World, fault: Fault) -> None:
+    engine = _engine(world, fault)
+    span = world.disturbed.begin(("engine", engine.name))
+    engine.proxy.cut_open()
+    world.disturbed.end(span)
+
+
+async def _engine_answers_lost(world: World, fault: Fault) -> None:
+    engine = _engine(world, fault)
+    span = world.disturbed.begin(("engine", engine.name))
+    engine.proxy.cut_answers = True
+    await asyncio.sleep(min(fault.for_s, 1.5))
+    engine.proxy.cut_answers = False
+    world.disturbed.end(span)
+
+
+async def _engine_silent(world: World, fault: Fault) -> None:
+    engine = _engine(world, fault)
+    span = world.disturbed.begin(("engine", engine.name))
+    engine.proxy.silence_new = True
+    engine.proxy.silence_open()
+    await asyncio.sleep(fault.for_s)
+    engine.proxy.silence_new = False
+    engine.proxy.cut_open()
+    world.disturbed.end(span)
+
+
+async def _engine_slow(world: World, fault: Fault) -> None:
+    engine = _engine(world, fault)
+    span = world.disturbed.begin(("engine", engine.name))
+    engine.proxy.delay_s = 0.15
+    await asyncio.sleep(fault.for_s)
+    engine.proxy.delay_s = 0.0
+    world.disturbed.end(span)
+
+
+async def _change(world: World, fault: Fault) -> None:
+    world.change_configuration()
+
+
+async def _storm(world: World, fault: Fault) -> None:
+    for _ in range(5):
+        world.change_configuration()
+        await asyncio.sleep(0.2)
+
+
+async def _revoke(world: World, fault: Fault) -> None:
+    world.callers.keys = ["key1", "key2"]
+    world.revoke("key2")
+
+
+async def _evacuate(world: World, fault: Fault) -> None:
+    zone = ZONES[fault.target % len(ZONES)]
+    if ("evacuations", zone) in world.store.objects:
+        return
+    world.evacuate(zone)
+    await asyncio.sleep(fault.for_s + 3.0)
+    world.take_back(zone)
+
+
+FAULTS: dict[str, Callable[[World, Fault], Awaitable[None]]] = {
+    "change": _change,
+    "engine-answers-lost": _engine_answers_lost,
+    "engine-cold": _engine_cold,
+    "engine-crash": _engine_crash,
+    "engine-leaves": _engine_leaves,
+    "engine-resets": _engine_resets,
+    "engine-silent": _engine_silent,
+    "engine-slow": _engine_slow,
+    "evacuate": _evacuate,
+    "kill": _kill,
+    "kill-all": _kill_all,
+    "pause": _pause,
+    "reload": _reload,
+    "revoke": _revoke,
+    "storm": _storm,
+    "store-answers-lost": _store_answers_lost,
+    "store-connections-silent": _store_connections_silent,
+    "store-down": _store_down,
+    "store-history-lost": _store_history_lost,
+    "store-silent": _store_silent,
+    "store-slow": _store_slow,
+    "terminate": _terminate,
+}
--- /dev/null
+++ b/soak/world.py
@@ -0,0 +1,176 @@
+"""A small deployment on loopback: store, engines, routers and callers."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import signal
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import aiohttp
+
+from callers import Callers
+from carobstair.standins.proxy import TcpProxy
+from clock import Disturbances
+from engines import COLD_PER_S, COLD_START_S, Arrival, Engine
+from platform_world import StoreStandIn, make_config, make_route
+from routers import Router, free_port_block
+
+__all__ = ["SoakPlan", "World"]
+
+ZONES = ("a", "b")
+TIMEOUT_MS = 2000
+
+
+@dataclass(frozen=True, slots=True)
+class SoakPlan:
+    """Size and length of one run."""
+
+    seed: int
+    seconds: float = 30.0
+    routers: int = 4
+    engines: int = 5
+    rate_per_s: float = 60.0
+
+
+@dataclass(slots=True)
+class Acknowledged:
+    """When the store took a change, by what it was about."""
+
+    versions: dict[int, float] = field(default_factory=dict)
+    drained: dict[str, float] = field(default_factory=dict)
+    # Zone, begin, end.
+    evacuated: list[list] = field(default_factory=list)
+    revoked: dict[str, float] = field(default_factory=dict)
+
+
+class World:
+    """Starts, changes and ends the parts of a deployment.
+
+    Parameters
+    ----------
+    plan : SoakPlan
+    folder : Path
+        For settings files and logs.
+    """
+
+    def __init__(self, plan: SoakPlan, folder: Path):
+        self.plan = plan
+        self.folder = folder
+        self.rng = random.Random(plan.seed)
+        self.store = StoreStandIn()
+        self.arrivals: list[Arrival] = []
+        self.engines: list[Engine] = []
+        self.routers: list[Router] = []
+        self.disturbed = Disturbances()
+        self.acknowledged = Acknowledged()
+        self.keys = ["key1", "key2"]
+        self.version = 0
+        self.callers = Callers(self.routers, self.rng, ["key1"], plan.rate_per_s)
+        self.restarts: set[asyncio.Task] = set()
+
+    async def start(self) -> None:
+        """Start everything and wait until all routers are ready."""
+        await self.store.start()
+        self.change_configuration()
+        for number in range(self.plan.engines):
+            zone = ZONES[number % len(ZONES)]
+            engine = Engine(f"e{number}", zone, self.store, self.arrivals)
+            await engine.boot(cold=False)
+            self.engines.append(engine)
+        base = free_port_block(4 * self.plan.routers)
+        seeds = [f"127.0.0.1:{base + 4 * n}" for n in range(min(3, self.plan.routers))]
+        for number in range(self.plan.routers):
+            link = TcpProxy("127.0.0.1", self.store.port)
+            await link.start()
+            zone = ZONES[number % len(ZONES)]
+            router = Router(
+                f"r{number}", zone, self.folder, base + 4 * number, link, seeds
+            )
+            await router.start()
+            self.routers.append(router)
+        await self.until_ready(20.0)
+
+    async def close(self) -> None:
+        """End all that was started."""
+        for router in self.routers:
+            router.signal(signal.SIGCONT)
+            router.signal(signal.SIGKILL)
+            await router.gone(5.0)
+            await router.store_link.close()
+        for engine in self.engines:
+            await engine.proxy.close()
+            await engine.stop()
+        await self.store.stop()
+
+    def change_configuration(self) -> None:
+        """Put a new version: a route of its own, those before it removed."""
+        self.version += 1
+        routes = [
+            make_route("/safe/", timeoutMs=TIMEOUT_MS),
+            make_route("/unsafe/", kind="unsafe", timeoutMs=TIMEOUT_MS),
+            make_route("/stream/", kind="streaming", timeoutMs=TIMEOUT_MS),
+            make_route(
+                "/resume/", kind="streaming", resumable=True, timeoutMs=TIMEOUT_MS
+            ),
+            make_route(f"/ver-{self.version}/", timeoutMs=TIMEOUT_MS),
+        ]
+        service = {
+            "name": "plain",
+            "healthPath": "/health",
+            "maxConnections": 90,
+            "coldStartS": COLD_START_S,
+            "coldPerS": COLD_PER_S,
+        }
+        tenants = [{"name": "team", "apiKeys": list(self.keys)}]
+        config = make_config(
+            self.version, routes=routes, services=[service], tenants=tenants
+        )
+        self.store.put("config", "main", config)
+        self.acknowledged.versions[self.version] = time.monotonic()
+        self.callers.version = self.version
+
+    def revoke(self, key: str) -> None:
+        """Take a key away."""
+        if key in self.keys:
+            self.keys.remove(key)
+            self.change_configuration()
+            self.acknowledged.revoked[key] = time.monotonic()
+
+    def evacuate(self, zone: str) -> None:
+        """Ask that nothing more is sent to a zone."""
+        self.store.put("evacuations", zone, {})
+        self.acknowledged.evacuated.append([zone, time.monotonic(), None])
+
+    def take_back(self, zone: str) -> None:
+        """End an evacuation."""
+        if ("evacuations", zone) not in self.store.objects:
+            return
+        for span in self.acknowledged.evacuated:
+            if span[0] == zone and span[2] is None:
+                span[2] = time.monotonic()
+        self.store.delete("evacuations", zone)
+
+    async def is_ready(self, router: Router) -> bool:
+        """Return whether a router says that it is ready."""
+        url = f"http://127.0.0.1:{router.ready_port}/v1/ready"
+        timeout = aiohttp.ClientTimeout(total=1.0)
+        with contextlib.suppress(aiohttp.ClientError, TimeoutError, OSError):
+            async with (
+                aiohttp.ClientSession() as session,
+                session.get(url, timeout=timeout) as response,
+            ):
+                return response.status == 200
+        return False
+
+    async def until_ready(self, timeout_s: float) -> list[str]:
+        """Wait for all routers; return the names of those that are not ready."""
+        until_s = time.monotonic() + timeout_s
+        while True:
+            late = [r.name for r in self.routers if not await self.is_ready(r)]
+            if not late or time.monotonic() > until_s:
+                return late
+            await asyncio.sleep(0.1)
--- a/src/carobstair/edge/gossip.py
+++ b/src/carobstair/edge/gossip.py
@@ -11,7 +11,7 @@
 import random
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from carobstair.core.engine_load import LoadBook
 from carobstair.core.fair_admission import FairAdmission
@@ -44,14 +44,21 @@
 
     Attributes
     ----------
+    far : bool
+        Whether they are in other zones.
+    at_s, demands_s : float
+        When they were last told anything, and the demand.
     parts : int
         See `LoadBook.part_news`.
-    demands_s : float
-        When they were last told the demand.
+    backlog : dict
+        Prompt tokens in hand by upstream.
     """
 
-    parts: int = 0
+    far: bool
+    at_s: float = -math.inf
     demands_s: float = -math.inf
+    parts: int = 0
+    backlog: dict[str, int] = field(default_factory=dict)
 
 
 class Gossip:
@@ -96,8 +103,8 @@
         self._heard_s: dict[str, float] = {}
         self._behind_since_s: dict[str, float] = {}
         self._pulled_s = 0.0
-        self._near = _Told()
-        self._far = _Told()
+        self._near = _Told(far=False)
+        self._far = _Told(far=True)
         transport.subscribe(FleetDigest, self._on_digest)
         transport.subscribe(StatePull, self._on_pull)
         transport.subscribe(StateNews, self._on_state)
@@ -131,24 +138,38 @@
     async def run(self) -> None:
         """Send digests until cancelled."""
         seeds = self._connect_seeds()
-        turn = 0
         while True:
             sync = self._settings.sync
-            interval_s = sync.digest_interval_s(len(self._peers))
-            await asyncio.sleep(interval_s * self._rng.uniform(0.9, 1.1))
-            turn += 1
-            far = turn % sync.far_turns(len(self._peers)) == 0
+            await asyncio.sleep(sync.digest_s * self._rng.uniform(0.9, 1.1))
             now_s = time.monotonic()
-            self._tell(self._near, self._peer_names(far=False), now_s)
-            if far:
-                self._tell(self._far, self._peer_names(far=True), now_s)
+            for told in (self._near, self._far):
+                names = self._peer_names(told.far)
+                if names and self._is_due(told, now_s):
+                    self._tell(told, names, now_s)
             if seeds and not self._heard_s:
-                self._tell(_Told(), seeds, now_s)
+                self._tell(_Told(False), seeds, now_s)
             self._forget_silent(now_s)
 
+    def _is_due(self, told: _Told, now_s: float) -> bool:
+        """Return whether it is time for a digest, or much has changed since."""
+        sync, peers = self._settings.sync, len(self._peers)
+        # Half a turn early counts: turns vary by a tenth.
+        age_s = now_s - told.at_s + sync.digest_s / 2
+        if age_s >= sync.digest_interval_s(peers, told.far):
+            return True
+        return self._drift_tokens(told) >= sync.drift_limit(peers, told.far)
+
+    def _drift_tokens(self, told: _Told) -> int:
+        """Return by how many prompt tokens the load differs from what was told."""
+        now = {upstream: tokens for upstream, tokens, _ in self._loads.own_rows()}
+        return sum(
+            abs(now.get(upstream, 0) - told.backlog.get(upstream, 0))
+            for upstream in now.keys() | told.backlog.keys()
+        )
+
     def _tell(self, told: _Told, names: list[str], now_s: float) -> None:
-        if names:
-            self._transport.send_all(names, self._digest(told, now_s))
+        self._transport.send_all(names, self._digest(told, now_s))
+        told.at_s = now_s
 
     def _peer_names(self, far: bool) -> list[str]:
         return [name for name in self._peers if self._is_far(name) is far]
@@ -174,10 +195,12 @@
         for upstream, part, tokens in rows:
             parts.setdefault(upstream, []).append((part, tokens))
         own = self._view.revisions()
+        loads = self._loads.own_rows()
+        told.backlog = {upstream: tokens for upstream, tokens, _ in loads}
         return FleetDigest(
             self._own,
             [own[kind.value] for kind in StateKind],
-            [LoadRow(*row) for row in self._loads.own_rows()],
+            [LoadRow(*row) for row in loads],
             parts,
             self._demands(told, now_s),
         )
--- a/src/carobstair/edge/settings.py
+++ b/src/carobstair/edge/settings.py
@@ -17,6 +17,8 @@
 # Digests that may be missed before a peer counts as silent: one is lost now and
 # then, and a slow machine is late with the next.
 MISSED_DIGESTS = 3
+# The store ends a watch at 30 s.
+LONGEST_WATCH_S = 30.0
 
 
 class _Model(BaseModel):
@@ -58,15 +60,21 @@
         which a change is to be in force.
     behind_s : float
         How long a peer may be ahead before its changes are fetched from it.
+    drift_tokens : int
+        Change of a router's prompt backlog after which it sends a digest early,
+        times the slowdown: in a large fleet few routers hold most of the load, and
+        what they hold changes faster than the others need to speak.
     demand_s : float
         How often digests tell demand; it is an average over a longer time.
     far_slowdown : int
         In fleets beyond the full rate, peers in other zones get every so many
         digests: bytes between zones are dear, and most requests stay in theirs.
     full_rate_peers : int
-        Peers up to which digests and watches run at the full rate. Larger fleets
-        slow down in proportion, so that what a router receives and what the store
-        is asked in all stay the same in number; news travels by peers meanwhile.
+        Peers up to which digests go out at the full rate. Larger fleets slow down
+        in proportion, so that what a router receives stays the same in number.
+    watches_per_s : float
+        Watches of one kind of state that the fleet ends in a second while nothing
+        changes; each costs a call of the store. News travels by peers meanwhile.
     """
 
     store_address: str = Field(pattern=r"^\S+:\d+$")
@@ -80,6 +88,8 @@
     behind_s: float = Field(0.2, gt=0, le=10)
     peer_silence_s: float = Field(1.0, gt=0, le=60)
     full_rate_peers: int = Field(12, ge=1)
+    watches_per_s: float = Field(5.0, gt=0)
+    drift_tokens: int = Field(8_000, ge=1)
     demand_s: float = Field(0.3, gt=0, le=10)
     far_slowdown: int = Field(3, ge=1)
     seeds: list[str] = []
@@ -88,31 +98,33 @@
         """Return by which factor intervals are longer for the fleet's size."""
         return max(1.0, peers / self.full_rate_peers)
 
-    def digest_interval_s(self, peers: int) -> float:
-        """Return the time between two digests of this router."""
-        return self.digest_s * self.slowdown(peers)
+    def far_factor(self, peers: int, far: bool) -> int:
+        """Return how many times longer intervals are to other zones."""
+        return self.far_slowdown if far and peers > self.full_rate_peers else 1
 
-    def pause_s(self, peers: int) -> float:
-        """Return the pause after a watch that brought changes."""
-        return min(self.longest_pause_s, self.watch_pause_s * self.slowdown(peers))
-
-    def far_turns(self, peers: int) -> int:
-        """Return how many digests go by for each one to other zones."""
-        return self.far_slowdown if peers > self.full_rate_peers else 1
-
-    def silence_s(self, peers: int, far: bool) -> float:
-        """Return after which silence a peer counts as lost.
+    def digest_interval_s(self, peers: int, far: bool) -> float:
+        """Return the longest time between two digests of this router.
 
         Parameters
         ----------
         far : bool
-            Whether it is in another zone.
+            To peers in other zones.
         """
-        interval_s = self.digest_interval_s(peers)
-        if far:
-            interval_s *= self.far_turns(peers)
+        return self.digest_s * self.slowdown(peers) * self.far_factor(peers, far)
+
+    def drift_limit(self, peers: int, far: bool) -> float:
+        """Return the change of backlog after which a digest goes out early."""
+        return self.drift_tokens * self.slowdown(peers) * self.far_factor(peers, far)
+
+    def silence_s(self, peers: int, far: bool) -> float:
+        """Return after which silence a peer counts as lost."""
+        interval_s = self.digest_interval_s(peers, far)
         return max(self.peer_silence_s, MISSED_DIGESTS * interval_s)
 
+    def pause_s(self, peers: int) -> float:
+        """Return the pause after a watch that brought changes."""
+        return min(self.longest_pause_s, self.watch_pause_s * self.slowdown(peers))
+
     def draw_watch_s(self, peers: int, rng: random.Random) -> float:
         """Return how long the next watch waits for a change.
 
@@ -120,8 +132,9 @@
         a store connection that went silent everywhere is noticed as early as in
         a small one.
         """
-        longest_s = self.watch_wait_s * (2.0 * self.slowdown(peers) - 1.0)
-        return rng.uniform(self.watch_wait_s, longest_s)
+        mean_s = max(self.watch_wait_s, peers / self.watches_per_s)
+        longest_s = 2.0 * min(mean_s, LONGEST_WATCH_S / 2.0) - self.watch_wait_s
+        return rng.uniform(self.watch_wait_s, max(self.watch_wait_s, longest_s))
 
 
 class StopSettings(_Model):
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -47,6 +47,21 @@
         self.assertGreater(len(far), 1)
         self.assertAlmostEqual(len(near) / len(far), 3, delta=1)
 
+    async def test_router_whose_load_changes_tells_it_early(self):
+        # One router had three fifths of a grown site's requests, and the others
+        # placed theirs on the engines that it had just filled.
+        self.add_peers(40, 0)
+        idle, _ = await self.run_for(0.4)
+        self.sent.sent.clear()
+        task = asyncio.create_task(self.run_for(0.4))
+        for number in range(30):
+            await asyncio.sleep(0.01)
+            prompt = PromptShape(40_000, 10, ((f"own{number}", 40_000),))
+            self.node.loads.begin("u0", prompt, 0.0)
+        busy, _ = await task
+        self.assertGreater(len(busy), 1.5 * len(idle))
+        self.assertGreater(busy[-1].loads[0].backlog_tokens, 1_000_000)
+
     async def test_each_zone_is_told_every_part_once(self):
         self.add_peers(10, 20)
         for number in range(5):
