Avoid an upstream whose address another instance has taken

Every request tried the old entry, got 421, used up the resend budget and was refused with 503 beside idle engines. Ruled out: engines that are really cold (the others were warm and idle).

--- a/soak/engines.py
+++ b/soak/engines.py
@@ -94,10 +94,11 @@
         """Report that no more is to be sent."""
         self.store.put("servers", self.engine_id, self._entry(1, state="draining"))
 
-    def remove_entry(self) -> None:
-        """Take the entry out of the store."""
-        if ("servers", self.engine_id) in self.store.objects:
-            self.store.delete("servers", self.engine_id)
+    def remove_entry(self, engine_id: str | None = None) -> None:
+        """Take the entry of an incarnation, or the latest, out of the store."""
+        name = engine_id or self.engine_id
+        if ("servers", name) in self.store.objects:
+            self.store.delete("servers", name)
 
     def _entry(self, born: int, **changes) -> dict:
         left_ms = max(0, int((self.cold_until_s - time.monotonic()) * 1000))
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -210,9 +210,13 @@
 
 async def _engine_cold(world: World, fault: Fault) -> None:
     engine = _engine(world, fault)
-    if engine.up:
-        # The entry says so at once; routers learn it within moments.
-        await engine.boot(cold=True)
+    if not engine.up:
+        return
+    old_id = engine.engine_id
+    await engine.boot(cold=True)
+    # The entry of the incarnation before lapses after some heartbeats.
+    await asyncio.sleep(LAPSE_S)
+    engine.remove_entry(old_id)
 
 
 async def _engine_resets(world: World, fault: Fault) -> None:
--- a/soak/run.py
+++ b/soak/run.py
@@ -81,18 +81,25 @@
     return f"{faults} faults, {len(world.arrivals)} runs, answers {told}"
 
 
-def _seeds(text: str) -> list[int]:
+def _seeds(text: str, seconds: float) -> list[tuple[int, float]]:
     seeds: list[int] = []
     for part in text.split(","):
         first, _, last = part.partition("-")
         seeds += range(int(first), int(last or first) + 1)
-    return seeds
+    return [(seed, seconds) for seed in seeds]
+
+
+def _regressions() -> list[tuple[int, float]]:
+    lines = (ROOT / "soak" / "regressions.txt").read_text().splitlines()
+    words = [line.split() for line in lines if line and not line.startswith("#")]
+    return [(int(seed), float(seconds)) for seed, seconds, *_ in words]
 
 
 @app.default
 def main(
     *,
     seeds: str = "1",
+    regressions: bool = False,
     seconds: float = 30.0,
     routers: int = 4,
     engines: int = 5,
@@ -104,6 +111,8 @@
     ----------
     seeds : str
         Numbers and ranges, separated by commas.
+    regressions : bool
+        Play the seeds that once broke something instead, each with its length.
     seconds : float
         Length of the time with faults.
     routers, engines : int
@@ -112,13 +121,13 @@
         Where logs of seeds that broke something are left.
     """
     failed = 0
-    for seed in _seeds(seeds):
+    for seed, length_s in _regressions() if regressions else _seeds(seeds, seconds):
         with tempfile.TemporaryDirectory() as temporary:
             folder = Path(temporary)
             if keep is not None:
                 folder = keep / f"seed-{seed}"
                 folder.mkdir(parents=True, exist_ok=True)
-            plan = SoakPlan(seed, seconds, routers, engines)
+            plan = SoakPlan(seed, length_s, routers, engines)
             began_s = time.monotonic()
             broken, figures = asyncio.run(run_seed(plan, folder))
         took_s = time.monotonic() - began_s
--- a/src/carobstair/edge/answers.py
+++ b/src/carobstair/edge/answers.py
@@ -69,6 +69,8 @@
         if terms.not_run or terms.other_incarnation:
             exchange.detail = f"declined with {head.status}"
             await _drain(connection)
+            if terms.other_incarnation:
+                return Outcome.OTHER_INSTANCE
             return Outcome.NOT_RUN
         if exchange.method == "HEAD":
             await self.finish(exchange, head, b"", send)
--- a/src/carobstair/edge/exchange.py
+++ b/src/carobstair/edge/exchange.py
@@ -21,13 +21,22 @@
 
 
 class Outcome(StrEnum):
-    """What became of one send."""
+    """What became of one send.
+
+    `OTHER_INSTANCE` means not run either: another incarnation has the address.
+    """
 
     ANSWERED = "answered"
     NOT_RUN = "not_run"
+    OTHER_INSTANCE = "other_instance"
     FAILED = "failed"
     UNKNOWN = "unknown"
 
+    @property
+    def is_known_not_run(self) -> bool:
+        """Whether the upstream has said that it has not run the request."""
+        return self in (Outcome.NOT_RUN, Outcome.OTHER_INSTANCE)
+
 
 @dataclass(slots=True)
 class Exchange:
--- a/src/carobstair/edge/relay.py
+++ b/src/carobstair/edge/relay.py
@@ -104,7 +104,7 @@
                     exchange, entry, connection, sent, send
                 )
                 kept = outcome is not Outcome.UNKNOWN
-                if outcome is Outcome.NOT_RUN:
+                if outcome.is_known_not_run:
                     exchange.may_have_run = ran_before
             except ConnectionBroken as error:
                 exchange.detail = str(error)
@@ -127,7 +127,10 @@
             health.note_success(entry.upstream_id, now_s)
             return True
         exchange.avoided.add(entry.upstream_id)
-        if outcome is not Outcome.NOT_RUN:
+        if outcome is Outcome.OTHER_INSTANCE:
+            # Its entry may stay listed for some heartbeats.
+            health.note_unreachable(entry.upstream_id, now_s)
+        elif outcome is not Outcome.NOT_RUN:
             health.note_error(entry.upstream_id, now_s)
         again = self._may_send_again(exchange, outcome, now_s)
         logger.info(
@@ -158,7 +161,7 @@
     ) -> bool:
         if exchange.attempts >= exchange.route.max_attempts:
             return False
-        if outcome is not Outcome.NOT_RUN and not exchange.route.repeatable:
+        if not outcome.is_known_not_run and not exchange.route.repeatable:
             return False
         if exchange.started and exchange.cutter is None:
             return False
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -274,6 +274,11 @@
         writer.write(self._head(request, 503, extra, seal=False))
         return True
 
+    async def _other_instance(self, request, writer):
+        extra = ["Carobstair-Not-Executed: 1", "Content-Length: 0"]
+        writer.write(self._head(request, 421, extra, seal=False))
+        return True
+
     async def _busy_without_word(self, request, writer):
         writer.write(self._whole(request, 503, b"?"))
         return True
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -267,6 +267,17 @@
             status, _, _ = await self.call("/unsafe/x", "POST", identity=f"i{number}")
             self.assertEqual(status, 200)
 
+    async def test_address_that_another_instance_has_taken_is_avoided(self):
+        # The old entry stays listed for some heartbeats. Tried for each request, it
+        # used up the resends, and requests were refused beside idle upstreams.
+        await self.serve("other_instance", "ok")
+        statuses = [
+            (await self.call("/safe/x", identity=f"i{number}"))[0]
+            for number in range(30)
+        ]
+        self.assertEqual(statuses, [200] * 30)
+        self.assertLess(len(self.upstreams[0].requests), 4)
+
     async def test_nothing_reached_is_refused_as_not_run(self):
         await self.serve()
         self.store.put("servers", "dead", make_server(1))
