--- a/soak/run.py
+++ b/soak/run.py
@@ -120,6 +120,8 @@
     keep : Path, optional
         Where logs of seeds that broke something are left.
     """
+    # Ends the routers too when the soak itself is ended.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     failed = 0
     for seed, length_s in _regressions() if regressions else _seeds(seeds, seconds):
         with tempfile.TemporaryDirectory() as temporary:
--- a/src/carobstair/core/directory.py
+++ b/src/carobstair/core/directory.py
@@ -170,8 +170,29 @@
 
     def usable(self, service: str, now_s: float) -> list[UpstreamEntry]:
         """Return the upstreams of a service that may be sent requests."""
-        listed = list(self._by_service.get(service, {}).values())
-        return [u.entry for u in listed if self.is_usable(u.entry, now_s)]
+        warm, cold = self.split(service, now_s)
+        return warm + cold
+
+    def split(
+        self, service: str, now_s: float
+    ) -> tuple[list[UpstreamEntry], list[UpstreamEntry]]:
+        """Return the usable upstreams of a service, the warm and the cold ones.
+
+        One pass over the list: placement asks for each request.
+        """
+        warm: list[UpstreamEntry] = []
+        cold: list[UpstreamEntry] = []
+        evacuated, restored_s = self._evacuated, self._restored_until_s
+        for listed in list(self._by_service.get(service, {}).values()):
+            entry = listed.entry
+            if entry.draining or entry.zone in evacuated:
+                continue
+            if listed.gone_at_s is not None and now_s >= listed.gone_at_s:
+                self._drop(entry.upstream_id, listed.revision)
+                continue
+            cold_until_s = max(listed.cold_until_s, restored_s.get(entry.zone, 0.0))
+            (cold if now_s < cold_until_s else warm).append(entry)
+        return warm, cold
 
     def counts(self, service: str, now_s: float) -> tuple[list[UpstreamEntry], int]:
         """Return the upstreams that may be sent requests, and how many are listed."""
--- a/src/carobstair/core/dispatch.py
+++ b/src/carobstair/core/dispatch.py
@@ -44,24 +44,20 @@
         now_s: float,
     ) -> UpstreamEntry | None:
         """Return the upstream that a request should go to, or None."""
+        warm, cold = self.directory.split(pool.name, now_s)
         entries = {
             entry.upstream_id: entry
-            for entry in self.directory.usable(pool.name, now_s)
+            for entry in [*warm, *(e for e in cold if self._admits(e, pool, now_s))]
             if entry.upstream_id not in avoided
         }
-        open_ids = [
-            u for u, entry in entries.items() if self._admits(entry, pool, now_s)
-        ]
-        if not open_ids:
+        if not entries:
             return None
-        stalled_s = {u: self.loads.stalled_s(u, now_s) for u in open_ids}
-        sound = self.health.preferred(open_ids, stalled_s, now_s)
-        candidates = [(u, entries[u].zone) for u in open_ids if u in sound]
+        stalls = self.loads.stalls(entries, now_s)
+        sound = self.health.preferred(entries, stalls, now_s)
+        candidates = ((u, entries[u].zone) for u in sound)
         if pool.engine is not None:
-            ranked = self.loads.order(candidates, prompt, self.rng)
-        else:
-            ranked = self.loads.order_plain(candidates, self.rng)
-        return entries[ranked[0]]
+            return entries[self.loads.pick(candidates, prompt, self.rng)]
+        return entries[self.loads.pick_plain(candidates, self.rng)]
 
     def confirm(self, entry: UpstreamEntry, pool: ServicePool, now_s: float) -> bool:
         """Return whether a request may be sent, directly before the send.
--- a/src/carobstair/core/engine_load.py
+++ b/src/carobstair/core/engine_load.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections import OrderedDict, deque
 from collections.abc import Iterable, Mapping
@@ -21,6 +22,8 @@
 MAX_PART_NEWS = 256
 
 NOTHING = (0, 0)
+# Far below any cost, so that it only decides between equals.
+TIE_S = 1e-6
 
 Parts = tuple[tuple[str, int], ...]
 
@@ -263,13 +266,18 @@
         """Return the requests that this router has at an upstream."""
         return self._load(upstream_id).running
 
-    def stalled_s(self, upstream_id: str, now_s: float) -> float:
-        """Return for how long an upstream has owed an answer and said nothing."""
-        load = self._load(upstream_id)
-        if not load.unanswered:
-            return 0.0
-        oldest_s = next(iter(load.unanswered.values())).sent_s
-        return max(0.0, now_s - max(oldest_s, load.heard_s))
+    def stalls(self, upstream_ids: Iterable[str], now_s: float) -> dict[str, float]:
+        """Return for how long upstreams have owed an answer and said nothing.
+
+        Only those that owe one are named.
+        """
+        stalls = {}
+        for upstream_id in upstream_ids:
+            load = self._loads.get(upstream_id)
+            if load is not None and load.unanswered:
+                oldest_s = next(iter(load.unanswered.values())).sent_s
+                stalls[upstream_id] = max(0.0, now_s - max(oldest_s, load.heard_s))
+        return stalls
 
     def first_token_s(self, upstream_id: str, zone: str, prompt: PromptShape) -> float:
         """Return the weighted estimate that placement compares."""
@@ -305,36 +313,58 @@
         )
         return max(wait_s / rules.full_wait_s, running / max(1.0, room))
 
-    def order(
+    def pick(
         self,
         candidates: Iterable[tuple[str, str]],
         prompt: PromptShape,
         rng: random.Random,
-    ) -> list[str]:
-        """Return upstream ids from the best to the worst.
+    ) -> str:
+        """Return the engine with the least `first_token_s`, ties at random.
+
+        It is computed in one pass without calls: with hundreds of engines they
+        would take most of the time of a request.
 
         Parameters
         ----------
         candidates : iterable of (str, str)
-            Upstream id and zone.
+            Upstream id and zone, at least one.
         """
-        ranked = [
-            (self.first_token_s(u, zone, prompt), rng.random(), u)
-            for u, zone in candidates
-        ]
-        return [u for _, _, u in sorted(ranked)]
+        rules = self.settings
+        per_backlog_s = rules.backlog_weight / rules.read_tokens_per_s
+        per_unread_s = rules.unread_weight / rules.read_tokens_per_s
+        best, least_s = "", math.inf
+        for upstream_id, zone in candidates:
+            backlog, running = self._peer_totals.get(upstream_id, NOTHING)
+            unread = prompt.prompt_tokens
+            load = self._loads.get(upstream_id)
+            if load is not None:
+                backlog += load.backlog_tokens
+                running += load.running
+                for part, tokens in prompt.parts:
+                    if part not in load.held:
+                        break
+                    unread -= tokens
+            cost_s = per_backlog_s * backlog + rules.running_s * running
+            if unread > 0:
+                cost_s += per_unread_s * unread
+            if zone != self.zone:
+                cost_s += rules.other_zone_s
+            cost_s += TIE_S * rng.random()
+            if cost_s < least_s:
+                best, least_s = upstream_id, cost_s
+        return best
 
-    def order_plain(
+    def pick_plain(
         self, candidates: Iterable[tuple[str, str]], rng: random.Random
-    ) -> list[str]:
-        """Return upstreams of a plain service, least loaded first."""
+    ) -> str:
+        """Return the least loaded upstream of a plain service."""
         ranked = []
         for u, zone in candidates:
             cost = float(self.running(u))
             if zone != self.zone:
                 cost += 0.5
             ranked.append((cost, rng.random(), u))
-        return [u for _, _, u in sorted(ranked)]
+        return min(ranked)[2]
 
     def _add_peer(self, peer: str, sign: int) -> None:
         for upstream_id, (tokens, running) in self._peers.get(peer, {}).items():
--- a/src/carobstair/core/upstream_health.py
+++ b/src/carobstair/core/upstream_health.py
@@ -92,16 +92,22 @@
             Silence in seconds by upstream, while an answer is owed.
         """
         ids = list(upstream_ids)
-        rates = sorted(self.error_rate(u, now_s) for u in ids)
-        middle = rates[len(rates) // 2] if rates else 0.0
+        rates = {
+            u: rate
+            for u in ids
+            if u in self._records and (rate := self.error_rate(u, now_s)) > 0.0
+        }
+        middle = _middle(rates.values(), len(ids))
         sound = set()
         for u in ids:
-            record = self._records.get(u)
-            if record is not None and now_s < record.rests_until_s:
-                continue
             if stalled_s.get(u, 0.0) > self.settings.stalled_s:
                 continue
-            rate = self.error_rate(u, now_s)
+            if u not in self._records:
+                sound.add(u)
+                continue
+            if now_s < self._records[u].rests_until_s:
+                continue
+            rate = rates.get(u, 0.0)
             worse = rate - middle > self.settings.error_margin
             if rate > self.settings.error_rate and worse:
                 continue
@@ -124,3 +130,10 @@
 
     def _record(self, upstream_id: str) -> _Record:
         return self._records.setdefault(upstream_id, _Record())
+
+
+def _middle(rates: Iterable[float], count: int) -> float:
+    """Return the middle one of some rates; those not given are 0."""
+    given = sorted(rates)
+    index = count // 2 - (count - len(given))
+    return given[index] if index >= 0 and given else 0.0
--- a/tests/test_send_limits.py
+++ b/tests/test_send_limits.py
@@ -132,6 +132,22 @@
             used.add(chosen)
         self.assertEqual(len(used), 4)
 
+    def test_picked_engine_has_the_least_estimate(self):
+        # The pick computes the estimate in one pass of its own.
+        rng = random.Random(5)
+        for _ in range(50):
+            loads = LoadBook(PlacementSettings(), "a")
+            engines = [(f"u{n}", rng.choice("ab")) for n in range(9)]
+            for upstream, _ in engines:
+                parts = tuple((f"p{n}", 900) for n in range(rng.randrange(4)))
+                loads.begin(upstream, PromptShape(3_000, 9, parts), 0.0)
+            rows = [(u, rng.randrange(9_000), rng.randrange(9)) for u, _ in engines]
+            loads.note_peer("r1", rows)
+            prompt = PromptShape(3_000, 9, (("p0", 900), ("p1", 900), ("p2", 900)))
+            picked = loads.pick(engines, prompt, rng)
+            costs = {u: loads.first_token_s(u, z, prompt) for u, z in engines}
+            self.assertAlmostEqual(costs[picked], min(costs.values()), places=4)
+
     def test_backlog_that_peers_tell_counts(self):
         dispatcher = make_dispatcher(started_s=-10.0)
         dispatcher.directory.put(make_entry("u0"), 1, 0.0)
