--- a/src/carobstair/core/dispatch.py
+++ b/src/carobstair/core/dispatch.py
@@ -16,6 +16,9 @@
 
 __all__ = ["Dispatcher"]
 
+# Short against the time in which demand changes.
+FITNESS_KEPT_S = 0.05
+
 
 @dataclass(slots=True)
 class Dispatcher:
@@ -35,6 +38,7 @@
     resends: ResendLimit
     rng: random.Random
     routers: frozenset[str] = field(default_factory=frozenset)
+    _fitness: dict[str, tuple[float, float]] = field(default_factory=dict)
 
     def choose(
         self,
@@ -85,9 +89,16 @@
             self.directory.mark_cold(entry.upstream_id, until_s)
 
     def fitness(self, service: str, now_s: float) -> float:
-        """Return which part of a service's listed upstreams can be used."""
-        entries, listed = self.directory.counts(service, now_s)
-        return len(entries) / listed if entries else 1.0
+        """Return which part of a service's listed upstreams can be used.
+
+        It is kept for a moment, as admission asks for each request.
+        """
+        known = self._fitness.get(service)
+        if known is None or now_s - known[0] >= FITNESS_KEPT_S:
+            entries, listed = self.directory.counts(service, now_s)
+            part = len(entries) / listed if entries else 1.0
+            known = self._fitness[service] = now_s, part
+        return known[1]
 
     def pressure(self, service: str, now_s: float) -> float:
         """Return how loaded the engines are; 1 is as much as they should be."""
--- a/src/carobstair/core/refusals.py
+++ b/src/carobstair/core/refusals.py
@@ -211,6 +211,13 @@
         "Send it again after Retry-After.",
         1.0,
     ),
+    RefusalType(
+        "router-busy",
+        503,
+        Ran.NO,
+        "This router is behind with its work",
+        "Send it again after the given time; another router may take it.",
+    ),
     RefusalType(
         "timed-out",
         504,
--- a/src/carobstair/edge/front.py
+++ b/src/carobstair/edge/front.py
@@ -12,6 +12,7 @@
 
 from carobstair.core.fair_admission import FairAdmission
 from carobstair.core.fleet_view import FleetView
+from carobstair.core.overload import OverloadGuard
 from carobstair.core.refusals import PROBLEM_JSON, Refusal, refuse
 from carobstair.core.routing import (
     RequestKind,
@@ -34,7 +35,7 @@
 LONGEST_ANSWER_S = 60.0
 # One line for this many requests that went well; failures are always logged.
 SUCCESS_SAMPLE = 20
-# A new connection reaches another router once this one is out of rotation.
+# A retry reaches another router.
 RETRY_ELSEWHERE_S = 0.3
 
 
@@ -67,6 +68,7 @@
         Requests in hand beyond which more are refused.
     is_crowded : callable
         Returns whether answers should close their connections.
+    overload : OverloadGuard, optional
     """
 
     def __init__(
@@ -79,6 +81,7 @@
         rng: random.Random,
         max_open: int,
         is_crowded: Callable[[], bool] = lambda: False,
+        overload: OverloadGuard | None = None,
     ):
         self._view = view
         self._relay = relay
@@ -88,6 +91,7 @@
         self._rng = rng
         self._max_open = max_open
         self._is_crowded = is_crowded
+        self._overload = overload or OverloadGuard()
         self._ended = 0
         self.open_requests: set[asyncio.Task] = set()
         self.closing = False
@@ -105,12 +109,13 @@
         caller = _Caller(receive)
         watcher: asyncio.Task | None = None
         exchange: Exchange | None = None
-        outcome = "cancelled"
+        outcome, detail = "cancelled", ""
         try:
             try:
                 table, limits = self._in_force()
                 terms = self._read_terms(scope, limits)
                 route, workspace = self._admit(table, terms, scope["path"])
+                self._check_lag(route, arrived_s)
                 body = await self._read_body(caller, limits)
                 exchange = self._exchange(
                     scope, table, terms, route, workspace, body, arrived_s
@@ -122,6 +127,7 @@
                 outcome = "answered"
             except Refusal as refusal:
                 outcome = refusal.kind.name
+                detail = refusal.detail
                 await self._refuse(scope, send, refusal)
             except BrokenAnswer as error:
                 outcome = "broken"
@@ -142,7 +148,7 @@
             if watcher is not None:
                 watcher.cancel()
             self.open_requests.discard(task)
-            self._note_end(scope, exchange, outcome, arrived_s)
+            self._note_end(scope, exchange, outcome, detail, arrived_s)
 
     # Checks
 
@@ -176,6 +182,13 @@
             raise refuse("unauthenticated")
         return route, workspace.name if workspace else None
 
+    def _check_lag(self, route: Route, now_s: float) -> None:
+        stream = route.kind is RequestKind.STREAM
+        if self._overload.refuses(stream, now_s, self._rng):
+            lag_s = self._overload.lag_s(now_s)
+            wait_s = RETRY_ELSEWHERE_S * self._rng.uniform(0.3, 1.0)
+            raise refuse("router-busy", f"{lag_s:.3f} s behind", wait_s)
+
     async def _read_body(self, caller: _Caller, limits: RequestLimits) -> bytes:
         parts: list[bytes] = []
         size = 0
@@ -286,7 +299,12 @@
         await send({"type": "http.response.body", "body": body})
 
     def _note_end(
-        self, scope, exchange: Exchange | None, outcome: str, arrived_s: float
+        self,
+        scope,
+        exchange: Exchange | None,
+        outcome: str,
+        detail: str,
+        arrived_s: float,
     ) -> None:
         took_s = time.monotonic() - arrived_s
         if exchange is None:
@@ -296,6 +314,7 @@
                 request_id=_given_id(scope),
                 outcome=outcome,
                 version=self._view.version,
+                detail=detail,
                 took_s=round(took_s, 4),
             )
             return
--- a/src/carobstair/edge/relay.py
+++ b/src/carobstair/edge/relay.py
@@ -86,6 +86,10 @@
         """Try one upstream; return whether the answer is complete."""
         entry, connection = await self._connect(exchange)
         now_s = time.monotonic()
+        if now_s >= exchange.until_s:
+            # A timer that is late itself would let the request go out.
+            self.connections.release(entry, connection)
+            raise TimeoutError
         exchange.attempts += 1
         exchange.upstream_id = entry.upstream_id
         loads = self.dispatcher.loads
--- a/src/carobstair/edge/router.py
+++ b/src/carobstair/edge/router.py
@@ -20,6 +20,7 @@
 from carobstair.core.fair_admission import FairAdmission
 from carobstair.core.fleet_view import FleetView, StateKind, StoreTrust
 from carobstair.core.messages import PeerAddress
+from carobstair.core.overload import OverloadGuard
 from carobstair.core.send_limits import ColdSendLimit, ResendLimit
 from carobstair.core.upstream_health import UpstreamHealth
 from carobstair.edge.follower import StoreFollower
@@ -41,6 +42,8 @@
 logger = get_logger(__name__)
 
 UPKEEP_S = 0.25
+# Between two measurements of the event loop's lag; shorter ones cost wake-ups.
+LAG_TURN_S = 0.05
 # For refusals and last bytes to leave the process before it ends.
 LAST_ANSWERS_S = 0.05
 SETTINGS_CHECK_S = 1.0
@@ -116,6 +119,7 @@
         )
         self._admission = FairAdmission(settings.admission)
         self._connections = UpstreamPool()
+        self._overload = OverloadGuard(settings.overload)
         relay = Relay(self._dispatcher, self._connections, platform.dialect)
         self.front = Front(
             self.view,
@@ -126,6 +130,7 @@
             self._rng,
             settings.max_open_requests,
             lambda: self._callers.connections > listen.max_kept,
+            self._overload,
         )
         self._callers = CallerServer(self.front, listen.host, listen.callers_port)
         self._ready = PageServer(self._ready_page, listen.host, listen.ready_port)
@@ -182,6 +187,7 @@
             asyncio.create_task(self._gossip.run()),
             asyncio.create_task(self._register()),
             asyncio.create_task(self._keep_up()),
+            asyncio.create_task(self._watch_lag()),
             asyncio.create_task(self._watch_settings()),
         ]
         logger.info(
@@ -281,6 +287,14 @@
         except StoreError as error:
             logger.info("registration_kept", error=str(error))
 
+    async def _watch_lag(self) -> None:
+        """Measure how late timers of this process are."""
+        while True:
+            due_s = time.monotonic() + LAG_TURN_S
+            await asyncio.sleep(LAG_TURN_S)
+            now_s = time.monotonic()
+            self._overload.note(now_s - due_s, now_s)
+
     async def _keep_up(self) -> None:
         """Forget what concerns upstreams that are gone."""
         while True:
--- a/src/carobstair/edge/settings.py
+++ b/src/carobstair/edge/settings.py
@@ -9,6 +9,7 @@
 from carobstair.core.directory import DirectorySettings
 from carobstair.core.engine_load import PlacementSettings
 from carobstair.core.fair_admission import AdmissionSettings
+from carobstair.core.overload import OverloadSettings
 from carobstair.core.send_limits import SendLimitSettings
 from carobstair.core.upstream_health import HealthSettings
 
@@ -170,5 +171,6 @@
     placement: PlacementSettings = PlacementSettings()
     health: HealthSettings = HealthSettings()
     admission: AdmissionSettings = AdmissionSettings()
+    overload: OverloadSettings = OverloadSettings()
     directory: DirectorySettings = DirectorySettings()
     max_open_requests: int = Field(2_000, ge=1)
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -4,6 +4,7 @@
 import random
 import time
 import unittest
+from unittest import mock
 
 import aiohttp
 
@@ -12,6 +13,7 @@
 from carobstair.core.engine_load import LoadBook, PlacementSettings
 from carobstair.core.fair_admission import FairAdmission
 from carobstair.core.fleet_view import FleetView, StateKind, StoreTrust
+from carobstair.core.overload import OverloadGuard
 from carobstair.core.send_limits import (
     ColdSendLimit,
     ResendLimit,
@@ -71,6 +73,7 @@
         )
         relay = Relay(self.dispatcher, UpstreamPool(), PlatformDialect())
         self.max_kept = 100
+        self.overload = OverloadGuard()
         self.front = Front(
             self.view,
             relay,
@@ -80,6 +83,7 @@
             rng,
             1000,
             lambda: self.server.connections > self.max_kept,
+            self.overload,
         )
         self.server = CallerServer(self.front, "127.0.0.1", 0)
         self.client = PlatformStore(f"127.0.0.1:{self.store.port}", lambda *args: None)
@@ -337,6 +341,33 @@
         self.assertEqual(self.dispatcher.loads.own_running("u0"), 0)
 
 
+class LateRouterTest(EdgeCase):
+    """Guards against requests that a busy router sends on after their time."""
+
+    async def test_request_whose_time_is_over_is_not_sent(self):
+        await self.serve("ok")
+        dispatcher_confirm = self.dispatcher.confirm
+
+        def confirm(entry, pool, now_s):
+            # The loop stands still between the connection and the send.
+            time.sleep(0.15)
+            return dispatcher_confirm(entry, pool, now_s)
+
+        with mock.patch.object(Dispatcher, "confirm", lambda self, *a: confirm(*a)):
+            status, _, _ = await self.call("/safe/x", deadline_ms=100)
+        self.assertEqual(status, 503)
+        self.assertEqual(self.ran(), 0)
+
+    async def test_router_that_is_behind_refuses_streams_and_says_when(self):
+        await self.serve("stream")
+        self.overload.note(9.0, time.monotonic())
+        with mock.patch.object(self.front._rng, "random", lambda: 0.5):
+            status, headers, _ = await self.call("/stream/x", "POST")
+        self.assertEqual(status, 503)
+        self.assertLess(float(headers["Retry-After"]), 0.5)
+        self.assertEqual(self.ran(), 0)
+
+
 class ConfigurationTest(EdgeCase):
     """Guards against routes, keys and upstreams that are not in force."""
 
