--- a/src/carobstair/report/explain.py
+++ b/src/carobstair/report/explain.py
@@ -141,9 +141,8 @@
     lost = _silent_peers(before)
     if lost:
         yield f"peers not heard: {', '.join(sorted(lost))}"
-    for line in before:
-        if line.event in ("router_started", "router_stopping"):
-            yield f"{line.event} {step.at_s - line.at_s:.1f} s before"
+    for line in _since_start(before):
+        yield f"{line.event} {step.at_s - line.at_s:.1f} s before"
 
 
 def _last(step: LogLine, before: list[LogLine], title: str, fits) -> Iterator[str]:
@@ -166,6 +165,13 @@
     return upstream in line.fields.get("names", "").split(",")
 
 
+def _since_start(before: list[LogLine]) -> list[LogLine]:
+    """Return the last start of the process and a stop that has begun since."""
+    told = [x for x in before if x.event in ("router_started", "router_stopping")]
+    starts = [n for n, line in enumerate(told) if line.event == "router_started"]
+    return told[starts[-1] :] if starts else told
+
+
 def _silent_peers(before: list[LogLine]) -> set[str]:
     silent: set[str] = set()
     for line in before:
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -17,6 +17,8 @@
 
 
 FIRST = [
+    line(0.2, "router_started", instance="front-1"),
+    line(0.5, "router_stopping"),
     line(1, "router_started", instance="front-1"),
     line(2, "state_changed", kind="routing", version=3, revision=41, names="main"),
     line(3, "state_changed", kind="upstreams", version=3, revision=44, names="u1,u2"),
@@ -58,6 +60,8 @@
         self.assertIn("store: store_lost 1.0 s before", story)
         self.assertIn("peers not heard: front-2", story)
         self.assertIn("router_started 4.0 s before", story)
+        # What a process before this one did says nothing about it.
+        self.assertNotIn("router_stopping", story)
 
     def test_failures_of_others_at_the_same_upstream_are_counted(self):
         # One at another router half a second later; the third is too far away.
