--- a/src/carobstair/edge/settings.py
+++ b/src/carobstair/edge/settings.py
@@ -92,7 +92,7 @@
     watches_per_s: float = Field(5.0, gt=0)
     drift_tokens: int = Field(8_000, ge=1)
     demand_s: float = Field(0.3, gt=0, le=10)
-    far_slowdown: int = Field(3, ge=1)
+    far_slowdown: int = Field(4, ge=1)
     seeds: list[str] = []
 
     def slowdown(self, peers: int) -> float:
