--- /dev/null
+++ b/src/carobstair/cli/edge_router.py
@@ -0,0 +1,61 @@
+"""Start of the edge router on the users' platform, without an argument parser.
+
+The platform starts all processes of a fleet again at once after a loss of power,
+and callers wait for them: a parser and the settings models of the other programs
+would take a quarter of the start.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+
+from carobstair.edge.router import EdgeRouter
+from carobstair.edge.settings import EdgeSettings
+from carobstair.logs import LineWriter, configure_logging
+from carobstair.platform.adapter import platform_parts
+from carobstair.platform.boot import BOOT_VARIABLE, boot_path, load_boot_settings
+from carobstair.settings_error import SettingsError
+
+__all__ = ["load", "main", "serve"]
+
+PROGRAM = "carobstair-router"
+
+
+def load() -> EdgeSettings:
+    """Return the settings in the file that the platform names.
+
+    Raises
+    ------
+    SettingsError
+        Also if there is no such file.
+    """
+    path = boot_path()
+    if path is None:
+        raise SettingsError(f"--settings or {BOOT_VARIABLE} is needed.")
+    return load_boot_settings(path)
+
+
+def serve(settings: EdgeSettings, log_level: str = "info") -> None:
+    """Run a router until SIGTERM."""
+    stream = LineWriter(sys.stdout.fileno())
+    configure_logging(log_level, settings.zone, stream)
+
+    async def run_router() -> None:
+        await EdgeRouter(settings, platform_parts(settings, boot_path())).run()
+
+    asyncio.run(run_router())
+
+
+def main() -> None:
+    """Run a router with the platform's settings; a mistake ends with one line."""
+    try:
+        settings = load()
+    except SettingsError as error:
+        print(f"{PROGRAM}: {error}", file=sys.stderr)
+        sys.exit(2)
+    serve(settings)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/carobstair/cli/router.py
+++ b/src/carobstair/cli/router.py
@@ -3,12 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-import sys
 from pathlib import Path
 from typing import Literal
 
 from carobstair.cli.program import EXIT_USAGE, fail, make_app, read_settings, run
-from carobstair.logs import LineWriter, configure_logging
+from carobstair.logs import configure_logging
 from carobstair.settings import RouterSettings, SettingsError
 
 __all__ = ["main"]
@@ -50,27 +49,16 @@
 
 
 def _serve_platform(check_settings: bool, log_level: str) -> None:
-    from carobstair.edge.router import EdgeRouter
-    from carobstair.platform.adapter import platform_parts
-    from carobstair.platform.boot import BOOT_VARIABLE, boot_path, load_boot_settings
+    from carobstair.cli import edge_router
 
-    path = boot_path()
-    if path is None:
-        fail(f"carobstair-router: --settings or {BOOT_VARIABLE} is needed.", EXIT_USAGE)
     try:
-        loaded = load_boot_settings(path)
+        loaded = edge_router.load()
     except SettingsError as error:
-        fail(f"carobstair-router: {error}", EXIT_USAGE)
+        fail(f"{edge_router.PROGRAM}: {error}", EXIT_USAGE)
     if check_settings:
         print(loaded.model_dump_json(indent=2))
         return
-    stream = LineWriter(sys.stdout.fileno())
-    configure_logging(log_level, loaded.zone, stream)
-
-    async def run_router() -> None:
-        await EdgeRouter(loaded, platform_parts(loaded, path)).run()
-
-    asyncio.run(run_router())
+    edge_router.serve(loaded, log_level)
 
 
 def main() -> None:
--- a/src/carobstair/core/__init__.py
+++ b/src/carobstair/core/__init__.py
@@ -23,49 +23,10 @@
     tells what can't be read.
 """
 
-from carobstair.core.actions import ActionMachine
-from carobstair.core.agent import AgentNode, AgentSettings
-from carobstair.core.allocator import Allocator, AllocatorSettings, Grant
-from carobstair.core.capacity import CapacityNode, CapacitySettings
-from carobstair.core.effects import (
-    Effect,
-    Granted,
-    RefuseWaiting,
-    Send,
-    StateChanged,
-)
-from carobstair.core.fairness import (
-    FairnessSettings,
-    GapTerms,
-    ServiceTotals,
-    VirtualTime,
-    engine_cost_tokens,
-    gap_bound_tokens,
-    service_cost_tokens,
-)
-from carobstair.core.grants import GrantTimings, HeldGrant
-from carobstair.core.limits import LimiterSettings, LoadReport, UpstreamLimiter
-from carobstair.core.messages import CodecError, PeerAddress, decode, encode
-from carobstair.core.placement import Placement, PrefixIndex, prefix_hashes
-from carobstair.core.queueing import (
-    ClassLimits,
-    GatewayQueue,
-    WaitingRequest,
-    WorkClass,
-    classify,
-)
-from carobstair.core.refusals import CATALOGUE, Ran, Refusal, RefusalType, refuse
-from carobstair.core.shares import Epoch, ShareTable, SlotShare, split_limit
-from carobstair.core.state import (
-    AvailabilityZone,
-    FleetState,
-    Route,
-    Ticket,
-    Upstream,
-    UpstreamKind,
-    UpstreamState,
-    Workspace,
-)
+from __future__ import annotations
+
+import importlib
+from typing import Any
 
 __all__ = [
     "CATALOGUE",
@@ -123,3 +84,100 @@
     "service_cost_tokens",
     "split_limit",
 ]
+
+# Names by the module that defines them. They are imported on first use: a process
+# that needs a few modules would otherwise spend a third of its start on the others.
+_MODULES = {
+    "actions": ("ActionMachine",),
+    "agent": (
+        "AgentNode",
+        "AgentSettings",
+    ),
+    "allocator": (
+        "Allocator",
+        "AllocatorSettings",
+        "Grant",
+    ),
+    "capacity": (
+        "CapacityNode",
+        "CapacitySettings",
+    ),
+    "effects": (
+        "Effect",
+        "Granted",
+        "RefuseWaiting",
+        "Send",
+        "StateChanged",
+    ),
+    "fairness": (
+        "FairnessSettings",
+        "GapTerms",
+        "ServiceTotals",
+        "VirtualTime",
+        "engine_cost_tokens",
+        "gap_bound_tokens",
+        "service_cost_tokens",
+    ),
+    "grants": (
+        "GrantTimings",
+        "HeldGrant",
+    ),
+    "limits": (
+        "LimiterSettings",
+        "LoadReport",
+        "UpstreamLimiter",
+    ),
+    "messages": (
+        "CodecError",
+        "PeerAddress",
+        "decode",
+        "encode",
+    ),
+    "placement": (
+        "Placement",
+        "PrefixIndex",
+        "prefix_hashes",
+    ),
+    "queueing": (
+        "ClassLimits",
+        "GatewayQueue",
+        "WaitingRequest",
+        "WorkClass",
+        "classify",
+    ),
+    "refusals": (
+        "CATALOGUE",
+        "Ran",
+        "Refusal",
+        "RefusalType",
+        "refuse",
+    ),
+    "shares": (
+        "Epoch",
+        "ShareTable",
+        "SlotShare",
+        "split_limit",
+    ),
+    "state": (
+        "AvailabilityZone",
+        "FleetState",
+        "Route",
+        "Ticket",
+        "Upstream",
+        "UpstreamKind",
+        "UpstreamState",
+        "Workspace",
+    ),
+}
+_MODULE_OF = {name: module for module, names in _MODULES.items() for name in names}
+
+
+def __getattr__(name: str) -> Any:
+    module = _MODULE_OF.get(name)
+    if module is None:
+        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+    return getattr(importlib.import_module(f"{__name__}.{module}"), name)
+
+
+def __dir__() -> list[str]:
+    return sorted(__all__)
--- a/src/carobstair/edge/router.py
+++ b/src/carobstair/edge/router.py
@@ -34,8 +34,8 @@
 from carobstair.edge.terms import Dialect
 from carobstair.edge.upstream_pool import UpstreamPool
 from carobstair.logs import get_logger
-from carobstair.net.peers import PeerTransport
-from carobstair.settings import InstanceSettings, PeerSettings, SettingsError
+from carobstair.net.peers import LinkKeys, PeerTransport
+from carobstair.settings_error import SettingsError
 
 __all__ = ["EdgeRouter", "PlatformParts"]
 
@@ -135,18 +135,7 @@
         self._callers = CallerServer(self.front, listen.host, listen.callers_port)
         self._ready = PageServer(self._ready_page, listen.host, listen.ready_port)
         self._pages = PageServer(self._metrics_page, listen.host, listen.metrics_port)
-        transport = PeerTransport(
-            self._own,
-            InstanceSettings(
-                name=settings.name[:63],
-                zone=settings.zone[:63],
-                host=listen.host,
-                http_port=listen.callers_port,
-                peer_port=listen.peer_port,
-            ),
-            PeerSettings(),
-            self.metrics,
-        )
+        transport = PeerTransport(self._own, listen, LinkKeys(), self.metrics)
         self._transport = transport
         self._gossip = Gossip(
             self._own,
--- a/src/carobstair/metrics.py
+++ b/src/carobstair/metrics.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import TypeVar
+from typing import TYPE_CHECKING, TypeVar
 
 from prometheus_client import (
     CollectorRegistry,
@@ -16,7 +16,8 @@
 )
 from prometheus_client.metrics import MetricWrapperBase
 
-from carobstair.core.state import FleetState
+if TYPE_CHECKING:
+    from carobstair.core.state import FleetState
 
 __all__ = [
     "FIRST_TOKEN_BUCKETS_S",
--- a/src/carobstair/net/peers.py
+++ b/src/carobstair/net/peers.py
@@ -4,7 +4,8 @@
 
 import asyncio
 from collections.abc import Callable, Iterable
-from typing import Any
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any, Protocol
 
 import msgspec
 import zmq
@@ -19,10 +20,11 @@
     kind_of,
 )
 from carobstair.logs import get_logger
-from carobstair.metrics import RouterMetrics
-from carobstair.settings import InstanceSettings, PeerSettings
 
-__all__ = ["PeerTransport"]
+if TYPE_CHECKING:
+    from carobstair.metrics import RouterMetrics
+
+__all__ = ["LinkKeys", "PeerTransport"]
 
 logger = get_logger(__name__)
 
@@ -34,6 +36,21 @@
 _Handler = Callable[[Envelope, Any], None]
 
 
+class ListenAddress(Protocol):
+    """Settings that name where a process listens for peers."""
+
+    host: str
+    peer_port: int
+
+
+@dataclass(frozen=True, slots=True)
+class LinkKeys:
+    """Keys of links between routers; empty ones mean links in the clear."""
+
+    server_public_key: str = ""
+    server_secret_key: str = ""
+
+
 class PeerTransport:
     """Sends to and receives from other routers.
 
@@ -41,8 +58,8 @@
     ----------
     own : PeerAddress
         Address and incarnation of this process.
-    instance : InstanceSettings
-    settings : PeerSettings
+    listen : ListenAddress
+    keys : LinkKeys
         With a secret key, links are encrypted and peers must know the public key.
     metrics : RouterMetrics
     """
@@ -50,12 +67,12 @@
     def __init__(
         self,
         own: PeerAddress,
-        instance: InstanceSettings,
-        settings: PeerSettings,
+        listen: ListenAddress,
+        keys: LinkKeys,
         metrics: RouterMetrics,
     ):
         self._own = own
-        self._settings = settings
+        self._keys = keys
         self._metrics = metrics
         self._context = zmq.asyncio.Context()
         self._inbound = self._context.socket(zmq.ROUTER)
@@ -65,7 +82,7 @@
         self.epoch = 0
         self._secure_server(self._inbound)
         self._tune(self._inbound)
-        self._inbound.bind(f"tcp://{instance.host}:{instance.peer_port}")
+        self._inbound.bind(f"tcp://{listen.host}:{listen.peer_port}")
 
     def subscribe(self, payload_type: type, handler: _Handler) -> None:
         """Have a handler called for each message of a type."""
@@ -162,17 +179,17 @@
     def _open(self, address: PeerAddress) -> zmq.asyncio.Socket:
         socket = self._context.socket(zmq.DEALER)
         self._tune(socket)
-        if self._settings.server_secret_key:
-            socket.curve_publickey = self._settings.server_public_key.encode()
-            socket.curve_secretkey = self._settings.server_secret_key.encode()
-            socket.curve_serverkey = self._settings.server_public_key.encode()
+        if self._keys.server_secret_key:
+            socket.curve_publickey = self._keys.server_public_key.encode()
+            socket.curve_secretkey = self._keys.server_secret_key.encode()
+            socket.curve_serverkey = self._keys.server_public_key.encode()
         socket.connect(f"tcp://{address.host}:{address.peer_port}")
         return socket
 
     def _secure_server(self, socket: zmq.asyncio.Socket) -> None:
-        if self._settings.server_secret_key:
+        if self._keys.server_secret_key:
             socket.curve_server = True
-            socket.curve_secretkey = self._settings.server_secret_key.encode()
+            socket.curve_secretkey = self._keys.server_secret_key.encode()
 
     def _tune(self, socket: zmq.asyncio.Socket) -> None:
         socket.linger = 0
--- a/src/carobstair/platform/__init__.py
+++ b/src/carobstair/platform/__init__.py
@@ -1,17 +1,8 @@
-"""Client of the platform's object API."""
+"""Adapters between platforms and the project's own types."""
 
-from carobstair.platform.object_api import (
-    Conflict,
-    ListedInstance,
-    Missing,
-    NotSent,
-    ObjectApi,
-    Stored,
-    StoreError,
-    Unavailable,
-    WatchEvent,
-    WatchExpired,
-)
+from __future__ import annotations
+
+from typing import Any
 
 __all__ = [
     "Conflict",
@@ -25,3 +16,12 @@
     "WatchEvent",
     "WatchExpired",
 ]
+
+
+def __getattr__(name: str) -> Any:
+    # The edge router does without the client of the object API.
+    if name not in __all__:
+        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+    from carobstair.platform import object_api
+
+    return getattr(object_api, name)
--- a/src/carobstair/platform/boot.py
+++ b/src/carobstair/platform/boot.py
@@ -16,7 +16,7 @@
     StopSettings,
     SyncSettings,
 )
-from carobstair.settings import SettingsError
+from carobstair.settings_error import SettingsError
 
 __all__ = ["BOOT_VARIABLE", "boot_path", "load_boot_settings", "settings_stamp"]
 
--- a/src/carobstair/settings.py
+++ b/src/carobstair/settings.py
@@ -18,6 +18,8 @@
 )
 from pydantic_core import ErrorDetails
 
+from carobstair.settings_error import SettingsError
+
 __all__ = [
     "CommaList",
     "GatewaySettings",
@@ -49,10 +51,6 @@
 CommaList = Annotated[list[str], BeforeValidator(_split)]
 
 
-class SettingsError(Exception):
-    """A settings mistake; its text is one line for the operator."""
-
-
 class Section(BaseModel):
     """One section of an INI file; unknown keys are errors."""
 
--- a/tests/gossip_world.py
+++ b/tests/gossip_world.py
@@ -11,9 +11,8 @@
 from carobstair.edge.gossip import Gossip
 from carobstair.edge.metrics import EdgeMetrics
 from carobstair.edge.settings import EdgeSettings, ListenSettings, SyncSettings
-from carobstair.net.peers import PeerTransport
+from carobstair.net.peers import LinkKeys, PeerTransport
 from carobstair.platform.documents import decode_routing, decode_upstream
-from carobstair.settings import InstanceSettings, PeerSettings
 
 
 @dataclass
@@ -54,7 +53,6 @@
 def make_node(name, port, transport=None, digest_s=0.05):
     """Return a router's gossip that listens on a port of loopback."""
     own = PeerAddress(name, 1, "127.0.0.1", port, 1, "a")
-    instance = InstanceSettings(name=name, zone="a", peer_port=port, http_port=1)
     directory = UpstreamDirectory()
     view = FleetView(directory, decode_routing, decode_upstream)
     loads = LoadBook(PlacementSettings(), "a")
@@ -70,7 +68,7 @@
         ),
     )
     if transport is None:
-        transport = PeerTransport(own, instance, PeerSettings(), EdgeMetrics())
+        transport = PeerTransport(own, listen, LinkKeys(), EdgeMetrics())
     admission = FairAdmission()
     gossip = Gossip(
         own,
--- a/tests/test_boot.py
+++ b/tests/test_boot.py
@@ -6,6 +6,7 @@
 import os
 import signal
 import socket
+import subprocess
 import sys
 import tempfile
 import unittest
@@ -270,6 +271,35 @@
         self.assertIn("nodeName", err.decode())
 
 
+class ImportTest(unittest.TestCase):
+    """Guards against a start that grows with the rest of the project.
+
+    After a loss of power all routers start at once while callers wait; two fifths
+    of a played day's processor time went into imports.
+    """
+
+    def test_edge_router_imports_only_what_it_runs(self):
+        code = "import sys, carobstair.cli.edge_router; print(*sys.modules)"
+        loaded = subprocess.run(
+            [sys.executable, "-c", code], capture_output=True, text=True, check=True
+        ).stdout.split()
+        for name in (
+            "cyclopts",
+            "falcon",
+            "carobstair.settings",
+            "carobstair.core.agent",
+            "carobstair.core.allocator",
+            "carobstair.platform.object_api",
+        ):
+            self.assertNotIn(name, loaded)
+
+    def test_requirements_of_the_deployment_are_among_all(self):
+        root = Path(__file__).resolve().parent.parent
+        known = set((root / "requirements.txt").read_text().splitlines())
+        lines = (root / "deploy" / "requirements.txt").read_text().splitlines()
+        self.assertLessEqual({x for x in lines if not x.startswith("#")}, known)
+
+
 class DrainTest(unittest.IsolatedAsyncioTestCase):
     """Guards against a request that is taken just before the exit and lost."""
 
