--- /dev/null
+++ b/bench/played_kinds.py
@@ -0,0 +1,49 @@
+"""Table of kinds of trouble against days played, from the bench's journal.
+
+    python bench/played_kinds.py [ID ...]
+
+Without ids, all entries count.
+"""
+
+from __future__ import annotations
+
+import json
+import sys
+from collections import Counter, defaultdict
+from pathlib import Path
+
+JOURNAL = Path(__file__).resolve().parent.parent / "journal"
+
+
+def count_days(ids: set[str]) -> dict[str, Counter]:
+    """Return days and days with a broken rule by site and kind of trouble."""
+    sites: dict[str, Counter] = defaultdict(Counter)
+    for path in sorted(JOURNAL.glob("*.json")):
+        entry = json.loads(path.read_text())
+        if ids and entry["id"] not in ids:
+            continue
+        for day in entry["days"]:
+            counts = sites[day.get("site") or entry["site"] or "?"]
+            for kind in {"(all)", *(day.get("troubles") or ())}:
+                counts[kind] += 1
+                counts[kind, "broken"] += bool(day.get("rules"))
+    return sites
+
+
+def main() -> None:
+    """Print the table."""
+    sites = count_days(set(sys.argv[1:]))
+    columns = sorted(sites)
+    print(f"| kind | {' | '.join(columns)} |")
+    print(f"| --- |{' --- |' * len(columns)}")
+    kinds = {kind for counts in sites.values() for kind in counts}
+    for kind in sorted(kind for kind in kinds if isinstance(kind, str)):
+        cells = []
+        for site in columns:
+            broken = sites[site][kind, "broken"]
+            cells.append(f"{sites[site][kind]}" + (f" ({broken})" if broken else ""))
+        print(f"| {kind} | {' | '.join(cells)} |")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/edge_world.py
@@ -0,0 +1,151 @@
+"""A router's front and relay over stand-ins, for tests of the edge router."""
+
+import asyncio
+import random
+import time
+import unittest
+
+import aiohttp
+
+from carobstair.core.directory import UpstreamDirectory
+from carobstair.core.dispatch import Dispatcher
+from carobstair.core.engine_load import LoadBook, PlacementSettings
+from carobstair.core.fair_admission import FairAdmission
+from carobstair.core.fleet_view import FleetView, StoreTrust
+from carobstair.core.overload import OverloadGuard
+from carobstair.core.send_limits import (
+    ColdSendLimit,
+    ResendLimit,
+    SendLimitSettings,
+)
+from carobstair.core.upstream_health import UpstreamHealth
+from carobstair.edge.follower import StoreFollower
+from carobstair.edge.front import Front
+from carobstair.edge.metrics import EdgeMetrics
+from carobstair.edge.relay import Relay
+from carobstair.edge.server import CallerServer
+from carobstair.edge.settings import SyncSettings
+from carobstair.edge.upstream_pool import UpstreamPool
+from carobstair.platform.documents import decode_routing, decode_upstream
+from carobstair.platform.headers import PlatformDialect
+from carobstair.platform.store import PlatformStore
+from platform_world import (
+    StoreStandIn,
+    UpstreamStandIn,
+    make_config,
+    make_script,
+    make_server,
+)
+
+
+async def until(condition, limit_s=3.0):
+    """Wait until a condition holds."""
+    end_s = time.monotonic() + limit_s
+    while not condition():
+        if time.monotonic() > end_s:
+            raise AssertionError("not reached in time")
+        await asyncio.sleep(0.01)
+
+
+class EdgeCase(unittest.IsolatedAsyncioTestCase):
+    """A router's front and relay in this process, over stand-ins on loopback."""
+
+    async def asyncSetUp(self):
+        self.store = await StoreStandIn().start()
+        self.upstreams = []
+        self.tasks = []
+        settings = SendLimitSettings()
+        self.directory = UpstreamDirectory()
+        self.view = FleetView(self.directory, decode_routing, decode_upstream)
+        rng = random.Random(1)
+        self.dispatcher = Dispatcher(
+            "r0",
+            self.directory,
+            LoadBook(PlacementSettings(), "a"),
+            UpstreamHealth(),
+            ColdSendLimit(settings, -10.0),
+            ResendLimit(settings),
+            rng,
+            frozenset({"r0"}),
+        )
+        relay = Relay(self.dispatcher, UpstreamPool(), PlatformDialect())
+        self.max_kept = 100
+        self.overload = OverloadGuard()
+        self.front = Front(
+            self.view,
+            relay,
+            FairAdmission(),
+            PlatformDialect(),
+            EdgeMetrics(),
+            rng,
+            1000,
+            lambda: self.server.connections > self.max_kept,
+            self.overload,
+        )
+        self.server = CallerServer(self.front, "127.0.0.1", 0)
+        self.client = PlatformStore(f"127.0.0.1:{self.store.port}", lambda *args: None)
+        self.trust = StoreTrust(0.5)
+        follower = StoreFollower(
+            self.client,
+            self.view,
+            self.trust,
+            SyncSettings(
+                store_address=f"127.0.0.1:{self.store.port}",
+                watch_wait_s=0.3,
+                retry_s=0.02,
+                longest_retry_s=0.05,
+            ),
+            rng,
+            lambda kind, names: None,
+        )
+        self.tasks = [
+            asyncio.create_task(self.server.serve()),
+            asyncio.create_task(follower.run()),
+        ]
+        self.session = aiohttp.ClientSession()
+
+    async def asyncTearDown(self):
+        await self.session.close()
+        await self.client.close()
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        for standin in (self.store, *self.upstreams):
+            await standin.stop()
+
+    async def serve_shared(self, script, upstreams=2):
+        """Start upstreams that take their behaviours from one script."""
+        await self.serve(*[make_script(script)] * upstreams)
+
+    async def serve(self, *scripts, config=None):
+        """Start upstreams, one for each script, and put the configuration."""
+        for number, script in enumerate(scripts):
+            if isinstance(script, str):
+                script = make_script(script)
+            upstream = await UpstreamStandIn(script).start()
+            self.upstreams.append(upstream)
+            self.store.put("servers", f"u{number}", make_server(upstream.port))
+        self.store.put("config", "main", config or make_config())
+        await until(lambda: len(self.directory.ids()) >= len(scripts))
+        await until(lambda: self.view.version > 0)
+
+    async def call(self, path, method="GET", deadline_ms=1000, **headers):
+        """Return status, headers and body, or the error of a broken answer."""
+        fixed = {
+            "Host": "api.test",
+            "Carobstair-Attempt-Id": headers.pop("identity", "id1"),
+            "Carobstair-Key": "key1",
+            "Carobstair-Deadline-Ms": str(deadline_ms),
+        }
+        url = f"http://127.0.0.1:{self.server.port}{path}"
+        async with self.session.request(
+            method,
+            url,
+            headers=fixed | headers,
+            data=b"x" if method == "POST" else None,
+        ) as response:
+            return response.status, response.headers, await response.read()
+
+    def ran(self):
+        """Return how many requests reached the upstreams."""
+        return sum(len(upstream.requests) for upstream in self.upstreams)
--- /dev/null
+++ b/tests/test_edge_border.py
@@ -0,0 +1,174 @@
+"""Tests of the edge router's callers' side: input, connections, overload."""
+
+import asyncio
+import time
+import unittest
+from unittest import mock
+
+import aiohttp
+
+from carobstair.core.dispatch import Dispatcher
+from carobstair.edge.server import PageServer
+from edge_world import EdgeCase, until
+
+
+class LateRouterTest(EdgeCase):
+    """Guards against requests that a busy router sends on after their time."""
+
+    async def test_request_whose_time_is_over_is_not_sent(self):
+        await self.serve("ok")
+        dispatcher_confirm = self.dispatcher.confirm
+
+        def confirm(entry, pool, now_s):
+            # The loop stands still between the connection and the send.
+            time.sleep(0.15)
+            return dispatcher_confirm(entry, pool, now_s)
+
+        with mock.patch.object(Dispatcher, "confirm", lambda self, *a: confirm(*a)):
+            status, _, _ = await self.call("/safe/x", deadline_ms=100)
+        self.assertEqual(status, 503)
+        self.assertEqual(self.ran(), 0)
+
+    async def test_router_that_is_behind_refuses_streams_and_says_when(self):
+        await self.serve("stream")
+        self.overload.note(9.0, time.monotonic())
+        with mock.patch.object(self.front._rng, "random", lambda: 0.5):
+            status, headers, _ = await self.call("/stream/x", "POST")
+        self.assertEqual(status, 503)
+        self.assertLess(float(headers["Retry-After"]), 0.5)
+        self.assertEqual(self.ran(), 0)
+
+
+class BadInputTest(EdgeCase):
+    """Guards against smuggled, malformed or oversized requests."""
+
+    async def raw(self, data):
+        """Return what the router sends back for raw bytes."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.server.port)
+        writer.write(data)
+        answer = await asyncio.wait_for(reader.read(4000), 3)
+        writer.close()
+        return answer
+
+    async def test_two_lengths_reach_no_upstream(self):
+        await self.serve("ok")
+        common = (
+            b"POST /unsafe/x HTTP/1.1\r\nHost: api.test\r\nCarobstair-Key: key1\r\n"
+            b"Carobstair-Attempt-Id: a\r\n"
+        )
+        for lengths in (
+            b"Content-Length: 3\r\nContent-Length: 30\r\n\r\nabc",
+            b"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET / ",
+            b"Content-Length: x\r\n\r\nabc",
+        ):
+            answer = await self.raw(common + lengths)
+            self.assertIn(b" 400 ", answer.split(b"\r\n")[0] + b" ")
+        self.assertEqual(self.ran(), 0)
+
+    async def test_body_over_the_limit_is_refused(self):
+        await self.serve("ok")
+        head = (
+            b"POST /unsafe/x HTTP/1.1\r\nHost: api.test\r\nCarobstair-Key: key1\r\n"
+            b"Carobstair-Attempt-Id: a\r\nContent-Length: 100001\r\n\r\n"
+        )
+        answer = await self.raw(head + b"x" * 100001)
+        self.assertTrue(answer.startswith(b"HTTP/1.1 413"))
+        self.assertEqual(self.ran(), 0)
+
+    async def test_absurd_sizes_of_prompts_disturb_nothing(self):
+        await self.serve("ok")
+        for counts, prefix in (
+            ("-1,5", "a:1"),
+            ("99999999999999999999,1", "a:1"),
+            ("10,10", "a:-5,b"),
+            ("x", ",,,"),
+        ):
+            sizes = {
+                "Carobstair-Token-Counts": counts,
+                "Carobstair-Prompt-Prefix": prefix,
+            }
+            status, _, _ = await self.call("/safe/x", **sizes)
+            self.assertEqual(status, 200)
+            seen = self.upstreams[0].requests[-1].headers
+            self.assertEqual(seen["carobstair-token-counts"], counts)
+
+    async def test_request_without_id_is_refused(self):
+        await self.serve("ok")
+        answer = await self.raw(b"GET /safe/x HTTP/1.1\r\nHost: api.test\r\n\r\n")
+        self.assertTrue(answer.startswith(b"HTTP/1.1 400"))
+
+
+class IdleCallerTest(EdgeCase):
+    """Guards against connections of callers that pile up after their last request."""
+
+    async def until_closed(self, reader):
+        """Return how long the server kept a connection."""
+        began_s = asyncio.get_running_loop().time()
+        self.assertEqual(await asyncio.wait_for(reader.read(), 5), b"")
+        return asyncio.get_running_loop().time() - began_s
+
+    async def test_idle_connection_is_closed_after_the_limit_in_force(self):
+        await self.serve("ok")
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.server.port)
+        # The limit changes after the connection was made.
+        self.server.idle_timeout_s = 0.2
+        writer.write(
+            b"GET /safe/x HTTP/1.1\r\nHost: api.test\r\nCarobstair-Key: key1\r\n"
+            b"Carobstair-Attempt-Id: id1\r\n\r\n"
+        )
+        self.assertIn(b"200", await reader.readuntil(b"whole"))
+        self.assertLess(await self.until_closed(reader), 1.0)
+        writer.close()
+
+    async def test_connection_without_a_request_is_closed(self):
+        self.server.idle_timeout_s = 0.2
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.server.port)
+        self.assertLess(await self.until_closed(reader), 1.0)
+        writer.close()
+
+    async def test_answers_close_connections_while_there_are_too_many(self):
+        # A router with 4,060 of 4,100 descriptors took no connection for a second
+        # at a time, and read requests after their callers had left.
+        await self.serve("ok")
+        self.max_kept = 3
+        others = [
+            await asyncio.open_connection("127.0.0.1", self.server.port)
+            for _ in range(4)
+        ]
+        for path, expected in (("/safe/x", 200), ("/nowhere/x", 404)):
+            status, headers, _ = await self.call(path)
+            self.assertEqual(status, expected)
+            self.assertEqual(headers.get("Connection"), "close")
+        for _, writer in others:
+            writer.close()
+        await until(lambda: self.server.connections <= 3)
+        _, headers, _ = await self.call("/safe/x")
+        self.assertNotIn("Connection", headers)
+
+    async def test_running_request_is_not_idle(self):
+        self.server.idle_timeout_s = 0.05
+        await self.serve("slow")
+        status, _, body = await self.call("/safe/x")
+        self.assertEqual((status, body), (200, b"whole"))
+
+
+class PageServerTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against a readiness page that answers 500."""
+
+    async def test_page_is_served_with_its_status(self):
+        server = PageServer(lambda: (503, b"stopping"), "127.0.0.1", 0)
+        task = asyncio.create_task(server.serve())
+        try:
+            async with aiohttp.ClientSession() as session:
+                await asyncio.sleep(0.1)
+                url = f"http://127.0.0.1:{server.port}/v1/ready"
+                async with session.get(url) as response:
+                    self.assertEqual(response.status, 503)
+                    self.assertEqual(await response.read(), b"stopping")
+        finally:
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+
+
+if __name__ == "__main__":
+    unittest.main()
