Judge no time bounds by a late soak, and allow requests that cross an exit

Beside a load average of 15 to 19 the caller, in the soak's own process, measured 6.3 s where the router's log had the answer after 2.0009 s; the soak now notes spans in which it is late itself. On a calm machine a request was reset as a stopping router ended: no router has a line about it and no engine saw it, so it had not been read. Both checks stay as strict for all else; test_soak breaks them with and without the excuse.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterator
 
 from callers import DEADLINE_S, Attempt
+from clock import HARNESS
 from engines import COLD_PER_S
 from world import World
 
@@ -22,6 +23,8 @@
 ROLLBACK_S = 0.25
 # Beyond a time limit, for the answer to reach the caller and for a busy machine.
 LATE_S = 0.5
+# A request that is on its way while the process ends is reset at once.
+CROSSING_S = 0.1
 COLD_BOUND = COLD_PER_S * 1.5 + 5.0
 
 
@@ -162,24 +165,36 @@
 
 def _stops(world: World) -> Iterator[str]:
     """Yield requests that a stopping router cut though all else was calm."""
+    reached = {arrival.request_id for arrival in world.arrivals}
     for attempt in world.callers.attempts:
         if attempt.status is not None and attempt.complete:
             continue
         if "Cannot connect" in attempt.error or attempt.ended_s == 0.0:
             continue
         span = attempt.sent_s - CONTACT_S, attempt.ended_s
-        parts = [("router", attempt.router), ("engine",), ("store",)]
+        parts = [("router", attempt.router), ("engine",), ("store",), HARNESS]
         if not world.disturbed.calm(parts, *span):
             continue
+        if attempt.request_id not in reached and _crossed_exit(world, attempt):
+            continue
         yield f"{attempt.request_id} ({attempt.kind}) cut: {attempt.error}"
 
 
+def _crossed_exit(world: World, attempt: Attempt) -> bool:
+    """Return whether a request met the end of a process that had not read it."""
+    at_once = attempt.ended_s - attempt.sent_s < CROSSING_S
+    stop = [("stop", attempt.router)]
+    stopping = not world.disturbed.calm(stop, attempt.sent_s, attempt.ended_s)
+    return at_once and stopping and attempt.status is None
+
+
 def _calm(world: World, attempt: Attempt, until_s: float) -> bool:
     """Return whether a router had its process, its store and its engines."""
     parts = [
         ("router", attempt.router),
         ("stop", attempt.router),
         ("store",),
+        HARNESS,
     ]
     from_s = min(attempt.sent_s, until_s) - CONTACT_S
     return world.disturbed.calm(parts, from_s, until_s)
--- a/soak/clock.py
+++ b/soak/clock.py
@@ -2,10 +2,17 @@
 
 from __future__ import annotations
 
+import asyncio
 import time
 from dataclasses import dataclass, field
 
-__all__ = ["Disturbances"]
+__all__ = ["HARNESS", "Disturbances", "watch_own_lag"]
+
+# Callers, engines and store run in the soak's own process.
+HARNESS = ("harness",)
+LAG_TURN_S = 0.05
+# Later than this, what callers and engines saw tells no more about the routers.
+MOST_LAG_S = 0.2
 
 
 @dataclass(slots=True)
@@ -39,3 +46,21 @@
             and any(part[: len(wanted)] == wanted for wanted in parts)
             for part, began_s, ended_s in self._spans
         )
+
+    def any(self, part: tuple) -> bool:
+        """Return whether a part was ever disturbed."""
+        return any(known[: len(part)] == part for known, _, _ in self._spans)
+
+    def note(self, part: tuple, began_s: float, ended_s: float) -> None:
+        """Note a span that is known afterwards only."""
+        self._spans.append((part, began_s, ended_s))
+
+
+async def watch_own_lag(disturbed: Disturbances) -> None:
+    """Note the spans in which the soak's own process was late, until cancelled."""
+    while True:
+        began_s = time.monotonic()
+        await asyncio.sleep(LAG_TURN_S)
+        ended_s = time.monotonic()
+        if ended_s - began_s - LAG_TURN_S > MOST_LAG_S:
+            disturbed.note(HARNESS, began_s, ended_s)
--- a/soak/run.py
+++ b/soak/run.py
@@ -21,6 +21,7 @@
 sys.path[:0] = [str(ROOT / "tests"), str(ROOT / "soak")]
 
 from checks import find_violations  # noqa: E402
+from clock import HARNESS, watch_own_lag  # noqa: E402
 from faults import draw_faults, play  # noqa: E402
 from world import SoakPlan, World  # noqa: E402
 
@@ -38,12 +39,14 @@
     world = World(plan, folder)
     faults = draw_faults(plan.seed, plan.seconds)
     sender = None
+    lag = asyncio.create_task(watch_own_lag(world.disturbed))
     try:
         await world.start()
         sender = asyncio.create_task(world.callers.run())
         await play(world, faults)
         broken = await _recover(world)
     finally:
+        lag.cancel()
         if sender is not None:
             sender.cancel()
             await world.callers.close()
@@ -58,6 +61,9 @@
         if not router.running:
             await router.start()
     late = await world.until_ready(RECOVERY_S)
+    if late and world.disturbed.any(HARNESS):
+        print(f"  not judged, this machine was too busy: {late} not ready", flush=True)
+        return []
     if late:
         return [f"recovery: {', '.join(late)} not ready after {RECOVERY_S:.0f} s"]
     # Upstreams that were cold or unreachable at the end come back meanwhile.
@@ -78,7 +84,8 @@
 def _figures(world: World, faults: int) -> str:
     statuses = Counter(str(a.status) for a in world.callers.attempts)
     told = " ".join(f"{status}:{count}" for status, count in sorted(statuses.items()))
-    return f"{faults} faults, {len(world.arrivals)} runs, answers {told}"
+    busy = ", machine too busy at times" if world.disturbed.any(HARNESS) else ""
+    return f"{faults} faults, {len(world.arrivals)} runs, answers {told}{busy}"
 
 
 def _seeds(text: str, seconds: float) -> list[tuple[int, float]]:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -12,7 +12,7 @@
 
 from callers import Attempt
 from checks import find_violations
-from clock import Disturbances
+from clock import HARNESS, Disturbances
 from engines import LAST_EVENT, Arrival
 from faults import FAULTS, draw_faults
 from run import run_seed
@@ -135,6 +135,16 @@
         attempt = make_attempt("safe", status=None, complete=False, error="reset")
         self.assertEqual(self.broken(attempt), ["stops"])
 
+    def test_request_that_crosses_the_exit_and_was_not_read_is_allowed(self):
+        # Seed 49: no router had a line about it and no engine had seen it.
+        attempt = make_attempt("safe", status=None, complete=False, error="reset")
+        attempt.ended_s = attempt.sent_s + 0.01
+        for arrivals, broken in ((0, []), (1, ["stops"])):
+            world = make_world([attempt], arrivals)
+            world.disturbed.note(("stop", "r0"), BEGAN_S - 1.0, BEGAN_S + 1.0)
+            found = find_violations(world)
+            self.assertEqual([text.partition(":")[0] for text in found], broken)
+
     def test_disturbance_excuses_what_it_explains(self):
         attempt = make_attempt("safe", sent_s=time.monotonic())
         attempt.ended_s = attempt.sent_s + 3.0
@@ -144,6 +154,15 @@
         world.disturbed.begin(("router", "r0"))
         self.assertEqual(find_violations(world), [])
 
+    def test_lateness_of_the_soak_itself_is_not_laid_to_a_router(self):
+        # On a busy machine a router's log said that it had answered after 2.0 s,
+        # and the caller, in the soak's process, had measured 6.3 s.
+        attempt = make_attempt("safe", sent_s=BEGAN_S, ended_s=BEGAN_S + 6.3)
+        world = make_world([attempt], arrivals=0)
+        self.assertEqual(len(find_violations(world)), 1)
+        world.disturbed.note(HARNESS, BEGAN_S + 2.0, BEGAN_S + 5.0)
+        self.assertEqual(find_violations(world), [])
+
 
 class SoakRunTest(unittest.TestCase):
     """Guards against routers that break a promise under faults from outside."""
