--- a/tests/test_boot.py
+++ b/tests/test_boot.py
@@ -274,8 +274,7 @@
 class ImportTest(unittest.TestCase):
     """Guards against a start that grows with the rest of the project.
 
-    After a loss of power all routers start at once while callers wait; two fifths
-    of a played day's processor time went into imports.
+    After a loss of power all routers start at once while callers wait.
     """
 
     def test_edge_router_imports_only_what_it_runs(self):
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -48,7 +48,7 @@
         self.assertAlmostEqual(len(near) / len(far), 4, delta=1.5)
 
     async def test_router_whose_load_changes_tells_it_early(self):
-        # One router had three fifths of a grown site's requests, and the others
+        # One router had most of a zone's requests on a grown site, and the others
         # placed theirs on the engines that it had just filled.
         self.add_peers(40, 0)
         idle, _ = await self.run_for(0.4)
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -5,7 +5,7 @@
 
 from carobstair.core.overload import OverloadGuard
 
-# What a router of half a core spends on a stream and on a refusal.
+# Assumed costs of a stream and of a refusal on a small machine.
 STREAM_S, REFUSAL_S = 0.004, 0.0005
 TURN_S = 0.05
 
