Play restores, announcements and pauses in the soak

Change: three kinds of faults with a random generator of their own, so that the earlier faults of each seed stay: a store that returns to a copy, with or without cutting its connections, after which operators and engines write their objects again; an engine that says in its answers that it leaves; an engine that turns requests away with Retry-After. Two checks, each with tests that they find a violation.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -25,6 +25,9 @@
 RESPONSE_MARGIN_S = 0.5
 # A request in transit while the router process exits is reset within this time.
 EXIT_RACE_S = 0.1
+# After this part of a pause, at most so many requests arrive from one router.
+PAUSE_START_S = 0.5
+MAX_REQUESTS_IN_PAUSE = 2
 MAX_COLD_REQUESTS_PER_S = COLD_PER_S * 1.5 + 5.0
 
 
@@ -36,6 +39,8 @@
         _runs,
         _times,
         _leaving,
+        _announced,
+        _paused,
         _evacuated,
         _cold,
         _versions,
@@ -97,6 +102,36 @@
             yield f"{arrival.request_id} reached a leaving engine after {late_s:.2f} s"
 
 
+def _announced(world: World) -> Iterator[str]:
+    """Yield requests sent to an engine too long after it told a router it leaves."""
+    attempts = {attempt.request_id: attempt for attempt in world.callers.attempts}
+    told = {key: at_s for e in world.engines for key, at_s in e.announced.items()}
+    for arrival in world.arrivals:
+        at_s = told.get((arrival.router, arrival.engine_id))
+        if at_s is None or arrival.at_s < at_s + DRAIN_LIMIT_S + RESPONSE_MARGIN_S:
+            continue
+        if _undisrupted(world, attempts[arrival.request_id], arrival.at_s):
+            late_s = arrival.at_s - at_s
+            yield f"{arrival.request_id} sent {late_s:.2f} s after the announcement"
+
+
+def _paused(world: World) -> Iterator[str]:
+    """Yield pauses in which a router sent more than two further requests."""
+    for engine in world.engines:
+        for router, engine_id, began_s, until_s in engine.pauses:
+            components = [("router", router), ("stop", router)]
+            if not world.disruptions.undisrupted(components, began_s, until_s):
+                continue
+            # Requests that are turned away arrive as well.
+            count = sum(
+                (other, other_id) == (router, engine_id)
+                and began_s + PAUSE_START_S < at_s < until_s
+                for other, other_id, at_s, _ in engine.pauses
+            )
+            if count > MAX_REQUESTS_IN_PAUSE:
+                yield f"{engine_id} got {count} requests from {router} in its pause"
+
+
 def _evacuated(world: World) -> Iterator[str]:
     """Yield requests sent to an availability zone while it was evacuated."""
     zones = {engine.name: engine.zone for engine in world.engines}
--- a/soak/engines.py
+++ b/soak/engines.py
@@ -59,6 +59,13 @@
     cold_spans: list[tuple[str, float, float]] = field(default_factory=list)
     proxy: TcpProxy | None = None
     up: bool = False
+    # Whether responses say that the engine leaves, and until when it wants none.
+    announces_leaving: bool = False
+    pause_until_s: float = 0.0
+    # When it first said so to each router, and the pauses that it asked for.
+    announced: dict[tuple[str, str], float] = field(default_factory=dict)
+    pauses: list[tuple[str, str, float, float]] = field(default_factory=list)
+    last_entry: dict | None = None
 
     def __post_init__(self):
         super().__init__()
@@ -74,9 +81,11 @@
         self.proxy.refuse_new = False
         self.up = True
         self.cold_until_s = 0.0
+        self.announces_leaving = False
+        self.pause_until_s = 0.0
         if cold:
             self.become_cold()
-        self.store.put("servers", self.engine_id, self._entry(born))
+        self._put_entry(self._entry(born))
 
     def become_cold(self) -> None:
         """Become cold without updating the store entry."""
@@ -92,14 +101,30 @@
 
     def report_draining(self) -> None:
         """Mark the store entry as draining."""
-        self.store.put("servers", self.engine_id, self._entry(1, state="draining"))
+        self._put_entry(self._entry(1, state="draining"))
 
     def remove_entry(self, engine_id: str | None = None) -> None:
         """Delete the store entry of an incarnation, by default the latest."""
         name = engine_id or self.engine_id
+        if name == self.engine_id:
+            self.last_entry = None
         if ("servers", name) in self.store.objects:
             self.store.delete("servers", name)
 
+    def write_entry_again(self) -> None:
+        """Write the entry that a restored store may lack, and drop outdated ones."""
+        for kind, name in list(self.store.objects):
+            if kind != "servers" or not name.startswith(f"{self.name}-"):
+                continue
+            if name != self.engine_id or self.last_entry is None:
+                self.store.delete("servers", name)
+        if self.last_entry is not None:
+            self.store.put("servers", self.engine_id, self.last_entry)
+
+    def _put_entry(self, entry: dict) -> None:
+        self.last_entry = entry
+        self.store.put("servers", self.engine_id, entry)
+
     def _entry(self, born: int, **changes) -> dict:
         remaining_ms = max(0, int((self.cold_until_s - time.monotonic()) * 1000))
         return make_upstream_entry(
@@ -121,7 +146,19 @@
             )
             return True
         router = request.headers.get("x-soak-router", "")
-        arrival = Arrival(request_id, router, self.engine_id, time.monotonic())
+        now_s = time.monotonic()
+        if now_s < self.pause_until_s:
+            left_s = self.pause_until_s - now_s
+            self.pauses.append((router, self.engine_id, now_s, self.pause_until_s))
+            writer.write(
+                f"HTTP/1.1 503 X\r\n{head}Carobstair-Not-Executed: 1\r\n"
+                f"Retry-After: {left_s:.3f}\r\nContent-Length: 0\r\n\r\n".encode()
+            )
+            return True
+        if self.announces_leaving:
+            self.announced.setdefault((router, self.engine_id), now_s)
+            head += "Server-Leaving: 1\r\n"
+        arrival = Arrival(request_id, router, self.engine_id, now_s)
         self.arrivals.append(arrival)
         head += f"Carobstair-Response-Seal: {SEAL}\r\n"
         if "/stream/" in request.target or "/resume/" in request.target:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -15,6 +15,9 @@
 # The first seconds run without faults, as a baseline.
 FIRST_FAULT_S = 2.0
 MEAN_FAULT_INTERVAL_S = 1.2
+MEAN_LATER_INTERVAL_S = 6.0
+# Time after which operators and engines have written their objects again.
+REWRITE_DELAY_S = 1.0
 # An engine keeps responding for this long after it reported draining.
 DRAIN_PERIOD_S = 3.0
 ENTRY_EXPIRY_S = 1.0
@@ -33,7 +36,7 @@
 def draw_faults(seed: int, seconds: float) -> list[Fault]:
     """Return the faults of a run, determined by the seed and the duration."""
     rng = random.Random(seed)
-    faults = []
+    faults = _draw_later_faults(seed, seconds)
     at_s = FIRST_FAULT_S
     while at_s < seconds:
         kind = rng.choice(sorted(FAULTS))
@@ -41,6 +44,23 @@
             Fault(round(at_s, 3), kind, rng.uniform(0.5, 4.0), rng.randrange(1000))
         )
         at_s += rng.expovariate(1 / MEAN_FAULT_INTERVAL_S)
+    return sorted(faults, key=lambda fault: fault.at_s)
+
+
+def _draw_later_faults(seed: int, seconds: float) -> list[Fault]:
+    """Return faults of the kinds that came later.
+
+    They have a generator of their own, so that the other faults of a seed stay.
+    """
+    rng = random.Random(f"later-{seed}")
+    faults = []
+    at_s = FIRST_FAULT_S + rng.expovariate(1 / MEAN_LATER_INTERVAL_S)
+    while at_s < seconds:
+        kind = rng.choice(sorted(LATER_FAULTS))
+        faults.append(
+            Fault(round(at_s, 3), kind, rng.uniform(0.5, 3.0), rng.randrange(1000))
+        )
+        at_s += rng.expovariate(1 / MEAN_LATER_INTERVAL_S)
     return faults
 
 
@@ -51,7 +71,8 @@
     running = []
     for fault in faults:
         await asyncio.sleep(max(0.0, began_s + fault.at_s - loop.time()))
-        running.append(asyncio.create_task(FAULTS[fault.kind](world, fault)))
+        action = (FAULTS | LATER_FAULTS)[fault.kind]
+        running.append(asyncio.create_task(action(world, fault)))
     await asyncio.gather(*running)
 
 
@@ -279,6 +300,37 @@
     world.end_evacuation(zone)
 
 
+async def _store_restored(world: World, fault: Fault) -> None:
+    copy = world.store.copy()
+    await asyncio.sleep(fault.for_s)
+    span = world.disruptions.begin(("store",))
+    world.store.restore(copy, cut=fault.target_number % 2 == 0)
+    await asyncio.sleep(REWRITE_DELAY_S)
+    world.write_again()
+    world.disruptions.end(span)
+
+
+async def _engine_announces(world: World, fault: Fault) -> None:
+    engine = _pick_engine(world, fault)
+    if not engine.up:
+        return
+    engine.announces_leaving = True
+    await asyncio.sleep(DRAIN_PERIOD_S)
+    # An overlapping fault may have started a new incarnation.
+    if engine.up and engine.announces_leaving:
+        span = world.disruptions.begin(("engine", engine.name))
+        engine.crash()
+        engine.remove_entry()
+        await asyncio.sleep(0.5)
+        await engine.boot(cold=True)
+        world.disruptions.end(span)
+
+
+async def _engine_pauses(world: World, fault: Fault) -> None:
+    engine = _pick_engine(world, fault)
+    engine.pause_until_s = asyncio.get_running_loop().time() + 0.5 + fault.for_s
+
+
 FAULTS: dict[str, Callable[[World, Fault], Awaitable[None]]] = {
     "change": _change_config,
     "engine-answers-lost": _engine_answers_lost,
@@ -303,3 +355,8 @@
     "store-slow": _store_slow,
     "terminate": _terminate,
 }
+LATER_FAULTS: dict[str, Callable[[World, Fault], Awaitable[None]]] = {
+    "engine-announces": _engine_announces,
+    "engine-pauses": _engine_pauses,
+    "store-restored": _store_restored,
+}
--- a/soak/world.py
+++ b/soak/world.py
@@ -156,6 +156,18 @@
                 span[2] = time.monotonic()
         self.store.delete("evacuations", zone)
 
+    def write_again(self) -> None:
+        """Write what operators and engines keep in a store that was restored."""
+        for zone, _, ended_s in self.accepted_changes.evacuated:
+            stored = ("evacuations", zone) in self.store.objects
+            if ended_s is None and not stored:
+                self.store.put("evacuations", zone, {})
+            elif ended_s is not None and stored:
+                self.store.delete("evacuations", zone)
+        for engine in self.engines:
+            engine.write_entry_again()
+        self.change_configuration()
+
     async def is_ready(self, router: Router) -> bool:
         """Return whether a router reports that it is ready."""
         url = f"http://127.0.0.1:{router.ready_port}/v1/ready"
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -14,7 +14,7 @@
 from checks import find_violations
 from disruptions import HARNESS, DisruptionLog
 from engines import EVENTS_PER_STREAM, Arrival
-from faults import FAULTS, draw_faults
+from faults import FAULTS, LATER_FAULTS, draw_faults
 from run import run_seed
 from world import AcceptedChanges, SoakPlan
 
@@ -49,13 +49,18 @@
     if isinstance(arrivals, int):
         arrivals = [Arrival("a1", "r0", "e0-1", START_S)] * arrivals
     cold = accepted_changes.pop("cold", [])
+    announced = accepted_changes.pop("announced", {})
+    pauses = accepted_changes.pop("pauses", [])
+    engine = SimpleNamespace(
+        name="e0", zone="a", cold_spans=cold, announced=announced, pauses=pauses
+    )
     known = AcceptedChanges(versions={1: START_S - 100.0}, **accepted_changes)
     return SimpleNamespace(
         callers=SimpleNamespace(attempts=attempts),
         arrivals=arrivals,
         accepted_changes=known,
         disruptions=DisruptionLog(),
-        engines=[SimpleNamespace(name="e0", zone="a", cold_spans=cold)],
+        engines=[engine],
     )
 
 
@@ -102,6 +107,28 @@
         found = self.failed_checks(make_attempt("safe"), drained=drained)
         self.assertEqual(found, ["leaving"])
 
+    def test_send_after_an_engine_announced_that_it_leaves(self):
+        announced = {("r0", "e0-1"): START_S - 3.0}
+        found = self.failed_checks(make_attempt("safe"), announced=announced)
+        self.assertEqual(found, ["announced"])
+        # Another router was not told.
+        announced = {("r1", "e0-1"): START_S - 3.0}
+        found = self.failed_checks(make_attempt("safe"), announced=announced)
+        self.assertEqual(found, [])
+
+    def test_requests_in_a_pause(self):
+        def pauses(*offsets_s):
+            until_s = START_S + 3.0
+            return [("r0", "e0-1", START_S + at_s, until_s) for at_s in offsets_s]
+
+        for offsets_s, expected in (
+            ((0.0, 0.2, 0.3, 0.4), []),
+            ((0.0, 1.0, 2.0), []),
+            ((0.0, 1.0, 1.5, 2.0), ["paused"]),
+        ):
+            found = self.failed_checks(make_attempt("safe"), pauses=pauses(*offsets_s))
+            self.assertEqual(found, expected, offsets_s)
+
     def test_send_to_an_evacuated_zone(self):
         spans = [["a", START_S - 6.0, None]]
         found = self.failed_checks(make_attempt("safe"), evacuated=spans)
@@ -186,7 +213,7 @@
 
     def test_seeds_draw_every_fault(self):
         drawn = {f.kind for seed in range(60) for f in draw_faults(seed, 30.0)}
-        self.assertEqual(drawn, set(FAULTS))
+        self.assertEqual(drawn, set(FAULTS) | set(LATER_FAULTS))
 
     def test_short_run_finds_no_violations(self):
         plan = SoakPlan(seed=1, seconds=8.0, routers=3, engines=3, rate_per_s=40.0)
