Measure leases and deadlines by a clock that runs during a suspension

Cause: operators of similar systems saw a process that had been paused act on a permission that had run out. Here grants, leases and deadlines of the product's own interface were compared with the monotonic clock, which stands still while a machine is suspended: after 20 s of it a grant of 10 s still counted as valid, and other routers had been given its slot. Change: carobstair/clock.py runs on during a suspension; net/ uses it for leases and deadlines. Timers of the event loop stay on the monotonic clock; the reader of streams converts. A process that is stopped by a signal was covered before, as the monotonic clock runs on then. Conclusion: the edge router holds no leases; its check of the deadline directly before a send is test_edge_callers.LateRouterTest.

--- a/src/carobstair/net/actions.py
+++ b/src/carobstair/net/actions.py
@@ -13,6 +13,7 @@
 
 from returns.result import Failure, Result, Success
 
+from carobstair import clock
 from carobstair.core.action_events import (
     AcquireSlot,
     Answered,
@@ -190,7 +191,7 @@
         workspace = call.context.workspace.name
         record = record_name(workspace, call.key)
         digest = body_hash(call.service, call.method, call.path, call.body)
-        known = self.registry.cached_outcome(record, digest, time.monotonic())
+        known = self.registry.cached_outcome(record, digest, clock.now_s())
         if known is not None:
             return known
         machine = self.registry.join(record, digest, call.context.deadline_s)
@@ -199,7 +200,7 @@
             run = self._start(record, call, machine)
         run.callers += 1
         try:
-            async with asyncio.timeout(call.context.deadline_s - time.monotonic()):
+            async with asyncio.timeout(call.context.deadline_s - clock.now_s()):
                 result = await asyncio.shield(run.result)
         except TimeoutError:
             raise machine.deadline_refusal(run.callers == 1) from None
@@ -235,7 +236,7 @@
             while effects:
                 event = await self._execute_effect(effects.popleft(), run)
                 if event is not None:
-                    now_s, unix_s = time.monotonic(), time.time()
+                    now_s, unix_s = clock.now_s(), time.time()
                     effects.extend(run.machine.on(event, now_s, unix_s))
         except Exception:
             logger.exception("action_failed", record=run.record)
@@ -246,7 +247,7 @@
             self._unfinished.discard(run)
             if self._runs.get(run.record) is run:
                 del self._runs[run.record]
-            self.registry.close(run.record, run.machine, time.monotonic())
+            self.registry.close(run.record, run.machine, clock.now_s())
 
     @singledispatchmethod
     async def _execute_effect(self, effect: Effect, run: _Run) -> Event | None:
@@ -370,7 +371,7 @@
         )
 
     def _on_query(self, envelope: Envelope, query: OutcomeQuery) -> None:
-        known = self.registry.answer(query.record, query.attempt_id, time.monotonic())
+        known = self.registry.answer(query.record, query.attempt_id, clock.now_s())
         answer = OutcomeAnswer(
             query.request, query.record, known.state, encode_outcome(known.outcome)
         )
--- a/src/carobstair/net/agent.py
+++ b/src/carobstair/net/agent.py
@@ -4,13 +4,13 @@
 
 import asyncio
 import random
-import time
 import uuid
 from collections.abc import Callable, Iterable
 from functools import singledispatchmethod
 
 from returns.result import Result, Success
 
+from carobstair import clock
 from carobstair.core.agent import AgentNode, AgentSettings
 from carobstair.core.distribution import DistributionSettings
 from carobstair.core.effects import (
@@ -162,18 +162,18 @@
 
     def leave(self) -> None:
         """Start leaving: become unready and transfer the shares to other routers."""
-        self._execute_effects(self.node.leave(time.monotonic()))
+        self._execute_effects(self.node.leave(clock.now_s()))
 
     def announce_departure(self) -> None:
         """Announce to the peers that this process exits and has no capacity in use."""
-        self._execute_effects(self.node.announce_departure(time.monotonic()))
+        self._execute_effects(self.node.announce_departure(clock.now_s()))
 
     async def run(self) -> None:
         """Run the periodic tick until cancelled."""
         try:
             while True:
                 try:
-                    self._execute_effects(self.node.tick(time.monotonic()))
+                    self._execute_effects(self.node.tick(clock.now_s()))
                 except Exception:
                     logger.exception("agent_tick_failed")
                 await asyncio.sleep(TICK_S)
@@ -194,7 +194,7 @@
         self._last_filing += 1
         future: asyncio.Future[int] = asyncio.get_running_loop().create_future()
         self._filings[self._last_filing] = future
-        effects = self.node.file(self._last_filing, filed, time.monotonic())
+        effects = self.node.file(self._last_filing, filed, clock.now_s())
         self._execute_effects(effects)
         try:
             return await asyncio.wait_for(future, FILING_TIMEOUT_S)
@@ -204,7 +204,7 @@
 
     async def in_force(self) -> dict[str, int]:
         """Return the ticket number in force per live instance."""
-        number, effects = self.node.query_in_force(time.monotonic())
+        number, effects = self.node.query_in_force(clock.now_s())
         future: asyncio.Future[dict[str, int]] = (
             asyncio.get_running_loop().create_future()
         )
@@ -236,16 +236,16 @@
     # Events
 
     def _on_message(self, envelope: Envelope, payload) -> None:
-        now_s = time.monotonic()
+        now_s = clock.now_s()
         self._execute_effects(
             self.node.on_message(envelope.sender, envelope.incarnation, payload, now_s)
         )
 
     def _on_store_answer(self, answer) -> None:
-        self._execute_effects(self.node.on_store_answer(answer, time.monotonic()))
+        self._execute_effects(self.node.on_store_answer(answer, clock.now_s()))
 
     def _on_watch(self, event) -> None:
-        self._execute_effects(self.node.on_watch(event, time.monotonic()))
+        self._execute_effects(self.node.on_watch(event, clock.now_s()))
 
     # Effects
 
@@ -307,7 +307,7 @@
 
     @_execute_effect.register
     def _(self, effect: Warn) -> None:
-        now_s = time.monotonic()
+        now_s = clock.now_s()
         if now_s >= self._last_warning_s.get(effect.event, 0.0) + WARNING_INTERVAL_S:
             self._last_warning_s[effect.event] = now_s
             logger.warning(effect.event, detail=effect.detail)
--- a/src/carobstair/net/capacity.py
+++ b/src/carobstair/net/capacity.py
@@ -4,10 +4,10 @@
 
 import asyncio
 import random
-import time
 from collections.abc import Callable, Iterable
 from functools import singledispatchmethod
 
+from carobstair import clock
 from carobstair.core.allocator import AllocatorSettings
 from carobstair.core.bad_input import BadInputDeltas, bad_input_counts
 from carobstair.core.capacity import CapacityNode, CapacitySettings
@@ -110,7 +110,7 @@
 
     def set_state(self, state: FleetState) -> None:
         """Apply the fleet state in force."""
-        self._execute_effects(self.node.set_state(state, time.monotonic()))
+        self._execute_effects(self.node.set_state(state, clock.now_s()))
 
     def set_live_peers(self, instances: Iterable[str]) -> None:
         """Set which other routers are believed to be alive."""
@@ -130,9 +130,7 @@
         future: asyncio.Future[HeldGrant] = loop.create_future()
         self._futures[request.request_id] = future
         try:
-            self._execute_effects(
-                self.node.enqueue(request, time.monotonic(), at_front)
-            )
+            self._execute_effects(self.node.enqueue(request, clock.now_s(), at_front))
             return await future
         except asyncio.CancelledError:
             if future.done() and not future.cancelled() and not future.exception():
@@ -150,11 +148,11 @@
 
     def release(self, grant: HeldGrant) -> None:
         """Release a grant's slot."""
-        self._execute_effects(self.node.release(grant, time.monotonic()))
+        self._execute_effects(self.node.release(grant, clock.now_s()))
 
     def is_valid(self, grant: HeldGrant) -> bool:
         """Return whether a grant may still be used."""
-        return time.monotonic() < grant.expires_s
+        return clock.now_s() < grant.expires_s
 
     async def run(self) -> None:
         """Run the tick, the polls and the reports until cancelled."""
@@ -168,7 +166,7 @@
     async def _tick(self) -> None:
         while True:
             try:
-                self._execute_effects(self.node.tick(time.monotonic()))
+                self._execute_effects(self.node.tick(clock.now_s()))
             except Exception:
                 logger.exception("capacity_tick_failed")
             await asyncio.sleep(TICK_S)
@@ -182,7 +180,7 @@
                 logger.warning("bad_input_dropped", source=str(source), count=count)
 
     def _on_message(self, envelope: Envelope, payload) -> None:
-        now_s = time.monotonic()
+        now_s = clock.now_s()
         self._execute_effects(self.node.on_message(envelope.sender, payload, now_s))
 
     def _execute_effects(self, effects: Iterable[Effect]) -> None:
@@ -194,7 +192,7 @@
 
     def _flush_demand(self) -> None:
         self._demand_timer = None
-        self._execute_effects(self.node.flush_demand(time.monotonic()))
+        self._execute_effects(self.node.flush_demand(clock.now_s()))
 
     @singledispatchmethod
     def _execute_effect(self, effect) -> None:
@@ -245,7 +243,7 @@
             logger.debug("load_report_failed", upstream=name, error=str(error))
             return
         self.on_leaving_report(name, report.leaving)
-        self._execute_effects(self.node.on_load_report(name, report, time.monotonic()))
+        self._execute_effects(self.node.on_load_report(name, report, clock.now_s()))
         if name in self.state.upstreams:
             self._metrics.limit.labels(name).set(self.node.limit_of(name))
 
--- a/src/carobstair/net/chat.py
+++ b/src/carobstair/net/chat.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import json
-import time
 import uuid
 from collections.abc import AsyncIterator
 from contextlib import aclosing
@@ -12,6 +11,7 @@
 
 from prometheus_client import Histogram
 
+from carobstair import clock
 from carobstair.core.fairness import engine_cost_tokens
 from carobstair.core.grants import HeldGrant
 from carobstair.core.queueing import WaitingRequest, valid_hint_tokens
@@ -103,7 +103,7 @@
         ------
         Refusal
         """
-        self._retries.note_request(generation.context.workspace.name, time.monotonic())
+        self._retries.note_request(generation.context.workspace.name, clock.now_s())
         while True:
             generation.attempts += 1
             chunks_before = generation.chunks
@@ -135,7 +135,7 @@
     async def _acquire(self, generation: Generation) -> HeldGrant:
         waiting = generation.waiting
         names = {u.name for u in self.state.pool_upstreams(waiting.pool)}
-        ejected = self._retries.ejections.ejected(names, time.monotonic())
+        ejected = self._retries.ejections.ejected(names, clock.now_s())
         if not names <= waiting.excluded | ejected:
             waiting = replace(waiting, excluded=waiting.excluded | ejected)
         return await self._capacity.acquire(waiting, generation.attempts > 1)
@@ -160,7 +160,7 @@
         self._capacity.node.prefixes.note_cached(
             upstream.name, generation.waiting.prefix
         )
-        self._retries.note_attempt(upstream.name, time.monotonic())
+        self._retries.note_attempt(upstream.name, clock.now_s())
         self._metrics.attempts.labels(upstream.name).inc()
         stream = self._upstreams.stream(
             upstream,
@@ -205,7 +205,7 @@
         intervals: Histogram,
     ) -> float:
         """Record a chunk and return its cost in weighted tokens."""
-        now_s = time.monotonic()
+        now_s = clock.now_s()
         context = generation.context
         cost = 0.0 if chunk.finished else engine_cost_tokens(1, 0)
         if generation.chunks == 0:
@@ -244,11 +244,11 @@
             self._metrics.mismatched.inc()
         else:
             upstream = grant.offer.upstream
-            self._capacity.node.note_failure(upstream, time.monotonic())
+            self._capacity.node.note_failure(upstream, clock.now_s())
         self._metrics.resumed.labels(type(error).__name__).inc()
         name = grant.offer.upstream
         if not isinstance(error, UpstreamRefused) and (
-            self._retries.ejections.note_failure(name, time.monotonic())
+            self._retries.ejections.note_failure(name, clock.now_s())
         ):
             self._metrics.ejections.labels(name).inc()
             logger.warning("upstream_ejected", upstream=name)
@@ -268,7 +268,7 @@
         if generation.chunks > chunks_before or isinstance(error, UpstreamLeft):
             return
         workspace, upstream = grant.offer.workspace, grant.offer.upstream
-        now_s = time.monotonic()
+        now_s = clock.now_s()
         in_time = generation.chunks or now_s < generation.context.deadline_s
         if in_time and self._retries.allow(workspace, upstream, now_s):
             return
@@ -305,7 +305,7 @@
         if generation.chunks:
             # The deadline applies to the first token only; a long answer may exceed
             # it.
-            generation.waiting.deadline_s = time.monotonic() + self._resume_limit_s
+            generation.waiting.deadline_s = clock.now_s() + self._resume_limit_s
 
 
 def _remaining_cost_tokens(generation: Generation) -> float:
--- a/src/carobstair/net/gateway.py
+++ b/src/carobstair/net/gateway.py
@@ -5,11 +5,11 @@
 import hashlib
 import hmac
 import re
-import time
 import uuid
 from collections import Counter
 from collections.abc import AsyncIterator, Mapping
 
+from carobstair import clock
 from carobstair.core.action_records import RETENTION_S
 from carobstair.core.answer_rates import AnswerRates
 from carobstair.core.fairness import engine_cost_tokens
@@ -131,7 +131,7 @@
         if not self.state.number:
             raise refuse("not-ready")
         workspace = self._workspace_of(authorization)
-        now_s = time.monotonic()
+        now_s = clock.now_s()
         timeout_s = self._settings.gateway.default_deadline_s
         if deadline_ms is not None and DEADLINE_MS.fullmatch(deadline_ms):
             timeout_s = min(timeout_s, int(deadline_ms) / 1000.0)
@@ -182,7 +182,7 @@
                 yield chunk
             outcome = "answered"
             workspace = generation.context.workspace.name
-            now_s = time.monotonic()
+            now_s = clock.now_s()
             self._answer_rates.note_answer(generation.waiting.pool, workspace, now_s)
         except Refusal as refusal:
             generation.progress.may_have_run |= generation.chunks > 0
@@ -241,7 +241,7 @@
             answer = await self._call_or_replay(call)
             outcome = "answered"
             workspace = call.context.workspace.name
-            self._answer_rates.note_answer(call.service, workspace, time.monotonic())
+            self._answer_rates.note_answer(call.service, workspace, clock.now_s())
             return answer
         except Refusal as refusal:
             self._set_retry_after(refusal, call.service, call.context)
@@ -295,7 +295,7 @@
         workspace = context.workspace.name
         waiting = self._capacity.node.queue.waiting(pool, workspace)
         refusal.retry_after_s = self._answer_rates.retry_after_s(
-            pool, workspace, waiting, time.monotonic()
+            pool, workspace, waiting, clock.now_s()
         )
 
     def _count_refusal(
@@ -331,5 +331,5 @@
             work_class=str(work_class),
             upstream=progress.upstream or None,
             outcome=outcome,
-            took_s=round(time.monotonic() - context.arrived_s, 4),
+            took_s=round(clock.now_s() - context.arrived_s, 4),
         )
--- a/src/carobstair/net/orders.py
+++ b/src/carobstair/net/orders.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-import time
 
 import aiohttp
 
+from carobstair import clock
 from carobstair.core.effects import SendOrder
 from carobstair.core.orders import OrderManager, OrderOutcome
 from carobstair.core.state import FleetState, Upstream
@@ -87,7 +87,7 @@
             fencing=order.fencing,
             outcome=str(outcome),
         )
-        self._orders.on_answer(order.order, outcome, time.monotonic())
+        self._orders.on_answer(order.order, outcome, clock.now_s())
 
     async def _post(self, upstream: Upstream, order: SendOrder) -> OrderOutcome:
         document = {"versions": list(order.versions), "role": order.role}
--- a/src/carobstair/net/services.py
+++ b/src/carobstair/net/services.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-import time
 import uuid
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field, replace
 
+from carobstair import clock
 from carobstair.core.fairness import service_cost_tokens
 from carobstair.core.grants import HeldGrant
 from carobstair.core.queueing import WaitingRequest, WorkClass
@@ -106,7 +106,7 @@
             except Refusal as refusal:
                 raise refusal.after_attempt(may_have_run) from None
             attempt_id = uuid.uuid4().hex
-            remaining_s = call.context.deadline_s - time.monotonic()
+            remaining_s = call.context.deadline_s - clock.now_s()
             try:
                 limit_s = (
                     min(SERVICE_ATTEMPT_TIMEOUT_S, remaining_s)
@@ -132,7 +132,7 @@
         Refusal
         """
         names = {u.name for u in self._capacity.state.pool_upstreams(call.service)}
-        ejected = self._retries.ejections.ejected(names, time.monotonic())
+        ejected = self._retries.ejections.ejected(names, clock.now_s())
         if not names <= call.excluded | ejected:
             call = call.excluding(ejected)
         elif names <= call.excluded:
@@ -159,7 +159,7 @@
             # While this process was paused, its slot may have been granted to others.
             raise UpstreamLeft("the grant's lease lapsed before the call was sent")
         call.progress.upstream = upstream.name
-        began_s = time.monotonic()
+        began_s = clock.now_s()
         self._retries.note_attempt(upstream.name, began_s)
         self._metrics.attempts.labels(upstream.name).inc()
         try:
@@ -179,31 +179,31 @@
             if isinstance(error, AnswerMismatch):
                 self._metrics.mismatched.inc()
             if isinstance(error, NotSent):
-                self._capacity.node.note_failure(upstream.name, time.monotonic())
+                self._capacity.node.note_failure(upstream.name, clock.now_s())
             if not isinstance(error, NotSent | UpstreamRefused):
                 call.progress.may_have_run = True
             raise
         finally:
-            took_s = time.monotonic() - began_s
+            took_s = clock.now_s() - began_s
             self._capacity.node.charge(grant, service_cost_tokens(took_s))
             self._capacity.node.note_service_call(upstream.name, took_s)
 
     def _note_failure(self, upstream: str, error: UpstreamError) -> None:
         if isinstance(error, UpstreamRefused):
             return
-        if self._retries.ejections.note_failure(upstream, time.monotonic()):
+        if self._retries.ejections.note_failure(upstream, clock.now_s()):
             self._metrics.ejections.labels(upstream).inc()
             logger.warning("upstream_ejected", upstream=upstream)
 
     def note_request(self, call: ServiceCall) -> None:
         """Count a caller's request towards the retry budgets."""
-        self._retries.note_request(call.context.workspace.name, time.monotonic())
+        self._retries.note_request(call.context.workspace.name, clock.now_s())
 
     def may_retry(self, call: ServiceCall, upstream: str, error: UpstreamError) -> bool:
         """Return whether the retry budgets and the deadline allow another attempt."""
         if isinstance(error, UpstreamLeft):
             return True
-        now_s, workspace = time.monotonic(), call.context.workspace.name
+        now_s, workspace = clock.now_s(), call.context.workspace.name
         if now_s < call.context.deadline_s and self._retries.allow(
             workspace, upstream, now_s
         ):
--- a/src/carobstair/net/upstream.py
+++ b/src/carobstair/net/upstream.py
@@ -4,13 +4,13 @@
 
 import asyncio
 import json
-import time
 from collections.abc import AsyncIterator, Callable, Mapping
 from contextlib import suppress
 from dataclasses import dataclass
 
 import aiohttp
 
+from carobstair import clock
 from carobstair.core.limits import LoadReport
 from carobstair.core.placement import CacheEvent
 from carobstair.core.state import Upstream
@@ -97,7 +97,8 @@
         Parameters
         ----------
         usable_until : callable
-            Returns the monotonic time at which use of the grant must stop.
+            Returns the time, by `carobstair.clock`, at which use of the grant must
+            stop.
         deadline_s : float
             Monotonic deadline for the first token.
 
@@ -112,7 +113,7 @@
         }
         if after:
             headers["Last-Event-ID"] = str(after)
-        first_token_s = time.monotonic() + self._settings.first_token_timeout_s
+        first_token_s = clock.now_s() + self._settings.first_token_timeout_s
         timeout = aiohttp.ClientTimeout(
             total=None,
             sock_connect=CONNECT_TIMEOUT_S,
@@ -126,9 +127,10 @@
                 _check_engine_response(response, attempt_id)
                 # The wait for the response head is part of the first-token timeout.
                 limits = ProgressLimits(
-                    max(0.0, first_token_s - time.monotonic()),
+                    max(0.0, first_token_s - clock.now_s()),
                     self._settings.progress_timeout_s,
-                    usable_until,
+                    # The reader's timers stand still during a suspension.
+                    lambda: usable_until() - clock.suspended_s(),
                 )
                 reader = EventReader(response.content, limits)
                 try:
@@ -285,7 +287,7 @@
 
 
 def _remaining_ms(deadline_s: float) -> str:
-    return str(max(0, int((deadline_s - time.monotonic()) * 1000)))
+    return str(max(0, int((deadline_s - clock.now_s()) * 1000)))
 
 
 def _check_engine_response(response: aiohttp.ClientResponse, attempt_id: str) -> None:
