Test that slow streams are relayed and trickling ones end

Cause: operators of similar systems saw slow but sound streams cut, and stalled ones that sent a byte now and then never end. Change: two tests of the edge router. Its streams have no time limit between bytes; they end with the route's timeout or the caller's deadline. Conclusion: it can't happen at the edge.

--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -476,5 +476,23 @@
         writer.write(b"0\r\n\r\n")
         return True
 
+    async def _slow_stream(self, request, writer):
+        writer.write(self._response_head(request, 200, ["Transfer-Encoding: chunked"]))
+        for number in range(1, 6):
+            writer.write(self._event_chunk(number))
+            await writer.drain()
+            await asyncio.sleep(0.35)
+        writer.write(b"0\r\n\r\n")
+        return True
+
+    async def _trickling_stream(self, request, writer):
+        """Send a byte now and then, and never a whole event."""
+        writer.write(self._response_head(request, 200, ["Transfer-Encoding: chunked"]))
+        writer.write(self._event_chunk(1))
+        while True:
+            writer.write(b"1\r\nx\r\n")
+            await writer.drain()
+            await asyncio.sleep(0.05)
+
     async def _truncated_stream(self, request, writer):
         return await self._stream(request, writer, truncate_at=3)
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -181,6 +181,22 @@
         ]
         self.assertEqual(resumed, ["2"])
 
+    async def test_slow_stream_is_not_cut(self):
+        for path in ("/stream/x", "/resume/x"):
+            with self.subTest(path):
+                await self.start_upstreams("slow_stream")
+                status, _, body = await self.call(path, "POST", deadline_ms=2000)
+                self.assertEqual((status, body), (200, self.EVENTS))
+
+    async def test_stream_that_only_trickles_ends_with_the_deadline(self):
+        for path in ("/stream/x", "/resume/x"):
+            with self.subTest(path):
+                await self.start_upstreams("trickling_stream")
+                start_s = time.monotonic()
+                with self.assertRaises(aiohttp.ClientError):
+                    await self.call(path, "POST", deadline_ms=800)
+                self.assertLess(time.monotonic() - start_s, 1.3)
+
     async def test_last_event_id_of_a_caller_is_forwarded(self):
         await self.start_upstreams("stream")
         _, _, body = await self.call("/resume/x", "POST", **{"Last-Event-Id": "3"})
