Leave draining upstreams unused after a restore even if they are alone

Cause: found by reading: after a restore an upstream that had been draining counted as leaving from that moment, and so could be used for a second more if its service had no other. Change: it counts as leaving since long before. Result: test_store_restore checks it, failing without the change.

--- a/src/carobstair/core/directory.py
+++ b/src/carobstair/core/directory.py
@@ -85,6 +85,7 @@
         return self.entry.upstream_id
 
 
+# Id and start time of an upstream.
 Incarnation = tuple[str, int]
 
 
@@ -170,9 +171,11 @@
 
     def keep_draining(self, now_s: float) -> None:
         """Keep draining upstreams unused although the store may call them ready."""
+        # Not even if their service has no other: they have been draining for longer.
+        since_s = now_s - self.settings.leaving_use_s
         for listed in self._upstreams.values():
             if listed.entry.draining:
-                self.note_leaving(listed.entry, now_s)
+                self.note_leaving(listed.entry, since_s)
 
     def note_leaving(self, entry: UpstreamEntry, now_s: float) -> bool:
         """Record that an incarnation says it is leaving; return whether it is new."""
--- a/tests/test_store_restore.py
+++ b/tests/test_store_restore.py
@@ -102,6 +102,8 @@
         self.apply(make_change("u1", 90, 1, state="draining"), make_change("u2", 91, 1))
         self.apply(make_change("u1", 5, 2), make_change("u2", 6, 2))
         self.assertEqual(self.usable(), ["u2"])
+        self.apply(make_change("u2", 7, 2, removed=True))
+        self.assertEqual(self.usable(), [])
 
     def test_evacuation_that_the_copy_lacks_is_kept_for_a_while(self):
         self.apply(make_change("u1", 90, 1))
