Have routers agree on the throughput of an overloaded pool

Since the throughput may fall to a fiftieth, such factors can be far apart. Change: digests with demand carry the factors of overloaded pools, and each correction moves the own factor halfway to the mean of the peers'. Routers that got no request for half a second send none. AgreementTest: the first test fails without the step. Ruled out: stale demand, as the demands that the routers logged agree.

--- a/src/carobstair/core/fair_admission.py
+++ b/src/carobstair/core/fair_admission.py
@@ -29,6 +29,8 @@
 
 # At a lower pressure no request waits, so that the wait need not be estimated.
 LIGHT_PRESSURE = 0.4
+# Age up to which a factor is sent to peers.
+FACTOR_LIFETIME_S = 0.5
 # A lower rate does not count as demand.
 MIN_DEMAND_TOKENS_PER_S = 1.0
 
@@ -61,6 +63,9 @@
         Expected wait for the first token, as a fraction of its objective, above which
         requests are refused. The same for all workspaces: with a lower one for those
         beyond their share, they got less than it.
+    peer_weight : float
+        Weight of the mean factor of the peers in each correction of the own one,
+        while the pool is overloaded there.
     output_weight : float
         Weight of a generated token relative to a prompt token.
     burst_s : float
@@ -79,6 +84,7 @@
     overload_slots_used: float = 0.8
     max_factor: float = 2.5
     max_wait: float = 1.0
+    peer_weight: float = 0.5
     output_weight: float = 2.0
     burst_s: float = 1.0
     min_retry_after_s: float = 0.4
@@ -160,11 +166,11 @@
     pressure: float = 1.0
     newest: float = 1.0
     slots_used: float = 0.0
-    _at_s: float = float("-inf")
+    corrected_s: float = float("-inf")
 
     def is_due(self, now_s: float) -> bool:
         """Return whether the next correction is due."""
-        return now_s - self._at_s >= self.settings.control_s
+        return now_s - self.corrected_s >= self.settings.control_s
 
     @property
     def is_loaded(self) -> bool:
@@ -185,7 +191,7 @@
             Running and waiting requests of the engines relative to their slots.
         """
         settings = self.settings
-        self._at_s = now_s
+        self.corrected_s = now_s
         self.newest = pressure
         self.pressure += settings.smoothing * (pressure - self.pressure)
         self.slots_used += settings.smoothing * (slots_used - self.slots_used)
@@ -216,6 +222,8 @@
     # Sums over all peers by pool and workspace, as every request reads them.
     _peer_totals: dict[str, dict[str, float]] = field(default_factory=dict)
     _controls: dict[str, ThroughputControl] = field(default_factory=dict)
+    # Factors below the promised one, by peer and pool.
+    _peer_factors: dict[str, dict[str, float]] = field(default_factory=dict)
     _buckets: dict[tuple[str, str], _Bucket] = field(default_factory=dict)
 
     def note_peer(self, peer: str, rows: Iterable[tuple[str, str, float]]) -> None:
@@ -228,6 +236,24 @@
         """Drop the demand of a peer that has left or failed."""
         self._adjust_peer_totals(peer, -1)
         self._peers.pop(peer, None)
+        self._peer_factors.pop(peer, None)
+
+    def own_factors(self, now_s: float) -> dict[str, float]:
+        """Return the factors of overloaded pools, those below the promised one.
+
+        Without those that were not corrected lately, for lack of requests.
+        """
+        promised = self.settings.promised_factor
+        return {
+            pool: control.factor
+            for pool, control in self._controls.items()
+            if control.factor < promised
+            and now_s - control.corrected_s < FACTOR_LIFETIME_S
+        }
+
+    def note_peer_factors(self, peer: str, factors: Mapping[str, float]) -> None:
+        """Replace a peer's factors of overloaded pools."""
+        self._peer_factors[peer] = dict(factors)
 
     def own_rows(self, now_s: float) -> list[tuple[str, str, float]]:
         """Return the demand at this router, and drop what has decayed."""
@@ -279,6 +305,7 @@
         if control is None:
             control = self._controls[pool] = ThroughputControl(self.settings)
         if control.is_due(now_s):
+            self._approach_peers(pool, control)
             control.correct(pressure(), total_demand / capacity, now_s, slots_used())
         supply = capacity * control.factor
         demand = demands[workspace]
@@ -329,6 +356,18 @@
         )
         return AdmissionDecision(False, share, demand, wait_s)
 
+    def _approach_peers(self, pool: str, control: ThroughputControl) -> None:
+        """Move the factor of an overloaded pool towards that of the peers.
+
+        Each router samples the engines at other times. If their factors drifted
+        apart, workspaces would get different shares at different routers.
+        """
+        factors = [f[pool] for f in self._peer_factors.values() if pool in f]
+        if not factors:
+            return
+        mean = sum(factors) / len(factors)
+        control.factor += self.settings.peer_weight * (mean - control.factor)
+
     def _demands(self, pool: str, now_s: float) -> dict[str, float]:
         window_s = self.settings.demand_window_s
         demands = dict(self._peer_totals.get(pool, {}))
--- a/src/carobstair/core/messages.py
+++ b/src/carobstair/core/messages.py
@@ -303,6 +303,9 @@
         Eras of the revisions; routers of older releases send none.
     leaving : list of (str, int)
         Upstreams that say they are leaving, with their start times.
+    factors : dict, optional
+        Throughput of overloaded pools relative to the configured one; sent along
+        with `demands`.
     """
 
     address: PeerAddress
@@ -312,6 +315,7 @@
     demands: dict[str, dict[str, int]] | None = None
     eras: list[int] = []
     leaving: list[tuple[str, int]] = []
+    factors: dict[str, float] = {}
 
 
 class StatePull(msgspec.Struct, frozen=True, array_like=True):
--- a/src/carobstair/edge/gossip.py
+++ b/src/carobstair/edge/gossip.py
@@ -207,14 +207,17 @@
         own = self._view.stamps()
         loads = self._loads.own_rows()
         group.sent_backlog = {upstream: tokens for upstream, tokens, _ in loads}
+        demands = self._demands(group, now_s)
+        factors = self._admission.own_factors(now_s) if demands is not None else {}
         return FleetDigest(
             self._own,
             [own[kind.value].revision for kind in StateKind],
             [LoadRow(*row) for row in loads],
             segments,
-            self._demands(group, now_s),
+            demands,
             [own[kind.value].era for kind in StateKind],
             self._view.directory.leaving()[:MAX_LEAVING_ROWS],
+            factors,
         )
 
     def _demands(
@@ -268,6 +271,7 @@
                 for workspace, rate in rates.items()
             )
             self._admission.note_peer(peer, rows)
+            self._admission.note_peer_factors(peer, digest.factors)
         for upstream, segments in digest.segments.items():
             for segment, tokens in segments:
                 self._loads.note_segment(upstream, segment, tokens)
--- a/src/carobstair/scenario/overload.py
+++ b/src/carobstair/scenario/overload.py
@@ -345,8 +345,10 @@
             return
         rows = sender.loads.own_rows()
         demands = sender.admission.own_rows(now_s)
+        factors = sender.admission.own_factors(now_s)
         for router in self._routers:
             if router is not sender:
                 router.loads.note_peer(sender.name, rows)
                 router.admission.note_peer(sender.name, demands)
+                router.admission.note_peer_factors(sender.name, factors)
         self._at(now_s + self._plan.digest_s, lambda t: self._digest(sender, t))
--- a/tests/test_fair_admission.py
+++ b/tests/test_fair_admission.py
@@ -107,6 +107,56 @@
         self.assertTrue(decision.admitted)
 
 
+class AgreementTest(unittest.TestCase):
+    """Guards against routers that share different throughputs of one pool.
+
+    One router shared 72,000 tokens a second, two others 226,000 and 840,000, and a
+    workspace with all its callers at the first got a quarter of what another got.
+    """
+
+    def overloaded(self, factor):
+        """Return an admission whose pool is overloaded, with a given factor."""
+        admission = FairAdmission()
+        admission._controls["m"] = ThroughputControl(admission.settings, factor)
+        return admission
+
+    def test_factors_of_overloaded_pools_approach_each_other(self):
+        fleet = [self.overloaded(factor) for factor in (0.07, 0.22, 0.8)]
+        for step in range(30):
+            now_s = 0.1 * step
+            for number, sender in enumerate(fleet):
+                for receiver in fleet:
+                    if receiver is not sender:
+                        factors = sender.own_factors(now_s)
+                        receiver.note_peer_factors(f"r{number}", factors)
+            for admission in fleet:
+                # A pressure of 1.0 leaves the factor unchanged by itself.
+                admission.decide("m", "w", 9e3, 1e4, lambda: 1.0, now_s)
+        factors = [admission._controls["m"].factor for admission in fleet]
+        self.assertLess(max(factors), 1.1 * min(factors))
+
+    def test_pool_that_is_not_overloaded_is_left_alone(self):
+        admission = self.overloaded(1.7)
+        admission.note_peer_factors("r1", {})
+        admission.decide("m", "w", 9e9, 1e4, lambda: 1.0, 0.0)
+        self.assertEqual(admission._controls["m"].factor, 1.7)
+        self.assertEqual(admission.own_factors(0.0), {})
+
+    def test_factor_of_a_router_without_requests_is_not_sent(self):
+        # Idle routers held back the others in an overload.
+        admission = self.overloaded(0.5)
+        admission.decide("m", "w", 9e3, 1e4, lambda: 1.0, 5.0)
+        self.assertEqual(admission.own_factors(5.4), {"m": 0.5})
+        self.assertEqual(admission.own_factors(5.6), {})
+
+    def test_factor_of_a_lost_peer_is_dropped(self):
+        admission = self.overloaded(1.7)
+        admission.note_peer_factors("r1", {"m": 0.1})
+        admission.forget_peer("r1")
+        admission.decide("m", "w", 9e9, 1e4, lambda: 1.0, 0.0)
+        self.assertEqual(admission._controls["m"].factor, 1.7)
+
+
 class ThroughputControlTest(unittest.TestCase):
     """Guards against refusals while engines are idle, and overload of slow engines.
 
