Run gossip nodes in tests through one context manager

Cause: three tests started and closed a pair of gossip nodes with the same twelve lines. Two section comments of the overload player named what the methods below them say. Change: gossip_nodes.running_nodes; the comments are gone. Result: RestoreGossipTest, LeavingUpstreamTest, GossipStateTest and test_gossip: 13 passed. No check differs.

--- a/src/carobstair/scenario/overload.py
+++ b/src/carobstair/scenario/overload.py
@@ -208,8 +208,6 @@
                 job.cancelled = True
                 job.on_end(now_s)
 
-    # Callers
-
     def _next_arrival(self, group: CallerGroup, now_s: float) -> None:
         if now_s >= min(group.end_s, self._plan.seconds):
             return
@@ -325,8 +323,6 @@
         second = self._report.timeline.setdefault(int(request.arrived_s), Counter())
         second[outcome] += 1
 
-    # Engines and digests
-
     def _run_engine(self, engine: BatchEngine, now_s: float) -> None:
         if engine.name in self._stepping or engine.idle:
             return
--- a/tests/gossip_nodes.py
+++ b/tests/gossip_nodes.py
@@ -1,6 +1,9 @@
 """Router nodes that run only gossip, for tests of the messages between peers."""
 
+import asyncio
+import contextlib
 import random
+import socket
 from dataclasses import dataclass
 
 from carobstair.core.directory import UpstreamDirectory
@@ -82,3 +85,23 @@
         lambda kind, names: None,
     )
     return GossipNode(address, directory, view, loads, admission, transport, gossip)
+
+
+@contextlib.asynccontextmanager
+async def running_nodes(count=2):
+    """Run gossip nodes on free loopback ports, and close them at the end."""
+    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+    ports = [s.getsockname()[1] for s in sockets]
+    for s in sockets:
+        s.close()
+    nodes = [make_node(f"r{number}", port) for number, port in enumerate(ports)]
+    runs = [run for node in nodes for run in (node.transport.run, node.gossip.run)]
+    tasks = [asyncio.create_task(run()) for run in runs]
+    try:
+        yield nodes
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        for node in nodes:
+            node.transport.close()
--- a/tests/test_boot.py
+++ b/tests/test_boot.py
@@ -22,7 +22,7 @@
 from carobstair.logs import LineWriter
 from carobstair.platform.boot import BOOT_VARIABLE, load_boot_settings
 from carobstair.settings import SettingsError
-from gossip_nodes import make_node
+from gossip_nodes import running_nodes
 from platform_standins import (
     StoreStandIn,
     UpstreamStandIn,
@@ -320,12 +320,7 @@
     """Guards against outdated state at a router that the store rejects."""
 
     async def test_state_reaches_a_router_through_its_peer(self):
-        nodes = [make_node(f"r{n}", port) for n, port in enumerate(free_ports(2))]
-        tasks = []
-        try:
-            for node in nodes:
-                tasks.append(asyncio.create_task(node.transport.run()))
-                tasks.append(asyncio.create_task(node.gossip.run()))
+        async with running_nodes() as nodes:
             nodes[0].gossip.add(nodes[1].address)
             spec = json.dumps(make_config(7)).encode()
             change = StoreChange("main", 5, spec)
@@ -347,12 +342,6 @@
                     break
                 await asyncio.sleep(0.02)
             self.assertEqual(nodes[1].directory.ids(), [])
-        finally:
-            for task in tasks:
-                task.cancel()
-            await asyncio.gather(*tasks, return_exceptions=True)
-            for node in nodes:
-                node.transport.close()
 
 
 if __name__ == "__main__":
--- a/tests/test_store_restore.py
+++ b/tests/test_store_restore.py
@@ -22,14 +22,13 @@
 from carobstair.platform.documents import decode_routing, decode_upstream
 from carobstair.platform.store import PlatformStore
 from edge_test_case import EdgeCase, wait_until
-from gossip_nodes import make_node
+from gossip_nodes import running_nodes
 from platform_standins import (
     HttpStandIn,
     StoreStandIn,
     make_config,
     make_upstream_entry,
 )
-from test_boot import free_ports
 
 
 def make_view():
@@ -290,12 +289,8 @@
     """Guards against routers that were cut off from the store during a restore."""
 
     async def test_router_without_the_store_follows_its_peer_into_the_new_era(self):
-        nodes = [make_node(f"r{n}", port) for n, port in enumerate(free_ports(2))]
-        tasks = []
-        try:
+        async with running_nodes() as nodes:
             for node in nodes:
-                tasks.append(asyncio.create_task(node.transport.run()))
-                tasks.append(asyncio.create_task(node.gossip.run()))
                 old = [make_change("u1", 90, 1), make_change("u2", 91, 1)]
                 node.view.apply(StateKind.UPSTREAMS, old, None, 0.0)
             # An object that only the router without the store has heard of.
@@ -309,12 +304,6 @@
             self.assertEqual(known.stamp, (2, 7))
             # The peer of the new era does not take the old one back.
             self.assertEqual(nodes[0].directory.ids(), ["u1"])
-        finally:
-            for task in tasks:
-                task.cancel()
-            await asyncio.gather(*tasks, return_exceptions=True)
-            for node in nodes:
-                node.transport.close()
 
 
 if __name__ == "__main__":
--- a/tests/test_upstream_signals.py
+++ b/tests/test_upstream_signals.py
@@ -7,9 +7,8 @@
 from carobstair.core.directory import DirectorySettings, UpstreamDirectory
 from carobstair.platform.headers import MAX_PAUSE_S, PlatformDialect
 from edge_test_case import EdgeCase, wait_until
-from gossip_nodes import make_node
+from gossip_nodes import running_nodes
 from platform_standins import make_config, make_route, make_upstream_entry
-from test_boot import free_ports
 from test_directory import make_entry
 
 
@@ -134,22 +133,12 @@
         self.assertEqual(len(self.upstreams[0].requests), 2)
 
     async def test_peers_learn_it_from_digests(self):
-        nodes = [make_node(f"r{n}", port) for n, port in enumerate(free_ports(2))]
-        tasks = []
-        try:
+        async with running_nodes() as nodes:
             for node in nodes:
-                tasks.append(asyncio.create_task(node.transport.run()))
-                tasks.append(asyncio.create_task(node.gossip.run()))
                 node.directory.put(make_entry("u1"), 1, 0.0)
             nodes[0].gossip.add(nodes[1].address)
             nodes[0].directory.note_leaving(make_entry("u1"), time.monotonic())
             await wait_until(lambda: nodes[1].directory.leaving() == [("u1", 1)])
-        finally:
-            for task in tasks:
-                task.cancel()
-            await asyncio.gather(*tasks, return_exceptions=True)
-            for node in nodes:
-                node.transport.close()
 
 
 class PausedUpstreamTest(EdgeCase):
