Log and count responses by what marks their end

Change: a response has its framing, as the code decides it today. Requests whose response ended with its connection are always logged, with the last bytes of a stream; a counter has framing and outcome. No decision changes.

--- a/src/carobstair/edge/app.py
+++ b/src/carobstair/edge/app.py
@@ -22,6 +22,7 @@
     ServicePool,
 )
 from carobstair.edge.exchange import Exchange, IncompleteResponse
+from carobstair.edge.framing import Framing
 from carobstair.edge.metadata import BadRequest, Dialect, RequestMetadata
 from carobstair.edge.metrics import EdgeMetrics
 from carobstair.edge.relay import Relay
@@ -348,8 +349,13 @@
             first_s = round(exchange.first_byte_s - arrived_s, 4)
             self._metrics.first_byte_s.labels(service).observe(first_s)
         self._ended_requests += 1
+        framing = exchange.framing
+        self._metrics.responses.labels(framing or "", outcome).inc()
+        at_connection_end = framing is Framing.CONNECTION_END
         first_try = outcome == "answered" and exchange.attempts == 1
-        if first_try and self._ended_requests % SUCCESS_LOG_INTERVAL:
+        # Only the log shows whether a response without a length was truncated.
+        sampled = first_try and not at_connection_end
+        if sampled and self._ended_requests % SUCCESS_LOG_INTERVAL:
             return
         logger.info(
             "request_ended",
@@ -359,12 +365,14 @@
             service=service,
             upstream=exchange.upstream_id,
             outcome=outcome,
-            one_of=SUCCESS_LOG_INTERVAL if first_try else None,
+            one_of=SUCCESS_LOG_INTERVAL if sampled else None,
             status=exchange.status,
             attempts=exchange.attempts,
             may_have_run=exchange.may_have_run,
             version=self._view.version,
             detail=exchange.detail,
+            framing=framing,
+            last_bytes=repr(exchange.last_bytes) if at_connection_end else None,
             expected_s=round(exchange.expected_s, 4),
             unread_tokens=exchange.uncached_tokens,
             first_byte_s=first_s,
--- a/src/carobstair/edge/exchange.py
+++ b/src/carobstair/edge/exchange.py
@@ -8,6 +8,7 @@
 
 from carobstair.core.routing import Route, ServicePool
 from carobstair.edge.event_stream import EventSplitter
+from carobstair.edge.framing import Framing
 from carobstair.edge.metadata import Headers, RequestMetadata
 from carobstair.edge.upstream_connection import ResponseHead
 
@@ -55,6 +56,10 @@
         Estimated wait for the first token at the time of placement.
     uncached_tokens : int
         Prompt tokens that the upstream had to read, by the same estimate.
+    framing : Framing or None
+        Framing of the last response that was received.
+    last_bytes : bytes
+        Last bytes of a stream that was relayed.
     """
 
     metadata: RequestMetadata
@@ -83,3 +88,5 @@
     resumptions: int = 0
     expected_s: float = 0.0
     uncached_tokens: int = 0
+    framing: Framing | None = None
+    last_bytes: bytes = b""
--- a/src/carobstair/edge/metrics.py
+++ b/src/carobstair/edge/metrics.py
@@ -19,6 +19,11 @@
         self.requests = self._counter(
             "requests", "Requests that ended, by outcome", ("service", "outcome")
         )
+        self.responses = self._counter(
+            "responses",
+            "Requests that ended, by the framing of the upstream's last response",
+            ("framing", "outcome"),
+        )
         self.first_byte_s = Histogram(
             PREFIX + "first_byte_seconds",
             "Time from arrival to the first byte of the answer",
--- a/src/carobstair/edge/response_relay.py
+++ b/src/carobstair/edge/response_relay.py
@@ -34,6 +34,8 @@
 # Bodies that are read only to reuse their connection; longer ones close it.
 MAX_DISCARDED_BYTES = 64 * 1024
 DISCARD_TIMEOUT_S = 0.1
+# Last bytes of a stream that are kept for its log line.
+LOGGED_BYTES = 8
 # A client may take these to mean that the request was not executed.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
@@ -73,6 +75,7 @@
             If the response broke off or was not valid.
         """
         head, metadata = await self._read_matching_response(exchange, entry, connection)
+        exchange.framing = head.framing
         if metadata.not_run or metadata.other_incarnation:
             exchange.detail = f"declined with {head.status}"
             # What the head says holds, even if the body does not end.
@@ -245,6 +248,7 @@
             if not exchange.started:
                 exchange.first_byte_s = now_s
                 await self._send_head(exchange, head, None, send)
+            exchange.last_bytes = part[-LOGGED_BYTES:]
             await _send_body(send, part, more=True)
         if splitter is not None and not splitter.at_boundary:
             exchange.detail = "the stream ended within an event"
--- a/src/carobstair/edge/upstream_connection.py
+++ b/src/carobstair/edge/upstream_connection.py
@@ -16,6 +16,7 @@
 
 import httptools
 
+from carobstair.edge.framing import Framing
 from carobstair.edge.metadata import Headers
 
 __all__ = ["ResponseHead", "ConnectionBroken", "UpstreamConnection", "connect"]
@@ -46,6 +47,7 @@
 
     status: int
     headers: Headers = field(default_factory=list)
+    framing: Framing = Framing.NONE
 
     def get(self, name: bytes) -> bytes | None:
         """Return the first value of a header; `name` is in lower case."""
@@ -148,6 +150,12 @@
         chunked = (self._head.get(b"transfer-encoding") or b"").lower() == b"chunked"
         bodiless = self._head.status in (204, 304)
         self._ends_at_eof = not (has_length or chunked or bodiless)
+        if chunked:
+            self._head.framing = Framing.CHUNKED
+        elif has_length:
+            self._head.framing = Framing.LENGTH
+        elif self._ends_at_eof:
+            self._head.framing = Framing.CONNECTION_END
         if not self._parser.should_keep_alive() or self._ends_at_eof:
             # The response is still read, but the connection is not reused.
             self.idle_timeout_s = 0.0
--- a/tests/edge_test_case.py
+++ b/tests/edge_test_case.py
@@ -71,12 +71,13 @@
         relay = Relay(self.dispatcher, ConnectionPool(), PlatformDialect())
         self.keep_alive_limit = 100
         self.overload = OverloadGuard()
+        self.metrics = EdgeMetrics()
         self.app = EdgeApp(
             self.view,
             relay,
             FairAdmission(),
             PlatformDialect(),
-            EdgeMetrics(),
+            self.metrics,
             rng,
             1000,
             lambda: self.server.connections > self.keep_alive_limit,
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -362,6 +362,15 @@
         await writer.drain()
         return False
 
+    async def _stream_ended_in_event(self, request, writer):
+        """Close the connection cleanly within the third event."""
+        writer.write(self._response_head(request))
+        for number in (1, 2):
+            writer.write(b"id: %d\ndata: part\n\n" % number)
+        writer.write(b"id: 3\nda")
+        await writer.drain()
+        return False
+
     async def _ok_leaving(self, request, writer):
         extra = ["Server-Leaving: 1", "Content-Length: 5"]
         writer.write(self._response_head(request, 200, extra) + b"whole")
