--- a/tests/test_truncated_responses.py
+++ b/tests/test_truncated_responses.py
@@ -2,6 +2,7 @@
 
 from unittest import mock
 
+import aiohttp
 from prometheus_client import generate_latest
 
 from edge_test_case import EdgeCase
@@ -26,3 +27,12 @@
         for framing in ("length", "chunked", "connection_end"):
             line = f'responses_total{{framing="{framing}",outcome="answered"}} 1.0'
             self.assertIn(line, text)
+
+
+class TruncatedStreamTest(EdgeCase):
+    """Guards against streams that broke off and reach callers as complete."""
+
+    async def test_stream_that_ends_in_an_event_is_broken_for_the_caller(self):
+        await self.start_upstreams("stream_ended_in_event")
+        with self.assertRaises(aiohttp.ClientPayloadError):
+            await self.call("/stream/x", "POST")
