Judge the end of every stream by its events

Cause: the relay looked for the end of an event only in resumable streams. For the others the end of the body was the end of the answer, and a body without length and chunks ends with its connection, wherever that is.

Change: the relay keeps the last bytes of each stream; one that ends within an event is broken off for the caller, or resumed, under each framing. A stream without length and chunks that ends before its first event is no answer.

What remains: a stream without length and chunks that is cut between two events can't be told from a whole one.

--- a/src/carobstair/edge/response_relay.py
+++ b/src/carobstair/edge/response_relay.py
@@ -13,8 +13,9 @@
 from carobstair.core.dispatch import Dispatcher
 from carobstair.core.engine_load import LoadTracker, SentRequest
 from carobstair.core.routing import RequestKind
-from carobstair.edge.event_stream import EventTooLarge
+from carobstair.edge.event_stream import EventBoundary, EventTooLarge
 from carobstair.edge.exchange import Exchange, Outcome, Send
+from carobstair.edge.framing import Framing
 from carobstair.edge.metadata import Dialect, ResponseMetadata
 from carobstair.edge.upstream_connection import (
     ConnectionBroken,
@@ -232,27 +233,31 @@
         send: Send,
     ) -> Outcome:
         """Relay a stream as it arrives, in complete events if it is resumable."""
-        loads, splitter = self.loads, exchange.splitter
+        events = exchange.splitter or EventBoundary()
+        received = False
         if exchange.started:
             exchange.resumptions += 1
         while (part := await connection.read_body()) is not None:
             now_s = time.monotonic()
-            loads.note_first_byte(sent, now_s)
-            if splitter is not None:
-                try:
-                    part = splitter.feed(part)
-                except EventTooLarge as error:
-                    raise ConnectionBroken(str(error)) from error
-                if not part:
-                    continue
+            self.loads.note_first_byte(sent, now_s)
+            received = True
+            try:
+                part = events.feed(part)
+            except EventTooLarge as error:
+                raise ConnectionBroken(str(error)) from error
+            if not part:
+                continue
             if not exchange.started:
                 exchange.first_byte_s = now_s
                 await self._send_head(exchange, head, None, send)
             exchange.last_bytes = part[-LOGGED_BYTES:]
             await _send_body(send, part, more=True)
-        if splitter is not None and not splitter.at_boundary:
+        if not events.at_boundary:
             exchange.detail = "the stream ended within an event"
             return Outcome.UNKNOWN
+        if head.framing is Framing.CONNECTION_END and not received:
+            exchange.detail = "the connection ended before the first event"
+            return Outcome.UNKNOWN
         if not exchange.started:
             await self._send_head(exchange, head, None, send)
         await _send_body(send, b"", more=False)
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -6,6 +6,8 @@
 import asyncio
 import itertools
 import json
+import socket
+import struct
 
 SEAL = "seal"
 PART_TOKENS = 5
@@ -69,6 +71,14 @@
     return itertools.chain(names, itertools.repeat(names[-1]))
 
 
+def reset_connection(writer):
+    """Close a connection with a reset instead of a clean end."""
+    option = struct.pack("ii", 1, 0)
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, option)
+    writer.transport.abort()
+
+
 class HttpStandIn:
     """Minimal HTTP/1.1 server that passes each request to `respond`."""
 
@@ -268,6 +278,11 @@
         # Bytes of an endless response that the router's side accepted.
         self.endless_bytes = 0
         self.retry_after = "1.0"
+        self.raw_status = 200
+        self.raw_headers = []
+        self.raw_body = b""
+        # How the connection ends: "close", "reset", or "keep" if it doesn't.
+        self.raw_end = "close"
 
     async def respond(self, request, writer):
         """Respond with the next behaviour of the script."""
@@ -362,14 +377,16 @@
         await writer.drain()
         return False
 
-    async def _stream_ended_in_event(self, request, writer):
-        """Close the connection cleanly within the third event."""
-        writer.write(self._response_head(request))
-        for number in (1, 2):
-            writer.write(b"id: %d\ndata: part\n\n" % number)
-        writer.write(b"id: 3\nda")
+    async def _raw(self, request, writer):
+        """Send `raw_headers` and `raw_body` as they are, then end by `raw_end`."""
+        writer.write(self._response_head(request, self.raw_status, self.raw_headers))
+        writer.write(self.raw_body)
         await writer.drain()
-        return False
+        if self.raw_end == "reset":
+            # The data must arrive before the reset discards it.
+            await asyncio.sleep(0.02)
+            reset_connection(writer)
+        return self.raw_end == "keep"
 
     async def _ok_leaving(self, request, writer):
         extra = ["Server-Leaving: 1", "Content-Length: 5"]
