Decide the framing of a response in one place

Callers saw: a chunked response without its last chunk came as whole, if its Transfer-Encoding had another spelling or another coding before chunked.

Cause: on_headers_complete compared the first Transfer-Encoding value with chunked, letter by letter, and took any other for a body that ends with its connection. Bodies in a coding that no router asks for were relayed as they were.

Change: core/framing.py decides by RFC 9112, section 6.3: no body, chunked, length, end of the connection. What has no single meaning, or another coding, is an error: the head still says whether the request ran, the body is broken off. The upstream connection asks it for all its users (relay, discarded and error bodies, the store's client), and compares it with the chunks that the parser sees. A response to HEAD ends with its head there instead of in the relay, so that a declined HEAD isn't held up for a body that doesn't come. A 101 is an error of the upstream, not an exception in the event loop.

--- a/src/carobstair/edge/app.py
+++ b/src/carobstair/edge/app.py
@@ -12,6 +12,7 @@
 
 from carobstair.core.fair_admission import FairAdmission
 from carobstair.core.fleet_view import FleetView
+from carobstair.core.framing import Framing
 from carobstair.core.overload import OverloadGuard
 from carobstair.core.refusals import PROBLEM_JSON, Refusal, refuse
 from carobstair.core.routing import (
@@ -22,7 +23,6 @@
     ServicePool,
 )
 from carobstair.edge.exchange import Exchange, IncompleteResponse
-from carobstair.edge.framing import Framing
 from carobstair.edge.metadata import BadRequest, Dialect, RequestMetadata
 from carobstair.edge.metrics import EdgeMetrics
 from carobstair.edge.relay import Relay
--- a/src/carobstair/edge/exchange.py
+++ b/src/carobstair/edge/exchange.py
@@ -6,9 +6,9 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+from carobstair.core.framing import Framing
 from carobstair.core.routing import Route, ServicePool
 from carobstair.edge.event_stream import EventSplitter
-from carobstair.edge.framing import Framing
 from carobstair.edge.metadata import Headers, RequestMetadata
 from carobstair.edge.upstream_connection import ResponseHead
 
--- a/src/carobstair/edge/http_client.py
+++ b/src/carobstair/edge/http_client.py
@@ -85,13 +85,14 @@
             connection = self._take_idle()
             if connection is not None:
                 try:
-                    return await self._exchange(connection, head, body)
+                    return await self._exchange(connection, method, head, body)
                 except ConnectionBroken:
                     # The server may have closed it while the request was sent.
                     if not repeat:
                         raise
             host, _, port = self.address.rpartition(":")
-            return await self._exchange(await connect(host, int(port)), head, body)
+            connection = await connect(host, int(port))
+            return await self._exchange(connection, method, head, body)
 
     def _take_idle(self) -> UpstreamConnection | None:
         now_s = time.monotonic()
@@ -107,11 +108,11 @@
         return None
 
     async def _exchange(
-        self, connection: UpstreamConnection, head: bytes, body: bytes
+        self, connection: UpstreamConnection, method: str, head: bytes, body: bytes
     ) -> HttpResponse:
         complete = False
         try:
-            connection.send(head, body)
+            connection.send(method, head, body)
             response = await connection.read_head()
             parts, size = [], 0
             while (part := await connection.read_body()) is not None:
--- a/src/carobstair/edge/relay.py
+++ b/src/carobstair/edge/relay.py
@@ -107,7 +107,8 @@
         # From here on, the outcome is unknown until the upstream reports it.
         exchange.may_have_run = True
         try:
-            connection.send(self._request_head(exchange, entry, now_s), exchange.body)
+            head = self._request_head(exchange, entry, now_s)
+            connection.send(exchange.method, head, exchange.body)
             try:
                 outcome = await self.responses.relay(
                     exchange, entry, connection, sent, send
--- a/src/carobstair/edge/response_relay.py
+++ b/src/carobstair/edge/response_relay.py
@@ -12,10 +12,10 @@
 from carobstair.core.directory import UpstreamEntry
 from carobstair.core.dispatch import Dispatcher
 from carobstair.core.engine_load import LoadTracker, SentRequest
+from carobstair.core.framing import Framing
 from carobstair.core.routing import RequestKind
 from carobstair.edge.event_stream import EventBoundary, EventTooLarge
 from carobstair.edge.exchange import Exchange, Outcome, Send
-from carobstair.edge.framing import Framing
 from carobstair.edge.metadata import Dialect, ResponseMetadata
 from carobstair.edge.upstream_connection import (
     ConnectionBroken,
@@ -85,7 +85,7 @@
                 return Outcome.OTHER_INSTANCE
             return Outcome.NOT_RUN
         if exchange.method == "HEAD":
-            return await self._relay_head(exchange, head, metadata, connection, send)
+            return await self._relay_head(exchange, head, metadata, send)
         if not 200 <= head.status < 300:
             return await self._relay_error_response(
                 exchange, head, metadata, connection, send
@@ -102,12 +102,9 @@
         exchange: Exchange,
         head: ResponseHead,
         metadata: ResponseMetadata,
-        connection: UpstreamConnection,
         send: Send,
     ) -> Outcome:
         """Relay the response to a HEAD request, which has no body."""
-        # The parser doesn't know that and would wait for the body.
-        connection.abort()
         sealed = metadata.sealed or not 200 <= head.status < 300
         if metadata.request_id != exchange.metadata.request_id or not sealed:
             exchange.detail = "the answer names no request or has no seal"
--- a/src/carobstair/edge/upstream_connection.py
+++ b/src/carobstair/edge/upstream_connection.py
@@ -16,7 +16,7 @@
 
 import httptools
 
-from carobstair.edge.framing import Framing
+from carobstair.core.framing import Framing, FramingError, response_framing
 from carobstair.edge.metadata import Headers
 
 __all__ = ["ResponseHead", "ConnectionBroken", "UpstreamConnection", "connect"]
@@ -74,8 +74,9 @@
         self._head: ResponseHead | None = None
         self._in_message = False
         self._head_complete = False
+        self._in_chunks = False
         self._overhead_bytes = 0
-        self._ends_at_eof = False
+        self._method = "GET"
         self._paused = False
         self._not_reusable = False
         self.request_count = 0
@@ -108,17 +109,21 @@
         self._overhead_bytes += len(data)
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserError as error:
-            self._fail(ConnectionBroken(f"not an answer: {error}"))
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            self._fail(ConnectionBroken(f"not an answer: {error!r}"))
         if self._overhead_bytes > MAX_OVERHEAD_BYTES:
             self._fail(ConnectionBroken("a head or trailer without end"))
 
     def eof_received(self) -> bool:
         """Complete a response that is delimited by the end of the connection."""
-        if self._in_message and self._ends_at_eof:
-            self._in_message = False
+        whole = (
+            self._in_message
+            and self._head_complete
+            and self._head.framing is Framing.CONNECTION_END
+        )
+        if whole:
             self._not_reusable = True
-            self._enqueue(_BODY_END)
+            self._end_response()
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -133,6 +138,7 @@
             self._not_reusable = True
         self._in_message = True
         self._head_complete = False
+        self._in_chunks = False
         self._head = ResponseHead(0)
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -146,37 +152,48 @@
         self._head_complete = True
         if self._not_reusable or self._head.status < 200:
             return
-        has_length = self._head.get(b"content-length") is not None
-        chunked = (self._head.get(b"transfer-encoding") or b"").lower() == b"chunked"
-        bodiless = self._head.status in (204, 304)
-        self._ends_at_eof = not (has_length or chunked or bodiless)
-        if chunked:
-            self._head.framing = Framing.CHUNKED
-        elif has_length:
-            self._head.framing = Framing.LENGTH
-        elif self._ends_at_eof:
-            self._head.framing = Framing.CONNECTION_END
-        if not self._parser.should_keep_alive() or self._ends_at_eof:
+        self._overhead_bytes = 0
+        self._enqueue(self._head)
+        try:
+            framing = response_framing(
+                self._method, self._head.status, self._head.headers
+            )
+        except FramingError as error:
+            # The head still says whether the request ran.
+            self._fail(ConnectionBroken(str(error)))
+            return
+        self._head.framing = framing
+        # The parser doesn't know of HEAD and still expects a body.
+        to_head = self._method == "HEAD"
+        at_connection_end = framing is Framing.CONNECTION_END
+        if to_head or at_connection_end or not self._parser.should_keep_alive():
             # The response is still read, but the connection is not reused.
             self.idle_timeout_s = 0.0
         else:
             self._read_keep_alive_timeout()
-        self._overhead_bytes = 0
-        self._enqueue(self._head)
+        if to_head:
+            self._end_response()
+
+    def on_chunk_header(self) -> None:
+        """Start a chunk of the body."""
+        self._in_chunks = True
 
     def on_body(self, data: bytes) -> None:
-        """Queue a chunk of the body."""
+        """Queue a part of the body."""
         self._overhead_bytes = 0
-        if self._response_expected:
-            self._enqueue(data)
+        if not self._response_expected or not self._in_message or self._error:
+            return
+        if self._in_chunks != (self._head.framing is Framing.CHUNKED):
+            self._fail(ConnectionBroken("the parser reads another framing"))
+            return
+        self._enqueue(data)
 
     def on_message_complete(self) -> None:
         """Queue the end of a response, unless it is informational (1xx)."""
         if not self._response_expected or self._head.status < 200:
             return
-        self._in_message = False
-        self._overhead_bytes = 0
-        self._enqueue(_BODY_END)
+        if self._error is None and self._in_message:
+            self._end_response()
 
     # Requests and responses
 
@@ -192,8 +209,18 @@
             and not self._transport.is_closing()
         )
 
-    def send(self, head: bytes, body: bytes) -> None:
-        """Write a complete request."""
+    def send(self, method: str, head: bytes, body: bytes) -> None:
+        """Write a complete request.
+
+        Parameters
+        ----------
+        method : str
+            Method that the head names.
+        head : bytes
+            Request line and headers, with the empty line.
+        body : bytes
+        """
+        self._method = method
         self._received.clear()
         self._buffered = 0
         self._overhead_bytes = 0
@@ -237,6 +264,11 @@
 
     # Internals
 
+    def _end_response(self) -> None:
+        self._in_message = False
+        self._overhead_bytes = 0
+        self._enqueue(_BODY_END)
+
     def _read_keep_alive_timeout(self) -> None:
         match = KEEP_ALIVE_TIMEOUT.search(self._head.get(b"keep-alive") or b"")
         if match:
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -281,6 +281,7 @@
         self.raw_status = 200
         self.raw_headers = []
         self.raw_body = b""
+        self.raw_cut = None
         # How the connection ends: "close", "reset", or "keep" if it doesn't.
         self.raw_end = "close"
 
@@ -378,13 +379,13 @@
         return False
 
     async def _raw(self, request, writer):
-        """Send `raw_headers` and `raw_body` as they are, then end by `raw_end`."""
-        writer.write(self._response_head(request, self.raw_status, self.raw_headers))
-        writer.write(self.raw_body)
+        """Send a response up to `raw_cut` as it is, then end by `raw_end`."""
+        head = self._response_head(request, self.raw_status, self.raw_headers)
+        writer.write((head + self.raw_body)[: self.raw_cut])
         await writer.drain()
         if self.raw_end == "reset":
-            # The data must arrive before the reset discards it.
-            await asyncio.sleep(0.02)
+            # The data must be read before the reset discards it.
+            await asyncio.sleep(0.01)
             reset_connection(writer)
         return self.raw_end == "keep"
 
