Refuse requests whose body has no single meaning

Upstreams saw: a body in gzip sent as if it were plain, after its Transfer-Encoding of gzip, chunked was dropped; an empty body for a request with Connection: upgrade and a length.

Cause: the server accepts other codings before chunked and HTTP/0.9, 1.0 and 2.0 with chunks, and its parser stops at the end of the head of an upgrade. The router forwards what it read with a length of its own.

Change: core/framing.py decides the framing of requests too; the protocol of all servers answers 400 to other codings, to lengths beside codings, to chunks in HTTP/1.0, to other versions, and to an upgrade with a body. An upgrade without a body is served, and its connection closed, as the parser reads no further.

--- a/src/carobstair/core/framing.py
+++ b/src/carobstair/core/framing.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterable
 from enum import StrEnum
 
-__all__ = ["Framing", "FramingError", "check_request_framing", "response_framing"]
+__all__ = ["Framing", "FramingError", "request_framing", "response_framing"]
 
 # The only transfer coding that may be sent without being asked for.
 CHUNKED = b"chunked"
@@ -59,10 +59,10 @@
     return Framing.CONNECTION_END if length is None else Framing.LENGTH
 
 
-def check_request_framing(
+def request_framing(
     http_version: str, headers: Iterable[tuple[bytes, bytes]]
-) -> None:
-    """Check that the headers of a request say unambiguously where it ends.
+) -> Framing:
+    """Return what marks the end of a request's body.
 
     Parameters
     ----------
@@ -75,15 +75,18 @@
     ------
     FramingError
     """
+    if http_version not in ("1.0", "1.1"):
+        raise FramingError(f"HTTP/{http_version}")
     codings, length = _body_headers(headers)
     if codings is None:
-        return
+        return Framing.LENGTH if length else Framing.NONE
     if codings != [CHUNKED]:
         raise FramingError("only the transfer coding chunked is accepted")
     if length is not None:
         raise FramingError("both a length and a transfer coding")
     if http_version == "1.0":
         raise FramingError("a transfer coding in HTTP/1.0")
+    return Framing.CHUNKED
 
 
 def _body_headers(
--- a/src/carobstair/net/http.py
+++ b/src/carobstair/net/http.py
@@ -11,6 +11,7 @@
 import uvicorn
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
+from carobstair.core.framing import Framing, FramingError, request_framing
 from carobstair.core.refusals import PROBLEM_JSON, Refusal, refuse
 from carobstair.logs import get_logger
 from carobstair.net.watchdog import Watchdog
@@ -225,7 +226,17 @@
         if size > MAX_HEADER_BYTES:
             self._refusal = refuse("headers-too-large")
             raise ValueError("headers too large")
+        try:
+            framing = request_framing(self.parser.get_http_version(), self.headers)
+            if self.parser.should_upgrade() and framing is not Framing.NONE:
+                # The parser stops at the end of the head.
+                raise FramingError("an upgrade with a body")
+        except FramingError as error:
+            self._refusal = refuse("bad-request", str(error))
+            raise
         super().on_headers_complete()
+        if self.parser.should_upgrade():
+            self.cycle.keep_alive = False
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the timeout for the request head."""
--- a/tests/test_edge_callers.py
+++ b/tests/test_edge_callers.py
@@ -101,6 +101,66 @@
         self.assertTrue(answer.startswith(b"HTTP/1.1 400"))
 
 
+class RequestFramingCallerTest(EdgeCase):
+    """Guards against requests that reach an upstream as something else."""
+
+    CHUNKS = b"5\r\nhello\r\n0\r\n\r\n"
+
+    async def exchange_raw(self, version, headers, body, path="/safe/x"):
+        """Send a request; return the response and the bodies that arrived upstream."""
+        before = len(self.upstreams[0].requests)
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.server.port)
+        head = (
+            f"POST {path} HTTP/{version}\r\nHost: api.test\r\n"
+            "Carobstair-Attempt-Id: a\r\nCarobstair-Key: key1\r\nConnection: close\r\n"
+        )
+        writer.write(head.encode() + headers + b"\r\n\r\n" + body)
+        response = await asyncio.wait_for(reader.read(), 3)
+        writer.close()
+        requests = self.upstreams[0].requests[before:]
+        return response, [request.body for request in requests]
+
+    async def test_other_codings_and_versions_are_refused(self):
+        await self.start_upstreams("ok")
+        for version, headers in (
+            ("1.1", b"Transfer-Encoding: gzip, chunked"),
+            ("1.1", b"Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked"),
+            ("1.1", b"Transfer-Encoding: chunked, gzip"),
+            ("1.1", b"Transfer-Encoding: chunked, chunked"),
+            ("1.1", b"Transfer-Encoding: chunked\r\nContent-Length: 5"),
+            ("1.1", b"Content-Length: 5\r\nTransfer-Encoding: chunked"),
+            ("1.0", b"Transfer-Encoding: chunked"),
+            ("2.0", b"Content-Length: 5"),
+            ("0.9", b"Content-Length: 5"),
+        ):
+            with self.subTest(version=version, headers=headers):
+                response, bodies = await self.exchange_raw(
+                    version, headers, self.CHUNKS
+                )
+                self.assertTrue(response.startswith(b"HTTP/1.1 400 "), response)
+                self.assertEqual(bodies, [])
+
+    async def test_spellings_of_chunked_are_read_alike(self):
+        await self.start_upstreams("ok")
+        for value in (b"chunked", b"  Chunked ", b", chunked"):
+            with self.subTest(value):
+                headers = b"Transfer-Encoding:" + value
+                _, bodies = await self.exchange_raw("1.1", headers, self.CHUNKS)
+                self.assertEqual(bodies, [b"hello"])
+
+    async def test_upgrade_does_not_lose_the_body(self):
+        await self.start_upstreams("ok")
+        upgrade = b"Connection: upgrade\r\nUpgrade: h2c\r\n"
+        response, bodies = await self.exchange_raw(
+            "1.1", upgrade + b"Content-Length: 5", b"hello"
+        )
+        self.assertTrue(response.startswith(b"HTTP/1.1 400 "), response)
+        self.assertEqual(bodies, [])
+        response, bodies = await self.exchange_raw("1.1", upgrade + b"X: y", b"")
+        self.assertIn(b"\r\nconnection: close\r\n", response)
+        self.assertEqual(bodies, [b""])
+
+
 class IdleCallerTest(EdgeCase):
     """Guards against idle connections that callers leave open after a request."""
 
--- a/tests/test_framing.py
+++ b/tests/test_framing.py
@@ -5,7 +5,7 @@
 from carobstair.core.framing import (
     Framing,
     FramingError,
-    check_request_framing,
+    request_framing,
     response_framing,
 )
 
@@ -65,14 +65,15 @@
     """Guards against requests that a router and an upstream would read differently."""
 
     def test_accepted(self):
-        for version, text in (
-            ("1.1", ""),
-            ("1.0", "Content-Length: 5"),
-            ("1.1", "Content-Length: 5"),
-            ("1.1", "Transfer-Encoding: Chunked "),
+        for version, text, framing in (
+            ("1.1", "", Framing.NONE),
+            ("1.1", "Content-Length: 0", Framing.NONE),
+            ("1.0", "Content-Length: 5", Framing.LENGTH),
+            ("1.1", "Content-Length: 5", Framing.LENGTH),
+            ("1.1", "Transfer-Encoding: Chunked ", Framing.CHUNKED),
         ):
             with self.subTest(text):
-                check_request_framing(version, make_headers(text))
+                self.assertIs(request_framing(version, make_headers(text)), framing)
 
     def test_refused(self):
         for version, text in (
@@ -83,6 +84,8 @@
             ("1.1", "Transfer-Encoding: chunked\nContent-Length: 5"),
             ("1.1", "Content-Length: 5\nContent-Length: 6"),
             ("1.0", "Transfer-Encoding: chunked"),
+            ("0.9", ""),
+            ("2.0", ""),
         ):
             with self.subTest(text), self.assertRaises(FramingError):
-                check_request_framing(version, make_headers(text))
+                request_framing(version, make_headers(text))
