Send callers with HTTP/1.0 a length instead of chunks

Callers saw: chunk sizes in the body of a stream, and a stream that broke off as whole: HTTP/1.0 knows no chunks, so the end of the connection ends the body.

Cause: the server sends chunks whenever a response has no length, whatever the version of the request.

Change: a response without a length to such a caller is held until it is complete, up to 4 MB, and sent with its length. One that breaks off isn't sent.

--- a/src/carobstair/net/http.py
+++ b/src/carobstair/net/http.py
@@ -26,6 +26,8 @@
 MAX_HEADER_BYTES = 32 * 1024
 # Bytes received without a part of a body: trailers and chunk extensions.
 MAX_OVERHEAD_BYTES = 64 * 1024
+# Responses to callers with HTTP/1.0.
+MAX_HELD_BYTES = 4 * 1024 * 1024
 # Slow senders would otherwise hold connections and memory.
 BODY_TIMEOUT_S = 15.0
 HEADER_TIMEOUT_S = 10.0
@@ -165,6 +167,54 @@
             logger.exception("request_cleanup_failed")
 
 
+class _WithLength:
+    """ASGI wrapper that sends a response with its length, once it is complete.
+
+    Callers with HTTP/1.0 know no chunks, and would take a response that breaks off
+    with its connection as whole.
+    """
+
+    def __init__(self, app):
+        self._app = app
+
+    async def __call__(self, scope, receive, send) -> None:
+        """Handle one request."""
+        held = _HeldResponse(send, scope["method"])
+        await self._app(scope, receive, held)
+
+
+class _HeldResponse:
+    def __init__(self, send: Callable[[dict], Awaitable[None]], method: str):
+        self._send = send
+        self._method = method
+        self._start: dict | None = None
+        self._body = bytearray()
+
+    async def __call__(self, message: dict) -> None:
+        if message["type"] == "http.response.start":
+            names = {name.lower() for name, _ in message["headers"]}
+            if self._method == "HEAD" or b"content-length" in names:
+                await self._send(message)
+            else:
+                self._start = message
+            return
+        if self._start is None:
+            await self._send(message)
+            return
+        self._body += message.get("body", b"")
+        if len(self._body) > MAX_HELD_BYTES:
+            raise HeldResponseTooLarge(f"more than {MAX_HELD_BYTES} bytes")
+        if not message.get("more_body", False):
+            length = (b"content-length", b"%d" % len(self._body))
+            start, self._start = self._start, None
+            await self._send(start | {"headers": [*start["headers"], length]})
+            await self._send(message | {"body": bytes(self._body)})
+
+
+class HeldResponseTooLarge(Exception):
+    """A response that must be held until it is complete takes too much memory."""
+
+
 class BoundedHttpProtocol(HttpToolsProtocol):
     """HTTP/1.1 protocol with limits on the size and arrival time of a request head.
 
@@ -234,6 +284,9 @@
         except FramingError as error:
             self._refusal = refuse("bad-request", str(error))
             raise
+        if self.parser.get_http_version() == "1.0":
+            # uvicorn closes the connection after the response.
+            self.app = _WithLength(self.app)
         super().on_headers_complete()
         if self.parser.should_upgrade():
             self.cycle.keep_alive = False
--- a/tests/test_edge_callers.py
+++ b/tests/test_edge_callers.py
@@ -160,6 +160,21 @@
         self.assertIn(b"\r\nconnection: close\r\n", response)
         self.assertEqual(bodies, [b""])
 
+    async def test_caller_with_http_1_0_gets_a_length_instead_of_chunks(self):
+        await self.start_upstreams("stream")
+        for path in ("/stream/x", "/resume/x"):
+            with self.subTest(path):
+                response, _ = await self.exchange_raw("1.0", b"X: y", b"", path)
+                head, _, body = response.partition(b"\r\n\r\n")
+                self.assertIn(b"\r\ncontent-length: %d" % len(body), head)
+                self.assertNotIn(b"transfer-encoding", head)
+                self.assertEqual(body.count(b"id: "), 5)
+
+    async def test_caller_with_http_1_0_gets_no_part_of_a_broken_stream(self):
+        await self.start_upstreams("truncated_stream")
+        response, _ = await self.exchange_raw("1.0", b"X: y", b"", "/stream/x")
+        self.assertTrue(response.startswith(b"HTTP/1.1 500 "), response)
+
 
 class IdleCallerTest(EdgeCase):
     """Guards against idle connections that callers leave open after a request."""
