Play answers without a length and truncated ones in the soak

Change: a third of the answers, by their ids, end with their connection, and a fault makes an engine close cleanly within a part of its answers. Its draw has a generator of its own, so that the other faults of a seed stay.

--- a/soak/engines.py
+++ b/soak/engines.py
@@ -5,6 +5,7 @@
 import asyncio
 import itertools
 import time
+import zlib
 from dataclasses import dataclass, field
 
 from carobstair.standins.proxy import TcpProxy
@@ -62,6 +63,8 @@
     # Whether responses say that the engine leaves, and until when it wants none.
     announces_leaving: bool = False
     pause_until_s: float = 0.0
+    # Until when it closes the connection cleanly within some of its answers.
+    truncates_until_s: float = 0.0
     # When it first said so to each router, and the pauses that it asked for.
     announced: dict[tuple[str, str], float] = field(default_factory=dict)
     pauses: list[tuple[str, str, float, float]] = field(default_factory=list)
@@ -165,21 +168,40 @@
             return await self._run_stream(request, head, writer)
         await asyncio.sleep(PROCESSING_S)
         body = f"{request_id} from {self.engine_id}".encode()
-        head += f"Content-Length: {len(body)}\r\n"
+        unframed, truncated = self._shape(request_id)
+        if not unframed:
+            head += f"Content-Length: {len(body)}\r\n"
+            # Without a length nothing would tell that the rest is missing.
+            body = body[:-5] if truncated else body
         writer.write(f"HTTP/1.1 200 X\r\n{head}\r\n".encode() + body)
         await writer.drain()
-        return True
+        return not unframed and not truncated
+
+    def _shape(self, request_id: str) -> tuple[bool, bool]:
+        """Return whether an answer has no length and chunks, and whether it is cut."""
+        number = zlib.crc32(request_id.encode())
+        truncates = time.monotonic() < self.truncates_until_s
+        return number % 3 == 0, truncates and number % 4 == 0
 
     async def _run_stream(self, request, head: str, writer):
         request_id = request.headers["carobstair-attempt-id"]
-        head += "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
+        unframed, truncated = self._shape(request_id)
+        head += "Content-Type: text/event-stream\r\n"
+        if not unframed:
+            head += "Transfer-Encoding: chunked\r\n"
         writer.write(f"HTTP/1.1 200 X\r\n{head}\r\n".encode())
         first = int(request.headers.get("last-event-id", 0)) + 1
         for number in range(first, EVENTS_PER_STREAM + 1):
             event = f"id: {number}\ndata: {request_id}\n\n".encode()
-            writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+            cut = truncated and number > EVENTS_PER_STREAM // 2
+            part = event[:-3] if cut else event
+            writer.write(part if unframed else b"%x\r\n%s\r\n" % (len(part), part))
             await writer.drain()
+            if cut:
+                return False
             await asyncio.sleep(EVENT_GAP_S)
+        if unframed:
+            return False
         writer.write(b"0\r\n\r\n")
         await writer.drain()
         return True
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -10,7 +10,7 @@
 
 from world import ZONES, World
 
-__all__ = ["FAULTS", "Fault", "draw_faults", "inject"]
+__all__ = ["ANSWER_FAULTS", "FAULTS", "LATER_FAULTS", "Fault", "draw_faults", "inject"]
 
 # The first seconds run without faults, as a baseline.
 FIRST_FAULT_S = 2.0
@@ -33,10 +33,16 @@
     target_number: int
 
 
+Inject = Callable[[World, Fault], Awaitable[None]]
+
+
 def draw_faults(seed: int, seconds: float) -> list[Fault]:
     """Return the faults of a run, determined by the seed and the duration."""
     rng = random.Random(seed)
-    faults = _draw_later_faults(seed, seconds)
+    # Kinds that came later have generators of their own, so that the other faults of
+    # a seed stay.
+    faults = _draw_spaced(random.Random(f"later-{seed}"), seconds, LATER_FAULTS)
+    faults += _draw_spaced(random.Random(f"ends-{seed}"), seconds, ANSWER_FAULTS)
     at_s = FIRST_FAULT_S
     while at_s < seconds:
         kind = rng.choice(sorted(FAULTS))
@@ -47,16 +53,13 @@
     return sorted(faults, key=lambda fault: fault.at_s)
 
 
-def _draw_later_faults(seed: int, seconds: float) -> list[Fault]:
-    """Return faults of the kinds that came later.
-
-    They have a generator of their own, so that the other faults of a seed stay.
-    """
-    rng = random.Random(f"later-{seed}")
+def _draw_spaced(
+    rng: random.Random, seconds: float, kinds: dict[str, Inject]
+) -> list[Fault]:
     faults = []
     at_s = FIRST_FAULT_S + rng.expovariate(1 / MEAN_LATER_INTERVAL_S)
     while at_s < seconds:
-        kind = rng.choice(sorted(LATER_FAULTS))
+        kind = rng.choice(sorted(kinds))
         faults.append(
             Fault(round(at_s, 3), kind, rng.uniform(0.5, 3.0), rng.randrange(1000))
         )
@@ -71,7 +74,7 @@
     running = []
     for fault in faults:
         await asyncio.sleep(max(0.0, began_s + fault.at_s - loop.time()))
-        action = (FAULTS | LATER_FAULTS)[fault.kind]
+        action = (FAULTS | LATER_FAULTS | ANSWER_FAULTS)[fault.kind]
         running.append(asyncio.create_task(action(world, fault)))
     await asyncio.gather(*running)
 
@@ -331,7 +334,15 @@
     engine.pause_until_s = asyncio.get_running_loop().time() + 0.5 + fault.for_s
 
 
-FAULTS: dict[str, Callable[[World, Fault], Awaitable[None]]] = {
+async def _engine_truncates(world: World, fault: Fault) -> None:
+    engine = _pick_engine(world, fault)
+    span = world.disruptions.begin(("engine", engine.name))
+    engine.truncates_until_s = asyncio.get_running_loop().time() + fault.for_s
+    await asyncio.sleep(fault.for_s)
+    world.disruptions.end(span)
+
+
+FAULTS: dict[str, Inject] = {
     "change": _change_config,
     "engine-answers-lost": _engine_answers_lost,
     "engine-cold": _engine_cold,
@@ -355,8 +366,9 @@
     "store-slow": _store_slow,
     "terminate": _terminate,
 }
-LATER_FAULTS: dict[str, Callable[[World, Fault], Awaitable[None]]] = {
+LATER_FAULTS: dict[str, Inject] = {
     "engine-announces": _engine_announces,
     "engine-pauses": _engine_pauses,
     "store-restored": _store_restored,
 }
+ANSWER_FAULTS: dict[str, Inject] = {"engine-truncates": _engine_truncates}
--- a/src/carobstair/standins/proxy.py
+++ b/src/carobstair/standins/proxy.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
+import socket
+import struct
 from dataclasses import dataclass, field
 
 import cyclopts
@@ -13,11 +14,20 @@
 from carobstair.net.http import HttpServer
 from carobstair.standins.program import StandInSettings, serve_until_signal
 
-__all__ = ["ProxySettings", "TcpProxy", "main"]
+__all__ = ["ProxySettings", "TcpProxy", "main", "reset_connection"]
 
 READ_BYTES = 65536
 
 
+def reset_connection(writer: asyncio.StreamWriter) -> None:
+    """Close a connection with a reset, where an abort alone may end it cleanly."""
+    sock = writer.get_extra_info("socket")
+    if not writer.transport.is_closing():
+        no_linger = struct.pack("ii", 1, 0)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, no_linger)
+    writer.transport.abort()
+
+
 @cyclopts.Parameter(name="*")
 @dataclass(frozen=True)
 class ProxySettings(StandInSettings):
@@ -88,7 +98,7 @@
             connection.aborted.set()
             for writer in (connection.client, connection.server):
                 if writer is not None:
-                    writer.transport.abort()
+                    reset_connection(writer)
 
     @property
     def open_count(self) -> int:
@@ -141,16 +151,20 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
-        with contextlib.suppress(OSError):
+        try:
             while data := await reader.read(READ_BYTES):
                 if self.cut_answers and writer is connection.client:
-                    writer.transport.abort()
+                    reset_connection(writer)
                     return
                 if self.delay_s:
                     await asyncio.sleep(self.delay_s)
                 if not connection.silent:
                     writer.write(data)
                     await writer.drain()
+        except OSError:
+            # A reset on one side must not become a clean end on the other.
+            if not connection.silent:
+                reset_connection(writer)
         if connection.silent:
             # A silent connection does not forward the end of the stream either.
             await connection.aborted.wait()
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -6,8 +6,8 @@
 import asyncio
 import itertools
 import json
-import socket
-import struct
+
+from carobstair.standins.proxy import reset_connection
 
 SEAL = "seal"
 PART_TOKENS = 5
@@ -71,14 +71,6 @@
     return itertools.chain(names, itertools.repeat(names[-1]))
 
 
-def reset_connection(writer):
-    """Close a connection with a reset instead of a clean end."""
-    option = struct.pack("ii", 1, 0)
-    sock = writer.get_extra_info("socket")
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, option)
-    writer.transport.abort()
-
-
 class HttpStandIn:
     """Minimal HTTP/1.1 server that passes each request to `respond`."""
 
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -15,7 +15,8 @@
 from carobstair.report.scrape import scrape_all
 from carobstair.report.settings import ReportSection
 from carobstair.settings import GatewaySettings, PlatformSettings
-from platform_standins import HttpStandIn, reset_connection
+from carobstair.standins.proxy import reset_connection
+from platform_standins import HttpStandIn
 
 MIB = 1024 * 1024
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -14,7 +14,7 @@
 from checks import find_violations
 from disruptions import HARNESS, DisruptionLog
 from engines import EVENTS_PER_STREAM, Arrival
-from faults import FAULTS, LATER_FAULTS, draw_faults
+from faults import ANSWER_FAULTS, FAULTS, LATER_FAULTS, draw_faults
 from run import run_seed
 from world import AcceptedChanges, SoakPlan
 
@@ -213,7 +213,7 @@
 
     def test_seeds_draw_every_fault(self):
         drawn = {f.kind for seed in range(60) for f in draw_faults(seed, 30.0)}
-        self.assertEqual(drawn, set(FAULTS) | set(LATER_FAULTS))
+        self.assertEqual(drawn, {*FAULTS, *LATER_FAULTS, *ANSWER_FAULTS})
 
     def test_short_run_finds_no_violations(self):
         plan = SoakPlan(seed=1, seconds=8.0, routers=3, engines=3, rate_per_s=40.0)
