--- a/soak/engines.py
+++ b/soak/engines.py
@@ -181,7 +181,7 @@
         """Return whether an answer has no length and chunks, and whether it is cut."""
         number = zlib.crc32(request_id.encode())
         truncates = time.monotonic() < self.truncates_until_s
-        return number % 3 == 0, truncates and number % 4 == 0
+        return number % 3 == 0, truncates and number // 3 % 2 == 0
 
     async def _run_stream(self, request, head: str, writer):
         request_id = request.headers["carobstair-attempt-id"]
