Bound the wait for an upstream, and look for a free one at a bounded cost

A connect to one times out after 0.6 s, and the limits on failed connects and on the wait were looked at only when no upstream was left to try. Upstreams whose connections were all in use were tried one by one, each by a choice among all, every 20 ms by every waiting request: the event loop came late, and closes of callers with it.

Change: both limits hold before each try; a connect that times out leaves time for one more upstream. The pool tells which upstreams are full before the choice. At most 32 requests for a service wait at a router; others are refused at once, as connections become free one by one.

--- a/src/carobstair/edge/connection_pool.py
+++ b/src/carobstair/edge/connection_pool.py
@@ -70,6 +70,22 @@
             upstream.open -= 1
             raise
 
+    def full_upstreams(self, limit: int) -> set[str]:
+        """Return the ids of upstreams at the limit that have no idle connection.
+
+        Parameters
+        ----------
+        limit : int
+            As for `acquire`.
+        """
+        if not limit:
+            return set()
+        return {
+            upstream_id
+            for (upstream_id, _), upstream in self._upstreams.items()
+            if upstream.open >= limit and not upstream.idle
+        }
+
     def release(self, entry: UpstreamEntry, connection: UpstreamConnection) -> None:
         """Return a connection to the pool, or close it if it can't be reused."""
         upstream = self._upstreams.setdefault(
--- a/src/carobstair/edge/relay.py
+++ b/src/carobstair/edge/relay.py
@@ -9,18 +9,23 @@
 
 import asyncio
 import time
+from collections import Counter
 from dataclasses import dataclass, field
 
 from carobstair.core.directory import UpstreamEntry
 from carobstair.core.dispatch import Dispatcher
 from carobstair.core.refusals import refuse
-from carobstair.core.routing import RequestKind
+from carobstair.core.routing import RequestKind, ServicePool
 from carobstair.edge.connection_pool import ConnectionPool, PoolFull
 from carobstair.edge.event_stream import EventSplitter
 from carobstair.edge.exchange import Exchange, IncompleteResponse, Outcome, Send
 from carobstair.edge.metadata import Dialect, ForwardMetadata
 from carobstair.edge.response_relay import ResponseRelay
-from carobstair.edge.upstream_connection import ConnectionBroken, UpstreamConnection
+from carobstair.edge.upstream_connection import (
+    CONNECT_TIMEOUT_S,
+    ConnectionBroken,
+    UpstreamConnection,
+)
 from carobstair.logs import get_logger
 
 __all__ = ["Relay"]
@@ -29,6 +34,9 @@
 
 # Failed connects to upstreams, per request.
 MAX_CONNECT_FAILURES = 4
+# Requests for one service that wait for an upstream. Each of them looks for one in
+# each interval, and connections become free one by one.
+MAX_WAITING_REQUESTS = 32
 # Interval between placement attempts while cold upstreams are at their send limit
 # or no connection is free.
 PLACEMENT_RETRY_S = 0.02
@@ -55,6 +63,7 @@
     connections: ConnectionPool
     dialect: Dialect
     responses: ResponseRelay = field(init=False)
+    _waiting: Counter[str] = field(default_factory=Counter)
 
     def __post_init__(self) -> None:
         self.responses = ResponseRelay(self.dispatcher, self.dialect)
@@ -183,24 +192,28 @@
     ) -> tuple[UpstreamEntry, UpstreamConnection]:
         """Select an upstream and return it with a connection ready for a request."""
         wait_s = PLACEMENT_WAIT_FRACTION * exchange.route.target_latency_s
-        placement_deadline_s = min(time.monotonic() + wait_s, exchange.deadline_s)
-        full: set[str] = set()
+        wait_until_s = min(time.monotonic() + wait_s, exchange.deadline_s)
+        # A connect that times out must leave time for another upstream.
+        connect_until_s = wait_until_s + CONNECT_TIMEOUT_S
         while True:
             now_s = time.monotonic()
+            if (
+                exchange.connect_failures >= MAX_CONNECT_FAILURES
+                or now_s >= connect_until_s
+            ):
+                raise self._placement_error(exchange)
+            limit = self._connection_limit(exchange.pool)
+            full = self.connections.full_upstreams(limit)
             entry = self.dispatcher.choose(
                 exchange.pool, exchange.metadata.prompt, exchange.excluded | full, now_s
             )
             if entry is None:
-                self._refuse_if_paused(exchange, placement_deadline_s, now_s)
-                if (
-                    now_s >= placement_deadline_s
-                    or exchange.connect_failures >= MAX_CONNECT_FAILURES
-                ):
-                    raise self._placement_error(exchange)
-                full.clear()
-                await asyncio.sleep(PLACEMENT_RETRY_S)
+                if full:
+                    exchange.detail = "connections in use"
+                self._refuse_if_paused(exchange, wait_until_s, now_s)
+                await self._wait_for_upstream(exchange, wait_until_s)
                 continue
-            connection = await self._open(exchange, entry, full)
+            connection = await self._open(exchange, entry, limit)
             if connection is None:
                 continue
             if self.dispatcher.confirm(entry, exchange.pool, time.monotonic()):
@@ -208,12 +221,33 @@
             # The upstream became ineligible while the connection was being opened.
             self.connections.release(entry, connection)
 
+    async def _wait_for_upstream(self, exchange: Exchange, wait_until_s: float) -> None:
+        """Wait until an upstream may be available.
+
+        Raises
+        ------
+        Refusal, IncompleteResponse
+            If the time is over, or so many requests wait that this one can't be
+            served in time.
+        """
+        pool = exchange.pool.name
+        if (
+            time.monotonic() >= wait_until_s
+            or self._waiting[pool] >= MAX_WAITING_REQUESTS
+        ):
+            raise self._placement_error(exchange)
+        self._waiting[pool] += 1
+        try:
+            await asyncio.sleep(PLACEMENT_RETRY_S)
+        finally:
+            self._waiting[pool] -= 1
+
     def _refuse_if_paused(
-        self, exchange: Exchange, placement_deadline_s: float, now_s: float
+        self, exchange: Exchange, wait_until_s: float, now_s: float
     ) -> None:
         """Refuse a request at once if no upstream accepts requests in time."""
         until_s = self.dispatcher.directory.paused_until_s(exchange.pool.name, now_s)
-        if until_s is None or until_s <= placement_deadline_s:
+        if until_s is None or until_s <= wait_until_s:
             return
         if exchange.started or exchange.may_have_run:
             raise self._placement_error(exchange)
@@ -223,18 +257,21 @@
         wait_s += self.dispatcher.rng.uniform(0.0, spread_s)
         raise refuse("upstreams-paused", exchange.pool.name, wait_s)
 
-    async def _open(
-        self, exchange: Exchange, entry: UpstreamEntry, full: set[str]
-    ) -> UpstreamConnection | None:
+    def _connection_limit(self, pool: ServicePool) -> int:
+        """Return how many connections this router may open to one upstream."""
         routers = max(1, len(self.dispatcher.routers))
         # Callers are unevenly distributed over routers, so each router may use
         # twice its share.
-        limit = max(4, 2 * exchange.pool.max_connections // routers)
+        return max(4, 2 * pool.max_connections // routers)
+
+    async def _open(
+        self, exchange: Exchange, entry: UpstreamEntry, limit: int
+    ) -> UpstreamConnection | None:
         try:
             return await self.connections.acquire(entry, limit)
         except PoolFull:
-            full.add(entry.upstream_id)
             exchange.detail = "connections in use"
+            await asyncio.sleep(PLACEMENT_RETRY_S)
         except ConnectionBroken as error:
             now_s = time.monotonic()
             self.dispatcher.note_unreachable(entry, exchange.pool, now_s)
--- a/tests/test_fair_admission.py
+++ b/tests/test_fair_admission.py
@@ -84,6 +84,31 @@
         )
         self.assertLess(sum(admitted.values()), 1.2 * self.CAPACITY)
 
+    def test_share_does_not_depend_on_how_many_routers_see_the_requests(self):
+        # Of the requests of a workspace, one in some seconds arrives at a router.
+        rng = random.Random(3)
+        fleet = [FairAdmission(rng=random.Random(n)) for n in range(60)]
+        rate, size, seconds = 10_000.0, 500.0, 20.0
+        routers = {"spread": fleet, "few": fleet[:2], "other": fleet}
+        admitted = dict.fromkeys(routers, 0.0)
+        for step in range(int(seconds * 100)):
+            now_s = step / 100
+            for a in range(step % 100, len(fleet), 100):
+                rows = fleet[a].own_rows(now_s)
+                for b, receiver in enumerate(fleet):
+                    if a != b:
+                        receiver.note_peer(f"r{a}", rows)
+            for name, group in routers.items():
+                if rng.random() > rate / size / 100:
+                    continue
+                decision = rng.choice(group).decide(
+                    "m", name, size, 9000.0, lambda: 1.0, now_s
+                )
+                if now_s >= 5.0:
+                    admitted[name] += size * decision.admitted / (seconds - 5.0)
+        self.assertLess(sum(admitted.values()), 1.15 * 9000.0)
+        self.assertLess(max(admitted.values()), 1.25 * min(admitted.values()))
+
     def test_repeated_demand_of_peers_is_counted_once(self):
         admission = FairAdmission()
         for round_number in range(50):
