Relay what has arrived of a body at once

Callers saw: streams through a crowded router later than through others.

Change: parts of a body that have arrived are joined, up to 64 KiB. An event that arrives alone isn't delayed.

--- a/src/carobstair/edge/upstream_connection.py
+++ b/src/carobstair/edge/upstream_connection.py
@@ -31,6 +31,8 @@
 KEEPALIVE_PROBES = 2
 # Buffer for response data that the caller has not read yet.
 MAX_BUFFERED_BYTES = 256 * 1024
+# Parts of a body are joined up to this size.
+MAX_JOINED_BYTES = 64 * 1024
 # Bytes received without a part of a body: heads, informational responses, trailers
 # and chunk extensions. Receiving more closes the connection.
 MAX_OVERHEAD_BYTES = 64 * 1024
@@ -241,7 +243,10 @@
                 return item
 
     async def read_body(self) -> bytes | None:
-        """Return the next chunk of the body, or None at its end.
+        """Return what has arrived of the body, or None at its end.
+
+        Chunks that have arrived by then are joined: relaying each of them would cost
+        most where the event loop is late already.
 
         Raises
         ------
@@ -249,7 +254,16 @@
             If the response was truncated.
         """
         item = await self._dequeue()
-        return None if item is _BODY_END else item
+        if item is _BODY_END:
+            return None
+        received = self._received
+        if not received or not isinstance(received[0], bytes):
+            return item
+        parts, size = [item], len(item)
+        while received and isinstance(received[0], bytes) and size < MAX_JOINED_BYTES:
+            parts.append(await self._dequeue())
+            size += len(parts[-1])
+        return b"".join(parts)
 
     def mark_idle(self, now_s: float) -> None:
         """Mark the connection idle after a complete response."""
