--- a/src/carobstair/core/fair_admission.py
+++ b/src/carobstair/core/fair_admission.py
@@ -16,7 +16,6 @@
 from __future__ import annotations
 
 import math
-import random
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field, replace
 
@@ -32,9 +31,6 @@
 LIGHT_PRESSURE = 0.4
 # Age up to which a factor is sent to peers.
 FACTOR_LIFETIME_S = 0.5
-# Part of a request by which a workspace may exceed its share later: demands are
-# estimates, and those of small workspaces jump with each large request.
-SAVED_PART = 0.25
 # A lower rate does not count as demand.
 MIN_DEMAND_TOKENS_PER_S = 1.0
 
@@ -72,6 +68,8 @@
         while the pool is overloaded there.
     output_weight : float
         Weight of a generated token relative to a prompt token.
+    burst_s : float
+        Capacity of a token bucket, in seconds of the share of its workspace.
     min_retry_after_s, max_retry_after_s : float
         Bounds of the time after which a refused caller should retry.
     """
@@ -88,6 +86,7 @@
     max_wait: float = 1.0
     peer_weight: float = 0.5
     output_weight: float = 2.0
+    burst_s: float = 1.0
     min_retry_after_s: float = 0.4
     max_retry_after_s: float = 3.0
 
@@ -146,6 +145,12 @@
         return self.tokens * math.exp((self.at_s - now_s) / window_s) / window_s
 
 
+@dataclass(slots=True)
+class _Bucket:
+    tokens: float
+    at_s: float
+
+
 @dataclass(slots=True)
 class ThroughputControl:
     """Corrects the nominal throughput by the load of the engines.
@@ -209,11 +214,9 @@
     Parameters
     ----------
     settings : AdmissionSettings
-    rng : random.Random
     """
 
     settings: AdmissionSettings = AdmissionSettings()
-    rng: random.Random = field(default_factory=random.Random)
     _own: dict[tuple[str, str], _Demand] = field(default_factory=dict)
     _peers: dict[str, dict[tuple[str, str], float]] = field(default_factory=dict)
     # Sums over all peers by pool and workspace, as every request reads them.
@@ -221,8 +224,7 @@
     _controls: dict[str, ThroughputControl] = field(default_factory=dict)
     # Factors below the promised one, by peer and pool.
     _peer_factors: dict[str, dict[str, float]] = field(default_factory=dict)
-    # Tokens that a workspace may still use here, negative after a large request.
-    _credits: dict[tuple[str, str], float] = field(default_factory=dict)
+    _buckets: dict[tuple[str, str], _Bucket] = field(default_factory=dict)
 
     def note_peer(self, peer: str, rows: Iterable[tuple[str, str, float]]) -> None:
         """Replace a peer's demand: pool, workspace and tokens a second."""
@@ -261,7 +263,7 @@
             rate = demand.rate(now_s, window_s)
             if rate < MIN_DEMAND_TOKENS_PER_S:
                 del self._own[key]
-                self._credits.pop(key, None)
+                self._buckets.pop(key, None)
             else:
                 rows.append((*key, round(rate, 1)))
         return rows
@@ -322,37 +324,32 @@
                 expected,
             )
         if share >= demand:
-            saved = SAVED_PART * tokens
-            self._credits[key] = max(saved, self._credits.get(key, 0.0))
+            self._buckets.pop(key, None)
             return AdmissionDecision(True, share, demand)
         own_share = share * own.rate(now_s, window_s) / demand
-        decision = self._use_credit(key, tokens, own_share, share, demand)
+        decision = self._take_tokens(key, tokens, own_share, share, demand, now_s)
         return replace(decision, supply=supply, pressure=control.pressure)
 
-    def _use_credit(
+    def _take_tokens(
         self,
         key: tuple[str, str],
         tokens: float,
         rate: float,
         share: float,
         demand: float,
+        now_s: float,
     ) -> AdmissionDecision:
-        """Admit the part of the tokens that the share is of the demand.
-
-        A token bucket that fills with time would admit nearly all requests of a
-        workspace of which each router sees only one now and then.
-        """
-        credit = self._credits.get(key)
-        if credit is None:
-            # Random, so that the same part of all first requests is admitted.
-            credit = -self.rng.random() * tokens
-        credit += tokens * share / demand
-        admitted = credit > 0.0
-        # A request may overdraw it, so that large ones are admitted as well.
-        self._credits[key] = credit - tokens if admitted else credit
-        if admitted:
+        depth = rate * self.settings.burst_s
+        bucket = self._buckets.get(key)
+        if bucket is None:
+            bucket = self._buckets[key] = _Bucket(depth, now_s)
+        bucket.tokens = min(depth, bucket.tokens + rate * (now_s - bucket.at_s))
+        bucket.at_s = now_s
+        # A request may overdraw the bucket, so that large ones are admitted as well.
+        if bucket.tokens > 0:
+            bucket.tokens -= tokens
             return AdmissionDecision(True, share, demand)
-        wait_s = (tokens - credit) / max(rate, 1.0)
+        wait_s = (tokens - bucket.tokens) / max(rate, 1.0)
         settings = self.settings
         wait_s = min(
             max(wait_s, settings.min_retry_after_s), settings.max_retry_after_s
--- a/src/carobstair/edge/router.py
+++ b/src/carobstair/edge/router.py
@@ -118,7 +118,7 @@
             ResendLimit(settings.send_limits),
             self._rng,
         )
-        self._admission = FairAdmission(settings.admission, self._rng)
+        self._admission = FairAdmission(settings.admission)
         self._connections = ConnectionPool()
         self._overload = OverloadGuard(settings.overload)
         relay = Relay(self._dispatcher, self._connections, platform.dialect)
