--- a/tests/test_fair_admission.py
+++ b/tests/test_fair_admission.py
@@ -87,7 +87,7 @@
     def test_share_does_not_depend_on_how_many_routers_see_the_requests(self):
         # Of the requests of a workspace, one in some seconds arrives at a router.
         rng = random.Random(3)
-        fleet = [FairAdmission(rng=random.Random(n)) for n in range(60)]
+        fleet = [FairAdmission() for _ in range(60)]
         rate, size, seconds = 10_000.0, 500.0, 20.0
         routers = {"spread": fleet, "few": fleet[:2], "other": fleet}
         admitted = dict.fromkeys(routers, 0.0)
