Don't send a request on whose caller has left unnoticed

Cause: an event loop that is late reads a request before the close behind it, and a handler that finds an idle connection sends without a step of the loop in between.

Change: directly before a send the kernel is asked whether the caller has closed (POLLRDHUP). Where the system doesn't know that, nothing changes.

Result: the new test fails on the code before (1 request sent) and passes.

--- a/src/carobstair/edge/app.py
+++ b/src/carobstair/edge/app.py
@@ -22,10 +22,11 @@
     RoutingTable,
     ServicePool,
 )
-from carobstair.edge.exchange import Exchange, IncompleteResponse
+from carobstair.edge.exchange import CallerLeft, Exchange, IncompleteResponse
 from carobstair.edge.metadata import BadRequest, Dialect, RequestMetadata
 from carobstair.edge.metrics import EdgeMetrics
 from carobstair.edge.relay import Relay
+from carobstair.edge.server import CALLER_CLOSED
 from carobstair.logs import get_logger
 
 __all__ = ["EdgeApp"]
@@ -134,6 +135,8 @@
                 outcome = refusal.kind.name
                 detail = refusal.detail
                 await self._refuse(scope, send, refusal)
+            except CallerLeft:
+                outcome = "caller_left"
             except IncompleteResponse as error:
                 outcome = "broken"
                 exchange.detail = str(error)
@@ -254,6 +257,7 @@
             arrived_s,
             arrived_s + _allowed_s(route, metadata),
             close_connection=self.draining or self._over_connection_limit(),
+            caller_closed=scope.get(CALLER_CLOSED, lambda: False),
         )
 
     def _pick_pool(self, table: RoutingTable, route: Route) -> ServicePool:
--- a/src/carobstair/edge/exchange.py
+++ b/src/carobstair/edge/exchange.py
@@ -12,7 +12,7 @@
 from carobstair.edge.metadata import Headers, RequestMetadata
 from carobstair.edge.upstream_connection import ResponseHead
 
-__all__ = ["IncompleteResponse", "Exchange", "Outcome", "Send"]
+__all__ = ["CallerLeft", "IncompleteResponse", "Exchange", "Outcome", "Send"]
 
 Send = Callable[[dict], Awaitable[None]]
 
@@ -21,6 +21,10 @@
     """A response to a caller can't be completed; its connection must be aborted."""
 
 
+class CallerLeft(Exception):
+    """A caller has closed its connection before its request was sent on."""
+
+
 class Outcome(StrEnum):
     """Outcome of one attempt at an upstream.
 
@@ -60,6 +64,8 @@
         Framing of the last response that was received.
     last_bytes : bytes
         Last bytes of a stream that was relayed.
+    caller_closed : callable
+        Returns whether the caller has closed its connection.
     """
 
     metadata: RequestMetadata
@@ -90,3 +96,4 @@
     uncached_tokens: int = 0
     framing: Framing | None = None
     last_bytes: bytes = b""
+    caller_closed: Callable[[], bool] = lambda: False
--- a/src/carobstair/edge/relay.py
+++ b/src/carobstair/edge/relay.py
@@ -18,7 +18,13 @@
 from carobstair.core.routing import RequestKind, ServicePool
 from carobstair.edge.connection_pool import ConnectionPool, PoolFull
 from carobstair.edge.event_stream import EventSplitter
-from carobstair.edge.exchange import Exchange, IncompleteResponse, Outcome, Send
+from carobstair.edge.exchange import (
+    CallerLeft,
+    Exchange,
+    IncompleteResponse,
+    Outcome,
+    Send,
+)
 from carobstair.edge.metadata import Dialect, ForwardMetadata
 from carobstair.edge.response_relay import ResponseRelay
 from carobstair.edge.upstream_connection import (
@@ -77,6 +83,7 @@
             If there is no response and none has been started.
         IncompleteResponse
             If a response has been started that can't be completed.
+        CallerLeft
         """
         exchange.upstream_id = ""
         self.dispatcher.resends.note_request(exchange.pool.name, exchange.arrived_s)
@@ -104,6 +111,10 @@
             # The timeout may fire late under load; don't send after the deadline.
             self.connections.release(entry, connection)
             raise TimeoutError
+        if exchange.caller_closed():
+            # A late event loop reads the request before the close that followed it.
+            self.connections.release(entry, connection)
+            raise CallerLeft
         exchange.attempts += 1
         exchange.upstream_id = entry.upstream_id
         loads = self.dispatcher.loads
--- a/src/carobstair/edge/server.py
+++ b/src/carobstair/edge/server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import select
 import socket
 from collections.abc import Callable, Iterator
 
@@ -10,7 +11,13 @@
 
 from carobstair.net.http import BoundedHttpProtocol
 
-__all__ = ["CallerServer", "PageServer"]
+__all__ = ["CALLER_CLOSED", "CallerServer", "PageServer"]
+
+# Key in the ASGI scope of a function that returns whether the caller has closed its
+# connection, also if the event loop has not read that yet.
+CALLER_CLOSED = "carobstair.caller_closed"
+# Not known on all systems.
+POLL_CLOSED = getattr(select, "POLLRDHUP", 0)
 
 BACKLOG = 1024
 # Used until a configuration is in force.
@@ -31,6 +38,20 @@
             self.config.timeout_keep_alive, self.timeout_keep_alive_handler
         )
 
+    def on_headers_complete(self) -> None:
+        """Pass the request on, with what tells whether its caller has left."""
+        self.scope[CALLER_CLOSED] = self._is_closed_by_caller
+        super().on_headers_complete()
+
+    def _is_closed_by_caller(self) -> bool:
+        if self.transport.is_closing():
+            return True
+        if not POLL_CLOSED:
+            return False
+        poll = select.poll()
+        poll.register(self.transport.get_extra_info("socket"), POLL_CLOSED)
+        return bool(poll.poll(0))
+
     def on_response_complete(self) -> None:
         """Start the idle timer with the current timeout."""
         self.timeout_keep_alive = self.config.timeout_keep_alive
--- a/tests/test_edge_callers.py
+++ b/tests/test_edge_callers.py
@@ -30,6 +30,25 @@
         self.assertEqual(status, 503)
         self.assertEqual(self.upstream_request_count(), 0)
 
+    async def test_request_whose_caller_has_left_is_not_sent(self):
+        await self.start_upstreams("ok")
+        original_confirm = self.dispatcher.confirm
+        caller = socket.create_connection(("127.0.0.1", self.server.port))
+
+        def confirm(entry, pool, now_s):
+            # The event loop doesn't see the close before the send.
+            caller.close()
+            return original_confirm(entry, pool, now_s)
+
+        caller.sendall(
+            b"POST /unsafe/x HTTP/1.1\r\nHost: api.test\r\nCarobstair-Key: key1\r\n"
+            b"Carobstair-Attempt-Id: a\r\nContent-Length: 0\r\n\r\n"
+        )
+        with mock.patch.object(Dispatcher, "confirm", lambda self, *a: confirm(*a)):
+            await asyncio.sleep(0.3)
+        self.assertEqual(caller.fileno(), -1)
+        self.assertEqual(self.upstream_request_count(), 0)
+
     async def test_overloaded_router_refuses_streams_with_retry_after(self):
         await self.start_upstreams("stream")
         self.overload.note(9.0, time.monotonic())
