Log the shared segments and the progress of failed attempts

Conclusion: over the ends of several engines the common segment, and begun answers without one, can be read from the logs.

--- a/src/carobstair/core/engine_load.py
+++ b/src/carobstair/core/engine_load.py
@@ -44,6 +44,11 @@
     output_tokens: int = 0
     segments: Segments = ()
 
+    @property
+    def shared_segments(self) -> tuple[str, ...]:
+        """Ids of the segments that other requests may share: all but the last."""
+        return tuple(segment for segment, _ in self.segments[:-1])
+
 
 @dataclass(frozen=True, slots=True)
 class PlacementSettings:
--- a/src/carobstair/edge/exchange.py
+++ b/src/carobstair/edge/exchange.py
@@ -12,7 +12,14 @@
 from carobstair.edge.metadata import Headers, RequestMetadata
 from carobstair.edge.upstream_connection import ResponseHead
 
-__all__ = ["CallerLeft", "IncompleteResponse", "Exchange", "Outcome", "Send"]
+__all__ = [
+    "AttemptProgress",
+    "CallerLeft",
+    "Exchange",
+    "IncompleteResponse",
+    "Outcome",
+    "Send",
+]
 
 Send = Callable[[dict], Awaitable[None]]
 
@@ -44,6 +51,42 @@
         return self in (Outcome.NOT_RUN, Outcome.OTHER_INSTANCE)
 
 
+@dataclass(slots=True)
+class AttemptProgress:
+    """How far an upstream's answer to one attempt has come.
+
+    Attributes
+    ----------
+    sent_s : float
+        Monotonic time of the send.
+    head_s, first_byte_s, last_byte_s : float or None
+        Monotonic times of the head and of the first and last part of the body.
+    """
+
+    sent_s: float
+    head_s: float | None = None
+    first_byte_s: float | None = None
+    last_byte_s: float | None = None
+
+    def note_body(self, now_s: float) -> None:
+        """Record that a part of the body has arrived."""
+        if self.first_byte_s is None:
+            self.first_byte_s = now_s
+        self.last_byte_s = now_s
+
+    def log_fields(self, now_s: float) -> dict[str, float | None]:
+        """Return the ages in seconds of the send, the head and the body."""
+        return {
+            f"{name}_ago_s": None if at_s is None else round(now_s - at_s, 4)
+            for name, at_s in (
+                ("sent", self.sent_s),
+                ("head", self.head_s),
+                ("first_byte", self.first_byte_s),
+                ("last_byte", self.last_byte_s),
+            )
+        }
+
+
 @dataclass(slots=True)
 class Exchange:
     """A caller's request and the state of its response.
@@ -66,6 +109,8 @@
         Last bytes of a stream that was relayed.
     caller_closed : callable
         Returns whether the caller has closed its connection.
+    progress : AttemptProgress
+        Progress of the latest attempt.
     """
 
     metadata: RequestMetadata
@@ -97,3 +142,4 @@
     framing: Framing | None = None
     last_bytes: bytes = b""
     caller_closed: Callable[[], bool] = lambda: False
+    progress: AttemptProgress = field(default_factory=lambda: AttemptProgress(0.0))
--- a/src/carobstair/edge/relay.py
+++ b/src/carobstair/edge/relay.py
@@ -19,6 +19,7 @@
 from carobstair.edge.connection_pool import ConnectionPool, PoolFull
 from carobstair.edge.event_stream import EventSplitter
 from carobstair.edge.exchange import (
+    AttemptProgress,
     CallerLeft,
     Exchange,
     IncompleteResponse,
@@ -117,6 +118,7 @@
             raise CallerLeft
         exchange.attempts += 1
         exchange.upstream_id = entry.upstream_id
+        exchange.progress = AttemptProgress(now_s)
         loads = self.dispatcher.loads
         prompt = exchange.metadata.prompt
         exchange.expected_s = loads.expected_wait_s(entry.upstream_id, prompt)
@@ -172,6 +174,8 @@
             detail=exchange.detail,
             again=will_retry,
             started=exchange.started,
+            segments=",".join(exchange.metadata.prompt.shared_segments),
+            **exchange.progress.log_fields(now_s),
         )
         if exchange.splitter is not None:
             exchange.splitter.discard_partial()
--- a/src/carobstair/edge/response_relay.py
+++ b/src/carobstair/edge/response_relay.py
@@ -77,6 +77,7 @@
         """
         head, metadata = await self._read_matching_response(exchange, entry, connection)
         exchange.framing = head.framing
+        exchange.progress.head_s = time.monotonic()
         if metadata.not_run or metadata.other_incarnation:
             exchange.detail = f"declined with {head.status}"
             # What the head says holds, even if the body does not end.
@@ -195,7 +196,9 @@
         parts: list[bytes] = []
         size = 0
         while (part := await connection.read_body()) is not None:
-            self.loads.note_first_byte(sent, time.monotonic())
+            now_s = time.monotonic()
+            self.loads.note_first_byte(sent, now_s)
+            exchange.progress.note_body(now_s)
             parts.append(part)
             size += len(part)
             if size > MAX_BUFFERED_RESPONSE_BYTES:
@@ -237,6 +240,7 @@
         while (part := await connection.read_body()) is not None:
             now_s = time.monotonic()
             self.loads.note_first_byte(sent, now_s)
+            exchange.progress.note_body(now_s)
             received = True
             try:
                 part = events.feed(part)
