Refuse prompts with a segment that ends the upstreams that answer it

Cause: nothing remembered which requests were at an engine when it ended. A request whose engine ended was sent to the next at once, and each further request with the same part reached engines as any other.

Conclusion: evidence over several ends names the segment without knowing prompts, because sound segments are answered elsewhere.

--- a/src/carobstair/core/messages.py
+++ b/src/carobstair/core/messages.py
@@ -60,6 +60,7 @@
     "Probe",
     "ProbeAck",
     "ProbeRequest",
+    "SegmentEvidence",
     "ShareTransfer",
     "StateNews",
     "StatePull",
@@ -318,6 +319,25 @@
     factors: dict[str, float] = {}
 
 
+class SegmentEvidence(msgspec.Struct, frozen=True, array_like=True):
+    """Prompt segments under which upstreams ended, and segments that were answered.
+
+    Attributes
+    ----------
+    ends : list of (str, int, str, list of str)
+        Id and start time of each ended upstream, the request that had been sent
+        there, and shared segments of its prompt.
+    sound : list of str
+        Segments that an upstream has answered.
+    wants_refused : bool
+        Whether the receiver is asked for the segments that it refuses.
+    """
+
+    ends: list[tuple[str, int, str, list[str]]] = []
+    sound: list[str] = []
+    wants_refused: bool = False
+
+
 class StatePull(msgspec.Struct, frozen=True, array_like=True):
     """Requests the state changes after the given revisions."""
 
@@ -350,6 +370,7 @@
 
 _PAYLOADS = (
     FleetDigest,
+    SegmentEvidence,
     StateNews,
     StatePull,
     InForceAnswer,
--- a/src/carobstair/core/refusals.py
+++ b/src/carobstair/core/refusals.py
@@ -226,6 +226,14 @@
         "This router is behind with its work",
         "Send it again after the given time; another router may take it.",
     ),
+    RefusalType(
+        "crashing-prompt",
+        503,
+        Ran.NO,
+        "A segment of the prompt ends the upstreams that answer it",
+        "Send it again without this segment; the detail names it.",
+        60.0,
+    ),
     RefusalType(
         "timed-out",
         504,
--- a/src/carobstair/edge/app.py
+++ b/src/carobstair/edge/app.py
@@ -127,6 +127,7 @@
                     scope, table, metadata, route, workspace, body, arrived_s
                 )
                 self._check_shutdown(exchange)
+                self._relay.guard.admit(exchange)
                 self._check_fair_share(exchange, limits)
                 watcher = asyncio.create_task(caller.cancel_on_disconnect(task))
                 await self._relay.run(exchange, send)
--- /dev/null
+++ b/src/carobstair/edge/crash_guard.py
@@ -0,0 +1,252 @@
+"""Keeps prompts that end their upstreams away from the other upstreams.
+
+`CrashEvidence` decides; this module feeds it with what the router sees, confirms the
+ends of upstreams, and refuses requests.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from carobstair.core.crash_evidence import AttemptEnd, CrashEvidence, Incarnation
+from carobstair.core.directory import UpstreamEntry
+from carobstair.core.dispatch import Dispatcher
+from carobstair.core.messages import SegmentEvidence
+from carobstair.core.refusals import refuse
+from carobstair.edge.exchange import Exchange, Outcome
+from carobstair.edge.upstream_connection import (
+    ConnectionBroken,
+    ConnectionRefused,
+    connect,
+)
+from carobstair.logs import get_logger
+
+__all__ = ["CrashGuard"]
+
+logger = get_logger(__name__)
+
+# Times after a broken answer at which the upstream is connected to: a process that
+# ends closes its connections and its listening socket within some milliseconds.
+PROBE_DELAYS_S = (0.02, 0.3)
+# A refused connect shows that an upstream has ended only while others are reached:
+# otherwise the fault may be on this router's side.
+CONTACT_S = 2.0
+# Segments listed in one message and in one log line.
+MAX_LISTED_SEGMENTS = 64
+MAX_LOGGED_UPSTREAMS = 8
+
+# A row of `SegmentEvidence.ends`.
+EvidenceRow = tuple[str, int, str, list[str]]
+
+_ENDS = {
+    Outcome.ANSWERED: AttemptEnd.WHOLE,
+    Outcome.UNKNOWN: AttemptEnd.BROKEN,
+    None: AttemptEnd.ABANDONED,
+}
+
+
+@dataclass(slots=True)
+class CrashGuard:
+    """Tracks attempts and refuses requests whose prompts end upstreams.
+
+    Parameters
+    ----------
+    dispatcher : Dispatcher
+    evidence : CrashEvidence
+    announce : callable
+        Sends a message to all other routers.
+    """
+
+    dispatcher: Dispatcher
+    evidence: CrashEvidence = field(default_factory=CrashEvidence)
+    announce: Callable[[SegmentEvidence], None] = lambda message: None
+    _contacts_s: dict[str, float] = field(default_factory=dict)
+    _probes: dict[Incarnation, asyncio.Task] = field(default_factory=dict)
+
+    # Requests
+
+    def admit(self, exchange: Exchange) -> None:
+        """Refuse a request with a refused segment, unless it is a trial.
+
+        Raises
+        ------
+        Refusal
+        """
+        segments = exchange.metadata.prompt.shared_segments
+        if not self.evidence.is_refused(segments):
+            return
+        reason = self.evidence.check(segments, time.monotonic(), self._is_responsible)
+        if reason is not None:
+            ended = ",".join(reason.upstreams[:MAX_LOGGED_UPSTREAMS])
+            exchange.detail = (
+                f"segment {reason.segment} ended {len(reason.upstreams)} upstreams "
+                f"({ended}), refused for {reason.since_s:.1f} s"
+            )
+            raise refuse("crashing-prompt", exchange.detail, reason.retry_after_s)
+        exchange.is_trial = True
+        logger.info(
+            "segment_trial",
+            request_id=exchange.metadata.request_id,
+            segments=",".join(segments),
+        )
+
+    def allows_send(self, exchange: Exchange) -> bool:
+        """Return whether a request may be sent; call directly before the send."""
+        segments = exchange.metadata.prompt.shared_segments
+        return exchange.is_trial or not self.evidence.is_refused(segments)
+
+    def _is_responsible(self, segment: str) -> bool:
+        return self.dispatcher.rank(segment) == 0
+
+    # Attempts
+
+    def begin(self, exchange: Exchange, entry: UpstreamEntry) -> None:
+        """Track an attempt that is about to be sent."""
+        segments = exchange.metadata.prompt.shared_segments
+        exchange.tracked = None
+        if segments:
+            upstream = entry.upstream_id, entry.born_ms
+            exchange.tracked = self.evidence.begin(
+                upstream, exchange.metadata.request_id, segments, exchange.progress
+            )
+
+    def note_body(self, exchange: Exchange, now_s: float) -> None:
+        """Record that a part of an answer has arrived."""
+        exchange.progress.note_body(now_s)
+        if exchange.tracked is not None:
+            self.evidence.note_body(exchange.tracked, now_s)
+
+    def end(
+        self, exchange: Exchange, entry: UpstreamEntry, outcome: Outcome | None
+    ) -> None:
+        """Record the outcome of an attempt; None if it was abandoned."""
+        now_s = time.monotonic()
+        if outcome is Outcome.OTHER_INSTANCE:
+            self._note_ended((entry.upstream_id, entry.born_ms), now_s)
+        if exchange.tracked is None:
+            return
+        how = _ENDS.get(outcome, AttemptEnd.DECLINED)
+        if how is AttemptEnd.WHOLE and not 200 <= exchange.status < 300:
+            how = AttemptEnd.DECLINED
+        if self.evidence.end(exchange.tracked, how, now_s):
+            self._probe(entry)
+        self.publish()
+
+    # Ends of upstreams
+
+    def note_contact(self, upstream_id: str, now_s: float) -> None:
+        """Record that an upstream has answered."""
+        self._contacts_s[upstream_id] = now_s
+
+    def note_unreachable(self, entry: UpstreamEntry, error: ConnectionBroken) -> None:
+        """Record a failed connect, which may show that the upstream has ended."""
+        now_s = time.monotonic()
+        reaches_others = any(
+            upstream_id != entry.upstream_id and now_s - at_s < CONTACT_S
+            for upstream_id, at_s in self._contacts_s.items()
+        )
+        if isinstance(error, ConnectionRefused) and reaches_others:
+            self._note_ended((entry.upstream_id, entry.born_ms), now_s)
+
+    def look_for_ended(self) -> None:
+        """Count upstreams that are no longer listed, and drop old evidence."""
+        now_s = time.monotonic()
+        for upstream_id, born_ms in self.evidence.watched():
+            listed = self.dispatcher.directory.find(upstream_id)
+            if listed is None or listed.entry.born_ms != born_ms:
+                self.evidence.note_ended((upstream_id, born_ms), now_s)
+        self.evidence.count_silent(now_s)
+        self.evidence.expire(now_s)
+        for upstream_id, at_s in list(self._contacts_s.items()):
+            if now_s - at_s > CONTACT_S:
+                del self._contacts_s[upstream_id]
+        self.publish()
+
+    def _note_ended(self, upstream: Incarnation, now_s: float) -> None:
+        if upstream in self.evidence.watched():
+            self.evidence.note_ended(upstream, now_s)
+            self.publish()
+
+    def _probe(self, entry: UpstreamEntry) -> None:
+        upstream = entry.upstream_id, entry.born_ms
+        if upstream not in self._probes:
+            task = asyncio.create_task(self._probe_until_refused(entry))
+            self._probes[upstream] = task
+            task.add_done_callback(lambda _: self._probes.pop(upstream, None))
+
+    async def _probe_until_refused(self, entry: UpstreamEntry) -> None:
+        for delay_s in PROBE_DELAYS_S:
+            await asyncio.sleep(delay_s)
+            try:
+                connection = await connect(entry.host, entry.port)
+            except ConnectionBroken as error:
+                logger.info(
+                    "upstream_probe_failed",
+                    upstream=entry.upstream_id,
+                    detail=str(error),
+                )
+                self.note_unreachable(entry, error)
+                return
+            connection.abort()
+
+    # Peers
+
+    def merge(self, source: str, message: SegmentEvidence) -> SegmentEvidence | None:
+        """Apply a peer's message; return the answer, or None if there is none."""
+        now_s = time.monotonic()
+        known_sound: set[str] = set()
+        for upstream_id, born_ms, request_id, segments in message.ends:
+            upstream = upstream_id, born_ms
+            known_sound.update(
+                self.evidence.merge_end(upstream, request_id, segments, source, now_s)
+            )
+        self.evidence.merge_sound(message.sound, source, now_s)
+        self.publish()
+        answer = SegmentEvidence(sound=sorted(known_sound)[:MAX_LISTED_SEGMENTS])
+        if message.wants_refused:
+            answer = SegmentEvidence(self._refused_rows(), answer.sound)
+        return answer if answer.ends or answer.sound else None
+
+    def summary(self, wants_refused: bool) -> SegmentEvidence | None:
+        """Return the message for a peer that was not heard before, if any."""
+        rows = self._refused_rows()
+        if not rows and not wants_refused:
+            return None
+        return SegmentEvidence(rows, [], wants_refused)
+
+    def _refused_rows(self) -> list[EvidenceRow]:
+        return [
+            (*upstream, request_id, [segment])
+            for upstream, request_id, segment in self.evidence.refused_ends()
+        ]
+
+    def publish(self) -> None:
+        """Log changes of the evidence and send this router's own to its peers."""
+        ends: dict[tuple[Incarnation, str], list[str]] = {}
+        sound: list[str] = []
+        for change in self.evidence.take_changes():
+            log = logger.info if change.kind == "suspected" else logger.warning
+            log(
+                f"segment_{change.kind}",
+                segment=change.segment,
+                ends=change.ends,
+                upstream=change.upstream and change.upstream[0],
+                evidence_request_id=change.request_id or None,
+                reported_by=change.source or None,
+            )
+            if change.source:
+                continue
+            if change.kind == "cleared":
+                sound.append(change.segment)
+            elif change.kind == "suspected":
+                key = change.upstream, change.request_id
+                ends.setdefault(key, []).append(change.segment)
+        if ends or sound:
+            rows = [
+                (*upstream, request_id, segments[:MAX_LISTED_SEGMENTS])
+                for (upstream, request_id), segments in ends.items()
+            ]
+            self.announce(SegmentEvidence(rows, sound[:MAX_LISTED_SEGMENTS]))
--- a/src/carobstair/edge/exchange.py
+++ b/src/carobstair/edge/exchange.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+from carobstair.core.attempt_progress import AttemptProgress
+from carobstair.core.crash_evidence import TrackedAttempt
 from carobstair.core.framing import Framing
 from carobstair.core.routing import Route, ServicePool
 from carobstair.edge.event_stream import EventSplitter
@@ -13,7 +15,6 @@
 from carobstair.edge.upstream_connection import ResponseHead
 
 __all__ = [
-    "AttemptProgress",
     "CallerLeft",
     "Exchange",
     "IncompleteResponse",
@@ -51,42 +52,6 @@
         return self in (Outcome.NOT_RUN, Outcome.OTHER_INSTANCE)
 
 
-@dataclass(slots=True)
-class AttemptProgress:
-    """How far an upstream's answer to one attempt has come.
-
-    Attributes
-    ----------
-    sent_s : float
-        Monotonic time of the send.
-    head_s, first_byte_s, last_byte_s : float or None
-        Monotonic times of the head and of the first and last part of the body.
-    """
-
-    sent_s: float
-    head_s: float | None = None
-    first_byte_s: float | None = None
-    last_byte_s: float | None = None
-
-    def note_body(self, now_s: float) -> None:
-        """Record that a part of the body has arrived."""
-        if self.first_byte_s is None:
-            self.first_byte_s = now_s
-        self.last_byte_s = now_s
-
-    def log_fields(self, now_s: float) -> dict[str, float | None]:
-        """Return the ages in seconds of the send, the head and the body."""
-        return {
-            f"{name}_ago_s": None if at_s is None else round(now_s - at_s, 4)
-            for name, at_s in (
-                ("sent", self.sent_s),
-                ("head", self.head_s),
-                ("first_byte", self.first_byte_s),
-                ("last_byte", self.last_byte_s),
-            )
-        }
-
-
 @dataclass(slots=True)
 class Exchange:
     """A caller's request and the state of its response.
@@ -111,6 +76,10 @@
         Returns whether the caller has closed its connection.
     progress : AttemptProgress
         Progress of the latest attempt.
+    tracked : TrackedAttempt or None
+        The latest attempt as evidence, if its prompt has shared segments.
+    is_trial : bool
+        Whether the request is sent although one of its segments is refused.
     """
 
     metadata: RequestMetadata
@@ -143,3 +112,5 @@
     last_bytes: bytes = b""
     caller_closed: Callable[[], bool] = lambda: False
     progress: AttemptProgress = field(default_factory=lambda: AttemptProgress(0.0))
+    tracked: TrackedAttempt | None = None
+    is_trial: bool = False
--- a/src/carobstair/edge/gossip.py
+++ b/src/carobstair/edge/gossip.py
@@ -83,6 +83,8 @@
     rng : random.Random
     on_change : callable
         Called with a kind of state and the names of the objects that changed.
+    on_peer_heard : callable, optional
+        Called with the name of a peer that was not heard before, or not lately.
     """
 
     def __init__(
@@ -96,6 +98,7 @@
         admission: FairAdmission,
         rng: random.Random,
         on_change: Callable[[StateKind, list[str]], None],
+        on_peer_heard: Callable[[str], None] = lambda peer: None,
     ):
         self._own = own
         self._settings = settings
@@ -106,6 +109,7 @@
         self._admission = admission
         self._rng = rng
         self._on_change = on_change
+        self._on_peer_heard = on_peer_heard
         self._peers: dict[str, PeerAddress] = {}
         self._last_heard_s: dict[str, float] = {}
         self._behind_since_s: dict[str, float] = {}
@@ -260,6 +264,7 @@
         self.add(digest.address)
         if peer not in self._last_heard_s:
             logger.info("peer_heard", peer=peer, incarnation=envelope.incarnation)
+            self._on_peer_heard(peer)
         self._last_heard_s[peer] = now_s
         self._loads.note_peer(
             peer, ((r.upstream, r.backlog_tokens, r.running) for r in digest.loads)
--- a/src/carobstair/edge/metrics.py
+++ b/src/carobstair/edge/metrics.py
@@ -46,6 +46,12 @@
         self.version = self._gauge("version_in_force", "Number of the configuration")
         self.open_requests = self._gauge("open_requests", "Requests in hand")
         self.peers = self._gauge("peers_heard", "Peers that were heard lately")
+        self.suspected_segments = self._gauge(
+            "suspected_segments", "Prompt segments under which upstreams ended"
+        )
+        self.refused_segments = self._gauge(
+            "refused_segments", "Prompt segments that are refused"
+        )
 
     def _counter(self, name: str, text: str, labels: tuple[str, ...]) -> Counter:
         return Counter(PREFIX + name, text, labels, registry=self.registry)
--- a/src/carobstair/edge/relay.py
+++ b/src/carobstair/edge/relay.py
@@ -12,14 +12,15 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
+from carobstair.core.attempt_progress import AttemptProgress
 from carobstair.core.directory import UpstreamEntry
 from carobstair.core.dispatch import Dispatcher
 from carobstair.core.refusals import refuse
 from carobstair.core.routing import RequestKind, ServicePool
 from carobstair.edge.connection_pool import ConnectionPool, PoolFull
+from carobstair.edge.crash_guard import CrashGuard
 from carobstair.edge.event_stream import EventSplitter
 from carobstair.edge.exchange import (
-    AttemptProgress,
     CallerLeft,
     Exchange,
     IncompleteResponse,
@@ -70,10 +71,12 @@
     connections: ConnectionPool
     dialect: Dialect
     responses: ResponseRelay = field(init=False)
+    guard: CrashGuard = field(init=False)
     _waiting: Counter[str] = field(default_factory=Counter)
 
     def __post_init__(self) -> None:
-        self.responses = ResponseRelay(self.dispatcher, self.dialect)
+        self.guard = CrashGuard(self.dispatcher)
+        self.responses = ResponseRelay(self.dispatcher, self.dialect, self.guard)
 
     async def run(self, exchange: Exchange, send: Send) -> None:
         """Forward a request until its response is complete.
@@ -116,6 +119,9 @@
             # A late event loop reads the request before the close that followed it.
             self.connections.release(entry, connection)
             raise CallerLeft
+        if not self.guard.allows_send(exchange):
+            self.connections.release(entry, connection)
+            raise self._crashing_prompt_error(exchange)
         exchange.attempts += 1
         exchange.upstream_id = entry.upstream_id
         exchange.progress = AttemptProgress(now_s)
@@ -124,6 +130,8 @@
         exchange.expected_s = loads.expected_wait_s(entry.upstream_id, prompt)
         sent = loads.begin(entry.upstream_id, prompt, now_s)
         exchange.uncached_tokens = sent.uncached_tokens
+        self.guard.begin(exchange, entry)
+        outcome: Outcome | None = None
         reusable = False
         may_have_run_before = exchange.may_have_run
         # From here on, the outcome is unknown until the upstream reports it.
@@ -143,6 +151,7 @@
                 outcome = Outcome.UNKNOWN
         finally:
             loads.end(sent, time.monotonic())
+            self.guard.end(exchange, entry, outcome)
             if reusable:
                 self.connections.release(entry, connection)
             else:
@@ -197,6 +206,8 @@
             return False
         if exchange.started and exchange.splitter is None:
             return False
+        if exchange.is_trial and not outcome.is_known_not_run:
+            return False
         if exchange.deadline_s - now_s < 0.02:
             return False
         routers = len(self.dispatcher.routers) or 1
@@ -288,6 +299,7 @@
         except ConnectionBroken as error:
             now_s = time.monotonic()
             self.dispatcher.note_unreachable(entry, exchange.pool, now_s)
+            self.guard.note_unreachable(entry, error)
             exchange.excluded.add(entry.upstream_id)
             exchange.connect_failures += 1
             exchange.detail = str(error)
@@ -308,6 +320,14 @@
             return refuse("upstreams-unreached", exchange.detail)
         return refuse("no-capacity", exchange.pool.name, 0.5)
 
+    def _crashing_prompt_error(self, exchange: Exchange) -> Exception:
+        exchange.detail = "a segment of the prompt is refused since it arrived"
+        if exchange.started:
+            return IncompleteResponse(exchange.detail)
+        if exchange.may_have_run:
+            return refuse("answer-lost", exchange.detail)
+        return refuse("crashing-prompt", exchange.detail)
+
     def _request_head(
         self, exchange: Exchange, entry: UpstreamEntry, now_s: float
     ) -> bytes:
--- a/src/carobstair/edge/response_relay.py
+++ b/src/carobstair/edge/response_relay.py
@@ -14,6 +14,7 @@
 from carobstair.core.engine_load import LoadTracker, SentRequest
 from carobstair.core.framing import Framing
 from carobstair.core.routing import RequestKind
+from carobstair.edge.crash_guard import CrashGuard
 from carobstair.edge.event_stream import EventBoundary, EventTooLarge
 from carobstair.edge.exchange import Exchange, Outcome, Send
 from carobstair.edge.metadata import Dialect, ResponseMetadata
@@ -50,10 +51,13 @@
     dispatcher : Dispatcher
         Updated with first bytes and with what responses say of their upstream.
     dialect : Dialect
+    guard : CrashGuard
+        Updated with the progress of answers.
     """
 
     dispatcher: Dispatcher
     dialect: Dialect
+    guard: CrashGuard
 
     @property
     def loads(self) -> LoadTracker:
@@ -120,6 +124,7 @@
         """Record what a response says of its upstream."""
         now_s = time.monotonic()
         self.loads.note_activity(entry.upstream_id, now_s)
+        self.guard.note_contact(entry.upstream_id, now_s)
         if metadata.load is not None:
             load = metadata.load
             self.loads.note_report(
@@ -198,7 +203,7 @@
         while (part := await connection.read_body()) is not None:
             now_s = time.monotonic()
             self.loads.note_first_byte(sent, now_s)
-            exchange.progress.note_body(now_s)
+            self.guard.note_body(exchange, now_s)
             parts.append(part)
             size += len(part)
             if size > MAX_BUFFERED_RESPONSE_BYTES:
@@ -240,7 +245,7 @@
         while (part := await connection.read_body()) is not None:
             now_s = time.monotonic()
             self.loads.note_first_byte(sent, now_s)
-            exchange.progress.note_body(now_s)
+            self.guard.note_body(exchange, now_s)
             received = True
             try:
                 part = events.feed(part)
--- a/src/carobstair/edge/upstream_connection.py
+++ b/src/carobstair/edge/upstream_connection.py
@@ -19,7 +19,13 @@
 from carobstair.core.framing import Framing, FramingError, response_framing
 from carobstair.edge.metadata import Headers
 
-__all__ = ["ResponseHead", "ConnectionBroken", "UpstreamConnection", "connect"]
+__all__ = [
+    "ConnectionBroken",
+    "ConnectionRefused",
+    "ResponseHead",
+    "UpstreamConnection",
+    "connect",
+]
 
 CONNECT_TIMEOUT_S = 0.6
 # TCP_USER_TIMEOUT. Retransmission after two consecutive lost packets takes about
@@ -43,6 +49,10 @@
     """A connection failed or closed, or received data that is not a valid response."""
 
 
+class ConnectionRefused(ConnectionBroken):
+    """Nothing listens at the upstream's address."""
+
+
 @dataclass(slots=True)
 class ResponseHead:
     """Status and headers of a response."""
@@ -340,6 +350,8 @@
     try:
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
             _, connection = await loop.create_connection(UpstreamConnection, host, port)
+    except ConnectionRefusedError as error:
+        raise ConnectionRefused(str(error)) from error
     except (OSError, TimeoutError) as error:
         raise ConnectionBroken(str(error) or "connect timed out") from error
     return connection
