Put each end of an upstream down to one segment only

A request's retry also reached the next upstream before the end of the last one was known.

Change: the segment with the most ends explains them; others are refused only for ends that are left. A retry of a suspect waits up to 50 ms for the probe of its upstream.

--- a/src/carobstair/core/crash_evidence.py
+++ b/src/carobstair/core/crash_evidence.py
@@ -30,7 +30,7 @@
 Incarnation = tuple[str, int]
 
 # Ends that are kept for each segment; more of them show nothing new.
-MAX_ENDS = 16
+MAX_ENDS = 64
 # Changes that wait to be logged and sent; more than this in one turn are dropped.
 MAX_CHANGES = 256
 
@@ -70,16 +70,13 @@
         that failed. After the last one there are no more: each ends an upstream.
     trial_timeout_s : float
         Time after which a trial without a result is repeated.
-    explained_interval_s : float
-        Interval between requests admitted with segments whose ends another refused
-        segment explains: such a request tells them apart.
     max_segments, max_sound : int
         Bounds of the memory; the segments updated least recently are dropped.
     """
 
-    ends_to_refuse: int = 3
+    ends_to_refuse: int = 4
     requests_to_refuse: int = 2
-    begin_window_s: float = 2.0
+    begin_window_s: float = 1.0
     unconfirmed_s: float = 10.0
     ended_s: float = 60.0
     silence_s: float = 1.0
@@ -89,7 +86,6 @@
     burst_s: float = 1.0
     trial_delays_s: tuple[float, ...] = (5.0, 120.0, 1200.0)
     trial_timeout_s: float = 30.0
-    explained_interval_s: float = 5.0
     max_segments: int = 1024
     max_sound: int = 8192
 
@@ -125,7 +121,8 @@
     Attributes
     ----------
     kind : str
-        ``suspected``, ``refused`` or ``cleared``.
+        ``suspected``, ``refused``, ``explained`` if the ends are put down to
+        another segment, or ``cleared``.
     ends : int
         Number of upstreams that have ended under the segment.
     upstream : Incarnation or None
@@ -190,8 +187,6 @@
     _records: OrderedDict[str, _Record] = field(default_factory=OrderedDict)
     _refused: dict[str, _Record] = field(default_factory=dict)
     _sound: OrderedDict[str, float] = field(default_factory=OrderedDict)
-    # Time until which no further request with just these refused segments is tried.
-    _tried_until_s: dict[frozenset[str], float] = field(default_factory=dict)
     _changes: list[SegmentChange] = field(default_factory=list)
 
     # Attempts
@@ -329,11 +324,6 @@
         for segment in hits:
             self._refused[segment].updated_s = now_s
         record = self._refused[hits[0]]
-        tried_until_s = self._tried_until_s.get(frozenset(hits), 0.0)
-        if now_s >= tried_until_s and self._are_explained(hits):
-            interval_s = self.settings.explained_interval_s
-            self._tried_until_s[frozenset(hits)] = now_s + interval_s
-            return None
         trial_s = self._next_trial_s(record)
         may_try = len(hits) == 1 and trial_s is not None and now_s >= trial_s
         if may_try and is_responsible(hits[0]):
@@ -345,14 +335,6 @@
         """Return whether a segment is refused, without regard to trials."""
         return bool(self._refused) and any(s in self._refused for s in segments)
 
-    def _are_explained(self, segments: list[str]) -> bool:
-        """Return whether all ends are also those of one segment not among these."""
-        ends = set().union(*(self._refused[s].ends.keys() for s in segments))
-        return any(
-            other not in segments and record.ends.keys() >= ends
-            for other, record in self._refused.items()
-        )
-
     def _next_trial_s(self, record: _Record) -> float | None:
         delays_s = self.settings.trial_delays_s
         failed = record.failed_trials(self.settings.burst_s)
@@ -397,10 +379,8 @@
                 "suspected", segment, ends, upstream, request_id, source
             )
             self._note_change(change)
-            if segment not in self._refused and self._suffices(record):
-                record.refused_since_s = now_s
-                self._refused[segment] = record
-                self._note_change(replace(change, kind="refused"))
+            if self._suffices(record):
+                self._update_refused(change, now_s)
         while len(self._records) > self.settings.max_segments:
             self._drop_oldest()
 
@@ -425,6 +405,39 @@
             and len(record.requests) >= self.settings.requests_to_refuse
         )
 
+    def _update_refused(self, cause: SegmentChange, now_s: float) -> None:
+        """Refuse the segments that explain all ends best.
+
+        An end counts against the segment with the most ends only; the others of its
+        prompts are refused if enough of their ends are left.
+        """
+        candidates = [s for s, r in self._records.items() if self._suffices(r)]
+        candidates.sort(key=self._refusal_order)
+        explained: set[Incarnation] = set()
+        refused: dict[str, _Record] = {}
+        for segment in candidates:
+            record = self._records[segment]
+            if len(record.ends.keys() - explained) < self.settings.ends_to_refuse:
+                continue
+            explained |= record.ends.keys()
+            refused[segment] = record
+        for segment in refused.keys() - self._refused.keys():
+            record = refused[segment]
+            record.refused_since_s = now_s
+            ends = len(record.ends)
+            change = replace(cause, kind="refused", segment=segment, ends=ends)
+            self._note_change(change)
+        for segment in self._refused.keys() - refused.keys():
+            ends = len(self._refused[segment].ends)
+            change = replace(cause, kind="explained", segment=segment, ends=ends)
+            self._note_change(change)
+        self._refused = refused
+
+    def _refusal_order(self, segment: str) -> tuple[int, bool, str]:
+        # Of segments with as many ends, a refused one stays.
+        ends = len(self._records[segment].ends)
+        return -ends, segment not in self._refused, segment
+
     def _drop_oldest(self) -> None:
         oldest = (s for s in self._records if s not in self._refused)
         self._drop(next(oldest, next(iter(self._records))))
@@ -465,9 +478,6 @@
             if now_s - at_s <= settings.sound_s:
                 break
             del self._sound[segment]
-        for segments, until_s in list(self._tried_until_s.items()):
-            if now_s >= until_s:
-                del self._tried_until_s[segments]
         for upstream, at_s in list(self._ended.items()):
             if now_s - at_s > settings.ended_s:
                 del self._ended[upstream]
--- a/src/carobstair/edge/crash_guard.py
+++ b/src/carobstair/edge/crash_guard.py
@@ -31,6 +31,8 @@
 # Times after a broken answer at which the upstream is connected to: a process that
 # ends closes its connections and its listening socket within some milliseconds.
 PROBE_DELAYS_S = (0.02, 0.3)
+# Maximum time that a retry waits for the first of them.
+PROBE_WAIT_S = 0.05
 # A refused connect shows that an upstream has ended only while others are reached:
 # otherwise the fault may be on this router's side.
 CONTACT_S = 2.0
@@ -131,10 +133,21 @@
         how = _ENDS.get(outcome, AttemptEnd.DECLINED)
         if how is AttemptEnd.WHOLE and not 200 <= exchange.status < 300:
             how = AttemptEnd.DECLINED
-        if self.evidence.end(exchange.tracked, how, now_s):
+        exchange.is_suspect = self.evidence.end(exchange.tracked, how, now_s)
+        if exchange.is_suspect:
             self._probe(entry)
         self.publish()
 
+    async def wait_for_probe(self, exchange: Exchange, entry: UpstreamEntry) -> None:
+        """Wait until a suspect's upstream is known to have ended or to live.
+
+        Without it, the retry would reach the next upstream before the evidence of
+        the last one counts.
+        """
+        probe = self._probes.get((entry.upstream_id, entry.born_ms))
+        if exchange.is_suspect and probe is not None:
+            await asyncio.wait({probe}, timeout=PROBE_WAIT_S)
+
     # Ends of upstreams
 
     def note_contact(self, upstream_id: str, now_s: float) -> None:
--- a/src/carobstair/edge/exchange.py
+++ b/src/carobstair/edge/exchange.py
@@ -78,6 +78,8 @@
         Progress of the latest attempt.
     tracked : TrackedAttempt or None
         The latest attempt as evidence, if its prompt has shared segments.
+    is_suspect : bool
+        Whether the latest attempt is evidence if its upstream has ended.
     is_trial : bool
         Whether the request is sent although one of its segments is refused.
     """
@@ -113,4 +115,5 @@
     caller_closed: Callable[[], bool] = lambda: False
     progress: AttemptProgress = field(default_factory=lambda: AttemptProgress(0.0))
     tracked: TrackedAttempt | None = None
+    is_suspect: bool = False
     is_trial: bool = False
--- a/src/carobstair/edge/relay.py
+++ b/src/carobstair/edge/relay.py
@@ -189,6 +189,7 @@
         if exchange.splitter is not None:
             exchange.splitter.discard_partial()
         if will_retry:
+            await self.guard.wait_for_probe(exchange, entry)
             return False
         if exchange.started:
             raise IncompleteResponse(exchange.detail or str(outcome))
