Keep refused segments in the store, and play bad prompts in the soak

Cause: the evidence was in memory only, so a fleet that restarted as a whole had to lose as many engines again, and operators could neither refuse nor clear a segment.

Change: a fifth kind of state, written by the router that is first in rank for a segment (the next ones after a second each), followed like the others. An object without ends is an operator's, deleting one clears the segment. The soak has prompts, segments that end engines, and two checks: at most three such requests at engines after the fifth end and the time to settle, and no sound prompt refused.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -20,6 +20,7 @@
 # Longer than the route's deadline, so that a late response is recorded as late.
 CALLER_TIMEOUT_S = 5.0
 REQUEST_KINDS = ("safe", "unsafe", "stream", "resume")
+BAD_PROMPT_SHARE = 0.2
 EVENT_PATTERN = re.compile(rb"id: (\d+)\ndata: (\S+)\n\n")
 
 
@@ -32,6 +33,8 @@
     kind : str
         One of `REQUEST_KINDS`, or ``version`` for a request that shows which
         configuration version is in force.
+    segments : tuple of str
+        Shared segments of its prompt.
     version : int
         Configuration version whose route a ``version`` request asks for.
     status : int, optional
@@ -47,6 +50,7 @@
     sent_s: float
     key: str
     version: int = 0
+    segments: tuple[str, ...] = ()
     status: int | None = None
     body: bytes = b""
     complete: bool = False
@@ -85,6 +89,10 @@
     rate_per_s: float = 60.0
     version: int = 0
     attempts: list[Attempt] = field(default_factory=list)
+    # Segment that a part of the prompts has, beside those of the others.
+    bad_segment: str | None = None
+    # Of its own, so that the other requests of a seed stay.
+    _prompt_rng: random.Random = field(default_factory=lambda: random.Random(1))
     _request_numbers: itertools.count = field(default_factory=itertools.count)
     _session: aiohttp.ClientSession | None = None
     _tasks: set[asyncio.Task] = field(default_factory=set)
@@ -119,6 +127,7 @@
             time.monotonic(),
             self.rng.choice(self.keys),
             version,
+            self._draw_segments(kind),
         )
         self.attempts.append(attempt)
         task = asyncio.create_task(self._call(router, attempt))
@@ -126,6 +135,15 @@
         task.add_done_callback(self._tasks.discard)
         return task
 
+    def _draw_segments(self, kind: str) -> tuple[str, ...]:
+        if kind not in ("stream", "resume"):
+            return ()
+        rng = self._prompt_rng
+        segments = ["shared", f"doc{rng.randrange(5)}"]
+        if self.bad_segment is not None and rng.random() < BAD_PROMPT_SHARE:
+            segments.insert(rng.randrange(3), self.bad_segment)
+        return tuple(segments)
+
     async def _call(self, router: Router, attempt: Attempt) -> Attempt:
         path = attempt.kind if attempt.kind != "version" else f"ver-{attempt.version}"
         headers = {
@@ -135,6 +153,11 @@
             "Carobstair-Deadline-Ms": str(int(DEADLINE_S * 1000)),
             "X-Soak-Router": router.name,
         }
+        if attempt.segments:
+            parts = (*attempt.segments, attempt.request_id)
+            headers["Carobstair-Token-Counts"] = f"{len(parts)},12"
+            prefix = ",".join(f"{part}:1" for part in parts)
+            headers["Carobstair-Prompt-Prefix"] = prefix
         url = f"http://127.0.0.1:{router.front_port}/{path}/x"
         timeout = aiohttp.ClientTimeout(total=CALLER_TIMEOUT_S)
         try:
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -28,6 +28,9 @@
 # After this part of a pause, at most so many requests arrive from one router.
 PAUSE_START_S = 0.5
 MAX_REQUESTS_IN_PAUSE = 2
+# Engines that may end under a segment before it is known, and requests after that.
+ENDS_UNTIL_KNOWN = 5
+MAX_BAD_PROMPTS_AFTER = 3
 MAX_COLD_REQUESTS_PER_S = COLD_PER_S * 1.5 + 5.0
 
 
@@ -46,6 +49,8 @@
         _versions,
         _keys,
         _stops,
+        _bad_segments,
+        _sound_prompts,
     ):
         found += [f"{check.__name__.strip('_')}: {text}" for text in check(world)]
     return found
@@ -238,6 +243,37 @@
         yield f"{attempt.request_id} ({attempt.kind}) cut: {attempt.error}"
 
 
+def _bad_segments(world: World) -> Iterator[str]:
+    """Yield segments that still reached engines after they had ended several."""
+    for segment in world.bad_segments:
+        ends_s = [at_s for ended, at_s in world.segment_ends if ended == segment]
+        if len(ends_s) < ENDS_UNTIL_KNOWN:
+            continue
+        known_s = ends_s[ENDS_UNTIL_KNOWN - 1] + SETTLE_S
+        late = [
+            arrival
+            for arrival in world.arrivals
+            if segment in arrival.segments
+            and arrival.at_s > known_s
+            and world.disruptions.undisrupted(
+                [("router", arrival.router), ("stop", arrival.router), ("store",)],
+                arrival.at_s - SETTLE_S,
+                arrival.at_s,
+            )
+        ]
+        if len(late) > MAX_BAD_PROMPTS_AFTER:
+            ended = len(ends_s)
+            yield f"{segment} reached engines {len(late)} times more; {ended} ended"
+
+
+def _sound_prompts(world: World) -> Iterator[str]:
+    """Yield requests that were refused for a segment that ends no engine."""
+    for attempt in world.callers.attempts:
+        sound = not world.bad_segments.intersection(attempt.segments)
+        if sound and b"refusal:crashing-prompt" in attempt.body:
+            yield f"{attempt.request_id} refused for one of {attempt.segments}"
+
+
 def _harness_late(world: World, attempt: Attempt) -> bool:
     """Return whether the soak's own event loop lagged while a request was open."""
     return not world.disruptions.undisrupted([HARNESS], attempt.sent_s, attempt.ended_s)
--- a/soak/engines.py
+++ b/soak/engines.py
@@ -6,6 +6,7 @@
 import itertools
 import time
 import zlib
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from carobstair.standins.proxy import TcpProxy
@@ -30,12 +31,21 @@
     ----------
     router : str
         Router to which the caller sent it.
+    segments : tuple of str
+        Shared segments of its prompt.
     """
 
     request_id: str
     router: str
     engine_id: str
     at_s: float
+    segments: tuple[str, ...] = ()
+
+
+def shared_segments(headers: dict[str, str]) -> tuple[str, ...]:
+    """Return the ids of all segments of a prompt but the last."""
+    entries = headers.get("carobstair-prompt-prefix", "").split(",")
+    return tuple(entry.partition(":")[0] for entry in entries[:-1])
 
 
 @dataclass(eq=False)
@@ -69,6 +79,9 @@
     announced: dict[tuple[str, str], float] = field(default_factory=dict)
     pauses: list[tuple[str, str, float, float]] = field(default_factory=list)
     last_entry: dict | None = None
+    # Segments that end an engine which begins to answer them, for all engines.
+    bad_segments: set[str] = field(default_factory=set)
+    on_bad_segment: Callable[[Engine, str], None] = lambda engine, segment: None
 
     def __post_init__(self):
         super().__init__()
@@ -161,9 +174,16 @@
         if self.announces_leaving:
             self.announced.setdefault((router, self.engine_id), now_s)
             head += "Server-Leaving: 1\r\n"
-        arrival = Arrival(request_id, router, self.engine_id, now_s)
+        segments = shared_segments(request.headers)
+        arrival = Arrival(request_id, router, self.engine_id, now_s, segments)
         self.arrivals.append(arrival)
         head += f"Carobstair-Response-Seal: {SEAL}\r\n"
+        for segment in self.bad_segments.intersection(segments):
+            head += "Transfer-Encoding: chunked\r\n"
+            writer.write(f"HTTP/1.1 200 X\r\n{head}\r\n".encode())
+            await asyncio.sleep(PROCESSING_S)
+            self.on_bad_segment(self, segment)
+            return False
         if "/stream/" in request.target or "/resume/" in request.target:
             return await self._run_stream(request, head, writer)
         await asyncio.sleep(PROCESSING_S)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -10,7 +10,15 @@
 
 from world import ZONES, World
 
-__all__ = ["ANSWER_FAULTS", "FAULTS", "LATER_FAULTS", "Fault", "draw_faults", "inject"]
+__all__ = [
+    "ANSWER_FAULTS",
+    "FAULTS",
+    "LATER_FAULTS",
+    "PROMPT_FAULTS",
+    "Fault",
+    "draw_faults",
+    "inject",
+]
 
 # The first seconds run without faults, as a baseline.
 FIRST_FAULT_S = 2.0
@@ -43,6 +51,7 @@
     # a seed stay.
     faults = _draw_spaced(random.Random(f"later-{seed}"), seconds, LATER_FAULTS)
     faults += _draw_spaced(random.Random(f"ends-{seed}"), seconds, ANSWER_FAULTS)
+    faults += _draw_spaced(random.Random(f"prompts-{seed}"), seconds, PROMPT_FAULTS)
     at_s = FIRST_FAULT_S
     while at_s < seconds:
         kind = rng.choice(sorted(FAULTS))
@@ -74,7 +83,8 @@
     running = []
     for fault in faults:
         await asyncio.sleep(max(0.0, began_s + fault.at_s - loop.time()))
-        action = (FAULTS | LATER_FAULTS | ANSWER_FAULTS)[fault.kind]
+        kinds = FAULTS | LATER_FAULTS | ANSWER_FAULTS | PROMPT_FAULTS
+        action = kinds[fault.kind]
         running.append(asyncio.create_task(action(world, fault)))
     await asyncio.gather(*running)
 
@@ -342,6 +352,13 @@
     world.disruptions.end(span)
 
 
+async def _bad_segment(world: World, fault: Fault) -> None:
+    segment = f"bad{fault.target_number}"
+    world.bad_segments.add(segment)
+    # The callers go on with it until another one comes.
+    world.callers.bad_segment = segment
+
+
 FAULTS: dict[str, Inject] = {
     "change": _change_config,
     "engine-answers-lost": _engine_answers_lost,
@@ -372,3 +389,4 @@
     "store-restored": _store_restored,
 }
 ANSWER_FAULTS: dict[str, Inject] = {"engine-truncates": _engine_truncates}
+PROMPT_FAULTS: dict[str, Inject] = {"bad-segment": _bad_segment}
--- a/soak/world.py
+++ b/soak/world.py
@@ -23,6 +23,7 @@
 
 ZONES = ("a", "b")
 ROUTE_TIMEOUT_MS = 2000
+REBOOT_S = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,6 +72,9 @@
         self.version = 0
         self.callers = Callers(self.routers, self.rng, ["key1"], plan.rate_per_s)
         self.restarts: set[asyncio.Task] = set()
+        self.bad_segments: set[str] = set()
+        # Segment and time of each engine that ended under a bad segment.
+        self.segment_ends: list[tuple[str, float]] = []
 
     async def start(self) -> None:
         """Start all components and wait until all routers are ready."""
@@ -79,6 +83,8 @@
         for number in range(self.plan.engines):
             zone = ZONES[number % len(ZONES)]
             engine = Engine(f"e{number}", zone, self.store, self.arrivals)
+            engine.bad_segments = self.bad_segments
+            engine.on_bad_segment = self.end_engine
             await engine.boot(cold=False)
             self.engines.append(engine)
         base = free_port_block(4 * self.plan.routers)
@@ -96,6 +102,24 @@
             self.routers.append(router)
         await self.wait_ready(20.0)
 
+    def end_engine(self, engine: Engine, segment: str) -> None:
+        """End an engine under a bad segment; it is back after a second."""
+        if engine.up:
+            self.segment_ends.append((segment, time.monotonic()))
+            span = self.disruptions.begin(("engine", engine.name))
+            engine.crash()
+            task = asyncio.create_task(self._reboot(engine, span))
+            self.restarts.add(task)
+            task.add_done_callback(self.restarts.discard)
+
+    async def _reboot(self, engine: Engine, span: int) -> None:
+        await asyncio.sleep(REBOOT_S)
+        # An overlapping fault may have started it already.
+        if not engine.up:
+            engine.remove_entry()
+            await engine.boot(cold=False)
+        self.disruptions.end(span)
+
     async def close(self) -> None:
         """Stop all components."""
         for router in self.routers:
--- a/src/carobstair/core/crash_evidence.py
+++ b/src/carobstair/core/crash_evidence.py
@@ -168,6 +168,7 @@
     updated_s: float = 0.0
     refused_since_s: float | None = None
     held_until_s: float = 0.0
+    by_operator: bool = False
 
     def failed_trials(self, burst_s: float) -> int:
         settled_s = self.refused_since_s + burst_s
@@ -286,7 +287,7 @@
         self._note_sound(segments, now_s, source)
 
     def refused_ends(self) -> list[tuple[Incarnation, str, str]]:
-        """Return upstream, request and segment of each end that led to a refusal."""
+        """Return upstream, request and segment of each end under a refused segment."""
         return [
             (upstream, request_id, segment)
             for segment, record in self._refused.items()
@@ -295,6 +296,32 @@
             )
         ]
 
+    def hold_trials(self, segments: Iterable[str], now_s: float) -> None:
+        """Defer trials of segments that were refused before this router knew them."""
+        for segment in segments:
+            record = self._refused.get(segment)
+            if record is not None:
+                until_s = now_s + self.settings.trial_delays_s[1]
+                record.held_until_s = max(record.held_until_s, until_s)
+
+    # Operators
+
+    def refuse(self, segment: str, now_s: float) -> None:
+        """Refuse a segment until it is forgotten."""
+        record = self._records.setdefault(segment, _Record())
+        record.updated_s = now_s
+        record.by_operator = True
+        self._update_refused(SegmentChange("refused", segment, 0), now_s)
+
+    def forget(self, segment: str) -> None:
+        """Drop the evidence against a segment."""
+        if self._records.get(segment) is not None:
+            self._drop(segment)
+
+    def refused(self) -> list[str]:
+        """Return the refused segments."""
+        return list(self._refused)
+
     def take_changes(self) -> list[SegmentChange]:
         """Return the changes since the last call."""
         changes, self._changes = self._changes, []
@@ -337,6 +364,8 @@
 
     def _next_trial_s(self, record: _Record) -> float | None:
         delays_s = self.settings.trial_delays_s
+        if record.by_operator:
+            return None
         failed = record.failed_trials(self.settings.burst_s)
         if failed >= len(delays_s):
             return None
@@ -400,7 +429,7 @@
         return True
 
     def _suffices(self, record: _Record) -> bool:
-        return (
+        return record.by_operator or (
             len(record.ends) >= self.settings.ends_to_refuse
             and len(record.requests) >= self.settings.requests_to_refuse
         )
@@ -417,7 +446,8 @@
         refused: dict[str, _Record] = {}
         for segment in candidates:
             record = self._records[segment]
-            if len(record.ends.keys() - explained) < self.settings.ends_to_refuse:
+            own_ends = len(record.ends.keys() - explained)
+            if own_ends < self.settings.ends_to_refuse and not record.by_operator:
                 continue
             explained |= record.ends.keys()
             refused[segment] = record
@@ -453,7 +483,7 @@
             self._sound[segment] = now_s
             self._sound.move_to_end(segment)
             record = self._records.get(segment)
-            if record is not None:
+            if record is not None and not record.by_operator:
                 self._drop(segment)
                 ends = len(record.ends)
                 change = SegmentChange("cleared", segment, ends, source=source)
@@ -469,6 +499,8 @@
         """Drop what is too old to be evidence."""
         settings = self.settings
         for segment, record in list(self._records.items()):
+            if record.by_operator:
+                continue
             refused = segment in self._refused
             kept_s = settings.refused_s if refused else settings.evidence_s
             if now_s - record.updated_s > kept_s:
--- a/src/carobstair/core/fleet_view.py
+++ b/src/carobstair/core/fleet_view.py
@@ -29,6 +29,12 @@
     UPSTREAMS = "upstreams"
     EVACUATIONS = "evacuations"
     ROUTERS = "routers"
+    REFUSED_SEGMENTS = "refused_segments"
+
+
+# Kinds that routers write: a store that was restored from a copy may lack them, and
+# their owners write them again.
+WRITTEN_BY_ROUTERS = frozenset({StateKind.ROUTERS, StateKind.REFUSED_SEGMENTS})
 
 
 @dataclass(frozen=True, slots=True)
@@ -175,8 +181,8 @@
         """Apply a complete list; return the names that changed.
 
         A list of a new era may lack what was written after the copy was made.
-        Routers that it lacks are kept, because limits are divided by their number
-        and those that run register again.
+        What routers write is kept: limits are divided by their number, and those
+        that run write again.
         """
         objects, listed = self._kinds[kind], list(listed)
         names = {change.name for change in listed}
@@ -185,7 +191,7 @@
             for name, known in objects.known.items()
             if name not in names
             and known.stamp < Stamp(era, revision)
-            and (known.era == era or kind is not StateKind.ROUTERS)
+            and (known.era == era or kind not in WRITTEN_BY_ROUTERS)
         ]
         self._enter_era(kind, era, now_s)
         return self.apply(kind, [*listed, *missing], grace_until_s, now_s)
--- a/src/carobstair/core/messages.py
+++ b/src/carobstair/core/messages.py
@@ -331,11 +331,14 @@
         Segments that an upstream has answered.
     wants_refused : bool
         Whether the receiver is asked for the segments that it refuses.
+    is_summary : bool
+        Whether the ends are of segments that the sender has refused for some time.
     """
 
     ends: list[tuple[str, int, str, list[str]]] = []
     sound: list[str] = []
     wants_refused: bool = False
+    is_summary: bool = False
 
 
 class StatePull(msgspec.Struct, frozen=True, array_like=True):
--- a/src/carobstair/edge/crash_guard.py
+++ b/src/carobstair/edge/crash_guard.py
@@ -60,11 +60,14 @@
     evidence : CrashEvidence
     announce : callable
         Sends a message to all other routers.
+    on_change : callable
+        Called with a segment and whether it is refused, when that changes.
     """
 
     dispatcher: Dispatcher
     evidence: CrashEvidence = field(default_factory=CrashEvidence)
     announce: Callable[[SegmentEvidence], None] = lambda message: None
+    on_change: Callable[[str, bool], None] = lambda segment, refused: None
     _contacts_s: dict[str, float] = field(default_factory=dict)
     _probes: dict[Incarnation, asyncio.Task] = field(default_factory=dict)
 
@@ -210,25 +213,48 @@
     def merge(self, source: str, message: SegmentEvidence) -> SegmentEvidence | None:
         """Apply a peer's message; return the answer, or None if there is none."""
         now_s = time.monotonic()
-        known_sound: set[str] = set()
-        for upstream_id, born_ms, request_id, segments in message.ends:
-            upstream = upstream_id, born_ms
-            known_sound.update(
-                self.evidence.merge_end(upstream, request_id, segments, source, now_s)
-            )
         self.evidence.merge_sound(message.sound, source, now_s)
+        if message.is_summary:
+            known_sound = self.merge_summary(source, message.ends)
+        else:
+            known_sound = self._merge_ends(source, message.ends, now_s)
         self.publish()
         answer = SegmentEvidence(sound=sorted(known_sound)[:MAX_LISTED_SEGMENTS])
         if message.wants_refused:
-            answer = SegmentEvidence(self._refused_rows(), answer.sound)
+            answer = SegmentEvidence(
+                self._refused_rows(), answer.sound, is_summary=True
+            )
         return answer if answer.ends or answer.sound else None
 
+    def merge_summary(self, source: str, rows: list[EvidenceRow]) -> set[str]:
+        """Apply ends under segments that have been refused before.
+
+        Returns the segments that are known to be sound.
+        """
+        now_s = time.monotonic()
+        new = {s for *_, segments in rows for s in segments}
+        new -= set(self.evidence.refused())
+        known_sound = self._merge_ends(source, rows, now_s)
+        self.evidence.hold_trials(new, now_s)
+        return known_sound
+
+    def _merge_ends(
+        self, source: str, rows: list[EvidenceRow], now_s: float
+    ) -> set[str]:
+        known_sound: set[str] = set()
+        for upstream_id, born_ms, request_id, segments in rows:
+            upstream = upstream_id, born_ms
+            known_sound.update(
+                self.evidence.merge_end(upstream, request_id, segments, source, now_s)
+            )
+        return known_sound
+
     def summary(self, wants_refused: bool) -> SegmentEvidence | None:
         """Return the message for a peer that was not heard before, if any."""
         rows = self._refused_rows()
         if not rows and not wants_refused:
             return None
-        return SegmentEvidence(rows, [], wants_refused)
+        return SegmentEvidence(rows, [], wants_refused, is_summary=True)
 
     def _refused_rows(self) -> list[EvidenceRow]:
         return [
@@ -250,6 +276,8 @@
                 evidence_request_id=change.request_id or None,
                 reported_by=change.source or None,
             )
+            if change.kind in ("refused", "cleared", "explained"):
+                self.on_change(change.segment, change.kind == "refused")
             if change.source:
                 continue
             if change.kind == "cleared":
--- a/src/carobstair/edge/router.py
+++ b/src/carobstair/edge/router.py
@@ -29,6 +29,7 @@
 from carobstair.edge.gossip import Gossip
 from carobstair.edge.metadata import Dialect
 from carobstair.edge.metrics import EdgeMetrics
+from carobstair.edge.refusal_store import RefusalStore
 from carobstair.edge.relay import Relay
 from carobstair.edge.server import CallerServer, PageServer
 from carobstair.edge.settings import EdgeSettings
@@ -129,6 +130,10 @@
         relay = Relay(self._dispatcher, self._connections, platform.dialect)
         self._guard = relay.guard
         self._guard.announce = self._announce_evidence
+        self._refusals = RefusalStore(
+            self._guard, self.view, self._store, self._dispatcher.rank
+        )
+        self._guard.on_change = self._refusals.on_change
         self.app = EdgeApp(
             self.view,
             relay,
@@ -289,10 +294,11 @@
                 delay_s = min(2 * delay_s, 2.0)
 
     def _on_restore(self) -> None:
-        """Register again: the restored store may lack this router's entry."""
+        """Write again what the restored store may lack."""
         if not self.app.draining:
             self._registration.cancel()
             self._registration = asyncio.create_task(self._register())
+            self._refusals.write_again()
 
     async def _unregister(self) -> None:
         try:
@@ -349,6 +355,8 @@
                 self._apply_router_entry(name)
             self._dispatcher.routers = self._gossip.peers | {self._own.instance}
             return
+        if kind is StateKind.REFUSED_SEGMENTS:
+            self._refusals.apply(names)
         if kind is StateKind.ROUTING and self.view.table is not None:
             limits = self.view.table.config.limits
             if limits.idle_timeout_s > 0:
--- a/src/carobstair/platform/documents.py
+++ b/src/carobstair/platform/documents.py
@@ -27,12 +27,13 @@
 
 logger = get_logger(__name__)
 
-# Object kind on the platform for each kind of state. Routers write only the last one.
+# Object kind on the platform for each kind of state. Routers write the last two.
 OBJECT_KINDS = {
     StateKind.ROUTING: "config",
     StateKind.UPSTREAMS: "servers",
     StateKind.EVACUATIONS: "evacuations",
     StateKind.ROUTERS: "carobstair-routers",
+    StateKind.REFUSED_SEGMENTS: "carobstair-refused-parts",
 }
 REQUEST_KINDS = {
     "safe": RequestKind.REPEATABLE,
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -14,7 +14,13 @@
 from checks import find_violations
 from disruptions import HARNESS, DisruptionLog
 from engines import EVENTS_PER_STREAM, Arrival
-from faults import ANSWER_FAULTS, FAULTS, LATER_FAULTS, draw_faults
+from faults import (
+    ANSWER_FAULTS,
+    FAULTS,
+    LATER_FAULTS,
+    PROMPT_FAULTS,
+    draw_faults,
+)
 from run import run_seed
 from world import AcceptedChanges, SoakPlan
 
@@ -50,6 +56,7 @@
         arrivals = [Arrival("a1", "r0", "e0-1", START_S)] * arrivals
     cold = accepted_changes.pop("cold", [])
     announced = accepted_changes.pop("announced", {})
+    ends = accepted_changes.pop("ends", 0)
     pauses = accepted_changes.pop("pauses", [])
     engine = SimpleNamespace(
         name="e0", zone="a", cold_spans=cold, announced=announced, pauses=pauses
@@ -61,6 +68,8 @@
         accepted_changes=known,
         disruptions=DisruptionLog(),
         engines=[engine],
+        bad_segments={"bad"},
+        segment_ends=[("bad", START_S - 10.0 + n) for n in range(ends)],
     )
 
 
@@ -178,6 +187,26 @@
             found = find_violations(world)
             self.assertEqual([text.partition(":")[0] for text in found], failed_checks)
 
+    def test_bad_segment_that_goes_on_to_reach_engines(self):
+        attempts = [make_attempt("safe", request_id=f"a{n}") for n in range(4)]
+        for attempt in attempts:
+            attempt.body = attempt.request_id.encode() + b" from e0-1"
+        arrivals = [
+            Arrival(a.request_id, "r0", "e0-1", START_S, ("x", "bad")) for a in attempts
+        ]
+        for ends, count, expected in ((5, 4, ["bad_segments"]), (5, 3, []), (4, 4, [])):
+            found = self.failed_checks(
+                *attempts[:count], arrivals=arrivals[:count], ends=ends
+            )
+            self.assertEqual(found, expected, (ends, count))
+
+    def test_sound_prompt_that_is_refused(self):
+        body = b'{"type": "urn:carobstair:refusal:crashing-prompt"}'
+        for segments, expected in ((("x",), ["sound_prompts"]), (("x", "bad"), [])):
+            attempt = make_attempt("stream", 503, body, segments=segments)
+            found = self.failed_checks(attempt, arrivals=0)
+            self.assertEqual(found, expected)
+
     def test_disturbance_excuses_the_violation_that_it_explains(self):
         attempt = make_attempt("safe", sent_s=time.monotonic())
         attempt.ended_s = attempt.sent_s + 3.0
@@ -213,7 +242,8 @@
 
     def test_seeds_draw_every_fault(self):
         drawn = {f.kind for seed in range(60) for f in draw_faults(seed, 30.0)}
-        self.assertEqual(drawn, {*FAULTS, *LATER_FAULTS, *ANSWER_FAULTS})
+        kinds = {*FAULTS, *LATER_FAULTS, *ANSWER_FAULTS, *PROMPT_FAULTS}
+        self.assertEqual(drawn, kinds)
 
     def test_short_run_finds_no_violations(self):
         plan = SoakPlan(seed=1, seconds=8.0, routers=3, engines=3, rate_per_s=40.0)
