Don't take answers that end with their connection for whole evidence

Cause: an answer without a length and chunks ends with its connection, and so does one whose engine ended between two events. Such an answer cleared the segment that had ended the engine.

Change: these answers clear segments only if the engine still accepts connections a quarter of a second later. If it has ended, they count as broken off, unless other answers broke off with it. Of tied segments the one with fewer such answers is refused, and all that an end broke off is counted before segments are compared.

Conclusion: with these answers it takes up to 0.75 s longer until a segment is refused.

--- a/src/carobstair/core/crash_evidence.py
+++ b/src/carobstair/core/crash_evidence.py
@@ -53,6 +53,9 @@
     unconfirmed_s : float
         How long an attempt that broke off is kept while it is unknown whether its
         upstream has ended. Store entries of ended upstreams lapse after 3 s.
+    unproven_s : float
+        How soon after an answer that ended with its connection its upstream must
+        have ended, and how long others are awaited that broke off.
     ended_s : float
         How long an ended upstream is remembered, for attempts that end later.
     silence_s : float
@@ -77,7 +80,8 @@
     ends_to_refuse: int = 4
     requests_to_refuse: int = 2
     begin_window_s: float = 1.0
-    unconfirmed_s: float = 10.0
+    unconfirmed_s: float = 4.0
+    unproven_s: float = 0.5
     ended_s: float = 60.0
     silence_s: float = 1.0
     evidence_s: float = 600.0
@@ -94,10 +98,12 @@
     """How an attempt ended, as far as it is evidence.
 
     `ABANDONED` is one that ended at the router's side, at a deadline or because the
-    caller left.
+    caller left. `UNPROVEN` is one whose answer ended with its connection, which is
+    whole only if the upstream lives.
     """
 
     WHOLE = "whole"
+    UNPROVEN = "unproven"
     BROKEN = "broken"
     ABANDONED = "abandoned"
     DECLINED = "declined"
@@ -169,25 +175,36 @@
     refused_since_s: float | None = None
     held_until_s: float = 0.0
     by_operator: bool = False
+    # Answers that ended with their connections.
+    unproven_answers: int = 0
 
     def failed_trials(self, burst_s: float) -> int:
         settled_s = self.refused_since_s + burst_s
         return sum(at_s > settled_s for at_s in self.ends.values())
 
 
+@dataclass(frozen=True, slots=True)
+class _Unconfirmed:
+    ended_s: float
+    attempt: TrackedAttempt
+    unproven: bool
+
+
 @dataclass(slots=True)
 class CrashEvidence:
     """Evidence against segments, and the segments that are refused for it."""
 
     settings: EvidenceSettings = EvidenceSettings()
     _open: dict[Incarnation, set[TrackedAttempt]] = field(default_factory=dict)
-    _unconfirmed: dict[Incarnation, list[tuple[float, TrackedAttempt]]] = field(
-        default_factory=dict
-    )
+    _unconfirmed: dict[Incarnation, list[_Unconfirmed]] = field(default_factory=dict)
     _ended: dict[Incarnation, float] = field(default_factory=dict)
+    # Ended upstreams under which answers broke off.
+    _broken_off: set[Incarnation] = field(default_factory=set)
     _records: OrderedDict[str, _Record] = field(default_factory=OrderedDict)
     _refused: dict[str, _Record] = field(default_factory=dict)
     _sound: OrderedDict[str, float] = field(default_factory=OrderedDict)
+    # The last change that may alter which segments are refused.
+    _unsettled: SegmentChange | None = None
     _changes: list[SegmentChange] = field(default_factory=list)
 
     # Attempts
@@ -229,14 +246,20 @@
             silent_s = now_s - attempt.progress.last_sign_s
             broken = silent_s >= self.settings.silence_s
         else:
-            broken = how is AttemptEnd.BROKEN
+            broken = how in (AttemptEnd.BROKEN, AttemptEnd.UNPROVEN)
+        if how is AttemptEnd.UNPROVEN:
+            for segment in attempt.segments:
+                if segment in self._records:
+                    self._records[segment].unproven_answers += 1
         if not broken or not self._is_evidence(attempt):
             return False
-        if attempt.upstream in self._ended:
+        if attempt.upstream in self._ended and how is not AttemptEnd.UNPROVEN:
+            self._broken_off.add(attempt.upstream)
             self._count_attempt(attempt, now_s)
+            self._update_refused(now_s)
             return False
         waiting = self._unconfirmed.setdefault(attempt.upstream, [])
-        waiting.append((now_s, attempt))
+        waiting.append(_Unconfirmed(now_s, attempt, how is AttemptEnd.UNPROVEN))
         return True
 
     def _is_evidence(self, attempt: TrackedAttempt) -> bool:
@@ -252,12 +275,54 @@
 
     def note_ended(self, upstream: Incarnation, now_s: float) -> None:
         """Record that an upstream has ended, and count what broke off under it."""
-        self._ended[upstream] = now_s
-        for _, attempt in self._unconfirmed.pop(upstream, ()):
-            self._count_attempt(attempt, now_s)
+        self._ended.setdefault(upstream, now_s)
+        waiting = self._unconfirmed.pop(upstream, [])
+        for unconfirmed in waiting:
+            if not unconfirmed.unproven:
+                self._broken_off.add(upstream)
+                self._count_attempt(unconfirmed.attempt, now_s)
+        unproven = [w for w in waiting if w.unproven]
+        if unproven:
+            self._unconfirmed[upstream] = unproven
+        self._update_refused(now_s)
+
+    def _count_unproven(self, now_s: float) -> None:
+        """Count answers that may be whole where nothing else explains the end."""
+        for upstream in self._ended.keys() & self._unconfirmed.keys():
+            waiting = self._unconfirmed[upstream]
+            if any(now_s - w.ended_s < self.settings.unproven_s for w in waiting):
+                continue
+            del self._unconfirmed[upstream]
+            for unconfirmed in waiting:
+                late_s = self._ended[upstream] - unconfirmed.ended_s
+                if upstream in self._broken_off or late_s > self.settings.unproven_s:
+                    continue
+                self._count_attempt(unconfirmed.attempt, now_s)
+
+    def note_alive(self, upstream: Incarnation, ended_before_s: float, now_s: float):
+        """Record that an upstream lives some time after attempts have ended.
 
-    def count_silent(self, now_s: float) -> None:
-        """Count open attempts at ended upstreams that have been silent since."""
+        Parameters
+        ----------
+        ended_before_s : float
+            Monotonic time; attempts that ended later may still be followed by the
+            upstream's end.
+        """
+        later: list[_Unconfirmed] = []
+        for waiting in self._unconfirmed.pop(upstream, ()):
+            if waiting.ended_s >= ended_before_s:
+                later.append(waiting)
+            elif waiting.unproven:
+                self._note_sound(waiting.attempt.segments, now_s)
+        if later:
+            self._unconfirmed[upstream] = later
+
+    def count_late(self, now_s: float) -> None:
+        """Count open attempts at ended upstreams that have been silent since.
+
+        Also answers that ended with their connections, if nothing else broke off.
+        """
+        self._count_unproven(now_s)
         for upstream in self._ended.keys() & self._open.keys():
             for attempt in list(self._open[upstream]):
                 silent_s = now_s - max(
@@ -265,6 +330,7 @@
                 )
                 if silent_s >= self.settings.silence_s and self._is_evidence(attempt):
                     self._count_attempt(attempt, now_s)
+        self._update_refused(now_s)
 
     # Peers
 
@@ -280,6 +346,7 @@
         self.note_ended(upstream, now_s)
         segments = list(segments)
         self._count(upstream, request_id, segments, now_s, source)
+        self._update_refused(now_s)
         return [segment for segment in segments if segment in self._sound]
 
     def merge_sound(self, segments: Iterable[str], source: str, now_s: float) -> None:
@@ -311,7 +378,8 @@
         record = self._records.setdefault(segment, _Record())
         record.updated_s = now_s
         record.by_operator = True
-        self._update_refused(SegmentChange("refused", segment, 0), now_s)
+        self._unsettled = SegmentChange("refused", segment, 0)
+        self._update_refused(now_s)
 
     def forget(self, segment: str) -> None:
         """Drop the evidence against a segment."""
@@ -409,7 +477,7 @@
             )
             self._note_change(change)
             if self._suffices(record):
-                self._update_refused(change, now_s)
+                self._unsettled = change
         while len(self._records) > self.settings.max_segments:
             self._drop_oldest()
 
@@ -434,13 +502,20 @@
             and len(record.requests) >= self.settings.requests_to_refuse
         )
 
-    def _update_refused(self, cause: SegmentChange, now_s: float) -> None:
+    def _update_refused(self, now_s: float) -> None:
         """Refuse the segments that explain all ends best.
 
         An end counts against the segment with the most ends only; the others of its
-        prompts are refused if enough of their ends are left.
+        prompts are refused if enough of their ends are left. Called after all that
+        an end broke off has been counted.
         """
-        candidates = [s for s, r in self._records.items() if self._suffices(r)]
+        cause, self._unsettled = self._unsettled, None
+        if cause is None:
+            return
+        # The first segments of prompts are shared most, so later ones come first.
+        candidates = [
+            s for s in reversed(self._records) if self._suffices(self._records[s])
+        ]
         candidates.sort(key=self._refusal_order)
         explained: set[Incarnation] = set()
         refused: dict[str, _Record] = {}
@@ -463,10 +538,10 @@
             self._note_change(change)
         self._refused = refused
 
-    def _refusal_order(self, segment: str) -> tuple[int, bool, str]:
-        # Of segments with as many ends, a refused one stays.
-        ends = len(self._records[segment].ends)
-        return -ends, segment not in self._refused, segment
+    def _refusal_order(self, segment: str) -> tuple[int, int, bool]:
+        # Of segments with as many ends, the one with the fewest answers is refused.
+        record = self._records[segment]
+        return -len(record.ends), record.unproven_answers, segment not in self._refused
 
     def _drop_oldest(self) -> None:
         oldest = (s for s in self._records if s not in self._refused)
@@ -513,8 +588,9 @@
         for upstream, at_s in list(self._ended.items()):
             if now_s - at_s > settings.ended_s:
                 del self._ended[upstream]
+                self._broken_off.discard(upstream)
         for upstream, waiting in list(self._unconfirmed.items()):
-            kept = [w for w in waiting if now_s - w[0] <= settings.unconfirmed_s]
+            kept = [w for w in waiting if now_s - w.ended_s <= settings.unconfirmed_s]
             if kept:
                 self._unconfirmed[upstream] = kept
             else:
--- a/src/carobstair/edge/crash_guard.py
+++ b/src/carobstair/edge/crash_guard.py
@@ -14,6 +14,7 @@
 from carobstair.core.crash_evidence import AttemptEnd, CrashEvidence, Incarnation
 from carobstair.core.directory import UpstreamEntry
 from carobstair.core.dispatch import Dispatcher
+from carobstair.core.framing import Framing
 from carobstair.core.messages import SegmentEvidence
 from carobstair.core.refusals import refuse
 from carobstair.edge.exchange import Exchange, Outcome
@@ -31,6 +32,8 @@
 # Times after a broken answer at which the upstream is connected to: a process that
 # ends closes its connections and its listening socket within some milliseconds.
 PROBE_DELAYS_S = (0.02, 0.3)
+# An upstream that accepts connections this long after an answer did not end with it.
+ALIVE_AFTER_S = 0.25
 # Maximum time that a retry waits for the first of them.
 PROBE_WAIT_S = 0.05
 # A refused connect shows that an upstream has ended only while others are reached:
@@ -134,8 +137,11 @@
         if exchange.tracked is None:
             return
         how = _ENDS.get(outcome, AttemptEnd.DECLINED)
-        if how is AttemptEnd.WHOLE and not 200 <= exchange.status < 300:
-            how = AttemptEnd.DECLINED
+        if how is AttemptEnd.WHOLE:
+            if not 200 <= exchange.status < 300:
+                how = AttemptEnd.DECLINED
+            elif exchange.framing is Framing.CONNECTION_END:
+                how = AttemptEnd.UNPROVEN
         exchange.is_suspect = self.evidence.end(exchange.tracked, how, now_s)
         if exchange.is_suspect:
             self._probe(entry)
@@ -174,7 +180,7 @@
             listed = self.dispatcher.directory.find(upstream_id)
             if listed is None or listed.entry.born_ms != born_ms:
                 self.evidence.note_ended((upstream_id, born_ms), now_s)
-        self.evidence.count_silent(now_s)
+        self.evidence.count_late(now_s)
         self.evidence.expire(now_s)
         for upstream_id, at_s in list(self._contacts_s.items()):
             if now_s - at_s > CONTACT_S:
@@ -207,6 +213,10 @@
                 self.note_unreachable(entry, error)
                 return
             connection.abort()
+        now_s = time.monotonic()
+        upstream = entry.upstream_id, entry.born_ms
+        self.evidence.note_alive(upstream, now_s - ALIVE_AFTER_S, now_s)
+        self.publish()
 
     # Peers
 
--- a/tests/crashing_engines.py
+++ b/tests/crashing_engines.py
@@ -46,6 +46,8 @@
         self.crash_by = "abort"
         # Whether its store entry goes when it ends, as that of a lapsed lease.
         self.entry_lapses = False
+        # Whether answers have neither a length nor chunks.
+        self.unframed = False
         self._store = store
         self._bad_segments = bad_segments
         self._ends = ends
@@ -113,8 +115,10 @@
         writer.write(
             f"HTTP/1.1 200 X\r\nCarobstair-Attempt-Id: {attempt_id}\r\n"
             "Carobstair-Response-Seal: seal\r\n"
-            "Transfer-Encoding: chunked\r\n\r\n".encode()
+            f"{'' if self.unframed else 'Transfer-Encoding: chunked'}\r\n".encode()
         )
+        if not self.unframed:
+            writer.write(b"\r\n")
         await writer.drain()
         first = int(request.headers.get("last-event-id", 0)) + 1
         for number in range(first, self.events + 1):
@@ -122,11 +126,14 @@
             if bad and self.crash_after == "in_event":
                 event = event[:9]
             if not (bad and self.crash_after == "head"):
-                writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+                chunk = b"%x\r\n%s\r\n" % (len(event), event)
+                writer.write(event if self.unframed else chunk)
                 await writer.drain()
             if bad:
                 return await self._end(writer)
             await asyncio.sleep(self.event_gap_s)
+        if self.unframed:
+            return False
         writer.write(b"0\r\n\r\n")
         return True
 
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -181,6 +181,19 @@
             self.crash(upstream, [self.send(["new"], upstream)], confirmed=False)
         self.assertFalse(self.is_refused("new"))
 
+    def test_answer_that_ended_with_its_connection_clears_if_the_upstream_lives(self):
+        for lives in (False, True):
+            with self.subTest(lives=lives):
+                self.setUp()
+                self.crash_under(*[["new"]] * ENDS)
+                router, attempt = self.send(["new"], "e9", written_s=0.1)
+                self.fleet[router].end(attempt, AttemptEnd.UNPROVEN, self.now_s)
+                if lives:
+                    upstream, now_s = attempt.upstream, self.now_s + 0.3
+                    self.fleet[router].note_alive(upstream, now_s, now_s)
+                self.exchange()
+                self.assertEqual(self.is_refused("new", router=2), not lives)
+
     def test_end_known_before_or_after_the_break_counts_once(self):
         self.fleet[0].note_ended(("e0", 1), self.now_s)
         self.crash("e0", [self.send(["bad"], "e0")])
@@ -199,7 +212,7 @@
             self.fleet[router].note_ended((upstream, 1), self.now_s)
             self.now_s += SETTINGS.silence_s
             if number:
-                self.fleet[router].count_silent(self.now_s)
+                self.fleet[router].count_late(self.now_s)
             else:
                 self.fleet[router].end(attempt, AttemptEnd.ABANDONED, self.now_s)
         self.assertTrue(self.is_refused("bad"))
@@ -242,6 +255,16 @@
         self.assertFalse(self.is_refused("rare"))
         self.assertTrue(self.is_refused("rare", "bad"))
 
+    def test_the_one_with_unproven_answers_is_sent(self):
+        for segment, other in (("bad", "rare"), ("rare", "bad")):
+            with self.subTest(segment):
+                self.setUp()
+                router, attempt = self.send([other], "e8")
+                self.fleet[router].end(attempt, AttemptEnd.UNPROVEN, self.now_s)
+                self.crash("e9", [self.send(["rare", "bad"], "e9")])
+                self.assertTrue(self.is_refused(segment))
+                self.assertFalse(self.is_refused(other))
+
     def test_another_end_tells_them_apart(self):
         for segment, other in (("bad", "rare"), ("rare", "bad")):
             with self.subTest(segment):
--- a/tests/test_crashing_prompts.py
+++ b/tests/test_crashing_prompts.py
@@ -99,6 +99,16 @@
                     )
                     await self.check_refusal_within(ENDS_ALLOWED)
 
+    async def test_answers_that_end_with_their_connection_are_evidence(self):
+        for crash_after in ("head", "event", "in_event"):
+            with self.subTest(crash_after):
+                await self.restart_engines(
+                    10, crash_after=crash_after, crash_by="close", unframed=True
+                )
+                await self.check_refusal_within(
+                    ENDS_ALLOWED + REQUESTS_ALLOWED_AFTER, "/stream/x", pause_s=0.3
+                )
+
     async def test_requests_that_may_not_be_repeated_are_evidence(self):
         for path in ("/stream/x", "/unsafe/x", "/safe/x"):
             with self.subTest(path):
@@ -136,12 +146,13 @@
         self.app._relay.guard.evidence = CrashEvidence()
         await self.start_engines(count, **attributes)
 
-    async def check_refusal_within(self, ends, path="/resume/x"):
+    async def check_refusal_within(self, ends, path="/resume/x", pause_s=0.0):
         """Send bad and sound prompts; check what reaches the engines."""
         for number in range(10):
             await self.send("first", "bad", f"other{number}", path=path)
             status = await self.send("first", f"other{number}", path=path)
             self.assertEqual(status, 200)
+            await asyncio.sleep(pause_s)
         self.assertLessEqual(len(self.ends), ends)
         self.assertGreater(len(self.ends), 1)
 
