Read the shared segments of a prompt whatever its counts are

Cause: the shared segments came from what placement could use of a prompt: with counts missing or malformed, a part without a number, or more than 64 parts, a bad segment went unnoticed, and of 80 parts the 64th counted as the request's own.

Change: the adapter reads the ids of all parts but the last by themselves. Tasks that have written a refused segment are dropped.

Conclusion: bounded by the header's size and 1,024 parts.

--- a/src/carobstair/core/engine_load.py
+++ b/src/carobstair/core/engine_load.py
@@ -38,16 +38,15 @@
         `output_tokens` is the length that the caller expects, or the maximum.
     segments : tuple of (str, int)
         Segments of the prompt in order, each as its id and its number of tokens.
+    shared_segments : tuple of str
+        Ids of all segments but the last, which other requests may share. Given
+        whatever else of the prompt is unknown.
     """
 
     prompt_tokens: int = 0
     output_tokens: int = 0
     segments: Segments = ()
-
-    @property
-    def shared_segments(self) -> tuple[str, ...]:
-        """Ids of the segments that other requests may share: all but the last."""
-        return tuple(segment for segment, _ in self.segments[:-1])
+    shared_segments: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/carobstair/edge/refusal_store.py
+++ b/src/carobstair/edge/refusal_store.py
@@ -80,6 +80,7 @@
             self._write(segment, refused, rewrite, rank * WRITER_INTERVAL_S)
         )
         self._tasks[segment] = task
+        task.add_done_callback(lambda done: self._forget_task(segment, done))
 
     def write_again(self) -> None:
         """Write what a store that was restored from a copy may lack."""
@@ -109,6 +110,10 @@
             self.guard.merge_summary("store", rows)
         self.guard.publish()
 
+    def _forget_task(self, segment: str, task: asyncio.Task) -> None:
+        if self._tasks.get(segment) is task:
+            del self._tasks[segment]
+
     async def _write(
         self, segment: str, refused: bool, rewrite: bool, delay_s: float
     ) -> None:
--- a/src/carobstair/platform/headers.py
+++ b/src/carobstair/platform/headers.py
@@ -71,6 +71,8 @@
 STRIPPED_FROM_REQUESTS = HOP_BY_HOP | ROUTER_ONLY
 # Prompts have only a few parts; the limit bounds the time to parse the header.
 MAX_PREFIX_PARTS = 64
+# Parts that are compared with those that are refused.
+MAX_SHARED_PARTS = 1024
 MAX_TOKENS = 10_000_000
 MISDIRECTED_REQUEST = 421
 SERVICE_UNAVAILABLE = 503
@@ -157,19 +159,23 @@
     counts: bytes | None, prefix: bytes | None, hint: bytes
 ) -> PromptShape:
     """Return the token counts and prefix of a prompt; malformed values are ignored."""
+    entries = (prefix or b"").split(b",", MAX_SHARED_PARTS)
+    shared = tuple(
+        entry.strip().partition(b":")[0].decode("latin-1") for entry in entries[:-1]
+    )
     numbers = [part.strip() for part in (counts or b"").split(b",")]
     if len(numbers) != 2 or not all(map(INTEGER.fullmatch, numbers)):
-        return PromptShape()
+        return PromptShape(shared_segments=shared)
     prompt_tokens, output_tokens = (min(int(n), MAX_TOKENS) for n in numbers)
     if INTEGER.fullmatch(hint):
         output_tokens = min(output_tokens, int(hint))
     parts = []
-    for entry in (prefix or b"").split(b",")[:MAX_PREFIX_PARTS]:
+    for entry in entries[:MAX_PREFIX_PARTS]:
         part, _, tokens = entry.strip().partition(b":")
         if not part or not INTEGER.fullmatch(tokens):
             break
         parts.append((part.decode("latin-1"), int(tokens)))
-    return PromptShape(prompt_tokens, output_tokens, tuple(parts))
+    return PromptShape(prompt_tokens, output_tokens, tuple(parts), shared)
 
 
 def _read_retry_after(value: bytes | None) -> float | None:
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -10,7 +10,7 @@
     CrashEvidence,
     EvidenceSettings,
 )
-from carobstair.core.engine_load import PromptShape
+from carobstair.platform.headers import PlatformDialect
 
 SETTINGS = EvidenceSettings()
 ENDS = SETTINGS.ends_to_refuse
@@ -111,9 +111,23 @@
                     self.assertFalse(self.is_refused("first", "doc0", router=router))
 
     def test_last_part_is_no_suspect(self):
-        prompt = PromptShape(10, 1, (("a", 1), ("b", 1), ("own", 1)))
-        self.assertEqual(prompt.shared_segments, ("a", "b"))
-        self.assertEqual(PromptShape().shared_segments, ())
+        many = ",".join(f"p{number}:1" for number in range(80))
+        for counts, prefix, shared in (
+            ("10,1", "a:1,b:1,own:1", ("a", "b")),
+            ("", " a:1 , b:1,own:1", ("a", "b")),
+            ("10,1", "a:x,b,own:1", ("a", "b")),
+            ("10,1", "own:1", ()),
+            ("10,1", "", ()),
+            ("10,1", many, tuple(f"p{number}" for number in range(79))),
+        ):
+            with self.subTest(counts=counts, prefix=prefix):
+                headers = [
+                    (b"carobstair-attempt-id", b"id1"),
+                    (b"carobstair-token-counts", counts.encode()),
+                    (b"carobstair-prompt-prefix", prefix.encode()),
+                ]
+                prompt = PlatformDialect().read_request(headers).prompt
+                self.assertEqual(prompt.shared_segments, shared)
 
     def test_ends_seen_by_different_routers_add_up(self):
         self.answer(["first"], router=2)
