--- /dev/null
+++ b/src/carobstair/core/evidence_settings.py
@@ -0,0 +1,66 @@
+"""Settings of the evidence against prompt segments."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+__all__ = ["EvidenceSettings"]
+
+
+@dataclass(frozen=True, slots=True)
+class EvidenceSettings:
+    """Thresholds, times and bounds of the evidence.
+
+    Attributes
+    ----------
+    ends_to_refuse : int
+        Number of upstreams that must have ended under a segment before it is
+        refused.
+    requests_to_refuse : int
+        Number of requests under which they must have ended: the retries of one
+        request don't tell its segments apart.
+    begin_window_s : float
+        An answer that has been written for longer has not only begun, and clears
+        the segments of its prompt.
+    unconfirmed_s : float
+        How long an attempt that broke off is kept while it is unknown whether its
+        upstream has ended. Store entries of ended upstreams lapse after 3 s.
+    unproven_s : float
+        How soon after an answer that ended with its connection its upstream must
+        have ended, and how long others are awaited that broke off.
+    ended_s : float
+        How long an ended upstream is remembered, for attempts that end later.
+    silence_s : float
+        Silence after which an open attempt at an ended upstream counts as broken.
+    evidence_s, refused_s : float
+        How long a segment that is not refused is kept after its last end, and a
+        refused one after its last request.
+    sound_s : float
+        How long a segment counts as sound after an answer.
+    burst_s : float
+        Ends within this time after the refusal began are of requests that had been
+        sent before.
+    trial_delays_s : tuple of float
+        Delay of the next trial request after the last end, by the number of trials
+        that failed. After the last one there are no more: each ends an upstream.
+    trial_timeout_s : float
+        Time after which a trial without a result is repeated.
+    max_segments, max_sound : int
+        Bounds of the memory; the segments updated least recently are dropped.
+    """
+
+    ends_to_refuse: int = 4
+    requests_to_refuse: int = 2
+    begin_window_s: float = 1.0
+    unconfirmed_s: float = 4.0
+    unproven_s: float = 0.5
+    ended_s: float = 60.0
+    silence_s: float = 1.0
+    evidence_s: float = 600.0
+    refused_s: float = 3600.0
+    sound_s: float = 300.0
+    burst_s: float = 1.0
+    trial_delays_s: tuple[float, ...] = (5.0, 120.0, 1200.0)
+    trial_timeout_s: float = 30.0
+    max_segments: int = 1024
+    max_sound: int = 8192
--- a/src/carobstair/edge/crash_guard.py
+++ b/src/carobstair/edge/crash_guard.py
@@ -11,12 +11,13 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from carobstair.core.crash_evidence import AttemptEnd, CrashEvidence, Incarnation
+from carobstair.core.crash_evidence import AttemptEnd, CrashEvidence
 from carobstair.core.directory import UpstreamEntry
 from carobstair.core.dispatch import Dispatcher
 from carobstair.core.framing import Framing
 from carobstair.core.messages import SegmentEvidence
 from carobstair.core.refusals import refuse
+from carobstair.core.segment_refusals import Incarnation, SegmentRefusals
 from carobstair.edge.exchange import Exchange, Outcome
 from carobstair.edge.upstream_connection import (
     ConnectionBroken,
@@ -71,9 +72,14 @@
     evidence: CrashEvidence = field(default_factory=CrashEvidence)
     announce: Callable[[SegmentEvidence], None] = lambda message: None
     on_change: Callable[[str, bool], None] = lambda segment, refused: None
+    # What the evidence has led to.
+    refusals: SegmentRefusals = field(init=False)
     _contacts_s: dict[str, float] = field(default_factory=dict)
     _probes: dict[Incarnation, asyncio.Task] = field(default_factory=dict)
 
+    def __post_init__(self) -> None:
+        self.refusals = self.evidence.refusals
+
     # Requests
 
     def admit(self, exchange: Exchange) -> None:
@@ -84,9 +90,9 @@
         Refusal
         """
         segments = exchange.metadata.prompt.shared_segments
-        if not self.evidence.is_refused(segments):
+        if not self.refusals.is_refused(segments):
             return
-        reason = self.evidence.check(segments, time.monotonic(), self._is_responsible)
+        reason = self.refusals.check(segments, time.monotonic(), self._is_responsible)
         if reason is not None:
             ended = ",".join(reason.upstreams[:MAX_LOGGED_UPSTREAMS])
             exchange.detail = (
@@ -104,7 +110,7 @@
     def allows_send(self, exchange: Exchange) -> bool:
         """Return whether a request may be sent; call directly before the send."""
         segments = exchange.metadata.prompt.shared_segments
-        return exchange.is_trial or not self.evidence.is_refused(segments)
+        return exchange.is_trial or not self.refusals.is_refused(segments)
 
     def _is_responsible(self, segment: str) -> bool:
         return self.dispatcher.rank(segment) == 0
@@ -223,7 +229,7 @@
     def merge(self, source: str, message: SegmentEvidence) -> SegmentEvidence | None:
         """Apply a peer's message; return the answer, or None if there is none."""
         now_s = time.monotonic()
-        self.evidence.merge_sound(message.sound, source, now_s)
+        self.refusals.clear(message.sound, now_s, source)
         if message.is_summary:
             known_sound = self.merge_summary(source, message.ends)
         else:
@@ -243,9 +249,9 @@
         """
         now_s = time.monotonic()
         new = {s for *_, segments in rows for s in segments}
-        new -= set(self.evidence.refused())
+        new -= set(self.refusals.refused())
         known_sound = self._merge_ends(source, rows, now_s)
-        self.evidence.hold_trials(new, now_s)
+        self.refusals.hold_trials(new, now_s)
         return known_sound
 
     def _merge_ends(
@@ -269,14 +275,14 @@
     def _refused_rows(self) -> list[EvidenceRow]:
         return [
             (*upstream, request_id, [segment])
-            for upstream, request_id, segment in self.evidence.refused_ends()
+            for upstream, request_id, segment in self.refusals.refused_ends()
         ]
 
     def publish(self) -> None:
         """Log changes of the evidence and send this router's own to its peers."""
         ends: dict[tuple[Incarnation, str], list[str]] = {}
         sound: list[str] = []
-        for change in self.evidence.take_changes():
+        for change in self.refusals.take_changes():
             log = logger.info if change.kind == "suspected" else logger.warning
             log(
                 f"segment_{change.kind}",
--- a/src/carobstair/edge/refusal_store.py
+++ b/src/carobstair/edge/refusal_store.py
@@ -84,17 +84,17 @@
 
     def write_again(self) -> None:
         """Write what a store that was restored from a copy may lack."""
-        for segment in self.guard.evidence.refused():
+        for segment in self.guard.refusals.refused():
             self.on_change(segment, True, rewrite=True)
 
     def apply(self, names: list[str]) -> None:
         """Apply objects that were written or deleted in the store."""
         now_s = time.monotonic()
-        evidence = self.guard.evidence
+        refusals = self.guard.refusals
         for segment in names:
             change = self.view.objects(StateKind.REFUSED_SEGMENTS).get(segment)
             if change is None:
-                evidence.forget(segment)
+                refusals.forget(segment)
                 logger.info("refused_segment_deleted", segment=segment)
                 continue
             try:
@@ -105,7 +105,7 @@
                 )
                 continue
             if not spec.ends:
-                evidence.refuse(segment, now_s)
+                refusals.refuse(segment, now_s)
             rows: list[EvidenceRow] = [(*end, [segment]) for end in spec.ends]
             self.guard.merge_summary("store", rows)
         self.guard.publish()
@@ -144,9 +144,9 @@
                 return
 
     def _is_refused(self, segment: str) -> bool:
-        return self.guard.evidence.is_refused((segment,))
+        return self.guard.refusals.is_refused((segment,))
 
     def _ends(self, segment: str) -> list[tuple[str, int, str]]:
-        rows = self.guard.evidence.refused_ends()
+        rows = self.guard.refusals.refused_ends()
         ends = [(*upstream, request) for upstream, request, s in rows if s == segment]
         return ends[:MAX_WRITTEN_ENDS]
--- a/src/carobstair/edge/router.py
+++ b/src/carobstair/edge/router.py
@@ -19,12 +19,13 @@
 from carobstair.core.engine_load import LoadTracker
 from carobstair.core.fair_admission import FairAdmission
 from carobstair.core.fleet_view import FleetView, StateKind, StoreAvailability
-from carobstair.core.messages import Envelope, PeerAddress, SegmentEvidence
+from carobstair.core.messages import PeerAddress
 from carobstair.core.overload import OverloadGuard
 from carobstair.core.send_limits import ColdSendLimit, ResendLimit
 from carobstair.core.upstream_health import UpstreamHealth
 from carobstair.edge.app import EdgeApp
 from carobstair.edge.connection_pool import ConnectionPool
+from carobstair.edge.evidence_exchange import EvidenceExchange
 from carobstair.edge.follower import StoreFollower
 from carobstair.edge.gossip import Gossip
 from carobstair.edge.metadata import Dialect
@@ -48,9 +49,6 @@
 # Allows refusals and final response data to be written before the process exits.
 FLUSH_DELAY_S = 0.05
 SETTINGS_CHECK_INTERVAL_S = 1.0
-# Peers that a router asks for the refused segments when it starts or returns.
-MAX_ASKED_PEERS = 3
-ASK_INTERVAL_S = 5.0
 # Changed objects listed in one log line.
 MAX_LOGGED_NAMES = 16
 # Settings applied on reload. The others, such as addresses and placement, are read
@@ -104,8 +102,6 @@
             settings.zone,
         )
         self._rng = random.Random()
-        self._last_asked_s = -math.inf
-        self._asked_peers = 0
         self.metrics = EdgeMetrics()
         self._store = platform.make_store(self._count_store_call)
         self._directory = UpstreamDirectory(settings.directory)
@@ -129,7 +125,6 @@
         self._overload = OverloadGuard(settings.overload)
         relay = Relay(self._dispatcher, self._connections, platform.dialect)
         self._guard = relay.guard
-        self._guard.announce = self._announce_evidence
         self._refusals = RefusalStore(
             self._guard, self.view, self._store, self._dispatcher.rank
         )
@@ -164,9 +159,11 @@
             self._admission,
             self._rng,
             self._on_state_change,
-            self._exchange_evidence,
+            lambda peer: self._evidence_exchange.on_peer_heard(peer),
+        )
+        self._evidence_exchange = EvidenceExchange(
+            self._guard, transport, lambda: self._gossip.peers
         )
-        transport.subscribe(SegmentEvidence, self._on_evidence)
         self._follower = StoreFollower(
             self._store,
             self.view,
@@ -329,26 +326,6 @@
                 {(u.upstream_id, u.entry.born_ms) for u in found if u is not None}
             )
 
-    # Evidence against prompt segments
-
-    def _announce_evidence(self, message: SegmentEvidence) -> None:
-        self._transport.send_all(self._gossip.peers, message)
-
-    def _on_evidence(self, envelope: Envelope, message: SegmentEvidence) -> None:
-        answer = self._guard.merge(envelope.sender, message)
-        if answer is not None:
-            self._transport.send(envelope.sender, answer)
-
-    def _exchange_evidence(self, peer: str) -> None:
-        """Tell a peer what is refused, and ask a few of the first peers heard."""
-        now_s = time.monotonic()
-        if now_s - self._last_asked_s > ASK_INTERVAL_S:
-            self._last_asked_s, self._asked_peers = now_s, 0
-        self._asked_peers += 1
-        message = self._guard.summary(self._asked_peers <= MAX_ASKED_PEERS)
-        if message is not None:
-            self._transport.send(peer, message)
-
     def _on_state_change(self, kind: StateKind, names: list[str]) -> None:
         if kind is StateKind.ROUTERS:
             for name in names:
@@ -395,7 +372,7 @@
     def _metrics_page(self) -> tuple[int, bytes]:
         self.metrics.version.set(self.view.version)
         self.metrics.open_requests.set(len(self.app.open_requests))
-        suspected, refused = self._guard.evidence.counts()
+        suspected, refused = self._guard.refusals.counts()
         self.metrics.suspected_segments.set(suspected)
         self.metrics.refused_segments.set(refused)
         self.metrics.peers.set(self._gossip.count_alive(time.monotonic()))
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -5,11 +5,8 @@
 import unittest
 
 from carobstair.core.attempt_progress import AttemptProgress
-from carobstair.core.crash_evidence import (
-    AttemptEnd,
-    CrashEvidence,
-    EvidenceSettings,
-)
+from carobstair.core.crash_evidence import AttemptEnd, CrashEvidence
+from carobstair.core.evidence_settings import EvidenceSettings
 from carobstair.platform.headers import PlatformDialect
 
 SETTINGS = EvidenceSettings()
@@ -56,7 +53,7 @@
     def exchange(self):
         """Deliver the changes of each router to all others."""
         for number, router in enumerate(self.fleet):
-            for change in router.take_changes():
+            for change in router.refusals.take_changes():
                 if change.source:
                     continue
                 for other in self.fleet:
@@ -66,7 +63,7 @@
     def deliver(self, router, number, change, other):
         """Deliver one change, and the answer of the other router."""
         if change.kind == "cleared":
-            other.merge_sound([change.segment], f"r{number}", self.now_s)
+            other.refusals.clear([change.segment], self.now_s, f"r{number}")
         elif change.kind == "suspected":
             sound = other.merge_end(
                 change.upstream,
@@ -75,11 +72,11 @@
                 f"r{number}",
                 self.now_s,
             )
-            router.merge_sound(sound, "answer", self.now_s)
+            router.refusals.clear(sound, self.now_s, "answer")
 
     def is_refused(self, *segments, router=0, responsible=False):
         """Return whether a router refuses a request with these segments."""
-        check = self.fleet[router].check
+        check = self.fleet[router].refusals.check
         return check(segments, self.now_s, lambda segment: responsible) is not None
 
 
@@ -162,7 +159,7 @@
             sent = [self.send(["hot", "warm"], upstream, r % 3) for r in range(20)]
             self.crash(upstream, sent)
         self.assertFalse(self.is_refused("hot", "warm"))
-        self.assertEqual(self.fleet[0].counts(), (0, 0))
+        self.assertEqual(self.fleet[0].refusals.counts(), (0, 0))
 
     def test_segment_answered_elsewhere_is_not_refused_by_a_new_router(self):
         self.answer(["hot"], router=1)
@@ -242,9 +239,9 @@
     def test_router_that_starts_late_learns_what_is_refused(self):
         self.crash_under(*[["bad"]] * ENDS)
         late = CrashEvidence()
-        for upstream, request_id, segment in self.fleet[0].refused_ends():
+        for upstream, request_id, segment in self.fleet[0].refusals.refused_ends():
             late.merge_end(upstream, request_id, [segment], "r0", self.now_s)
-        self.assertTrue(late.is_refused(["bad"]))
+        self.assertTrue(late.refusals.is_refused(["bad"]))
 
 
 class TiedSegmentsTest(FleetCase):
@@ -330,7 +327,9 @@
         self.assertFalse(self.is_refused("bad"))
 
     def test_wait_is_at_least_until_the_next_trial(self):
-        reason = self.fleet[0].check(["bad"], self.now_s + 0.5, lambda segment: False)
+        reason = self.fleet[0].refusals.check(
+            ["bad"], self.now_s + 0.5, lambda segment: False
+        )
         self.assertGreaterEqual(reason.retry_after_s, SETTINGS.trial_delays_s[0] - 0.5)
         self.assertEqual(
             reason.upstreams, tuple(f"e{number}" for number in range(ENDS))
@@ -347,14 +346,14 @@
             self.crash(f"e{number}", [self.send(["bad"], f"e{number}")])
         for number in range(3 * SETTINGS.max_segments):
             self.crash("f", [self.send([f"doc{number}"], "f")])
-        suspected, refused = self.fleet[0].counts()
+        suspected, refused = self.fleet[0].refusals.counts()
         self.assertLessEqual(suspected + refused, SETTINGS.max_segments)
         self.assertTrue(self.is_refused("bad"))
 
     def test_sound_segments_are_bounded(self):
         for number in range(2 * SETTINGS.max_sound):
             self.answer([f"doc{number}"])
-        self.assertLessEqual(len(self.fleet[0]._sound), SETTINGS.max_sound)
+        self.assertLessEqual(len(self.fleet[0].refusals._sound), SETTINGS.max_sound)
 
     def test_old_evidence_is_dropped(self):
         self.crash("e0", [self.send(["bad"], "e0")])
@@ -362,9 +361,9 @@
         self.answer(["good"])
         self.now_s += SETTINGS.evidence_s + 1.0
         self.fleet[0].expire(self.now_s)
-        self.assertEqual(self.fleet[0].counts(), (0, 0))
+        self.assertEqual(self.fleet[0].refusals.counts(), (0, 0))
         self.assertEqual(self.fleet[0].watched(), set())
-        self.assertFalse(self.fleet[0]._sound)
+        self.assertFalse(self.fleet[0].refusals._sound)
 
 
 class RandomCrashTest(FleetCase):
--- a/tests/test_crashing_prompts.py
+++ b/tests/test_crashing_prompts.py
@@ -143,7 +143,8 @@
                 self.store.delete(kind, name)
         self.upstreams.clear()
         await wait_until(lambda: not self.directory.ids())
-        self.app._relay.guard.evidence = CrashEvidence()
+        self.app._relay.guard.evidence = evidence = CrashEvidence()
+        self.app._relay.guard.refusals = evidence.refusals
         await self.start_engines(count, **attributes)
 
     async def check_refusal_within(self, ends, path="/resume/x", pause_s=0.0):
--- a/tests/test_refusal_store.py
+++ b/tests/test_refusal_store.py
@@ -6,8 +6,9 @@
 
 import msgspec
 
-from carobstair.core.crash_evidence import CrashEvidence, EvidenceSettings
+from carobstair.core.crash_evidence import CrashEvidence
 from carobstair.core.directory import UpstreamDirectory
+from carobstair.core.evidence_settings import EvidenceSettings
 from carobstair.core.fleet_view import FleetView, StateKind, StoreChange
 from carobstair.edge import refusal_store
 from carobstair.edge.crash_guard import CrashGuard
@@ -71,7 +72,7 @@
 
     def refuses(self, segment):
         """Return whether prompts with a segment are refused."""
-        return self.evidence.is_refused([segment])
+        return self.evidence.refusals.is_refused([segment])
 
 
 class RefusalStoreTest(unittest.IsolatedAsyncioTestCase):
@@ -88,7 +89,7 @@
         restarted.read()
         self.assertTrue(restarted.refuses("bad"))
         # Its first trial has been made before the restart.
-        reason = restarted.evidence.check(["bad"], 60.0, lambda segment: True)
+        reason = restarted.evidence.refusals.check(["bad"], 60.0, lambda segment: True)
         self.assertIsNotNone(reason)
 
     async def test_other_routers_write_only_if_the_first_has_not(self):
@@ -111,7 +112,7 @@
         self.router.crash_under("bad")
         await asyncio.sleep(0.01)
         self.router.read()
-        self.router.evidence.merge_sound(["bad"], "r9", 1.0)
+        self.router.evidence.refusals.clear(["bad"], 1.0, "r9")
         self.router.guard.publish()
         await asyncio.sleep(0.01)
         self.assertEqual(self.store.objects, {})
@@ -144,9 +145,11 @@
         self.store.objects["hand"] = b"{}"
         self.router.read()
         self.assertTrue(self.router.refuses("hand"))
-        self.router.evidence.merge_sound(["hand"], "r9", 1.0)
+        self.router.evidence.refusals.clear(["hand"], 1.0, "r9")
         self.assertTrue(self.router.refuses("hand"))
-        reason = self.router.evidence.check(["hand"], 1e6, lambda segment: True)
+        reason = self.router.evidence.refusals.check(
+            ["hand"], 1e6, lambda segment: True
+        )
         self.assertEqual(reason.segment, "hand")
         del self.store.objects["hand"]
         self.router.read()
