--- a/src/carobstair/core/crash_evidence.py
+++ b/src/carobstair/core/crash_evidence.py
@@ -74,8 +74,6 @@
         """Thresholds and times."""
         return self.refusals.settings
 
-    # Attempts
-
     def begin(
         self,
         upstream: Incarnation,
@@ -132,8 +130,6 @@
             return False
         return not all(map(self.refusals.is_sound, attempt.segments))
 
-    # Ends of upstreams
-
     def watched(self) -> set[Incarnation]:
         """Return the upstreams whose end would be evidence."""
         return self._unconfirmed.keys() | self._open.keys()
@@ -197,8 +193,6 @@
                     self._count(attempt, now_s)
         self.refusals.settle(now_s)
 
-    # Peers
-
     def merge_end(
         self,
         upstream: Incarnation,
--- a/src/carobstair/core/segment_refusals.py
+++ b/src/carobstair/core/segment_refusals.py
@@ -125,8 +125,6 @@
     _unsettled: SegmentChange | None = None
     _changes: list[SegmentChange] = field(default_factory=list)
 
-    # Evidence
-
     def count(
         self,
         upstream: Incarnation,
@@ -269,8 +267,6 @@
         """Return whether a segment was answered lately."""
         return segment in self._sound
 
-    # Decisions
-
     def check(
         self,
         segments: Iterable[str],
@@ -352,8 +348,6 @@
                 until_s = now_s + self.settings.trial_delays_s[1]
                 record.held_until_s = max(record.held_until_s, until_s)
 
-    # Operators
-
     def refuse(self, segment: str, now_s: float) -> None:
         """Refuse a segment until it is forgotten."""
         record = self._records.setdefault(segment, _Record())
--- a/src/carobstair/edge/crash_guard.py
+++ b/src/carobstair/edge/crash_guard.py
@@ -35,7 +35,7 @@
 PROBE_DELAYS_S = (0.02, 0.3)
 # An upstream that accepts connections this long after an answer did not end with it.
 ALIVE_AFTER_S = 0.25
-# Maximum time that a retry waits for the first of them.
+# Maximum time that a retry waits for the first probe.
 PROBE_WAIT_S = 0.05
 # A refused connect shows that an upstream has ended only while others are reached:
 # otherwise the fault may be on this router's side.
@@ -85,8 +85,6 @@
     def __post_init__(self) -> None:
         self.refusals = self.evidence.refusals
 
-    # Requests
-
     def admit(self, exchange: Exchange) -> None:
         """Refuse a request with a refused segment, unless it is a trial.
 
@@ -120,8 +118,6 @@
     def _is_responsible(self, segment: str) -> bool:
         return self.dispatcher.rank(segment) == 0
 
-    # Attempts
-
     def begin(self, exchange: Exchange, entry: UpstreamEntry) -> None:
         """Track an attempt that is about to be sent."""
         segments = exchange.metadata.prompt.shared_segments
@@ -168,8 +164,6 @@
         if exchange.is_suspect and probe is not None:
             await asyncio.wait({probe}, timeout=PROBE_WAIT_S)
 
-    # Ends of upstreams
-
     def note_contact(self, upstream_id: str, now_s: float) -> None:
         """Record that an upstream has answered."""
         self._contacts_s[upstream_id] = now_s
@@ -241,8 +235,6 @@
         self.evidence.note_alive(upstream, now_s - ALIVE_AFTER_S, now_s)
         self.publish()
 
-    # Peers
-
     def merge(self, source: str, message: SegmentEvidence) -> SegmentEvidence | None:
         """Apply a peer's message; return the answer, or None if there is none."""
         now_s = time.monotonic()
