Stop bad prompts in the soak before it asks whether all has recovered

Change: bad prompts are stopped before the recovery unless their segment has ended five engines and the last of them long enough ago.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -10,7 +10,7 @@
 from engines import COLD_PER_S
 from world import World
 
-__all__ = ["find_violations"]
+__all__ = ["ENDS_UNTIL_KNOWN", "SETTLE_S", "find_violations"]
 
 # Statuses by which the router guarantees that a request did not and will not run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
--- a/soak/run.py
+++ b/soak/run.py
@@ -20,7 +20,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 sys.path[:0] = [str(ROOT / "tests"), str(ROOT / "soak")]
 
-from checks import find_violations  # noqa: E402
+from checks import ENDS_UNTIL_KNOWN, SETTLE_S, find_violations  # noqa: E402
 from disruptions import HARNESS, monitor_harness_lag  # noqa: E402
 from faults import draw_faults, inject  # noqa: E402
 from world import SoakPlan, World  # noqa: E402
@@ -56,6 +56,7 @@
 
 
 async def _recover(world: World) -> list[str]:
+    _stop_unknown_segment(world)
     for router in world.routers:
         router.signal(signal.SIGCONT)
         if not router.running:
@@ -80,6 +81,15 @@
     ]
 
 
+def _stop_unknown_segment(world: World) -> None:
+    """Stop bad prompts, a fault that lasts, unless the routers must know them."""
+    segment = world.callers.bad_segment
+    ends_s = [at_s for ended, at_s in world.segment_ends if ended == segment]
+    known = len(ends_s) >= ENDS_UNTIL_KNOWN
+    if not known or time.monotonic() - ends_s[-1] < 2 * SETTLE_S:
+        world.callers.bad_segment = None
+
+
 def _summary(world: World, faults: int) -> str:
     statuses = Counter(str(a.status) for a in world.callers.attempts)
     counts = " ".join(f"{status}:{count}" for status, count in sorted(statuses.items()))
