Log and count what workspaces ask for and begin at each router

Whether a workspace got little because its share was small, because admitted requests did not begin or because its router was late could not be told.

Change: an account by pool and workspace, of tokens asked for, tokens begun and refusals by reason (share, wait, router-busy); demand that a busy router refuses is in it. Up to four lines in 2 s for workspaces with refusals, three metrics. Admission is unchanged.

--- a/src/carobstair/core/fair_admission.py
+++ b/src/carobstair/core/fair_admission.py
@@ -102,6 +102,8 @@
     supply, pressure, wait : float
         Throughput that is shared, smoothed pressure on the engines, and expected
         wait as a fraction of the objective. All are 0 for admitted requests.
+    reason : str
+        What the request exceeds if it is refused: ``share`` or ``wait``.
     """
 
     admitted: bool
@@ -111,6 +113,7 @@
     supply: float = 0.0
     pressure: float = 0.0
     wait: float = 0.0
+    reason: str = ""
 
 
 def max_min_shares(demands: Mapping[str, float], capacity: float) -> dict[str, float]:
@@ -255,6 +258,13 @@
         """Replace a peer's factors of overloaded pools."""
         self._peer_factors[peer] = dict(factors)
 
+    def throughput_factors(self) -> dict[str, tuple[float, float]]:
+        """Return factor and smoothed pressure of each pool that had requests."""
+        return {
+            pool: (control.factor, control.pressure)
+            for pool, control in self._controls.items()
+        }
+
     def own_rows(self, now_s: float) -> list[tuple[str, str, float]]:
         """Return the demand at this router, and drop what has decayed."""
         window_s = self.settings.demand_window_s
@@ -322,6 +332,7 @@
                 supply,
                 control.pressure,
                 expected,
+                "wait",
             )
         if share >= demand:
             self._buckets.pop(key, None)
@@ -354,7 +365,7 @@
         wait_s = min(
             max(wait_s, settings.min_retry_after_s), settings.max_retry_after_s
         )
-        return AdmissionDecision(False, share, demand, wait_s)
+        return AdmissionDecision(False, share, demand, wait_s, reason="share")
 
     def _approach_peers(self, pool: str, control: ThroughputControl) -> None:
         """Move the factor of an overloaded pool towards that of the peers.
--- a/src/carobstair/edge/app.py
+++ b/src/carobstair/edge/app.py
@@ -22,6 +22,7 @@
     RoutingTable,
     ServicePool,
 )
+from carobstair.core.service_account import ServiceAccount
 from carobstair.edge.exchange import CallerLeft, Exchange, IncompleteResponse
 from carobstair.edge.metadata import BadRequest, Dialect, RequestMetadata
 from carobstair.edge.metrics import EdgeMetrics
@@ -98,6 +99,17 @@
         self._over_connection_limit = over_connection_limit
         self._overload = overload or OverloadGuard()
         self._ended_requests = 0
+        self.account = ServiceAccount(
+            lambda pool, name, tokens: metrics.workspace_tokens.labels(
+                pool, name, "asked"
+            ).inc(tokens),
+            lambda pool, name, tokens: metrics.workspace_tokens.labels(
+                pool, name, "begun"
+            ).inc(tokens),
+            lambda pool, name, reason: metrics.workspace_refusals.labels(
+                pool, name, reason
+            ).inc(),
+        )
         self.open_requests: set[asyncio.Task] = set()
         self.draining = False
         # Monotonic times while draining: after the first no streams are accepted,
@@ -121,7 +133,7 @@
                 table, limits = self._active_config()
                 metadata = self._read_metadata(scope, limits)
                 route, workspace = self._admit(table, metadata, scope["path"])
-                self._check_overload(route, arrived_s)
+                self._check_overload(table, route, metadata, workspace, arrived_s)
                 body = await self._read_body(caller, limits, route, metadata, arrived_s)
                 exchange = self._exchange(
                     scope, table, metadata, route, workspace, body, arrived_s
@@ -191,9 +203,21 @@
             raise refuse("unauthenticated")
         return route, workspace.name if workspace else None
 
-    def _check_overload(self, route: Route, now_s: float) -> None:
+    def _check_overload(
+        self,
+        table: RoutingTable,
+        route: Route,
+        metadata: RequestMetadata,
+        workspace: str | None,
+        now_s: float,
+    ) -> None:
         stream = route.kind is RequestKind.STREAM
         if self._overload.refuses(stream, now_s, self._rng):
+            pool = self._pick_pool(table, route)
+            if workspace and self._shares_tokens(pool, table.config.limits):
+                tokens = self._weighted_tokens(metadata)
+                self.account.note_asked(pool.name, workspace, tokens)
+                self.account.note_refused(pool.name, workspace, "router-busy")
             lag_s = self._overload.lag_s(now_s)
             wait_s = OTHER_ROUTER_RETRY_S * self._rng.uniform(0.3, 1.0)
             raise refuse("router-busy", f"{lag_s:.3f} s behind", wait_s)
@@ -281,16 +305,21 @@
     def _check_fair_share(self, exchange: Exchange, limits: RequestLimits) -> None:
         """Refuse requests that would wait too long, fairly between workspaces."""
         pool, prompt = exchange.pool, exchange.metadata.prompt
-        if pool.engine is None or not limits.tokens_per_s or not exchange.workspace:
+        workspace = exchange.workspace
+        if not workspace or not self._shares_tokens(pool, limits):
             return
         now_s = time.monotonic()
-        weight = self._admission.settings.output_weight
+        tokens = self._weighted_tokens(exchange.metadata)
+        self.account.note_asked(pool.name, workspace, tokens)
+        exchange.on_begun = lambda: self.account.note_begun(
+            pool.name, workspace, tokens
+        )
         dispatcher = self._relay.dispatcher
         target_s = exchange.route.target_latency_s or DEFAULT_TARGET_S
         decision = self._admission.decide(
             pool.name,
-            exchange.workspace,
-            prompt.prompt_tokens + weight * prompt.output_tokens,
+            workspace,
+            tokens,
             limits.tokens_per_s * dispatcher.usable_fraction(pool.name, now_s),
             lambda: dispatcher.pressure(pool.name, now_s),
             now_s,
@@ -299,6 +328,7 @@
         )
         if decision.admitted:
             return
+        self.account.note_refused(pool.name, workspace, decision.reason)
         exchange.detail = (
             f"share {decision.share:.0f} of demand {decision.demand:.0f}, "
             f"all {decision.supply:.0f}, pressure {decision.pressure:.2f}, "
@@ -308,6 +338,15 @@
         wait_s = decision.retry_after_s * self._rng.uniform(0.7, 1.3)
         raise refuse("overloaded", exchange.detail, wait_s)
 
+    def _shares_tokens(self, pool: ServicePool, limits: RequestLimits) -> bool:
+        """Return whether workspaces share the throughput of a pool."""
+        return pool.engine is not None and bool(limits.tokens_per_s)
+
+    def _weighted_tokens(self, metadata: RequestMetadata) -> float:
+        prompt = metadata.prompt
+        weight = self._admission.settings.output_weight
+        return prompt.prompt_tokens + weight * prompt.output_tokens
+
     # Refusals and logging
 
     async def _refuse(self, scope, send, refusal: Refusal) -> None:
--- a/src/carobstair/edge/exchange.py
+++ b/src/carobstair/edge/exchange.py
@@ -82,6 +82,8 @@
         Whether the latest attempt is evidence if its upstream has ended.
     is_trial : bool
         Whether the request is sent although one of its segments is refused.
+    on_begun : callable
+        Called when the head of the response is sent.
     """
 
     metadata: RequestMetadata
@@ -117,3 +119,4 @@
     tracked: TrackedAttempt | None = None
     is_suspect: bool = False
     is_trial: bool = False
+    on_begun: Callable[[], None] = lambda: None
--- a/src/carobstair/edge/metrics.py
+++ b/src/carobstair/edge/metrics.py
@@ -53,6 +53,23 @@
             "refused_segments", "Prompt segments that are refused"
         )
 
+        self.workspace_tokens = self._counter(
+            "workspace_tokens",
+            "Weighted tokens that workspaces asked for, and that began",
+            ("service", "workspace", "stage"),
+        )
+        self.workspace_refusals = self._counter(
+            "workspace_refusals",
+            "Refused requests of workspaces, by reason",
+            ("service", "workspace", "reason"),
+        )
+        self.throughput_factor = Gauge(
+            PREFIX + "throughput_factor",
+            "Throughput that is shared, relative to the configured one",
+            ("service",),
+            registry=self.registry,
+        )
+
     def _counter(self, name: str, text: str, labels: tuple[str, ...]) -> Counter:
         return Counter(PREFIX + name, text, labels, registry=self.registry)
 
--- a/src/carobstair/edge/response_relay.py
+++ b/src/carobstair/edge/response_relay.py
@@ -289,6 +289,8 @@
             headers.append((b"connection", b"close"))
         exchange.started = True
         exchange.status = head.status
+        if 200 <= head.status < 300:
+            exchange.on_begun()
         message = {"type": "http.response.start", "status": head.status}
         await send(message | {"headers": headers})
 
--- a/src/carobstair/edge/router.py
+++ b/src/carobstair/edge/router.py
@@ -49,6 +49,9 @@
 # Allows refusals and final response data to be written before the process exits.
 FLUSH_DELAY_S = 0.05
 SETTINGS_CHECK_INTERVAL_S = 1.0
+SERVICE_LOG_INTERVAL_S = 2.0
+# Workspaces in the log lines of one interval.
+MAX_LOGGED_WORKSPACES = 4
 # Changed objects listed in one log line.
 MAX_LOGGED_NAMES = 16
 # Settings applied on reload. The others, such as addresses and placement, are read
@@ -195,6 +198,7 @@
             asyncio.create_task(self._clean_up()),
             asyncio.create_task(self._measure_lag()),
             asyncio.create_task(self._watch_settings()),
+            asyncio.create_task(self._log_service()),
         ]
         self._registration = asyncio.create_task(self._register())
         logger.info(
@@ -311,6 +315,24 @@
             now_s = time.monotonic()
             self._overload.note(now_s - due_s, now_s)
 
+    async def _log_service(self) -> None:
+        """Log what workspaces with refusals asked for and got at this router."""
+        while True:
+            await asyncio.sleep(SERVICE_LOG_INTERVAL_S)
+            factors = self._admission.throughput_factors()
+            for row in self.app.account.take_refused(MAX_LOGGED_WORKSPACES):
+                factor, pressure = factors.get(row.pool, (1.0, 1.0))
+                logger.info(
+                    "workspace_service",
+                    service=row.pool,
+                    workspace=row.workspace,
+                    asked_tokens=round(row.asked_tokens),
+                    begun_tokens=round(row.begun_tokens),
+                    refused=",".join(f"{k}:{v}" for k, v in row.refused.items()),
+                    factor=round(factor, 3),
+                    pressure=round(pressure, 2),
+                )
+
     async def _clean_up(self) -> None:
         """Discard state and idle connections of upstreams that are gone."""
         while True:
@@ -375,6 +397,8 @@
         suspected, refused = self._guard.refusals.counts()
         self.metrics.suspected_segments.set(suspected)
         self.metrics.refused_segments.set(refused)
+        for pool, (factor, _) in self._admission.throughput_factors().items():
+            self.metrics.throughput_factor.labels(pool).set(factor)
         self.metrics.peers.set(self._gossip.count_alive(time.monotonic()))
         return 200, generate_latest(self.metrics.registry)
 
