Share one throughput at all routers, and tell them the demand by zone

Cause: each router summed the corrections of its own estimate of the engines' load. Estimates differ for good, so the sums part until they are at their bounds: .8 and 2.5 of the configured throughput at the same moment. Beside it, demand of other zones was 5.6 s old, longer than a surge takes to unfold, and a bucket that fills with time is full at each rare request. The class: controllers that integrate estimates of the same thing without a common reference.

Change: routers of a zone report to a collector, found by rendezvous hashing, which exchanges sums with those of the other zones and tells each router what all others have (core/share_collector.py, share_exchange.py); demand leaves the digests. Corrections follow the mean estimate, in proportion to time, and each router moves to the mean factor at any value. Credit grows by the admitted part of the demand as it leaves the estimate, whatever the rate of a workspace's requests at a router; what was admitted before a share was known is owed. At the start of a surge the load that was admitted beyond the throughput doesn't lower it. The window of the demand is 0.5 s, 1 s before.

--- a/src/carobstair/core/fair_admission.py
+++ b/src/carobstair/core/fair_admission.py
@@ -2,12 +2,16 @@
 
 Intended for a few workspaces that ask for many times their share: engines admit
 requests in order of arrival, so work beyond the fair shares would delay every
-workspace. Each router knows the demand at all others from their digests, computes
-the same max-min shares and admits its own fraction of each share. The throughput
-that is shared follows the load of the engines: it rises while they have spare
-capacity and falls while prompts queue up, so that nothing is refused that they
-could serve. When the engines become overloaded, it starts from the demand, which may
-be a small part of the configured throughput.
+workspace. Each router knows the sum of the demand at all others, computes the same
+max-min shares and admits its own fraction of each share. The throughput that is
+shared follows the load of the engines: it rises while they have spare capacity and
+falls while prompts queue up, so that nothing is refused that they could serve. When
+the engines become overloaded, it starts from the demand, which may be a small part of
+the configured throughput.
+
+Each router estimates the load of the engines at other times and from other digests.
+Corrections follow the mean of all estimates, and the corrected throughputs are drawn
+together, so that a workspace gets the same wherever its callers connect.
 
 Shares follow with a delay, so requests that would miss their objective by waiting are
 refused at once as well.
@@ -16,8 +20,11 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass, field, replace
+import random
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+
+from carobstair.core.share_messages import PoolDemand, ShareTotals
 
 __all__ = [
     "AdmissionSettings",
@@ -29,8 +36,13 @@
 
 # At a lower pressure no request waits, so that the wait need not be estimated.
 LIGHT_PRESSURE = 0.4
-# Age up to which a factor is sent to peers.
-FACTOR_LIFETIME_S = 0.5
+# Age up to which the demand of the other routers is used: long enough for another
+# collector to take over.
+TOTALS_LIFETIME_S = 4.0
+# Age up to which the other routers' estimates of the load are used.
+ESTIMATES_LIFETIME_S = 1.0
+# Longest time for which one correction makes up.
+MAX_CORRECTION_STEPS = 5.0
 # A lower rate does not count as demand.
 MIN_DEMAND_TOKENS_PER_S = 1.0
 
@@ -63,9 +75,9 @@
         Expected wait for the first token, as a fraction of its objective, above which
         requests are refused. The same for all workspaces: with a lower one for those
         beyond their share, they got less than it.
-    peer_weight : float
-        Weight of the mean factor of the peers in each correction of the own one,
-        while the pool is overloaded there.
+    agreement : float
+        Part of the distance to the mean factor of all routers by which the own one
+        is moved whenever totals arrive.
     output_weight : float
         Weight of a generated token relative to a prompt token.
     burst_s : float
@@ -74,7 +86,7 @@
         Bounds of the time after which a refused caller should retry.
     """
 
-    demand_window_s: float = 1.0
+    demand_window_s: float = 0.5
     control_s: float = 0.1
     gain: float = 0.1
     max_change: float = 0.05
@@ -84,7 +96,7 @@
     overload_slots_used: float = 0.8
     max_factor: float = 2.5
     max_wait: float = 1.0
-    peer_weight: float = 0.5
+    agreement: float = 0.5
     output_weight: float = 2.0
     burst_s: float = 1.0
     min_retry_after_s: float = 0.4
@@ -149,8 +161,10 @@
 
 
 @dataclass(slots=True)
-class _Bucket:
-    tokens: float
+class _FleetDemand:
+    """Demand at the other routers, and their estimates of the load."""
+
+    row: PoolDemand
     at_s: float
 
 
@@ -170,6 +184,9 @@
     newest: float = 1.0
     slots_used: float = 0.0
     corrected_s: float = float("-inf")
+    # Newest estimates of this router alone.
+    own_pressure: float = 1.0
+    own_slots_used: float = 0.0
 
     def is_due(self, now_s: float) -> bool:
         """Return whether the next correction is due."""
@@ -180,11 +197,33 @@
         """Whether some engine may have a queue."""
         return max(self.pressure, self.newest) > LIGHT_PRESSURE
 
+    def approach(self, log_factor: float, reported: float) -> None:
+        """Move the factor towards that of all routers.
+
+        Parameters
+        ----------
+        log_factor : float
+            Logarithm of the mean factor.
+        reported : float
+            Logarithm of the own factor that the mean contains. The distance is taken
+            from this value, as later corrections are common to all routers.
+        """
+        distance = self.settings.agreement * (log_factor - reported)
+        self.factor *= math.exp(distance)
+
     def correct(
-        self, pressure: float, demand: float, now_s: float, slots_used: float = 0.0
+        self,
+        pressure: float,
+        demand: float,
+        now_s: float,
+        slots_used: float = 0.0,
+        admitted: float = 0.0,
     ) -> None:
         """Correct the factor by a sample of the pressure on the engines.
 
+        The correction is in proportion to the time since the last one, so that
+        routers with many requests and with few correct alike.
+
         Parameters
         ----------
         demand : float
@@ -192,21 +231,34 @@
             pressure does not show that the engines could give more.
         slots_used : float
             Running and waiting requests of the engines relative to their slots.
+        admitted : float
+            Tokens admitted lately relative to the nominal throughput. If they exceed
+            the factor, as at the start of a surge, a part of the pressure is theirs.
         """
         settings = self.settings
+        steps = (now_s - self.corrected_s) / settings.control_s
+        if not math.isfinite(steps):
+            steps = 1.0
+        steps = min(max(steps, 1.0), MAX_CORRECTION_STEPS)
         self.corrected_s = now_s
         self.newest = pressure
-        self.pressure += settings.smoothing * (pressure - self.pressure)
-        self.slots_used += settings.smoothing * (slots_used - self.slots_used)
-        change = settings.gain * (1.0 - self.pressure)
+        weight = 1.0 - (1.0 - settings.smoothing) ** steps
+        self.pressure += weight * (pressure - self.pressure)
+        self.slots_used += weight * (slots_used - self.slots_used)
+        pressure = self.pressure
+        if pressure > 1.0:
+            pressure = max(1.0, pressure / max(1.0, admitted / self.factor))
+        change = settings.gain * (1.0 - pressure)
         if change > 0 and demand <= self.factor:
-            self.factor += settings.max_change * (1.0 - self.factor)
+            part = 1.0 - (1.0 - settings.max_change) ** steps
+            self.factor += part * (1.0 - self.factor)
             return
         floor = min(self.factor, settings.promised_factor)
         if self.slots_used > settings.overload_slots_used:
             floor = settings.min_factor
             self.factor = min(self.factor, max(demand, floor))
-        self.factor *= 1.0 + min(max(change, -settings.max_change), settings.max_change)
+        change = min(max(change, -settings.max_change), settings.max_change)
+        self.factor *= (1.0 + change) ** steps
         self.factor = min(max(self.factor, floor), settings.max_factor)
 
 
@@ -220,43 +272,83 @@
     """
 
     settings: AdmissionSettings = AdmissionSettings()
+    rng: random.Random = field(default_factory=random.Random)
     _own: dict[tuple[str, str], _Demand] = field(default_factory=dict)
-    _peers: dict[str, dict[tuple[str, str], float]] = field(default_factory=dict)
-    # Sums over all peers by pool and workspace, as every request reads them.
-    _peer_totals: dict[str, dict[str, float]] = field(default_factory=dict)
+    _others: dict[str, _FleetDemand] = field(default_factory=dict)
     _controls: dict[str, ThroughputControl] = field(default_factory=dict)
-    # Factors below the promised one, by peer and pool.
-    _peer_factors: dict[str, dict[str, float]] = field(default_factory=dict)
-    _buckets: dict[tuple[str, str], _Bucket] = field(default_factory=dict)
-
-    def note_peer(self, peer: str, rows: Iterable[tuple[str, str, float]]) -> None:
-        """Replace a peer's demand: pool, workspace and tokens a second."""
-        self.forget_peer(peer)
-        self._peers[peer] = {(pool, name): rate for pool, name, rate in rows}
-        self._adjust_peer_totals(peer, 1)
-
-    def forget_peer(self, peer: str) -> None:
-        """Drop the demand of a peer that has left or failed."""
-        self._adjust_peer_totals(peer, -1)
-        self._peers.pop(peer, None)
-        self._peer_factors.pop(peer, None)
-
-    def own_factors(self, now_s: float) -> dict[str, float]:
-        """Return the factors of overloaded pools, those below the promised one.
-
-        Without those that were not corrected lately, for lack of requests.
-        """
-        promised = self.settings.promised_factor
+    # Nominal throughput of each pool, as given with the last request.
+    _capacities: dict[str, float] = field(default_factory=dict)
+    # Tokens admitted lately, by pool.
+    _admitted: dict[str, _Demand] = field(default_factory=dict)
+    # Tokens that each workspace beyond its share may still begin.
+    _credits: dict[tuple[str, str], float] = field(default_factory=dict)
+
+    def note_totals(self, totals: ShareTotals, now_s: float) -> None:
+        """Replace the demand of the other routers, and approach their throughput."""
+        self._others = {
+            pool: _FleetDemand(row, now_s) for pool, row in totals.pools.items()
+        }
+        for pool, row in totals.pools.items():
+            if not row.samples:
+                continue
+            control = self._controls.get(pool)
+            reported = totals.reported.get(pool)
+            if control is None:
+                continue
+            if reported is None:
+                # Without requests there is no estimate of the own.
+                control.factor = math.exp(row.log_factors / row.samples)
+                control.pressure = row.pressures / row.samples
+            else:
+                mean = (row.log_factors + reported) / (row.samples + 1)
+                control.approach(mean, reported)
+
+    def report(self, now_s: float) -> dict[str, PoolDemand]:
+        """Return the demand at this router by pool, and drop what has decayed."""
+        window_s = self.settings.demand_window_s
+        demands: dict[str, dict[str, int]] = {}
+        for key, demand in list(self._own.items()):
+            rate = demand.rate(now_s, window_s)
+            if rate < MIN_DEMAND_TOKENS_PER_S:
+                del self._own[key]
+                self._credits.pop(key, None)
+            else:
+                demands.setdefault(key[0], {})[key[1]] = round(rate)
         return {
-            pool: control.factor
-            for pool, control in self._controls.items()
-            if control.factor < promised
-            and now_s - control.corrected_s < FACTOR_LIFETIME_S
+            pool: self._report_row(pool, row, now_s) for pool, row in demands.items()
         }
 
-    def note_peer_factors(self, peer: str, factors: Mapping[str, float]) -> None:
-        """Replace a peer's factors of overloaded pools."""
-        self._peer_factors[peer] = dict(factors)
+    def _report_row(
+        self, pool: str, demands: dict[str, int], now_s: float
+    ) -> PoolDemand:
+        control = self._controls[pool]
+        return PoolDemand(
+            demands,
+            round(self._admitted_rate(pool, now_s)),
+            1,
+            round(math.log(control.factor), 4),
+            round(control.own_pressure, 3),
+            round(control.own_slots_used, 3),
+        )
+
+    def refresh(
+        self, pool: str, pressure: float, slots_used: float, now_s: float
+    ) -> None:
+        """Correct the throughput of a pool in time, whether requests arrive or not."""
+        control = self._controls.get(pool)
+        if control is not None and control.is_due(now_s):
+            demand = sum(self._demands(pool, now_s).values())
+            self._correct(pool, control, pressure, slots_used, demand, now_s)
+
+    def pools(self) -> list[str]:
+        """Return the pools with demand at this router."""
+        return list({pool for pool, _ in self._own})
+
+    def give_back(self, pool: str, workspace: str, tokens: float) -> None:
+        """Return the tokens of a request that was admitted and did not begin."""
+        key = (pool, workspace)
+        if key in self._credits:
+            self._credits[key] += tokens
 
     def throughput_factors(self) -> dict[str, tuple[float, float]]:
         """Return factor and smoothed pressure of each pool that had requests."""
@@ -265,19 +357,6 @@
             for pool, control in self._controls.items()
         }
 
-    def own_rows(self, now_s: float) -> list[tuple[str, str, float]]:
-        """Return the demand at this router, and drop what has decayed."""
-        window_s = self.settings.demand_window_s
-        rows = []
-        for key, demand in list(self._own.items()):
-            rate = demand.rate(now_s, window_s)
-            if rate < MIN_DEMAND_TOKENS_PER_S:
-                del self._own[key]
-                self._buckets.pop(key, None)
-            else:
-                rows.append((*key, round(rate, 1)))
-        return rows
-
     def decide(
         self,
         pool: str,
@@ -308,15 +387,17 @@
         window_s = self.settings.demand_window_s
         key = (pool, workspace)
         own = self._own.setdefault(key, _Demand(0.0, now_s))
+        rate_before = own.rate(now_s, window_s)
+        drained = own.tokens - rate_before * window_s
         own.add(tokens, now_s, window_s)
         demands = self._demands(pool, now_s)
         total_demand = sum(demands.values())
         control = self._controls.get(pool)
         if control is None:
-            control = self._controls[pool] = ThroughputControl(self.settings)
+            control = self._controls[pool] = self._new_control(pool)
+        self._capacities[pool] = capacity
         if control.is_due(now_s):
-            self._approach_peers(pool, control)
-            control.correct(pressure(), total_demand / capacity, now_s, slots_used())
+            self._correct(pool, control, pressure(), slots_used(), total_demand, now_s)
         supply = capacity * control.factor
         demand = demands[workspace]
         expected = wait() if control.is_loaded else 0.0
@@ -335,63 +416,110 @@
                 "wait",
             )
         if share >= demand:
-            self._buckets.pop(key, None)
+            self._credits.pop(key, None)
+            self._note_admitted(pool, tokens, now_s)
             return AdmissionDecision(True, share, demand)
-        own_share = share * own.rate(now_s, window_s) / demand
-        decision = self._take_tokens(key, tokens, own_share, share, demand, now_s)
-        return replace(decision, supply=supply, pressure=control.pressure)
-
-    def _take_tokens(
-        self,
-        key: tuple[str, str],
-        tokens: float,
-        rate: float,
-        share: float,
-        demand: float,
-        now_s: float,
-    ) -> AdmissionDecision:
-        depth = rate * self.settings.burst_s
-        bucket = self._buckets.get(key)
-        if bucket is None:
-            bucket = self._buckets[key] = _Bucket(depth, now_s)
-        bucket.tokens = min(depth, bucket.tokens + rate * (now_s - bucket.at_s))
-        bucket.at_s = now_s
-        # A request may overdraw the bucket, so that large ones are admitted as well.
-        if bucket.tokens > 0:
-            bucket.tokens -= tokens
+        part = share / demand
+        credit = self._credit(key, part, tokens, rate_before, drained)
+        # A request may overdraw the credit, so that large ones are admitted as well.
+        if credit > 0:
+            self._credits[key] = credit - tokens
+            self._note_admitted(pool, tokens, now_s)
             return AdmissionDecision(True, share, demand)
-        wait_s = (tokens - bucket.tokens) / max(rate, 1.0)
+        self._credits[key] = credit
+        rate = part * own.rate(now_s, window_s)
         settings = self.settings
+        wait_s = (tokens - credit) / max(rate, 1.0)
         wait_s = min(
             max(wait_s, settings.min_retry_after_s), settings.max_retry_after_s
         )
-        return AdmissionDecision(False, share, demand, wait_s, reason="share")
+        return AdmissionDecision(
+            False, share, demand, wait_s, supply, control.pressure, reason="share"
+        )
+
+    def _note_admitted(self, pool: str, tokens: float, now_s: float) -> None:
+        admitted = self._admitted.setdefault(pool, _Demand(0.0, now_s))
+        admitted.add(tokens, now_s, self.settings.demand_window_s)
 
-    def _approach_peers(self, pool: str, control: ThroughputControl) -> None:
-        """Move the factor of an overloaded pool towards that of the peers.
+    def _admitted_rate(self, pool: str, now_s: float) -> float:
+        admitted = self._admitted.get(pool)
+        if admitted is None:
+            return 0.0
+        return admitted.rate(now_s, self.settings.demand_window_s)
 
-        Each router samples the engines at other times. If their factors drifted
-        apart, workspaces would get different shares at different routers.
+    def _credit(
+        self,
+        key: tuple[str, str],
+        part: float,
+        tokens: float,
+        rate_before: float,
+        drained: float,
+    ) -> float:
+        """Return the credit of a workspace when a request arrives.
+
+        Credit grows by the admitted part of the demand as it leaves the estimate, so
+        the tokens that begin do not depend on how often a router sees the workspace:
+        a bucket that fills with time is full at each rare request.
+
+        Parameters
+        ----------
+        part : float
+            Share of the workspace relative to its demand.
+        rate_before : float
+            Demand without the request, in tokens a second.
+        drained : float
+            Tokens that left the estimate of the demand since the last request.
         """
-        factors = [f[pool] for f in self._peer_factors.values() if pool in f]
-        if not factors:
-            return
-        mean = sum(factors) / len(factors)
-        control.factor += self.settings.peer_weight * (mean - control.factor)
+        saved = part * rate_before * self.settings.burst_s
+        credit = self._credits.get(key)
+        if credit is None:
+            # Until now all was admitted; what exceeded the share is owed. Of all
+            # first requests the same part is admitted.
+            owed = (1.0 - part) * rate_before * self.settings.demand_window_s
+            return tokens * (part - self.rng.random()) - owed
+        return min(credit + part * drained, saved + part * tokens)
+
+    def _new_control(self, pool: str) -> ThroughputControl:
+        control = ThroughputControl(self.settings)
+        others = self._others.get(pool)
+        if others is not None and others.row.samples:
+            row = others.row
+            control.factor = math.exp(row.log_factors / row.samples)
+            control.pressure = row.pressures / row.samples
+        return control
+
+    def _correct(
+        self,
+        pool: str,
+        control: ThroughputControl,
+        pressure: float,
+        slots_used: float,
+        demand: float,
+        now_s: float,
+    ) -> None:
+        """Correct a throughput by the mean of all routers' estimates of the load."""
+        others = self._others.get(pool)
+        own_pressure, own_slots_used = pressure, slots_used
+        admitted = self._admitted_rate(pool, now_s)
+        if others is not None and now_s - others.at_s < ESTIMATES_LIFETIME_S:
+            row = others.row
+            admitted += row.admitted
+            pressure = (pressure + row.pressures) / (1 + row.samples)
+            slots_used = (slots_used + row.slots_used) / (1 + row.samples)
+        capacity = self._capacities[pool]
+        control.correct(
+            pressure, demand / capacity, now_s, slots_used, admitted / capacity
+        )
+        control.own_pressure, control.own_slots_used = own_pressure, own_slots_used
 
     def _demands(self, pool: str, now_s: float) -> dict[str, float]:
         window_s = self.settings.demand_window_s
-        demands = dict(self._peer_totals.get(pool, {}))
+        others = self._others.get(pool)
+        demands: dict[str, float] = {}
+        if others is not None and now_s - others.at_s < TOTALS_LIFETIME_S:
+            demands.update(others.row.demands)
         for (name, workspace), demand in self._own.items():
             if name == pool:
                 rate = demand.rate(now_s, window_s)
                 demands[workspace] = demands.get(workspace, 0.0) + rate
         return demands
-
-    def _adjust_peer_totals(self, peer: str, sign: int) -> None:
-        for (pool, name), rate in self._peers.get(peer, {}).items():
-            totals = self._peer_totals.setdefault(pool, {})
-            totals[name] = totals.get(name, 0.0) + sign * rate
-            # Rounding errors may leave a small remainder, which is no demand.
-            if totals[name] < MIN_DEMAND_TOKENS_PER_S:
-                del totals[name]
--- a/src/carobstair/core/messages.py
+++ b/src/carobstair/core/messages.py
@@ -27,6 +27,7 @@
     TicketPull,
     TicketPush,
 )
+from carobstair.core.share_messages import ShareReport, ShareTotals, ZoneTotals
 
 __all__ = [
     "PROTOCOL_VERSION",
@@ -298,15 +299,11 @@
     segments : dict
         Recently sent prompt segments with their token counts, by upstream.
     demands : dict, optional
-        Weighted tokens per second that callers request from the sender, by pool
-        and workspace; None if omitted from this digest.
+        Not used; routers of older releases send their demand here.
     eras : list of int
         Eras of the revisions; routers of older releases send none.
     leaving : list of (str, int)
         Upstreams that say they are leaving, with their start times.
-    factors : dict, optional
-        Throughput of overloaded pools relative to the configured one; sent along
-        with `demands`.
     """
 
     address: PeerAddress
@@ -316,7 +313,6 @@
     demands: dict[str, dict[str, int]] | None = None
     eras: list[int] = []
     leaving: list[tuple[str, int]] = []
-    factors: dict[str, float] = {}
 
 
 class SegmentEvidence(msgspec.Struct, frozen=True, array_like=True):
@@ -377,8 +373,11 @@
 _PAYLOADS = (
     FleetDigest,
     SegmentEvidence,
+    ShareReport,
+    ShareTotals,
     StateNews,
     StatePull,
+    ZoneTotals,
     InForceAnswer,
     InForceQuery,
     LeavingNotice,
--- /dev/null
+++ b/src/carobstair/core/share_exchange.py
@@ -0,0 +1,117 @@
+"""Decides which messages about demand a router sends, and applies those of others."""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Mapping
+from dataclasses import dataclass, field
+
+import msgspec
+
+from carobstair.core.fair_admission import FairAdmission
+from carobstair.core.share_collector import (
+    CollectorChoice,
+    ShareCollector,
+    ShareSettings,
+    ranked_collectors,
+)
+from carobstair.core.share_messages import ShareReport, ShareTotals, ZoneTotals
+
+__all__ = ["ShareExchange", "ShareMessage"]
+
+# Routers of each zone that are sent the sums: a collector may have stopped, and its
+# successor is not known in other zones yet.
+CANDIDATES = 2
+
+ShareMessage = tuple[Collection[str], msgspec.Struct]
+"""Receivers and payload of a message."""
+
+
+@dataclass(slots=True)
+class ShareExchange:
+    """One router's part in the exchange of demand.
+
+    Parameters
+    ----------
+    name, zone : str
+    admission : FairAdmission
+    settings : ShareSettings
+    """
+
+    name: str
+    zone: str
+    admission: FairAdmission
+    settings: ShareSettings = ShareSettings()
+    _collector: ShareCollector = field(init=False)
+    _choice: CollectorChoice = field(init=False)
+
+    def __post_init__(self) -> None:
+        self._collector = ShareCollector(self.settings)
+        self._choice = CollectorChoice(self.settings)
+
+    def interval_s(self, routers: Mapping[str, Collection[str]]) -> float:
+        """Return the time until the next tick.
+
+        Parameters
+        ----------
+        routers : mapping
+            Names of the routers that are heard, by zone, without this one.
+        """
+        return self.settings.scaled_interval_s(len(routers.get(self.zone, ())) + 1)
+
+    def tick(
+        self, routers: Mapping[str, Collection[str]], now_s: float
+    ) -> list[ShareMessage]:
+        """Return the messages that are due.
+
+        Parameters
+        ----------
+        routers : mapping
+            See `interval_s`.
+        """
+        in_zone = routers.get(self.zone, ())
+        collector = self._choice.choose(self.zone, self.name, in_zone, now_s)
+        pools = self.admission.report(now_s)
+        messages: list[ShareMessage] = []
+        if collector == self.name:
+            self._collector.note_report(self.name, pools, now_s)
+        else:
+            messages.append(((collector,), ShareReport(pools)))
+        self._collector.expire(self.interval_s(routers), now_s)
+        if self._collector.reporters:
+            messages += self._collected(routers, now_s)
+        return messages
+
+    def _collected(
+        self, routers: Mapping[str, Collection[str]], now_s: float
+    ) -> list[ShareMessage]:
+        in_zone = [*routers.get(self.zone, ()), self.name]
+        collectors = set(self._collector.collectors)
+        # The routers of a zone may have passed over the first one.
+        for zone, names in {**routers, self.zone: in_zone}.items():
+            collectors |= set(ranked_collectors(zone, names)[:CANDIDATES])
+        collectors -= {self.name}
+        messages: list[ShareMessage] = []
+        if collectors:
+            totals = ZoneTotals(self.zone, self._collector.zone_totals())
+            messages.append((sorted(collectors), totals))
+        fleet = self._collector.fleet_totals()
+        for router in self._collector.reporters:
+            share_totals = self._collector.totals_for(router, fleet)
+            if router == self.name:
+                self.admission.note_totals(share_totals, now_s)
+            else:
+                messages.append(((router,), share_totals))
+        return messages
+
+    def on_report(self, sender: str, report: ShareReport, now_s: float) -> None:
+        """Collect the report of a router."""
+        self._collector.note_report(sender, report.pools, now_s)
+
+    def on_zone_totals(self, sender: str, totals: ZoneTotals, now_s: float) -> None:
+        """Collect the sums of another collector."""
+        self._collector.note_zone(sender, totals.zone, totals.pools, now_s)
+
+    def on_totals(self, sender: str, totals: ShareTotals, now_s: float) -> None:
+        """Apply what the collector says of the other routers."""
+        self._choice.note_answer(sender, now_s)
+        self.admission.note_totals(totals, now_s)
--- a/src/carobstair/edge/gossip.py
+++ b/src/carobstair/edge/gossip.py
@@ -14,7 +14,6 @@
 from dataclasses import dataclass, field
 
 from carobstair.core.engine_load import LoadTracker
-from carobstair.core.fair_admission import FairAdmission
 from carobstair.core.fleet_view import (
     FleetView,
     Stamp,
@@ -53,8 +52,8 @@
     ----------
     cross_zone : bool
         Whether the peers are in other zones than this router.
-    sent_s, demands_sent_s : float
-        Monotonic times of the last digest and of the last one with demand.
+    sent_s : float
+        Monotonic time of the last digest.
     segment_cursor : int
         Position in the sequence of prompt segments; see `LoadTracker.recent_segments`.
     sent_backlog : dict
@@ -63,7 +62,6 @@
 
     cross_zone: bool
     sent_s: float = -math.inf
-    demands_sent_s: float = -math.inf
     segment_cursor: int = 0
     sent_backlog: dict[str, int] = field(default_factory=dict)
 
@@ -79,7 +77,6 @@
     view : FleetView
     availability : StoreAvailability
     loads : LoadTracker
-    admission : FairAdmission
     rng : random.Random
     on_change : callable
         Called with a kind of state and the names of the objects that changed.
@@ -95,7 +92,6 @@
         view: FleetView,
         availability: StoreAvailability,
         loads: LoadTracker,
-        admission: FairAdmission,
         rng: random.Random,
         on_change: Callable[[StateKind, list[str]], None],
         on_peer_heard: Callable[[str], None] = lambda peer: None,
@@ -106,7 +102,6 @@
         self._view = view
         self._availability = availability
         self._loads = loads
-        self._admission = admission
         self._rng = rng
         self._on_change = on_change
         self._on_peer_heard = on_peer_heard
@@ -129,6 +124,13 @@
         """Return the number of peers that have sent a digest recently."""
         return sum(not self._is_silent(name, now_s) for name in self._last_heard_s)
 
+    def heard_by_zone(self) -> dict[str, list[str]]:
+        """Return the names of the peers that have sent a digest recently, by zone."""
+        zones: dict[str, list[str]] = {}
+        for name in self._last_heard_s:
+            zones.setdefault(self._peers[name].zone, []).append(name)
+        return zones
+
     def add(self, address: PeerAddress) -> None:
         """Open a link to a router listed in the store or heard from directly."""
         if address.instance == self._own.instance:
@@ -211,30 +213,16 @@
         own = self._view.stamps()
         loads = self._loads.own_rows()
         group.sent_backlog = {upstream: tokens for upstream, tokens, _ in loads}
-        demands = self._demands(group, now_s)
-        factors = self._admission.own_factors(now_s) if demands is not None else {}
         return FleetDigest(
             self._own,
             [own[kind.value].revision for kind in StateKind],
             [LoadRow(*row) for row in loads],
             segments,
-            demands,
+            None,
             [own[kind.value].era for kind in StateKind],
             self._view.directory.leaving()[:MAX_LEAVING_ROWS],
-            factors,
         )
 
-    def _demands(
-        self, group: _DigestGroup, now_s: float
-    ) -> dict[str, dict[str, int]] | None:
-        if now_s - group.demands_sent_s < self._settings.sync.demand_s:
-            return None
-        group.demands_sent_s = now_s
-        demands: dict[str, dict[str, int]] = {}
-        for pool, workspace, rate in self._admission.own_rows(now_s):
-            demands.setdefault(pool, {})[workspace] = round(rate)
-        return demands
-
     def _expire_silent_peers(self, now_s: float) -> None:
         for name in list(self._last_heard_s):
             if self._is_silent(name, now_s):
@@ -252,7 +240,6 @@
 
     def _forget_load(self, name: str) -> None:
         self._loads.forget_peer(name)
-        self._admission.forget_peer(name)
 
     # Messages
 
@@ -269,14 +256,6 @@
         self._loads.note_peer(
             peer, ((r.upstream, r.backlog_tokens, r.running) for r in digest.loads)
         )
-        if digest.demands is not None:
-            rows = (
-                (pool, workspace, rate)
-                for pool, rates in digest.demands.items()
-                for workspace, rate in rates.items()
-            )
-            self._admission.note_peer(peer, rows)
-            self._admission.note_peer_factors(peer, digest.factors)
         for upstream, segments in digest.segments.items():
             for segment, tokens in segments:
                 self._loads.note_segment(upstream, segment, tokens)
--- a/src/carobstair/edge/router.py
+++ b/src/carobstair/edge/router.py
@@ -22,6 +22,7 @@
 from carobstair.core.messages import PeerAddress
 from carobstair.core.overload import OverloadGuard
 from carobstair.core.send_limits import ColdSendLimit, ResendLimit
+from carobstair.core.share_exchange import ShareExchange
 from carobstair.core.upstream_health import UpstreamHealth
 from carobstair.edge.app import EdgeApp
 from carobstair.edge.connection_pool import ConnectionPool
@@ -34,6 +35,7 @@
 from carobstair.edge.relay import Relay
 from carobstair.edge.server import CallerServer, PageServer
 from carobstair.edge.settings import EdgeSettings
+from carobstair.edge.share_sync import ShareSync
 from carobstair.edge.state_store import StateStore, StoreError
 from carobstair.logs import get_logger
 from carobstair.net.peers import LinkKeys, PeerTransport
@@ -159,7 +161,6 @@
             self.view,
             self._availability,
             self._loads,
-            self._admission,
             self._rng,
             self._on_state_change,
             lambda peer: self._evidence_exchange.on_peer_heard(peer),
@@ -167,6 +168,15 @@
         self._evidence_exchange = EvidenceExchange(
             self._guard, transport, lambda: self._gossip.peers
         )
+        self._share_sync = ShareSync(
+            ShareExchange(
+                settings.name, settings.zone, self._admission, settings.shares
+            ),
+            transport,
+            self._gossip.heard_by_zone,
+            self._dispatcher,
+            self._rng,
+        )
         self._follower = StoreFollower(
             self._store,
             self.view,
@@ -195,6 +205,7 @@
             asyncio.create_task(self._transport.run()),
             asyncio.create_task(self._follower.run()),
             asyncio.create_task(self._gossip.run()),
+            asyncio.create_task(self._share_sync.run()),
             asyncio.create_task(self._clean_up()),
             asyncio.create_task(self._measure_lag()),
             asyncio.create_task(self._watch_settings()),
--- a/src/carobstair/edge/settings.py
+++ b/src/carobstair/edge/settings.py
@@ -12,6 +12,7 @@
 from carobstair.core.fleet_view import StateKind
 from carobstair.core.overload import OverloadSettings
 from carobstair.core.send_limits import SendLimitSettings
+from carobstair.core.share_collector import ShareSettings
 from carobstair.core.upstream_health import HealthSettings
 
 __all__ = ["EdgeSettings", "ListenSettings", "ShutdownSettings", "SyncSettings"]
@@ -74,9 +75,6 @@
         Change in a router's prompt backlog after which it sends a digest early,
         multiplied by the slowdown: in a large fleet few routers hold most of the
         load, and their load changes faster than the other routers' digests are due.
-    demand_s : float
-        Interval at which digests include demand, which is averaged over a longer
-        time.
     cross_zone_slowdown : int
         In fleets larger than `full_rate_peers`, factor between the digest
         intervals to other zones and within the zone: traffic between zones is
@@ -109,7 +107,6 @@
     large_fleet_peers: int = Field(40, ge=1)
     watches_per_s: float = Field(5.0, gt=0)
     drift_tokens: int = Field(8_000, ge=1)
-    demand_s: float = Field(0.3, gt=0, le=10)
     cross_zone_slowdown: int = Field(4, ge=1)
     seeds: list[str] = []
 
@@ -223,6 +220,7 @@
     placement: PlacementSettings = PlacementSettings()
     health: HealthSettings = HealthSettings()
     admission: AdmissionSettings = AdmissionSettings()
+    shares: ShareSettings = ShareSettings()
     overload: OverloadSettings = OverloadSettings()
     directory: DirectorySettings = DirectorySettings()
     max_open_requests: int = Field(2_000, ge=1)
--- a/src/carobstair/scenario/overload.py
+++ b/src/carobstair/scenario/overload.py
@@ -20,6 +20,7 @@
 from carobstair.core.fair_admission import AdmissionSettings, FairAdmission
 from carobstair.core.routing import EngineShape, ServicePool
 from carobstair.core.send_limits import ColdSendLimit, ResendLimit, SendLimitSettings
+from carobstair.core.share_collector import ShareCollector
 from carobstair.core.upstream_health import UpstreamHealth
 from carobstair.scenario.batch_engine import BatchEngine, BatchEngineSpec, EngineJob
 
@@ -154,6 +155,7 @@
             self._make_router(f"r{n}") for n in range(len(plan.router_weights))
         ]
         self._pool = ServicePool(POOL, engine=EngineShape(plan.spec.slots, 0))
+        self._collector = ShareCollector()
         self._report = LoadReport()
 
     def _make_router(self, name: str) -> _Router:
@@ -173,7 +175,10 @@
             ResendLimit(limits),
             random.Random(self._plan.seed),
         )
-        return _Router(name, dispatcher, FairAdmission(self._plan.admission))
+        admission = FairAdmission(
+            self._plan.admission, random.Random(f"{self._plan.seed} {name}")
+        )
+        return _Router(name, dispatcher, admission)
 
     def run(self) -> LoadReport:
         """Play the whole load."""
@@ -340,11 +345,15 @@
         if now_s > self._plan.seconds:
             return
         rows = sender.loads.own_rows()
-        demands = sender.admission.own_rows(now_s)
-        factors = sender.admission.own_factors(now_s)
+        dispatcher, admission = sender.dispatcher, sender.admission
+        for pool in admission.pools():
+            pressure = dispatcher.pressure(pool, now_s)
+            slots_used = dispatcher.slots_used(pool, now_s)
+            admission.refresh(pool, pressure, slots_used, now_s)
+        self._collector.note_report(sender.name, admission.report(now_s), now_s)
+        fleet = self._collector.fleet_totals()
+        admission.note_totals(self._collector.totals_for(sender.name, fleet), now_s)
         for router in self._routers:
             if router is not sender:
                 router.loads.note_peer(sender.name, rows)
-                router.admission.note_peer(sender.name, demands)
-                router.admission.note_peer_factors(sender.name, factors)
         self._at(now_s + self._plan.digest_s, lambda t: self._digest(sender, t))
