Ask for the share before refusing as busy, and give back what did not begin

Callers saw: a busy router refused whoever came, before the demand was counted; admitted requests that ended without an upstream had used up tokens.

Cause: refusals by lag, by share and by failures knew nothing of each other.

Change: the share is decided first, so that all demand is counted; of what is admitted, streams of workspaces beyond their share are refused first, those within it only at the lag at which other requests are. A request that did not begin gives its tokens back.

--- a/src/carobstair/edge/app.py
+++ b/src/carobstair/edge/app.py
@@ -133,14 +133,14 @@
                 table, limits = self._active_config()
                 metadata = self._read_metadata(scope, limits)
                 route, workspace = self._admit(table, metadata, scope["path"])
-                self._check_overload(table, route, metadata, workspace, arrived_s)
                 body = await self._read_body(caller, limits, route, metadata, arrived_s)
                 exchange = self._exchange(
                     scope, table, metadata, route, workspace, body, arrived_s
                 )
                 self._check_shutdown(exchange)
                 self._relay.guard.admit(exchange)
-                self._check_fair_share(exchange, limits)
+                within_share = self._check_fair_share(exchange, limits)
+                self._check_overload(exchange, within_share)
                 watcher = asyncio.create_task(caller.cancel_on_disconnect(task))
                 await self._relay.run(exchange, send)
                 outcome = "answered"
@@ -169,6 +169,7 @@
             if watcher is not None:
                 watcher.cancel()
             self.open_requests.discard(task)
+            self._give_back(exchange)
             self._record_end(scope, exchange, outcome, detail, arrived_s)
 
     # Checks
@@ -203,25 +204,6 @@
             raise refuse("unauthenticated")
         return route, workspace.name if workspace else None
 
-    def _check_overload(
-        self,
-        table: RoutingTable,
-        route: Route,
-        metadata: RequestMetadata,
-        workspace: str | None,
-        now_s: float,
-    ) -> None:
-        stream = route.kind is RequestKind.STREAM
-        if self._overload.refuses(stream, now_s, self._rng):
-            pool = self._pick_pool(table, route)
-            if workspace and self._shares_tokens(pool, table.config.limits):
-                tokens = self._weighted_tokens(metadata)
-                self.account.note_asked(pool.name, workspace, tokens)
-                self.account.note_refused(pool.name, workspace, "router-busy")
-            lag_s = self._overload.lag_s(now_s)
-            wait_s = OTHER_ROUTER_RETRY_S * self._rng.uniform(0.3, 1.0)
-            raise refuse("router-busy", f"{lag_s:.3f} s behind", wait_s)
-
     async def _read_body(
         self,
         caller: _CallerConnection,
@@ -302,12 +284,15 @@
         if late:
             raise refuse("shutting-down", retry_after_s=OTHER_ROUTER_RETRY_S)
 
-    def _check_fair_share(self, exchange: Exchange, limits: RequestLimits) -> None:
-        """Refuse requests that would wait too long, fairly between workspaces."""
+    def _check_fair_share(self, exchange: Exchange, limits: RequestLimits) -> bool:
+        """Refuse requests that would wait too long, fairly between workspaces.
+
+        Returns whether the workspace is within its share.
+        """
         pool, prompt = exchange.pool, exchange.metadata.prompt
         workspace = exchange.workspace
         if not workspace or not self._shares_tokens(pool, limits):
-            return
+            return False
         now_s = time.monotonic()
         tokens = self._weighted_tokens(exchange.metadata)
         self.account.note_asked(pool.name, workspace, tokens)
@@ -327,7 +312,8 @@
             lambda: dispatcher.slots_used(pool.name, now_s),
         )
         if decision.admitted:
-            return
+            exchange.admitted_tokens = tokens
+            return decision.share >= decision.demand
         self.account.note_refused(pool.name, workspace, decision.reason)
         exchange.detail = (
             f"share {decision.share:.0f} of demand {decision.demand:.0f}, "
@@ -338,6 +324,31 @@
         wait_s = decision.retry_after_s * self._rng.uniform(0.7, 1.3)
         raise refuse("overloaded", exchange.detail, wait_s)
 
+    def _check_overload(self, exchange: Exchange, within_share: bool) -> None:
+        """Refuse some requests while this process is late.
+
+        Workspaces within their share are refused last: the others cause the load.
+        """
+        now_s = time.monotonic()
+        stream = exchange.route.kind is RequestKind.STREAM
+        first = stream and not within_share
+        if self._overload.refuses(first, now_s, self._rng):
+            if exchange.admitted_tokens:
+                self.account.note_refused(
+                    exchange.pool.name, exchange.workspace, "router-busy"
+                )
+            lag_s = self._overload.lag_s(now_s)
+            wait_s = OTHER_ROUTER_RETRY_S * self._rng.uniform(0.3, 1.0)
+            raise refuse("router-busy", f"{lag_s:.3f} s behind", wait_s)
+
+    def _give_back(self, exchange: Exchange | None) -> None:
+        """Return the share of a request that was admitted and did not begin."""
+        if exchange is None or not exchange.admitted_tokens or exchange.started:
+            return
+        self._admission.give_back(
+            exchange.pool.name, exchange.workspace, exchange.admitted_tokens
+        )
+
     def _shares_tokens(self, pool: ServicePool, limits: RequestLimits) -> bool:
         """Return whether workspaces share the throughput of a pool."""
         return pool.engine is not None and bool(limits.tokens_per_s)
--- a/src/carobstair/edge/exchange.py
+++ b/src/carobstair/edge/exchange.py
@@ -82,6 +82,8 @@
         Whether the latest attempt is evidence if its upstream has ended.
     is_trial : bool
         Whether the request is sent although one of its segments is refused.
+    admitted_tokens : float
+        Weighted tokens that the admission took from the share of the workspace.
     on_begun : callable
         Called when the head of the response is sent.
     """
@@ -119,4 +121,5 @@
     tracked: TrackedAttempt | None = None
     is_suspect: bool = False
     is_trial: bool = False
+    admitted_tokens: float = 0.0
     on_begun: Callable[[], None] = lambda: None
