Don't hold a connect against its upstream if the router itself was late

Cause: when the event loop is late, the timer of a connect fires in the same iteration that learns of the connection, and wins. Each time-out counted against the upstream, so that the router passed over one after the other.

Change: after a late timer the connection gets another 0.1 s, and a time-out then is an error of its own that excludes no upstream. Connects that are cancelled close a connection that had come about.

--- a/src/carobstair/edge/relay.py
+++ b/src/carobstair/edge/relay.py
@@ -32,6 +32,7 @@
 from carobstair.edge.upstream_connection import (
     CONNECT_TIMEOUT_S,
     ConnectionBroken,
+    ConnectionLate,
     UpstreamConnection,
 )
 from carobstair.logs import get_logger
@@ -297,6 +298,10 @@
         except PoolFull:
             exchange.detail = "connections in use"
             await asyncio.sleep(PLACEMENT_RETRY_S)
+        except ConnectionLate as error:
+            # Another connect may succeed, as the upstream may be sound.
+            exchange.connect_failures += 1
+            exchange.detail = str(error)
         except ConnectionBroken as error:
             now_s = time.monotonic()
             self.dispatcher.note_unreachable(entry, exchange.pool, now_s)
--- a/src/carobstair/edge/upstream_connection.py
+++ b/src/carobstair/edge/upstream_connection.py
@@ -21,6 +21,7 @@
 
 __all__ = [
     "ConnectionBroken",
+    "ConnectionLate",
     "ConnectionRefused",
     "ResponseHead",
     "UpstreamConnection",
@@ -28,6 +29,8 @@
 ]
 
 CONNECT_TIMEOUT_S = 0.6
+# A timer that fires later shows that the event loop is late.
+LATE_TIMER_S = 0.1
 # TCP_USER_TIMEOUT. Retransmission after two consecutive lost packets takes about
 # 0.7 s; a dead connection must be detected within the two seconds after which
 # callers abandon a stream.
@@ -53,6 +56,10 @@
     """Nothing listens at the upstream's address."""
 
 
+class ConnectionLate(ConnectionBroken):
+    """A connect timed out while this process was late, which shows nothing."""
+
+
 @dataclass(slots=True)
 class ResponseHead:
     """Status and headers of a response."""
@@ -343,15 +350,38 @@
 
     Raises
     ------
+    ConnectionLate
+        If this process was too late to see whether the connection came about.
     ConnectionBroken
         If the connection could not be established; nothing was sent.
     """
     loop = asyncio.get_running_loop()
+    opening = loop.create_task(loop.create_connection(UpstreamConnection, host, port))
+    due_s = loop.time() + CONNECT_TIMEOUT_S
+    late_s = 0.0
     try:
-        async with asyncio.timeout(CONNECT_TIMEOUT_S):
-            _, connection = await loop.create_connection(UpstreamConnection, host, port)
+        await asyncio.wait({opening}, timeout=CONNECT_TIMEOUT_S)
+        late_s = loop.time() - due_s
+        if not opening.done() and late_s > LATE_TIMER_S:
+            # Connections that were ready before the timer are handled after it.
+            await asyncio.wait({opening}, timeout=LATE_TIMER_S)
+        if opening.done():
+            return opening.result()[1]
     except ConnectionRefusedError as error:
         raise ConnectionRefused(str(error)) from error
-    except (OSError, TimeoutError) as error:
-        raise ConnectionBroken(str(error) or "connect timed out") from error
-    return connection
+    except OSError as error:
+        raise ConnectionBroken(str(error)) from error
+    except asyncio.CancelledError:
+        opening.add_done_callback(_abort_opened)
+        raise
+    finally:
+        opening.cancel()
+    if late_s > LATE_TIMER_S:
+        raise ConnectionLate(f"connect timed out, {late_s:.3f} s behind")
+    raise ConnectionBroken("connect timed out")
+
+
+def _abort_opened(opening: asyncio.Task) -> None:
+    """Close a connection that came about although nobody waits for it."""
+    if not opening.cancelled() and opening.exception() is None:
+        opening.result()[1].abort()
--- a/tests/test_upstream_connection.py
+++ b/tests/test_upstream_connection.py
@@ -1,12 +1,17 @@
 """Tests of one connection to an upstream, without a network."""
 
+import asyncio
+import time
 import unittest
 from unittest import mock
 
 from carobstair.edge.upstream_connection import (
+    CONNECT_TIMEOUT_S,
     MAX_JOINED_BYTES,
     ConnectionBroken,
+    ConnectionLate,
     UpstreamConnection,
+    connect,
 )
 
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -17,6 +22,65 @@
     return b"%x\r\n%s\r\n" % (len(data), data)
 
 
+class LateConnectTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against sound upstreams that are passed over because a router is late.
+
+    A router whose event loop was late timed out 881 connects in a day, and each made
+    it pass over another upstream.
+    """
+
+    async def asyncSetUp(self):
+        self.server = await asyncio.start_server(lambda r, w: w.close(), "127.0.0.1")
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    async def asyncTearDown(self):
+        self.server.close()
+
+    async def test_connection_that_was_ready_before_the_timer_is_used(self):
+        loop = asyncio.get_running_loop()
+        # The event loop is blocked past the time-out while the connect completes.
+        loop.call_soon(time.sleep, CONNECT_TIMEOUT_S + 0.2)
+        connection = await connect("127.0.0.1", self.port)
+        connection.abort()
+
+    async def open_never(self, make_late):
+        """Run a connect that never completes, and return its error."""
+        loop = asyncio.get_running_loop()
+
+        async def create_connection(*args):
+            await asyncio.sleep(60.0)
+
+        with mock.patch.object(loop, "create_connection", create_connection):
+            if make_late:
+                loop.call_later(0.1, time.sleep, CONNECT_TIMEOUT_S + 0.2)
+            with self.assertRaises(ConnectionBroken) as caught:
+                await connect("127.0.0.1", self.port)
+        return caught.exception
+
+    async def test_timeout_of_a_late_router_shows_nothing_of_the_upstream(self):
+        self.assertIsInstance(await self.open_never(True), ConnectionLate)
+
+    async def test_timeout_of_a_router_in_time_is_held_against_the_upstream(self):
+        self.assertNotIsInstance(await self.open_never(False), ConnectionLate)
+
+    async def test_connect_that_is_cancelled_leaves_no_connection(self):
+        loop = asyncio.get_running_loop()
+        opened = mock.Mock()
+
+        async def create_connection(*args):
+            return None, opened
+
+        with mock.patch.object(loop, "create_connection", create_connection):
+            task = asyncio.create_task(connect("127.0.0.1", self.port))
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+            task.cancel()
+            with self.assertRaises(asyncio.CancelledError):
+                await task
+        await asyncio.sleep(0.01)
+        opened.abort.assert_called_once()
+
+
 class JoinedPartsTest(unittest.IsolatedAsyncioTestCase):
     """Guards against a late event loop that relays each event by itself."""
 
