Don't complete a stream when the next engine has nothing to add

Callers saw (report of another operator; here by reading and by a test): a stream that had broken off ended as if it were complete (ORDER) when the engine that should resume it answered 200 or 204, sealed and empty.

Cause: the end of a body was the end of the stream, whether or not an event of the resumed run had come.

Change: a resumed run without an event is a failed attempt; the stream ends as incomplete if no other engine resumes it.

--- a/src/carobstair/edge/response_relay.py
+++ b/src/carobstair/edge/response_relay.py
@@ -264,6 +264,9 @@
         if head.framing is Framing.CONNECTION_END and not received:
             exchange.detail = "the connection ended before the first event"
             return Outcome.UNKNOWN
+        if exchange.started and not received:
+            exchange.detail = "the resumed stream had no event"
+            return Outcome.UNKNOWN
         if not exchange.started:
             await self._send_head(exchange, head, None, send)
         await _send_body(send, b"", more=False)
