Believe neither pauses nor leavings of answers to other requests

A refusal that a faulty engine wrote once more on a kept connection was skipped, but its Retry-After of 30 s and its Server-Leaving took the engine out.

Cause: what a response says of its upstream was noted before it was known which request it answers.

Change: an answer to another request, or without a name on a used connection, shows contact only.

Result: test_copy_of_an_earlier_refusal_neither_pauses_nor_drains failed before (503). REFUSED and TWICE could not happen: the copy names another request, and a nameless one is no promise; both have tests.

--- a/src/carobstair/edge/response_relay.py
+++ b/src/carobstair/edge/response_relay.py
@@ -120,11 +120,15 @@
         await self.respond(exchange, head, b"", send)
         return Outcome.ANSWERED
 
-    def _note_upstream(self, entry: UpstreamEntry, metadata: ResponseMetadata) -> None:
-        """Record what a response says of its upstream."""
+    def _note_contact(self, entry: UpstreamEntry) -> None:
+        """Record that an upstream sends responses, to whatever request."""
         now_s = time.monotonic()
         self.loads.note_activity(entry.upstream_id, now_s)
         self.guard.note_contact(entry.upstream_id, now_s)
+
+    def _note_upstream(self, entry: UpstreamEntry, metadata: ResponseMetadata) -> None:
+        """Record what the response to a request says of its upstream."""
+        now_s = time.monotonic()
         if metadata.load is not None:
             load = metadata.load
             self.loads.note_report(
@@ -151,12 +155,13 @@
         for _ in range(MAX_STALE_RESPONSES):
             head = await connection.read_head()
             metadata = self.dialect.read_response(head.status, head.headers)
-            self._note_upstream(entry, metadata)
+            self._note_contact(entry)
             own = exchange.metadata.request_id
             if metadata.request_id in (None, own):
                 if metadata.request_id is None and connection.request_count > 1:
                     # It may answer an earlier request while this one still runs.
                     metadata = _load_only(metadata)
+                self._note_upstream(entry, metadata)
                 return head, metadata
             logger.warning(
                 "stray_answer",
@@ -337,4 +342,6 @@
         not_run=False,
         other_incarnation=False,
         sealed=False,
+        leaving=False,
+        pause_s=None,
     )
