--- a/src/carobstair/core/fair_admission.py
+++ b/src/carobstair/core/fair_admission.py
@@ -221,7 +221,8 @@
             from this value, as later corrections are common to all routers.
         """
         distance = self.settings.agreement * (log_factor - reported)
-        self.factor *= math.exp(distance)
+        factor = self.factor * math.exp(distance)
+        self.factor = min(factor, self.settings.max_factor)
 
     def correct(
         self,
--- a/tests/test_fair_admission.py
+++ b/tests/test_fair_admission.py
@@ -259,6 +259,11 @@
         admission.decide("m", "w", 9e9, 1e4, lambda: 1.0, 0.0)
         self.assertAlmostEqual(admission._controls["m"].factor, math.exp(0.4))
 
+    def test_agreement_stays_within_the_bound_of_the_factor(self):
+        admission = self.make_admission(2.4)
+        admission.note_totals(others({}, 1, log_factors=3.0, reported=0.9), 0.0)
+        self.assertEqual(admission._controls["m"].factor, 2.5)
+
     def test_correction_since_the_report_is_kept(self):
         # With reports of two seconds ago, the mean held all factors back.
         admission = self.make_admission(2.0)
