Exchange demand each 0.2 s in zones of up to 65 routers

Cause: at 195 routers the interval was 0.43 s, and a surge was known everywhere after three of them.

Change: the interval grows from 65 routers of a zone, not from 30.

What a collector of 65 routers costs was not measured.

--- a/src/carobstair/core/share_collector.py
+++ b/src/carobstair/core/share_collector.py
@@ -41,7 +41,7 @@
     """
 
     interval_s: float = 0.2
-    full_rate_routers: int = 30
+    full_rate_routers: int = 65
     expiry_intervals: int = 12
     answer_intervals: int = 4
     replaced_intervals: int = 2
