Refuse workspaces beyond their share by their head while a router is late

Cause: since shares are decided before refusals as busy, each refusal of a late router costs a body and a decision.

Change: streams of workspaces that were beyond their share are refused by their head while the router is late; their demand is counted, and credit grows as if they had been decided on. All others are refused later, at the former lags.

--- a/src/carobstair/core/fair_admission.py
+++ b/src/carobstair/core/fair_admission.py
@@ -162,6 +162,17 @@
         return self.tokens * math.exp((self.at_s - now_s) / window_s) / window_s
 
 
+@dataclass(slots=True)
+class _Credit:
+    """Tokens that a workspace beyond its share may still begin.
+
+    `part` is the part of its demand that its share is, as of the last decision.
+    """
+
+    tokens: float
+    part: float
+
+
 @dataclass(slots=True)
 class _FleetDemand:
     """Demand at the other routers, and their estimates of the load."""
@@ -293,8 +304,8 @@
     _capacities: dict[str, float] = field(default_factory=dict)
     # Tokens admitted lately, by pool.
     _admitted: dict[str, _Demand] = field(default_factory=dict)
-    # Tokens that each workspace beyond its share may still begin.
-    _credits: dict[tuple[str, str], float] = field(default_factory=dict)
+    # Workspaces beyond their share.
+    _credits: dict[tuple[str, str], _Credit] = field(default_factory=dict)
 
     def note_totals(self, totals: ShareTotals, now_s: float) -> None:
         """Replace the demand of the other routers, and approach their throughput."""
@@ -359,9 +370,28 @@
 
     def give_back(self, pool: str, workspace: str, tokens: float) -> None:
         """Return the tokens of a request that was admitted and did not begin."""
+        credit = self._credits.get((pool, workspace))
+        if credit is not None:
+            credit.tokens += tokens
+
+    def is_beyond_share(self, pool: str, workspace: str) -> bool:
+        """Return whether a workspace exceeded its share when it last asked."""
+        return (pool, workspace) in self._credits
+
+    def note_demand(
+        self, pool: str, workspace: str, tokens: float, now_s: float
+    ) -> None:
+        """Count a request that is refused without a decision towards the demand."""
+        window_s = self.settings.demand_window_s
         key = (pool, workspace)
-        if key in self._credits:
-            self._credits[key] += tokens
+        own = self._own.setdefault(key, _Demand(0.0, now_s))
+        drained = own.tokens - own.rate(now_s, window_s) * window_s
+        own.add(tokens, now_s, window_s)
+        credit = self._credits.get(key)
+        if credit is not None:
+            saved = own.rate(now_s, window_s) * self.settings.burst_s
+            earned = credit.tokens + credit.part * drained
+            credit.tokens = min(earned, credit.part * saved)
 
     def throughput_factors(self) -> dict[str, tuple[float, float]]:
         """Return factor and smoothed pressure of each pool that had requests."""
@@ -433,7 +463,7 @@
                 # Saved credit would be used at once when the engines have room again.
                 drained = 0.0
             credit = self._credit(key, part, tokens, rate_before, drained)
-            self._credits[key] = credit
+            self._credits[key] = _Credit(credit, part)
         else:
             self._credits.pop(key, None)
         # A request may overdraw the credit, so that large ones are admitted as well.
@@ -447,7 +477,7 @@
         if expected > self.settings.max_wait:
             return replace(refused, wait=expected, reason="wait")
         if key in self._credits:
-            self._credits[key] = credit - tokens
+            self._credits[key].tokens = credit - tokens
         self._note_admitted(pool, tokens, now_s)
         return AdmissionDecision(True, share, demand)
 
@@ -495,7 +525,7 @@
             # first requests the same part is admitted.
             owed = (1.0 - part) * rate_before * self.settings.demand_window_s
             return tokens * (part - self.rng.random()) - owed
-        return min(credit + part * drained, saved + part * tokens)
+        return min(credit.tokens + part * drained, saved + part * tokens)
 
     def _new_control(self, pool: str) -> ThroughputControl:
         control = ThroughputControl(self.settings)
--- a/src/carobstair/edge/app.py
+++ b/src/carobstair/edge/app.py
@@ -133,6 +133,7 @@
                 table, limits = self._active_config()
                 metadata = self._read_metadata(scope, limits)
                 route, workspace = self._admit(table, metadata, scope["path"])
+                self._shed_beyond_share(table, route, metadata, workspace, arrived_s)
                 body = await self._read_body(caller, limits, route, metadata, arrived_s)
                 exchange = self._exchange(
                     scope, table, metadata, route, workspace, body, arrived_s
@@ -324,11 +325,32 @@
         wait_s = decision.retry_after_s * self._rng.uniform(0.7, 1.3)
         raise refuse("overloaded", exchange.detail, wait_s)
 
-    def _check_overload(self, exchange: Exchange, within_share: bool) -> None:
-        """Refuse some requests while this process is late.
+    def _shed_beyond_share(
+        self,
+        table: RoutingTable,
+        route: Route,
+        metadata: RequestMetadata,
+        workspace: str | None,
+        now_s: float,
+    ) -> None:
+        """Refuse streams of workspaces beyond their share while this process is late.
 
-        Workspaces within their share are refused last: the others cause the load.
+        They cause the load, and are refused before they cost more than their head.
         """
+        if not workspace or route.kind is not RequestKind.STREAM:
+            return
+        if not self._overload.refuses(True, now_s, self._rng):
+            return
+        pool = self._pick_pool(table, route).name
+        if self._admission.is_beyond_share(pool, workspace):
+            tokens = self._weighted_tokens(metadata)
+            self._admission.note_demand(pool, workspace, tokens, now_s)
+            self.account.note_asked(pool, workspace, tokens)
+            self.account.note_refused(pool, workspace, "router-busy")
+            raise self._busy_refusal(now_s)
+
+    def _check_overload(self, exchange: Exchange, within_share: bool) -> None:
+        """Refuse some of the other requests while this process is late."""
         now_s = time.monotonic()
         stream = exchange.route.kind is RequestKind.STREAM
         first = stream and not within_share
@@ -337,9 +359,12 @@
                 self.account.note_refused(
                     exchange.pool.name, exchange.workspace, "router-busy"
                 )
-            lag_s = self._overload.lag_s(now_s)
-            wait_s = OTHER_ROUTER_RETRY_S * self._rng.uniform(0.3, 1.0)
-            raise refuse("router-busy", f"{lag_s:.3f} s behind", wait_s)
+            raise self._busy_refusal(now_s)
+
+    def _busy_refusal(self, now_s: float) -> Refusal:
+        lag_s = self._overload.lag_s(now_s)
+        wait_s = OTHER_ROUTER_RETRY_S * self._rng.uniform(0.3, 1.0)
+        return refuse("router-busy", f"{lag_s:.3f} s behind", wait_s)
 
     def _give_back(self, exchange: Exchange | None) -> None:
         """Return the share of a request that was admitted and did not begin."""
--- a/tests/test_service_account.py
+++ b/tests/test_service_account.py
@@ -66,6 +66,24 @@
         self.assertEqual(status, 503)
         self.assertEqual(self.rows(), {"team": (1000.0, 0.0, {"router-busy": 1})})
 
+    async def test_late_router_refuses_workspaces_beyond_their_share_by_their_head(
+        self,
+    ):
+        # A crowded router spent its time on requests that it then refused.
+        await self.start_upstreams("stream", config=make_engine_config(1000.0))
+        for _ in range(3):
+            await self.call_stream(1000)
+        self.rows()
+        self.overload.note(9.0, time.monotonic())
+        with (
+            mock.patch.object(self.app._rng, "random", lambda: 0.5),
+            mock.patch.object(self.app, "_read_body") as read_body,
+        ):
+            status, _, _ = await self.call_stream(1000)
+        read_body.assert_not_called()
+        self.assertEqual(status, 503)
+        self.assertEqual(self.rows(), {"team": (1000.0, 0.0, {"router-busy": 1})})
+
 
 if __name__ == "__main__":
     unittest.main()
