Read and log the request rates that upstreams state

Callers see nothing of it yet. Statements are kept by incarnation with a version; a response to a request that was sent before the last statement was learned neither raises nor ends a limit. Values that are no plain positive number are not believed.

--- a/src/carobstair/core/dispatch.py
+++ b/src/carobstair/core/dispatch.py
@@ -10,6 +10,7 @@
 
 from carobstair.core.directory import UpstreamDirectory, UpstreamEntry
 from carobstair.core.engine_load import LoadTracker, PromptShape
+from carobstair.core.rate_limits import StatedRates
 from carobstair.core.routing import ServicePool
 from carobstair.core.send_limits import ColdSendLimit, ResendLimit
 from carobstair.core.upstream_health import UpstreamHealth
@@ -38,6 +39,7 @@
     resends: ResendLimit
     rng: random.Random
     routers: frozenset[str] = field(default_factory=frozenset)
+    rates: StatedRates = field(default_factory=StatedRates)
     # Ranks by upstream for the routers from which they were computed.
     _ranks: dict[str, int] = field(default_factory=dict)
     _ranked_routers: frozenset[str] = field(default_factory=frozenset)
@@ -80,6 +82,7 @@
             return False
         if pool.cold_rate > 0:
             self.cold.note_send(entry.upstream_id, now_s)
+        self.rates.note_send((entry.upstream_id, entry.born_ms), now_s)
         return True
 
     def note_unreachable(
--- a/src/carobstair/edge/metadata.py
+++ b/src/carobstair/edge/metadata.py
@@ -77,6 +77,11 @@
         Whether the upstream says that it is about to end.
     pause_s : float or None
         How long the upstream wants no further requests from this router.
+    rate_per_s : float or None
+        Requests a second that the upstream accepts from all routers together; None
+        if it states no limit.
+    rate_unreadable : bool
+        Whether it states a limit that can't be read, which says nothing.
     """
 
     request_id: str | None
@@ -86,6 +91,8 @@
     load: ReportedLoad | None
     leaving: bool = False
     pause_s: float | None = None
+    rate_per_s: float | None = None
+    rate_unreadable: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/carobstair/edge/metrics.py
+++ b/src/carobstair/edge/metrics.py
@@ -46,6 +46,9 @@
         self.version = self._gauge("version_in_force", "Number of the configuration")
         self.open_requests = self._gauge("open_requests", "Requests in hand")
         self.peers = self._gauge("peers_heard", "Peers that were heard lately")
+        self.limited_upstreams = self._gauge(
+            "limited_upstreams", "Upstreams that limit the requests of all routers"
+        )
         self.suspected_segments = self._gauge(
             "suspected_segments", "Prompt segments under which upstreams ended"
         )
--- a/src/carobstair/edge/response_relay.py
+++ b/src/carobstair/edge/response_relay.py
@@ -13,6 +13,7 @@
 from carobstair.core.dispatch import Dispatcher
 from carobstair.core.engine_load import LoadTracker, SentRequest
 from carobstair.core.framing import Framing
+from carobstair.core.rate_limits import StatedRate
 from carobstair.core.routing import RequestKind
 from carobstair.edge.crash_guard import CrashGuard
 from carobstair.edge.event_stream import EventBoundary, EventTooLarge
@@ -148,6 +149,23 @@
                 pause_s=round(metadata.pause_s, 3),
             )
 
+    def _note_rate(
+        self, exchange: Exchange, entry: UpstreamEntry, metadata: ResponseMetadata
+    ) -> None:
+        """Record the request rate that the response states, or that it states none."""
+        if metadata.other_incarnation or metadata.rate_unreadable:
+            if metadata.rate_unreadable and metadata.request_id is not None:
+                logger.info("upstream_limit_unreadable", upstream=entry.upstream_id)
+            return
+        if metadata.rate_per_s is None and metadata.request_id is None:
+            return
+        upstream = entry.upstream_id, entry.born_ms
+        rate = self.dispatcher.rates.note_response(
+            upstream, metadata.rate_per_s, exchange.progress.sent_s, time.monotonic()
+        )
+        if rate is not None:
+            log_rate(entry.upstream_id, rate)
+
     async def _read_matching_response(
         self, exchange: Exchange, entry: UpstreamEntry, connection: UpstreamConnection
     ) -> tuple[ResponseHead, ResponseMetadata]:
@@ -162,6 +180,7 @@
                     # It may answer an earlier request while this one still runs.
                     metadata = _load_only(metadata)
                 self._note_upstream(entry, metadata)
+                self._note_rate(exchange, entry, metadata)
                 return head, metadata
             logger.warning(
                 "stray_answer",
@@ -315,6 +334,17 @@
             raise ConnectionBroken("a body without end")
 
 
+def log_rate(upstream_id: str, rate: StatedRate) -> None:
+    """Log a change of the rate that an upstream accepts."""
+    logger.info(
+        "upstream_limit_changed",
+        upstream=upstream_id,
+        limit_per_s=round(rate.per_s, 3) if rate.is_limit else "none",
+        version=rate.version,
+        told_by=rate.source or None,
+    )
+
+
 async def _try_discard_body(connection: UpstreamConnection) -> None:
     """Read a body so that its connection can be reused, unless it takes too long."""
     try:
@@ -344,4 +374,6 @@
         sealed=False,
         leaving=False,
         pause_s=None,
+        rate_per_s=None,
+        rate_unreadable=True,
     )
--- a/src/carobstair/edge/router.py
+++ b/src/carobstair/edge/router.py
@@ -54,6 +54,8 @@
 SERVICE_LOG_INTERVAL_S = 2.0
 # Workspaces in the log lines of one interval.
 MAX_LOGGED_WORKSPACES = 4
+# Upstreams with a limit in the log lines of one interval.
+MAX_LOGGED_LIMITS = 8
 # Changed objects listed in one log line.
 MAX_LOGGED_NAMES = 16
 # Settings applied on reload. The others, such as addresses and placement, are read
@@ -343,6 +345,19 @@
                     factor=round(factor, 3),
                     pressure=round(pressure, 2),
                 )
+            self._log_limited_upstreams()
+
+    def _log_limited_upstreams(self) -> None:
+        now_s = time.monotonic()
+        limited = self._dispatcher.rates.limited()
+        for (upstream_id, _), rate in list(limited.items())[:MAX_LOGGED_LIMITS]:
+            logger.info(
+                "upstream_limited",
+                upstream=upstream_id,
+                limit_per_s=round(rate.per_s, 3),
+                known_for_s=round(now_s - rate.learned_s, 2),
+                sent_in_4s=rate.sent_lately(now_s),
+            )
 
     async def _clean_up(self) -> None:
         """Discard state and idle connections of upstreams that are gone."""
@@ -355,9 +370,11 @@
             self._health.keep(ids)
             self._dispatcher.cold.keep(ids)
             found = map(self._directory.find, ids)
-            self._connections.prune(
-                {(u.upstream_id, u.entry.born_ms) for u in found if u is not None}
-            )
+            incarnations = {
+                (u.upstream_id, u.entry.born_ms) for u in found if u is not None
+            }
+            self._connections.prune(incarnations)
+            self._dispatcher.rates.keep(incarnations)
 
     def _on_state_change(self, kind: StateKind, names: list[str]) -> None:
         if kind is StateKind.ROUTERS:
@@ -406,6 +423,7 @@
         self.metrics.version.set(self.view.version)
         self.metrics.open_requests.set(len(self.app.open_requests))
         suspected, refused = self._guard.refusals.counts()
+        self.metrics.limited_upstreams.set(len(self._dispatcher.rates.limited()))
         self.metrics.suspected_segments.set(suspected)
         self.metrics.refused_segments.set(refused)
         for pool, (factor, _) in self._admission.throughput_factors().items():
--- a/src/carobstair/platform/headers.py
+++ b/src/carobstair/platform/headers.py
@@ -34,6 +34,8 @@
 ENGINE_LOAD = b"carobstair-engine-load"
 RESPONSE_SEAL = b"carobstair-response-seal"
 SERVER_LEAVING = b"server-leaving"
+# Requests a second that the engine accepts from all machines together.
+SERVER_LIMIT = b"server-limit"
 RETRY_AFTER = b"retry-after"
 
 # Apply to a single connection only, or are set again for each connection.
@@ -79,6 +81,7 @@
 # A longer Retry-After is a mistake: it would take an upstream out of use for good.
 MAX_PAUSE_S = 300.0
 INTEGER = re.compile(rb"[0-9]{1,9}")
+DECIMAL = re.compile(rb"[0-9]{1,7}(\.[0-9]{1,9})?")
 REQUEST_ID = re.compile(rb"[\x21-\x7e]{1,256}")
 
 
@@ -128,6 +131,8 @@
         """Parse the headers of an upstream's response."""
         values = dict(headers)
         request_id = values.get(ATTEMPT_ID)
+        limit = values.get(SERVER_LIMIT)
+        rate_per_s = _read_rate(limit)
         return ResponseMetadata(
             None if request_id is None else request_id.decode("latin-1"),
             NOT_EXECUTED in values,
@@ -138,6 +143,8 @@
             _read_retry_after(values.get(RETRY_AFTER))
             if status == SERVICE_UNAVAILABLE
             else None,
+            rate_per_s,
+            limit is not None and rate_per_s is None,
         )
 
     def write_response(self, headers: Headers) -> Headers:
@@ -193,6 +200,12 @@
     return min(pause_s, MAX_PAUSE_S)
 
 
+def _read_rate(value: bytes | None) -> float | None:
+    """Return a positive rate, or None."""
+    text = (value or b"").strip()
+    return float(text) or None if DECIMAL.fullmatch(text) else None
+
+
 def _read_load(value: bytes | None) -> ReportedLoad | None:
     numbers = [part.strip() for part in (value or b"").split(b",")]
     if len(numbers) != 3 or not all(map(INTEGER.fullmatch, numbers)):
