--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -6,6 +6,7 @@
 import asyncio
 import itertools
 import json
+import time
 
 from carobstair.standins.proxy import reset_connection
 
@@ -264,12 +265,14 @@
     def __init__(self, script):
         super().__init__()
         self.requests = []
+        self.arrivals_s = []
         self._script = script
         self._previous = None
         self.ended_hangs = 0
         # Bytes of an endless response that the router's side accepted.
         self.endless_bytes = 0
         self.retry_after = "1.0"
+        self.limit_per_s = "4.0"
         self.raw_status = 200
         self.raw_headers = []
         self.raw_body = b""
@@ -280,6 +283,7 @@
     async def respond(self, request, writer):
         """Respond with the next behaviour of the script."""
         self.requests.append(request)
+        self.arrivals_s.append(time.monotonic())
         behaviour = next(self._script)
         return await getattr(self, "_" + behaviour)(request, writer)
 
@@ -386,6 +390,12 @@
         writer.write(self._response_head(request, 200, extra) + b"whole")
         return True
 
+    async def _ok_limited(self, request, writer):
+        """Name the requests a second that this upstream accepts from all routers."""
+        extra = [f"Server-Limit: {self.limit_per_s}", "Content-Length: 5"]
+        writer.write(self._response_head(request, 200, extra) + b"whole")
+        return True
+
     async def _paused(self, request, writer):
         extra = [
             "Carobstair-Not-Executed: 1",
