Pace the fleet's sends to upstreams that state a request rate

Cause: a rate stated for all routers together was known to none of them. It is of the class in which an upstream states a bound for the fleet.

Now what an incarnation states is told to all routers at once, and each send needs a permit of the router in charge of that upstream, the first by rendezvous hashing among those heard. Permits are spaced evenly at the rate; one may lie a little in the future, so a request waits at its router and never at the upstream. A router that does not answer is passed over, and its substitute issues half of the rate; a minority of the fleet issues its part. Permits that are not used are returned. Placement counts the wait for a permit, prefers long prompts at limited engines, admission shares only what they accept, and a request that no upstream may take in time is refused at once with the time at which one will.

Evidence: test_limited_upstreams failed before (48 requests in 2 s, 13 allowed) and passes.

--- a/src/carobstair/core/dispatch.py
+++ b/src/carobstair/core/dispatch.py
@@ -2,23 +2,24 @@
 
 from __future__ import annotations
 
+import math
 import random
-from collections.abc import Collection
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass, field
 
 import xxhash
 
 from carobstair.core.directory import UpstreamDirectory, UpstreamEntry
 from carobstair.core.engine_load import LoadTracker, PromptShape
-from carobstair.core.rate_limits import StatedRates
+from carobstair.core.rate_limits import PermitDesk, StatedRates
 from carobstair.core.routing import ServicePool
 from carobstair.core.send_limits import ColdSendLimit, ResendLimit
 from carobstair.core.upstream_health import UpstreamHealth
 
 __all__ = ["Dispatcher"]
 
-# Admission reads the fraction for each request; demand changes more slowly than this.
-USABLE_FRACTION_TTL_S = 0.05
+# Admission reads it for each request; demand changes more slowly than this.
+USABLE_THROUGHPUT_TTL_S = 0.05
 
 
 @dataclass(slots=True)
@@ -39,11 +40,20 @@
     resends: ResendLimit
     rng: random.Random
     routers: frozenset[str] = field(default_factory=frozenset)
-    rates: StatedRates = field(default_factory=StatedRates)
+    permits: PermitDesk = field(init=False)
     # Ranks by upstream for the routers from which they were computed.
     _ranks: dict[str, int] = field(default_factory=dict)
     _ranked_routers: frozenset[str] = field(default_factory=frozenset)
-    _usable_fractions: dict[str, tuple[float, float]] = field(default_factory=dict)
+    _usable_throughputs: dict[str, tuple[float, float]] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        self.permits = PermitDesk(self.name)
+        self.permits.count_routers = self._count_routers
+
+    @property
+    def rates(self) -> StatedRates:
+        """Rates that upstreams have stated."""
+        return self.permits.rates
 
     def choose(
         self,
@@ -51,8 +61,15 @@
         prompt: PromptShape,
         avoided: Collection[str],
         now_s: float,
+        max_wait_s: float = math.inf,
     ) -> UpstreamEntry | None:
-        """Return the upstream for a request, or None if none is available."""
+        """Return the upstream for a request, or None if none is available.
+
+        Parameters
+        ----------
+        max_wait_s : float
+            Longest wait for a permit, where an upstream limits its requests.
+        """
         warm, cold = self.directory.warm_and_cold(pool.name, now_s)
         entries = {
             entry.upstream_id: entry
@@ -62,14 +79,47 @@
             ]
             if entry.upstream_id not in avoided
         }
+        waits_s = self._permit_waits_s(entries, now_s)
+        for upstream_id, wait_s in waits_s.items():
+            if wait_s > max_wait_s:
+                del entries[upstream_id]
         if not entries:
             return None
         stall_durations_s = self.loads.stall_durations_s(entries, now_s)
         healthy = self.health.preferred(entries, stall_durations_s, now_s)
         candidates = ((u, entries[u].zone) for u in healthy)
         if pool.engine is not None:
-            return entries[self.loads.pick(candidates, prompt, self.rng, now_s)]
-        return entries[self.loads.pick_plain(candidates, self.rng)]
+            return entries[
+                self.loads.pick(candidates, prompt, self.rng, now_s, waits_s)
+            ]
+        return entries[self.loads.pick_plain(candidates, self.rng, waits_s)]
+
+    def permit_wait_s(
+        self, service: str, avoided: Collection[str], now_s: float
+    ) -> float | None:
+        """Return the shortest wait for a permit at a service's upstreams.
+
+        None if some upstream needs no permit or none is usable.
+        """
+        entries = {
+            entry.upstream_id: entry
+            for entry in self.directory.usable(service, now_s)
+            if entry.upstream_id not in avoided
+        }
+        waits_s = self._permit_waits_s(entries, now_s)
+        return min(waits_s.values()) if len(waits_s) == len(entries) > 0 else None
+
+    def _permit_waits_s(
+        self, entries: Mapping[str, UpstreamEntry], now_s: float
+    ) -> dict[str, float]:
+        """Return the wait for a permit at those upstreams that limit requests."""
+        limited = self.rates.limited()
+        if not limited:
+            return {}
+        keys = ((upstream_id, e.born_ms) for upstream_id, e in entries.items())
+        return {
+            key[0]: self.permits.wait_s(key, now_s) for key in keys if key in limited
+        }
 
     def confirm(self, entry: UpstreamEntry, pool: ServicePool, now_s: float) -> bool:
         """Return whether a request may still be sent; call directly before the send.
@@ -97,17 +147,37 @@
             until_s = now_s + pool.cold_start_s
             self.directory.mark_cold(entry.upstream_id, until_s)
 
-    def usable_fraction(self, service: str, now_s: float) -> float:
-        """Return the fraction of a service's listed upstreams that are usable.
-
-        The result is cached for `USABLE_FRACTION_TTL_S`; it is 1 if none is usable.
+    def usable_throughput(
+        self, service: str, tokens_per_s: float, request_tokens: float, now_s: float
+    ) -> float:
+        """Return the throughput of a service's usable upstreams, in tokens a second.
+
+        It is that of all upstreams if none is usable, and cached for
+        `USABLE_THROUGHPUT_TTL_S`.
+
+        Parameters
+        ----------
+        tokens_per_s : float
+            Throughput of all listed upstreams.
+        request_tokens : float
+            Mean tokens of a request, for upstreams that limit their requests; 0 if
+            unknown.
         """
-        known = self._usable_fractions.get(service)
-        if known is None or now_s - known[0] >= USABLE_FRACTION_TTL_S:
-            entries, listed = self.directory.usable_and_listed_count(service, now_s)
-            fraction = len(entries) / listed if entries else 1.0
-            known = self._usable_fractions[service] = now_s, fraction
-        return known[1]
+        known = self._usable_throughputs.get(service)
+        if known is not None and now_s - known[0] < USABLE_THROUGHPUT_TTL_S:
+            return known[1]
+        entries, listed = self.directory.usable_and_listed_count(service, now_s)
+        total = tokens_per_s
+        if entries:
+            nominal = tokens_per_s / listed
+            total = nominal * len(entries)
+            limited = self.rates.limited() if request_tokens else {}
+            for entry in entries if limited else ():
+                rate = limited.get((entry.upstream_id, entry.born_ms))
+                if rate is not None:
+                    total -= max(0.0, nominal - rate.per_s * request_tokens)
+        self._usable_throughputs[service] = now_s, total
+        return total
 
     def queue_wait_s(
         self, pool: ServicePool, prompt: PromptShape, now_s: float
@@ -119,7 +189,8 @@
         entry = self.choose(pool, prompt, (), now_s)
         if entry is None:
             return 0.0
-        return self.loads.queue_wait_s(entry.upstream_id, entry.slots, now_s)
+        wait_s = self.loads.queue_wait_s(entry.upstream_id, entry.slots, now_s)
+        return wait_s + self.permits.wait_s((entry.upstream_id, entry.born_ms), now_s)
 
     def slots_used(self, service: str, now_s: float) -> float:
         """Return the requests at a service's engines relative to their slots."""
@@ -128,8 +199,12 @@
 
     def pressure(self, service: str, now_s: float) -> float:
         """Return the load of a service's engines relative to its target (1.0)."""
-        entries = self.directory.usable(service, now_s)
-        return self.loads.pressure({e.upstream_id: e.slots for e in entries}, now_s)
+        entries = {e.upstream_id: e for e in self.directory.usable(service, now_s)}
+        return self.loads.pressure(
+            {upstream_id: e.slots for upstream_id, e in entries.items()},
+            now_s,
+            sum(self._permit_waits_s(entries, now_s).values()),
+        )
 
     def rank(self, upstream_id: str) -> int:
         """Return this router's rank among all for an upstream (rendezvous hashing)."""
@@ -150,10 +225,13 @@
     ) -> bool:
         if pool.cold_rate <= 0 or not self.directory.is_cold(entry, now_s):
             return True
-        routers = len(self.routers) + (self.name not in self.routers)
-        quota = self.cold.quota(pool.cold_rate, routers, self.rank(entry.upstream_id))
+        rank = self.rank(entry.upstream_id)
+        quota = self.cold.quota(pool.cold_rate, self._count_routers(), rank)
         return self.cold.allows(entry.upstream_id, quota, now_s)
 
+    def _count_routers(self) -> int:
+        return len(self.routers) + (self.name not in self.routers)
+
 
 def _rendezvous_hash(router: str, upstream_id: str) -> int:
     return xxhash.xxh64_intdigest(f"{router}/{upstream_id}".encode())
--- a/src/carobstair/core/engine_load.py
+++ b/src/carobstair/core/engine_load.py
@@ -63,6 +63,9 @@
         Weight of the request's own tokens that the engine has not cached. Far above
         1: prefilling a segment twice takes time from every other request, whereas
         choosing an engine that has it cached costs only a longer wait.
+    limited_uncached_weight : float
+        The same at engines that limit their requests: they are short of sends, not of
+        time to read, so long prompts are best placed there.
     running_request_s : float
         Delay per running request: a decode step takes longer with a larger batch.
     other_zone_s : float
@@ -92,6 +95,7 @@
     prefill_tokens_per_s: float = 56_600.0
     backlog_weight: float = 3.0
     uncached_weight: float = 16.0
+    limited_uncached_weight: float = 8.0
     running_request_s: float = 0.002
     other_zone_s: float = 0.005
     target_wait_s: float = 0.25
@@ -351,17 +355,25 @@
         running = sum(self.occupancy(upstream, now_s) for upstream in upstreams)
         return running / max(1, sum(upstreams.values()))
 
-    def pressure(self, upstreams: Mapping[str, int], now_s: float = math.inf) -> float:
+    def pressure(
+        self,
+        upstreams: Mapping[str, int],
+        now_s: float = math.inf,
+        permit_waits_s: float = 0.0,
+    ) -> float:
         """Return the load of some engines relative to the target load (1.0).
 
         Parameters
         ----------
         upstreams : mapping
             Slots by upstream id.
+        permit_waits_s : float
+            Sum of the waits for permits at those that limit their requests.
         """
         settings = self.settings
         tokens = sum(map(self.backlog_tokens, upstreams))
-        wait_s = tokens / settings.prefill_tokens_per_s / max(1, len(upstreams))
+        wait_s = tokens / settings.prefill_tokens_per_s + permit_waits_s
+        wait_s /= max(1, len(upstreams))
         running = sum(self.occupancy(upstream, now_s) for upstream in upstreams)
         target_total = sum(
             min(settings.target_running, settings.target_slot_fraction * slots)
@@ -375,6 +387,7 @@
         prompt: PromptShape,
         rng: random.Random,
         now_s: float = math.inf,
+        permit_waits_s: Mapping[str, float] | None = None,
     ) -> str:
         """Return the engine with the least `first_token_s`, ties at random.
 
@@ -385,10 +398,15 @@
         ----------
         candidates : iterable of (str, str)
             Upstream id and zone, at least one.
+        permit_waits_s : mapping, optional
+            Waits for permits at engines that limit their requests.
         """
         settings = self.settings
         per_backlog_s = settings.backlog_weight / settings.prefill_tokens_per_s
         per_uncached_s = settings.uncached_weight / settings.prefill_tokens_per_s
+        per_limited_uncached_s = (
+            settings.limited_uncached_weight / settings.prefill_tokens_per_s
+        )
         fresh_s = now_s - settings.report_lifetime_s
         best, lowest_s = "", math.inf
         for upstream_id, zone in candidates:
@@ -405,24 +423,37 @@
                         break
                     uncached -= tokens
             cost_s = per_backlog_s * backlog + settings.running_request_s * running
+            limited = permit_waits_s is not None and upstream_id in permit_waits_s
             if uncached > 0:
-                cost_s += per_uncached_s * uncached
+                cost_s += (
+                    per_limited_uncached_s if limited else per_uncached_s
+                ) * uncached
             if load is not None and 0 < load.reported_slots <= running:
                 cost_s += settings.slot_wait_s * (running - load.reported_slots + 1)
             if zone != self.zone:
                 cost_s += settings.other_zone_s
+            if limited:
+                cost_s += settings.backlog_weight * permit_waits_s[upstream_id]
             cost_s += TIE_BREAK_S * rng.random()
             if cost_s < lowest_s:
                 best, lowest_s = upstream_id, cost_s
         return best
 
     def pick_plain(
-        self, candidates: Iterable[tuple[str, str]], rng: random.Random
+        self,
+        candidates: Iterable[tuple[str, str]],
+        rng: random.Random,
+        permit_waits_s: Mapping[str, float] | None = None,
     ) -> str:
-        """Return the upstream of a plain service with the fewest running requests."""
+        """Return the upstream of a plain service with the fewest running requests.
+
+        Those with the shortest wait for a permit come first.
+        """
         ranked = []
         for u, zone in candidates:
             cost = float(self.running(u))
+            if permit_waits_s:
+                cost += permit_waits_s.get(u, 0.0) / self.settings.slot_wait_s
             if zone != self.zone:
                 cost += 0.5
             ranked.append((cost, rng.random(), u))
--- a/src/carobstair/core/fair_admission.py
+++ b/src/carobstair/core/fair_admission.py
@@ -47,6 +47,8 @@
 MAX_CORRECTION_STEPS = 5.0
 # A lower rate does not count as demand.
 MIN_DEMAND_TOKENS_PER_S = 1.0
+# At a lower rate of requests their mean size is not known.
+MIN_REQUESTS_PER_S = 0.1
 
 
 @dataclass(frozen=True, slots=True)
@@ -302,8 +304,9 @@
     _controls: dict[str, ThroughputControl] = field(default_factory=dict)
     # Nominal throughput of each pool, as given with the last request.
     _capacities: dict[str, float] = field(default_factory=dict)
-    # Tokens admitted lately, by pool.
+    # Tokens and requests admitted lately, by pool.
     _admitted: dict[str, _Demand] = field(default_factory=dict)
+    _admitted_requests: dict[str, _Demand] = field(default_factory=dict)
     # Workspaces beyond their share.
     _credits: dict[tuple[str, str], _Credit] = field(default_factory=dict)
 
@@ -348,11 +351,12 @@
         control = self._controls[pool]
         return PoolDemand(
             demands,
-            round(self._admitted_rate(pool, now_s)),
+            round(self._rate(self._admitted, pool, now_s)),
             1,
             round(math.log(control.factor), 4),
             round(control.own_pressure, 3),
             round(control.own_slots_used, 3),
+            round(self._rate(self._admitted_requests, pool, now_s), 3),
         )
 
     def refresh(
@@ -486,14 +490,29 @@
         return min(max(wait_s, settings.min_retry_after_s), settings.max_retry_after_s)
 
     def _note_admitted(self, pool: str, tokens: float, now_s: float) -> None:
-        admitted = self._admitted.setdefault(pool, _Demand(0.0, now_s))
-        admitted.add(tokens, now_s, self.settings.demand_window_s)
+        window_s = self.settings.demand_window_s
+        for sums, amount in ((self._admitted, tokens), (self._admitted_requests, 1.0)):
+            sums.setdefault(pool, _Demand(0.0, now_s)).add(amount, now_s, window_s)
 
-    def _admitted_rate(self, pool: str, now_s: float) -> float:
-        admitted = self._admitted.get(pool)
-        if admitted is None:
+    def _rate(self, sums: Mapping[str, _Demand], pool: str, now_s: float) -> float:
+        """Return the amount a second of a pool."""
+        demand = sums.get(pool)
+        if demand is None:
             return 0.0
-        return admitted.rate(now_s, self.settings.demand_window_s)
+        return demand.rate(now_s, self.settings.demand_window_s)
+
+    def mean_request_tokens(self, pool: str, now_s: float) -> float:
+        """Return the mean weighted tokens of the requests that all routers admit.
+
+        0 if none was admitted lately.
+        """
+        tokens = self._rate(self._admitted, pool, now_s)
+        requests = self._rate(self._admitted_requests, pool, now_s)
+        others = self._others.get(pool)
+        if others is not None and now_s - others.at_s < TOTALS_LIFETIME_S:
+            tokens += others.row.admitted
+            requests += others.row.admitted_requests
+        return tokens / requests if requests > MIN_REQUESTS_PER_S else 0.0
 
     def _credit(
         self,
@@ -548,7 +567,7 @@
         """Correct a throughput by the mean of all routers' estimates of the load."""
         others = self._others.get(pool)
         own_pressure, own_slots_used = pressure, slots_used
-        admitted = self._admitted_rate(pool, now_s)
+        admitted = self._rate(self._admitted, pool, now_s)
         if others is not None and now_s - others.at_s < ESTIMATES_LIFETIME_S:
             row = others.row
             admitted += row.admitted
--- a/src/carobstair/core/messages.py
+++ b/src/carobstair/core/messages.py
@@ -27,6 +27,12 @@
     TicketPull,
     TicketPush,
 )
+from carobstair.core.permit_messages import (
+    PermitAnswer,
+    PermitRequest,
+    PermitReturn,
+    RateNews,
+)
 from carobstair.core.share_messages import ShareReport, ShareTotals, ZoneTotals
 
 __all__ = [
@@ -372,6 +378,10 @@
 
 _PAYLOADS = (
     FleetDigest,
+    PermitAnswer,
+    PermitRequest,
+    PermitReturn,
+    RateNews,
     SegmentEvidence,
     ShareReport,
     ShareTotals,
--- a/src/carobstair/core/rate_limits/stated_rates.py
+++ b/src/carobstair/core/rate_limits/stated_rates.py
@@ -114,6 +114,11 @@
         known = self._rates.get(upstream)
         return NO_LIMIT if known is None else known.per_s
 
+    def is_limited(self, upstream: Incarnation) -> bool:
+        """Return whether an incarnation limits its requests now."""
+        known = self._rates.get(upstream)
+        return known is not None and known.is_limit
+
     def limited(self) -> dict[Incarnation, StatedRate]:
         """Return the incarnations that limit their requests now."""
         return {key: rate for key, rate in self._rates.items() if rate.is_limit}
--- a/src/carobstair/core/refusals.py
+++ b/src/carobstair/core/refusals.py
@@ -203,6 +203,14 @@
         "Send it again after Retry-After.",
         1.0,
     ),
+    RefusalType(
+        "upstreams-limited",
+        503,
+        Ran.NO,
+        "All upstreams limit their requests and no send is free in time",
+        "Send it again after Retry-After.",
+        0.5,
+    ),
     RefusalType(
         "upstreams-unreached",
         503,
--- a/src/carobstair/edge/app.py
+++ b/src/carobstair/edge/app.py
@@ -306,7 +306,12 @@
             pool.name,
             workspace,
             tokens,
-            limits.tokens_per_s * dispatcher.usable_fraction(pool.name, now_s),
+            dispatcher.usable_throughput(
+                pool.name,
+                limits.tokens_per_s,
+                self._admission.mean_request_tokens(pool.name, now_s),
+                now_s,
+            ),
             lambda: dispatcher.pressure(pool.name, now_s),
             now_s,
             lambda: dispatcher.queue_wait_s(pool, prompt, now_s) / target_s,
--- a/src/carobstair/edge/gossip.py
+++ b/src/carobstair/edge/gossip.py
@@ -124,6 +124,10 @@
         """Return the number of peers that have sent a digest recently."""
         return sum(not self._is_silent(name, now_s) for name in self._last_heard_s)
 
+    def heard(self) -> list[str]:
+        """Return the names of the peers that have sent a digest recently."""
+        return list(self._last_heard_s)
+
     def heard_by_zone(self) -> dict[str, list[str]]:
         """Return the names of the peers that have sent a digest recently, by zone."""
         zones: dict[str, list[str]] = {}
--- a/src/carobstair/edge/metrics.py
+++ b/src/carobstair/edge/metrics.py
@@ -49,6 +49,9 @@
         self.limited_upstreams = self._gauge(
             "limited_upstreams", "Upstreams that limit the requests of all routers"
         )
+        self.permits = self._counter(
+            "permits", "Permits asked for at upstreams with a limit", ("outcome",)
+        )
         self.suspected_segments = self._gauge(
             "suspected_segments", "Prompt segments under which upstreams ended"
         )
--- a/src/carobstair/edge/relay.py
+++ b/src/carobstair/edge/relay.py
@@ -28,6 +28,7 @@
     Send,
 )
 from carobstair.edge.metadata import Dialect, ForwardMetadata
+from carobstair.edge.permit_exchange import Permit, PermitExchange
 from carobstair.edge.response_relay import ResponseRelay
 from carobstair.edge.upstream_connection import (
     CONNECT_TIMEOUT_S,
@@ -49,8 +50,8 @@
 # Interval between placement attempts while cold upstreams are at their send limit
 # or no connection is free.
 PLACEMENT_RETRY_S = 0.02
-# Callers refused because all upstreams pause return within this time after the end
-# of the pause, as a fraction of it and at least.
+# Callers refused because all upstreams pause or limit requests return within this
+# time after one is free again, as a fraction of the wait and at least.
 RETURN_SPREAD = 0.5
 MIN_RETURN_SPREAD_S = 0.5
 # Maximum wait for an upstream, as a fraction of the route's target latency.
@@ -73,11 +74,15 @@
     dialect: Dialect
     responses: ResponseRelay = field(init=False)
     guard: CrashGuard = field(init=False)
+    permits: PermitExchange = field(init=False)
     _waiting: Counter[str] = field(default_factory=Counter)
 
     def __post_init__(self) -> None:
         self.guard = CrashGuard(self.dispatcher)
-        self.responses = ResponseRelay(self.dispatcher, self.dialect, self.guard)
+        self.permits = PermitExchange(self.dispatcher.permits)
+        self.responses = ResponseRelay(
+            self.dispatcher, self.dialect, self.guard, self.permits
+        )
 
     async def run(self, exchange: Exchange, send: Send) -> None:
         """Forward a request until its response is complete.
@@ -110,19 +115,13 @@
 
     async def _attempt(self, exchange: Exchange, send: Send) -> bool:
         """Try one upstream; return whether the response is complete."""
-        entry, connection = await self._connect(exchange)
+        entry, connection, permit = await self._connect(exchange)
         now_s = time.monotonic()
-        if now_s >= exchange.deadline_s:
-            # The timeout may fire late under load; don't send after the deadline.
+        error = self._send_error(exchange, now_s)
+        if error is not None:
             self.connections.release(entry, connection)
-            raise TimeoutError
-        if exchange.caller_closed():
-            # A late event loop reads the request before the close that followed it.
-            self.connections.release(entry, connection)
-            raise CallerLeft
-        if not self.guard.allows_send(exchange):
-            self.connections.release(entry, connection)
-            raise self._crashing_prompt_error(exchange)
+            self.permits.give_back(permit)
+            raise error
         exchange.attempts += 1
         exchange.upstream_id = entry.upstream_id
         exchange.progress = AttemptProgress(now_s)
@@ -159,6 +158,18 @@
                 self.connections.drop(entry, connection)
         return await self._handle_outcome(exchange, entry, outcome, send)
 
+    def _send_error(self, exchange: Exchange, now_s: float) -> Exception | None:
+        """Return why a request must not be sent any more, if so."""
+        if now_s >= exchange.deadline_s:
+            # The timeout may fire late under load; don't send after the deadline.
+            return TimeoutError()
+        if exchange.caller_closed():
+            # A late event loop reads the request before the close that followed it.
+            return CallerLeft()
+        if not self.guard.allows_send(exchange):
+            return self._crashing_prompt_error(exchange)
+        return None
+
     async def _handle_outcome(
         self, exchange: Exchange, entry: UpstreamEntry, outcome: Outcome, send: Send
     ) -> bool:
@@ -217,7 +228,7 @@
 
     async def _connect(
         self, exchange: Exchange
-    ) -> tuple[UpstreamEntry, UpstreamConnection]:
+    ) -> tuple[UpstreamEntry, UpstreamConnection, Permit]:
         """Select an upstream and return it with a connection ready for a request."""
         wait_s = PLACEMENT_WAIT_FRACTION * exchange.route.target_latency_s
         wait_until_s = min(time.monotonic() + wait_s, exchange.deadline_s)
@@ -230,21 +241,46 @@
             limit = self._connection_limit(exchange.pool)
             full = self.connections.full_upstreams(limit)
             entry = self.dispatcher.choose(
-                exchange.pool, exchange.metadata.prompt, exchange.excluded | full, now_s
+                exchange.pool,
+                exchange.metadata.prompt,
+                exchange.excluded | full,
+                now_s,
+                max(0.0, wait_until_s - now_s),
             )
             if entry is None:
                 if full:
                     exchange.detail = "connections in use"
                 self._refuse_if_paused(exchange, wait_until_s, now_s)
+                self._refuse_if_limited(exchange, wait_until_s, now_s)
                 await self._wait_for_upstream(exchange, wait_until_s)
                 continue
-            connection = await self._open(exchange, entry, limit)
+            upstream = entry.upstream_id, entry.born_ms
+            permit = await self.permits.acquire(upstream, wait_until_s)
+            if permit is None:
+                continue
+            connection = await self._open_with_permit(exchange, entry, limit, permit)
             if connection is None:
                 continue
-            if self.dispatcher.confirm(entry, exchange.pool, time.monotonic()):
-                return entry, connection
+            now_s = time.monotonic()
+            if now_s <= permit.valid_until_s and self.dispatcher.confirm(
+                entry, exchange.pool, now_s
+            ):
+                return entry, connection, permit
             # The upstream became ineligible while the connection was being opened.
             self.connections.release(entry, connection)
+            self.permits.give_back(permit)
+
+    async def _open_with_permit(
+        self, exchange: Exchange, entry: UpstreamEntry, limit: int, permit: Permit
+    ) -> UpstreamConnection | None:
+        """Open a connection; give the permit back if there is none."""
+        connection = None
+        try:
+            connection = await self._open(exchange, entry, limit)
+        finally:
+            if connection is None:
+                self.permits.give_back(permit)
+        return connection
 
     async def _wait_for_upstream(self, exchange: Exchange, wait_until_s: float) -> None:
         """Wait until an upstream may be available.
@@ -275,13 +311,30 @@
         until_s = self.dispatcher.directory.paused_until_s(exchange.pool.name, now_s)
         if until_s is None or until_s <= wait_until_s:
             return
+        self._raise_if_sent(exchange)
+        wait_s = self._spread_s(until_s - now_s)
+        raise refuse("upstreams-paused", exchange.pool.name, wait_s)
+
+    def _refuse_if_limited(
+        self, exchange: Exchange, wait_until_s: float, now_s: float
+    ) -> None:
+        """Refuse a request at once if no upstream has a permit for it in time."""
+        wait_s = self.dispatcher.permit_wait_s(
+            exchange.pool.name, exchange.excluded, now_s
+        )
+        if wait_s is None or now_s + wait_s <= wait_until_s:
+            return
+        self._raise_if_sent(exchange)
+        raise refuse("upstreams-limited", exchange.pool.name, self._spread_s(wait_s))
+
+    def _raise_if_sent(self, exchange: Exchange) -> None:
         if exchange.started or exchange.may_have_run:
             raise self._placement_error(exchange)
-        # Spread, so that callers don't return at the same moment.
-        wait_s = until_s - now_s
+
+    def _spread_s(self, wait_s: float) -> float:
+        """Return a longer wait, so that callers don't return at the same moment."""
         spread_s = max(MIN_RETURN_SPREAD_S, RETURN_SPREAD * wait_s)
-        wait_s += self.dispatcher.rng.uniform(0.0, spread_s)
-        raise refuse("upstreams-paused", exchange.pool.name, wait_s)
+        return wait_s + self.dispatcher.rng.uniform(0.0, spread_s)
 
     def _connection_limit(self, pool: ServicePool) -> int:
         """Return how many connections this router may open to one upstream."""
--- a/src/carobstair/edge/response_relay.py
+++ b/src/carobstair/edge/response_relay.py
@@ -13,12 +13,12 @@
 from carobstair.core.dispatch import Dispatcher
 from carobstair.core.engine_load import LoadTracker, SentRequest
 from carobstair.core.framing import Framing
-from carobstair.core.rate_limits import StatedRate
 from carobstair.core.routing import RequestKind
 from carobstair.edge.crash_guard import CrashGuard
 from carobstair.edge.event_stream import EventBoundary, EventTooLarge
 from carobstair.edge.exchange import Exchange, Outcome, Send
 from carobstair.edge.metadata import Dialect, ResponseMetadata
+from carobstair.edge.permit_exchange import PermitExchange, log_rate
 from carobstair.edge.upstream_connection import (
     ConnectionBroken,
     ResponseHead,
@@ -54,11 +54,14 @@
     dialect : Dialect
     guard : CrashGuard
         Updated with the progress of answers.
+    permits : PermitExchange
+        Updated with the rates that responses state.
     """
 
     dispatcher: Dispatcher
     dialect: Dialect
     guard: CrashGuard
+    permits: PermitExchange
 
     @property
     def loads(self) -> LoadTracker:
@@ -165,6 +168,7 @@
         )
         if rate is not None:
             log_rate(entry.upstream_id, rate)
+            self.permits.announce(upstream)
 
     async def _read_matching_response(
         self, exchange: Exchange, entry: UpstreamEntry, connection: UpstreamConnection
@@ -334,17 +338,6 @@
             raise ConnectionBroken("a body without end")
 
 
-def log_rate(upstream_id: str, rate: StatedRate) -> None:
-    """Log a change of the rate that an upstream accepts."""
-    logger.info(
-        "upstream_limit_changed",
-        upstream=upstream_id,
-        limit_per_s=round(rate.per_s, 3) if rate.is_limit else "none",
-        version=rate.version,
-        told_by=rate.source or None,
-    )
-
-
 async def _try_discard_body(connection: UpstreamConnection) -> None:
     """Read a body so that its connection can be reused, unless it takes too long."""
     try:
--- a/src/carobstair/edge/router.py
+++ b/src/carobstair/edge/router.py
@@ -165,11 +165,15 @@
             self._loads,
             self._rng,
             self._on_state_change,
-            lambda peer: self._evidence_exchange.on_peer_heard(peer),
+            self._on_peer_heard,
         )
         self._evidence_exchange = EvidenceExchange(
             self._guard, transport, lambda: self._gossip.peers
         )
+        self._permits = relay.permits
+        self._permits.attach(transport, lambda: self._gossip.peers)
+        self._permits.count = lambda outcome: self.metrics.permits.labels(outcome).inc()
+        self._dispatcher.permits.heard = self._gossip.heard
         self._share_sync = ShareSync(
             ShareExchange(
                 settings.name, settings.zone, self._admission, settings.shares
@@ -277,6 +281,7 @@
         self.app.stream_cutoff_s = began_s + accept_s
         self.app.stop_deadline_s = stop_deadline_s
         self.app.draining = True
+        self._dispatcher.permits.is_leaving = True
         leaving = asyncio.create_task(self._unregister())
         await asyncio.sleep(accept_s)
         await self._wait_until_idle(stop_deadline_s)
@@ -307,6 +312,10 @@
                 await asyncio.sleep(delay_s * self._rng.uniform(0.5, 1.5))
                 delay_s = min(2 * delay_s, 2.0)
 
+    def _on_peer_heard(self, peer: str) -> None:
+        self._evidence_exchange.on_peer_heard(peer)
+        self._permits.on_peer_heard(peer)
+
     def _on_restore(self) -> None:
         """Write again what the restored store may lack."""
         if not self.app.draining:
@@ -374,7 +383,7 @@
                 (u.upstream_id, u.entry.born_ms) for u in found if u is not None
             }
             self._connections.prune(incarnations)
-            self._dispatcher.rates.keep(incarnations)
+            self._dispatcher.permits.keep(incarnations, time.monotonic())
 
     def _on_state_change(self, kind: StateKind, names: list[str]) -> None:
         if kind is StateKind.ROUTERS:
--- a/src/carobstair/scenario/overload.py
+++ b/src/carobstair/scenario/overload.py
@@ -236,7 +236,7 @@
             POOL,
             request.group.workspace,
             prompt.prompt_tokens + settings.output_weight * prompt.output_tokens,
-            self._plan.tokens_per_s * dispatcher.usable_fraction(POOL, now_s),
+            dispatcher.usable_throughput(POOL, self._plan.tokens_per_s, 0.0, now_s),
             lambda: dispatcher.pressure(POOL, now_s),
             now_s,
             lambda: (
