--- a/tests/test_boot.py
+++ b/tests/test_boot.py
@@ -1,14 +1,17 @@
 """Tests of the platform's settings file and of the router program that reads it."""
 
 import asyncio
+import contextlib
 import json
 import math
 import os
+import random
 import signal
 import socket
 import subprocess
 import sys
 import tempfile
+import time
 import unittest
 from pathlib import Path
 from types import SimpleNamespace
@@ -54,11 +57,20 @@
 
 
 def free_ports(count):
-    """Return ports that were free when they were probed."""
-    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [s.getsockname()[1] for s in sockets]
-    for s in sockets:
-        s.close()
+    """Return ports that were free when they were probed, as were those after them.
+
+    Routers use the port after that for peers. The ports lie below the usual range of
+    outgoing connections, which may take a free port at any moment.
+    """
+    ports = []
+    while len(ports) < count:
+        port = 2 * random.randrange(10_000, 16_000)
+        with contextlib.suppress(OSError), contextlib.ExitStack() as stack:
+            for number in (port, port + 1):
+                server = socket.create_server(("127.0.0.1", number))
+                stack.enter_context(server)
+            if port not in ports:
+                ports.append(port)
     return ports
 
 
@@ -310,6 +322,8 @@
         stop = ShutdownSettings(grace_s=0.6, accept_s=0.05, margin_s=0.1)
         router._settings = SimpleNamespace(stop=stop)
         router._unregister = AsyncMock()
+        router._signalled_s = time.monotonic()
+        router._dispatcher = SimpleNamespace(permits=SimpleNamespace())
         router.app = SimpleNamespace(open_requests=set())
         await router._drain()
         self.assertEqual(router.app.stop_deadline_s, -math.inf)
