Skip one unreadable object of the store alone

Report of other operators: another writer left one odd entry among those of the engines, and the machines that read the list ended or stopped following it.

A page that the decoder rejects is read value by value, and an unreadable spec becomes null, which names nothing. All documents but the configuration pass one check of size, depth and encoding in FleetView, whether they come from the store or a peer. Numbers, addresses and names of entries have bounds, router addresses and revisions too. An entry that becomes odd takes its upstream out of use. A kind of state that can't be applied no longer ends the others.

--- a/src/carobstair/core/agent_messages.py
+++ b/src/carobstair/core/agent_messages.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+from typing import Annotated
+
 import msgspec
 
 __all__ = [
@@ -27,15 +29,19 @@
     "TicketPush",
 ]
 
+# Incarnations are Unix milliseconds; messages hold integers of up to 64 bits.
+MAX_INCARNATION = 2**53
+_Port = Annotated[int, msgspec.Meta(ge=0, le=65535)]
+
 
 class PeerAddress(msgspec.Struct, frozen=True, array_like=True):
     """Address of a router process; `incarnation` increases with each start."""
 
     instance: str
-    incarnation: int
+    incarnation: Annotated[int, msgspec.Meta(ge=0, le=MAX_INCARNATION)]
     host: str
-    peer_port: int
-    http_port: int
+    peer_port: _Port
+    http_port: _Port
     zone: str
 
 
--- a/src/carobstair/core/fleet_view.py
+++ b/src/carobstair/core/fleet_view.py
@@ -9,10 +9,11 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import StrEnum
 
 from carobstair.core.directory import UpstreamDirectory, UpstreamEntry
+from carobstair.core.document_bounds import is_within_bounds
 from carobstair.core.routing import RoutingConfig, RoutingTable
 from carobstair.core.store_stamp import Stamp
 
@@ -32,6 +33,8 @@
     REFUSED_SEGMENTS = "refused_segments"
 
 
+# Stands for a document that is not read; no decoder accepts it.
+UNREADABLE = b"null"
 # Kinds that routers write: a store that was restored from a copy may lack them, and
 # their owners write them again.
 WRITTEN_BY_ROUTERS = frozenset({StateKind.ROUTERS, StateKind.REFUSED_SEGMENTS})
@@ -223,6 +226,8 @@
         """
         objects, changes = self._kinds[kind], list(changes)
         self._enter_era(kind, max((c.era for c in changes), default=0), now_s)
+        if kind is not StateKind.ROUTING:
+            changes = list(map(self._bounded, changes))
         accepted = [change for change in changes if objects.apply(change)]
         for change in accepted:
             if kind is StateKind.UPSTREAMS:
@@ -233,6 +238,13 @@
             self.directory.set_evacuated(objects.known, now_s)
         return [change.name for change in accepted]
 
+    def _bounded(self, change: StoreChange) -> StoreChange:
+        """Return the change without a document that no decoder should be given."""
+        if change.spec is None or is_within_bounds(change.spec):
+            return change
+        self.undecodable_count += 1
+        return replace(change, spec=UNREADABLE)
+
     def _apply_upstream(
         self, change: StoreChange, grace_until_s: float | None, now_s: float
     ) -> None:
--- a/src/carobstair/core/messages.py
+++ b/src/carobstair/core/messages.py
@@ -448,7 +448,7 @@
     """
     try:
         envelope = _ENVELOPE.decode(data)
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, RecursionError) as error:
         raise CodecError("malformed") from error
     if envelope.version != PROTOCOL_VERSION:
         raise CodecError("unknown_version")
@@ -457,5 +457,5 @@
         raise CodecError("unknown_kind")
     try:
         return envelope, decoder.decode(envelope.payload)
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, RecursionError) as error:
         raise CodecError("malformed") from error
--- a/src/carobstair/edge/follower.py
+++ b/src/carobstair/edge/follower.py
@@ -98,6 +98,11 @@
                 await self._wait_before_retry(kind, delay_s)
                 longest_s = self._settings.retry_limit_s(self._count_peers())
                 delay_s = min(2 * delay_s, longest_s)
+            except Exception:
+                # One kind that can't be applied must not end the others.
+                logger.exception("state_not_applied", kind=str(kind))
+                self._end_probe(kind)
+                await asyncio.sleep(self._settings.max_retry_s)
             else:
                 delay_s = self._settings.retry_s
                 self._end_probe(kind)
--- a/src/carobstair/edge/gossip.py
+++ b/src/carobstair/edge/gossip.py
@@ -13,6 +13,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from carobstair.core.addresses import is_host
 from carobstair.core.engine_load import LoadTracker
 from carobstair.core.fleet_view import (
     FleetView,
@@ -139,6 +140,9 @@
         """Open a link to a router listed in the store or heard from directly."""
         if address.instance == self._own.instance:
             return
+        if not is_host(address.host) or not address.peer_port:
+            logger.warning("peer_address_invalid", peer=address.instance[:255])
+            return
         known = self._peers.get(address.instance)
         if known is not None and known.incarnation >= address.incarnation:
             return
@@ -253,6 +257,8 @@
         if peer == self._own.instance:
             return
         self.add(digest.address)
+        if peer not in self._peers:
+            return
         if peer not in self._last_heard_s:
             logger.info("peer_heard", peer=peer, incarnation=envelope.incarnation)
             self._on_peer_heard(peer)
--- a/src/carobstair/edge/upstream_connection.py
+++ b/src/carobstair/edge/upstream_connection.py
@@ -369,7 +369,8 @@
             return opening.result()[1]
     except ConnectionRefusedError as error:
         raise ConnectionRefused(str(error)) from error
-    except OSError as error:
+    except (OSError, ValueError, OverflowError) as error:
+        # An address that can't be used raises one of the last two.
         raise ConnectionBroken(str(error)) from error
     except asyncio.CancelledError:
         opening.add_done_callback(_abort_opened)
--- a/src/carobstair/platform/documents.py
+++ b/src/carobstair/platform/documents.py
@@ -6,10 +6,12 @@
 
 from __future__ import annotations
 
-from typing import Literal
+import re
+from typing import Annotated, Literal
 
 import msgspec
 
+from carobstair.core.addresses import parse_address
 from carobstair.core.directory import UpstreamEntry
 from carobstair.core.fleet_view import StateKind
 from carobstair.core.routing import (
@@ -35,6 +37,12 @@
     StateKind.ROUTERS: "carobstair-routers",
     StateKind.REFUSED_SEGMENTS: "carobstair-refused-parts",
 }
+# Larger values are mistakes of other programs that write to the store.
+MAX_SLOTS = 1_000_000
+MAX_COLD_MS = 3_600_000.0
+MAX_UNIX_MS = 2**53
+MAX_NAME = 255
+UPSTREAM_NAME = re.compile(r"[\x21-\x7e]{1,255}")
 REQUEST_KINDS = {
     "safe": RequestKind.REPEATABLE,
     "unsafe": RequestKind.UNREPEATABLE,
@@ -102,15 +110,15 @@
 
 
 class _Server(msgspec.Struct, rename="camel"):
-    service: str
-    address: str
-    zone: str
+    service: Annotated[str, msgspec.Meta(min_length=1, max_length=MAX_NAME)]
+    address: Annotated[str, msgspec.Meta(max_length=MAX_NAME)]
+    zone: Annotated[str, msgspec.Meta(max_length=MAX_NAME)]
     state: Literal["ready", "draining"]
-    slots: int = 0
+    slots: Annotated[int, msgspec.Meta(ge=0, le=MAX_SLOTS)] = 0
     # Remaining time until the engine is warm, at the time it wrote the entry.
-    cold_remaining_ms: float = 0.0
+    cold_remaining_ms: Annotated[float, msgspec.Meta(le=MAX_COLD_MS)] = 0.0
     # Start time of the engine in Unix milliseconds.
-    born: int = 0
+    born: Annotated[int, msgspec.Meta(ge=0, le=MAX_UNIX_MS)] = 0
 
 
 _CONFIG = msgspec.json.Decoder(_Config)
@@ -121,7 +129,7 @@
     """Return the routing configuration from a ``config`` document."""
     try:
         config = _CONFIG.decode(spec)
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, RecursionError) as error:
         logger.warning("configuration_unreadable", error=str(error))
         return None
     return RoutingConfig(
@@ -145,19 +153,21 @@
 def decode_upstream(name: str, spec: bytes) -> UpstreamEntry | None:
     """Return the upstream from a ``servers`` document."""
     try:
+        if not UPSTREAM_NAME.fullmatch(name):
+            raise ValueError("the name can't be sent in a header")
         server = _SERVER.decode(spec)
-        host, _, port = server.address.rpartition(":")
-        port_number = int(port)
-        if not host or not 0 < port_number < 65536 or not name or not server.service:
-            raise ValueError(f"address {server.address!r}")
+        address = parse_address(server.address)
+        if address is None:
+            raise ValueError(f"address {server.address[:80]!r}")
     except (msgspec.DecodeError, ValueError) as error:
-        logger.warning("upstream_entry_unreadable", upstream=name, error=str(error))
+        logger.warning(
+            "upstream_entry_unreadable", upstream=name[:MAX_NAME], error=str(error)
+        )
         return None
     return UpstreamEntry(
         name,
         server.service,
-        host,
-        port_number,
+        *address,
         server.zone,
         server.slots,
         server.state == "draining",
--- a/src/carobstair/platform/store.py
+++ b/src/carobstair/platform/store.py
@@ -4,22 +4,27 @@
 
 import json
 from collections.abc import Callable
+from typing import Annotated
 from urllib.parse import quote, urlencode
 
 import msgspec
 
 from carobstair.core.fleet_view import StateKind, StoreChange
 from carobstair.edge.http_client import HttpClient
+from carobstair.edge.json_repair import repair_document
 from carobstair.edge.state_store import (
     Listing,
     RevisionExpired,
     StoreConflict,
     StoreUnavailable,
 )
+from carobstair.logs import get_logger
 from carobstair.platform.documents import OBJECT_KINDS
 
 __all__ = ["PlatformStore"]
 
+logger = get_logger(__name__)
+
 # Responses normally take 4 ms; those that take 60 times as long are still accepted.
 CALL_TIMEOUT_S = 1.0
 # A watch without a response this long after its wait has a dead connection.
@@ -30,9 +35,17 @@
 MAX_LIST_PAGES = 200
 
 
+# Containers around the `spec` of an entry and of an event.
+ENTRY_LEVELS = 3
+EVENT_LEVELS = 4
+MAX_REVISION = 2**53
+
+_Revision = Annotated[int, msgspec.Meta(ge=0, le=MAX_REVISION)]
+
+
 class _Metadata(msgspec.Struct):
     name: str
-    revision: int
+    revision: _Revision
 
 
 class _Object(msgspec.Struct):
@@ -44,7 +57,7 @@
     # Entries are decoded one by one, so that a malformed one is skipped alone.
     entries: list[msgspec.Raw] = []
     has_more: bool = False
-    current_rev: int = 0
+    current_rev: _Revision = 0
 
 
 class _Event(msgspec.Struct):
@@ -54,7 +67,7 @@
 
 class _WatchResponse(msgspec.Struct, rename="camel"):
     events: list[msgspec.Raw] = []
-    current_rev: int = 0
+    current_rev: _Revision = 0
 
 
 _PAGE = msgspec.json.Decoder(_Page)
@@ -91,7 +104,7 @@
         params: dict[str, str] = {}
         for _ in range(MAX_LIST_PAGES):
             body, era = await self._get(kind, "list", params)
-            page = self._decode(_PAGE, body)
+            page = self._decode(_PAGE, body, ENTRY_LEVELS)
             if first_era not in (None, era):
                 raise RevisionExpired("the store was restored between two pages")
             first_era = era
@@ -118,7 +131,7 @@
         if now_era != era:
             # The same revision names another state in another era.
             raise RevisionExpired(f"the store is in era {now_era}")
-        response = self._decode(_WATCH, body)
+        response = self._decode(_WATCH, body, EVENT_LEVELS)
         decoded = (_decode_event(raw, era) for raw in response.events)
         changes = [change for change in decoded if change is not None]
         return Listing(changes, max(revision, response.current_rev), era)
@@ -183,10 +196,14 @@
             raise StoreConflict(f"status {status}")
         raise StoreUnavailable(f"status {status}")
 
-    def _decode(self, decoder: msgspec.json.Decoder, body: bytes):
+    def _decode(self, decoder: msgspec.json.Decoder, body: bytes, levels: int):
         try:
-            return decoder.decode(body)
-        except msgspec.DecodeError as error:
+            try:
+                return decoder.decode(body)
+            except (msgspec.DecodeError, RecursionError):
+                # Another program may have written an object that can't be read.
+                return decoder.decode(repair_document(body, levels))
+        except ValueError as error:
             raise StoreUnavailable(f"malformed response body: {error}") from error
 
 
@@ -197,7 +214,8 @@
 def _decode_object(raw: msgspec.Raw, era: int) -> StoreChange | None:
     try:
         decoded = _OBJECT.decode(raw)
-    except msgspec.DecodeError:
+    except msgspec.DecodeError as error:
+        logger.warning("store_object_unreadable", error=str(error))
         return None
     return StoreChange(
         decoded.metadata.name, decoded.metadata.revision, bytes(decoded.spec), era
@@ -207,7 +225,8 @@
 def _decode_event(raw: msgspec.Raw, era: int) -> StoreChange | None:
     try:
         event = _EVENT.decode(raw)
-    except msgspec.DecodeError:
+    except msgspec.DecodeError as error:
+        logger.warning("store_object_unreadable", error=str(error))
         return None
     metadata = event.object.metadata
     spec = None if event.deleted else bytes(event.object.spec)
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -143,6 +143,8 @@
         self.compacted_revision = 0
         self.down = False
         self.calls = 0
+        # Bytes that are sent in place of specs, by a text that stands for each.
+        self.raw_specs = {}
         # None sends no era, as stores did before they could be restored.
         self.era = None
         # One event for each watch that waits.
@@ -198,6 +200,8 @@
         else:
             status, document = self._write(request, kind, name)
         body = json.dumps(document).encode()
+        for name, raw in self.raw_specs.items():
+            body = body.replace(json.dumps(name).encode(), raw)
         era = "" if self.era is None else f"Store-Era: {self.era}\r\n"
         head = f"HTTP/1.1 {status} X\r\n{era}Content-Length: {len(body)}\r\n\r\n"
         writer.write(head.encode() + body)
