Count the grace of a planned stop from when the signal may have been sent

Report of other operators: in a planned stop requests that came late in the grace were taken and cut at its end.

The grace, the limit for streams and the last moment were counted from when the event loop got to the signal. Now they count from the last timer that was on time.

--- a/src/carobstair/edge/router.py
+++ b/src/carobstair/edge/router.py
@@ -50,6 +50,8 @@
 LAG_PROBE_INTERVAL_S = 0.1
 # Allows refusals and final response data to be written before the process exits.
 FLUSH_DELAY_S = 0.05
+# A timer that fires later shows that the event loop is late.
+LATE_TIMER_S = 0.05
 SETTINGS_CHECK_INTERVAL_S = 1.0
 SERVICE_LOG_INTERVAL_S = 2.0
 # Workspaces in the log lines of one interval.
@@ -195,6 +197,10 @@
         )
         self._registration: asyncio.Task | None = None
         self._stopping = asyncio.Event()
+        # Monotonic times: when the event loop last was on time, and the earliest time
+        # at which the stop signal may have been sent.
+        self._on_time_s = started_s
+        self._signalled_s = started_s
 
     async def run(self) -> None:
         """Serve until a stop signal, then drain open requests and exit."""
@@ -234,7 +240,10 @@
 
     def _on_signal(self) -> None:
         # Further signals have no effect: open requests keep their grace period.
-        self._stopping.set()
+        if not self._stopping.is_set():
+            # A late event loop handles the signal long after it was sent.
+            self._signalled_s = min(self._on_time_s, time.monotonic())
+            self._stopping.set()
 
     def _reload(self, reason: str) -> None:
         """Apply the settings that can change while the process runs."""
@@ -273,17 +282,21 @@
 
     async def _drain(self) -> None:
         """Report unready, serve late requests, then finish or cancel open ones."""
-        began_s = time.monotonic()
         stop = self._settings.stop
+        began_s = self._signalled_s
         stop_deadline_s = began_s + stop.grace_s - stop.margin_s
-        logger.info("router_stopping", open=len(self.app.open_requests))
+        logger.info(
+            "router_stopping",
+            open=len(self.app.open_requests),
+            late_s=round(time.monotonic() - began_s, 3),
+        )
         accept_s = min(stop.accept_s, stop.grace_s / 2)
         self.app.stream_cutoff_s = began_s + accept_s
         self.app.stop_deadline_s = stop_deadline_s
         self.app.draining = True
         self._dispatcher.permits.is_leaving = True
         leaving = asyncio.create_task(self._unregister())
-        await asyncio.sleep(accept_s)
+        await asyncio.sleep(max(0.0, began_s + accept_s - time.monotonic()))
         await self._wait_until_idle(stop_deadline_s)
         # Refuse all requests from here on: one accepted between the last check and
         # the exit would be lost.
@@ -331,11 +344,16 @@
 
     async def _measure_lag(self) -> None:
         """Measure the event loop's lag by how late a timer fires."""
+        last_s = time.monotonic()
         while True:
             due_s = time.monotonic() + LAG_PROBE_INTERVAL_S
             await asyncio.sleep(LAG_PROBE_INTERVAL_S)
             now_s = time.monotonic()
             self._overload.note(now_s - due_s, now_s)
+            # A signal that came while the loop was late is handled after this timer.
+            is_late = now_s - due_s > LATE_TIMER_S
+            self._on_time_s = last_s if is_late else now_s
+            last_s = now_s
 
     async def _log_service(self) -> None:
         """Log what workspaces with refusals asked for and got at this router."""
--- /dev/null
+++ b/tests/test_planned_stop.py
@@ -0,0 +1,187 @@
+"""Tests of a planned stop of the real router program under load."""
+
+import asyncio
+import contextlib
+import os
+import signal
+import sys
+import tempfile
+import time
+import unittest
+from pathlib import Path
+
+import aiohttp
+
+from carobstair.platform.boot import BOOT_VARIABLE
+from platform_standins import (
+    StoreStandIn,
+    UpstreamStandIn,
+    make_config,
+    make_script,
+    make_upstream_entry,
+)
+from test_boot import BOOT, free_ports
+
+GRACE_S = 4.0
+# Streams sent later are refused: `min(accept_s, grace_s / 2)`.
+STREAM_CUTOFF_S = GRACE_S / 2
+PLAIN_PATHS = ("/safe/x", "/unsafe/x")
+STREAM_PATHS = ("/stream/x", "/resume/x")
+CALLER_DEADLINE_MS = 1000
+
+
+class WorkingUpstream(UpstreamStandIn):
+    """An upstream that takes 0.3 s for plain requests and 1.6 s for streams."""
+
+    def __init__(self):
+        super().__init__(make_script("ok"))
+        self.received = set()
+
+    async def respond(self, request, writer):
+        """Respond by the path of the request."""
+        self.received.add(request.headers["carobstair-attempt-id"])
+        if request.target in PLAIN_PATHS:
+            await asyncio.sleep(0.3)
+            return await self._ok(request, writer)
+        extra = ["Content-Type: text/event-stream", "Transfer-Encoding: chunked"]
+        writer.write(self._response_head(request, 200, extra))
+        for number in range(1, 9):
+            event = f"id: {number}\ndata: x\n\n".encode()
+            writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+            await asyncio.sleep(0.2)
+        writer.write(b"0\r\n\r\n")
+        return True
+
+
+class PlannedStopTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against requests that a stopping router takes and then cuts off."""
+
+    async def asyncSetUp(self):
+        self.store = await StoreStandIn().start()
+        self.upstream = await WorkingUpstream().start()
+        self.store.put("servers", "u0", make_upstream_entry(self.upstream.port))
+        self.store.put("config", "main", make_config())
+        folder = self.enterContext(tempfile.TemporaryDirectory())
+        peer, self.front, self.ready = free_ports(3)
+        text = BOOT.format(
+            peer=peer,
+            last=peer + 15,
+            front=self.front,
+            ready=self.ready,
+            store=self.store.port,
+        )
+        path = Path(folder) / "node.toml"
+        path.write_text(text.replace("graceS = 3", f"graceS = {GRACE_S}"))
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "carobstair.cli.router",
+            env=os.environ | {BOOT_VARIABLE: str(path)},
+            stdout=asyncio.subprocess.DEVNULL,
+        )
+        self.kept = aiohttp.ClientSession()
+        await self.wait_until_ready()
+
+    async def asyncTearDown(self):
+        await self.kept.close()
+        if self.process.returncode is None:
+            self.process.kill()
+        await self.process.wait()
+        await self.store.stop()
+        await self.upstream.stop()
+
+    async def wait_until_ready(self):
+        for _ in range(300):
+            with contextlib.suppress(aiohttp.ClientError):
+                url = f"http://127.0.0.1:{self.ready}/v1/ready"
+                async with self.kept.get(url) as response:
+                    if response.status == 200:
+                        return
+            await asyncio.sleep(0.05)
+        self.fail("the router was not ready within 15 s")
+
+    async def call(self, session, request_id, path):
+        """Send a request; return its id, path, time, and its end or None if cut."""
+        headers = {
+            "Host": "api.test",
+            "Carobstair-Attempt-Id": request_id,
+            "Carobstair-Key": "key1",
+        }
+        if path in PLAIN_PATHS:
+            headers["Carobstair-Deadline-Ms"] = str(CALLER_DEADLINE_MS)
+        sent_s = time.monotonic() - self.stopped_s
+        url = f"http://127.0.0.1:{self.front}{path}"
+        try:
+            async with session.get(url, headers=headers) as response:
+                await response.read()
+                return request_id, path, sent_s, response.status
+        except aiohttp.ClientError:
+            return request_id, path, sent_s, None
+
+    async def send_until_the_end(self):
+        """Send a request of each kind each tenth of a second on each connection."""
+        calls = []
+        for number in range(int(10 * GRACE_S)):
+            for path in (*PLAIN_PATHS, *STREAM_PATHS):
+                name = f"{number}{path}"
+                new = aiohttp.ClientSession()
+                calls.append(asyncio.create_task(self.call(new, f"new{name}", path)))
+                calls[-1].add_done_callback(
+                    lambda _, s=new: asyncio.ensure_future(s.close())
+                )
+                kept = self.call(self.kept, f"kept{name}", path)
+                calls.append(asyncio.create_task(kept))
+            await asyncio.sleep(0.1)
+        return await asyncio.gather(*calls)
+
+    async def pause(self, after_s, for_s):
+        """Pause the process: its event loop is late by so much."""
+        await asyncio.sleep(after_s)
+        if self.process.returncode is None:
+            self.process.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(for_s)
+            self.process.send_signal(signal.SIGCONT)
+
+    async def stop_under_load(self, *pauses):
+        """Stop the process as the platform does; return the requests."""
+        self.stopped_s = time.monotonic()
+        pausing = [asyncio.create_task(self.pause(*pause)) for pause in pauses]
+        await asyncio.sleep(0.02)
+        self.process.send_signal(signal.SIGTERM)
+
+        async def end():
+            await asyncio.sleep(GRACE_S - 0.02)
+            if self.process.returncode is None:
+                self.process.kill()
+
+        ending = asyncio.create_task(end())
+        results = await self.send_until_the_end()
+        await asyncio.gather(ending, *pausing)
+        return results
+
+    def check(self, results):
+        lost = [
+            (name, sent_s)
+            for name, path, sent_s, status in results
+            if status is None
+            and name in self.upstream.received
+            and (path in PLAIN_PATHS or sent_s > STREAM_CUTOFF_S)
+        ]
+        self.assertEqual(lost, [])
+        # Both must have come up, or the test shows nothing.
+        self.assertIn(200, [status for *_, status in results])
+        self.assertIn(503, [status for *_, status in results])
+
+    async def test_nothing_taken_is_cut_in_calm(self):
+        self.check(await self.stop_under_load())
+
+    async def test_nothing_taken_is_cut_if_the_signal_is_handled_late(self):
+        self.check(await self.stop_under_load((0.0, 0.9)))
+
+    async def test_nothing_taken_is_cut_if_the_process_is_late_during_the_grace(self):
+        pauses = [(at_s, 0.4) for at_s in (0.5, 1.2, 1.9, 2.6)]
+        self.check(await self.stop_under_load(*pauses))
+
+
+if __name__ == "__main__":
+    unittest.main()
