Place long prompts at engines that limit their requests

A send at such an engine now costs four intervals of its rate, at most 0.8 s, and its own tokens weigh half. What limited engines give is counted from what is sent there, told with the demand, and not scaled by the load of the others; the pressure weighs each engine by what it gives.

--- a/src/carobstair/core/dispatch.py
+++ b/src/carobstair/core/dispatch.py
@@ -11,7 +11,13 @@
 
 from carobstair.core.directory import UpstreamDirectory, UpstreamEntry
 from carobstair.core.engine_load import LoadTracker, PromptShape
-from carobstair.core.rate_limits import PermitDesk, StatedRates
+from carobstair.core.rate_limits import (
+    PermitDesk,
+    PermitOutlook,
+    ServiceThroughput,
+    StatedRates,
+    service_throughput,
+)
 from carobstair.core.routing import ServicePool
 from carobstair.core.send_limits import ColdSendLimit, ResendLimit
 from carobstair.core.upstream_health import UpstreamHealth
@@ -19,7 +25,7 @@
 __all__ = ["Dispatcher"]
 
 # Admission reads it for each request; demand changes more slowly than this.
-USABLE_THROUGHPUT_TTL_S = 0.05
+THROUGHPUT_TTL_S = 0.05
 
 
 @dataclass(slots=True)
@@ -44,7 +50,9 @@
     # Ranks by upstream for the routers from which they were computed.
     _ranks: dict[str, int] = field(default_factory=dict)
     _ranked_routers: frozenset[str] = field(default_factory=frozenset)
-    _usable_throughputs: dict[str, tuple[float, float]] = field(default_factory=dict)
+    _throughputs: dict[str, tuple[float, ServiceThroughput]] = field(
+        default_factory=dict
+    )
 
     def __post_init__(self) -> None:
         self.permits = PermitDesk(self.name)
@@ -79,9 +87,9 @@
             ]
             if entry.upstream_id not in avoided
         }
-        waits_s = self._permit_waits_s(entries, now_s)
-        for upstream_id, wait_s in waits_s.items():
-            if wait_s > max_wait_s:
+        permits = self._permits_of(entries, now_s)
+        for upstream_id, permit in permits.items():
+            if permit.wait_s > max_wait_s:
                 del entries[upstream_id]
         if not entries:
             return None
@@ -90,9 +98,9 @@
         candidates = ((u, entries[u].zone) for u in healthy)
         if pool.engine is not None:
             return entries[
-                self.loads.pick(candidates, prompt, self.rng, now_s, waits_s)
+                self.loads.pick(candidates, prompt, self.rng, now_s, permits)
             ]
-        return entries[self.loads.pick_plain(candidates, self.rng, waits_s)]
+        return entries[self.loads.pick_plain(candidates, self.rng, permits)]
 
     def permit_wait_s(
         self, service: str, avoided: Collection[str], now_s: float
@@ -106,19 +114,21 @@
             for entry in self.directory.usable(service, now_s)
             if entry.upstream_id not in avoided
         }
-        waits_s = self._permit_waits_s(entries, now_s)
-        return min(waits_s.values()) if len(waits_s) == len(entries) > 0 else None
+        permits = self._permits_of(entries, now_s)
+        if not permits or len(permits) < len(entries):
+            return None
+        return min(permit.wait_s for permit in permits.values())
 
-    def _permit_waits_s(
+    def _permits_of(
         self, entries: Mapping[str, UpstreamEntry], now_s: float
-    ) -> dict[str, float]:
-        """Return the wait for a permit at those upstreams that limit requests."""
+    ) -> dict[str, PermitOutlook]:
+        """Return the next permits of those upstreams that limit requests."""
         limited = self.rates.limited()
         if not limited:
             return {}
         keys = ((upstream_id, e.born_ms) for upstream_id, e in entries.items())
         return {
-            key[0]: self.permits.wait_s(key, now_s) for key in keys if key in limited
+            key[0]: self.permits.outlook(key, now_s) for key in keys if key in limited
         }
 
     def confirm(self, entry: UpstreamEntry, pool: ServicePool, now_s: float) -> bool:
@@ -147,37 +157,43 @@
             until_s = now_s + pool.cold_start_s
             self.directory.mark_cold(entry.upstream_id, until_s)
 
-    def usable_throughput(
-        self, service: str, tokens_per_s: float, request_tokens: float, now_s: float
-    ) -> float:
-        """Return the throughput of a service's usable upstreams, in tokens a second.
+    def throughput(
+        self,
+        service: str,
+        tokens_per_s: float,
+        request_tokens: float,
+        factor: float,
+        now_s: float,
+    ) -> ServiceThroughput:
+        """Return the throughput of a service's usable upstreams.
 
         It is that of all upstreams if none is usable, and cached for
-        `USABLE_THROUGHPUT_TTL_S`.
+        `THROUGHPUT_TTL_S`.
 
         Parameters
         ----------
         tokens_per_s : float
-            Throughput of all listed upstreams.
+            Nominal throughput of all listed upstreams.
         request_tokens : float
-            Mean tokens of a request, for upstreams that limit their requests; 0 if
-            unknown.
+            Mean tokens of a request; 0 if unknown.
+        factor : float
+            Throughput that upstreams without limit give, relative to the nominal one.
         """
-        known = self._usable_throughputs.get(service)
-        if known is not None and now_s - known[0] < USABLE_THROUGHPUT_TTL_S:
+        known = self._throughputs.get(service)
+        if known is not None and now_s - known[0] < THROUGHPUT_TTL_S:
             return known[1]
         entries, listed = self.directory.usable_and_listed_count(service, now_s)
-        total = tokens_per_s
+        throughput = ServiceThroughput(tokens_per_s)
         if entries:
-            nominal = tokens_per_s / listed
-            total = nominal * len(entries)
-            limited = self.rates.limited() if request_tokens else {}
-            for entry in entries if limited else ():
-                rate = limited.get((entry.upstream_id, entry.born_ms))
-                if rate is not None:
-                    total -= max(0.0, nominal - rate.per_s * request_tokens)
-        self._usable_throughputs[service] = now_s, total
-        return total
+            throughput = service_throughput(
+                [(entry.upstream_id, entry.born_ms) for entry in entries],
+                tokens_per_s / listed,
+                self.rates,
+                request_tokens,
+                factor,
+            )
+        self._throughputs[service] = now_s, throughput
+        return throughput
 
     def queue_wait_s(
         self, pool: ServicePool, prompt: PromptShape, now_s: float
@@ -200,10 +216,12 @@
     def pressure(self, service: str, now_s: float) -> float:
         """Return the load of a service's engines relative to its target (1.0)."""
         entries = {e.upstream_id: e for e in self.directory.usable(service, now_s)}
+        known = self._throughputs.get(service)
         return self.loads.pressure(
             {upstream_id: e.slots for upstream_id, e in entries.items()},
             now_s,
-            sum(self._permit_waits_s(entries, now_s).values()),
+            self._permits_of(entries, now_s),
+            known[1].limited_parts if known is not None else {},
         )
 
     def rank(self, upstream_id: str) -> int:
--- a/src/carobstair/core/engine_load.py
+++ b/src/carobstair/core/engine_load.py
@@ -12,6 +12,9 @@
 from collections import OrderedDict, deque
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
+from typing import Any
+
+from carobstair.core.rate_limits import PermitOutlook
 
 __all__ = ["LoadTracker", "PlacementSettings", "PromptShape", "SentRequest"]
 
@@ -22,6 +25,9 @@
 MAX_RECENT_SEGMENTS = 256
 
 NO_LOAD = (0, 0)
+NOTHING: Mapping[str, Any] = {}
+# Of no engine at all, to divide by.
+MIN_PARTS = 1e-3
 # Far below any cost difference, so that it only breaks ties.
 TIE_BREAK_S = 1e-6
 
@@ -66,6 +72,11 @@
     limited_uncached_weight : float
         The same at engines that limit their requests: they are short of sends, not of
         time to read, so long prompts are best placed there.
+    limited_send_weight : float
+        Weight of the time between two sends that such an engine accepts: each request
+        takes it from the others whatever its size, so short ones are placed elsewhere.
+    max_limited_send_s : float
+        Bound of that cost, at which long prompts still prefer such an engine.
     running_request_s : float
         Delay per running request: a decode step takes longer with a larger batch.
     other_zone_s : float
@@ -96,6 +107,8 @@
     backlog_weight: float = 3.0
     uncached_weight: float = 16.0
     limited_uncached_weight: float = 8.0
+    limited_send_weight: float = 4.0
+    max_limited_send_s: float = 0.8
     running_request_s: float = 0.002
     other_zone_s: float = 0.005
     target_wait_s: float = 0.25
@@ -359,7 +372,8 @@
         self,
         upstreams: Mapping[str, int],
         now_s: float = math.inf,
-        permit_waits_s: float = 0.0,
+        permits: Mapping[str, PermitOutlook] = NOTHING,
+        limited_parts: Mapping[str, float] = NOTHING,
     ) -> float:
         """Return the load of some engines relative to the target load (1.0).
 
@@ -367,18 +381,23 @@
         ----------
         upstreams : mapping
             Slots by upstream id.
-        permit_waits_s : float
-            Sum of the waits for permits at those that limit their requests.
+        permits, limited_parts : mapping
+            Of engines that limit their requests: the next permit, and what they give
+            relative to others. Room that nobody may use is not counted.
         """
         settings = self.settings
-        tokens = sum(map(self.backlog_tokens, upstreams))
-        wait_s = tokens / settings.prefill_tokens_per_s + permit_waits_s
-        wait_s /= max(1, len(upstreams))
-        running = sum(self.occupancy(upstream, now_s) for upstream in upstreams)
-        target_total = sum(
-            min(settings.target_running, settings.target_slot_fraction * slots)
-            for slots in upstreams.values()
-        )
+        parts = wait_s = running = target_total = 0.0
+        for upstream, slots in upstreams.items():
+            part = limited_parts.get(upstream, 1.0)
+            own_wait_s = self.backlog_tokens(upstream) / settings.prefill_tokens_per_s
+            target = min(settings.target_running, settings.target_slot_fraction * slots)
+            parts += part
+            if upstream in permits:
+                own_wait_s += permits[upstream].wait_s
+            wait_s += part * own_wait_s
+            running += part * self.occupancy(upstream, now_s)
+            target_total += part * target
+        wait_s /= max(parts, MIN_PARTS)
         return max(wait_s / settings.target_wait_s, running / max(1.0, target_total))
 
     def pick(
@@ -387,7 +406,7 @@
         prompt: PromptShape,
         rng: random.Random,
         now_s: float = math.inf,
-        permit_waits_s: Mapping[str, float] | None = None,
+        permits: Mapping[str, PermitOutlook] = NOTHING,
     ) -> str:
         """Return the engine with the least `first_token_s`, ties at random.
 
@@ -398,8 +417,8 @@
         ----------
         candidates : iterable of (str, str)
             Upstream id and zone, at least one.
-        permit_waits_s : mapping, optional
-            Waits for permits at engines that limit their requests.
+        permits : mapping, optional
+            Permits of engines that limit their requests.
         """
         settings = self.settings
         per_backlog_s = settings.backlog_weight / settings.prefill_tokens_per_s
@@ -423,7 +442,7 @@
                         break
                     uncached -= tokens
             cost_s = per_backlog_s * backlog + settings.running_request_s * running
-            limited = permit_waits_s is not None and upstream_id in permit_waits_s
+            limited = upstream_id in permits
             if uncached > 0:
                 cost_s += (
                     per_limited_uncached_s if limited else per_uncached_s
@@ -433,7 +452,10 @@
             if zone != self.zone:
                 cost_s += settings.other_zone_s
             if limited:
-                cost_s += settings.backlog_weight * permit_waits_s[upstream_id]
+                permit = permits[upstream_id]
+                cost_s += settings.backlog_weight * permit.wait_s
+                send_s = settings.limited_send_weight * permit.interval_s
+                cost_s += min(send_s, settings.max_limited_send_s)
             cost_s += TIE_BREAK_S * rng.random()
             if cost_s < lowest_s:
                 best, lowest_s = upstream_id, cost_s
@@ -443,7 +465,7 @@
         self,
         candidates: Iterable[tuple[str, str]],
         rng: random.Random,
-        permit_waits_s: Mapping[str, float] | None = None,
+        permits: Mapping[str, PermitOutlook] = NOTHING,
     ) -> str:
         """Return the upstream of a plain service with the fewest running requests.
 
@@ -452,8 +474,8 @@
         ranked = []
         for u, zone in candidates:
             cost = float(self.running(u))
-            if permit_waits_s:
-                cost += permit_waits_s.get(u, 0.0) / self.settings.slot_wait_s
+            if u in permits:
+                cost += permits[u].wait_s / self.settings.slot_wait_s
             if zone != self.zone:
                 cost += 0.5
             ranked.append((cost, rng.random(), u))
--- a/src/carobstair/core/fair_admission.py
+++ b/src/carobstair/core/fair_admission.py
@@ -302,11 +302,13 @@
     _own: dict[tuple[str, str], _Demand] = field(default_factory=dict)
     _others: dict[str, _FleetDemand] = field(default_factory=dict)
     _controls: dict[str, ThroughputControl] = field(default_factory=dict)
-    # Nominal throughput of each pool, as given with the last request.
-    _capacities: dict[str, float] = field(default_factory=dict)
-    # Tokens and requests admitted lately, by pool.
+    # Nominal and limited throughput of each pool, as given with the last request.
+    _capacities: dict[str, tuple[float, float]] = field(default_factory=dict)
+    # Tokens admitted lately, by pool.
     _admitted: dict[str, _Demand] = field(default_factory=dict)
-    _admitted_requests: dict[str, _Demand] = field(default_factory=dict)
+    # Tokens and requests sent lately to engines that limit their requests, by pool.
+    _limited_tokens: dict[str, _Demand] = field(default_factory=dict)
+    _limited_requests: dict[str, _Demand] = field(default_factory=dict)
     # Workspaces beyond their share.
     _credits: dict[tuple[str, str], _Credit] = field(default_factory=dict)
 
@@ -356,7 +358,8 @@
             round(math.log(control.factor), 4),
             round(control.own_pressure, 3),
             round(control.own_slots_used, 3),
-            round(self._rate(self._admitted_requests, pool, now_s), 3),
+            round(self._rate(self._limited_tokens, pool, now_s)),
+            round(self._rate(self._limited_requests, pool, now_s) * 1000.0),
         )
 
     def refresh(
@@ -414,6 +417,7 @@
         now_s: float,
         wait: Callable[[], float] = lambda: 0.0,
         slots_used: Callable[[], float] = lambda: 0.0,
+        limited_tokens_per_s: float = 0.0,
     ) -> AdmissionDecision:
         """Count a request towards the demand and decide on its admission.
 
@@ -430,6 +434,9 @@
             request's own prompt, as a fraction of its objective.
         slots_used : callable
             Returns the requests at the engines relative to their slots.
+        limited_tokens_per_s : float
+            Throughput of engines that limit their requests, which is shared as well
+            and does not follow the load.
         """
         window_s = self.settings.demand_window_s
         key = (pool, workspace)
@@ -442,10 +449,10 @@
         control = self._controls.get(pool)
         if control is None:
             control = self._controls[pool] = self._new_control(pool)
-        self._capacities[pool] = capacity
+        self._capacities[pool] = capacity, limited_tokens_per_s
         if control.is_due(now_s):
             self._correct(pool, control, pressure(), slots_used(), total_demand, now_s)
-        supply = capacity * control.factor
+        supply = capacity * control.factor + limited_tokens_per_s
         demand = demands[workspace]
         share = demand
         if total_demand > supply:
@@ -490,9 +497,18 @@
         return min(max(wait_s, settings.min_retry_after_s), settings.max_retry_after_s)
 
     def _note_admitted(self, pool: str, tokens: float, now_s: float) -> None:
-        window_s = self.settings.demand_window_s
-        for sums, amount in ((self._admitted, tokens), (self._admitted_requests, 1.0)):
-            sums.setdefault(pool, _Demand(0.0, now_s)).add(amount, now_s, window_s)
+        self._add(self._admitted, pool, tokens, now_s)
+
+    def note_limited_send(self, pool: str, tokens: float, now_s: float) -> None:
+        """Count a request that is sent to an engine that limits its requests."""
+        self._add(self._limited_tokens, pool, tokens, now_s)
+        self._add(self._limited_requests, pool, 1.0, now_s)
+
+    def _add(
+        self, sums: dict[str, _Demand], pool: str, amount: float, now_s: float
+    ) -> None:
+        demand = sums.setdefault(pool, _Demand(0.0, now_s))
+        demand.add(amount, now_s, self.settings.demand_window_s)
 
     def _rate(self, sums: Mapping[str, _Demand], pool: str, now_s: float) -> float:
         """Return the amount a second of a pool."""
@@ -501,17 +517,22 @@
             return 0.0
         return demand.rate(now_s, self.settings.demand_window_s)
 
-    def mean_request_tokens(self, pool: str, now_s: float) -> float:
-        """Return the mean weighted tokens of the requests that all routers admit.
+    def factor(self, pool: str) -> float:
+        """Return the throughput of a pool relative to the nominal one."""
+        control = self._controls.get(pool)
+        return 1.0 if control is None else control.factor
+
+    def limited_request_tokens(self, pool: str, now_s: float) -> float:
+        """Return the mean weighted tokens of requests at engines that limit them.
 
-        0 if none was admitted lately.
+        They are the sends of all routers; 0 if there were none lately.
         """
-        tokens = self._rate(self._admitted, pool, now_s)
-        requests = self._rate(self._admitted_requests, pool, now_s)
+        tokens = self._rate(self._limited_tokens, pool, now_s)
+        requests = self._rate(self._limited_requests, pool, now_s)
         others = self._others.get(pool)
         if others is not None and now_s - others.at_s < TOTALS_LIFETIME_S:
-            tokens += others.row.admitted
-            requests += others.row.admitted_requests
+            tokens += others.row.limited_tokens
+            requests += others.row.limited_requests_per_ks / 1000.0
         return tokens / requests if requests > MIN_REQUESTS_PER_S else 0.0
 
     def _credit(
@@ -573,9 +594,13 @@
             admitted += row.admitted
             pressure = (pressure + row.pressures) / (1 + row.samples)
             slots_used = (slots_used + row.slots_used) / (1 + row.samples)
-        capacity = self._capacities[pool]
+        capacity, limited = self._capacities[pool]
         control.correct(
-            pressure, demand / capacity, now_s, slots_used, admitted / capacity
+            pressure,
+            max(0.0, demand - limited) / capacity,
+            now_s,
+            slots_used,
+            max(0.0, admitted - limited) / capacity,
         )
         control.own_pressure, control.own_slots_used = own_pressure, own_slots_used
 
--- a/src/carobstair/core/rate_limits/__init__.py
+++ b/src/carobstair/core/rate_limits/__init__.py
@@ -2,8 +2,9 @@
 
 An upstream that is short of capacity states in its responses how many requests a
 second it accepts from the whole fleet. `StatedRates` knows what each incarnation has
-stated, `PermitDesk` decides which router issues the permits for its sends, and
-`PermitIssuer` spaces them.
+stated, `PermitDesk` decides which router issues the permits for its sends,
+`PermitIssuer` spaces them, and `ServiceThroughput` is what such upstreams leave to
+share.
 """
 
 from carobstair.core.permit_messages import (
@@ -13,7 +14,11 @@
     RateNews,
     RateRow,
 )
-from carobstair.core.rate_limits.permit_desk import PermitDesk, PermitSettings
+from carobstair.core.rate_limits.permit_desk import (
+    PermitDesk,
+    PermitOutlook,
+    PermitSettings,
+)
 from carobstair.core.rate_limits.permit_issuer import IssuedPermit, PermitIssuer
 from carobstair.core.rate_limits.stated_rates import (
     NO_LIMIT,
@@ -21,6 +26,10 @@
     StatedRate,
     StatedRates,
 )
+from carobstair.core.rate_limits.throughput import (
+    ServiceThroughput,
+    service_throughput,
+)
 
 __all__ = [
     "NO_LIMIT",
@@ -29,11 +38,14 @@
     "PermitAnswer",
     "PermitDesk",
     "PermitIssuer",
+    "PermitOutlook",
     "PermitRequest",
     "PermitReturn",
     "PermitSettings",
     "RateNews",
     "RateRow",
+    "ServiceThroughput",
     "StatedRate",
     "StatedRates",
+    "service_throughput",
 ]
--- a/src/carobstair/core/rate_limits/permit_desk.py
+++ b/src/carobstair/core/rate_limits/permit_desk.py
@@ -25,7 +25,7 @@
 from carobstair.core.rate_limits.stated_rates import Incarnation, StatedRates
 from carobstair.core.shares import rendezvous_rank
 
-__all__ = ["PermitDesk", "PermitSettings"]
+__all__ = ["PermitDesk", "PermitOutlook", "PermitSettings"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,8 +47,6 @@
     avoid_s, max_avoid_s : float
         How long a router that does not answer is passed over, at first and at most;
         it doubles with each time.
-    max_retry_s : float
-        Longest time for which a refused permit is not asked for again.
     """
 
     burst: float = 2.0
@@ -58,7 +56,14 @@
     max_answer_s: float = 0.25
     avoid_s: float = 1.0
     max_avoid_s: float = 8.0
-    max_retry_s: float = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class PermitOutlook:
+    """Expected wait for a permit, and time between two permits for all routers."""
+
+    wait_s: float
+    interval_s: float
 
 
 @dataclass(slots=True)
@@ -149,6 +154,11 @@
             avoid_s = min(2.0 * known.avoid_s, self.settings.max_avoid_s)
         self._avoided[router] = _Avoided(now_s + avoid_s, avoid_s)
 
+    def outlook(self, upstream: Incarnation, now_s: float) -> PermitOutlook:
+        """Return what is to be expected of an upstream that limits its requests."""
+        interval_s = 1.0 / self.rates.limit_per_s(upstream)
+        return PermitOutlook(self.wait_s(upstream, now_s), interval_s)
+
     def wait_s(self, upstream: Incarnation, now_s: float) -> float:
         """Return the expected wait for a permit, by the last answer."""
         if not self.rates.is_limited(upstream):
@@ -158,8 +168,7 @@
     def _note_issued(
         self, upstream: Incarnation, issued: IssuedPermit, now_s: float
     ) -> None:
-        # A new request knows more than an old estimate.
-        wait_s = min(issued.delay_s, self.settings.max_retry_s)
+        wait_s = issued.delay_s
         if issued.granted and wait_s > 0.0:
             wait_s += 1.0 / self.rates.limit_per_s(upstream)
         self._free_s[upstream] = now_s + wait_s
--- a/src/carobstair/core/share_collector.py
+++ b/src/carobstair/core/share_collector.py
@@ -200,7 +200,8 @@
         sum(row.log_factors for row in rows),
         sum(row.pressures for row in rows),
         sum(row.slots_used for row in rows),
-        sum(row.admitted_requests for row in rows),
+        sum(row.limited_tokens for row in rows),
+        sum(row.limited_requests_per_ks for row in rows),
     )
 
 
@@ -218,5 +219,6 @@
         total.log_factors - part.log_factors,
         total.pressures - part.pressures,
         total.slots_used - part.slots_used,
-        total.admitted_requests - part.admitted_requests,
+        total.limited_tokens - part.limited_tokens,
+        total.limited_requests_per_ks - part.limited_requests_per_ks,
     )
--- a/src/carobstair/core/share_messages.py
+++ b/src/carobstair/core/share_messages.py
@@ -18,12 +18,13 @@
         Weighted tokens a second that are admitted, of all workspaces.
     samples : int
         Number of routers that estimated the load of the engines.
-    admitted_requests : float
-        Requests a second that are admitted.
     log_factors, pressures, slots_used : float
         Sums of their estimates: the natural logarithm of the factor by which the
         configured throughput is multiplied, the load relative to its target, and the
         requests at the engines relative to their slots.
+    limited_tokens, limited_requests_per_ks : int
+        Weighted tokens a second, and requests in 1,000 s, that are sent to engines that
+        limit their requests.
     """
 
     demands: dict[str, int] = {}
@@ -32,7 +33,8 @@
     log_factors: float = 0.0
     pressures: float = 0.0
     slots_used: float = 0.0
-    admitted_requests: float = 0.0
+    limited_tokens: int = 0
+    limited_requests_per_ks: int = 0
 
 
 class ShareReport(msgspec.Struct, frozen=True, array_like=True):
--- a/src/carobstair/edge/app.py
+++ b/src/carobstair/edge/app.py
@@ -302,23 +302,29 @@
         )
         dispatcher = self._relay.dispatcher
         target_s = exchange.route.target_latency_s or DEFAULT_TARGET_S
+        throughput = dispatcher.throughput(
+            pool.name,
+            limits.tokens_per_s,
+            self._admission.limited_request_tokens(pool.name, now_s),
+            self._admission.factor(pool.name),
+            now_s,
+        )
         decision = self._admission.decide(
             pool.name,
             workspace,
             tokens,
-            dispatcher.usable_throughput(
-                pool.name,
-                limits.tokens_per_s,
-                self._admission.mean_request_tokens(pool.name, now_s),
-                now_s,
-            ),
+            throughput.nominal_per_s,
             lambda: dispatcher.pressure(pool.name, now_s),
             now_s,
             lambda: dispatcher.queue_wait_s(pool, prompt, now_s) / target_s,
             lambda: dispatcher.slots_used(pool.name, now_s),
+            throughput.limited_per_s,
         )
         if decision.admitted:
             exchange.admitted_tokens = tokens
+            exchange.on_limited_send = lambda: self._admission.note_limited_send(
+                pool.name, tokens, time.monotonic()
+            )
             return decision.share >= decision.demand
         self.account.note_refused(pool.name, workspace, decision.reason)
         exchange.detail = (
--- a/src/carobstair/edge/exchange.py
+++ b/src/carobstair/edge/exchange.py
@@ -86,6 +86,8 @@
         Weighted tokens that the admission took from the share of the workspace.
     on_begun : callable
         Called when the head of the response is sent.
+    on_limited_send : callable
+        Called when the request is sent to an upstream that limits its requests.
     """
 
     metadata: RequestMetadata
@@ -123,3 +125,4 @@
     is_trial: bool = False
     admitted_tokens: float = 0.0
     on_begun: Callable[[], None] = lambda: None
+    on_limited_send: Callable[[], None] = lambda: None
--- a/src/carobstair/edge/relay.py
+++ b/src/carobstair/edge/relay.py
@@ -122,6 +122,8 @@
             self.connections.release(entry, connection)
             self.permits.give_back(permit)
             raise error
+        if permit.issuer:
+            exchange.on_limited_send()
         exchange.attempts += 1
         exchange.upstream_id = entry.upstream_id
         exchange.progress = AttemptProgress(now_s)
--- a/src/carobstair/scenario/overload.py
+++ b/src/carobstair/scenario/overload.py
@@ -236,7 +236,9 @@
             POOL,
             request.group.workspace,
             prompt.prompt_tokens + settings.output_weight * prompt.output_tokens,
-            dispatcher.usable_throughput(POOL, self._plan.tokens_per_s, 0.0, now_s),
+            dispatcher.throughput(
+                POOL, self._plan.tokens_per_s, 0.0, 1.0, now_s
+            ).nominal_per_s,
             lambda: dispatcher.pressure(POOL, now_s),
             now_s,
             lambda: (
--- a/tests/test_send_limits.py
+++ b/tests/test_send_limits.py
@@ -172,25 +172,45 @@
         for number in range(4):
             self.dispatcher.directory.put(make_entry(f"u{number}"), number + 1, 0.0)
 
-    def usable_throughput(self, now_s):
-        return self.dispatcher.usable_throughput("model", 1000.0, 200.0, now_s)
+    def throughput(self, now_s, factor=1.0):
+        found = self.dispatcher.throughput("model", 1000.0, 200.0, factor, now_s)
+        return found.nominal_per_s, found.limited_per_s
 
     def test_throughput_is_nominal_while_engines_keep_up(self):
-        self.assertEqual(self.usable_throughput(1.0), 1000.0)
+        self.assertEqual(self.throughput(1.0), (1000.0, 0.0))
         self.assertEqual(self.dispatcher.pressure("model", 1.0), 0.0)
 
     def test_draining_engines_do_not_count_as_usable(self):
         self.dispatcher.directory.put(make_entry("u0", draining=True), 9, 1.0)
-        self.assertEqual(self.usable_throughput(1.0), 750.0)
+        self.assertEqual(self.throughput(1.0), (750.0, 0.0))
 
     def test_engine_with_a_stated_rate_counts_for_what_it_accepts(self):
         for number in range(2):
             self.dispatcher.rates.note_response((f"u{number}", 1), 0.5, 0.0, 0.5)
-        self.assertEqual(self.usable_throughput(1.0), 2 * 250.0 + 2 * 0.5 * 200.0)
+        self.assertEqual(self.throughput(1.0), (500.0, 2 * 0.5 * 200.0))
+
+    def test_correction_by_the_load_does_not_scale_a_stated_rate(self):
+        self.dispatcher.rates.note_response(("u0", 1), 2.0, 0.0, 0.5)
+        self.assertEqual(self.throughput(1.0, factor=2.0), (750.0, 2.0 * 200.0))
+        self.assertEqual(self.throughput(2.0, factor=1.0), (1000.0, 0.0))
+
+    def test_service_whose_engines_all_limit_requests(self):
+        for number in range(4):
+            self.dispatcher.rates.note_response((f"u{number}", 1), 0.5, 0.0, 0.5)
+        self.assertEqual(self.throughput(1.0), (4 * 0.5 * 200.0, 0.0))
 
     def test_engine_that_accepts_more_than_it_can_serve_counts_in_full(self):
         self.dispatcher.rates.note_response(("u0", 1), 50.0, 0.0, 0.5)
-        self.assertEqual(self.usable_throughput(1.0), 1000.0)
+        self.assertEqual(self.throughput(1.0), (1000.0, 0.0))
+
+    def test_room_at_limited_engines_does_not_hide_the_load_of_the_others(self):
+        backlog = [(f"u{number}", 50_000, 9) for number in (0, 1)]
+        self.dispatcher.loads.note_peer("r1", backlog)
+        before = self.dispatcher.pressure("model", 1.0)
+        for number in (2, 3):
+            self.dispatcher.rates.note_response((f"u{number}", 1), 0.1, 0.0, 0.5)
+        self.throughput(1.0)
+        self.assertGreater(self.dispatcher.pressure("model", 1.0), 1.5 * before)
 
     def test_waits_for_permits_raise_the_pressure(self):
         dispatcher = self.dispatcher
