Choose the router in charge among all that have not fallen silent

At 84 routers one that has just started hears the routers of other zones only after up to 5.6 s (computed from the intervals of digests). Until then it chose the router in charge among few, and asked one that issued beside the right one. The store lists all routers when one starts, so now those count that are known and have not fallen silent. A permit that is taken back counts at the spacing at which it was issued (a test of a minority's permits showed it).

New tests: who is in charge, halves of substitutes, parts of minorities, routers that are passed over, permits that are returned.

--- a/src/carobstair/core/rate_limits/permit_desk.py
+++ b/src/carobstair/core/rate_limits/permit_desk.py
@@ -1,17 +1,16 @@
 """One router's part in keeping the fleet's sends within the rates of upstreams.
 
 For each upstream one router is in charge, the first by rendezvous hashing among those
-that are heard. The others ask it for a permit before each send. A permit covers one
+that are present. The others ask it for a permit before each send. A permit covers one
 send for a short time, so nothing needs to be taken back from a router that fails.
 
 Routers may disagree on who is in charge, or find that it does not answer. The sum
 stays bounded all the same: substitutes issue a part of the rate, and so does a router
-that hears only a minority of the fleet.
+to which only a minority of the fleet is present.
 """
 
 from __future__ import annotations
 
-import math
 from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 
@@ -81,15 +80,15 @@
     name : str
         Name of this router.
     settings : PermitSettings
-    heard : callable
-        Returns the names of the routers that are heard, without this one.
+    others : callable
+        Returns the names of the other routers that have not fallen silent.
     count_routers : callable
         Returns the number of routers that are known to exist, this one included.
     """
 
     name: str
     settings: PermitSettings = PermitSettings()
-    heard: Callable[[], Collection[str]] = frozenset
+    others: Callable[[], Collection[str]] = frozenset
     count_routers: Callable[[], int] = lambda: 1
     # A router that stops leaves the upstreams to the others.
     is_leaving: bool = False
@@ -187,9 +186,7 @@
 
     def take_back(self, upstream: Incarnation) -> None:
         """Take back a permit that was not used."""
-        per_s = self.rates.limit_per_s(upstream)
-        if math.isfinite(per_s):
-            self._issuer.take_back(upstream, per_s)
+        self._issuer.take_back(upstream)
 
     def _issue(
         self,
@@ -200,16 +197,16 @@
     ) -> IssuedPermit:
         if not self.rates.is_limited(upstream):
             return IssuedPermit(True, 0.0)
-        per_s = self.rates.limit_per_s(upstream) * self._heard_part()
+        per_s = self.rates.limit_per_s(upstream) * self._present_part()
         issuer = self._issuer
         if is_substitute:
             issuer = self._substitute_issuer
             per_s *= self.settings.substitute_part
         return issuer.issue(upstream, per_s, max_wait_s, now_s)
 
-    def _heard_part(self) -> float:
+    def _present_part(self) -> float:
         """Return the part of each rate that this side of a partition may issue."""
-        known, reached = self.count_routers(), len(self.heard()) + 1
+        known, reached = self.count_routers(), len(self.others()) + 1
         return 1.0 if 2 * reached > known else reached / known
 
     # Statements
@@ -263,7 +260,7 @@
         return self.name, True
 
     def _rank(self, upstream_id: str) -> list[str]:
-        routers = frozenset(self.heard())
+        routers = frozenset(self.others())
         if not routers or not self.is_leaving:
             routers |= {self.name}
         if routers != self._ranked_routers:
--- a/src/carobstair/core/rate_limits/permit_issuer.py
+++ b/src/carobstair/core/rate_limits/permit_issuer.py
@@ -40,8 +40,9 @@
     """
 
     burst: float
-    # When the next permit of each upstream is valid.
+    # When the next permit of each upstream is valid, and the last spacing.
     _next_s: dict[Incarnation, float] = field(default_factory=dict)
+    _interval_s: dict[Incarnation, float] = field(default_factory=dict)
 
     def issue(
         self, upstream: Incarnation, per_s: float, max_wait_s: float, now_s: float
@@ -61,15 +62,16 @@
         delay_s = max(0.0, next_s - now_s)
         if delay_s > max_wait_s:
             return IssuedPermit(False, delay_s)
+        self._interval_s[upstream] = 1.0 / per_s
         self._next_s[upstream] = next_s + 1.0 / per_s
         return IssuedPermit(True, delay_s)
 
-    def take_back(self, upstream: Incarnation, per_s: float) -> None:
+    def take_back(self, upstream: Incarnation) -> None:
         """Take back a permit that was not used."""
         if upstream in self._next_s:
-            self._next_s[upstream] -= 1.0 / per_s
+            self._next_s[upstream] -= self._interval_s[upstream]
 
     def keep(self, upstreams: set[Incarnation]) -> None:
         """Drop the state of incarnations that are gone."""
         for upstream in set(self._next_s) - upstreams:
-            del self._next_s[upstream]
+            del self._next_s[upstream], self._interval_s[upstream]
--- a/src/carobstair/edge/gossip.py
+++ b/src/carobstair/edge/gossip.py
@@ -108,6 +108,8 @@
         self._on_peer_heard = on_peer_heard
         self._peers: dict[str, PeerAddress] = {}
         self._last_heard_s: dict[str, float] = {}
+        # Peers that were heard once and are not any more.
+        self._silent: set[str] = set()
         self._behind_since_s: dict[str, float] = {}
         self._last_pull_s = 0.0
         self._same_zone_group = _DigestGroup(cross_zone=False)
@@ -125,9 +127,13 @@
         """Return the number of peers that have sent a digest recently."""
         return sum(not self._is_silent(name, now_s) for name in self._last_heard_s)
 
-    def heard(self) -> list[str]:
-        """Return the names of the peers that have sent a digest recently."""
-        return list(self._last_heard_s)
+    def present(self) -> frozenset[str]:
+        """Return the names of the peers that are known and have not fallen silent.
+
+        A router that has just started knows the peers that the store lists long before
+        it has heard all of them.
+        """
+        return frozenset(self._peers.keys() - self._silent)
 
     def heard_by_zone(self) -> dict[str, list[str]]:
         """Return the names of the peers that have sent a digest recently, by zone."""
@@ -155,6 +161,7 @@
             self._transport.disconnect(name)
             self._forget_load(name)
             self._last_heard_s.pop(name, None)
+            self._silent.discard(name)
 
     async def run(self) -> None:
         """Send digests until cancelled."""
@@ -235,6 +242,7 @@
         for name in list(self._last_heard_s):
             if self._is_silent(name, now_s):
                 del self._last_heard_s[name]
+                self._silent.add(name)
                 self._forget_load(name)
                 self._transport.reconnect(name)
                 logger.info("peer_lost", peer=name)
@@ -263,6 +271,7 @@
             logger.info("peer_heard", peer=peer, incarnation=envelope.incarnation)
             self._on_peer_heard(peer)
         self._last_heard_s[peer] = now_s
+        self._silent.discard(peer)
         self._loads.note_peer(
             peer, ((r.upstream, r.backlog_tokens, r.running) for r in digest.loads)
         )
--- a/src/carobstair/edge/router.py
+++ b/src/carobstair/edge/router.py
@@ -175,7 +175,7 @@
         self._permits = relay.permits
         self._permits.attach(transport, lambda: self._gossip.peers)
         self._permits.count = lambda outcome: self.metrics.permits.labels(outcome).inc()
-        self._dispatcher.permits.heard = self._gossip.heard
+        self._dispatcher.permits.others = self._gossip.present
         self._share_sync = ShareSync(
             ShareExchange(
                 settings.name, settings.zone, self._admission, settings.shares
--- a/src/carobstair/scenario/permit_load.py
+++ b/src/carobstair/scenario/permit_load.py
@@ -146,7 +146,7 @@
     def _make_desk(self, router: int) -> PermitDesk:
         return PermitDesk(
             self.names[router],
-            heard=lambda: [self.names[n] for n in self.heard[router]],
+            others=lambda: [self.names[n] for n in self.heard[router]],
             count_routers=lambda: self.plan.routers,
         )
 
--- a/tests/test_fleet_permits.py
+++ b/tests/test_fleet_permits.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+from carobstair.core.permit_messages import PermitRequest, RateRow
+from carobstair.core.rate_limits import IssuedPermit, PermitDesk
 from carobstair.scenario.permit_load import (
     PermitLoadPlan,
     RouterFault,
@@ -110,5 +112,73 @@
                     self.check(fault, routers=routers)
 
 
+class InChargeTest(unittest.TestCase):
+    """Guards against routers that issue more than their part of a rate."""
+
+    UPSTREAM = ("u0", 1)
+    NAMES = tuple(f"r{number}" for number in range(8))
+
+    def make_desk(self, name, others, routers=8):
+        desk = PermitDesk(name, others=lambda: others, count_routers=lambda: routers)
+        desk.merge("r9", [RateRow(*self.UPSTREAM, 1, RATE_PER_S)], 0.0)
+        return desk
+
+    def issued(self, desk, is_substitute=False):
+        """Return how many permits a desk issues to others in a window."""
+        row = RateRow(*self.UPSTREAM, 1, RATE_PER_S)
+        request = PermitRequest(1, row, 0.0, is_substitute)
+        steps = range(int(100 * WINDOW_S))
+        answers = [desk.on_request("r9", request, 10 + n / 100) for n in steps]
+        return sum(answer.granted for answer in answers)
+
+    def in_charge(self, name, others):
+        desk = self.make_desk(name, others)
+        asked = desk.ask(self.UPSTREAM, 0.3, 1.0)
+        return name if isinstance(asked, IssuedPermit) else asked[0]
+
+    def test_all_routers_agree(self):
+        chosen = {
+            self.in_charge(name, [n for n in self.NAMES if n != name])
+            for name in self.NAMES
+        }
+        self.assertEqual(len(chosen), 1)
+
+    def test_substitute_issues_half(self):
+        desk = self.make_desk("r0", self.NAMES[1:])
+        self.assertLessEqual(self.issued(desk), RATE_PER_S * WINDOW_S + 2)
+        desk = self.make_desk("r0", self.NAMES[1:])
+        self.assertLessEqual(self.issued(desk, True), RATE_PER_S * WINDOW_S / 2 + 2)
+
+    def test_minority_issues_its_part(self):
+        desk = self.make_desk("r0", self.NAMES[1:3])
+        self.assertLessEqual(self.issued(desk), RATE_PER_S * WINDOW_S * 3 / 8 + 2)
+
+    def test_router_that_does_not_answer_is_passed_over_for_longer_each_time(self):
+        first = self.in_charge("r0", self.NAMES[1:])
+        own, *others = (name for name in self.NAMES if name != first)
+        desk = self.make_desk(own, [first, *others])
+        desk.on_silence(first, 1.0)
+        _, request = desk.ask(self.UPSTREAM, 0.3, 1.5)
+        self.assertTrue(request.is_substitute)
+        self.assertEqual(desk.ask(self.UPSTREAM, 0.3, 2.1)[0], first)
+        desk.on_silence(first, 2.4)
+        self.assertNotEqual(desk.ask(self.UPSTREAM, 0.3, 4.3)[0], first)
+        self.assertEqual(desk.ask(self.UPSTREAM, 0.3, 4.5)[0], first)
+
+    def test_router_that_leaves_is_not_in_charge(self):
+        for name in self.NAMES:
+            desk = self.make_desk(name, [n for n in self.NAMES if n != name])
+            desk.is_leaving = True
+            asked = desk.ask(self.UPSTREAM, 0.3, 1.0)
+            self.assertNotIsInstance(asked, IssuedPermit)
+
+    def test_permit_that_was_returned_is_issued_again(self):
+        desk = self.make_desk("r0", ())
+        waits_s = [desk.ask(self.UPSTREAM, 9.0, 1.0).delay_s for _ in range(3)]
+        desk.take_back(self.UPSTREAM)
+        again_s = desk.ask(self.UPSTREAM, 9.0, 1.0).delay_s
+        self.assertAlmostEqual(again_s, waits_s[-1])
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -36,6 +36,16 @@
         cross_zone = [p for names, p in self.sent.sent if "p0" not in names]
         return same_zone, cross_zone
 
+    async def test_peer_is_present_before_it_is_heard_and_not_after_it_falls_silent(
+        self,
+    ):
+        self.add_peers(2, 0)
+        gossip = self.node.gossip
+        self.assertEqual(gossip.present(), {"p0", "p1"})
+        gossip._last_heard_s["p0"] = 1.0
+        gossip._expire_silent_peers(100.0)
+        self.assertEqual(gossip.present(), {"p1"})
+
     async def test_small_fleet_sends_to_all_zones_equally_often(self):
         self.add_peers(3, 3)
         same_zone, cross_zone = await self.run_for(0.3)
