Play limits and odd entries in the soak

Engines name a limit for 8 to 10 s, and the check looks at each 4 s of it; entries nested 400 to 2,000 deep come and go in the list of engines.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -31,6 +31,9 @@
 # Engines that may end under a segment before it is known, and requests after that.
 ENDS_UNTIL_KNOWN = 5
 MAX_BAD_PROMPTS_AFTER = 3
+# Time after which all routers know of a limit, and span in which it holds.
+LIMIT_KNOWN_S = 3.0
+LIMIT_WINDOW_S = 4.0
 MAX_COLD_REQUESTS_PER_S = COLD_PER_S * 1.5 + 5.0
 
 
@@ -46,6 +49,7 @@
         _paused,
         _evacuated,
         _cold,
+        _limited,
         _versions,
         _keys,
         _stops,
@@ -169,6 +173,29 @@
                 yield f"{engine_id} got {peak} requests in a second while cold"
 
 
+def _limited(world: World) -> Iterator[str]:
+    """Yield engines that got more than one and a half times their limit."""
+    for engine in world.engines:
+        for engine_id, per_s, began_s, ended_s in engine.limits:
+            times = sorted(
+                arrival.at_s
+                for arrival in world.arrivals
+                if arrival.engine_id == engine_id
+                and began_s + LIMIT_KNOWN_S <= arrival.at_s <= ended_s
+                and world.disruptions.undisrupted(
+                    [("router", arrival.router), ("stop", arrival.router)],
+                    arrival.at_s - SETTLE_S,
+                    arrival.at_s,
+                )
+            )
+            allowed = 1.5 * per_s * LIMIT_WINDOW_S + 5
+            for begin_s in times:
+                count = sum(begin_s <= t < begin_s + LIMIT_WINDOW_S for t in times)
+                if count > allowed:
+                    yield f"{engine_id} got {count} requests in 4 s, allowed {allowed}"
+                    break
+
+
 def _count_within_second(times: list[float], begin_s: float) -> int:
     return sum(begin_s <= t < begin_s + 1.0 for t in times)
 
--- a/soak/engines.py
+++ b/soak/engines.py
@@ -75,6 +75,9 @@
     pause_until_s: float = 0.0
     # Until when it closes the connection cleanly within some of its answers.
     truncates_until_s: float = 0.0
+    # Requests a second that it takes from all routers, and the times of each limit.
+    limit_per_s: float | None = None
+    limits: list[tuple[str, float, float, float]] = field(default_factory=list)
     # When it first said so to each router, and the pauses that it asked for.
     announced: dict[tuple[str, str], float] = field(default_factory=dict)
     pauses: list[tuple[str, str, float, float]] = field(default_factory=list)
@@ -99,6 +102,7 @@
         self.cold_until_s = 0.0
         self.announces_leaving = False
         self.pause_until_s = 0.0
+        self.limit_per_s = None
         if cold:
             self.become_cold()
         self._put_entry(self._entry(born))
@@ -109,6 +113,18 @@
         self.cold_until_s = now_s + COLD_START_S
         self.cold_spans.append((self.engine_id, now_s, self.cold_until_s))
 
+    def set_limit(self, per_s: float) -> None:
+        """Begin to name a limit."""
+        self.limit_per_s = per_s
+        self._limited_since_s = time.monotonic()
+
+    def end_limit(self) -> None:
+        """Name no limit any more."""
+        if self.limit_per_s is not None:
+            span = self._limited_since_s, time.monotonic()
+            self.limits.append((self.engine_id, self.limit_per_s, *span))
+            self.limit_per_s = None
+
     def crash(self) -> None:
         """Reset all connections and refuse new ones; the entry stays in the store."""
         self.up = False
@@ -174,6 +190,8 @@
         if self.announces_leaving:
             self.announced.setdefault((router, self.engine_id), now_s)
             head += "Server-Leaving: 1\r\n"
+        if self.limit_per_s is not None:
+            head += f"Server-Limit: {self.limit_per_s:.1f}\r\n"
         segments = shared_segments(request.headers)
         arrival = Arrival(request_id, router, self.engine_id, now_s, segments)
         self.arrivals.append(arrival)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -14,6 +14,7 @@
     "ANSWER_FAULTS",
     "FAULTS",
     "LATER_FAULTS",
+    "LIMIT_FAULTS",
     "PROMPT_FAULTS",
     "Fault",
     "draw_faults",
@@ -29,6 +30,9 @@
 # An engine keeps responding for this long after it reported draining.
 DRAIN_PERIOD_S = 3.0
 ENTRY_EXPIRY_S = 1.0
+# Long enough for a window in which all routers know of the limit.
+LIMIT_S = 7.5
+MIN_LIMIT_PER_S = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,6 +56,7 @@
     faults = _draw_spaced(random.Random(f"later-{seed}"), seconds, LATER_FAULTS)
     faults += _draw_spaced(random.Random(f"ends-{seed}"), seconds, ANSWER_FAULTS)
     faults += _draw_spaced(random.Random(f"prompts-{seed}"), seconds, PROMPT_FAULTS)
+    faults += _draw_spaced(random.Random(f"limits-{seed}"), seconds, LIMIT_FAULTS)
     at_s = FIRST_FAULT_S
     while at_s < seconds:
         kind = rng.choice(sorted(FAULTS))
@@ -83,8 +88,7 @@
     running = []
     for fault in faults:
         await asyncio.sleep(max(0.0, began_s + fault.at_s - loop.time()))
-        kinds = FAULTS | LATER_FAULTS | ANSWER_FAULTS | PROMPT_FAULTS
-        action = kinds[fault.kind]
+        action = _ALL_FAULTS[fault.kind]
         running.append(asyncio.create_task(action(world, fault)))
     await asyncio.gather(*running)
 
@@ -390,3 +394,29 @@
 }
 ANSWER_FAULTS: dict[str, Inject] = {"engine-truncates": _engine_truncates}
 PROMPT_FAULTS: dict[str, Inject] = {"bad-segment": _bad_segment}
+
+
+async def _engine_limits(world: World, fault: Fault) -> None:
+    engine = _pick_engine(world, fault)
+    if engine.limit_per_s is None:
+        engine.set_limit(MIN_LIMIT_PER_S + fault.target_number % 4)
+        await asyncio.sleep(LIMIT_S + fault.for_s)
+        engine.end_limit()
+
+
+async def _odd_entry(world: World, fault: Fault) -> None:
+    name = f"odd-{fault.target_number}"
+    depth = 400 * (1 + fault.target_number % 5)
+    spec = f"raw-{name}"
+    world.store.raw_specs[spec] = b'{"x":' + b"[" * depth + b"]" * depth + b"}"
+    world.store.put("servers", name, spec)
+    await asyncio.sleep(fault.for_s)
+    if ("servers", name) in world.store.objects:
+        world.store.delete("servers", name)
+
+
+LIMIT_FAULTS: dict[str, Inject] = {
+    "engine-limits": _engine_limits,
+    "odd-entry": _odd_entry,
+}
+_ALL_FAULTS = FAULTS | LATER_FAULTS | ANSWER_FAULTS | PROMPT_FAULTS | LIMIT_FAULTS
