Refuse connections to engines of the soak that have ended

The stand-in accepted connections of an engine that had ended and closed them, so the router's probe found it alive and dropped the evidence, which a real process's closed socket does not do. The proxy now stops listening and keeps its port.

The check of limits has its test in test_soak.

--- a/soak/engines.py
+++ b/soak/engines.py
@@ -94,10 +94,10 @@
         if self._server is None:
             await self.start()
             self.proxy = TcpProxy("127.0.0.1", self.port)
+        if self.proxy.port == 0 or self.proxy.refuses:
             await self.proxy.start()
         born = next(_incarnation_numbers)
         self.engine_id = f"{self.name}-{born}"
-        self.proxy.refuse_new = False
         self.up = True
         self.cold_until_s = 0.0
         self.announces_leaving = False
@@ -128,7 +128,7 @@
     def crash(self) -> None:
         """Reset all connections and refuse new ones; the entry stays in the store."""
         self.up = False
-        self.proxy.refuse_new = True
+        self.proxy.refuse()
         self.proxy.cut_open()
 
     def report_draining(self) -> None:
--- a/src/carobstair/standins/proxy.py
+++ b/src/carobstair/standins/proxy.py
@@ -54,8 +54,6 @@
     ----------
     silence_new : bool
         Connections accepted from now on discard all data.
-    refuse_new : bool
-        Connections are closed as soon as they are accepted.
     cut_answers : bool
         Connections are reset at the first byte from the target.
     delay_s : float
@@ -67,22 +65,50 @@
     host: str = "127.0.0.1"
     port: int = 0
     silence_new: bool = False
-    refuse_new: bool = False
     cut_answers: bool = False
     delay_s: float = 0.0
     accepted: int = 0
     _connections: set[_Connection] = field(default_factory=set)
     _tasks: set[asyncio.Task] = field(default_factory=set)
     _server: asyncio.Server | None = None
+    # Keeps the port while connections are refused.
+    _reserved: socket.socket | None = None
 
     async def start(self) -> None:
         """Start listening; `port` is then the actual port."""
-        self._server = await asyncio.start_server(self._serve, self.host, self.port)
-        self.port = self._server.sockets[0].getsockname()[1]
+        listener = self._bind()
+        self._server = await asyncio.start_server(self._serve, sock=listener)
+        self.port = listener.getsockname()[1]
+        self._release()
+
+    @property
+    def refuses(self) -> bool:
+        """Whether new connections are refused."""
+        return self._reserved is not None
+
+    def refuse(self) -> None:
+        """Refuse new connections until the next start, as if nothing listened."""
+        if self._reserved is None:
+            self._reserved = self._bind()
+            self._server.close()
+
+    def _bind(self) -> socket.socket:
+        bound = socket.socket()
+        # Allows to bind the port again before it is given up.
+        bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        bound.bind((self.host, self.port))
+        return bound
+
+    def _release(self) -> None:
+        if self._reserved is not None:
+            self._reserved.close()
+            self._reserved = None
 
     async def close(self) -> None:
         """Stop listening and reset all connections."""
         self._server.close()
+        self._release()
         self.cut_open()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._server.wait_closed()
@@ -115,8 +141,7 @@
         connection = _Connection(writer, silent=self.silence_new)
         self._connections.add(connection)
         try:
-            if not self.refuse_new:
-                await self._forward(connection, reader)
+            await self._forward(connection, reader)
         except OSError:
             pass
         finally:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -18,6 +18,7 @@
     ANSWER_FAULTS,
     FAULTS,
     LATER_FAULTS,
+    LIMIT_FAULTS,
     PROMPT_FAULTS,
     draw_faults,
 )
@@ -58,8 +59,14 @@
     announced = accepted_changes.pop("announced", {})
     ends = accepted_changes.pop("ends", 0)
     pauses = accepted_changes.pop("pauses", [])
+    limits = accepted_changes.pop("limits", [])
     engine = SimpleNamespace(
-        name="e0", zone="a", cold_spans=cold, announced=announced, pauses=pauses
+        name="e0",
+        zone="a",
+        cold_spans=cold,
+        announced=announced,
+        pauses=pauses,
+        limits=limits,
     )
     known = AcceptedChanges(versions={1: START_S - 100.0}, **accepted_changes)
     return SimpleNamespace(
@@ -156,6 +163,24 @@
             self.failed_checks(*attempts, arrivals=arrivals, cold=cold), ["cold"]
         )
 
+    def test_too_many_requests_to_an_engine_with_a_limit(self):
+        attempts = [make_attempt("safe", request_id=f"a{n}") for n in range(24)]
+        for attempt in attempts:
+            attempt.body = attempt.request_id.encode() + b" from e0-1"
+        arrivals = [
+            Arrival(a.request_id, "r0", "e0-1", START_S + n / 8)
+            for n, a in enumerate(attempts)
+        ]
+        for per_s, began_s, failed in (
+            (2.0, START_S - 4.0, ["limited"]),
+            (4.0, START_S - 4.0, []),
+            # Not all routers know of it yet.
+            (2.0, START_S, []),
+        ):
+            limits = [("e0-1", per_s, began_s, START_S + 9.0)]
+            found = self.failed_checks(*attempts, arrivals=arrivals, limits=limits)
+            self.assertEqual(found, failed)
+
     def test_version_in_force_that_is_unknown(self):
         attempt = make_attempt("version", status=404, version=1)
         self.assertEqual(self.failed_checks(attempt, arrivals=0), ["versions"])
@@ -242,7 +267,7 @@
 
     def test_seeds_draw_every_fault(self):
         drawn = {f.kind for seed in range(60) for f in draw_faults(seed, 30.0)}
-        kinds = {*FAULTS, *LATER_FAULTS, *ANSWER_FAULTS, *PROMPT_FAULTS}
+        kinds = {*FAULTS, *LATER_FAULTS, *ANSWER_FAULTS, *PROMPT_FAULTS, *LIMIT_FAULTS}
         self.assertEqual(drawn, kinds)
 
     def test_short_run_finds_no_violations(self):
