Explain refused requests by the limits that upstreams had stated

carobstair-report explain shows for each step the rates in force at that router, how old they are, who told them and how many requests it sent. A request refused as upstreams-limited could not be explained from its id alone.

--- a/src/carobstair/report/explain.py
+++ b/src/carobstair/report/explain.py
@@ -144,6 +144,7 @@
             f"news of {upstream}",
             lambda line: _names_upstream(line, upstream),
         )
+    yield from _limits(step, before)
     store = [line for line in before if line.event.startswith("store_")]
     if store and store[-1].event != "store_regained":
         yield f"store: {store[-1].event} {step.at_s - store[-1].at_s:.1f} s before"
@@ -166,6 +167,34 @@
         )
 
 
+def _limits(step: LogLine, before: list[LogLine]) -> Iterator[str]:
+    """Yield the rates that upstreams had stated, who told them, and the sends.
+
+    Of a step that names an upstream, only that one's.
+    """
+    changes: dict[str, LogLine] = {}
+    sends: dict[str, LogLine] = {}
+    for line in before:
+        upstream = line.fields.get("upstream", "")
+        if line.event == "upstream_limit_changed":
+            changes[upstream] = line
+        elif line.event == "upstream_limited":
+            sends[upstream] = line
+    for upstream, change in changes.items():
+        limit = change.fields.get("limit_per_s", "")
+        if limit == "none" or step.fields.get("upstream", upstream) != upstream:
+            continue
+        told_by = change.fields.get("told_by", "its response")
+        text = (
+            f"limit of {upstream}: {limit} a second, "
+            f"{step.at_s - change.at_s:.1f} s old, told by {told_by}"
+        )
+        sent = sends.get(upstream)
+        if sent is not None and sent.at_s >= change.at_s:
+            text += f"; {sent.fields.get('sent_in_4s')} sends of this router in 4 s"
+        yield text
+
+
 def _is_routing(line: LogLine) -> bool:
     return line.event == "state_changed" and line.fields.get("kind") == "routing"
 
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -55,6 +55,26 @@
         )
         self.assertIn('detail=closed by "it"', explanation)
 
+    def test_limits_of_upstreams_are_shown_while_they_last(self):
+        log = [
+            line(1, "upstream_limit_changed", upstream="u1", limit_per_s=2.5),
+            line(
+                2, "upstream_limit_changed", upstream="u2", limit_per_s=3, told_by="r2"
+            ),
+            line(3, "upstream_limited", upstream="u1", limit_per_s=2.5, sent_in_4s=4),
+            line(4, "upstream_limit_changed", upstream="u2", limit_per_s="none"),
+            line(5, "request_ended", request_id="id1", outcome="upstreams-limited"),
+        ]
+        text = "\n".join(explain("id1", read_lines("r1", log)))
+        self.assertIn(
+            "limit of u1: 2.5 a second, 4.0 s old, told by its response; "
+            "4 sends of this router in 4 s",
+            text,
+        )
+        self.assertNotIn("limit of u2", text)
+        text = "\n".join(explain("id1", read_lines("r1", [*log[:3], log[-1]])))
+        self.assertIn("limit of u2: 3 a second, 3.0 s old, told by r2", text)
+
     def test_state_known_to_the_process_is_shown_with_its_age(self):
         explanation = self.explanation()
         self.assertIn("in force: version 3, revision 41, 3.0 s old", explanation)
