Show a cold engine flooded after a drill of the store (FAILBACK)

Cause: entries are ordered by era and revision only. After a restore from a copy the entry of an engine's earlier start replaces that of the later one, and the engine counts as warm until it has written its entry again.

--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -159,6 +159,11 @@
         """HOST:PORT."""
         return f"{self.host}:{self.port}"
 
+    @property
+    def listens(self) -> bool:
+        """Whether the server is up."""
+        return self._server is not None
+
     async def start(self) -> None:
         """Listen; a server that was stopped gets its port again."""
         self._server = await asyncio.start_server(
@@ -179,7 +184,7 @@
         try:
             while True:
                 request = await self._read_request(reader, writer)
-                if self._server is None:
+                if not self.listens:
                     # Accepted just before the server was stopped.
                     writer.transport.abort()
                     break
@@ -227,6 +232,8 @@
         self.lose: Callable[[Request, dict], bool] | None = None
         self.answers = 0
         self.lost = 0
+        # Sent with all answers once the store was restored from a copy.
+        self.era: int | None = None
         # Kind and peer of each watch that waits, with its monotonic end.
         self.watches: dict[int, tuple[str, str, float]] = {}
         self._numbers = itertools.count()
@@ -250,6 +257,19 @@
         metadata = {"name": name, "revision": self.revision}
         self._note(kind, {"object": stored | {"metadata": metadata}, "deleted": True})
 
+    def copy(self) -> tuple[dict, int]:
+        """Return a copy from which the store can be restored."""
+        return dict(self.objects), self.revision
+
+    async def restore(self, copy: tuple[dict, int], away_s: float) -> None:
+        """Be away for a moment and come back from a copy, in the next era."""
+        self.stop()
+        await asyncio.sleep(away_s)
+        self.objects, self.revision = dict(copy[0]), copy[1]
+        self.events.clear()
+        self.era = (self.era or 0) + 1
+        await self.start()
+
     def _note(self, kind: str, event: dict) -> None:
         self.events.append((kind, self.revision, event))
         self._changed.set()
@@ -271,8 +291,9 @@
             # The connection stays open and returns nothing further.
             await asyncio.Event().wait()
         body = json.dumps(document).encode()
+        era = "" if self.era is None else f"Store-Era: {self.era}\r\n"
         head = (
-            f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n"
+            f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n{era}"
             f"Content-Length: {len(body)}\r\n\r\n"
         )
         writer.write(head.encode() + body)
@@ -287,6 +308,8 @@
             page = {"entries": entries, "hasMore": False, "currentRev": self.revision}
             return 200, page
         since = int(options["watch"])
+        if since > self.revision:
+            return 410, {}
         until_s = time.monotonic() + int(options["waitMs"]) / 1000
         number = next(self._numbers)
         self.watches[number] = kind, peer, until_s
@@ -336,11 +359,8 @@
         self.runs: list[tuple[str, str, float]] = []
         self.run: Respond = self.answer_whole
         self.slots = 64
-
-    @property
-    def listens(self) -> bool:
-        """Whether the engine is up."""
-        return self._server is not None
+        # Monotonic time until which it is cold.
+        self.cold_until_s = 0.0
 
     async def boot(self) -> None:
         """Start a new incarnation and register it."""
@@ -350,6 +370,7 @@
 
     def register(self, state: str = "ready") -> None:
         """Write the entry in the store."""
+        now_s = time.monotonic()
         entry = {
             "service": self.service,
             "address": self.address,
@@ -357,7 +378,7 @@
             "version": "v1",
             "slots": self.slots,
             "state": state,
-            "coldRemainingMs": 0,
+            "coldRemainingMs": max(0, round(1000 * (self.cold_until_s - now_s))),
             "sequence": 1,
             "born": self.born_ms,
         }
