--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,8 +1,7 @@
-"""Large answers that clients on slow links are still reading while a machine stops."""
+"""A revoked key after the store's answers to two watches were lost."""
 
 import asyncio
-import signal
-import socket
+import itertools
 import sys
 import time
 from pathlib import Path
@@ -10,106 +9,80 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "lib"))
 
 from documents import KEY, configuration, route  # noqa: E402
-from harness import (  # noqa: E402
-    Answer,
-    Deployment,
-    Engine,
-    Router,
-    read_answer,
-    run_case,
-    trouble,
-)
+from harness import Deployment, Engine, call, run_case, trouble  # noqa: E402
 
-GRACE_S = 8.0
-ANSWER_BYTES = 500_000
-# An order that takes so long is answered after the first three seconds of the stop.
-WORK_S = 3.8
-SIGTERM_AFTER_S = 0.6
-# A link of 1 Mbit/s with the segments of an Ethernet.
-CLIENT_BYTES_PER_S = 125_000
-SEGMENT_BYTES = 1_400
-RECEIVE_BUFFER_BYTES = 16_384
-CLIENTS = 5
-
-
-async def post(router: Router, attempt_id: str) -> tuple[Answer, float]:
-    """Send an order on a slow link; return the answer and when it ended."""
-    sock = socket.socket()
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT_BYTES)
-    sock.setblocking(False)
-    await asyncio.get_running_loop().sock_connect(sock, router.front)
-    reader, writer = await asyncio.open_connection(sock=sock, limit=8192)
-    lines = (
-        "POST /order/x HTTP/1.1",
-        "Host: api.test",
-        f"Carobstair-Attempt-Id: {attempt_id}",
-        "Carobstair-Deadline-Ms: 15000",
-        f"Carobstair-Key: {KEY}",
-        "Content-Length: 2",
-    )
-    writer.write(("\r\n".join(lines) + "\r\n\r\n{}").encode())
-    try:
-        return await read_answer(reader, CLIENT_BYTES_PER_S), time.monotonic()
-    finally:
-        writer.close()
+CONTACT_S = 3.0
+CONFIG_APPLY_S = 2.0
+OUTER_S = 5.0
+# The longest span of lost answers in the site file, and the largest share.
+LOST_FOR_S = 4.5
+LOST_SHARE = 0.35
+REVOKED_KEY = "k7b2ex5wa5xwyhks8nbk"
+# Requests are sent until this long after the new version was acknowledged.
+WATCHED_S = 24.0
 
 
 async def case(deployment: Deployment) -> list[str]:
     """Play the case."""
     store, record = deployment.store, deployment.record
-    orders = route("order", "unsafe", timeoutMs=15000, targetLatencyMs=5000)
-    store.put("config", "main", configuration(1, [orders]))
+    reads = route("read", "safe", maxAttempts=2)
+    store.put("config", "main", configuration(1, [reads], (KEY, REVOKED_KEY)))
     engines = [Engine(f"e{n}", store, record, zone="ab"[n]) for n in range(2)]
+    await deployment.start(engines, routers=2)
+    await asyncio.sleep(1.0)
 
-    def serve(engine: Engine):
-        async def run(request, writer) -> bool:
-            await asyncio.sleep(WORK_S)
-            head = engine.head(request, f"Content-Length: {ANSWER_BYTES}")
-            writer.write(head + b"x" * ANSWER_BYTES)
-            await writer.drain()
-            record.write(f"{engine.name} has answered {request.attempt_id}")
-            return True
-
-        return run
+    lost_until_s = time.monotonic() + LOST_FOR_S
+    answers_before = store.answers
 
-    for engine in engines:
-        engine.run = serve(engine)
-    await deployment.start(engines, routers=2)
-    # The rule asks for a time without unplanned disruption before the requests.
-    await asyncio.sleep(3.0)
+    def lose(request, document) -> bool:
+        if time.monotonic() > lost_until_s:
+            return False
+        return "/config?watch=" in request.target and bool(document["events"])
 
-    router = deployment.routers[0]
-    clients = {}
-    for number in range(1, CLIENTS + 1):
-        attempt_id = f"{number:016x}"
-        clients[attempt_id] = asyncio.create_task(post(router, attempt_id))
-    sent_s = time.monotonic()
-    record.write(f"{CLIENTS} orders sent to {router.name}")
-    await asyncio.sleep(SIGTERM_AFTER_S)
-    stopped_s = time.monotonic()
     if trouble():
-        router.signal(signal.SIGTERM)
-        record.write(f"SIGTERM to {router.name}")
-        async with asyncio.timeout(GRACE_S + 2.0):
-            status = await router.process.wait()
-        after_s = time.monotonic() - stopped_s
-        record.write(f"{router.name} ended {after_s:.2f} s later, status {status}")
+        store.lose = lose
+    await asyncio.sleep(0.1)
+    store.put("config", "main", configuration(2, [reads]))
+    acknowledged_s = time.monotonic()
+    record.write("version 2 without the revoked key acknowledged")
+    await asyncio.sleep(lost_until_s - time.monotonic())
+    store.lose = None
+    answers = store.answers - answers_before
+    record.write(
+        f"store: {store.lost} of {answers} answers lost in {LOST_FOR_S} s, "
+        "none from here on"
+    )
+    if trouble() and not 0 < store.lost <= LOST_SHARE * answers:
+        raise RuntimeError("the share of lost answers is not the one intended")
+    quiet_s = max(lost_until_s, time.monotonic())
+    judged_s = max(quiet_s + CONTACT_S, acknowledged_s + CONFIG_APPLY_S + OUTER_S)
+    await asyncio.sleep(max(0.0, judged_s - time.monotonic()))
+    record.write("from here on requests are judged")
 
     broken = []
-    for attempt_id, client in clients.items():
-        answer, ended_s = await client
-        ran = [e.name for e in engines if attempt_id in {run[0] for run in e.runs}]
-        text = (
-            f"{attempt_id}, run by {ran}: status {answer.status}, {len(answer.body)} "
-            f"of {ANSWER_BYTES} bytes, "
-            f"{'complete' if answer.complete else 'cut: ' + answer.error}, "
-            f"{ended_s - sent_s:.2f} s after it was sent, "
-            f"{ended_s - stopped_s:.2f} s after the SIGTERM"
-        )
-        record.write(text)
-        if ran and not answer.complete and ended_s - stopped_s < GRACE_S + 1.0:
-            broken.append(text)
+    number = itertools.count(1)
+    while time.monotonic() < acknowledged_s + WATCHED_S:
+        for router in deployment.routers:
+            sent_s = time.monotonic()
+            attempt_id = f"{next(number):016x}"
+            headers = {
+                "Carobstair-Attempt-Id": attempt_id,
+                "Carobstair-Deadline-Ms": "1000",
+                "Carobstair-Key": REVOKED_KEY,
+            }
+            answer = await call(router.front, "GET", "/read/x", headers)
+            after_s = sent_s - acknowledged_s
+            ran = [e.name for e in engines if attempt_id in {run[0] for run in e.runs}]
+            record.write(
+                f"{router.name} answers {attempt_id} with {answer.status}, sent "
+                f"{after_s:.2f} s after the acknowledgement, run by {ran}"
+            )
+            if ran:
+                broken.append(
+                    f"{attempt_id} with the revoked key ran at {ran[0]}, sent by "
+                    f"{router.name} {after_s:.2f} s after the acknowledgement"
+                )
+        await asyncio.sleep(0.25)
     return broken
 
 
