Clear prompt segments only once their upstreams have outlived the answers

Cause: a whole answer was taken as proof at once, though its engine may end under it, and ends under segments that count as sound are no evidence.

As more segments are then at an engine that ends, the choice among them weighs what engines have outlived and what chance explains.

--- a/src/carobstair/core/directory.py
+++ b/src/carobstair/core/directory.py
@@ -191,6 +191,10 @@
         self._leaving_since_s[key] = now_s
         return True
 
+    def is_leaving(self, incarnation: Incarnation) -> bool:
+        """Return whether an incarnation, also one that is gone, said it is leaving."""
+        return incarnation in self._leaving_since_s
+
     def leaving(self) -> list[Incarnation]:
         """Return the listed incarnations that say they are leaving."""
         return [key for key in self._leaving_since_s if self._is_listed(key)]
--- a/src/carobstair/core/messages.py
+++ b/src/carobstair/core/messages.py
@@ -330,13 +330,19 @@
         Id and start time of each ended upstream, the request that had been sent
         there, and shared segments of its prompt.
     sound : list of str
-        Segments that an upstream has answered.
+        Segments that an upstream has answered and outlived.
     wants_refused : bool
         Whether the receiver is asked for the segments that it refuses.
     is_summary : bool
         Whether the ends are of segments that the sender has refused for some time.
     refused : list of str
         Segments that the sender refuses from now on.
+    delays_s : list of float
+        For each of the ends, the time that it followed the first byte of the answer.
+    survived : list of str
+        Segments that an upstream has outlived by more than such a time.
+    tried : list of str
+        Refused segments that the sender tries again now.
     """
 
     ends: list[tuple[str, int, str, list[str]]] = []
@@ -344,6 +350,9 @@
     wants_refused: bool = False
     is_summary: bool = False
     refused: list[str] = []
+    delays_s: list[float] = []
+    survived: list[str] = []
+    tried: list[str] = []
 
 
 class StatePull(msgspec.Struct, frozen=True, array_like=True):
--- a/src/carobstair/core/segment_refusals.py
+++ b/src/carobstair/core/segment_refusals.py
@@ -9,6 +9,8 @@
 from itertools import cycle
 
 from carobstair.core.evidence_settings import EvidenceSettings
+from carobstair.core.segment_record import Incarnation, SegmentRecord
+from carobstair.core.segment_suspects import Observation, Suspect
 
 __all__ = [
     "Incarnation",
@@ -17,11 +19,8 @@
     "SegmentRefusals",
 ]
 
-# Id and start time (Unix time in ms) of an upstream.
-Incarnation = tuple[str, int]
-
-# Ends that are kept for each segment; more of them show nothing new.
-MAX_ENDS = 64
+# Upstreams that are kept for each segment as having outlived it.
+MAX_SURVIVORS = 64
 # Changes that wait to be logged and sent; more than this in one turn are dropped.
 MAX_CHANGES = 256
 
@@ -34,7 +33,8 @@
     ----------
     kind : str
         ``suspected``, ``refused``, ``explained`` if the ends are put down to
-        another segment, or ``cleared``.
+        another segment, ``survived`` if an upstream has outlived an answer to it by
+        more than the ends took, or ``cleared``.
     ends : int
         Number of upstreams that have ended under the segment.
     upstream : Incarnation or None
@@ -43,6 +43,8 @@
         The request that had been sent there.
     source : str
         Peer that reported it, or empty if this router saw it.
+    delay_s : float
+        Time from the first byte of the answer to the end of the upstream.
     """
 
     kind: str
@@ -51,6 +53,7 @@
     upstream: Incarnation | None = None
     request_id: str = ""
     source: str = ""
+    delay_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,53 +76,17 @@
     retry_after_s: float
 
 
-@dataclass(slots=True)
-class _Record:
-    ends: dict[Incarnation, float] = field(default_factory=dict)
-    requests: set[str] = field(default_factory=set)
-    updated_s: float = 0.0
-    refused_since_s: float | None = None
-    held_until_s: float = 0.0
-    by_operator: bool = False
-    # Refused by another router, which may have seen the ends one by one.
-    confirmed: bool = False
-    bursts: int = 0
-    burst_began_s: float = -math.inf
-    last_end_s: float = -math.inf
-    # Answers that ended with their connections.
-    unproven_answers: int = 0
-
-    def add_end(
-        self,
-        upstream: Incarnation,
-        sent_s: float,
-        at_s: float,
-        settings: EvidenceSettings,
-    ) -> None:
-        gap_s, length_s = abs(at_s - self.last_end_s), at_s - self.burst_began_s
-        # What was sent after an end did not end with it.
-        if (
-            sent_s >= self.last_end_s
-            or gap_s > settings.burst_gap_s
-            or length_s > settings.max_burst_s
-        ):
-            self.bursts += 1
-            self.burst_began_s = at_s
-        self.last_end_s = max(at_s, self.last_end_s)
-        self.ends[upstream] = at_s
-
-    def failed_trials(self, in_flight_s: float) -> int:
-        settled_s = self.refused_since_s + in_flight_s
-        return sum(at_s > settled_s for at_s in self.ends.values())
-
-
 @dataclass(slots=True)
 class SegmentRefusals:
     """Ends of upstreams by segment, sound segments, and those that are refused."""
 
     settings: EvidenceSettings = EvidenceSettings()
-    _records: OrderedDict[str, _Record] = field(default_factory=OrderedDict)
-    _refused: dict[str, _Record] = field(default_factory=dict)
+    # Returns what this router knows of upstreams that answered a segment.
+    observe: Callable[[str, SegmentRecord, float], Observation] = lambda *args: (
+        Observation()
+    )
+    _records: OrderedDict[str, SegmentRecord] = field(default_factory=OrderedDict)
+    _refused: dict[str, SegmentRecord] = field(default_factory=dict)
     _sound: OrderedDict[str, float] = field(default_factory=OrderedDict)
     # The last change that may alter which segments are refused.
     _unsettled: SegmentChange | None = None
@@ -133,6 +100,7 @@
         now_s: float,
         source: str = "",
         sent_s: float = -math.inf,
+        delay_s: float = 0.0,
     ) -> None:
         """Count the end of an upstream against segments; call `settle` after all.
 
@@ -144,51 +112,29 @@
             Peer that reported it, or empty if this router saw it.
         sent_s : float
             Time at which the request was sent, if known.
+        delay_s : float
+            Time from the first byte of the answer to the end.
         """
         for segment in segments:
             if segment in self._sound:
                 continue
-            record = self._records.setdefault(segment, _Record())
+            record = self._records.setdefault(segment, SegmentRecord())
             self._records.move_to_end(segment)
             record.updated_s = now_s
-            if not self._add_end(record, upstream, request_id, sent_s, now_s):
+            if not record.add_end(
+                upstream, request_id, sent_s, now_s, delay_s, self.settings
+            ):
                 continue
             ends = len(record.ends)
             change = SegmentChange(
-                "suspected", segment, ends, upstream, request_id, source
+                "suspected", segment, ends, upstream, request_id, source, delay_s
             )
             self._note_change(change)
-            if self._suffices(record):
+            if record.suffices(self.settings):
                 self._unsettled = change
         while len(self._records) > self.settings.max_segments:
             self._drop_oldest()
 
-    def _add_end(
-        self,
-        record: _Record,
-        upstream: Incarnation,
-        request_id: str,
-        sent_s: float,
-        now_s: float,
-    ) -> bool:
-        """Add an end to a record; return whether it shows something new."""
-        requests = self.settings.requests_to_refuse
-        new_request = (
-            request_id not in record.requests and len(record.requests) < requests
-        )
-        if new_request:
-            record.requests.add(request_id)
-        if upstream in record.ends or len(record.ends) >= MAX_ENDS:
-            return new_request
-        record.add_end(upstream, sent_s, now_s, self.settings)
-        return True
-
-    def _suffices(self, record: _Record) -> bool:
-        return (record.by_operator or record.confirmed) or (
-            record.bursts >= self.settings.ends_to_refuse
-            and len(record.requests) >= self.settings.requests_to_refuse
-        )
-
     def settle(self, now_s: float) -> None:
         """Refuse the segments that explain all ends best.
 
@@ -199,21 +145,13 @@
         cause, self._unsettled = self._unsettled, None
         if cause is None:
             return
-        # The first segments of prompts are shared most, so later ones come first.
-        candidates = [
-            s for s in reversed(self._records) if self._suffices(self._records[s])
-        ]
-        candidates.sort(key=self._refusal_order)
+        suspects = self._suspects(now_s)
         explained: set[Incarnation] = set()
-        refused: dict[str, _Record] = {}
-        for segment in candidates:
-            record = self._records[segment]
-            own_ends = len(record.ends.keys() - explained)
-            enough = own_ends >= self.settings.ends_to_refuse
-            if not enough and not record.by_operator:
-                continue
-            explained |= record.ends.keys()
-            refused[segment] = record
+        refused: dict[str, SegmentRecord] = {}
+        for suspect in suspects:
+            if suspect.has_enough(explained) or suspect.record.by_operator:
+                explained |= suspect.record.ends.keys()
+                refused[suspect.segment] = suspect.record
         for segment in refused.keys() - self._refused.keys():
             record = refused[segment]
             record.refused_since_s = now_s
@@ -225,11 +163,33 @@
             change = replace(cause, kind="explained", segment=segment, ends=ends)
             self._note_change(change)
         self._refused = refused
-
-    def _refusal_order(self, segment: str) -> tuple[int, int, bool]:
-        # Of segments with as many ends, the one with the fewest answers is refused.
-        record = self._records[segment]
-        return -len(record.ends), record.unproven_answers, segment not in self._refused
+        others = [s for s in suspects if s.segment not in refused and not s.survivors]
+        for suspect in suspects:
+            if suspect.segment in refused:
+                suspect.record.alternatives = suspect.shared_ends(others)
+
+    def _suspects(self, now_s: float) -> list[Suspect]:
+        """Return the segments with enough ends, the most likely cause first."""
+        suspects = []
+        # The first segments of prompts are shared most, so later ones come first.
+        for segment in reversed(self._records):
+            record = self._records[segment]
+            if record.suffices(self.settings):
+                suspects.append(self._suspect(segment, record, now_s))
+        return sorted(suspects, key=Suspect.order)
+
+    def _suspect(self, segment: str, record: SegmentRecord, now_s: float) -> Suspect:
+        seen = self.observe(segment, record, now_s)
+        survivors = len(record.survivors | seen.survivors)
+        # One survivor may owe its life to chance.
+        needed = self.settings.ends_to_refuse + max(0, survivors - 1)
+        others = seen.is_living or seen.other_ends
+        if others and not record.is_unlikely_chance(
+            seen.other_ends, seen.exposed_share, self.settings
+        ):
+            needed = len(record.ends) + 1
+        is_refused = segment in self._refused
+        return Suspect(segment, record, survivors, seen.is_living, needed, is_refused)
 
     def _drop_oldest(self) -> None:
         oldest = (s for s in self._records if s not in self._refused)
@@ -240,7 +200,10 @@
         self._refused.pop(segment, None)
 
     def clear(self, segments: Iterable[str], now_s: float, source: str = "") -> None:
-        """Record that segments were answered, here or at a peer."""
+        """Record that upstreams have outlived answers, here or at a peer.
+
+        Call `settle` afterwards: the ends may have another cause.
+        """
         for segment in segments:
             self._sound[segment] = now_s
             self._sound.move_to_end(segment)
@@ -250,6 +213,7 @@
                 ends = len(record.ends)
                 change = SegmentChange("cleared", segment, ends, source=source)
                 self._note_change(change)
+                self._unsettled = change
         while len(self._sound) > self.settings.max_sound:
             self._sound.popitem(last=False)
 
@@ -257,6 +221,33 @@
         if len(self._changes) < MAX_CHANGES:
             self._changes.append(change)
 
+    def note_survival(
+        self,
+        segment: str,
+        upstream: Incarnation,
+        lived_s: float = math.inf,
+        source: str = "",
+    ) -> bool:
+        """Record that an upstream has outlived the first byte of an answer so far.
+
+        Returns whether this speaks for the segment. Call `settle` afterwards.
+        """
+        record = self._records.get(segment)
+        if record is None or lived_s < record.outlived_after_s(self.settings):
+            return False
+        if upstream in record.survivors or len(record.survivors) >= MAX_SURVIVORS:
+            return True
+        record.survivors.add(upstream)
+        change = SegmentChange("survived", segment, len(record.ends), source=source)
+        self._unsettled = change
+        if len(record.survivors) == 1:
+            self._note_change(change)
+        return True
+
+    def is_suspected(self, segments: Iterable[str]) -> bool:
+        """Return whether an upstream has ended under one of the segments."""
+        return bool(self._records) and any(s in self._records for s in segments)
+
     def note_unproven_answer(self, segments: Iterable[str]) -> None:
         """Record an answer that ended with its connection."""
         for segment in segments:
@@ -264,9 +255,17 @@
                 self._records[segment].unproven_answers += 1
 
     def is_sound(self, segment: str) -> bool:
-        """Return whether a segment was answered lately."""
+        """Return whether an upstream has outlived an answer to a segment lately."""
         return segment in self._sound
 
+    def sound_for_s(self, segments: Iterable[str], now_s: float) -> float:
+        """Return for how long all segments count as sound without another answer."""
+        sound_s = self.settings.sound_s
+        return min(
+            (self._sound.get(s, -math.inf) + sound_s - now_s for s in segments),
+            default=math.inf,
+        )
+
     def check(
         self,
         segments: Iterable[str],
@@ -283,36 +282,54 @@
         is_responsible : callable
             Returns whether this router, of the whole fleet, tries a segment again.
         """
+        segments = list(segments)
         hits = [segment for segment in segments if segment in self._refused]
         if not hits:
             return None
         for segment in hits:
             self._refused[segment].updated_s = now_s
         record = self._refused[hits[0]]
-        trial_s = self._next_trial_s(record)
-        may_try = len(hits) == 1 and trial_s is not None and now_s >= trial_s
-        if may_try and is_responsible(hits[0]):
-            record.held_until_s = now_s + self.settings.trial_timeout_s
+        trial_s = record.next_trial_s(self.settings)
+        if len(hits) > 1 or trial_s is None:
+            return self._refusal(hits[0], now_s)
+        if self._other_suspect(hits[0], segments):
+            # The end of an upstream would not tell the two apart.
+            last_end_s = max(record.ends.values())
+            trial_s = max(trial_s, last_end_s + self.settings.trial_delays_s[1])
+        if now_s >= trial_s and is_responsible(hits[0]):
+            record.held_until_s = now_s + record.trial_hold_s(self.settings)
             return None
         return self._refusal(hits[0], now_s)
 
+    def _other_suspect(self, refused: str, segments: Iterable[str]) -> bool:
+        return any(
+            segment != refused
+            and segment in self._records
+            and not self._records[segment].survivors
+            and self._records[segment].suffices(self.settings)
+            for segment in segments
+        )
+
+    def trial_due_s(self, segment: str) -> float | None:
+        """Return since when a refused segment may be tried, or None for not at all."""
+        record = self._refused.get(segment)
+        return record and record.next_trial_s(self.settings)
+
+    def hold_trial(self, segments: Iterable[str], now_s: float) -> None:
+        """Record that another router tries segments now."""
+        for segment in segments:
+            record = self._refused.get(segment)
+            if record is not None:
+                until_s = now_s + record.trial_hold_s(self.settings)
+                record.held_until_s = max(record.held_until_s, until_s)
+
     def is_refused(self, segments: Iterable[str]) -> bool:
         """Return whether a segment is refused, without regard to trials."""
         return bool(self._refused) and any(s in self._refused for s in segments)
 
-    def _next_trial_s(self, record: _Record) -> float | None:
-        delays_s = self.settings.trial_delays_s
-        if record.by_operator:
-            return None
-        failed = record.failed_trials(self.settings.in_flight_s)
-        if failed >= len(delays_s):
-            return None
-        last_end_s = max(record.ends.values())
-        return max(last_end_s + delays_s[failed], record.held_until_s)
-
     def _refusal(self, segment: str, now_s: float) -> RefusedSegment:
         record = self._refused[segment]
-        trial_s = self._next_trial_s(record)
+        trial_s = record.next_trial_s(self.settings)
         wait_s = self.settings.evidence_s
         if trial_s is not None:
             wait_s = max(trial_s - now_s, self.settings.trial_delays_s[0])
@@ -350,7 +367,7 @@
 
     def refuse(self, segment: str, now_s: float) -> None:
         """Refuse a segment until it is forgotten."""
-        record = self._records.setdefault(segment, _Record())
+        record = self._records.setdefault(segment, SegmentRecord())
         record.updated_s = now_s
         record.by_operator = True
         self._unsettled = SegmentChange("refused", segment, 0)
--- a/src/carobstair/edge/crash_guard.py
+++ b/src/carobstair/edge/crash_guard.py
@@ -8,8 +8,9 @@
 
 import asyncio
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
+from itertools import zip_longest
 
 from carobstair.core.crash_evidence import AttemptEnd, CrashEvidence
 from carobstair.core.directory import UpstreamEntry
@@ -17,7 +18,8 @@
 from carobstair.core.framing import Framing
 from carobstair.core.messages import SegmentEvidence
 from carobstair.core.refusals import refuse
-from carobstair.core.segment_refusals import Incarnation, SegmentRefusals
+from carobstair.core.segment_record import Incarnation
+from carobstair.core.segment_refusals import SegmentRefusals
 from carobstair.edge.exchange import Exchange, Outcome
 from carobstair.edge.upstream_connection import (
     ConnectionBroken,
@@ -33,8 +35,10 @@
 # Times after a broken answer at which the upstream is connected to: a process that
 # ends closes its connections and its listening socket within some milliseconds.
 PROBE_DELAYS_S = (0.02, 0.3)
-# An upstream that accepts connections this long after an answer did not end with it.
-ALIVE_AFTER_S = 0.25
+# Added to the time at which each further router, by rank, may try a segment again.
+TRIAL_INTERVAL_S = 0.1
+# Delays of ends that peers report are believed up to this.
+MAX_DELAY_S = 60.0
 # Maximum time that a retry waits for the first probe.
 PROBE_WAIT_S = 0.05
 # A refused connect shows that an upstream has ended only while others are reached:
@@ -79,6 +83,8 @@
     # Upstreams that refused a connection while no other had been reached.
     _refused_s: dict[Incarnation, float] = field(default_factory=dict)
     _probes: dict[Incarnation, asyncio.Task] = field(default_factory=dict)
+    # Watched upstreams that the store listed as draining.
+    _leaving: set[Incarnation] = field(default_factory=set)
     # Segments that this router has told its peers of.
     _announced: set[str] = field(default_factory=set)
 
@@ -104,6 +110,8 @@
             )
             raise refuse("crashing-prompt", exchange.detail, reason.retry_after_s)
         exchange.is_trial = True
+        tried = [segment for segment in segments if self.refusals.is_refused([segment])]
+        self.announce(SegmentEvidence(tried=tried))
         logger.info(
             "segment_trial",
             request_id=exchange.metadata.request_id,
@@ -116,7 +124,15 @@
         return exchange.is_trial or not self.refusals.is_refused(segments)
 
     def _is_responsible(self, segment: str) -> bool:
-        return self.dispatcher.rank(segment) == 0
+        """Return whether it is this router's turn to try a segment.
+
+        Routers of a higher rank follow, as the first may see no such request.
+        """
+        due_s = self.refusals.trial_due_s(segment)
+        rank = self.dispatcher.rank(segment)
+        if due_s is None or rank == 0:
+            return rank == 0
+        return time.monotonic() >= due_s + rank * TRIAL_INTERVAL_S
 
     def begin(self, exchange: Exchange, entry: UpstreamEntry) -> None:
         """Track an attempt that is about to be sent."""
@@ -164,9 +180,13 @@
         if exchange.is_suspect and probe is not None:
             await asyncio.wait({probe}, timeout=PROBE_WAIT_S)
 
-    def note_contact(self, upstream_id: str, now_s: float) -> None:
-        """Record that an upstream has answered."""
-        self._contacts_s[upstream_id] = now_s
+    def note_contact(
+        self, entry: UpstreamEntry, now_s: float, other_incarnation: bool = False
+    ) -> None:
+        """Record that an upstream, or another incarnation of it, has answered."""
+        self._contacts_s[entry.upstream_id] = now_s
+        if not other_incarnation:
+            self.evidence.note_alive((entry.upstream_id, entry.born_ms), now_s)
         if self._refused_s:
             self._confirm_refused(now_s)
 
@@ -193,10 +213,20 @@
     def look_for_ended(self) -> None:
         """Count upstreams that are no longer listed, and drop old evidence."""
         now_s = time.monotonic()
-        for upstream_id, born_ms in self.evidence.watched():
-            listed = self.dispatcher.directory.find(upstream_id)
-            if listed is None or listed.entry.born_ms != born_ms:
-                self.evidence.note_ended((upstream_id, born_ms), now_s)
+        directory = self.dispatcher.directory
+        for upstream in self.evidence.watched():
+            listed = directory.find(upstream[0])
+            is_listed = listed is not None and listed.entry.born_ms == upstream[1]
+            if is_listed and listed.entry.draining:
+                self._leaving.add(upstream)
+            if not is_listed:
+                left = upstream in self._leaving or directory.is_leaving(upstream)
+                self.evidence.note_ended(upstream, now_s, left)
+        self._leaving &= self.evidence.watched()
+        for upstream_id, _ in self.evidence.unproven_upstreams(now_s):
+            listed = directory.find(upstream_id)
+            if listed is not None:
+                self._probe(listed.entry)
         self.evidence.count_late(now_s)
         self.evidence.expire(now_s)
         for upstream_id, at_s in list(self._contacts_s.items()):
@@ -230,9 +260,9 @@
                 self.note_unreachable(entry, error)
                 return
             connection.abort()
-        now_s = time.monotonic()
+        # A process that ended would still be starting again.
         upstream = entry.upstream_id, entry.born_ms
-        self.evidence.note_alive(upstream, now_s - ALIVE_AFTER_S, now_s)
+        self.evidence.note_alive(upstream, time.monotonic())
         self.publish()
 
     def merge(self, source: str, message: SegmentEvidence) -> SegmentEvidence | None:
@@ -242,8 +272,14 @@
         if message.is_summary:
             known_sound = self.merge_summary(source, message.ends)
         else:
-            known_sound = self._merge_ends(source, message.ends, now_s)
+            known_sound = self._merge_ends(
+                source, message.ends, now_s, message.delays_s
+            )
+        for segment in message.survived:
+            self.refusals.note_survival(segment, (source, 0), source=source)
+        self.refusals.settle(now_s)
         self.refusals.confirm(message.refused, now_s, source)
+        self.refusals.hold_trial(message.tried, now_s)
         self.publish()
         self._correct(message.sound)
         answer = SegmentEvidence(sound=sorted(known_sound)[:MAX_LISTED_SEGMENTS])
@@ -267,13 +303,26 @@
         return known_sound
 
     def _merge_ends(
-        self, source: str, rows: list[EvidenceRow], now_s: float
+        self,
+        source: str,
+        rows: list[EvidenceRow],
+        now_s: float,
+        delays_s: Iterable[float] = (),
     ) -> set[str]:
         known_sound: set[str] = set()
-        for upstream_id, born_ms, request_id, segments in rows:
-            upstream = upstream_id, born_ms
+        for row, delay_s in zip_longest(rows, delays_s, fillvalue=0.0):
+            if not row:
+                break
+            upstream_id, born_ms, request_id, segments = row
             known_sound.update(
-                self.evidence.merge_end(upstream, request_id, segments, source, now_s)
+                self.evidence.merge_end(
+                    (upstream_id, born_ms),
+                    request_id,
+                    segments,
+                    source,
+                    now_s,
+                    min(max(delay_s, 0.0), MAX_DELAY_S),
+                )
             )
         return known_sound
 
@@ -300,8 +349,10 @@
     def publish(self) -> None:
         """Log changes of the evidence and send this router's own to its peers."""
         ends: dict[tuple[Incarnation, str], list[str]] = {}
+        delays_s: dict[tuple[Incarnation, str], float] = {}
         sound: list[str] = []
         refused: list[str] = []
+        survived: list[str] = []
         for change in self.refusals.take_changes():
             log = logger.info if change.kind == "suspected" else logger.warning
             log(
@@ -321,17 +372,24 @@
             elif change.kind == "suspected":
                 key = change.upstream, change.request_id
                 ends.setdefault(key, []).append(change.segment)
+                delays_s[key] = change.delay_s
                 self._announced.add(change.segment)
             elif change.kind == "refused":
                 refused.append(change.segment)
+            elif change.kind == "survived":
+                survived.append(change.segment)
         if len(self._announced) > MAX_ANNOUNCED_SEGMENTS:
             self._announced.clear()
-        if ends or sound or refused:
+        if ends or sound or refused or survived:
             rows = [
                 (*upstream, request_id, segments[:MAX_LISTED_SEGMENTS])
                 for (upstream, request_id), segments in ends.items()
             ]
             message = SegmentEvidence(
-                rows, sound[:MAX_LISTED_SEGMENTS], refused=refused
+                rows,
+                sound[:MAX_LISTED_SEGMENTS],
+                refused=refused,
+                delays_s=list(delays_s.values()),
+                survived=survived[:MAX_LISTED_SEGMENTS],
             )
             self.announce(message)
--- a/src/carobstair/edge/response_relay.py
+++ b/src/carobstair/edge/response_relay.py
@@ -124,11 +124,11 @@
         await self.respond(exchange, head, b"", send)
         return Outcome.ANSWERED
 
-    def _note_contact(self, entry: UpstreamEntry) -> None:
+    def _note_contact(self, entry: UpstreamEntry, metadata: ResponseMetadata) -> None:
         """Record that an upstream sends responses, to whatever request."""
         now_s = time.monotonic()
         self.loads.note_activity(entry.upstream_id, now_s)
-        self.guard.note_contact(entry.upstream_id, now_s)
+        self.guard.note_contact(entry, now_s, metadata.other_incarnation)
 
     def _note_upstream(self, entry: UpstreamEntry, metadata: ResponseMetadata) -> None:
         """Record what the response to a request says of its upstream."""
@@ -177,7 +177,7 @@
         for _ in range(MAX_STALE_RESPONSES):
             head = await connection.read_head()
             metadata = self.dialect.read_response(head.status, head.headers)
-            self._note_contact(entry)
+            self._note_contact(entry, metadata)
             own = exchange.metadata.request_id
             if metadata.request_id in (None, own):
                 if metadata.request_id is None and connection.request_count > 1:
--- a/tests/crashing_engines.py
+++ b/tests/crashing_engines.py
@@ -43,6 +43,8 @@
         self.requests = []
         # "before_head", "head", "event" or "in_event"; how connections then end.
         self.crash_after = "head"
+        # If set, it goes on to answer and ends so long after the first event.
+        self.crash_delay_s = None
         self.crash_by = "abort"
         # Whether its store entry goes when it ends, as that of a lapsed lease.
         self.entry_lapses = False
@@ -129,7 +131,9 @@
                 chunk = b"%x\r\n%s\r\n" % (len(event), event)
                 writer.write(event if self.unframed else chunk)
                 await writer.drain()
-            if bad:
+            if bad and self.crash_delay_s is not None:
+                self._end_later()
+            elif bad:
                 return await self._end(writer)
             await asyncio.sleep(self.event_gap_s)
         if self.unframed:
@@ -137,6 +141,13 @@
         writer.write(b"0\r\n\r\n")
         return True
 
+    def _end_later(self):
+        loop, incarnation = asyncio.get_running_loop(), self.incarnation
+        loop.call_later(
+            self.crash_delay_s,
+            lambda: self.incarnation == incarnation and self.crash(),
+        )
+
     async def _end(self, writer):
         # What was written must arrive before a reset discards it.
         await writer.drain()
--- a/tests/evidence_fleet.py
+++ b/tests/evidence_fleet.py
@@ -12,6 +12,8 @@
 SPACING_S = 0.05
 ENDS = SETTINGS.ends_to_refuse
 START_S = 1000.0
+# Time for which an upstream has to outlive an answer.
+LIVED_S = SETTINGS.survival_s
 
 
 class FleetCase(unittest.TestCase):
@@ -35,10 +37,13 @@
             (upstream, 1), request_id, tuple(segments), progress
         )
 
-    def answer(self, segments, router=0, upstream="sound"):
-        """Send a request whose answer is whole."""
-        _, attempt = self.send(segments, upstream, router)
-        self.fleet[router].end(attempt, AttemptEnd.WHOLE, self.now_s)
+    def answer(self, segments, router=0, upstream="sound", lived_s=LIVED_S):
+        """Send a request whose answer is whole and which its upstream outlives."""
+        _, attempt = self.send(segments, upstream, router, written_s=0.0)
+        progress = attempt.progress
+        progress.first_byte_s = progress.last_byte_s = self.now_s - lived_s
+        self.fleet[router].end(attempt, AttemptEnd.WHOLE, progress.first_byte_s)
+        self.fleet[router].note_alive(attempt.upstream, self.now_s)
         self.exchange()
 
     def crash(self, upstream, sent, confirmed=True):
@@ -65,6 +70,11 @@
         """Deliver one change, and the answer of the other router."""
         if change.kind == "cleared":
             other.refusals.clear([change.segment], self.now_s, f"r{number}")
+            other.refusals.settle(self.now_s)
+        elif change.kind == "survived":
+            source = f"r{number}"
+            other.refusals.note_survival(change.segment, (source, 0), source=source)
+            other.refusals.settle(self.now_s)
         elif change.kind == "suspected":
             sound = other.merge_end(
                 change.upstream,
@@ -72,6 +82,7 @@
                 [change.segment],
                 f"r{number}",
                 self.now_s,
+                change.delay_s,
             )
             router.refusals.clear(sound, self.now_s, "answer")
 
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -113,21 +113,56 @@
     def test_answer_under_way_for_long_clears_its_segments(self):
         self.crash_under(*[["new"]] * ENDS)
         self.assertTrue(self.is_refused("new"))
-        router, attempt = self.send(["new"], "sound", 1, SETTINGS.begin_window_s)
+        router, attempt = self.send(["new"], "sound", 1, SETTINGS.survival_s)
         self.fleet[router].note_body(attempt, self.now_s)
         self.exchange()
         self.assertFalse(self.is_refused("new", router=2))
 
     def test_answer_that_only_began_clears_nothing(self):
+        # Without other upstreams, the router can't tell what ends by chance.
+        self.answer(["other"])
+        self.now_s += 5.0
         router, attempt = self.send(["bad"], "e9", 0, written_s=0.5)
         self.fleet[router].note_body(attempt, self.now_s)
         self.crash_under(*[["bad"]] * ENDS)
         self.assertTrue(self.is_refused("bad"))
 
+    def test_whole_answer_clears_only_when_its_upstream_has_outlived_it(self):
+        self.crash_under(*[["new"]] * ENDS)
+        router, attempt = self.send(["new"], "e9", 1, written_s=0.1)
+        self.fleet[router].end(attempt, AttemptEnd.WHOLE, self.now_s)
+        for lived_s, refused in ((1.0, True), (SETTINGS.survival_s, False)):
+            self.fleet[router].note_alive(attempt.upstream, self.now_s + lived_s)
+            self.exchange()
+            self.assertEqual(self.is_refused("new", router=2), refused)
+
+    def test_whole_answers_whose_upstreams_end_soon_after_are_evidence(self):
+        self.answer(["first"])
+        for number in range(ENDS):
+            upstream = f"e{number}"
+            router, attempt = self.send(["first", "bad"], upstream, written_s=0.1)
+            self.fleet[router].end(attempt, AttemptEnd.WHOLE, self.now_s)
+            self.now_s += 1.0
+            self.fleet[router].note_ended(attempt.upstream, self.now_s)
+            self.exchange()
+        for router in range(self.ROUTERS):
+            self.assertTrue(self.is_refused("first", "bad", router=router))
+            self.assertFalse(self.is_refused("first", router=router))
+
+    def test_answers_before_a_planned_end_are_no_evidence(self):
+        for number in range(2 * ENDS):
+            upstream = f"e{number}"
+            router, attempt = self.send(["new"], upstream, written_s=0.1)
+            self.fleet[router].end(attempt, AttemptEnd.WHOLE, self.now_s)
+            self.now_s += 1.0
+            self.fleet[router].note_ended(attempt.upstream, self.now_s, left=True)
+        self.assertFalse(self.is_refused("new"))
+
     def test_answers_written_for_long_are_no_evidence(self):
         for number in range(5):
             upstream = f"e{number}"
-            self.crash(upstream, [self.send(["long"], upstream, written_s=3.0)])
+            written_s = SETTINGS.survival_s
+            self.crash(upstream, [self.send(["long"], upstream, written_s=written_s)])
         self.assertFalse(self.is_refused("long"))
 
     def test_broken_answers_of_upstreams_that_live_are_no_evidence(self):
@@ -144,8 +179,8 @@
                 router, attempt = self.send(["new"], "e9", written_s=0.1)
                 self.fleet[router].end(attempt, AttemptEnd.UNPROVEN, self.now_s)
                 if lives:
-                    upstream, now_s = attempt.upstream, self.now_s + 0.3
-                    self.fleet[router].note_alive(upstream, now_s, now_s)
+                    alive_s = self.now_s + SETTINGS.survival_s
+                    self.fleet[router].note_alive(attempt.upstream, alive_s)
                 self.exchange()
                 self.assertEqual(self.is_refused("new", router=2), not lives)
 
@@ -190,6 +225,45 @@
         self.assertTrue(late.refusals.is_refused(["bad"]))
 
 
+class SharedInstructionsTest(FleetCase):
+    """Guards against instructions of all prompts refused in place of a document."""
+
+    def setUp(self):
+        super().setUp()
+        for number in range(ENDS):
+            upstream = f"e{number}"
+            self.crash(upstream, [self.send(["bad", "instructions"], upstream)])
+
+    def test_prompt_with_one_suspect_is_tried_at_once(self):
+        self.assertTrue(self.is_refused("bad", "instructions", responsible=True))
+        self.assertFalse(self.is_refused("sound", "instructions", responsible=True))
+        self.assertTrue(self.is_refused("sound", "instructions", responsible=True))
+
+    def test_trial_that_its_upstream_outlives_puts_the_ends_down_to_the_document(self):
+        self.answer(["sound", "instructions"], lived_s=0.5)
+        for router in range(self.ROUTERS):
+            self.assertFalse(self.is_refused("sound", "instructions", router=router))
+            self.assertTrue(self.is_refused("bad", "instructions", router=router))
+            self.assertTrue(self.is_refused("bad", "other", router=router))
+
+    def test_trial_that_ends_its_upstream_is_not_repeated_at_once(self):
+        self.assertFalse(self.is_refused("sound", "instructions", responsible=True))
+        self.now_s += 2.0
+        self.crash("e9", [self.send(["sound", "instructions"], "e9")])
+        self.now_s += 10.0
+        self.assertTrue(self.is_refused("other", "instructions", responsible=True))
+        self.assertFalse(self.is_refused("bad", "other"))
+
+    def test_segment_is_not_tried_beside_another_suspect(self):
+        self.answer(["sound", "instructions"], lived_s=0.5)
+        self.crash("e9", [self.send(["bad", "new"], "e9")])
+        for number in range(ENDS):
+            upstream = f"f{number}"
+            self.crash(upstream, [self.send(["bad", "new"], upstream)])
+        self.now_s += 10.0
+        self.assertTrue(self.is_refused("bad", "new", responsible=True))
+
+
 class TiedSegmentsTest(FleetCase):
     """Guards against sound segments refused for those beside them."""
 
--- a/tests/test_crashing_prompts.py
+++ b/tests/test_crashing_prompts.py
@@ -109,6 +109,18 @@
                     ENDS_ALLOWED + REQUESTS_ALLOWED_AFTER, "/stream/x", pause_s=0.3
                 )
 
+    async def test_answers_that_are_whole_before_their_engine_ends_are_evidence(self):
+        await self.restart_engines(
+            8, crash_delay_s=0.1, crash_after="event", restart_s=1.0
+        )
+        for number in range(24):
+            await self.send("first", "bad", f"other{number}", path="/stream/x")
+            await asyncio.sleep(0.2)
+            await self.send("first", f"other{number}", path="/stream/x")
+        self.assertGreater(len(self.ends), 1)
+        self.assertLessEqual(self.bad_arrivals(), ENDS_ALLOWED + REQUESTS_ALLOWED_AFTER)
+        self.assertEqual(await self.send("first", "other"), 200)
+
     async def test_requests_that_may_not_be_repeated_are_evidence(self):
         for path in ("/stream/x", "/unsafe/x", "/safe/x"):
             with self.subTest(path):
--- a/tests/test_segment_refusals.py
+++ b/tests/test_segment_refusals.py
@@ -97,8 +97,13 @@
         """Play a minute of requests; return ends under bad ones, and refusals."""
         rng = random.Random(seed)
         bad_arrivals = wrong = 0
+        living = []
         for step in range(600):
             self.now_s = START_S + step * 0.1
+            while living and living[0][0] <= self.now_s:
+                _, router, upstream = living.pop(0)
+                self.fleet[router].note_alive(upstream, self.now_s)
+            self.exchange()
             upstream = f"e{step}"
             sent, bad = [], False
             for _ in range(12):
@@ -115,14 +120,16 @@
                 # Half of them are at the upstream that may end, the others are
                 # answered by another one.
                 if is_bad or rng.random() < 0.5:
-                    sent.append(self.send(prompt, upstream, router))
+                    sent.append(self.send(prompt, upstream, router, written_s=0.0))
                 else:
                     self.answer(prompt, router)
             if bad or rng.random() < 0.2:
                 self.crash(upstream, sent)
             else:
+                alive_s = self.now_s + SETTINGS.survival_s
                 for router, attempt in sent:
                     self.fleet[router].end(attempt, AttemptEnd.WHOLE, self.now_s)
+                    living.append((alive_s, router, attempt.upstream))
         return bad_arrivals, wrong
 
     def test_no_request_is_refused_when_upstreams_end_at_random(self):
