Show that bytes without end fill no process, on the real program too

The report of other operators (a faulty engine sends bytes that are no answer, without end, in a head or a body, and the machine that called it runs out of memory) can't happen here: heads, trailers and chunk extensions are bounded by 64 KiB without a part of a body, errors and bodies of own calls by size, and answers that are relayed wait for their callers.

What was missing are tests of it: with the real router process (56 endless answers of seven kinds at once, 60 MB of growth allowed, another caller served throughout), with a caller that doesn't read, and for heads and trailers of the product's own interface. The start of a router process moved from test_planned_stop to a base class of its own.

--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -459,6 +459,9 @@
     async def _endless_error(self, request, writer):
         await self._write_endlessly(writer, self._response_head(request, 500), b"b")
 
+    async def _endless_body(self, request, writer):
+        await self._write_endlessly(writer, self._response_head(request), b"b\n\n")
+
     async def _endless_refusal(self, request, writer):
         extra = ["Carobstair-Not-Executed: 1"]
         head = self._response_head(request, 503, extra, seal=False)
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -98,6 +98,55 @@
         self.check_sent(32 * MIB)
 
 
+class EndlessHeadStandIn(HttpStandIn):
+    """Begins a response and goes on with one unit without end."""
+
+    def __init__(self, begin, unit):
+        super().__init__()
+        self.begin, self.unit = begin, unit
+        self.sent_bytes = 0
+
+    async def respond(self, request, writer):
+        """Send until the connection is closed."""
+        writer.write(self.begin)
+        while True:
+            block = self.unit * (16384 // len(self.unit))
+            writer.write(block)
+            self.sent_bytes += len(block)
+            await writer.drain()
+            await asyncio.sleep(0)
+
+
+class EndlessHeadTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against heads and trailers without end that fill a process's memory."""
+
+    CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n"
+
+    async def test_call_fails_and_closes_the_connection(self):
+        for name, begin, unit in (
+            ("header lines", b"HTTP/1.1 200 OK\r\n", b"x-a: b\r\n"),
+            ("one header line", b"HTTP/1.1 200 OK\r\nx-a: ", b"b"),
+            ("informational responses", b"", b"HTTP/1.1 102 X\r\n\r\n"),
+            ("status line", b"HTTP/1.1 200 ", b"b"),
+            ("trailers", self.CHUNKED + b"0\r\n", b"x-a: b\r\n"),
+            ("chunk extension", self.CHUNKED + b"1;x=", b"b"),
+        ):
+            with self.subTest(name):
+                await self.check(begin, unit)
+
+    async def check(self, begin, unit):
+        standin = await EndlessHeadStandIn(begin, unit).start()
+        client = UpstreamClient(GatewaySettings())
+        address = f"http://127.0.0.1:{standin.port}"
+        upstream = Upstream("u", "pool", UpstreamKind.SERVICE, address, "zone")
+        with self.assertRaises((StreamBroken, UpstreamError)):
+            await client.call(upstream, "a1", "GET", "/x", {}, b"", 3.0)
+        await client.close()
+        sent_bytes = standin.sent_bytes
+        await standin.stop()
+        self.assertLess(sent_bytes, 12 * MIB)
+
+
 class CutStandIn(HttpStandIn):
     """Answers with given header lines and bytes, and ends by a close or a reset."""
 
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -3,12 +3,14 @@
 import asyncio
 import time
 import unittest
+from pathlib import Path
 
 from carobstair.core.fleet_view import StateKind
 from carobstair.edge.state_store import StoreUnavailable
 from carobstair.platform.store import PlatformStore
 from edge_test_case import EdgeCase
-from platform_standins import HttpStandIn
+from platform_standins import HttpStandIn, UpstreamStandIn
+from router_process_case import RouterProcessCase
 
 # Socket buffers of both sides hold some megabytes that the router never reads.
 MAX_ACCEPTED_BYTES = 12 * 1024 * 1024
@@ -79,6 +81,99 @@
         self.assertNotIn("X-Late", headers)
 
 
+class EndlessBodyTest(EdgeCase):
+    """Guards against successful answers without end that a slow caller fills up."""
+
+    async def check(self, path):
+        await self.start_upstreams("endless_body")
+        _, writer = await asyncio.open_connection("127.0.0.1", self.server.port)
+        writer.transport.pause_reading()
+        writer.write(
+            f"GET {path} HTTP/1.1\r\nHost: api.test\r\nCarobstair-Key: key1\r\n"
+            "Carobstair-Attempt-Id: a\r\n\r\n".encode()
+        )
+        await asyncio.sleep(0.3)
+        accepted = self.upstreams[0].endless_bytes
+        await asyncio.sleep(0.3)
+        self.assertEqual(self.upstreams[0].endless_bytes, accepted)
+        self.assertLess(accepted, MAX_ACCEPTED_BYTES)
+        writer.transport.abort()
+
+    async def test_body_waits_for_a_caller_that_does_not_read(self):
+        await self.check("/safe/x")
+
+    async def test_stream_waits_for_a_caller_that_does_not_read(self):
+        await self.check("/stream/x")
+
+
+class FaultyEngine(UpstreamStandIn):
+    """An engine that answers as its request's path says: `/safe/BEHAVIOUR`."""
+
+    def __init__(self):
+        super().__init__(iter(()))
+
+    async def respond(self, request, writer):
+        """Respond with the behaviour that the path names."""
+        self._script = iter([request.target.rpartition("/")[2]])
+        return await super().respond(request, writer)
+
+
+class EndlessProcessTest(RouterProcessCase):
+    """Guards against a faulty engine that ends the process of other callers."""
+
+    MAX_GROWTH_KB = 60 * 1024
+
+    def make_upstream(self):
+        """Return an engine whose answers have no end for some paths."""
+        return FaultyEngine()
+
+    def memory_kb(self):
+        """Return the largest resident size that the process has had."""
+        status = Path(f"/proc/{self.process.pid}/status").read_text()
+        return int(status.partition("VmHWM:")[2].split()[0])
+
+    async def call(self, path, number):
+        headers = {
+            "Host": "api.test",
+            "Carobstair-Attempt-Id": f"id{number}",
+            "Carobstair-Key": "key1",
+        }
+        url = f"http://127.0.0.1:{self.front}{path}"
+        async with self.kept.get(url, headers=headers) as response:
+            async for _ in response.content.iter_any():
+                # A caller that reads more slowly than the engine writes.
+                await asyncio.sleep(0.01)
+            return response.status
+
+    async def test_other_callers_are_served_within_the_memory(self):
+        self.assertEqual(await self.call("/safe/ok", 0), 200)
+        before_kb = self.memory_kb()
+        behaviours = (
+            "endless_headers",
+            "endless_header_line",
+            "endless_informational",
+            "endless_trailers",
+            "endless_chunk_extension",
+            "endless_error",
+            "endless_body",
+        )
+        calls = [
+            asyncio.create_task(self.call(f"/{kind}/{behaviour}", f"{n}{kind}"))
+            for n, behaviour in enumerate(4 * behaviours)
+            for kind in ("safe", "stream")
+        ]
+        statuses = []
+        for number in range(30):
+            statuses.append(await self.call("/unsafe/ok", f"sound{number}"))
+            await asyncio.sleep(0.1)
+        for call in calls:
+            call.cancel()
+        await asyncio.gather(*calls, return_exceptions=True)
+        self.assertIsNone(self.process.returncode)
+        self.assertLess(self.memory_kb() - before_kb, self.MAX_GROWTH_KB)
+        self.assertEqual(statuses, [200] * 30)
+
+
 class EndlessCallerTest(EdgeCase):
     """Guards against requests without end that fill a router's memory."""
 
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -1,26 +1,14 @@
 """Tests of a planned stop of the real router program under load."""
 
 import asyncio
-import contextlib
-import os
 import signal
-import sys
-import tempfile
 import time
 import unittest
-from pathlib import Path
 
 import aiohttp
 
-from carobstair.platform.boot import BOOT_VARIABLE
-from platform_standins import (
-    StoreStandIn,
-    UpstreamStandIn,
-    make_config,
-    make_script,
-    make_upstream_entry,
-)
-from test_boot import BOOT, free_ports
+from platform_standins import UpstreamStandIn, make_script
+from router_process_case import RouterProcessCase
 
 GRACE_S = 4.0
 # Streams sent later are refused: `min(accept_s, grace_s / 2)`.
@@ -53,52 +41,14 @@
         return True
 
 
-class PlannedStopTest(unittest.IsolatedAsyncioTestCase):
+class PlannedStopTest(RouterProcessCase):
     """Guards against requests that a stopping router takes and then cuts off."""
 
-    async def asyncSetUp(self):
-        self.store = await StoreStandIn().start()
-        self.upstream = await WorkingUpstream().start()
-        self.store.put("servers", "u0", make_upstream_entry(self.upstream.port))
-        self.store.put("config", "main", make_config())
-        folder = self.enterContext(tempfile.TemporaryDirectory())
-        peer, self.front, self.ready = free_ports(3)
-        text = BOOT.format(
-            peer=peer,
-            last=peer + 15,
-            front=self.front,
-            ready=self.ready,
-            store=self.store.port,
-        )
-        path = Path(folder) / "node.toml"
-        path.write_text(text.replace("graceS = 3", f"graceS = {GRACE_S}"))
-        self.process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-m",
-            "carobstair.cli.router",
-            env=os.environ | {BOOT_VARIABLE: str(path)},
-            stdout=asyncio.subprocess.DEVNULL,
-        )
-        self.kept = aiohttp.ClientSession()
-        await self.wait_until_ready()
-
-    async def asyncTearDown(self):
-        await self.kept.close()
-        if self.process.returncode is None:
-            self.process.kill()
-        await self.process.wait()
-        await self.store.stop()
-        await self.upstream.stop()
-
-    async def wait_until_ready(self):
-        for _ in range(300):
-            with contextlib.suppress(aiohttp.ClientError):
-                url = f"http://127.0.0.1:{self.ready}/v1/ready"
-                async with self.kept.get(url) as response:
-                    if response.status == 200:
-                        return
-            await asyncio.sleep(0.05)
-        self.fail("the router was not ready within 15 s")
+    GRACE_S = GRACE_S
+
+    def make_upstream(self):
+        """Return the upstream of the router."""
+        return WorkingUpstream()
 
     async def call(self, session, request_id, path):
         """Send a request; return its id, path, time, and its end or None if cut."""
