Refuse by share before the body is read, at less cost

Change: what the head decides is decided before the body is read (and whether a stop has begun once more after it); log lines over their limit are counted before they are built; msgspec encodes the problem.

--- a/src/carobstair/edge/app.py
+++ b/src/carobstair/edge/app.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import math
 import random
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
 
+import msgspec
+
 from carobstair.core.fair_admission import FairAdmission
 from carobstair.core.fleet_view import FleetView
 from carobstair.core.framing import Framing
@@ -28,7 +29,7 @@
 from carobstair.edge.metrics import EdgeMetrics
 from carobstair.edge.relay import Relay
 from carobstair.edge.server import CALLER_CLOSED
-from carobstair.logs import get_logger
+from carobstair.logs import get_logger, is_suppressed
 
 __all__ = ["EdgeApp"]
 
@@ -134,14 +135,20 @@
                 metadata = self._read_metadata(scope, limits)
                 route, workspace = self._admit(table, metadata, scope["path"])
                 self._shed_beyond_share(table, route, metadata, workspace, arrived_s)
-                body = await self._read_body(caller, limits, route, metadata, arrived_s)
                 exchange = self._exchange(
-                    scope, table, metadata, route, workspace, body, arrived_s
+                    scope, table, metadata, route, workspace, arrived_s
                 )
+                # What can be refused by the head is, before its body is read.
                 self._check_shutdown(exchange)
                 self._relay.guard.admit(exchange)
                 within_share = self._check_fair_share(exchange, limits)
                 self._check_overload(exchange, within_share)
+                exchange.body = await self._read_body(
+                    caller, limits, route, metadata, arrived_s
+                )
+                # A stop may have begun since.
+                self._check_shutdown(exchange)
+                exchange.close_connection = self._closes_connection()
                 watcher = asyncio.create_task(caller.cancel_on_disconnect(task))
                 await self._relay.run(exchange, send)
                 outcome = "answered"
@@ -246,7 +253,6 @@
         metadata: RequestMetadata,
         route: Route,
         workspace: str | None,
-        body: bytes,
         arrived_s: float,
     ) -> Exchange:
         pool = self._pick_pool(table, route)
@@ -261,13 +267,15 @@
             scope["method"],
             target,
             scope["headers"],
-            body,
+            b"",
             arrived_s,
             arrived_s + _allowed_s(route, metadata),
-            close_connection=self.draining or self._over_connection_limit(),
             caller_closed=scope.get(CALLER_CLOSED, lambda: False),
         )
 
+    def _closes_connection(self) -> bool:
+        return self.draining or self._over_connection_limit()
+
     def _pick_pool(self, table: RoutingTable, route: Route) -> ServicePool:
         service = table.pick_service(route, table.services, self._rng)
         if service is None:
@@ -397,15 +405,14 @@
     # Refusals and logging
 
     async def _refuse(self, scope, send, refusal: Refusal) -> None:
-        body = json.dumps(refusal.problem("")).encode()
+        body = msgspec.json.encode(refusal.problem(""))
         headers = [
             (b"content-type", PROBLEM_JSON.encode()),
             (b"content-length", b"%d" % len(body)),
         ]
         if refusal.retry_after_s is not None:
             headers.append((b"retry-after", b"%.2f" % refusal.retry_after_s))
-        close_connection = self.draining or self._over_connection_limit()
-        if close_connection or refusal.status in (400, 408, 413, 431):
+        if self._closes_connection() or refusal.status in (400, 408, 413, 431):
             headers.append((b"connection", b"close"))
         start = {"type": "http.response.start", "status": refusal.status}
         await send(start | {"headers": headers})
@@ -424,6 +431,8 @@
         took_s = time.monotonic() - arrived_s
         if exchange is None:
             self._metrics.requests.labels("", outcome).inc()
+            if is_suppressed(__name__, "request_refused", outcome):
+                return
             logger.info(
                 "request_refused",
                 request_id=_request_id_of(scope),
@@ -448,6 +457,8 @@
         sampled = first_try and not at_connection_end
         if sampled and self._ended_requests % SUCCESS_LOG_INTERVAL:
             return
+        if is_suppressed(__name__, "request_ended", outcome):
+            return
         logger.info(
             "request_ended",
             request_id=exchange.metadata.request_id,
--- a/src/carobstair/logs.py
+++ b/src/carobstair/logs.py
@@ -18,6 +18,7 @@
     "Suppressed",
     "configure_logging",
     "get_logger",
+    "is_suppressed",
 ]
 
 # Keeps a flood of one event from filling the disk or hiding other events.
@@ -66,6 +67,16 @@
         window.seen += 1
         return window.seen <= self.limit
 
+    def suppresses(self, key: EventKey, now_s: float) -> bool:
+        """Count an event that would not be logged and return whether that is so."""
+        window = self._windows.get(key)
+        if window is None or window.seen < self.limit:
+            return False
+        if now_s - window.began_s >= self.interval_s:
+            return False
+        window.seen += 1
+        return True
+
     def pop_suppressed(self, now_s: float) -> list[Suppressed]:
         """Remove the intervals that have ended and return what they suppressed."""
         ended = [
@@ -98,15 +109,40 @@
             structlog.get_logger(module=module).warning(
                 "events_suppressed", suppressed_event=event, count=item.count
             )
-        # The outcome is part of the key, so that frequent failures of one kind
-        # don't suppress those of another.
-        event = f"{event_dict['event']} {event_dict.get('outcome', '')}".strip()
-        key = (event_dict.get("module", ""), event)
+        key = _event_key(
+            event_dict.get("module", ""),
+            event_dict["event"],
+            event_dict.get("outcome", ""),
+        )
         if not self._limit.admits(key, now_s):
             raise structlog.DropEvent
         return event_dict
 
 
+def _event_key(module: str, event: str, outcome: str) -> EventKey:
+    # The outcome is part of the key, so that frequent failures of one kind don't
+    # suppress those of another.
+    return module, f"{event} {outcome}" if outcome else event
+
+
+@dataclass(slots=True)
+class _Active:
+    limit: RateLimit = field(default_factory=RateLimit)
+    clock: Callable[[], float] = time.monotonic
+
+
+_active = _Active()
+
+
+def is_suppressed(module: str, event: str, outcome: str = "") -> bool:
+    """Return whether an event would not be logged, and count it if so.
+
+    Saves the work of a line for frequent events.
+    """
+    key = _event_key(module, event, outcome)
+    return _active.limit.suppresses(key, _active.clock())
+
+
 class LineWriter:
     """Text stream that drops and counts lines instead of blocking.
 
@@ -162,6 +198,8 @@
     clock : callable, optional
         Returns monotonic time in seconds.
     """
+    _active.limit = limit or RateLimit()
+    _active.clock = clock
 
     def add_zone(logger, method_name: str, event_dict: dict) -> dict:
         if zone:
@@ -170,7 +208,7 @@
 
     structlog.configure(
         processors=[
-            _RateLimitProcessor(limit or RateLimit(), clock),
+            _RateLimitProcessor(_active.limit, clock),
             structlog.contextvars.merge_contextvars,
             add_zone,
             structlog.processors.add_log_level,
