Keep entries of earlier starts out after a restore of the store

Cause: entries were ordered by era and revision alone, so the copy's entry replaced that of the later start, and the cold period ended with it.

Change: in a new era an entry of an earlier start is taken only when it is written a second time there.

--- a/src/carobstair/core/fleet_view.py
+++ b/src/carobstair/core/fleet_view.py
@@ -138,6 +138,8 @@
     decode_upstream: Callable[[str, bytes], UpstreamEntry | None]
     table: RoutingTable | None = None
     undecodable_count: int = 0
+    # Upstreams of which a restored store has an entry of an earlier start.
+    _copied: dict[str, Stamp] = field(default_factory=dict)
     _kinds: dict[StateKind, _ObjectSet] = field(
         default_factory=lambda: {kind: _ObjectSet() for kind in StateKind}
     )
@@ -249,14 +251,34 @@
         self, change: StoreChange, grace_until_s: float | None, now_s: float
     ) -> None:
         if change.spec is None:
+            self._copied.pop(change.name, None)
             self.directory.remove(change.name, change.stamp, grace_until_s)
             return
         entry = self.decode_upstream(change.name, change.spec)
         if entry is None:
             self.undecodable_count += 1
             self.directory.remove(change.name, change.stamp, None)
-            return
-        self.directory.put(entry, change.stamp, now_s)
+        elif not self._is_of_copy(entry, change):
+            self.directory.put(entry, change.stamp, now_s)
+
+    def _is_of_copy(self, entry: UpstreamEntry, change: StoreChange) -> bool:
+        """Return whether an entry is of an earlier start, from before a restore.
+
+        The upstream writes its own entry again. One that has restarted with an earlier
+        clock does so too, and is believed the second time.
+        """
+        known = self.directory.find(entry.upstream_id)
+        if (
+            known is None
+            or change.era <= known.revision.era
+            or entry.born_ms >= known.entry.born_ms
+        ):
+            self._copied.pop(entry.upstream_id, None)
+            return False
+        first = self._copied.setdefault(entry.upstream_id, change.stamp)
+        if first.era < change.era:
+            first = self._copied[entry.upstream_id] = change.stamp
+        return change.stamp <= first
 
     def _apply_routing(self, change: StoreChange) -> None:
         config = self.decode_routing(change.spec) if change.spec is not None else None
--- a/tests/test_store_restore.py
+++ b/tests/test_store_restore.py
@@ -104,6 +104,27 @@
         self.apply(make_change("u2", 7, 2, removed=True))
         self.assertEqual(self.usable(), [])
 
+    def test_earlier_start_in_the_copy_does_not_end_the_cold_period(self):
+        self.apply(make_change("u1", 10, 0, born=1))
+        self.apply(make_change("u1", 20, 0, born=2, coldRemainingMs=3000))
+        for era, revision in ((1, 10), (2, 10)):
+            self.apply(make_change("u1", revision, era, born=1), now_s=0.5)
+            found = self.view.directory.find("u1")
+            self.assertEqual(found.entry.born_ms, 2)
+            self.assertTrue(self.view.directory.is_cold(found.entry, 1.0))
+        # The upstream writes its entry again.
+        self.apply(make_change("u1", 11, 2, born=2), now_s=1.0)
+        self.assertEqual(self.view.directory.find("u1").revision.era, 2)
+        self.assertTrue(self.view.directory.is_cold(found.entry, 2.0))
+
+    def test_upstream_that_restarts_with_an_earlier_clock_is_believed(self):
+        self.apply(make_change("u1", 20, 0, born=2))
+        self.apply(make_change("u1", 10, 1, born=1))
+        self.apply(make_change("u1", 11, 1, born=1))
+        self.assertEqual(self.view.directory.find("u1").entry.born_ms, 1)
+        self.apply(make_change("u1", 12, 1, born=0))
+        self.assertEqual(self.view.directory.find("u1").entry.born_ms, 0)
+
     def test_evacuation_that_the_copy_lacks_is_kept_for_a_while(self):
         self.apply(make_change("u1", 90, 1))
         evacuation = StoreChange("a", 91, b"{}", 1)
