Bound the memory that the bodies of requests take together

Cause: bodies were bounded one by one, and each was held twice while it was sent on.

Change: large bodies take their length from a budget, in the order of arrival; without room their connections aren't read from, and when more wait than fit further ones are refused by their heads. Large bodies are sent without a copy.

--- a/src/carobstair/edge/app.py
+++ b/src/carobstair/edge/app.py
@@ -24,8 +24,9 @@
     ServicePool,
 )
 from carobstair.core.service_account import ServiceAccount
+from carobstair.edge.body_budget import BodyBudget, BudgetExceeded
 from carobstair.edge.exchange import CallerLeft, Exchange, IncompleteResponse
-from carobstair.edge.metadata import BadRequest, Dialect, RequestMetadata
+from carobstair.edge.metadata import BadRequest, Dialect, Headers, RequestMetadata
 from carobstair.edge.metrics import EdgeMetrics
 from carobstair.edge.relay import Relay
 from carobstair.edge.server import CALLER_CLOSED
@@ -46,6 +47,11 @@
 OTHER_ROUTER_RETRY_S = 0.3
 
 
+# Bodies held at once, if the memory of the process is not known.
+DEFAULT_BODY_BYTES = 64 * 1024 * 1024
+MAX_LENGTH_DIGITS = 18
+
+
 @dataclass(slots=True)
 class _CallerConnection:
     """Cancels a request's handler when its caller disconnects."""
@@ -76,6 +82,7 @@
     over_connection_limit : callable
         Returns whether responses should close their connections.
     overload : OverloadGuard, optional
+    body_budget : BodyBudget, optional
     """
 
     def __init__(
@@ -89,6 +96,7 @@
         max_open_requests: int,
         over_connection_limit: Callable[[], bool] = lambda: False,
         overload: OverloadGuard | None = None,
+        body_budget: BodyBudget | None = None,
     ):
         self._view = view
         self._relay = relay
@@ -99,6 +107,7 @@
         self._max_open_requests = max_open_requests
         self._over_connection_limit = over_connection_limit
         self._overload = overload or OverloadGuard()
+        self._body_budget = body_budget or BodyBudget(DEFAULT_BODY_BYTES)
         self._ended_requests = 0
         self.account = ServiceAccount(
             lambda pool, name, tokens: metrics.workspace_tokens.labels(
@@ -143,9 +152,7 @@
                 self._relay.guard.admit(exchange)
                 within_share = self._check_fair_share(exchange, limits)
                 self._check_overload(exchange, within_share)
-                exchange.body = await self._read_body(
-                    caller, limits, route, metadata, arrived_s
-                )
+                await self._read_body(caller, limits, exchange)
                 # A stop may have begun since.
                 self._check_shutdown(exchange)
                 exchange.close_connection = self._closes_connection()
@@ -178,6 +185,8 @@
                 watcher.cancel()
             self.open_requests.discard(task)
             self._give_back(exchange)
+            if exchange is not None:
+                self._body_budget.release(exchange.held_bytes)
             self._record_end(scope, exchange, outcome, detail, arrived_s)
 
     # Checks
@@ -213,18 +222,16 @@
         return route, workspace.name if workspace else None
 
     async def _read_body(
-        self,
-        caller: _CallerConnection,
-        limits: RequestLimits,
-        route: Route,
-        metadata: RequestMetadata,
-        arrived_s: float,
-    ) -> bytes:
-        """Return the body, which must arrive before the request's deadline."""
-        deadline_s = arrived_s + _allowed_s(route, metadata)
+        self, caller: _CallerConnection, limits: RequestLimits, exchange: Exchange
+    ) -> None:
+        """Read the body, which must arrive before the request's deadline."""
+        size_bytes = _declared_bytes(exchange.headers, limits)
         try:
-            async with asyncio.timeout_at(deadline_s):
-                return await self._read_body_parts(caller, limits)
+            async with asyncio.timeout_at(exchange.deadline_s):
+                exchange.held_bytes = await self._body_budget.acquire(size_bytes)
+                exchange.body = await self._read_body_parts(caller, limits)
+        except BudgetExceeded as error:
+            raise refuse("overloaded", str(error)) from None
         except TimeoutError:
             raise refuse("request-timeout", "the body took too long") from None
 
@@ -490,6 +497,17 @@
     return allowed_s
 
 
+def _declared_bytes(headers: Headers, limits: RequestLimits) -> int:
+    """Return the length of a body by its head; the largest one if it is in chunks."""
+    size_bytes = 0
+    for name, value in headers:
+        if name == b"content-length" and value.isdigit():
+            size_bytes = int(value[:MAX_LENGTH_DIGITS])
+        elif name == b"transfer-encoding":
+            return limits.max_body_bytes
+    return min(size_bytes, limits.max_body_bytes)
+
+
 def _request_id_of(scope) -> str:
     for name, value in scope["headers"]:
         if name.endswith(b"-id"):
--- a/src/carobstair/edge/exchange.py
+++ b/src/carobstair/edge/exchange.py
@@ -82,6 +82,8 @@
         Whether the latest attempt is evidence if its upstream has ended.
     is_trial : bool
         Whether the request is sent although one of its segments is refused.
+    held_bytes : int
+        Memory that the body takes of the budget for bodies.
     admitted_tokens : float
         Weighted tokens that the admission took from the share of the workspace.
     on_begun : callable
@@ -123,6 +125,7 @@
     tracked: TrackedAttempt | None = None
     is_suspect: bool = False
     is_trial: bool = False
+    held_bytes: int = 0
     admitted_tokens: float = 0.0
     on_begun: Callable[[], None] = lambda: None
     on_limited_send: Callable[[], None] = lambda: None
--- a/src/carobstair/edge/router.py
+++ b/src/carobstair/edge/router.py
@@ -25,6 +25,7 @@
 from carobstair.core.share_exchange import ShareExchange
 from carobstair.core.upstream_health import UpstreamHealth
 from carobstair.edge.app import EdgeApp
+from carobstair.edge.body_budget import BodyBudget
 from carobstair.edge.connection_pool import ConnectionPool
 from carobstair.edge.evidence_exchange import EvidenceExchange
 from carobstair.edge.follower import StoreFollower
@@ -148,6 +149,7 @@
             settings.max_open_requests,
             lambda: self._caller_server.connections > listen.keep_alive_limit,
             self._overload,
+            BodyBudget(settings.max_body_memory_bytes),
         )
         self._caller_server = CallerServer(self.app, listen.host, listen.callers_port)
         self._ready_server = PageServer(
--- a/src/carobstair/edge/settings.py
+++ b/src/carobstair/edge/settings.py
@@ -224,3 +224,4 @@
     overload: OverloadSettings = OverloadSettings()
     directory: DirectorySettings = DirectorySettings()
     max_open_requests: int = Field(2_000, ge=1)
+    max_body_memory_bytes: int = Field(64 * 1024 * 1024, ge=1)
--- a/src/carobstair/edge/upstream_connection.py
+++ b/src/carobstair/edge/upstream_connection.py
@@ -245,7 +245,12 @@
         self._overhead_bytes = 0
         self._response_expected = 1
         self.request_count += 1
-        self._transport.write(head + body if body else head)
+        if len(body) <= MAX_JOINED_BYTES:
+            self._transport.write(head + body)
+        else:
+            # Without a copy of a large body.
+            self._transport.write(head)
+            self._transport.write(body)
 
     async def read_head(self) -> ResponseHead:
         """Return the head of the next response.
--- a/src/carobstair/platform/boot.py
+++ b/src/carobstair/platform/boot.py
@@ -25,6 +25,11 @@
 # Offsets of the router's own ports in the internal port range of the platform.
 PEER_PORT_OFFSET = 0
 METRICS_PORT_OFFSET = 1
+# A process under load without bodies, and the part of the rest that bodies may take:
+# while one is sent on, a part of it is held twice.
+OWN_MEMORY_MB = 100
+BODY_MEMORY_SHARE = 0.6
+MIN_BODY_MEMORY_MB = 16
 # Of the process's descriptor limit, the platform reserves these for files.
 RESERVED_DESCRIPTORS = 200
 # With fewer descriptors than this a process can't serve any caller.
@@ -57,6 +62,7 @@
 
 class _Limits(_BootModel):
     max_fds: int = Field(4_096, ge=0)
+    memory_mb: int = Field(200, ge=0)
 
 
 class _Boot(_BootModel):
@@ -113,6 +119,10 @@
     ports = boot.internal_port_range
     peer_port = ports[0] + PEER_PORT_OFFSET
     bounds = boot.bounds
+    body_memory_mb = max(
+        MIN_BODY_MEMORY_MB,
+        int(BODY_MEMORY_SHARE * (boot.limits.memory_mb - OWN_MEMORY_MB)),
+    )
     sockets = max(MIN_SOCKETS, boot.limits.max_fds - RESERVED_DESCRIPTORS)
     return EdgeSettings(
         name=boot.node_name,
@@ -143,6 +153,7 @@
         directory=DirectorySettings(leaving_use_s=bounds.drain_timeout_ms / 2000),
         # A request needs one connection to its caller and one to an upstream.
         max_open_requests=sockets // 3,
+        max_body_memory_bytes=body_memory_mb * 1_000_000,
     )
 
 
--- a/tests/router_process_case.py
+++ b/tests/router_process_case.py
@@ -30,11 +30,19 @@
         """Return the upstream of the router, which is not started."""
         raise NotImplementedError
 
+    def make_config(self):
+        """Return the configuration of the router."""
+        return make_config()
+
+    def make_boot(self, text):
+        """Return the settings of the process, given the usual ones."""
+        return text
+
     async def asyncSetUp(self):
         self.store = await StoreStandIn().start()
         self.upstream = await self.make_upstream().start()
         self.store.put("servers", "u0", make_upstream_entry(self.upstream.port))
-        self.store.put("config", "main", make_config())
+        self.store.put("config", "main", self.make_config())
         folder = self.enterContext(tempfile.TemporaryDirectory())
         peer, self.front, self.ready = free_ports(3)
         text = BOOT.format(
@@ -45,7 +53,9 @@
             store=self.store.port,
         )
         path = Path(folder) / "node.toml"
-        path.write_text(text.replace("graceS = 3", f"graceS = {self.GRACE_S}"))
+        path.write_text(
+            self.make_boot(text).replace("graceS = 3", f"graceS = {self.GRACE_S}")
+        )
         self.process = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
