End a stop only when the kernel has taken all answers

Cause: the stop waited for open requests; a request is closed once its answer was handed to the transport, which may still hold most of it.

Change: the stop also waits for the transports of all callers, until the time at which open requests are cancelled.

--- a/src/carobstair/edge/router.py
+++ b/src/carobstair/edge/router.py
@@ -311,7 +311,9 @@
         await asyncio.sleep(FLUSH_DELAY_S)
 
     async def _wait_until_idle(self, stop_deadline_s: float) -> None:
-        while self.app.open_requests and time.monotonic() < stop_deadline_s:
+        while time.monotonic() < stop_deadline_s and (
+            self.app.open_requests or not self._caller_server.is_idle
+        ):
             await asyncio.sleep(0.02)
 
     async def _register(self) -> None:
--- a/src/carobstair/edge/server.py
+++ b/src/carobstair/edge/server.py
@@ -107,6 +107,14 @@
         """Number of open connections."""
         return len(self._server.server_state.connections)
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether the kernel has taken all that was written to callers."""
+        return not any(
+            protocol.transport.get_write_buffer_size()
+            for protocol in self._server.server_state.connections
+        )
+
     async def serve(self) -> None:
         """Serve until cancelled."""
         await self._server.serve(sockets=[self._socket])
--- a/tests/test_boot.py
+++ b/tests/test_boot.py
@@ -325,6 +325,7 @@
         router._signalled_s = time.monotonic()
         router._dispatcher = SimpleNamespace(permits=SimpleNamespace())
         router.app = SimpleNamespace(open_requests=set())
+        router._caller_server = SimpleNamespace(is_idle=True)
         await router._drain()
         self.assertEqual(router.app.stop_deadline_s, -math.inf)
         self.assertEqual(router.app.stream_cutoff_s, -math.inf)
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -2,12 +2,18 @@
 
 import asyncio
 import signal
+import socket
 import time
 import unittest
 
 import aiohttp
 
-from platform_standins import UpstreamStandIn, make_script
+from platform_standins import (
+    UpstreamStandIn,
+    make_config,
+    make_route,
+    make_script,
+)
 from router_process_case import RouterProcessCase
 
 GRACE_S = 4.0
@@ -133,5 +139,67 @@
         self.check(await self.stop_under_load(*pauses))
 
 
+class LargeAnswerUpstream(UpstreamStandIn):
+    """An upstream that works for a while and answers with a large body."""
+
+    BODY = b"x" * 500_000
+
+    def __init__(self):
+        super().__init__(make_script("ok"))
+
+    async def respond(self, request, writer):
+        """Respond when the stopping process no longer takes requests."""
+        await asyncio.sleep(3.1)
+        writer.write(self._complete_response(request, body=self.BODY))
+        return True
+
+
+class SlowReaderTest(RouterProcessCase):
+    """Guards against answers that a stopping router has taken and doesn't hand over."""
+
+    GRACE_S = 5.0
+    READ_PER_S = 400_000
+
+    def make_upstream(self):
+        """Return an upstream with large answers."""
+        return LargeAnswerUpstream()
+
+    def make_config(self):
+        """Return a configuration that leaves the time to answer."""
+        routes = [make_route("/unsafe/", kind="unsafe", timeoutMs=15_000)]
+        return make_config(routes=routes)
+
+    async def read_slowly(self, number):
+        """Send an order on a slow link; return how much of the body arrives."""
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16_384)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, 1_400)
+        sock.setblocking(False)
+        address = "127.0.0.1", self.front
+        await asyncio.get_running_loop().sock_connect(sock, address)
+        reader, writer = await asyncio.open_connection(sock=sock, limit=8192)
+        writer.write(
+            "POST /unsafe/x HTTP/1.1\r\nHost: api.test\r\nCarobstair-Key: key1\r\n"
+            f"Carobstair-Attempt-Id: a{number}\r\nContent-Length: 0\r\n\r\n".encode()
+        )
+        head = await reader.readuntil(b"\r\n\r\n")
+        self.assertIn(b" 200 ", head.splitlines()[0])
+        size = 0
+        while part := await reader.read(8192):
+            size += len(part)
+            if size >= len(LargeAnswerUpstream.BODY):
+                break
+            await asyncio.sleep(len(part) / self.READ_PER_S)
+        writer.close()
+        return size
+
+    async def test_large_answers_reach_callers_on_slow_links(self):
+        reading = [asyncio.create_task(self.read_slowly(n)) for n in range(3)]
+        await asyncio.sleep(0.3)
+        self.process.send_signal(signal.SIGTERM)
+        sizes = await asyncio.gather(*reading)
+        self.assertEqual(sizes, [len(LargeAnswerUpstream.BODY)] * 3)
+
+
 if __name__ == "__main__":
     unittest.main()
