Forget first sends to upstreams that are gone

The times of the first sends, which tell ends by chance from others, grew with each restart of an upstream. test_upstreams_that_are_gone_are_not_remembered.

--- a/src/carobstair/core/crash_evidence.py
+++ b/src/carobstair/core/crash_evidence.py
@@ -10,7 +10,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
 from enum import StrEnum
 
@@ -325,13 +325,19 @@
         self.refusals.settle(now_s)
         return list(filter(self.refusals.is_sound, segments))
 
+    def keep(self, listed: Collection[Incarnation]) -> None:
+        """Forget the first sends to upstreams that are neither listed nor watched."""
+        kept = self._ended.keys() | self.watched()
+        for upstream in self._first_sent_s.keys() - kept:
+            if upstream not in listed:
+                del self._first_sent_s[upstream]
+
     def expire(self, now_s: float) -> None:
         """Drop what is too old to be evidence."""
         settings = self.settings
         for upstream, at_s in list(self._ended.items()):
             if now_s - at_s > settings.ended_s:
                 del self._ended[upstream]
-                self._first_sent_s.pop(upstream, None)
         for upstream, exposures in list(self._exposures.items()):
             self._set_exposures(
                 upstream,
--- a/tests/test_segment_refusals.py
+++ b/tests/test_segment_refusals.py
@@ -77,6 +77,13 @@
             self.answer([f"doc{number}"])
         self.assertLessEqual(len(self.fleet[0].refusals._sound), SETTINGS.max_sound)
 
+    def test_upstreams_that_are_gone_are_not_remembered(self):
+        for number in range(10):
+            self.answer(["doc"], upstream=f"e{number}")
+        evidence = self.fleet[0]
+        evidence.keep({("e3", 1)})
+        self.assertEqual(set(evidence._first_sent_s), {("e3", 1)})
+
     def test_old_evidence_is_dropped(self):
         self.crash("e0", [self.send(["bad"], "e0")])
         self.crash("e1", [self.send(["bad"], "e1")], confirmed=False)
