Let a bounded number of new requests into each turn of the event loop

Cause: each turn of the event loop read all that had arrived, so turns lasted for a second, and an admitted request needs several turns until it is sent.

--- a/src/carobstair/edge/app.py
+++ b/src/carobstair/edge/app.py
@@ -29,7 +29,7 @@
 from carobstair.edge.metadata import BadRequest, Dialect, Headers, RequestMetadata
 from carobstair.edge.metrics import EdgeMetrics
 from carobstair.edge.relay import Relay
-from carobstair.edge.server import CALLER_CLOSED
+from carobstair.edge.server import ARRIVED_S, CALLER_CLOSED
 from carobstair.logs import get_logger, is_suppressed
 
 __all__ = ["EdgeApp"]
@@ -47,6 +47,8 @@
 OTHER_ROUTER_RETRY_S = 0.3
 
 
+# Outcome of requests that waited too long to be read.
+TURNED_AWAY = "turned-away"
 # Bodies held at once, if the memory of the process is not known.
 DEFAULT_BODY_BYTES = 64 * 1024 * 1024
 MAX_LENGTH_DIGITS = 18
@@ -131,7 +133,7 @@
         """Handle one ASGI connection."""
         if scope["type"] != "http":
             return
-        arrived_s = time.monotonic()
+        arrived_s = scope.get(ARRIVED_S) or time.monotonic()
         task = asyncio.current_task()
         self.open_requests.add(task)
         caller = _CallerConnection(receive)
@@ -411,6 +413,20 @@
 
     # Refusals and logging
 
+    def turn_away(self) -> bytes:
+        """Return the answer to a request that is not read, and count it."""
+        refusal = self._busy_refusal(time.monotonic())
+        self._metrics.requests.labels("", TURNED_AWAY).inc()
+        if not is_suppressed(__name__, "request_refused", TURNED_AWAY):
+            logger.info("request_refused", outcome=TURNED_AWAY)
+        body = msgspec.json.encode(refusal.problem(""))
+        head = (
+            f"HTTP/1.1 {refusal.status} Service Unavailable\r\n"
+            f"content-type: {PROBLEM_JSON}\r\ncontent-length: {len(body)}\r\n"
+            f"retry-after: {refusal.retry_after_s:.2f}\r\n\r\n"
+        )
+        return head.encode() + body
+
     async def _refuse(self, scope, send, refusal: Refusal) -> None:
         body = msgspec.json.encode(refusal.problem(""))
         headers = [
--- a/src/carobstair/edge/router.py
+++ b/src/carobstair/edge/router.py
@@ -25,6 +25,7 @@
 from carobstair.core.share_exchange import ShareExchange
 from carobstair.core.upstream_health import UpstreamHealth
 from carobstair.edge.app import EdgeApp
+from carobstair.edge.arrival_gate import ArrivalGate
 from carobstair.edge.body_budget import BodyBudget
 from carobstair.edge.connection_pool import ConnectionPool
 from carobstair.edge.evidence_exchange import EvidenceExchange
@@ -151,7 +152,13 @@
             self._overload,
             BodyBudget(settings.max_body_memory_bytes),
         )
-        self._caller_server = CallerServer(self.app, listen.host, listen.callers_port)
+        self._caller_server = CallerServer(
+            self.app,
+            listen.host,
+            listen.callers_port,
+            ArrivalGate(),
+            self.app.turn_away,
+        )
         self._ready_server = PageServer(
             self._ready_page, listen.host, listen.ready_port
         )
@@ -405,6 +412,7 @@
                 (u.upstream_id, u.entry.born_ms) for u in found if u is not None
             }
             self._connections.prune(incarnations)
+            self._guard.evidence.keep(incarnations)
             self._dispatcher.permits.keep(incarnations, time.monotonic())
 
     def _on_state_change(self, kind: StateKind, names: list[str]) -> None:
--- a/src/carobstair/edge/server.py
+++ b/src/carobstair/edge/server.py
@@ -3,44 +3,94 @@
 from __future__ import annotations
 
 import contextlib
+import re
 import select
 import socket
 from collections.abc import Callable, Iterator
 
 import uvicorn
 
+from carobstair.edge.arrival_gate import ArrivalGate
 from carobstair.net.http import BoundedHttpProtocol
 
-__all__ = ["CALLER_CLOSED", "CallerServer", "PageServer"]
+__all__ = ["ARRIVED_S", "CALLER_CLOSED", "CallerServer", "PageServer"]
 
 # Key in the ASGI scope of a function that returns whether the caller has closed its
 # connection, also if the event loop has not read that yet.
 CALLER_CLOSED = "carobstair.caller_closed"
+# Key of the monotonic time at which the request arrived, if it had to wait.
+ARRIVED_S = "carobstair.arrived_s"
 # Not known on all systems.
 POLL_CLOSED = getattr(select, "POLLRDHUP", 0)
 
 BACKLOG = 1024
+# Of a head in lower case.
+PLAIN_REQUEST = re.compile(rb"(?:get|post|put|delete|patch) [^ \r\n]+ http/1\.1\r\n")
+LENGTH = re.compile(rb"\r\ncontent-length: *(\d{1,9}) *(?=\r\n)")
+UNUSUAL_HEADERS = (b"\r\nconnection:", b"\r\ntransfer-encoding:", b"\r\nexpect:")
 # Used until a configuration is in force.
 DEFAULT_IDLE_TIMEOUT_S = 75.0
 
 
 class CallerProtocol(BoundedHttpProtocol):
-    """Closes connections that have been idle for the configured timeout.
+    """Passes requests through a gate, and closes connections that have been idle.
 
-    The timeout is read at the start of each idle period, so that a change also
+    The idle timeout is read at the start of each idle period, so that a change also
     applies to open connections.
     """
 
+    # When the request that is being read arrived, if it had to wait.
+    _waiting_since_s: float | None = None
+
     def connection_made(self, transport) -> None:
         """Start the idle timer before the first request arrives."""
         super().connection_made(transport)
+        self._start_idle_timer()
+
+    def _start_idle_timer(self) -> None:
         self.timeout_keep_alive_task = self.loop.call_later(
             self.config.timeout_keep_alive, self.timeout_keep_alive_handler
         )
 
+    def data_received(self, data: bytes) -> None:
+        """Parse received bytes; a new request may have to wait for its turn."""
+        gate = self.config.gate
+        is_new = self.cycle is None or self.cycle.response_complete
+        if gate is None or not is_new or gate.enter():
+            super().data_received(data)
+            return
+        # The connection is not idle, and nothing else is read from it meanwhile.
+        self._unset_keepalive_if_required()
+        self.transport.pause_reading()
+        gate.wait(
+            lambda since_s: self._receive_later(data, since_s),
+            lambda: self._turn_away(data),
+        )
+
+    def _receive_later(self, data: bytes, since_s: float) -> None:
+        if self.transport.is_closing():
+            return
+        self.transport.resume_reading()
+        self._waiting_since_s = since_s
+        super().data_received(data)
+        self._waiting_since_s = None
+
+    def _turn_away(self, data: bytes) -> bool:
+        """Refuse a request unread, if its end and that of the answer are certain."""
+        if self.transport.is_closing():
+            return True
+        if not _is_whole_request(data):
+            return False
+        self.transport.write(self.config.turn_away())
+        self.transport.resume_reading()
+        self._start_idle_timer()
+        return True
+
     def on_headers_complete(self) -> None:
         """Pass the request on, with what tells whether its caller has left."""
         self.scope[CALLER_CLOSED] = self._is_closed_by_caller
+        if self._waiting_since_s is not None:
+            self.scope[ARRIVED_S] = self._waiting_since_s
         super().on_headers_complete()
 
     def _is_closed_by_caller(self) -> bool:
@@ -58,6 +108,24 @@
         super().on_response_complete()
 
 
+def _is_whole_request(data: bytes) -> bool:
+    """Return whether data is one request that leaves its connection open."""
+    head_bytes = data.find(b"\r\n\r\n") + 4
+    head = data[:head_bytes].lower()
+    match = PLAIN_REQUEST.match(head)
+    if match is None or any(name in head for name in UNUSUAL_HEADERS):
+        return False
+    lengths = LENGTH.findall(head)
+    if len(lengths) > 1 or head.count(b"content-length") != len(lengths):
+        return False
+    return len(data) == head_bytes + sum(map(int, lengths))
+
+
+class _Config(uvicorn.Config):
+    gate: ArrivalGate | None = None
+    turn_away: Callable[[], bytes] | None = None
+
+
 class _Server(uvicorn.Server):
     @contextlib.contextmanager
     def capture_signals(self) -> Iterator[None]:
@@ -72,10 +140,21 @@
     app : ASGI application
     host : str
     port : int
+    gate : ArrivalGate, optional
+        Bounds the requests that are read in one turn of the event loop.
+    turn_away : callable, optional
+        Returns the answer to a request that is turned away unread.
     """
 
-    def __init__(self, app, host: str, port: int):
-        self._config = uvicorn.Config(
+    def __init__(
+        self,
+        app,
+        host: str,
+        port: int,
+        gate: ArrivalGate | None = None,
+        turn_away: Callable[[], bytes] | None = None,
+    ):
+        self._config = _Config(
             app,
             # uvicorn's detection takes a bound method for an ASGI 2 application.
             interface="asgi3",
@@ -89,6 +168,8 @@
             server_header=False,
             date_header=False,
         )
+        self._config.gate = gate
+        self._config.turn_away = turn_away
         self._server = _Server(self._config)
         self._socket = socket.create_server((host, port), backlog=BACKLOG)
         self.port = self._socket.getsockname()[1]
@@ -109,8 +190,9 @@
 
     @property
     def is_idle(self) -> bool:
-        """Whether the kernel has taken all that was written to callers."""
-        return not any(
+        """Whether no request waits and the kernel has taken all that was written."""
+        gate = self._config.gate
+        return (gate is None or gate.is_idle) and not any(
             protocol.transport.get_write_buffer_size()
             for protocol in self._server.server_state.connections
         )
--- a/tests/edge_test_case.py
+++ b/tests/edge_test_case.py
@@ -20,6 +20,7 @@
 )
 from carobstair.core.upstream_health import UpstreamHealth
 from carobstair.edge.app import EdgeApp
+from carobstair.edge.arrival_gate import ArrivalGate
 from carobstair.edge.connection_pool import ConnectionPool
 from carobstair.edge.follower import StoreFollower
 from carobstair.edge.metrics import EdgeMetrics
@@ -71,6 +72,7 @@
         relay = Relay(self.dispatcher, ConnectionPool(), PlatformDialect())
         self.keep_alive_limit = 100
         self.overload = OverloadGuard()
+        self.gate = ArrivalGate()
         self.metrics = EdgeMetrics()
         self.app = EdgeApp(
             self.view,
@@ -83,7 +85,9 @@
             lambda: self.server.connections > self.keep_alive_limit,
             self.overload,
         )
-        self.server = CallerServer(self.app, "127.0.0.1", 0)
+        self.server = CallerServer(
+            self.app, "127.0.0.1", 0, self.gate, self.app.turn_away
+        )
         self.client = PlatformStore(f"127.0.0.1:{self.store.port}", lambda *args: None)
         self.availability = StoreAvailability(0.5)
         follower = StoreFollower(
