Ask for the configuration sooner after a lost answer in small fleets

Cause: watches of the configuration waited for 12 to 20 s, and only the end of the wait shows a lost answer.

Change: watches of the configuration and of evacuations wait for 0.6 s for each router of the fleet, up to the former limit.

Measured: test_lost_answer_to_a_watch_is_noticed_soon fails before (no configuration within 4 s) and passes.

--- a/src/carobstair/edge/follower.py
+++ b/src/carobstair/edge/follower.py
@@ -137,11 +137,10 @@
         if self._probing_kind is kind or kind in self._unsure:
             # Other kinds may wait for this call, so it must return at once.
             return PROBE_WAIT_S
-        wait_s = self._settings.random_watch_wait_s(self._count_peers(), self._rng)
-        if kind is not StateKind.UPSTREAMS:
-            quiet_s = self._settings.quiet_wait_s * self._rng.uniform(0.6, 1.0)
-            wait_s = max(wait_s, quiet_s)
-        return wait_s
+        peers = self._count_peers()
+        if kind is StateKind.UPSTREAMS:
+            return self._settings.random_watch_wait_s(peers, self._rng)
+        return self._settings.random_quiet_wait_s(peers, kind, self._rng)
 
     async def _sync_once(self, kind: StateKind) -> bool:
         """List or watch once; return whether a watch returned changes."""
--- a/src/carobstair/edge/settings.py
+++ b/src/carobstair/edge/settings.py
@@ -66,9 +66,13 @@
         The same for upstreams, which change most often in large fleets, and for
         routers, whose addresses digests carry as well.
     quiet_wait_s : float
-        How long watches of the kinds that rarely change wait. TCP keep-alive detects
-        a dead connection; the watch of the upstreams shows whether the store
+        How long watches of the kinds that rarely change wait at most. TCP keep-alive
+        detects a dead connection; the watch of the upstreams shows whether the store
         answers.
+    state_wait_s : float
+        The same for the configuration and evacuations, for each router of the fleet:
+        only the end of its wait shows that the answer to a watch was lost. Peers
+        whose answer came pass it on.
     behind_s : float
         How long a peer may be ahead before its changes are fetched from it.
     drift_tokens : int
@@ -98,6 +102,7 @@
     max_upstreams_pause_s: float = Field(1.0, ge=0, le=10)
     max_routers_pause_s: float = Field(3.0, ge=0, le=10)
     quiet_wait_s: float = Field(20.0, gt=0, le=30)
+    state_wait_s: float = Field(0.6, gt=0, le=30)
     retry_s: float = Field(0.1, gt=0, le=10)
     max_retry_s: float = Field(0.5, gt=0, le=30)
     digest_s: float = Field(0.1, gt=0, le=10)
@@ -186,6 +191,17 @@
         longest_s = 2.0 * min(mean_s, MAX_WATCH_S / 2.0) - self.watch_wait_s
         return rng.uniform(self.watch_wait_s, max(self.watch_wait_s, longest_s))
 
+    def random_quiet_wait_s(
+        self, peers: int, kind: StateKind, rng: random.Random
+    ) -> float:
+        """Return a random wait for the next watch of a kind that rarely changes."""
+        part = rng.uniform(0.6, 1.0)
+        fleet_s = self.state_wait_s * (peers + 1)
+        is_state = kind in (StateKind.ROUTING, StateKind.EVACUATIONS)
+        if is_state and fleet_s < self.quiet_wait_s:
+            return fleet_s * part
+        return max(self.random_watch_wait_s(peers, rng), self.quiet_wait_s * part)
+
 
 class ShutdownSettings(_Model):
     """Graceful shutdown of a router.
--- a/tests/test_edge_settings.py
+++ b/tests/test_edge_settings.py
@@ -3,6 +3,7 @@
 import random
 import unittest
 
+from carobstair.core.fleet_view import StateKind
 from carobstair.edge.settings import SyncSettings
 
 
@@ -48,6 +49,21 @@
         )
         self.assertLessEqual(longest_s, 30.0)
 
+    def test_watches_of_the_configuration_end_soon_in_small_fleets(self):
+        rng = random.Random(3)
+        for peers in (1, 5, 7):
+            for kind in (StateKind.ROUTING, StateKind.EVACUATIONS):
+                wait_s = max(
+                    self.settings.random_quiet_wait_s(peers, kind, rng)
+                    for _ in range(100)
+                )
+                with self.subTest(peers=peers, kind=kind):
+                    self.assertLessEqual(wait_s, 0.6 * (peers + 1))
+                    self.assertGreater(wait_s, 0.4 * (peers + 1))
+        for peers, kind in ((83, StateKind.ROUTING), (1, StateKind.ROUTERS)):
+            wait_s = self.settings.random_quiet_wait_s(peers, kind, rng)
+            self.assertGreaterEqual(wait_s, 0.6 * self.settings.quiet_wait_s)
+
     def test_shortest_watch_of_a_large_fleet_is_bounded(self):
         # All store connections may go silent at once; the router whose watch ends
         # first reads a change and passes it to the others.
--- a/tests/test_store_restore.py
+++ b/tests/test_store_restore.py
@@ -18,9 +18,9 @@
 )
 from carobstair.edge.follower import StoreFollower
 from carobstair.edge.settings import SyncSettings
-from carobstair.edge.state_store import RevisionExpired, StoreUnavailable
+from carobstair.edge.state_store import Listing, RevisionExpired, StoreUnavailable
 from carobstair.platform.documents import decode_routing, decode_upstream
-from carobstair.platform.store import PlatformStore
+from carobstair.platform.store import WATCH_MARGIN_S, PlatformStore
 from edge_test_case import EdgeCase, wait_until
 from gossip_nodes import running_nodes
 from platform_standins import (
@@ -260,6 +260,56 @@
             await store.stop()
 
 
+class LosingStore:
+    """A store whose answers to watches of the configuration are lost for a while."""
+
+    def __init__(self, lost_for_s):
+        self.lost_until_s = time.monotonic() + lost_for_s
+        self.changes = []
+
+    async def list(self, kind):
+        """Return no objects."""
+        return Listing([], 1, 0)
+
+    async def watch(self, kind, revision, wait_s, era=0):
+        """Answer as soon as there is a change, unless the answer is lost."""
+        until_s = time.monotonic() + wait_s
+        while time.monotonic() < until_s:
+            changes = [c for c in self.changes if c.revision > revision]
+            if kind is StateKind.ROUTING and changes:
+                if time.monotonic() > self.lost_until_s:
+                    return Listing(changes, changes[-1].revision, 0)
+                # As a connection that returns nothing further.
+                await asyncio.sleep(until_s - time.monotonic() + WATCH_MARGIN_S)
+                raise StoreUnavailable("no answer")
+            await asyncio.sleep(0.01)
+        return Listing([], revision, 0)
+
+
+class LostAnswerTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against a configuration that is not in force after lost answers."""
+
+    async def test_lost_answer_to_a_watch_is_noticed_soon(self):
+        store, view = LosingStore(1.0), make_view()
+        follower = StoreFollower(
+            store,
+            view,
+            StoreAvailability(2.0),
+            SyncSettings(store_address="127.0.0.1:1"),
+            random.Random(1),
+            lambda *args: None,
+            count_peers=lambda: 1,
+        )
+        task = asyncio.create_task(follower.run())
+        await asyncio.sleep(0.3)
+        began_s = time.monotonic()
+        spec = json.dumps(make_config(2)).encode()
+        store.changes.append(StoreChange("main", 5, spec))
+        await wait_until(lambda: view.version == 2, 4.0)
+        self.assertGreater(time.monotonic() - began_s, 0.5)
+        task.cancel()
+
+
 class EraClientTest(unittest.IsolatedAsyncioTestCase):
     """Guards against responses of different eras that are mixed."""
 
