Try a refused segment at once only if another explains nearly all its ends

Cause: with four ends, any that another suspect shares leaves fewer than are needed, so each suspect counted as an explanation.

Change: the other must share all ends but one. The test fails before.

--- a/src/carobstair/core/segment_suspects.py
+++ b/src/carobstair/core/segment_suspects.py
@@ -9,6 +9,9 @@
 
 __all__ = ["Observation", "Suspect"]
 
+# A router may have missed the evidence of so many ends.
+MAX_UNSHARED_ENDS = 1
+
 
 @dataclass(frozen=True, slots=True)
 class Observation:
@@ -69,11 +72,11 @@
         return len(self.record.ends.keys() - explained) >= self.needed_ends
 
     def shared_ends(self, others: Iterable[Suspect]) -> frozenset[Incarnation]:
-        """Return the ends that one of the others explains as well."""
+        """Return the ends that one of the others explains, if that is nearly all."""
         if self.record.by_operator:
             return frozenset()
         for other in others:
             shared = frozenset(self.record.ends.keys() & other.record.ends.keys())
-            if not self.has_enough(shared):
+            if len(self.record.ends) - len(shared) <= MAX_UNSHARED_ENDS:
                 return shared
         return frozenset()
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -254,6 +254,21 @@
         self.assertTrue(self.is_refused("other", "instructions", responsible=True))
         self.assertFalse(self.is_refused("bad", "other"))
 
+    def test_suspect_that_shares_few_ends_is_no_reason_to_try_at_once(self):
+        self.answer(["sound", "instructions"], lived_s=0.5)
+        for number in range(ENDS - 1):
+            upstream = f"f{number}"
+            self.crash(upstream, [self.send(["worse"], upstream)])
+        sent = [self.send([segment], "g0") for segment in ("worse", "new")]
+        self.crash("g0", sent)
+        for number in range(1, ENDS):
+            self.crash(f"g{number}", [self.send(["new"], f"g{number}")])
+        refused, free = (
+            ("worse", "new") if self.is_refused("worse") else ("new", "worse")
+        )
+        self.assertFalse(self.is_refused(free))
+        self.assertTrue(self.is_refused(refused, "other", responsible=True))
+
     def test_segment_is_not_tried_beside_another_suspect(self):
         self.answer(["sound", "instructions"], lived_s=0.5)
         self.crash("e9", [self.send(["bad", "new"], "e9")])
