Turn requests away only at the beginning of a request

Found while reading the change: with a request that is refused by its head, its answer is complete before its body has arrived. A body that looks like a whole request was then answered unread, and the parser took the next request for the body: callers that share a connection could get each other's answers (MIXED). The same held for a head that arrives in parts.

Change: data within a request always goes to the parser.

Measured: test_rest_of_a_request_is_never_taken_for_another fails before for both (a 503 for the inner request) and passes.

--- a/src/carobstair/edge/server.py
+++ b/src/carobstair/edge/server.py
@@ -39,6 +39,8 @@
     applies to open connections.
     """
 
+    # Whether the parser is within a request. Its answer may have been sent by then.
+    _in_request = False
     # When the request that is being read arrived, if it had to wait.
     _waiting_since_s: float | None = None
 
@@ -55,7 +57,8 @@
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; a new request may have to wait for its turn."""
         gate = self.config.gate
-        is_new = self.cycle is None or self.cycle.response_complete
+        is_answered = self.cycle is None or self.cycle.response_complete
+        is_new = is_answered and not self._in_request
         if gate is None or not is_new or gate.enter():
             super().data_received(data)
             return
@@ -86,6 +89,16 @@
         self._start_idle_timer()
         return True
 
+    def on_message_begin(self) -> None:
+        """Begin a request."""
+        self._in_request = True
+        super().on_message_begin()
+
+    def on_message_complete(self) -> None:
+        """End a request."""
+        self._in_request = False
+        super().on_message_complete()
+
     def on_headers_complete(self) -> None:
         """Pass the request on, with what tells whether its caller has left."""
         self.scope[CALLER_CLOSED] = self._is_closed_by_caller
--- a/tests/test_arrival_gate.py
+++ b/tests/test_arrival_gate.py
@@ -1,6 +1,7 @@
 """Tests of the bound on new requests in one turn of the event loop."""
 
 import asyncio
+import contextlib
 import itertools
 import time
 import unittest
@@ -178,6 +179,34 @@
         self.assertEqual(await asyncio.wait_for(reader.read(), 3), b"")
         writer.close()
 
+    async def test_rest_of_a_request_is_never_taken_for_another(self):
+        await self.start_upstreams("ok")
+        inner = b"GET /safe/x HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n"
+        for first in (
+            # Refused by its head, before its body has arrived.
+            b"POST /none HTTP/1.1\r\nHost: api.test\r\nCarobstair-Key: key1\r\n"
+            b"Carobstair-Attempt-Id: a\r\nContent-Length: %d\r\n\r\n" % len(inner),
+            b"POST /none HTTP/1.1\r\nHost: api.test\r\nX-Text: ",
+        ):
+            with self.subTest(first[-20:]):
+                reader, writer, head = await self.open(0)
+                writer.write(first)
+                await asyncio.sleep(0.1)
+                with (
+                    mock.patch("carobstair.edge.arrival_gate.MAX_WAIT_S", -1.0),
+                    mock.patch.object(ArrivalGate, "enter", return_value=False),
+                ):
+                    writer.write(inner)
+                    await asyncio.sleep(0.1)
+                answers = b""
+                # A malformed request closes the connection.
+                with contextlib.suppress(ConnectionError, OSError):
+                    writer.write(head)
+                    writer.write_eof()
+                    answers = await asyncio.wait_for(reader.read(10_000), 3)
+                self.assertNotIn(b" 503 ", answers)
+                writer.close()
+
     def test_requests_whose_end_is_not_certain_are_read(self):
         head = b"POST /x HTTP/1.1\r\nHost: a\r\n"
         for data, whole in (
