Shed new streams early from a router whose event loop is busy

A router that all callers of a workspace reach runs out of processor time while its peers are idle, and notices only once its event loop is late: its refusals come after the objective and ask for a wait of 0.1 to 0.3 s.

The event loop's selector measures the share of time that is not spent waiting. From a utilisation of 0.7 on, a growing part of new streams is refused, unread where the request is whole, with a Retry-After of 10 to 30 ms, if the median of the peers' utilisation (a trailing field of the digests) is lower. Other requests and callers without a further retry are shed from 0.9 on. Off by default (overload.redirect, OverloadGuard.enable_redirect).

--- a/src/carobstair/cli/edge_router.py
+++ b/src/carobstair/cli/edge_router.py
@@ -10,6 +10,8 @@
 import asyncio
 import sys
 
+from carobstair.core.router_load import LoopUtilisation
+from carobstair.edge.measured_selector import measured_loop
 from carobstair.edge.router import EdgeRouter
 from carobstair.edge.settings import EdgeSettings
 from carobstair.logs import LineWriter, configure_logging
@@ -41,10 +43,14 @@
     stream = LineWriter(sys.stdout.fileno())
     configure_logging(log_level, settings.zone, stream)
 
+    utilisation = LoopUtilisation()
+
     async def run_router() -> None:
-        await EdgeRouter(settings, platform_parts(settings, boot_path())).run()
+        parts = platform_parts(settings, boot_path())
+        await EdgeRouter(settings, parts, utilisation).run()
 
-    asyncio.run(run_router())
+    with asyncio.Runner(loop_factory=lambda: measured_loop(utilisation)) as runner:
+        runner.run(run_router())
 
 
 def main() -> None:
--- a/src/carobstair/core/messages.py
+++ b/src/carobstair/core/messages.py
@@ -310,6 +310,8 @@
         Eras of the revisions; routers of older releases send none.
     leaving : list of (str, int)
         Upstreams that say they are leaving, with their start times.
+    utilisation_percent : int, optional
+        Utilisation of the sender's event loop; routers of older releases send none.
     """
 
     address: PeerAddress
@@ -319,6 +321,7 @@
     demands: dict[str, dict[str, int]] | None = None
     eras: list[int] = []
     leaving: list[tuple[str, int]] = []
+    utilisation_percent: int | None = None
 
 
 class SegmentEvidence(msgspec.Struct, frozen=True, array_like=True):
--- a/src/carobstair/core/overload.py
+++ b/src/carobstair/core/overload.py
@@ -1,4 +1,4 @@
-"""Load shedding of a process whose event loop is late.
+"""Load shedding of a process whose event loop is late or about to be late.
 
 Intended for a workspace whose callers all use one router: that router runs out of
 processor time while its peers are idle, and reads requests after their callers have
@@ -8,7 +8,13 @@
 from __future__ import annotations
 
 import random
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+
+from carobstair.core.router_load import (
+    EarlyShedding,
+    EarlySheddingSettings,
+    LoopUtilisation,
+)
 
 __all__ = ["OverloadGuard", "OverloadSettings"]
 
@@ -31,27 +37,50 @@
         still noticed.
     half_life_s : float
         Time in which a past lag decays to half.
+    redirect : bool
+        Whether requests are also refused before the event loop is late, for their
+        callers to reach a peer that is less busy.
+    early : EarlySheddingSettings
+        Thresholds of the latter.
     """
 
     stream_lag_s: float = 0.1
     other_lag_s: float = 0.2
     max_refused_fraction: float = 0.9
     half_life_s: float = 0.2
+    redirect: bool = False
+    early: EarlySheddingSettings = EarlySheddingSettings()
 
 
 @dataclass(slots=True)
 class OverloadGuard:
-    """Decides on refusals by the lag of the process's event loop.
+    """Decides on refusals by the lag and the utilisation of the process's event loop.
 
     Parameters
     ----------
     settings : OverloadSettings
+    utilisation : LoopUtilisation, optional
+        Without it only the lag counts.
     """
 
     settings: OverloadSettings = OverloadSettings()
+    utilisation: LoopUtilisation | None = None
+    early: EarlyShedding = field(init=False)
     _lag_s: float = 0.0
     _at_s: float = 0.0
 
+    def __post_init__(self) -> None:
+        settings = self.settings
+        self.early = EarlyShedding(settings.early, settings.redirect, self.utilisation)
+
+    def enable_redirect(self) -> None:
+        """Refuse requests early from now on, whatever the settings say."""
+        self.early.enabled = True
+
+    def is_early(self, now_s: float) -> bool:
+        """Return whether a refused caller should try a less busy peer at once."""
+        return self.early.gain(now_s) > 0.0
+
     def note(self, lag_s: float, now_s: float) -> None:
         """Record how late a timer fired."""
         # A process that was suspended for seconds is not overloaded.
--- a/src/carobstair/edge/gossip.py
+++ b/src/carobstair/edge/gossip.py
@@ -31,6 +31,7 @@
     StatePull,
     StateRow,
 )
+from carobstair.core.router_load import EarlyShedding
 from carobstair.edge.settings import EdgeSettings
 from carobstair.logs import get_logger
 from carobstair.net.peers import PeerTransport
@@ -83,6 +84,8 @@
         Called with a kind of state and the names of the objects that changed.
     on_peer_heard : callable, optional
         Called with the name of a peer that was not heard before, or not lately.
+    shedding : EarlyShedding, optional
+        States this router's utilisation and records that of the peers.
     """
 
     def __init__(
@@ -96,6 +99,7 @@
         rng: random.Random,
         on_change: Callable[[StateKind, list[str]], None],
         on_peer_heard: Callable[[str], None] = lambda peer: None,
+        shedding: EarlyShedding | None = None,
     ):
         self._own = own
         self._settings = settings
@@ -106,6 +110,7 @@
         self._rng = rng
         self._on_change = on_change
         self._on_peer_heard = on_peer_heard
+        self._shedding = shedding or EarlyShedding()
         self._peers: dict[str, PeerAddress] = {}
         self._last_heard_s: dict[str, float] = {}
         # Peers that were heard once and are not any more.
@@ -236,8 +241,13 @@
             None,
             [own[kind.value].era for kind in StateKind],
             self._view.directory.leaving()[:MAX_LEAVING_ROWS],
+            self._utilisation_percent(),
         )
 
+    def _utilisation_percent(self) -> int | None:
+        utilisation = self._shedding.utilisation()
+        return None if utilisation is None else round(100.0 * utilisation)
+
     def _expire_silent_peers(self, now_s: float) -> None:
         for name in list(self._last_heard_s):
             if self._is_silent(name, now_s):
@@ -256,6 +266,7 @@
 
     def _forget_load(self, name: str) -> None:
         self._loads.forget_peer(name)
+        self._shedding.peers.forget(name)
 
     # Messages
 
@@ -272,6 +283,8 @@
             self._on_peer_heard(peer)
         self._last_heard_s[peer] = now_s
         self._silent.discard(peer)
+        percent = digest.utilisation_percent
+        self._shedding.peers.note(peer, None if percent is None else percent / 100.0)
         self._loads.note_peer(
             peer, ((r.upstream, r.backlog_tokens, r.running) for r in digest.loads)
         )
--- a/src/carobstair/edge/metadata.py
+++ b/src/carobstair/edge/metadata.py
@@ -122,6 +122,9 @@
         BadRequest
         """
 
+    def read_caller_timeout_s(self, request: bytes) -> float | None:
+        """Return how long the caller waits, from the bytes of a request."""
+
     def write_request(self, headers: Headers, metadata: ForwardMetadata) -> Headers:
         """Return the request headers to send to an upstream."""
 
--- a/src/carobstair/edge/metrics.py
+++ b/src/carobstair/edge/metrics.py
@@ -69,6 +69,19 @@
             "Refused requests of workspaces, by reason",
             ("service", "workspace", "reason"),
         )
+        shed = self._counter(
+            "shed_requests",
+            "Requests refused early, unread or by their head, for a less busy peer",
+            ("stage",),
+        )
+        self.shed_unread = shed.labels("unread")
+        self.shed_by_head = shed.labels("head")
+        self.loop_utilisation = self._gauge(
+            "loop_utilisation", "Share of time that the event loop spends on work"
+        )
+        self.peer_utilisation = self._gauge(
+            "peer_utilisation", "Median of the same of the peers that state it"
+        )
         self.throughput_factor = Gauge(
             PREFIX + "throughput_factor",
             "Throughput that is shared, relative to the configured one",
--- a/src/carobstair/edge/router.py
+++ b/src/carobstair/edge/router.py
@@ -21,6 +21,7 @@
 from carobstair.core.fleet_view import FleetView, StateKind, StoreAvailability
 from carobstair.core.messages import PeerAddress
 from carobstair.core.overload import OverloadGuard
+from carobstair.core.router_load import LoopUtilisation
 from carobstair.core.send_limits import ColdSendLimit, ResendLimit
 from carobstair.core.share_exchange import ShareExchange
 from carobstair.core.upstream_health import UpstreamHealth
@@ -97,9 +98,16 @@
     ----------
     settings : EdgeSettings
     platform : PlatformParts
+    utilisation : LoopUtilisation, optional
+        Measure of the event loop that runs the router, if it has one.
     """
 
-    def __init__(self, settings: EdgeSettings, platform: PlatformParts):
+    def __init__(
+        self,
+        settings: EdgeSettings,
+        platform: PlatformParts,
+        utilisation: LoopUtilisation | None = None,
+    ):
         self._settings = settings
         self._platform = platform
         started_s = time.monotonic()
@@ -133,7 +141,7 @@
         )
         self._admission = FairAdmission(settings.admission)
         self._connections = ConnectionPool()
-        self._overload = OverloadGuard(settings.overload)
+        self._overload = OverloadGuard(settings.overload, utilisation)
         relay = Relay(self._dispatcher, self._connections, platform.dialect)
         self._guard = relay.guard
         self._refusals = RefusalStore(
@@ -158,6 +166,7 @@
             listen.callers_port,
             ArrivalGate(),
             self.app.turn_away,
+            self.app,
         )
         self._ready_server = PageServer(
             self._ready_page, listen.host, listen.ready_port
@@ -177,6 +186,7 @@
             self._rng,
             self._on_state_change,
             self._on_peer_heard,
+            self._overload.early,
         )
         self._evidence_exchange = EvidenceExchange(
             self._guard, transport, lambda: self._gossip.peers
@@ -384,6 +394,19 @@
                     pressure=round(pressure, 2),
                 )
             self._log_limited_upstreams()
+            self._log_shed()
+
+    def _log_shed(self) -> None:
+        count = self.app.take_shed()
+        if not count:
+            return
+        early = self._overload.early
+        logger.info(
+            "requests_shed",
+            count=count,
+            utilisation=_rounded(early.utilisation()),
+            peers=_rounded(early.peers.median(time.monotonic())),
+        )
 
     def _log_limited_upstreams(self) -> None:
         now_s = time.monotonic()
@@ -467,8 +490,15 @@
         self.metrics.refused_segments.set(refused)
         for pool, (factor, _) in self._admission.throughput_factors().items():
             self.metrics.throughput_factor.labels(pool).set(factor)
+        early = self._overload.early
+        self.metrics.loop_utilisation.set(early.utilisation() or 0.0)
+        self.metrics.peer_utilisation.set(early.peers.median(time.monotonic()) or 0.0)
         self.metrics.peers.set(self._gossip.count_alive(time.monotonic()))
         return 200, generate_latest(self.metrics.registry)
 
     def _count_store_call(self, operation: str, outcome: str) -> None:
         self.metrics.store_calls.labels(operation, outcome).inc()
+
+
+def _rounded(value: float | None) -> float | None:
+    return None if value is None else round(value, 3)
--- a/src/carobstair/edge/server.py
+++ b/src/carobstair/edge/server.py
@@ -7,19 +7,22 @@
 import select
 import socket
 from collections.abc import Callable, Iterator
+from typing import Protocol
 
 import uvicorn
 
 from carobstair.edge.arrival_gate import ArrivalGate
 from carobstair.net.http import BoundedHttpProtocol
 
-__all__ = ["ARRIVED_S", "CALLER_CLOSED", "CallerServer", "PageServer"]
+__all__ = ["ARRIVED_S", "CALLER_CLOSED", "SHED_DRAW", "CallerServer", "PageServer"]
 
 # Key in the ASGI scope of a function that returns whether the caller has closed its
 # connection, also if the event loop has not read that yet.
 CALLER_CLOSED = "carobstair.caller_closed"
 # Key of the monotonic time at which the request arrived, if it had to wait.
 ARRIVED_S = "carobstair.arrived_s"
+# Key of the random number that decides whether the request is shed, if one was drawn.
+SHED_DRAW = "carobstair.shed_draw"
 # Not known on all systems.
 POLL_CLOSED = getattr(select, "POLLRDHUP", 0)
 
@@ -32,6 +35,16 @@
 DEFAULT_IDLE_TIMEOUT_S = 75.0
 
 
+class Shedder(Protocol):
+    """Decides which new requests are refused unread."""
+
+    def shed_draw(self) -> float | None:
+        """Return a random number that decides on a new request; None sheds none."""
+
+    def shed_unread(self, request: bytes, draw: float) -> bytes | None:
+        """Return the answer to a whole request that is shed unread, if it is."""
+
+
 class CallerProtocol(BoundedHttpProtocol):
     """Passes requests through a gate, and closes connections that have been idle.
 
@@ -43,6 +56,8 @@
     _in_request = False
     # When the request that is being read arrived, if it had to wait.
     _waiting_since_s: float | None = None
+    # Drawn for the request that is being read, while requests are shed.
+    _shed_draw: float | None = None
 
     def connection_made(self, transport) -> None:
         """Start the idle timer before the first request arrives."""
@@ -59,6 +74,8 @@
         gate = self.config.gate
         is_answered = self.cycle is None or self.cycle.response_complete
         is_new = is_answered and not self._in_request
+        if is_new and self.config.shedder is not None and self._shed(data):
+            return
         if gate is None or not is_new or gate.enter():
             super().data_received(data)
             return
@@ -70,6 +87,20 @@
             lambda: self._turn_away(data),
         )
 
+    def _shed(self, data: bytes) -> bool:
+        """Refuse a request unread if this process has too little time for it."""
+        shedder = self.config.shedder
+        self._shed_draw = draw = shedder.shed_draw()
+        if draw is None or not _is_whole_request(data):
+            return False
+        answer = shedder.shed_unread(data, draw)
+        if answer is None:
+            return False
+        self._unset_keepalive_if_required()
+        self.transport.write(answer)
+        self._start_idle_timer()
+        return True
+
     def _receive_later(self, data: bytes, since_s: float) -> None:
         if self.transport.is_closing():
             return
@@ -104,6 +135,9 @@
         self.scope[CALLER_CLOSED] = self._is_closed_by_caller
         if self._waiting_since_s is not None:
             self.scope[ARRIVED_S] = self._waiting_since_s
+        if self._shed_draw is not None:
+            self.scope[SHED_DRAW] = self._shed_draw
+            self._shed_draw = None
         super().on_headers_complete()
 
     def _is_closed_by_caller(self) -> bool:
@@ -137,6 +171,7 @@
 class _Config(uvicorn.Config):
     gate: ArrivalGate | None = None
     turn_away: Callable[[], bytes] | None = None
+    shedder: Shedder | None = None
 
 
 class _Server(uvicorn.Server):
@@ -157,6 +192,8 @@
         Bounds the requests that are read in one turn of the event loop.
     turn_away : callable, optional
         Returns the answer to a request that is turned away unread.
+    shedder : Shedder, optional
+        Refuses requests unread while the process has too little time.
     """
 
     def __init__(
@@ -166,6 +203,7 @@
         port: int,
         gate: ArrivalGate | None = None,
         turn_away: Callable[[], bytes] | None = None,
+        shedder: Shedder | None = None,
     ):
         self._config = _Config(
             app,
@@ -183,6 +221,7 @@
         )
         self._config.gate = gate
         self._config.turn_away = turn_away
+        self._config.shedder = shedder
         self._server = _Server(self._config)
         self._socket = socket.create_server((host, port), backlog=BACKLOG)
         self.port = self._socket.getsockname()[1]
--- a/src/carobstair/platform/headers.py
+++ b/src/carobstair/platform/headers.py
@@ -82,6 +82,9 @@
 MAX_PAUSE_S = 300.0
 INTEGER = re.compile(rb"[0-9]{1,9}")
 DECIMAL = re.compile(rb"[0-9]{1,7}(\.[0-9]{1,9})?")
+DEADLINE_LINE = re.compile(
+    rb"\r\n" + DEADLINE_MS + rb":[ \t]*([0-9]{1,9})[ \t]*\r\n", re.IGNORECASE
+)
 REQUEST_ID = re.compile(rb"[\x21-\x7e]{1,256}")
 
 
@@ -115,6 +118,11 @@
             None if last_event_id is None else last_event_id.decode("latin-1"),
         )
 
+    def read_caller_timeout_s(self, request: bytes) -> float | None:
+        """Return how long the caller waits, from the bytes of a request."""
+        match = DEADLINE_LINE.search(request, 0, request.find(b"\r\n\r\n") + 2)
+        return int(match[1]) / 1000 if match else None
+
     def write_request(self, headers: Headers, metadata: ForwardMetadata) -> Headers:
         """Return the request headers to send to an upstream."""
         dropped = STRIPPED_FROM_REQUESTS | _connection_options(headers)
