Test the early load shedding on explicit time

Also equally busy and silent peers, returned callers, a frozen router, a missing measure, the real selector and the digest's trailing field.

--- /dev/null
+++ b/tests/test_router_load.py
@@ -0,0 +1,309 @@
+"""Tests of the early load shedding by a router with less busy peers."""
+
+import asyncio
+import heapq
+import random
+import statistics
+import time
+import unittest
+from collections import deque
+
+import msgspec
+
+from carobstair.core.messages import FleetDigest, PeerAddress, decode, encode
+from carobstair.core.overload import OverloadGuard, OverloadSettings
+from carobstair.core.router_load import (
+    NOTHING_SHED,
+    LoopUtilisation,
+    PeerUtilisation,
+)
+from carobstair.edge.measured_selector import measured_loop
+from edge_test_case import EdgeCase
+
+# Processor time of a small machine, assumed.
+ADMISSION_S, EVENT_S = 0.0015, 0.00012
+UNREAD_REFUSAL_S, HEAD_REFUSAL_S = 0.00005, 0.0005
+EVENT_INTERVAL_S, EVENTS = 0.05, 60
+STREAM_S = ADMISSION_S + EVENTS * EVENT_S
+TURN_ARRIVALS = 16
+
+
+def make_guard(own=0.0, peers=(0.05, 0.1, 0.05), redirect=True):
+    """Return a guard whose loop and peers have had a utilisation for some time."""
+    utilisation = LoopUtilisation()
+    for _ in range(100):
+        utilisation.note_turn(0.02 * own, 0.02 * (1.0 - own))
+    guard = OverloadGuard(OverloadSettings(redirect=redirect), utilisation)
+    for number, value in enumerate(peers):
+        guard.early.peers.note(f"p{number}", value)
+    return guard
+
+
+class HotRouter:
+    """A router on virtual time whose streams cost work long after their admission."""
+
+    def __init__(self, rate_per_s, redirect):
+        self.rng = random.Random(5)
+        self.guard = make_guard(redirect=redirect)
+        self.rate_per_s = rate_per_s
+        self.now_s = 0.0
+        self.next_arrival_s = 0.0
+        # Times at which events of admitted streams are due.
+        self.due = []
+        # Random numbers that decide on the requests that wait at the gate.
+        self.waiting = deque()
+        # Rows of (time, utilisation, share refused) of each second.
+        self.seconds = []
+        self.latest_event_s = 0.0
+        self.served = 0
+
+    def run(self, seconds):
+        """Run turns of the event loop until a time."""
+        while len(self.seconds) < seconds:
+            second = len(self.seconds) + 1
+            refused = admitted = 0
+            while self.now_s < second:
+                counts = self.run_turn()
+                admitted, refused = admitted + counts[0], refused + counts[1]
+            share = refused / max(1, admitted + refused)
+            value = self.guard.utilisation.value
+            self.seconds.append((second, value, share))
+            self.served += admitted
+        return self
+
+    def run_turn(self):
+        """Run one turn; return how many requests were admitted and refused."""
+        began_s = self.now_s
+        admitted = refused = 0
+        work_s = 0.0
+        while self.next_arrival_s <= began_s:
+            self.next_arrival_s += self.rng.expovariate(self.rate_per_s)
+            draw = self.rng.random()
+            if draw < self.guard.early.parts(began_s).first:
+                refused += 1
+                work_s += UNREAD_REFUSAL_S
+            else:
+                self.waiting.append(draw)
+        while self.due and self.due[0] <= began_s:
+            due_s = heapq.heappop(self.due)
+            work_s += EVENT_S
+            if began_s > 1.0:
+                late_s = began_s + work_s - due_s
+                self.latest_event_s = max(self.latest_event_s, late_s)
+        for _ in range(min(len(self.waiting), TURN_ARRIVALS)):
+            if self.waiting.popleft() < self.guard.early.parts(began_s).first:
+                refused += 1
+                work_s += HEAD_REFUSAL_S
+                continue
+            admitted += 1
+            work_s += ADMISSION_S
+            for number in range(1, EVENTS + 1):
+                due_s = began_s + number * EVENT_INTERVAL_S
+                heapq.heappush(self.due, due_s)
+        self.now_s += work_s
+        next_s = min(self.next_arrival_s, *self.due[:1])
+        wait_s = 0.0 if self.waiting else max(0.0, next_s - self.now_s)
+        self.now_s += wait_s
+        self.guard.utilisation.note_turn(work_s, wait_s)
+        return admitted, refused
+
+
+class HotRouterTest(unittest.TestCase):
+    """Guards against a router without spare time whose peers are idle."""
+
+    def test_streams_under_way_are_on_time_at_several_times_the_capacity(self):
+        unprotected = HotRouter(600, redirect=False).run(6)
+        self.assertGreater(unprotected.latest_event_s, 0.4)
+        self.assertGreater(len(unprotected.waiting), 1000)
+        for rate_per_s in (200, 600, 1500):
+            with self.subTest(rate_per_s=rate_per_s):
+                router = HotRouter(rate_per_s, redirect=True).run(20)
+                self.assertLess(router.latest_event_s, 0.1)
+                settled = router.seconds[8:]
+                self.assertLess(max(value for _, value, _ in settled), 0.98)
+                self.assertLess(len(router.waiting), 2 * TURN_ARRIVALS)
+                # The part that is shed settles: it does not alternate between extremes.
+                shares = [share for _, _, share in settled]
+                self.assertLess(statistics.pstdev(shares), 0.1)
+                self.assertGreater(min(shares), 0.2)
+
+    def test_router_still_serves_what_it_has_time_for(self):
+        router = HotRouter(600, redirect=True).run(20)
+        self.assertGreater(router.served, 0.7 * 20 / STREAM_S)
+
+    def test_nothing_is_shed_at_half_the_capacity(self):
+        router = HotRouter(0.5 / STREAM_S, redirect=True).run(10)
+        self.assertEqual(max(share for _, _, share in router.seconds), 0.0)
+
+
+class EarlySheddingTest(unittest.TestCase):
+    """Guards against shedding where it gains nothing or costs a caller its answer."""
+
+    def test_equally_busy_peers_are_not_sent_more(self):
+        for peers in ((0.9, 0.85, 0.95), (0.1, 0.9, 0.9)):
+            guard = make_guard(0.9, peers)
+            self.assertEqual(guard.early.parts(1.0), NOTHING_SHED)
+            self.assertFalse(guard.is_early(1.0))
+
+    def test_idle_majority_counts_although_some_peers_are_busy(self):
+        self.assertGreater(make_guard(0.9, (0.1, 0.1, 0.9)).early.parts(1.0).first, 0.8)
+
+    def test_returned_callers_and_plain_requests_are_shed_last(self):
+        parts = make_guard(0.86).early.parts(1.0)
+        self.assertGreater(parts.first, 0.6)
+        self.assertEqual(parts.last, 0.0)
+        parts = make_guard(0.99).early.parts(1.0)
+        self.assertEqual(parts.first, 1.0)
+        self.assertLess(0.5, parts.last)
+        self.assertLess(parts.last, 1.0)
+
+    def test_caller_is_known_to_have_returned_by_its_remaining_time(self):
+        early = make_guard().early
+        self.assertFalse(early.is_returned(10.0, 10.0))
+        self.assertFalse(early.is_returned(9.995, 10.0))
+        self.assertTrue(early.is_returned(9.985, 10.0))
+        self.assertFalse(early.is_returned(None, 10.0))
+        self.assertFalse(early.is_returned(12.0, 10.0))
+
+    def test_retry_after_leaves_time_for_another_router(self):
+        rng = random.Random(1)
+        waits = [make_guard().early.retry_after_s(rng) for _ in range(50)]
+        self.assertGreaterEqual(min(waits), 0.01)
+        self.assertLessEqual(max(waits), 0.03)
+
+    def test_switch_is_off_until_enabled(self):
+        guard = make_guard(0.99, redirect=False)
+        self.assertEqual(guard.early.parts(1.0), NOTHING_SHED)
+        self.assertFalse(guard.is_early(1.0))
+        guard.enable_redirect()
+        self.assertEqual(guard.early.parts(1.0).first, 1.0)
+
+    def test_without_a_measure_only_the_lag_counts(self):
+        for utilisation in (None, LoopUtilisation()):
+            guard = OverloadGuard(OverloadSettings(redirect=True), utilisation)
+            guard.early.peers.note("p0", 0.0)
+            self.assertEqual(guard.early.parts(1.0), NOTHING_SHED)
+            self.assertIsNone(guard.early.utilisation())
+            guard.note(9.0, 1.0)
+            self.assertTrue(guard.refuses(True, 1.0, random.Random(1)))
+
+    def test_without_figures_of_peers_only_the_lag_counts(self):
+        self.assertEqual(make_guard(0.99, ()).early.parts(1.0), NOTHING_SHED)
+
+    def test_peers_that_left_or_state_nothing_do_not_count(self):
+        peers = PeerUtilisation()
+        peers.note("p0", 0.2)
+        peers.note("p1", 0.8)
+        self.assertEqual(peers.median(1.0), 0.5)
+        peers.forget("p0")
+        self.assertEqual(peers.median(2.0), 0.8)
+        peers.note("p1", None)
+        self.assertIsNone(peers.median(3.0))
+
+
+class FrozenRouterTest(unittest.TestCase):
+    """Guards against a router that sheds requests after it was suspended."""
+
+    def test_one_long_turn_sheds_nothing(self):
+        guard = make_guard(0.1)
+        guard.utilisation.note_turn(5.0, 0.0)
+        self.assertLess(guard.utilisation.value, 0.5)
+        self.assertEqual(guard.early.parts(1.0), NOTHING_SHED)
+
+    def test_shedding_ends_soon_after_the_load(self):
+        guard = make_guard(1.0)
+        for _ in range(20):
+            guard.utilisation.note_turn(0.001, 0.019)
+        self.assertEqual(guard.early.parts(1.0), NOTHING_SHED)
+
+
+class MeasuredLoopTest(unittest.TestCase):
+    """Guards against a measure that does not follow what the event loop does."""
+
+    def measure(self, work_s, wait_s, seconds=0.8):
+        """Return the utilisation after some time of alternate work and waits."""
+        utilisation = LoopUtilisation()
+
+        async def run():
+            until_s = time.monotonic() + seconds
+            while time.monotonic() < until_s:
+                # Blocks the event loop.
+                time.sleep(work_s)
+                await asyncio.sleep(wait_s)
+
+        with asyncio.Runner(loop_factory=lambda: measured_loop(utilisation)) as runner:
+            runner.run(run())
+        return utilisation.value
+
+    def test_waiting_loop_is_idle_and_working_loop_is_busy(self):
+        self.assertLess(self.measure(0.0, 0.02), 0.3)
+        self.assertGreater(self.measure(0.02, 0.0), 0.9)
+        self.assertAlmostEqual(self.measure(0.02, 0.02), 0.5, delta=0.25)
+
+
+class DigestFieldTest(unittest.TestCase):
+    """Guards against digests that routers of other releases can't read."""
+
+    def test_digest_with_and_without_the_field_is_decoded(self):
+        address = PeerAddress("r1", 1, "127.0.0.1", 1, 1, "a")
+        digest = FleetDigest(address, [], [], {}, utilisation_percent=85)
+        _, decoded = decode(encode(digest, "r1", 1, 0, 1))
+        self.assertEqual(decoded.utilisation_percent, 85)
+        fields = msgspec.msgpack.decode(msgspec.msgpack.encode(digest))
+        older = msgspec.convert(fields[:-1], FleetDigest)
+        self.assertIsNone(older.utilisation_percent)
+
+
+class ShedRequestTest(EdgeCase):
+    """Guards against shed requests that cost more than needed or reach an engine."""
+
+    def set_load(self, own, peer):
+        """Have the router and its peer state a utilisation."""
+        self.overload.utilisation = self.overload.early.own = LoopUtilisation()
+        for _ in range(100):
+            self.overload.utilisation.note_turn(0.02 * own, 0.02 * (1.0 - own))
+        self.overload.early.peers.note("r1", peer)
+
+    async def test_stream_is_refused_unread_and_others_are_served(self):
+        await self.start_upstreams("stream ok ok")
+        self.overload.enable_redirect()
+        self.set_load(0.93, 0.1)
+        status, headers, body = await self.call("/stream/x?a=1", "POST", 2000)
+        self.assertEqual(status, 503)
+        self.assertIn(b"router-busy", body)
+        self.assertLessEqual(0.01, float(headers["Retry-After"]))
+        self.assertLessEqual(float(headers["Retry-After"]), 0.03)
+        self.assertEqual(self.upstream_request_count(), 0)
+        self.assertEqual(self.metrics.shed_unread._value.get(), 1)
+        # A returned caller, on the same connection, and a plain request.
+        self.set_load(0.89, 0.1)
+        self.assertEqual((await self.call("/stream/x", "POST", 1900))[0], 200)
+        self.assertEqual((await self.call("/safe/x"))[0], 200)
+        self.assertEqual(self.app.take_shed(), 1)
+
+    async def test_stream_whose_body_has_not_arrived_is_refused_by_its_head(self):
+        await self.start_upstreams("stream")
+        self.overload.enable_redirect()
+        self.set_load(0.93, 0.1)
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.server.port)
+        writer.write(
+            b"POST /stream/x HTTP/1.1\r\nHost: api.test\r\nCarobstair-Key: key1\r\n"
+            b"Carobstair-Attempt-Id: a\r\nContent-Length: 5\r\n\r\n12"
+        )
+        status_line = await asyncio.wait_for(reader.readline(), 1.0)
+        writer.close()
+        self.assertIn(b" 503 ", status_line)
+        self.assertEqual(self.metrics.shed_by_head._value.get(), 1)
+
+    async def test_stream_is_served_while_peers_are_as_busy_or_the_switch_is_off(self):
+        await self.start_upstreams("stream")
+        self.set_load(0.93, 0.1)
+        self.assertEqual((await self.call("/stream/x", "POST", 2000))[0], 200)
+        self.overload.enable_redirect()
+        self.overload.early.peers.note("r1", 0.9)
+        self.overload.early.peers.note("r2", 0.9)
+        self.assertEqual((await self.call("/stream/x", "POST", 2000))[0], 200)
+
+
+if __name__ == "__main__":
+    unittest.main()
