Read the slowdown that upstreams state, and place requests by learnt capacity

Upstreams of one service differ in speed, and placement weighed them alike. The load header's fourth figure is read; once an upstream has stated it, the service's placement, pressure and waits follow the estimates of core/upstream_capacity. Other services keep their figures. Not measured yet.

--- a/src/carobstair/core/dispatch.py
+++ b/src/carobstair/core/dispatch.py
@@ -98,9 +98,11 @@
         candidates = ((u, entries[u].zone) for u in healthy)
         if pool.engine is not None:
             return entries[
-                self.loads.pick(candidates, prompt, self.rng, now_s, permits)
+                self.loads.pick(candidates, prompt, self.rng, now_s, permits, pool.name)
             ]
-        return entries[self.loads.pick_plain(candidates, self.rng, permits)]
+        return entries[
+            self.loads.pick_plain(candidates, self.rng, permits, now_s, pool.name)
+        ]
 
     def permit_wait_s(
         self, service: str, avoided: Collection[str], now_s: float
@@ -142,6 +144,7 @@
             return False
         if pool.cold_rate > 0:
             self.cold.note_send(entry.upstream_id, now_s)
+        self.loads.note_incarnation(entry.upstream_id, pool.name, entry.born_ms)
         self.rates.note_send((entry.upstream_id, entry.born_ms), now_s)
         return True
 
--- a/src/carobstair/core/engine_load.py
+++ b/src/carobstair/core/engine_load.py
@@ -10,11 +10,19 @@
 import math
 import random
 from collections import OrderedDict, deque
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 from typing import Any
 
 from carobstair.core.rate_limits import PermitOutlook
+from carobstair.core.upstream_capacity import (
+    CapacitySettings,
+    Incarnation,
+    UpstreamCapacity,
+    UpstreamRecord,
+    choose_engine,
+    choose_plain,
+)
 
 __all__ = ["LoadTracker", "PlacementSettings", "PromptShape", "SentRequest"]
 
@@ -55,6 +63,9 @@
     shared_segments: tuple[str, ...] = ()
 
 
+NO_PROMPT = PromptShape()
+
+
 @dataclass(frozen=True, slots=True)
 class PlacementSettings:
     """Weights of the estimated time to the first token.
@@ -101,6 +112,8 @@
     slot_wait_s : float
         Delay for each request beyond the slots of an engine: the time after which
         the next of its slots becomes free.
+    capacity : CapacitySettings
+        Estimates of each upstream, for services whose upstreams state a slowdown.
     """
 
     prefill_tokens_per_s: float = 56_600.0
@@ -117,6 +130,7 @@
     cache_fraction: float = 0.5
     report_lifetime_s: float = 0.5
     slot_wait_s: float = 0.2
+    capacity: CapacitySettings = CapacitySettings()
 
 
 @dataclass(slots=True)
@@ -127,6 +141,12 @@
     uncached_tokens: int
     sent_s: float
     first_byte_s: float | None = None
+    # Prompt and whole answer in an engine's memory.
+    held_tokens: int = 0
+    # Load at the send, for services whose upstreams state a slowdown.
+    incarnation: Incarnation | None = None
+    tokens_ahead: int = 0
+    running_at_send: int = 0
 
 
 @dataclass(slots=True)
@@ -142,6 +162,11 @@
     own_at_report: int = 0
     cached: OrderedDict[str, int] = field(default_factory=OrderedDict)
     cached_tokens: int = 0
+    held_tokens: int = 0
+    # Set where upstreams of the service have stated a slowdown.
+    capacity: UpstreamCapacity | None = None
+    incarnation: Incarnation | None = None
+    record: UpstreamRecord | None = None
 
 
 @dataclass(slots=True)
@@ -152,11 +177,17 @@
     ----------
     kv_tokens : int
         KV-cache capacity of one engine.
+    on_slowdown_stated : callable or None
+        Called with the service when one of its upstreams states a slowdown for the
+        first time. From then on, `UpstreamCapacity` decides for this service.
     """
 
     settings: PlacementSettings
     zone: str
     kv_tokens: int = DEFAULT_KV_TOKENS
+    on_slowdown_stated: Callable[[str], None] | None = None
+    # Reported loads of which some figure could not be read.
+    unreadable_reports: int = 0
     _loads: dict[str, _Load] = field(default_factory=dict)
     _peers: dict[str, dict[str, tuple[int, int]]] = field(default_factory=dict)
     # Sums over all peers, as placement reads them for every upstream and request.
@@ -165,6 +196,7 @@
         default_factory=lambda: deque(maxlen=MAX_RECENT_SEGMENTS)
     )
     _segment_count: int = 0
+    _capacities: dict[str, UpstreamCapacity] = field(default_factory=dict)
 
     # Own requests
 
@@ -174,6 +206,13 @@
         sent = SentRequest(
             upstream_id, self.uncached_tokens(upstream_id, prompt), now_s
         )
+        sent.held_tokens = prompt.prompt_tokens + prompt.output_tokens
+        load.held_tokens += sent.held_tokens
+        if load.capacity is not None and load.incarnation is not None:
+            sent.incarnation = load.incarnation
+            sent.tokens_ahead = self.backlog_tokens(upstream_id)
+            sent.running_at_send = self.occupancy(upstream_id, now_s)
+            load.capacity.note_held(sent.held_tokens)
         load.backlog_tokens += sent.uncached_tokens
         load.running += 1
         load.unanswered[id(sent)] = sent
@@ -194,6 +233,8 @@
             sent.first_byte_s = now_s
             load.backlog_tokens -= sent.uncached_tokens
             load.unanswered.pop(id(sent), None)
+            if sent.incarnation is not None:
+                self._note_wait(load, sent, now_s)
 
     def note_activity(self, upstream_id: str, now_s: float) -> None:
         """Record that bytes arrived from an upstream."""
@@ -205,7 +246,10 @@
         if sent.first_byte_s is None:
             load.backlog_tokens -= sent.uncached_tokens
             load.unanswered.pop(id(sent), None)
+            if sent.incarnation is not None:
+                self._note_no_first_byte(load, sent, now_s)
         load.running -= 1
+        load.held_tokens -= sent.held_tokens
 
     # Cached segments
 
@@ -237,10 +281,35 @@
     # Load reported by others
 
     def note_report(
-        self, upstream_id: str, running: int, waiting: int, slots: int, now_s: float
+        self,
+        upstream_id: str,
+        running: int,
+        waiting: int,
+        slots: int,
+        now_s: float,
+        slowdown: float | None = None,
+        service: str = "",
+        born_ms: int = 0,
     ) -> None:
-        """Record the load that a response reported."""
+        """Record the load that a response reported.
+
+        Parameters
+        ----------
+        slowdown : float, optional
+            How long work takes there relative to its usual time, if stated.
+        service : str
+            Empty if the response came from another incarnation than this one.
+        """
         load = self._load(upstream_id)
+        if slowdown is not None and service and service not in self._capacities:
+            self._capacities[service] = UpstreamCapacity(self.settings.capacity)
+            if self.on_slowdown_stated is not None:
+                self.on_slowdown_stated(service)
+        if service in self._capacities:
+            self.note_incarnation(upstream_id, service, born_ms)
+            self._capacities[service].note_report(
+                (upstream_id, born_ms), running, waiting, slots, slowdown, now_s
+            )
         load.reported_requests = running + waiting
         load.reported_slots, load.reported_s = slots, now_s
         load.own_at_report = load.running
@@ -286,6 +355,60 @@
             if not self._loads[upstream_id].running:
                 del self._loads[upstream_id]
 
+    # Capacity by upstream
+
+    def states_slowdown(self, service: str) -> bool:
+        """Return whether upstreams of a service have stated a slowdown."""
+        return service in self._capacities
+
+    def capacities(self) -> Mapping[str, UpstreamCapacity]:
+        """Return the estimates of the services whose upstreams state a slowdown."""
+        return self._capacities
+
+    def note_incarnation(self, upstream_id: str, service: str, born_ms: int) -> None:
+        """Record which incarnation of an upstream receives requests now."""
+        capacity = self._capacities.get(service)
+        if capacity is None:
+            return
+        load, incarnation = self._load(upstream_id), (upstream_id, born_ms)
+        if load.incarnation == incarnation:
+            return
+        if load.incarnation is not None:
+            # It has restarted, and holds no prompts.
+            self.forget_segments(upstream_id)
+            load.reported_s = -math.inf
+        load.capacity, load.incarnation = capacity, incarnation
+        load.record = capacity.record(incarnation)
+
+    def keep_incarnations(self, incarnations: Collection[Incarnation]) -> None:
+        """Drop the estimates of incarnations that are gone."""
+        for capacity in self._capacities.values():
+            capacity.keep(incarnations)
+        for load in self._loads.values():
+            if load.incarnation is not None and load.incarnation not in incarnations:
+                load.incarnation = load.record = None
+
+    def _note_wait(self, load: _Load, sent: SentRequest, now_s: float) -> None:
+        if load.capacity is not None and load.incarnation == sent.incarnation:
+            load.capacity.note_first_byte(
+                sent.incarnation,
+                sent.tokens_ahead + sent.uncached_tokens,
+                sent.running_at_send,
+                now_s - sent.sent_s,
+                now_s,
+            )
+
+    def _note_no_first_byte(self, load: _Load, sent: SentRequest, now_s: float) -> None:
+        """Count a request that ended without an answer for the time that it waited.
+
+        A short one was rejected or its caller left, which says nothing of the speed.
+        """
+        wait_s = now_s - sent.sent_s
+        if wait_s > self.settings.capacity.objective_s + self.expected_wait_s(
+            sent.upstream_id, NO_PROMPT
+        ):
+            self._note_wait(load, sent, now_s)
+
     # Estimates
 
     def backlog_tokens(self, upstream_id: str) -> int:
@@ -346,11 +469,19 @@
         """Return the unweighted estimate of the time to the first token."""
         tokens = self.backlog_tokens(upstream_id)
         tokens += self.uncached_tokens(upstream_id, prompt)
+        record = self._load(upstream_id).record
+        if record is not None:
+            return tokens * record.token_s
         return tokens / self.settings.prefill_tokens_per_s
 
     def queue_wait_s(self, upstream_id: str, slots: int, now_s: float) -> float:
         """Return the time that a request would wait before its prompt is read."""
         settings = self.settings
+        record = self._load(upstream_id).record
+        if record is not None:
+            wait_s = self.backlog_tokens(upstream_id) * record.token_s
+            excess = self.occupancy(upstream_id, now_s) - record.concurrency + 1.0
+            return wait_s + settings.slot_wait_s * max(0.0, excess)
         wait_s = self.backlog_tokens(upstream_id) / settings.prefill_tokens_per_s
         excess = self.occupancy(upstream_id, now_s) - slots + 1
         if slots > 0 and excess > 0:
@@ -366,7 +497,14 @@
             Slots by upstream id.
         """
         running = sum(self.occupancy(upstream, now_s) for upstream in upstreams)
-        return running / max(1, sum(upstreams.values()))
+        room = sum(
+            slots
+            if (record := self._load(upstream).record) is None
+            # A concurrency of an upstream that reported no slots is a guess.
+            else min(record.concurrency, slots or record.concurrency)
+            for upstream, slots in upstreams.items()
+        )
+        return running / max(1, room)
 
     def pressure(
         self,
@@ -389,8 +527,15 @@
         parts = wait_s = running = target_total = 0.0
         for upstream, slots in upstreams.items():
             part = limited_parts.get(upstream, 1.0)
-            own_wait_s = self.backlog_tokens(upstream) / settings.prefill_tokens_per_s
+            backlog = self.backlog_tokens(upstream)
+            own_wait_s = backlog / settings.prefill_tokens_per_s
             target = min(settings.target_running, settings.target_slot_fraction * slots)
+            record = self._load(upstream).record
+            if record is not None:
+                own_wait_s = backlog * record.token_s
+                target = min(target, record.concurrency)
+                # An even mean would follow the slowest upstream.
+                part *= record.speed
             parts += part
             if upstream in permits:
                 own_wait_s += permits[upstream].wait_s
@@ -407,6 +552,7 @@
         rng: random.Random,
         now_s: float = math.inf,
         permits: Mapping[str, PermitOutlook] = NOTHING,
+        service: str = "",
     ) -> str:
         """Return the engine with the least `first_token_s`, ties at random.
 
@@ -419,7 +565,24 @@
             Upstream id and zone, at least one.
         permits : mapping, optional
             Permits of engines that limit their requests.
+        service : str, optional
+            Given so that its upstreams' capacity counts where they state a slowdown.
         """
+        capacity = self._capacities.get(service)
+        if capacity is not None:
+            return choose_engine(
+                candidates,
+                prompt,
+                capacity,
+                self.settings,
+                self.zone,
+                self.kv_tokens,
+                self._loads,
+                self._peer_totals,
+                permits,
+                rng,
+                now_s,
+            )
         settings = self.settings
         per_backlog_s = settings.backlog_weight / settings.prefill_tokens_per_s
         per_uncached_s = settings.uncached_weight / settings.prefill_tokens_per_s
@@ -466,11 +629,26 @@
         candidates: Iterable[tuple[str, str]],
         rng: random.Random,
         permits: Mapping[str, PermitOutlook] = NOTHING,
+        now_s: float = math.inf,
+        service: str = "",
     ) -> str:
         """Return the upstream of a plain service with the fewest running requests.
 
-        Those with the shortest wait for a permit come first.
+        Those with the shortest wait for a permit come first. Where upstreams state a
+        slowdown, the one with the least expected time is returned.
         """
+        capacity = self._capacities.get(service)
+        if capacity is not None:
+            return choose_plain(
+                candidates,
+                capacity,
+                self.settings,
+                self.zone,
+                self._loads,
+                permits,
+                rng,
+                now_s,
+            )
         ranked = []
         for u, zone in candidates:
             cost = float(self.running(u))
--- a/src/carobstair/edge/metadata.py
+++ b/src/carobstair/edge/metadata.py
@@ -52,11 +52,19 @@
 
 @dataclass(frozen=True, slots=True)
 class ReportedLoad:
-    """Load of an upstream as reported in its response."""
+    """Load of an upstream as reported in its response.
+
+    Attributes
+    ----------
+    slowdown : float or None
+        How long work takes on the upstream's machine, relative to its usual time;
+        None if not stated.
+    """
 
     running: int
     waiting: int
     slots: int
+    slowdown: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,6 +90,8 @@
         if it states no limit.
     rate_unreadable : bool
         Whether it states a limit that can't be read, which says nothing.
+    load_unreadable : bool
+        Whether some figure of its load can't be read and was ignored.
     """
 
     request_id: str | None
@@ -93,6 +103,7 @@
     pause_s: float | None = None
     rate_per_s: float | None = None
     rate_unreadable: bool = False
+    load_unreadable: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/carobstair/edge/response_relay.py
+++ b/src/carobstair/edge/response_relay.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import time
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 
 from carobstair.core.directory import UpstreamEntry
 from carobstair.core.dispatch import Dispatcher
@@ -39,6 +39,8 @@
 DISCARD_TIMEOUT_S = 0.1
 # Last bytes of a stream that are kept for its log line.
 LOGGED_BYTES = 8
+# Incarnations of which an unreadable load is logged only once.
+MAX_LOGGED_LOADS = 1024
 # A client may take these to mean that the request was not executed.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
@@ -62,6 +64,8 @@
     dialect: Dialect
     guard: CrashGuard
     permits: PermitExchange
+    # Incarnations whose unreadable load has been logged.
+    _logged_loads: set[tuple[str, int]] = field(default_factory=set)
 
     @property
     def loads(self) -> LoadTracker:
@@ -136,8 +140,17 @@
         if metadata.load is not None:
             load = metadata.load
             self.loads.note_report(
-                entry.upstream_id, load.running, load.waiting, load.slots, now_s
+                entry.upstream_id,
+                load.running,
+                load.waiting,
+                load.slots,
+                now_s,
+                load.slowdown,
+                "" if metadata.other_incarnation else entry.service,
+                entry.born_ms,
             )
+        if metadata.load_unreadable:
+            self._note_unreadable_load(entry)
         if metadata.other_incarnation:
             # The response describes another upstream.
             return
@@ -152,6 +165,15 @@
                 pause_s=round(metadata.pause_s, 3),
             )
 
+    def _note_unreadable_load(self, entry: UpstreamEntry) -> None:
+        self.loads.unreadable_reports += 1
+        incarnation = entry.upstream_id, entry.born_ms
+        if incarnation not in self._logged_loads:
+            if len(self._logged_loads) >= MAX_LOGGED_LOADS:
+                self._logged_loads.clear()
+            self._logged_loads.add(incarnation)
+            logger.info("upstream_load_unreadable", upstream=entry.upstream_id)
+
     def _note_rate(
         self, exchange: Exchange, entry: UpstreamEntry, metadata: ResponseMetadata
     ) -> None:
--- a/src/carobstair/platform/headers.py
+++ b/src/carobstair/platform/headers.py
@@ -80,6 +80,12 @@
 SERVICE_UNAVAILABLE = 503
 # A longer Retry-After is a mistake: it would take an upstream out of use for good.
 MAX_PAUSE_S = 300.0
+# Running, waiting, slots and the slowdown of the machine.
+MAX_LOAD_FIGURES = 4
+# Far above any engine's slots and any slowdown by neighbours: larger figures are
+# mistakes, and would take an upstream out of use.
+MAX_REPORTED_REQUESTS = 100_000
+MAX_SLOWDOWN_PERCENT = 10_000
 INTEGER = re.compile(rb"[0-9]{1,9}")
 DECIMAL = re.compile(rb"[0-9]{1,7}(\.[0-9]{1,9})?")
 REQUEST_ID = re.compile(rb"[\x21-\x7e]{1,256}")
@@ -133,18 +139,20 @@
         request_id = values.get(ATTEMPT_ID)
         limit = values.get(SERVER_LIMIT)
         rate_per_s = _read_rate(limit)
+        load, load_unreadable = _read_load(values.get(ENGINE_LOAD))
         return ResponseMetadata(
             None if request_id is None else request_id.decode("latin-1"),
             NOT_EXECUTED in values,
             status == MISDIRECTED_REQUEST,
             RESPONSE_SEAL in values,
-            _read_load(values.get(ENGINE_LOAD)),
+            load,
             values.get(SERVER_LEAVING, b"").strip() == b"1",
             _read_retry_after(values.get(RETRY_AFTER))
             if status == SERVICE_UNAVAILABLE
             else None,
             rate_per_s,
             limit is not None and rate_per_s is None,
+            load_unreadable,
         )
 
     def write_response(self, headers: Headers) -> Headers:
@@ -206,8 +214,24 @@
     return float(text) or None if DECIMAL.fullmatch(text) else None
 
 
-def _read_load(value: bytes | None) -> ReportedLoad | None:
-    numbers = [part.strip() for part in (value or b"").split(b",")]
-    if len(numbers) != 3 or not all(map(INTEGER.fullmatch, numbers)):
-        return None
-    return ReportedLoad(*map(int, numbers))
+def _read_load(value: bytes | None) -> tuple[ReportedLoad | None, bool]:
+    """Return the load that a header states, and whether some of it is unreadable.
+
+    The first three figures are used or dropped together. The slowdown is left out if
+    it is no credible percentage, and figures after it are ignored.
+    """
+    if value is None:
+        return None, False
+    figures = [part.strip() for part in value.split(b",", MAX_LOAD_FIGURES)]
+    if len(figures) < 3 or not all(map(INTEGER.fullmatch, figures[:3])):
+        return None, True
+    running, waiting, slots = map(int, figures[:3])
+    if len(figures) == 3:
+        return ReportedLoad(running, waiting, slots), False
+    if max(running, waiting, slots) > MAX_REPORTED_REQUESTS:
+        return None, True
+    slowdown = None
+    if INTEGER.fullmatch(figures[3]) and 0 < int(figures[3]) <= MAX_SLOWDOWN_PERCENT:
+        slowdown = int(figures[3]) / 100
+    unreadable = slowdown is None or len(figures) > MAX_LOAD_FIGURES
+    return ReportedLoad(running, waiting, slots, slowdown), unreadable
