Turn early load shedding on where upstreams state a slowdown

Cause: nothing enabled the two new parts together. Change: the first stated slowdown enables the redirect of the overload guard, and the estimates of ended incarnations are dropped with the other records.

--- a/src/carobstair/edge/router.py
+++ b/src/carobstair/edge/router.py
@@ -142,6 +142,7 @@
         self._admission = FairAdmission(settings.admission)
         self._connections = ConnectionPool()
         self._overload = OverloadGuard(settings.overload, utilisation)
+        self._loads.on_slowdown_stated = self._on_slowdown_stated
         relay = Relay(self._dispatcher, self._connections, platform.dialect)
         self._guard = relay.guard
         self._refusals = RefusalStore(
@@ -350,6 +351,11 @@
         self._evidence_exchange.on_peer_heard(peer)
         self._permits.on_peer_heard(peer)
 
+    def _on_slowdown_stated(self, service: str) -> None:
+        """Turn on what is meant for upstreams that share their machines."""
+        logger.info("upstream_slowdown_stated", service=service)
+        self._overload.enable_redirect()
+
     def _on_restore(self) -> None:
         """Write again what the restored store may lack."""
         if not self.app.draining:
@@ -436,6 +442,7 @@
             }
             self._connections.prune(incarnations)
             self._guard.evidence.keep(incarnations)
+            self._loads.keep_incarnations(incarnations)
             self._dispatcher.permits.keep(incarnations, time.monotonic())
 
     def _on_state_change(self, kind: StateKind, names: list[str]) -> None:
