Read changes of upstreams less often in large fleets

Cause: each change of an upstream ends the watch of every router. Change: the pause between two reads grows with the square of the fleet's size, up to half of the drain time-out and 1.5 s; peers that are ahead pass changes on meanwhile.

--- a/src/carobstair/edge/settings.py
+++ b/src/carobstair/edge/settings.py
@@ -64,7 +64,8 @@
         within which a change must be in force.
     max_upstreams_pause_s, max_routers_pause_s : float
         The same for upstreams, which change most often in large fleets, and for
-        routers, whose addresses digests carry as well.
+        routers, whose addresses digests carry as well. Peers that are ahead pass
+        changes on meanwhile, so the pauses bound only how late a change may be.
     quiet_wait_s : float
         How long watches of the kinds that rarely change wait at most. TCP keep-alive
         detects a dead connection; the watch of the upstreams shows whether the store
@@ -173,10 +174,11 @@
     def scaled_watch_pause_s(self, peers: int, kind: StateKind) -> float:
         """Return the pause after a watch that returned changes."""
         slowdown, longest_s = self.slowdown(peers), self.max_watch_pause_s
+        # Each change costs as many calls as there are routers, and the number of
+        # changes grows with the fleet as well.
         if kind is StateKind.UPSTREAMS:
-            longest_s = self.max_upstreams_pause_s
+            slowdown, longest_s = slowdown**2, self.max_upstreams_pause_s
         elif kind is StateKind.ROUTERS:
-            # Far longer than for the others, as nothing waits for an address.
             slowdown, longest_s = slowdown**2, self.max_routers_pause_s
         return min(longest_s, self.watch_pause_s * slowdown)
 
--- a/src/carobstair/platform/boot.py
+++ b/src/carobstair/platform/boot.py
@@ -25,6 +25,8 @@
 # Offsets of the router's own ports in the internal port range of the platform.
 PEER_PORT_OFFSET = 0
 METRICS_PORT_OFFSET = 1
+# A new upstream is used by then, even if no peer tells of it.
+MAX_UPSTREAMS_PAUSE_S = 1.5
 # A process under load without bodies, and the part of the rest that bodies may take:
 # while one is sent on, a part of it is held twice.
 OWN_MEMORY_MB = 100
@@ -140,6 +142,10 @@
             seeds=[
                 f"{seed.rpartition(':')[0]}:{peer_port}" for seed in boot.seed_nodes
             ],
+            # Leaves as much for requests that are on their way to a leaving upstream.
+            max_upstreams_pause_s=min(
+                bounds.drain_timeout_ms / 2000, MAX_UPSTREAMS_PAUSE_S
+            ),
         ),
         stop=ShutdownSettings(grace_s=bounds.grace_s),
         send_limits=SendLimitSettings(
--- a/tests/test_edge_settings.py
+++ b/tests/test_edge_settings.py
@@ -49,6 +49,16 @@
         )
         self.assertLessEqual(longest_s, 30.0)
 
+    def test_changes_of_upstreams_cost_a_large_fleet_few_calls(self):
+        # While upstreams change all the time, each router calls once a pause: with
+        # 61 peers and pauses of 0.5 s that was 120 calls a second.
+        for peers in (60, 90, 195):
+            pause_s = self.settings.scaled_watch_pause_s(peers, StateKind.UPSTREAMS)
+            with self.subTest(peers=peers):
+                self.assertEqual(pause_s, self.settings.max_upstreams_pause_s)
+        pause_s = self.settings.scaled_watch_pause_s(8, StateKind.UPSTREAMS)
+        self.assertEqual(pause_s, self.settings.watch_pause_s)
+
     def test_watches_of_the_configuration_end_soon_in_small_fleets(self):
         rng = random.Random(3)
         for peers in (1, 5, 7):
