Write heads with bodies, and watch for leaving callers without a task

Each write of a response is a call of the system, and each request had a task that waited for its caller to leave. The head is now written with the first part of the body, the last event with the end of the stream, the connection itself cancels the handler, and a body that has arrived whole is taken without a timer. 144 tests of the modules around it pass.

--- a/src/carobstair/edge/app.py
+++ b/src/carobstair/edge/app.py
@@ -26,12 +26,19 @@
     ServicePool,
 )
 from carobstair.core.service_account import ServiceAccount
-from carobstair.edge.body_budget import BodyBudget, BudgetExceeded
+from carobstair.edge.body_budget import SMALL_BODY_BYTES, BodyBudget, BudgetExceeded
 from carobstair.edge.exchange import CallerLeft, Exchange, IncompleteResponse
 from carobstair.edge.metadata import BadRequest, Dialect, Headers, RequestMetadata
 from carobstair.edge.metrics import EdgeMetrics
 from carobstair.edge.relay import Relay
-from carobstair.edge.server import ARRIVED_S, CALLER_CLOSED, SHED_DRAW
+from carobstair.edge.server import (
+    ARRIVED_S,
+    CALLER_CLOSED,
+    HOLD_HEAD,
+    ON_CALLER_LEFT,
+    SHED_DRAW,
+    WHOLE_BODY,
+)
 from carobstair.logs import get_logger, is_suppressed
 
 __all__ = ["EdgeApp"]
@@ -67,14 +74,16 @@
 class _CallerConnection:
     """Cancels a request's handler when its caller disconnects."""
 
+    scope: dict
     receive: Callable
     disconnected: bool = False
 
-    async def cancel_on_disconnect(self, handler: asyncio.Task) -> None:
-        while (await self.receive())["type"] != "http.disconnect":
-            pass
-        self.disconnected = True
-        handler.cancel()
+    def cancel_when_left(self, handler: asyncio.Task) -> None:
+        def cancel() -> None:
+            self.disconnected = True
+            handler.cancel()
+
+        self.scope[ON_CALLER_LEFT](cancel)
 
 
 class EdgeApp:
@@ -146,8 +155,7 @@
         arrived_s = scope.get(ARRIVED_S) or time.monotonic()
         task = asyncio.current_task()
         self.open_requests.add(task)
-        caller = _CallerConnection(receive)
-        watcher: asyncio.Task | None = None
+        caller = _CallerConnection(scope, receive)
         exchange: Exchange | None = None
         outcome, detail = "cancelled", ""
         try:
@@ -169,7 +177,7 @@
                 # A stop may have begun since.
                 self._check_shutdown(exchange)
                 exchange.close_connection = self._closes_connection()
-                watcher = asyncio.create_task(caller.cancel_on_disconnect(task))
+                caller.cancel_when_left(task)
                 await self._relay.run(exchange, send)
                 outcome = "answered"
             except Refusal as refusal:
@@ -194,8 +202,6 @@
                     raise
                 await self._refuse(scope, send, refuse("internal-error"))
         finally:
-            if watcher is not None:
-                watcher.cancel()
             self.open_requests.discard(task)
             self._give_back(exchange)
             if exchange is not None:
@@ -238,6 +244,10 @@
         self, caller: _CallerConnection, limits: RequestLimits, exchange: Exchange
     ) -> None:
         """Read the body, which must arrive before the request's deadline."""
+        body = caller.scope[WHOLE_BODY](min(SMALL_BODY_BYTES, limits.max_body_bytes))
+        if body is not None:
+            exchange.body = body
+            return
         size_bytes = _declared_bytes(exchange.headers, limits)
         try:
             async with asyncio.timeout_at(exchange.deadline_s):
@@ -290,7 +300,8 @@
             b"",
             arrived_s,
             arrived_s + _allowed_s(route, metadata),
-            caller_closed=scope.get(CALLER_CLOSED, lambda: False),
+            caller_closed=scope[CALLER_CLOSED],
+            hold_head=scope[HOLD_HEAD],
         )
 
     def _closes_connection(self) -> bool:
@@ -517,6 +528,7 @@
             headers.append((b"retry-after", wait.encode()))
         if self._closes_connection() or refusal.status in (400, 408, 413, 431):
             headers.append((b"connection", b"close"))
+        scope[HOLD_HEAD]()
         start = {"type": "http.response.start", "status": refusal.status}
         await send(start | {"headers": headers})
         if scope["method"] == "HEAD":
--- a/src/carobstair/edge/body_budget.py
+++ b/src/carobstair/edge/body_budget.py
@@ -11,7 +11,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-__all__ = ["BodyBudget", "BudgetExceeded"]
+__all__ = ["SMALL_BODY_BYTES", "BodyBudget", "BudgetExceeded"]
 
 # Smaller bodies are bounded by the number of open requests and don't wait.
 SMALL_BODY_BYTES = 64 * 1024
--- a/src/carobstair/edge/exchange.py
+++ b/src/carobstair/edge/exchange.py
@@ -74,6 +74,8 @@
         Last bytes of a stream that was relayed.
     caller_closed : callable
         Returns whether the caller has closed its connection.
+    hold_head : callable
+        Has the head of the response written together with what follows it.
     progress : AttemptProgress
         Progress of the latest attempt.
     tracked : TrackedAttempt or None
@@ -121,6 +123,7 @@
     framing: Framing | None = None
     last_bytes: bytes = b""
     caller_closed: Callable[[], bool] = lambda: False
+    hold_head: Callable[[], None] = lambda: None
     progress: AttemptProgress = field(default_factory=lambda: AttemptProgress(0.0))
     tracked: TrackedAttempt | None = None
     is_suspect: bool = False
--- a/src/carobstair/edge/response_relay.py
+++ b/src/carobstair/edge/response_relay.py
@@ -285,6 +285,12 @@
                 exchange.first_byte_s = now_s
                 await self._send_head(exchange, head, None, send)
             exchange.last_bytes = part[-LOGGED_BYTES:]
+            if connection.body_ended and events.at_boundary:
+                # One write for the last event and the end.
+                await connection.read_body()
+                await _send_body(send, part, more=False)
+                exchange.completed = True
+                return Outcome.ANSWERED
             await _send_body(send, part, more=True)
         if not events.at_boundary:
             exchange.detail = "the stream ended within an event"
@@ -322,8 +328,14 @@
         exchange.status = head.status
         if 200 <= head.status < 300:
             exchange.on_begun()
-        message = {"type": "http.response.start", "status": head.status}
-        await send(message | {"headers": headers})
+        exchange.hold_head()
+        await send(
+            {
+                "type": "http.response.start",
+                "status": head.status,
+                "headers": headers,
+            }
+        )
 
 
 async def _send_body(send: Send, body: bytes, more: bool) -> None:
--- a/src/carobstair/edge/server.py
+++ b/src/carobstair/edge/server.py
@@ -7,14 +7,26 @@
 import select
 import socket
 from collections.abc import Callable, Iterator
+from functools import partial
 from typing import Protocol
 
 import uvicorn
+from uvicorn.protocols.http.httptools_impl import RequestResponseCycle
 
 from carobstair.edge.arrival_gate import ArrivalGate
+from carobstair.edge.joined_writes import JoinedWrites
 from carobstair.net.http import BoundedHttpProtocol
 
-__all__ = ["ARRIVED_S", "CALLER_CLOSED", "SHED_DRAW", "CallerServer", "PageServer"]
+__all__ = [
+    "ARRIVED_S",
+    "CALLER_CLOSED",
+    "HOLD_HEAD",
+    "ON_CALLER_LEFT",
+    "SHED_DRAW",
+    "WHOLE_BODY",
+    "CallerServer",
+    "PageServer",
+]
 
 # Key in the ASGI scope of a function that returns whether the caller has closed its
 # connection, also if the event loop has not read that yet.
@@ -23,6 +35,14 @@
 ARRIVED_S = "carobstair.arrived_s"
 # Key of the random number that decides whether the request is shed, if one was drawn.
 SHED_DRAW = "carobstair.shed_draw"
+# Key of a function that has the head of the response written with what follows it.
+HOLD_HEAD = "carobstair.hold_head"
+# Key of a function that takes what to call when the caller closes its connection before
+# the response is complete.
+ON_CALLER_LEFT = "carobstair.on_caller_left"
+# Key of a function that returns the body if it has arrived whole and has at most as
+# many bytes as given, or else None.
+WHOLE_BODY = "carobstair.whole_body"
 # Not known on all systems.
 POLL_CLOSED = getattr(select, "POLLRDHUP", 0)
 
@@ -56,14 +76,21 @@
     _in_request = False
     # When the request that is being read arrived, if it had to wait.
     _waiting_since_s: float | None = None
+    # The response in progress, and what to call when the connection is lost.
+    _running: tuple[RequestResponseCycle, Callable[[], None]] | None = None
     # Drawn for the request that is being read, while requests are shed.
     _shed_draw: float | None = None
 
     def connection_made(self, transport) -> None:
         """Start the idle timer before the first request arrives."""
-        super().connection_made(transport)
+        super().connection_made(JoinedWrites(transport))
         self._start_idle_timer()
 
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Report the end of the connection to the request in progress."""
+        super().connection_lost(exc)
+        self._report_left()
+
     def _start_idle_timer(self) -> None:
         self.timeout_keep_alive_task = self.loop.call_later(
             self.config.timeout_keep_alive, self.timeout_keep_alive_handler
@@ -133,12 +160,30 @@
     def on_headers_complete(self) -> None:
         """Pass the request on, with what tells whether its caller has left."""
         self.scope[CALLER_CLOSED] = self._is_closed_by_caller
+        self.scope[HOLD_HEAD] = self.transport.hold_next
         if self._waiting_since_s is not None:
             self.scope[ARRIVED_S] = self._waiting_since_s
         if self._shed_draw is not None:
             self.scope[SHED_DRAW] = self._shed_draw
             self._shed_draw = None
         super().on_headers_complete()
+        # The cycle is that of this request, which may have to wait for the one before.
+        self.scope[ON_CALLER_LEFT] = partial(self._call_when_left, self.cycle)
+        self.scope[WHOLE_BODY] = partial(_take_whole_body, self.cycle)
+
+    def _call_when_left(self, cycle, on_left: Callable[[], None]) -> None:
+        # Requests of one connection run one after the other.
+        self._running = cycle, on_left
+        cycle.flow.resume_reading()
+        if self.parser is None:
+            # The connection was lost before.
+            self.loop.call_soon(self._report_left)
+
+    def _report_left(self) -> None:
+        if self._running is not None:
+            (cycle, on_left), self._running = self._running, None
+            cycle.disconnected = True
+            on_left()
 
     def _is_closed_by_caller(self) -> bool:
         if self.transport.is_closing():
@@ -151,10 +196,24 @@
 
     def on_response_complete(self) -> None:
         """Start the idle timer with the current timeout."""
+        self._running = None
+        self.transport.flush()
         self.timeout_keep_alive = self.config.timeout_keep_alive
         super().on_response_complete()
 
 
+def _take_whole_body(cycle: RequestResponseCycle, max_bytes: int) -> bytes | None:
+    """Return the body of a request, or None if it must be waited for or is larger."""
+    if cycle.more_body or cycle.disconnected or cycle.waiting_for_100_continue:
+        return None
+    if len(cycle.body) > max_bytes:
+        return None
+    cycle.flow.resume_reading()
+    body = bytes(cycle.body)
+    cycle.body = bytearray()
+    return body
+
+
 def _is_whole_request(data: bytes) -> bool:
     """Return whether data is one request that leaves its connection open."""
     head_bytes = data.find(b"\r\n\r\n") + 4
--- a/src/carobstair/edge/upstream_connection.py
+++ b/src/carobstair/edge/upstream_connection.py
@@ -287,6 +287,11 @@
             size += len(parts[-1])
         return b"".join(parts)
 
+    @property
+    def body_ended(self) -> bool:
+        """Whether the rest of the body is its end, which `read_body` returns next."""
+        return bool(self._received) and self._received[0] is _BODY_END
+
     def mark_idle(self, now_s: float) -> None:
         """Mark the connection idle after a complete response."""
         self._response_expected = 0
