Pause streams of a busy router between reads, and keep labelled metrics

Relaying an event costs the same whatever its size. Labelled metrics of requests are looked up once.

--- a/bench/edge_cost.py
+++ b/bench/edge_cost.py
@@ -76,6 +76,8 @@
     "plain": Phase("/plain/x", 0, REQUESTS["plain"]),
     "stream": Phase("/stream/x", SHORT_EVENTS, REQUESTS["stream"]),
     "long": Phase("/stream/x", LONG_EVENTS, REQUESTS["long"]),
+    # Streams pause between reads, as those of a busy router do.
+    "paced": Phase("/stream/x", LONG_EVENTS, REQUESTS["long"]),
     "shed": Phase("/stream/x", SHORT_EVENTS, REQUESTS["shed"]),
     # The body arrives after the head, so the router can't refuse the request unread.
     "head": Phase("/stream/x", SHORT_EVENTS, REQUESTS["head"]),
@@ -282,9 +284,11 @@
         frozenset({"r0"}),
     )
     guard = OverloadGuard(OverloadSettings(), utilisation)
+    relay = Relay(dispatcher, ConnectionPool(), PlatformDialect())
+    relay.responses.event_pause_s = guard.early.event_pause_s
     app = EdgeApp(
         view,
-        Relay(dispatcher, ConnectionPool(), PlatformDialect()),
+        relay,
         FairAdmission(),
         PlatformDialect(),
         EdgeMetrics(),
@@ -320,9 +324,10 @@
 
     costs_us = {}
     for name, phase in PHASES.items():
-        if name in ("shed", "head"):
+        if name == "paced":
             guard.enable_redirect()
             guard.early.own = AlwaysBusy()
+        if name in ("shed", "head"):
             guard.early.peers.note("r1", 0.1)
         await run(name, min(WARM_UP, phase.requests))
         if profiled:
@@ -350,8 +355,9 @@
         )
     if costs_us:
         events = LONG_EVENTS - SHORT_EVENTS
-        event_us = (costs_us["long"] - costs_us["stream"]) / events
-        print(f"event: {event_us:.1f} us")
+        for name in ("long", "paced"):
+            event_us = (costs_us[name] - costs_us["stream"]) / events
+            print(f"event ({name}): {event_us:.1f} us")
     pipe.send(None)
     serving.cancel()
     with contextlib.suppress(asyncio.CancelledError):
--- a/src/carobstair/core/router_load/shedding.py
+++ b/src/carobstair/core/router_load/shedding.py
@@ -47,6 +47,12 @@
     returned_after_s : float
         A caller that states so much less time than its route's time-out has been
         refused before: the wait of `min_retry_after_s` is within the time it lost.
+    pause_from, pause_until : float
+        Utilisation from which streams pause after each relayed part, and at which they
+        do so for `max_event_pause_s`: before anything is refused.
+    max_event_pause_s : float
+        Events that arrive meanwhile are relayed together, in one read and one write.
+        A fifth of the 200 ms within which an event has to reach its caller.
     """
 
     first_from: float = 0.7
@@ -59,6 +65,9 @@
     min_retry_after_s: float = 0.01
     max_retry_after_s: float = 0.03
     returned_after_s: float = 0.008
+    pause_from: float = 0.4
+    pause_until: float = 0.7
+    max_event_pause_s: float = 0.04
 
 
 @dataclass(slots=True)
@@ -106,6 +115,15 @@
         last = _ramp(own, settings.last_from, settings.last_until)
         return ShedParts(gain * first, gain * settings.max_last * last)
 
+    def event_pause_s(self) -> float:
+        """Return how long a stream is not read after a part of it was relayed."""
+        own = self.utilisation()
+        settings = self.settings
+        if not self.enabled or own is None or own <= settings.pause_from:
+            return 0.0
+        fraction = _ramp(own, settings.pause_from, settings.pause_until)
+        return settings.max_event_pause_s * fraction
+
     def is_returned(
         self, caller_timeout_s: float | None, timeout_s: float | None
     ) -> bool:
--- a/src/carobstair/edge/app.py
+++ b/src/carobstair/edge/app.py
@@ -131,12 +131,12 @@
         self._ended_requests = 0
         self._shed_requests = 0
         self.account = ServiceAccount(
-            lambda pool, name, tokens: metrics.workspace_tokens.labels(
-                pool, name, "asked"
-            ).inc(tokens),
-            lambda pool, name, tokens: metrics.workspace_tokens.labels(
-                pool, name, "begun"
-            ).inc(tokens),
+            lambda pool, name, tokens: metrics.count_tokens(
+                pool, name, "asked", tokens
+            ),
+            lambda pool, name, tokens: metrics.count_tokens(
+                pool, name, "begun", tokens
+            ),
             lambda pool, name, reason: metrics.workspace_refusals.labels(
                 pool, name, reason
             ).inc(),
@@ -558,14 +558,13 @@
             )
             return
         service = exchange.pool.name
-        self._metrics.requests.labels(service, outcome).inc()
         first_s = None
         if exchange.first_byte_s is not None:
             first_s = round(exchange.first_byte_s - arrived_s, 4)
-            self._metrics.first_byte_s.labels(service).observe(first_s)
+            self._metrics.observe_first_byte(service, first_s)
         self._ended_requests += 1
         framing = exchange.framing
-        self._metrics.responses.labels(framing or "", outcome).inc()
+        self._metrics.count_end(service, framing or "", outcome)
         at_connection_end = framing is Framing.CONNECTION_END
         first_try = outcome == "answered" and exchange.attempts == 1
         # Only the log shows whether a response without a length was truncated.
--- a/src/carobstair/edge/metrics.py
+++ b/src/carobstair/edge/metrics.py
@@ -16,6 +16,7 @@
 
     def __init__(self) -> None:
         self.registry = CollectorRegistry()
+        self._children: dict = {}
         self.requests = self._counter(
             "requests", "Requests that ended, by outcome", ("service", "outcome")
         )
@@ -89,6 +90,32 @@
             registry=self.registry,
         )
 
+    def count_end(self, service: str, framing: str, outcome: str) -> None:
+        """Count a request that ended after it was placed."""
+        self._child(self.requests, service, outcome).inc()
+        self._child(self.responses, framing, outcome).inc()
+
+    def count_tokens(
+        self, service: str, workspace: str, stage: str, tokens: float
+    ) -> None:
+        """Count weighted tokens of a workspace at a stage."""
+        self._child(self.workspace_tokens, service, workspace, stage).inc(tokens)
+
+    def observe_first_byte(self, service: str, first_s: float) -> None:
+        """Record the time to the first byte of an answer."""
+        self._child(self.first_byte_s, service).observe(first_s)
+
+    def _child(self, metric, *labels: str):
+        """Return a labelled metric; a lookup by the client takes several times longer.
+
+        Labels are bounded by the configuration, and so is what is kept here.
+        """
+        key = metric, labels
+        child = self._children.get(key)
+        if child is None:
+            child = self._children[key] = metric.labels(*labels)
+        return child
+
     def _counter(self, name: str, text: str, labels: tuple[str, ...]) -> Counter:
         return Counter(PREFIX + name, text, labels, registry=self.registry)
 
--- a/src/carobstair/edge/response_relay.py
+++ b/src/carobstair/edge/response_relay.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import time
+from collections.abc import Callable
 from dataclasses import dataclass, replace
 
 from carobstair.core.directory import UpstreamEntry
@@ -56,12 +57,15 @@
         Updated with the progress of answers.
     permits : PermitExchange
         Updated with the rates that responses state.
+    event_pause_s : callable
+        Returns how long a stream is not read after a part of it was relayed.
     """
 
     dispatcher: Dispatcher
     dialect: Dialect
     guard: CrashGuard
     permits: PermitExchange
+    event_pause_s: Callable[[], float] = lambda: 0.0
 
     @property
     def loads(self) -> LoadTracker:
@@ -292,6 +296,9 @@
                 exchange.completed = True
                 return Outcome.ANSWERED
             await _send_body(send, part, more=True)
+            pause_s = self.event_pause_s()
+            if pause_s > 0.0:
+                await connection.pause(pause_s)
         if not events.at_boundary:
             exchange.detail = "the stream ended within an event"
             return Outcome.UNKNOWN
--- a/src/carobstair/edge/router.py
+++ b/src/carobstair/edge/router.py
@@ -143,6 +143,7 @@
         self._connections = ConnectionPool()
         self._overload = OverloadGuard(settings.overload, utilisation)
         relay = Relay(self._dispatcher, self._connections, platform.dialect)
+        relay.responses.event_pause_s = self._overload.early.event_pause_s
         self._guard = relay.guard
         self._refusals = RefusalStore(
             self._guard, self.view, self._store, self._dispatcher.rank
--- a/src/carobstair/edge/upstream_connection.py
+++ b/src/carobstair/edge/upstream_connection.py
@@ -287,6 +287,17 @@
             size += len(parts[-1])
         return b"".join(parts)
 
+    async def pause(self, pause_s: float) -> None:
+        """Read nothing for a time, so that what arrives meanwhile is read at once."""
+        if self._paused or self._transport.is_closing():
+            return
+        self._transport.pause_reading()
+        try:
+            await asyncio.sleep(pause_s)
+        finally:
+            if not self._transport.is_closing():
+                self._transport.resume_reading()
+
     @property
     def body_ended(self) -> bool:
         """Whether the rest of the body is its end, which `read_body` returns next."""
