Test pauses of streams and joined writes

Streams with pauses of 40 ms keep all events, resume after a broken upstream and end with their deadline; heads are not held until the end; pipelined requests get their own bodies; a caller that leaves ends the request in progress although another is pipelined behind it (it went on before).

--- a/tests/test_router_load.py
+++ b/tests/test_router_load.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+import test_edge
 from carobstair.core.messages import FleetDigest, PeerAddress, decode, encode
 from carobstair.core.overload import OverloadGuard, OverloadSettings
 from carobstair.core.router_load import (
@@ -18,7 +19,7 @@
     PeerUtilisation,
 )
 from carobstair.edge.measured_selector import measured_loop
-from edge_test_case import EdgeCase
+from edge_test_case import EdgeCase, wait_until
 
 # Processor time of a small machine, assumed.
 ADMISSION_S, EVENT_S = 0.0015, 0.00012
@@ -201,6 +202,87 @@
         self.assertIsNone(peers.median(3.0))
 
 
+class EventPauseTest(unittest.TestCase):
+    """Guards against events that are held back without need, or for too long."""
+
+    def test_pause_grows_before_anything_is_shed_and_is_bounded(self):
+        self.assertEqual(make_guard(0.3).early.event_pause_s(), 0.0)
+        self.assertGreater(make_guard(0.6).early.event_pause_s(), 0.0)
+        self.assertEqual(make_guard(0.6).early.parts(1.0), NOTHING_SHED)
+        self.assertEqual(make_guard(1.0).early.event_pause_s(), 0.04)
+
+    def test_there_is_none_with_the_switch_off_or_without_a_measure(self):
+        self.assertEqual(make_guard(1.0, redirect=False).early.event_pause_s(), 0.0)
+        guard = OverloadGuard(OverloadSettings(redirect=True))
+        self.assertEqual(guard.early.event_pause_s(), 0.0)
+
+
+class PausedStreamTest(test_edge.StreamTest):
+    """Guards against streams that lose events or their end to the pauses."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.app._relay.responses.event_pause_s = lambda: 0.04
+
+
+class JoinedWritesTest(EdgeCase):
+    """Guards against responses that stay in the buffer that joins writes."""
+
+    async def test_head_of_a_stream_is_not_held_until_its_end(self):
+        await self.start_upstreams("slow_stream")
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.server.port)
+        began_s = time.monotonic()
+        writer.write(
+            b"POST /stream/x HTTP/1.1\r\nHost: api.test\r\nCarobstair-Key: key1\r\n"
+            b"Carobstair-Attempt-Id: a\r\nContent-Length: 0\r\n\r\n"
+        )
+        first = await asyncio.wait_for(reader.readuntil(b"data: "), 1.0)
+        first_s = time.monotonic() - began_s
+        rest = await asyncio.wait_for(reader.readuntil(b"\r\n0\r\n\r\n"), 3.0)
+        self.assertIn(b" 200 ", first)
+        self.assertEqual((first + rest).count(b"data: "), 5)
+        self.assertLess(first_s, (time.monotonic() - began_s) / 2)
+        writer.close()
+
+    async def test_response_to_head_and_the_requests_after_it_are_written(self):
+        await self.start_upstreams("ok")
+        for method in ("HEAD", "GET", "HEAD", "GET"):
+            status, _, body = await self.call("/safe/x", method)
+            self.assertEqual(
+                (status, body), (200, b"whole" if method == "GET" else b"")
+            )
+
+    async def test_pipelined_requests_get_their_own_bodies(self):
+        await self.start_upstreams("ok")
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.server.port)
+        for number in range(3):
+            writer.write(
+                b"POST /safe/%d HTTP/1.1\r\nHost: api.test\r\nCarobstair-Key: key1\r\n"
+                b"Carobstair-Attempt-Id: a%d\r\nContent-Length: 2\r\n\r\nb%d"
+                % (number, number, number)
+            )
+        for _ in range(3):
+            await asyncio.wait_for(reader.readuntil(b"whole"), 1.0)
+        received = [(r.target, r.body) for r in self.upstreams[0].requests]
+        self.assertEqual(received, [(f"/safe/{n}", b"b%d" % n) for n in range(3)])
+        writer.close()
+
+    async def test_caller_that_leaves_with_pipelined_requests_ends_the_first(self):
+        await self.start_upstreams("hang")
+        _, writer = await asyncio.open_connection("127.0.0.1", self.server.port)
+        for number in range(2):
+            writer.write(
+                b"POST /unsafe/x HTTP/1.1\r\nHost: api.test\r\nCarobstair-Key: key1\r\n"
+                b"Carobstair-Attempt-Id: a%d\r\nContent-Length: 0\r\n\r\n" % number
+            )
+        await wait_until(lambda: self.upstream_request_count() == 1)
+        # The router reads no further before the first response, so the connection has
+        # to break for it to see that the caller has left.
+        writer.transport.abort()
+        await wait_until(lambda: not self.app.open_requests, 1.5)
+        self.assertEqual(self.upstream_request_count(), 1)
+
+
 class FrozenRouterTest(unittest.TestCase):
     """Guards against a router that sheds requests after it was suspended."""
 
