--- a/src/carobstair/edge/app.py
+++ b/src/carobstair/edge/app.py
@@ -26,12 +26,19 @@
     ServicePool,
 )
 from carobstair.core.service_account import ServiceAccount
-from carobstair.edge.body_budget import BodyBudget, BudgetExceeded
+from carobstair.edge.body_budget import SMALL_BODY_BYTES, BodyBudget, BudgetExceeded
 from carobstair.edge.exchange import CallerLeft, Exchange, IncompleteResponse
 from carobstair.edge.metadata import BadRequest, Dialect, Headers, RequestMetadata
 from carobstair.edge.metrics import EdgeMetrics
 from carobstair.edge.relay import Relay
-from carobstair.edge.server import ARRIVED_S, CALLER_CLOSED, SHED_DRAW
+from carobstair.edge.server import (
+    ARRIVED_S,
+    CALLER_CLOSED,
+    HOLD_HEAD,
+    ON_CALLER_LEFT,
+    SHED_DRAW,
+    WHOLE_BODY,
+)
 from carobstair.logs import get_logger, is_suppressed
 
 __all__ = ["EdgeApp"]
@@ -67,14 +74,16 @@
 class _CallerConnection:
     """Cancels a request's handler when its caller disconnects."""
 
+    scope: dict
     receive: Callable
     disconnected: bool = False
 
-    async def cancel_on_disconnect(self, handler: asyncio.Task) -> None:
-        while (await self.receive())["type"] != "http.disconnect":
-            pass
-        self.disconnected = True
-        handler.cancel()
+    def cancel_when_left(self, handler: asyncio.Task) -> None:
+        def cancel() -> None:
+            self.disconnected = True
+            handler.cancel()
+
+        self.scope[ON_CALLER_LEFT](cancel)
 
 
 class EdgeApp:
@@ -122,12 +131,12 @@
         self._ended_requests = 0
         self._shed_requests = 0
         self.account = ServiceAccount(
-            lambda pool, name, tokens: metrics.workspace_tokens.labels(
-                pool, name, "asked"
-            ).inc(tokens),
-            lambda pool, name, tokens: metrics.workspace_tokens.labels(
-                pool, name, "begun"
-            ).inc(tokens),
+            lambda pool, name, tokens: metrics.count_tokens(
+                pool, name, "asked", tokens
+            ),
+            lambda pool, name, tokens: metrics.count_tokens(
+                pool, name, "begun", tokens
+            ),
             lambda pool, name, reason: metrics.workspace_refusals.labels(
                 pool, name, reason
             ).inc(),
@@ -146,8 +155,7 @@
         arrived_s = scope.get(ARRIVED_S) or time.monotonic()
         task = asyncio.current_task()
         self.open_requests.add(task)
-        caller = _CallerConnection(receive)
-        watcher: asyncio.Task | None = None
+        caller = _CallerConnection(scope, receive)
         exchange: Exchange | None = None
         outcome, detail = "cancelled", ""
         try:
@@ -169,7 +177,7 @@
                 # A stop may have begun since.
                 self._check_shutdown(exchange)
                 exchange.close_connection = self._closes_connection()
-                watcher = asyncio.create_task(caller.cancel_on_disconnect(task))
+                caller.cancel_when_left(task)
                 await self._relay.run(exchange, send)
                 outcome = "answered"
             except Refusal as refusal:
@@ -194,8 +202,6 @@
                     raise
                 await self._refuse(scope, send, refuse("internal-error"))
         finally:
-            if watcher is not None:
-                watcher.cancel()
             self.open_requests.discard(task)
             self._give_back(exchange)
             if exchange is not None:
@@ -238,6 +244,10 @@
         self, caller: _CallerConnection, limits: RequestLimits, exchange: Exchange
     ) -> None:
         """Read the body, which must arrive before the request's deadline."""
+        body = caller.scope[WHOLE_BODY](min(SMALL_BODY_BYTES, limits.max_body_bytes))
+        if body is not None:
+            exchange.body = body
+            return
         size_bytes = _declared_bytes(exchange.headers, limits)
         try:
             async with asyncio.timeout_at(exchange.deadline_s):
@@ -290,7 +300,8 @@
             b"",
             arrived_s,
             arrived_s + _allowed_s(route, metadata),
-            caller_closed=scope.get(CALLER_CLOSED, lambda: False),
+            caller_closed=scope[CALLER_CLOSED],
+            hold_head=scope[HOLD_HEAD],
         )
 
     def _closes_connection(self) -> bool:
@@ -517,6 +528,7 @@
             headers.append((b"retry-after", wait.encode()))
         if self._closes_connection() or refusal.status in (400, 408, 413, 431):
             headers.append((b"connection", b"close"))
+        scope[HOLD_HEAD]()
         start = {"type": "http.response.start", "status": refusal.status}
         await send(start | {"headers": headers})
         if scope["method"] == "HEAD":
@@ -546,14 +558,13 @@
             )
             return
         service = exchange.pool.name
-        self._metrics.requests.labels(service, outcome).inc()
         first_s = None
         if exchange.first_byte_s is not None:
             first_s = round(exchange.first_byte_s - arrived_s, 4)
-            self._metrics.first_byte_s.labels(service).observe(first_s)
+            self._metrics.observe_first_byte(service, first_s)
         self._ended_requests += 1
         framing = exchange.framing
-        self._metrics.responses.labels(framing or "", outcome).inc()
+        self._metrics.count_end(service, framing or "", outcome)
         at_connection_end = framing is Framing.CONNECTION_END
         first_try = outcome == "answered" and exchange.attempts == 1
         # Only the log shows whether a response without a length was truncated.
--- a/src/carobstair/edge/response_relay.py
+++ b/src/carobstair/edge/response_relay.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import time
+from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
 from carobstair.core.directory import UpstreamEntry
@@ -58,12 +59,15 @@
         Updated with the progress of answers.
     permits : PermitExchange
         Updated with the rates that responses state.
+    event_pause_s : callable
+        Returns how long a stream is not read after a part of it was relayed.
     """
 
     dispatcher: Dispatcher
     dialect: Dialect
     guard: CrashGuard
     permits: PermitExchange
+    event_pause_s: Callable[[], float] = lambda: 0.0
     # Incarnations whose unreadable load has been logged.
     _logged_loads: set[tuple[str, int]] = field(default_factory=set)
 
@@ -307,7 +311,16 @@
                 exchange.first_byte_s = now_s
                 await self._send_head(exchange, head, None, send)
             exchange.last_bytes = part[-LOGGED_BYTES:]
+            if connection.body_ended and events.at_boundary:
+                # One write for the last event and the end.
+                await connection.read_body()
+                await _send_body(send, part, more=False)
+                exchange.completed = True
+                return Outcome.ANSWERED
             await _send_body(send, part, more=True)
+            pause_s = self.event_pause_s()
+            if pause_s > 0.0:
+                await connection.pause(pause_s)
         if not events.at_boundary:
             exchange.detail = "the stream ended within an event"
             return Outcome.UNKNOWN
@@ -344,8 +357,14 @@
         exchange.status = head.status
         if 200 <= head.status < 300:
             exchange.on_begun()
-        message = {"type": "http.response.start", "status": head.status}
-        await send(message | {"headers": headers})
+        exchange.hold_head()
+        await send(
+            {
+                "type": "http.response.start",
+                "status": head.status,
+                "headers": headers,
+            }
+        )
 
 
 async def _send_body(send: Send, body: bytes, more: bool) -> None:
--- a/src/carobstair/edge/router.py
+++ b/src/carobstair/edge/router.py
@@ -144,6 +144,7 @@
         self._overload = OverloadGuard(settings.overload, utilisation)
         self._loads.on_slowdown_stated = self._on_slowdown_stated
         relay = Relay(self._dispatcher, self._connections, platform.dialect)
+        relay.responses.event_pause_s = self._overload.early.event_pause_s
         self._guard = relay.guard
         self._refusals = RefusalStore(
             self._guard, self.view, self._store, self._dispatcher.rank
--- a/tests/test_router_load.py
+++ b/tests/test_router_load.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import heapq
+import math
 import random
 import statistics
 import time
@@ -10,6 +11,7 @@
 
 import msgspec
 
+import test_edge
 from carobstair.core.messages import FleetDigest, PeerAddress, decode, encode
 from carobstair.core.overload import OverloadGuard, OverloadSettings
 from carobstair.core.router_load import (
@@ -18,7 +20,7 @@
     PeerUtilisation,
 )
 from carobstair.edge.measured_selector import measured_loop
-from edge_test_case import EdgeCase
+from edge_test_case import EdgeCase, wait_until
 
 # Processor time of a small machine, assumed.
 ADMISSION_S, EVENT_S = 0.0015, 0.00012
@@ -39,10 +41,38 @@
     return guard
 
 
+class Quota:
+    """Processor time of a process that may use a part of each period."""
+
+    def __init__(self, cores, period_s=0.1):
+        self.cores, self.period_s = cores, period_s
+        self.period, self.used_s = 0, 0.0
+
+    def end_of(self, begin_s, work_s):
+        """Return when work that begins at a time is done."""
+        now_s = begin_s
+        while work_s > 1e-9:
+            period = int(now_s / self.period_s + 1e-6)
+            if period != self.period:
+                self.period, self.used_s = period, 0.0
+            next_s = (period + 1) * self.period_s
+            run_s = min(
+                work_s, self.cores * self.period_s - self.used_s, next_s - now_s
+            )
+            if run_s <= 1e-9:
+                now_s = next_s
+                continue
+            now_s += run_s
+            work_s -= run_s
+            self.used_s += run_s
+        return now_s
+
+
 class HotRouter:
     """A router on virtual time whose streams cost work long after their admission."""
 
-    def __init__(self, rate_per_s, redirect):
+    def __init__(self, rate_per_s, redirect, cores=1.0):
+        self.quota = Quota(cores)
         self.rng = random.Random(5)
         self.guard = make_guard(redirect=redirect)
         self.rate_per_s = rate_per_s
@@ -84,12 +114,10 @@
                 work_s += UNREAD_REFUSAL_S
             else:
                 self.waiting.append(draw)
+        first_due_s = self.due[0] if self.due else math.inf
         while self.due and self.due[0] <= began_s:
-            due_s = heapq.heappop(self.due)
+            heapq.heappop(self.due)
             work_s += EVENT_S
-            if began_s > 1.0:
-                late_s = began_s + work_s - due_s
-                self.latest_event_s = max(self.latest_event_s, late_s)
         for _ in range(min(len(self.waiting), TURN_ARRIVALS)):
             if self.waiting.popleft() < self.guard.early.parts(began_s).first:
                 refused += 1
@@ -100,10 +128,12 @@
             for number in range(1, EVENTS + 1):
                 due_s = began_s + number * EVENT_INTERVAL_S
                 heapq.heappush(self.due, due_s)
-        self.now_s += work_s
+        self.now_s = self.quota.end_of(began_s, work_s)
+        self.latest_event_s = max(self.latest_event_s, self.now_s - first_due_s)
         next_s = min(self.next_arrival_s, *self.due[:1])
         wait_s = 0.0 if self.waiting else max(0.0, next_s - self.now_s)
         self.now_s += wait_s
+        work_s = self.now_s - wait_s - began_s
         self.guard.utilisation.note_turn(work_s, wait_s)
         return admitted, refused
 
@@ -127,6 +157,18 @@
                 self.assertLess(statistics.pstdev(shares), 0.1)
                 self.assertGreater(min(shares), 0.2)
 
+    def test_streams_are_on_time_under_a_quota_that_stops_the_process(self):
+        # The process is stopped for up to 61 of each 100 ms.
+        cores = 0.387
+        for load in (2, 6, 13):
+            with self.subTest(load=load):
+                rate_per_s = load * cores / STREAM_S
+                router = HotRouter(rate_per_s, redirect=True, cores=cores).run(20)
+                self.assertLess(router.latest_event_s, 0.2)
+                self.assertGreater(router.served, 0.7 * cores * 20 / STREAM_S)
+                settled = [value for _, value, _ in router.seconds[8:]]
+                self.assertLess(statistics.mean(settled), 0.95)
+
     def test_router_still_serves_what_it_has_time_for(self):
         router = HotRouter(600, redirect=True).run(20)
         self.assertGreater(router.served, 0.7 * 20 / STREAM_S)
@@ -201,6 +243,87 @@
         self.assertIsNone(peers.median(3.0))
 
 
+class EventPauseTest(unittest.TestCase):
+    """Guards against events that are held back without need, or for too long."""
+
+    def test_pause_grows_before_anything_is_shed_and_is_bounded(self):
+        self.assertEqual(make_guard(0.3).early.event_pause_s(), 0.0)
+        self.assertGreater(make_guard(0.6).early.event_pause_s(), 0.0)
+        self.assertEqual(make_guard(0.6).early.parts(1.0), NOTHING_SHED)
+        self.assertEqual(make_guard(1.0).early.event_pause_s(), 0.04)
+
+    def test_there_is_none_with_the_switch_off_or_without_a_measure(self):
+        self.assertEqual(make_guard(1.0, redirect=False).early.event_pause_s(), 0.0)
+        guard = OverloadGuard(OverloadSettings(redirect=True))
+        self.assertEqual(guard.early.event_pause_s(), 0.0)
+
+
+class PausedStreamTest(test_edge.StreamTest):
+    """Guards against streams that lose events or their end to the pauses."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.app._relay.responses.event_pause_s = lambda: 0.04
+
+
+class JoinedWritesTest(EdgeCase):
+    """Guards against responses that stay in the buffer that joins writes."""
+
+    async def test_head_of_a_stream_is_not_held_until_its_end(self):
+        await self.start_upstreams("slow_stream")
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.server.port)
+        began_s = time.monotonic()
+        writer.write(
+            b"POST /stream/x HTTP/1.1\r\nHost: api.test\r\nCarobstair-Key: key1\r\n"
+            b"Carobstair-Attempt-Id: a\r\nContent-Length: 0\r\n\r\n"
+        )
+        first = await asyncio.wait_for(reader.readuntil(b"data: "), 1.0)
+        first_s = time.monotonic() - began_s
+        rest = await asyncio.wait_for(reader.readuntil(b"\r\n0\r\n\r\n"), 3.0)
+        self.assertIn(b" 200 ", first)
+        self.assertEqual((first + rest).count(b"data: "), 5)
+        self.assertLess(first_s, (time.monotonic() - began_s) / 2)
+        writer.close()
+
+    async def test_response_to_head_and_the_requests_after_it_are_written(self):
+        await self.start_upstreams("ok")
+        for method in ("HEAD", "GET", "HEAD", "GET"):
+            status, _, body = await self.call("/safe/x", method)
+            self.assertEqual(
+                (status, body), (200, b"whole" if method == "GET" else b"")
+            )
+
+    async def test_pipelined_requests_get_their_own_bodies(self):
+        await self.start_upstreams("ok")
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.server.port)
+        for number in range(3):
+            writer.write(
+                b"POST /safe/%d HTTP/1.1\r\nHost: api.test\r\nCarobstair-Key: key1\r\n"
+                b"Carobstair-Attempt-Id: a%d\r\nContent-Length: 2\r\n\r\nb%d"
+                % (number, number, number)
+            )
+        for _ in range(3):
+            await asyncio.wait_for(reader.readuntil(b"whole"), 1.0)
+        received = [(r.target, r.body) for r in self.upstreams[0].requests]
+        self.assertEqual(received, [(f"/safe/{n}", b"b%d" % n) for n in range(3)])
+        writer.close()
+
+    async def test_caller_that_leaves_with_pipelined_requests_ends_the_first(self):
+        await self.start_upstreams("hang")
+        _, writer = await asyncio.open_connection("127.0.0.1", self.server.port)
+        for number in range(2):
+            writer.write(
+                b"POST /unsafe/x HTTP/1.1\r\nHost: api.test\r\nCarobstair-Key: key1\r\n"
+                b"Carobstair-Attempt-Id: a%d\r\nContent-Length: 0\r\n\r\n" % number
+            )
+        await wait_until(lambda: self.upstream_request_count() == 1)
+        # The router reads no further before the first response, so the connection has
+        # to break for it to see that the caller has left.
+        writer.transport.abort()
+        await wait_until(lambda: not self.app.open_requests, 1.5)
+        self.assertEqual(self.upstream_request_count(), 1)
+
+
 class FrozenRouterTest(unittest.TestCase):
     """Guards against a router that sheds requests after it was suspended."""
 
