--- a/src/carobstair/core/engine_load.py
+++ b/src/carobstair/core/engine_load.py
@@ -29,6 +29,8 @@
 # KV-cache capacity of an engine until the configuration gives it.
 DEFAULT_KV_TOKENS = 500_000
 
+# Waits of own requests that are kept for digests: those of some seconds.
+MAX_RECENT_WAITS = 256
 # Recently sent segments that are kept for digests; peers gain little from older ones.
 MAX_RECENT_SEGMENTS = 256
 
@@ -39,6 +41,9 @@
 # Far below any cost difference, so that it only breaks ties.
 TIE_BREAK_S = 1e-6
 
+# Upstream with its start time, expected and actual wait in milliseconds, and the
+# slowdown in percent.
+WaitRow = tuple[str, int, int, int, int]
 Segments = tuple[tuple[str, int], ...]
 
 
@@ -196,6 +201,10 @@
         default_factory=lambda: deque(maxlen=MAX_RECENT_SEGMENTS)
     )
     _segment_count: int = 0
+    _recent_waits: deque[WaitRow] = field(
+        default_factory=lambda: deque(maxlen=MAX_RECENT_WAITS)
+    )
+    _wait_count: int = 0
     _capacities: dict[str, UpstreamCapacity] = field(default_factory=dict)
 
     # Own requests
@@ -301,10 +310,8 @@
             Empty if the response came from another incarnation than this one.
         """
         load = self._load(upstream_id)
-        if slowdown is not None and service and service not in self._capacities:
-            self._capacities[service] = UpstreamCapacity(self.settings.capacity)
-            if self.on_slowdown_stated is not None:
-                self.on_slowdown_stated(service)
+        if slowdown is not None and service:
+            self._switch_on(service)
         if service in self._capacities:
             self.note_incarnation(upstream_id, service, born_ms)
             self._capacities[service].note_report(
@@ -380,6 +387,31 @@
         load.capacity, load.incarnation = capacity, incarnation
         load.record = capacity.record(incarnation)
 
+    def note_peer_wait(self, service: str, row: WaitRow, now_s: float) -> None:
+        """Record the wait of a peer's request at an upstream of a service."""
+        upstream_id, born_ms, expected_ms, waited_ms, slowdown_percent = row
+        self._switch_on(service)
+        self.note_incarnation(upstream_id, service, born_ms)
+        self._capacities[service].note_peer_wait(
+            (upstream_id, born_ms),
+            max(1, expected_ms) / 1000,
+            max(1, waited_ms) / 1000,
+            max(1, slowdown_percent) / 100,
+            now_s,
+        )
+
+    def recent_waits(self, since: int, limit: int) -> tuple[list[WaitRow], int]:
+        """Return the waits since an earlier call, as `recent_segments` does."""
+        count = min(self._wait_count - since, len(self._recent_waits), limit)
+        rows = list(self._recent_waits)[-count:] if count > 0 else []
+        return rows, self._wait_count
+
+    def _switch_on(self, service: str) -> None:
+        if service not in self._capacities:
+            self._capacities[service] = UpstreamCapacity(self.settings.capacity)
+            if self.on_slowdown_stated is not None:
+                self.on_slowdown_stated(service)
+
     def keep_incarnations(self, incarnations: Collection[Incarnation]) -> None:
         """Drop the estimates of incarnations that are gone."""
         for capacity in self._capacities.values():
@@ -389,14 +421,28 @@
                 load.incarnation = load.record = None
 
     def _note_wait(self, load: _Load, sent: SentRequest, now_s: float) -> None:
-        if load.capacity is not None and load.incarnation == sent.incarnation:
-            load.capacity.note_first_byte(
-                sent.incarnation,
-                sent.tokens_ahead + sent.uncached_tokens,
-                sent.running_at_send,
-                now_s - sent.sent_s,
-                now_s,
+        record = load.record
+        if load.capacity is None or record is None:
+            return
+        if load.incarnation != sent.incarnation:
+            return
+        wait_s = now_s - sent.sent_s
+        expected_s = load.capacity.note_first_byte(
+            sent.incarnation,
+            sent.tokens_ahead + sent.uncached_tokens,
+            sent.running_at_send,
+            wait_s,
+            now_s,
+        )
+        self._recent_waits.append(
+            (
+                *sent.incarnation,
+                round(1000 * expected_s),
+                round(1000 * wait_s),
+                round(100 * record.slowdown),
             )
+        )
+        self._wait_count += 1
 
     def _note_no_first_byte(self, load: _Load, sent: SentRequest, now_s: float) -> None:
         """Count a request that ended without an answer for the time that it waited.
--- a/src/carobstair/core/upstream_capacity/capacity.py
+++ b/src/carobstair/core/upstream_capacity/capacity.py
@@ -79,7 +79,7 @@
         running_at_send: int,
         waited_s: float,
         now_s: float,
-    ) -> None:
+    ) -> float:
         """Record the time to the first byte of an own request.
 
         Parameters
@@ -89,9 +89,13 @@
             own, and those known to be queued ahead of it.
         running_at_send : int
             Requests at the upstream when this one was sent.
+
+        Returns
+        -------
+        float
+            The wait to expect at the service's mean upstream, slowed as this one.
         """
-        if waited_s < 0.0:
-            return
+        waited_s = max(0.0, waited_s)
         settings, record = self.settings, self.record(incarnation)
         slowdown = record.slowdown_at(settings, now_s)
         expected_s = self._model.expected_s(uncached_tokens, running_at_send) * slowdown
@@ -99,9 +103,29 @@
         self._model.note(uncached_tokens, running_at_send, waited_s / slowdown)
         if slowdown <= settings.max_transient_slowdown * record.usual_slowdown:
             own_s = uncached_tokens * record.token_s
-            late = waited_s - own_s > settings.objective_s
+            late = (
+                waited_s - own_s > settings.objective_s
+                and waited_s > settings.late_factor * expected_s
+            )
             record.adapt_limit(running_at_send, late, settings, now_s)
         self._update(record, now_s)
+        return expected_s
+
+    def note_peer_wait(
+        self,
+        incarnation: Incarnation,
+        expected_s: float,
+        waited_s: float,
+        slowdown: float,
+        now_s: float,
+    ) -> None:
+        """Record the time to the first byte of a peer's request.
+
+        The coefficients follow with the next refresh.
+        """
+        record = self.record(incarnation)
+        record.add_wait(expected_s, waited_s, self.settings, now_s)
+        record.add_slowdown(slowdown, self.settings, now_s)
 
     def note_report(
         self,
--- a/src/carobstair/core/upstream_capacity/settings.py
+++ b/src/carobstair/core/upstream_capacity/settings.py
@@ -20,8 +20,8 @@
         prompt, at which the concurrency of an upstream is kept: the shortest objective
         of the deployments is 250 ms.
     sample_weight : float
-        Fraction of an upstream's evidence that a new first token replaces; ten
-        samples follow a change within seconds and hide single late ones.
+        Fraction of an upstream's evidence that a new first token replaces: with those
+        of peers, some dozen come in each second.
     evidence_half_life_s : float
         Time in which the evidence of an upstream without requests halves, so that its
         estimate returns to the mean and it is tried again.
@@ -41,6 +41,9 @@
     occupancy_decay_s : float
         Time constant of the smoothed occupancy of plain upstreams, whose requests
         are shorter than the age of most reports.
+    late_factor : float
+        Ratio to the service's expected wait from which a first token counts as late:
+        if all upstreams are late, lower concurrencies do not help.
     decrease : float
         Factor of the concurrency after a late first token.
     decrease_interval_s : float
@@ -82,14 +85,15 @@
 
     prefill_tokens_per_s: float = 56_600.0
     objective_s: float = 0.25
-    sample_weight: float = 0.1
-    evidence_half_life_s: float = 20.0
+    sample_weight: float = 0.03
+    evidence_half_life_s: float = 10.0
     late_half_life_s: float = 2.0
     prior_s: float = 0.1
     max_ratio: float = 4.0
     slowdown_decay_s: float = 0.4
     slowdown_mean_s: float = 10.0
     occupancy_decay_s: float = 0.5
+    late_factor: float = 1.5
     decrease: float = 0.9
     decrease_interval_s: float = 0.5
     min_concurrency_fraction: float = 0.25
--- a/src/carobstair/core/upstream_capacity/wait_model.py
+++ b/src/carobstair/core/upstream_capacity/wait_model.py
@@ -19,7 +19,10 @@
 MAX_WAIT_S = 2.0
 MIN_WAIT_S = 0.001
 # Bound of the learnt read rate relative to the prior one, in both directions.
-MAX_RATE_RATIO = 8.0
+MAX_RATE_RATIO = 4.0
+# Requests at an upstream from which a sample counts a quarter: queues that are known
+# late hide the slopes.
+QUIET_REQUESTS = 4.0
 
 
 @dataclass(slots=True)
@@ -34,6 +37,8 @@
     base_s: float = PRIOR_BASE_S
     token_s: float = 0.0
     running_s: float = PRIOR_RUNNING_S
+    _level_count: float = 0.0
+    _level_s: float = 0.0
     _count: float = 0.0
     _mean_tokens: float = 0.0
     _mean_running: float = 0.0
@@ -57,16 +62,22 @@
     def note(self, tokens: float, running: float, waited_s: float) -> None:
         """Add a sample of an upstream that runs at its usual speed."""
         waited_s = min(waited_s, MAX_WAIT_S)
-        keep = 1.0 - FORGET
-        self._count = self._count * keep + 1.0
+        self._level_count = self._level_count * (1.0 - FORGET) + 1.0
+        self._level_s += (
+            waited_s - self.token_s * tokens - self.running_s * running - self._level_s
+        ) / self._level_count
+        # Samples of busy upstreams neither add much nor replace those of quiet ones.
+        quiet = 1.0 / (1.0 + running / QUIET_REQUESTS) ** 2
+        keep = 1.0 - FORGET * quiet
+        self._count = self._count * keep + quiet
         off_tokens = tokens - self._mean_tokens
         off_running = running - self._mean_running
         off_wait_s = waited_s - self._mean_wait_s
-        weight = 1.0 / self._count
-        self._mean_tokens += weight * off_tokens
-        self._mean_running += weight * off_running
-        self._mean_wait_s += weight * off_wait_s
-        rest = 1.0 - weight
+        share = quiet / self._count
+        self._mean_tokens += share * off_tokens
+        self._mean_running += share * off_running
+        self._mean_wait_s += share * off_wait_s
+        rest = quiet * (1.0 - share)
         self._tokens2 = keep * self._tokens2 + rest * off_tokens**2
         self._running2 = keep * self._running2 + rest * off_running**2
         self._tokens_running = (
@@ -91,11 +102,6 @@
             max(token_s, prior_token_s / MAX_RATE_RATIO), prior_token_s * MAX_RATE_RATIO
         )
         self.running_s = max(running_s, 0.0)
-        base_s = (
-            self._mean_wait_s
-            - self.token_s * self._mean_tokens
-            - self.running_s * self._mean_running
-        )
         # A few samples say little of the constant part.
-        share = self._count / (self._count + 3.0)
-        self.base_s = max(0.0, share * base_s + (1.0 - share) * PRIOR_BASE_S)
+        share = self._level_count / (self._level_count + 3.0)
+        self.base_s = max(0.0, share * self._level_s + (1.0 - share) * PRIOR_BASE_S)
--- a/src/carobstair/scenario/batch_engine.py
+++ b/src/carobstair/scenario/batch_engine.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict, deque
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
 from carobstair.core.engine_load import PromptShape
@@ -16,6 +16,10 @@
 __all__ = ["BatchEngine", "BatchEngineSpec", "EngineJob"]
 
 
+# Interval of the mean speed; slowdowns last for several of it.
+SPEED_SAMPLE_S = 0.05
+
+
 @dataclass(frozen=True, slots=True)
 class BatchEngineSpec:
     """Sizes and times of an engine.
@@ -62,10 +66,23 @@
 
 @dataclass(slots=True)
 class BatchEngine:
-    """An engine; `step` advances it and returns the time of the next step."""
+    """An engine; `step` advances it and returns the time of the next step.
+
+    Attributes
+    ----------
+    speed : float
+        Speed relative to `spec`, which the engine does not report.
+    slowdowns : sequence of (float, float, float)
+        Periods in which neighbours slow it down: begin, end and factor.
+    work_tokens : int
+        Tokens read, and twice the tokens written.
+    """
 
     name: str
     spec: BatchEngineSpec
+    speed: float = 1.0
+    slowdowns: Sequence[tuple[float, float, float]] = ()
+    work_tokens: int = 0
     waiting: deque[EngineJob] = field(default_factory=deque)
     running: list[EngineJob] = field(default_factory=list)
     read_tokens: int = 0
@@ -101,17 +118,33 @@
             budget -= taken
         read = spec.chunk_tokens - budget
         self.read_tokens += read
-        ends_s = now_s + spec.step_s + spec.step_s_per_request * len(self.running)
-        ends_s += read / spec.prefill_tokens_per_s
+        step_s = spec.step_s + spec.step_s_per_request * len(self.running)
+        step_s += read / spec.prefill_tokens_per_s
+        ends_s = now_s + step_s * self.slowdown_at(now_s) / self.speed
+        self.work_tokens += read
         for job in [j for j in self.running if j.unread_tokens == 0]:
             if job.left_tokens == job.prompt.output_tokens:
                 job.on_first_token(ends_s)
             job.left_tokens -= 1
+            self.work_tokens += 2
             if job.left_tokens <= 0:
                 self.running.remove(job)
                 job.on_end(ends_s)
         return ends_s
 
+    def slowdown_at(self, now_s: float) -> float:
+        """Return the slowdown by neighbours."""
+        for begin_s, end_s, factor in self.slowdowns:
+            if begin_s <= now_s < end_s:
+                return factor
+        return 1.0
+
+    def mean_speed(self, seconds: float) -> float:
+        """Return the mean speed up to a time, with the slowdowns."""
+        steps = max(1, round(seconds / SPEED_SAMPLE_S))
+        times = (step * SPEED_SAMPLE_S for step in range(steps))
+        return self.speed * sum(1.0 / self.slowdown_at(t) for t in times) / steps
+
     def _admit(self, job: EngineJob) -> None:
         unread = job.prompt.prompt_tokens
         for segment, tokens in job.prompt.segments:
--- a/src/carobstair/scenario/overload.py
+++ b/src/carobstair/scenario/overload.py
@@ -11,7 +11,7 @@
 import itertools
 import random
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field
 
 from carobstair.core.directory import UpstreamDirectory, UpstreamEntry
@@ -72,6 +72,16 @@
         Configured throughput of all engines.
     lost_engines : int
         Engines that end at `lost_at_s`.
+    speeds : tuple of float
+        Speeds of the engines in turn; all run at `spec` if empty.
+    slowdowns : mapping
+        Periods in which neighbours slow an engine down, by its number.
+    states_slowdown : bool
+        Whether engines report their slowdown.
+    shares_segments : bool
+        Whether digests carry the segments that a router has sent, and its waits.
+    zones : tuple of str
+        Zones of routers and of engines in turn.
     """
 
     groups: tuple[CallerGroup, ...]
@@ -86,6 +96,13 @@
     seed: int = 1
     lost_engines: int = 0
     lost_at_s: float = 0.0
+    speeds: tuple[float, ...] = ()
+    slowdowns: Mapping[int, Sequence[tuple[float, float, float]]] = field(
+        default_factory=dict
+    )
+    states_slowdown: bool = False
+    shares_segments: bool = False
+    zones: tuple[str, ...] = ("a",)
 
 
 @dataclass(slots=True)
@@ -101,9 +118,17 @@
     refused_again: int = 0
     rejected: int = 0
     read_tokens: int = 0
+    # Work by engine relative to its speed, for the balance.
+    weighed_work: dict[str, float] = field(default_factory=dict)
+    other_zone_sends: int = 0
     requests: int = 0
     timeline: dict[int, Counter] = field(default_factory=dict)
 
+    def balance(self) -> float:
+        """Return the busiest engine's work over the mean, weighed by speed."""
+        work = self.weighed_work.values()
+        return max(work) * len(work) / max(1.0, sum(work))
+
     def fraction(self, outcome: str, workspace: str | None = None) -> float:
         """Return the fraction of the requests with an outcome."""
         counters = [
@@ -120,6 +145,8 @@
     name: str
     dispatcher: Dispatcher
     admission: FairAdmission
+    segment_cursor: int = 0
+    wait_cursor: int = 0
 
     @property
     def loads(self) -> LoadTracker:
@@ -148,28 +175,35 @@
         self._events: list[tuple[float, int, Callable[[float], None]]] = []
         self._order = itertools.count()
         self._engines = {
-            f"e{n}": BatchEngine(f"e{n}", plan.spec) for n in range(plan.engines)
+            f"e{n}": BatchEngine(
+                f"e{n}",
+                plan.spec,
+                plan.speeds[n % len(plan.speeds)] if plan.speeds else 1.0,
+                plan.slowdowns.get(n, ()),
+            )
+            for n in range(plan.engines)
         }
         self._stepping: set[str] = set()
         self._routers = [
-            self._make_router(f"r{n}") for n in range(len(plan.router_weights))
+            self._make_router(f"r{n}", plan.zones[n % len(plan.zones)])
+            for n in range(len(plan.router_weights))
         ]
         self._pool = ServicePool(POOL, engine=EngineShape(plan.spec.slots, 0))
         self._collector = ShareCollector()
         self._report = LoadReport()
 
-    def _make_router(self, name: str) -> _Router:
-        directory = UpstreamDirectory()
+    def _make_router(self, name: str, zone: str) -> _Router:
+        directory, zones = UpstreamDirectory(), itertools.cycle(self._plan.zones)
         for engine in self._engines:
             entry = UpstreamEntry(
-                engine, POOL, "", 1, "a", self._plan.spec.slots, False, 0.0, 1
+                engine, POOL, "", 1, next(zones), self._plan.spec.slots, False, 0.0, 1
             )
             directory.put(entry, 1, 0.0)
         limits = SendLimitSettings()
         dispatcher = Dispatcher(
             name,
             directory,
-            LoadTracker(self._plan.placement, "a"),
+            LoadTracker(self._plan.placement, zone),
             UpstreamHealth(),
             ColdSendLimit(limits, -10.0),
             ResendLimit(limits),
@@ -198,6 +232,8 @@
         for engine in self._engines.values():
             self._report.rejected += engine.rejected
             self._report.read_tokens += engine.read_tokens
+            work = engine.work_tokens / engine.mean_speed(plan.seconds)
+            self._report.weighed_work[engine.name] = work
         return self._report
 
     def _at(self, at_s: float, action: Callable[[float], None]) -> None:
@@ -259,6 +295,8 @@
             self._refuse(request, 0.5, now_s)
             return
         name = entry.upstream_id
+        router.dispatcher.confirm(entry, self._pool, now_s)
+        self._report.other_zone_sends += entry.zone != router.loads.zone
         sent = router.loads.begin(name, request.prompt, now_s)
         engine = self._engines[name]
 
@@ -311,6 +349,9 @@
             len(engine.waiting),
             engine.spec.slots,
             now_s + HOP_S,
+            engine.slowdown_at(now_s) if self._plan.states_slowdown else None,
+            POOL,
+            1,
         )
 
     def _refuse(self, request: _Request, retry_after_s: float, now_s: float) -> None:
@@ -346,7 +387,14 @@
     def _digest(self, sender: _Router, now_s: float) -> None:
         if now_s > self._plan.seconds:
             return
-        rows = sender.loads.own_rows()
+        rows, segments, waits = sender.loads.own_rows(), [], []
+        if self._plan.shares_segments:
+            segments, sender.segment_cursor = sender.loads.recent_segments(
+                sender.segment_cursor, 100
+            )
+            waits, sender.wait_cursor = sender.loads.recent_waits(
+                sender.wait_cursor, 100
+            )
         dispatcher, admission = sender.dispatcher, sender.admission
         for pool in admission.pools():
             pressure = dispatcher.pressure(pool, now_s)
@@ -358,4 +406,8 @@
         for router in self._routers:
             if router is not sender:
                 router.loads.note_peer(sender.name, rows)
+                for upstream, segment, tokens in segments:
+                    router.loads.note_segment(upstream, segment, tokens)
+                for row in waits:
+                    router.loads.note_peer_wait(POOL, row, now_s)
         self._at(now_s + self._plan.digest_s, lambda t: self._digest(sender, t))
