--- a/src/carobstair/core/messages.py
+++ b/src/carobstair/core/messages.py
@@ -312,6 +312,10 @@
         Upstreams that say they are leaving, with their start times.
     utilisation_percent : int, optional
         Utilisation of the sender's event loop; routers of older releases send none.
+    waits : list of (str, int, int, int, int)
+        Of own requests since the last digest, where upstreams state a slowdown: the
+        upstream with its start time, the expected and the actual time to the first
+        byte in milliseconds, and the slowdown in percent.
     """
 
     address: PeerAddress
@@ -322,6 +326,7 @@
     eras: list[int] = []
     leaving: list[tuple[str, int]] = []
     utilisation_percent: int | None = None
+    waits: list[tuple[str, int, int, int, int]] = []
 
 
 class SegmentEvidence(msgspec.Struct, frozen=True, array_like=True):
