Split the admission by fair shares into a package

Settings, shares, throughput control and decisions are now modules of core/admission/; the former module re-exports the public names. No decision changes: test_fair_admission and test_overload_admission pass (41 tests).

--- /dev/null
+++ b/src/carobstair/core/admission/fair_admission.py
@@ -0,0 +1,390 @@
+"""Admission by max-min fair shares of the engines' throughput, without a queue.
+
+Intended for a few workspaces that ask for many times their share: engines admit
+requests in order of arrival, so work beyond the fair shares would delay every
+workspace. Each router knows the sum of the demand at all others, computes the same
+max-min shares and admits its own fraction of each share. The throughput that is
+shared follows the load of the engines: it rises while they have spare capacity and
+falls while prompts queue up, so that nothing is refused that they could serve. When
+the engines become overloaded, it starts from the demand, which may be a small part of
+the configured throughput.
+
+Each router estimates the load of the engines at other times and from other digests.
+Corrections follow the mean of all estimates, and the corrected throughputs are drawn
+together, so that a workspace gets the same wherever its callers connect.
+
+Shares follow with a delay, so requests that would miss their objective by waiting are
+refused at once as well.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field, replace
+
+from carobstair.core.admission.settings import AdmissionDecision, AdmissionSettings
+from carobstair.core.admission.shares import DemandRate, max_min_shares
+from carobstair.core.admission.throughput import ThroughputControl
+from carobstair.core.share_messages import PoolDemand, ShareTotals
+
+__all__ = ["FairAdmission"]
+
+# Age up to which the demand of the other routers is used: long enough for another
+# collector to take over.
+TOTALS_LIFETIME_S = 4.0
+# Age up to which the other routers' estimates of the load are used.
+ESTIMATES_LIFETIME_S = 1.0
+# A lower rate does not count as demand.
+MIN_DEMAND_TOKENS_PER_S = 1.0
+# At a lower rate of requests their mean size is not known.
+MIN_REQUESTS_PER_S = 0.1
+
+
+@dataclass(slots=True)
+class _Credit:
+    """Tokens that a workspace beyond its share may still begin.
+
+    `part` is the part of its demand that its share is, as of the last decision.
+    """
+
+    tokens: float
+    part: float
+
+
+@dataclass(slots=True)
+class _FleetDemand:
+    """Demand at the other routers, and their estimates of the load."""
+
+    row: PoolDemand
+    at_s: float
+
+
+@dataclass(slots=True)
+class FairAdmission:
+    """Admission by fair shares per pool and workspace.
+
+    Parameters
+    ----------
+    settings : AdmissionSettings
+    """
+
+    settings: AdmissionSettings = AdmissionSettings()
+    rng: random.Random = field(default_factory=random.Random)
+    _own: dict[tuple[str, str], DemandRate] = field(default_factory=dict)
+    _others: dict[str, _FleetDemand] = field(default_factory=dict)
+    _controls: dict[str, ThroughputControl] = field(default_factory=dict)
+    # Nominal and limited throughput of each pool, as given with the last request.
+    _capacities: dict[str, tuple[float, float]] = field(default_factory=dict)
+    # Tokens admitted lately, by pool.
+    _admitted: dict[str, DemandRate] = field(default_factory=dict)
+    # Tokens and requests sent lately to engines that limit their requests, by pool.
+    _limited_tokens: dict[str, DemandRate] = field(default_factory=dict)
+    _limited_requests: dict[str, DemandRate] = field(default_factory=dict)
+    # Workspaces beyond their share.
+    _credits: dict[tuple[str, str], _Credit] = field(default_factory=dict)
+
+    def note_totals(self, totals: ShareTotals, now_s: float) -> None:
+        """Replace the demand of the other routers, and approach their throughput."""
+        self._others = {
+            pool: _FleetDemand(row, now_s) for pool, row in totals.pools.items()
+        }
+        for pool, row in totals.pools.items():
+            if not row.samples:
+                continue
+            control = self._controls.get(pool)
+            reported = totals.reported.get(pool)
+            if control is None:
+                continue
+            if reported is None:
+                # Without requests there is no estimate of the own.
+                control.factor = math.exp(row.log_factors / row.samples)
+                control.pressure = row.pressures / row.samples
+            else:
+                mean = (row.log_factors + reported) / (row.samples + 1)
+                control.approach(mean, reported)
+
+    def report(self, now_s: float) -> dict[str, PoolDemand]:
+        """Return the demand at this router by pool, and drop what has decayed."""
+        window_s = self.settings.demand_window_s
+        demands: dict[str, dict[str, int]] = {}
+        for key, demand in list(self._own.items()):
+            rate = demand.rate(now_s, window_s)
+            if rate < MIN_DEMAND_TOKENS_PER_S:
+                del self._own[key]
+                self._credits.pop(key, None)
+            else:
+                demands.setdefault(key[0], {})[key[1]] = round(rate)
+        return {
+            pool: self._report_row(pool, row, now_s) for pool, row in demands.items()
+        }
+
+    def _report_row(
+        self, pool: str, demands: dict[str, int], now_s: float
+    ) -> PoolDemand:
+        control = self._controls[pool]
+        return PoolDemand(
+            demands,
+            round(self._rate(self._admitted, pool, now_s)),
+            1,
+            round(math.log(control.factor), 4),
+            round(control.own_pressure, 3),
+            round(control.own_slots_used, 3),
+            round(self._rate(self._limited_tokens, pool, now_s)),
+            round(self._rate(self._limited_requests, pool, now_s) * 1000.0),
+        )
+
+    def refresh(
+        self, pool: str, pressure: float, slots_used: float, now_s: float
+    ) -> None:
+        """Correct the throughput of a pool in time, whether requests arrive or not."""
+        control = self._controls.get(pool)
+        if control is not None and control.is_due(now_s):
+            demand = sum(self._demands(pool, now_s).values())
+            self._correct(pool, control, pressure, slots_used, demand, now_s)
+
+    def pools(self) -> list[str]:
+        """Return the pools with demand at this router."""
+        return list({pool for pool, _ in self._own})
+
+    def give_back(self, pool: str, workspace: str, tokens: float) -> None:
+        """Return the tokens of a request that was admitted and did not begin."""
+        credit = self._credits.get((pool, workspace))
+        if credit is not None:
+            credit.tokens += tokens
+
+    def is_beyond_share(self, pool: str, workspace: str) -> bool:
+        """Return whether a workspace exceeded its share when it last asked."""
+        return (pool, workspace) in self._credits
+
+    def note_demand(
+        self, pool: str, workspace: str, tokens: float, now_s: float
+    ) -> None:
+        """Count a request that is refused without a decision towards the demand."""
+        window_s = self.settings.demand_window_s
+        key = (pool, workspace)
+        own = self._own.setdefault(key, DemandRate(0.0, now_s))
+        drained = own.tokens - own.rate(now_s, window_s) * window_s
+        own.add(tokens, now_s, window_s)
+        credit = self._credits.get(key)
+        if credit is not None:
+            saved = own.rate(now_s, window_s) * self.settings.burst_s
+            earned = credit.tokens + credit.part * drained
+            credit.tokens = min(earned, credit.part * saved)
+
+    def throughput_factors(self) -> dict[str, tuple[float, float]]:
+        """Return factor and smoothed pressure of each pool that had requests."""
+        return {
+            pool: (control.factor, control.pressure)
+            for pool, control in self._controls.items()
+        }
+
+    def decide(
+        self,
+        pool: str,
+        workspace: str,
+        tokens: float,
+        capacity: float,
+        pressure: Callable[[], float],
+        now_s: float,
+        wait: Callable[[], float] = lambda: 0.0,
+        slots_used: Callable[[], float] = lambda: 0.0,
+        limited_tokens_per_s: float = 0.0,
+    ) -> AdmissionDecision:
+        """Count a request towards the demand and decide on its admission.
+
+        Parameters
+        ----------
+        tokens : float
+            Weighted tokens of the request.
+        capacity : float
+            Nominal throughput of the pool's engines, in weighted tokens a second.
+        pressure : callable
+            Returns the load of the engines relative to its target (1.0).
+        wait : callable
+            Returns the expected wait for the first token, without the time for the
+            request's own prompt, as a fraction of its objective.
+        slots_used : callable
+            Returns the requests at the engines relative to their slots.
+        limited_tokens_per_s : float
+            Throughput of engines that limit their requests, which is shared as well
+            and does not follow the load.
+        """
+        window_s = self.settings.demand_window_s
+        key = (pool, workspace)
+        own = self._own.setdefault(key, DemandRate(0.0, now_s))
+        rate_before = own.rate(now_s, window_s)
+        drained = own.tokens - rate_before * window_s
+        own.add(tokens, now_s, window_s)
+        demands = self._demands(pool, now_s)
+        total_demand = sum(demands.values())
+        control = self._controls.get(pool)
+        if control is None:
+            control = self._controls[pool] = self._new_control(pool)
+        self._capacities[pool] = capacity, limited_tokens_per_s
+        if control.is_due(now_s):
+            self._correct(pool, control, pressure(), slots_used(), total_demand, now_s)
+        supply = capacity * control.factor + limited_tokens_per_s
+        demand = demands[workspace]
+        share = demand
+        if total_demand > supply:
+            share = max_min_shares(demands, supply)[workspace]
+        refused = AdmissionDecision(
+            False,
+            share,
+            demand,
+            self.settings.min_retry_after_s,
+            supply,
+            control.pressure,
+        )
+        credit = math.inf
+        if share < demand:
+            part = share / demand
+            if control.is_wait_due(now_s):
+                control.note_wait(wait(), now_s)
+            if control.is_loaded and control.wait > self.settings.max_wait:
+                # Saved credit would be used at once when the engines have room again.
+                drained = 0.0
+            credit = self._credit(key, part, tokens, rate_before, drained)
+            self._credits[key] = _Credit(credit, part)
+        else:
+            self._credits.pop(key, None)
+        # A request may overdraw the credit, so that large ones are admitted as well.
+        if credit <= 0:
+            rate = share / demand * own.rate(now_s, window_s)
+            retry_after_s = self._bound_retry_s((tokens - credit) / max(rate, 1.0))
+            return replace(refused, retry_after_s=retry_after_s, reason="share")
+        # The estimate looks at all engines, so only requests within the share pay it.
+        expected = wait() if control.is_loaded else 0.0
+        control.note_wait(expected, now_s)
+        if expected > self.settings.max_wait:
+            return replace(refused, wait=expected, reason="wait")
+        if key in self._credits:
+            self._credits[key].tokens = credit - tokens
+        self._note_admitted(pool, tokens, now_s)
+        return AdmissionDecision(True, share, demand)
+
+    def _bound_retry_s(self, wait_s: float) -> float:
+        settings = self.settings
+        return min(max(wait_s, settings.min_retry_after_s), settings.max_retry_after_s)
+
+    def _note_admitted(self, pool: str, tokens: float, now_s: float) -> None:
+        self._add(self._admitted, pool, tokens, now_s)
+
+    def note_limited_send(self, pool: str, tokens: float, now_s: float) -> None:
+        """Count a request that is sent to an engine that limits its requests."""
+        self._add(self._limited_tokens, pool, tokens, now_s)
+        self._add(self._limited_requests, pool, 1.0, now_s)
+
+    def _add(
+        self, sums: dict[str, DemandRate], pool: str, amount: float, now_s: float
+    ) -> None:
+        demand = sums.setdefault(pool, DemandRate(0.0, now_s))
+        demand.add(amount, now_s, self.settings.demand_window_s)
+
+    def _rate(self, sums: Mapping[str, DemandRate], pool: str, now_s: float) -> float:
+        """Return the amount a second of a pool."""
+        demand = sums.get(pool)
+        if demand is None:
+            return 0.0
+        return demand.rate(now_s, self.settings.demand_window_s)
+
+    def factor(self, pool: str) -> float:
+        """Return the throughput of a pool relative to the nominal one."""
+        control = self._controls.get(pool)
+        return 1.0 if control is None else control.factor
+
+    def limited_request_tokens(self, pool: str, now_s: float) -> float:
+        """Return the mean weighted tokens of requests at engines that limit them.
+
+        They are the sends of all routers; 0 if there were none lately.
+        """
+        tokens = self._rate(self._limited_tokens, pool, now_s)
+        requests = self._rate(self._limited_requests, pool, now_s)
+        others = self._others.get(pool)
+        if others is not None and now_s - others.at_s < TOTALS_LIFETIME_S:
+            tokens += others.row.limited_tokens
+            requests += others.row.limited_requests_per_ks / 1000.0
+        return tokens / requests if requests > MIN_REQUESTS_PER_S else 0.0
+
+    def _credit(
+        self,
+        key: tuple[str, str],
+        part: float,
+        tokens: float,
+        rate_before: float,
+        drained: float,
+    ) -> float:
+        """Return the credit of a workspace when a request arrives.
+
+        Credit grows by the admitted part of the demand as it leaves the estimate, so
+        the tokens that begin do not depend on how often a router sees the workspace:
+        a bucket that fills with time is full at each rare request.
+
+        Parameters
+        ----------
+        part : float
+            Share of the workspace relative to its demand.
+        rate_before : float
+            Demand without the request, in tokens a second.
+        drained : float
+            Tokens that left the estimate of the demand since the last request.
+        """
+        saved = part * rate_before * self.settings.burst_s
+        credit = self._credits.get(key)
+        if credit is None:
+            # Until now all was admitted; what exceeded the share is owed. Of all
+            # first requests the same part is admitted.
+            owed = (1.0 - part) * rate_before * self.settings.demand_window_s
+            return tokens * (part - self.rng.random()) - owed
+        return min(credit.tokens + part * drained, saved + part * tokens)
+
+    def _new_control(self, pool: str) -> ThroughputControl:
+        control = ThroughputControl(self.settings)
+        others = self._others.get(pool)
+        if others is not None and others.row.samples:
+            row = others.row
+            control.factor = math.exp(row.log_factors / row.samples)
+            control.pressure = row.pressures / row.samples
+        return control
+
+    def _correct(
+        self,
+        pool: str,
+        control: ThroughputControl,
+        pressure: float,
+        slots_used: float,
+        demand: float,
+        now_s: float,
+    ) -> None:
+        """Correct a throughput by the mean of all routers' estimates of the load."""
+        others = self._others.get(pool)
+        own_pressure, own_slots_used = pressure, slots_used
+        admitted = self._rate(self._admitted, pool, now_s)
+        if others is not None and now_s - others.at_s < ESTIMATES_LIFETIME_S:
+            row = others.row
+            admitted += row.admitted
+            pressure = (pressure + row.pressures) / (1 + row.samples)
+            slots_used = (slots_used + row.slots_used) / (1 + row.samples)
+        capacity, limited = self._capacities[pool]
+        control.correct(
+            pressure,
+            max(0.0, demand - limited) / capacity,
+            now_s,
+            slots_used,
+            max(0.0, admitted - limited) / capacity,
+        )
+        control.own_pressure, control.own_slots_used = own_pressure, own_slots_used
+
+    def _demands(self, pool: str, now_s: float) -> dict[str, float]:
+        window_s = self.settings.demand_window_s
+        others = self._others.get(pool)
+        demands: dict[str, float] = {}
+        if others is not None and now_s - others.at_s < TOTALS_LIFETIME_S:
+            demands.update(others.row.demands)
+        for (name, workspace), demand in self._own.items():
+            if name == pool:
+                rate = demand.rate(now_s, window_s)
+                demands[workspace] = demands.get(workspace, 0.0) + rate
+        return demands
--- /dev/null
+++ b/src/carobstair/core/admission/settings.py
@@ -0,0 +1,88 @@
+"""Settings and outcome of the admission by fair shares."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+__all__ = ["AdmissionDecision", "AdmissionSettings"]
+
+
+@dataclass(frozen=True, slots=True)
+class AdmissionSettings:
+    """Settings of the admission by fair shares.
+
+    Attributes
+    ----------
+    demand_window_s : float
+        Time constant of the demand estimate.
+    control_s : float
+        Time between two corrections of the throughput that is shared.
+    gain : float
+        Correction per unit of pressure on the engines above or below 1.
+    max_change : float
+        Largest single correction.
+    smoothing : float
+        Weight of the newest pressure sample, which single long prompts make jump.
+    min_factor, max_factor : float
+        Bounds of the throughput, as multiples of the nominal one.
+    promised_factor : float
+        Lower bound unless the engines are overloaded: callers are promised the
+        nominal throughput, so slow engines lower it only a little.
+    overload_slots_used : float
+        Fraction of the slots in use, waiting requests included, above which the
+        engines count as overloaded, whatever was promised.
+    max_wait : float
+        Expected wait for the first token, as a fraction of its objective, above which
+        requests are refused. The same for all workspaces: with a lower one for those
+        beyond their share, they got less than it.
+    agreement : float
+        Part of the distance to the mean factor of all routers by which the own one
+        is moved whenever totals arrive.
+    output_weight : float
+        Weight of a generated token relative to a prompt token.
+    burst_s : float
+        Capacity of a token bucket, in seconds of the share of its workspace.
+    min_retry_after_s, max_retry_after_s : float
+        Bounds of the time after which a refused caller should retry.
+    """
+
+    demand_window_s: float = 0.5
+    control_s: float = 0.1
+    gain: float = 0.1
+    max_change: float = 0.05
+    smoothing: float = 0.15
+    min_factor: float = 0.02
+    promised_factor: float = 0.8
+    overload_slots_used: float = 0.8
+    max_factor: float = 2.5
+    max_wait: float = 1.0
+    agreement: float = 0.5
+    output_weight: float = 2.0
+    burst_s: float = 1.0
+    min_retry_after_s: float = 0.4
+    max_retry_after_s: float = 3.0
+
+
+@dataclass(frozen=True, slots=True)
+class AdmissionDecision:
+    """Whether a request is admitted, with the values that decided it.
+
+    Attributes
+    ----------
+    share, demand : float
+        Share and demand of the workspace over all routers, in tokens a second.
+    supply, pressure, wait : float
+        Throughput that is shared, smoothed pressure on the engines, and expected
+        wait as a fraction of the objective. All are 0 for admitted requests.
+    reason : str
+        What the request exceeds if it is refused: ``share`` or ``wait``.
+    """
+
+    admitted: bool
+    share: float
+    demand: float
+    retry_after_s: float = 0.0
+    supply: float = 0.0
+    pressure: float = 0.0
+    wait: float = 0.0
+    reason: str = ""
