Show the throughput collapse in the played loads

play_load now has callers that reach some routers only, exchanges of demand that are apart from the digests and arrive late, tokens asked and begun by second, and the ideal case, which tells what the engines take.

--- /dev/null
+++ b/src/carobstair/scenario/load_plan.py
@@ -0,0 +1,149 @@
+"""Loads that are played on the routers, and what the callers got."""
+
+from __future__ import annotations
+
+from collections import Counter, defaultdict
+from dataclasses import dataclass, field
+
+from carobstair.core.admission import AdmissionSettings
+from carobstair.core.engine_load import PlacementSettings
+from carobstair.scenario.batch_engine import BatchEngineSpec
+
+__all__ = ["CallerGroup", "LoadPlan", "LoadReport", "TokensBySecond"]
+
+
+@dataclass(frozen=True, slots=True)
+class CallerGroup:
+    """Requests of one workspace and one size.
+
+    Attributes
+    ----------
+    rate_per_s : float
+    shared_tokens, own_tokens, output_tokens : int
+        Mean sizes; a shared segment is one of `segments` of the group's workspace.
+    aim_s, deadline_s : float
+        Objective for the first token, and when the caller gives up.
+    begin_s, end_s : float
+        When the group sends requests.
+    routers : tuple of int
+        Numbers of the routers that first attempts reach; all by their weights if
+        empty. Second attempts reach any router.
+    """
+
+    workspace: str
+    rate_per_s: float
+    shared_tokens: int = 200
+    own_tokens: int = 600
+    output_tokens: int = 290
+    segments: int = 10
+    aim_s: float = 0.4
+    deadline_s: float = 12.0
+    begin_s: float = 0.0
+    end_s: float = 1e9
+    routers: tuple[int, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class LoadPlan:
+    """A load, and the fleet that it is played on.
+
+    Attributes
+    ----------
+    router_weights : tuple of float
+        Fraction of the requests that each router receives, in relative terms.
+    digest_s : float
+        Interval between the digests of one router.
+    share_s : float
+        Interval between the exchanges of demand by one router; that of digests if 0.
+    ideal : bool
+        Admit a request exactly if some engine really has a free slot and little to
+        read. What begins then is what the engines take.
+    tokens_per_s : float
+        Configured throughput of all engines.
+    lost_engines : int
+        Engines that end at `lost_at_s`.
+    """
+
+    groups: tuple[CallerGroup, ...]
+    engines: int = 7
+    router_weights: tuple[float, ...] = (6.0, 2.0, 1.0, 1.0)
+    seconds: float = 20.0
+    digest_s: float = 0.2
+    tokens_per_s: float = 1e6
+    spec: BatchEngineSpec = BatchEngineSpec()
+    admission: AdmissionSettings = AdmissionSettings()
+    placement: PlacementSettings = PlacementSettings()
+    seed: int = 1
+    lost_engines: int = 0
+    lost_at_s: float = 0.0
+    share_s: float = 0.0
+    ideal: bool = False
+
+
+TokensBySecond = dict[int, Counter[str]]
+
+
+@dataclass(slots=True)
+class LoadReport:
+    """Outcomes by workspace, and what the engines did.
+
+    `counts` has the outcomes of each workspace, each request counted once with its
+    last outcome: ``in-aim``, ``late``, ``refused``, ``failed`` or ``gave-up``.
+
+    Attributes
+    ----------
+    asked, begun, refusals : mapping
+        Weighted tokens of first attempts, weighted tokens whose answers began, and
+        refused attempts, by second and workspace.
+    returned, returned_begun : int
+        Second attempts, and those whose answers began.
+    loads : dict
+        Slots in use relative to all, and the mean factor, by second.
+    """
+
+    counts: dict[str, Counter] = field(default_factory=dict)
+    first_token_s: list[float] = field(default_factory=list)
+    refused_again: int = 0
+    rejected: int = 0
+    read_tokens: int = 0
+    requests: int = 0
+    timeline: dict[int, Counter] = field(default_factory=dict)
+    asked: TokensBySecond = field(default_factory=lambda: defaultdict(Counter))
+    begun: TokensBySecond = field(default_factory=lambda: defaultdict(Counter))
+    refusals: TokensBySecond = field(default_factory=lambda: defaultdict(Counter))
+    returned: int = 0
+    returned_begun: int = 0
+    loads: dict[int, list[float]] = field(default_factory=dict)
+
+    def begun_per_s(self, begin_s: int, end_s: int) -> float:
+        """Return the weighted tokens a second that began in some seconds."""
+        tokens = sum(sum(self.begun[s].values()) for s in range(begin_s, end_s))
+        return tokens / (end_s - begin_s)
+
+    def worst_part(self, begin_s: int, end_s: int, span_s: int = 6) -> float:
+        """Return the least part of its due that a workspace with refusals got.
+
+        Its due in a span is the least of what it asked and what the best served
+        workspace got. Only workspaces with a refusal in each second count.
+        """
+        worst = 1.0
+        for first in range(begin_s, end_s - span_s + 1):
+            seconds = range(first, first + span_s)
+            got: Counter[str] = sum((self.begun[s] for s in seconds), Counter())
+            asked: Counter[str] = sum((self.asked[s] for s in seconds), Counter())
+            best = max(got.values(), default=0.0)
+            for workspace, tokens in asked.items():
+                if all(self.refusals[s][workspace] for s in seconds):
+                    due = min(tokens, best)
+                    worst = min(worst, got[workspace] / due if due else 1.0)
+        return worst
+
+    def fraction(self, outcome: str, workspace: str | None = None) -> float:
+        """Return the fraction of the requests with an outcome."""
+        counters = [
+            counter
+            for name, counter in self.counts.items()
+            if workspace in (None, name)
+        ]
+        total = sum(sum(counter.values()) for counter in counters)
+        return sum(counter[outcome] for counter in counters) / max(1, total)
--- a/src/carobstair/scenario/overload.py
+++ b/src/carobstair/scenario/overload.py
@@ -12,107 +12,30 @@
 import random
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
+from carobstair.core.admission import FairAdmission
 from carobstair.core.directory import UpstreamDirectory, UpstreamEntry
 from carobstair.core.dispatch import Dispatcher
-from carobstair.core.engine_load import LoadTracker, PlacementSettings, PromptShape
-from carobstair.core.fair_admission import AdmissionSettings, FairAdmission
+from carobstair.core.engine_load import LoadTracker, PromptShape
 from carobstair.core.routing import EngineShape, ServicePool
 from carobstair.core.send_limits import ColdSendLimit, ResendLimit, SendLimitSettings
 from carobstair.core.share_collector import ShareCollector
 from carobstair.core.upstream_health import UpstreamHealth
-from carobstair.scenario.batch_engine import BatchEngine, BatchEngineSpec, EngineJob
+from carobstair.scenario.batch_engine import BatchEngine, EngineJob
+from carobstair.scenario.load_plan import CallerGroup, LoadPlan, LoadReport
 
 __all__ = ["CallerGroup", "LoadPlan", "LoadReport", "play_load"]
 
 POOL = "model"
 # One way between a router and an engine.
 HOP_S = 0.001
-
-
-@dataclass(frozen=True, slots=True)
-class CallerGroup:
-    """Requests of one workspace and one size.
-
-    Attributes
-    ----------
-    rate_per_s : float
-    shared_tokens, own_tokens, output_tokens : int
-        Mean sizes; a shared segment is one of `segments` of the group's workspace.
-    aim_s, deadline_s : float
-        Objective for the first token, and when the caller gives up.
-    begin_s, end_s : float
-        When the group sends requests.
-    """
-
-    workspace: str
-    rate_per_s: float
-    shared_tokens: int = 200
-    own_tokens: int = 600
-    output_tokens: int = 290
-    segments: int = 10
-    aim_s: float = 0.4
-    deadline_s: float = 12.0
-    begin_s: float = 0.0
-    end_s: float = 1e9
-
-
-@dataclass(frozen=True, slots=True)
-class LoadPlan:
-    """A load, and the fleet that it is played on.
-
-    Attributes
-    ----------
-    router_weights : tuple of float
-        Fraction of the requests that each router receives, in relative terms.
-    digest_s : float
-        Interval between the digests of one router.
-    tokens_per_s : float
-        Configured throughput of all engines.
-    lost_engines : int
-        Engines that end at `lost_at_s`.
-    """
-
-    groups: tuple[CallerGroup, ...]
-    engines: int = 7
-    router_weights: tuple[float, ...] = (6.0, 2.0, 1.0, 1.0)
-    seconds: float = 20.0
-    digest_s: float = 0.2
-    tokens_per_s: float = 1e6
-    spec: BatchEngineSpec = BatchEngineSpec()
-    admission: AdmissionSettings = AdmissionSettings()
-    placement: PlacementSettings = PlacementSettings()
-    seed: int = 1
-    lost_engines: int = 0
-    lost_at_s: float = 0.0
-
-
-@dataclass(slots=True)
-class LoadReport:
-    """Outcomes by workspace, and what the engines did.
-
-    `counts` has the outcomes of each workspace, each request counted once with its
-    last outcome: ``in-aim``, ``late``, ``refused``, ``failed`` or ``gave-up``.
-    """
-
-    counts: dict[str, Counter] = field(default_factory=dict)
-    first_token_s: list[float] = field(default_factory=list)
-    refused_again: int = 0
-    rejected: int = 0
-    read_tokens: int = 0
-    requests: int = 0
-    timeline: dict[int, Counter] = field(default_factory=dict)
-
-    def fraction(self, outcome: str, workspace: str | None = None) -> float:
-        """Return the fraction of the requests with an outcome."""
-        counters = [
-            counter
-            for name, counter in self.counts.items()
-            if workspace in (None, name)
-        ]
-        total = sum(sum(counter.values()) for counter in counters)
-        return sum(counter[outcome] for counter in counters) / max(1, total)
+# Engines count as able to take a request in the ideal case up to this backlog, relative
+# to its objective.
+IDEAL_BACKLOG = 0.5
+# Time from the report of a router until the totals with it reach another: it passes two
+# collectors, each of which sends at its own interval.
+TOTALS_DELAY_S = 0.3
 
 
 @dataclass(slots=True)
@@ -135,6 +58,10 @@
     waited_s: float = 0.0
     ended: bool = False
 
+    def weighted_tokens(self, output_weight: float) -> float:
+        """Return the tokens by which the admission counts the request."""
+        return self.prompt.prompt_tokens + output_weight * self.prompt.output_tokens
+
 
 def play_load(plan: LoadPlan) -> LoadReport:
     """Play a load and return what the callers got."""
@@ -156,6 +83,8 @@
         ]
         self._pool = ServicePool(POOL, engine=EngineShape(plan.spec.slots, 0))
         self._collector = ShareCollector()
+        # Requests on the way to each engine.
+        self._on_the_way: Counter[str] = Counter()
         self._report = LoadReport()
 
     def _make_router(self, name: str) -> _Router:
@@ -188,6 +117,11 @@
         for number, router in enumerate(self._routers):
             offset_s = plan.digest_s * number / len(self._routers)
             self._at(offset_s, lambda t, r=router: self._digest(r, t))
+            if plan.share_s:
+                offset_s = plan.share_s * number / len(self._routers)
+                self._at(offset_s, lambda t, r=router: self._exchange_often(r, t))
+        for second in range(int(plan.seconds)):
+            self._at(second + 0.5, self._note_load)
         if plan.lost_engines:
             self._at(plan.lost_at_s, self._lose_engines)
         while self._events:
@@ -200,12 +134,24 @@
             self._report.read_tokens += engine.read_tokens
         return self._report
 
+    def _note_load(self, now_s: float) -> None:
+        running = sum(len(e.running) + len(e.waiting) for e in self._engines.values())
+        slots = self._plan.spec.slots * len(self._engines)
+        factors = [
+            factor
+            for router in self._routers
+            for factor, _ in router.admission.throughput_factors().values()
+        ]
+        mean = sum(factors) / max(1, len(factors))
+        self._report.loads[int(now_s)] = [running / slots, mean]
+
     def _at(self, at_s: float, action: Callable[[float], None]) -> None:
         heapq.heappush(self._events, (at_s, next(self._order), action))
 
     def _lose_engines(self, now_s: float) -> None:
         for name in list(self._engines)[: self._plan.lost_engines]:
             engine = self._engines.pop(name)
+            self._on_the_way.pop(name, None)
             self._report.rejected += engine.rejected
             for router in self._routers:
                 router.dispatcher.directory.remove(name, 2, None)
@@ -228,14 +174,17 @@
         self._arrive(_Request(group, prompt, now_s), now_s)
 
     def _arrive(self, request: _Request, now_s: float) -> None:
-        self._report.requests += request.refusals == 0
-        router = self._rng.choices(self._routers, self._plan.router_weights)[0]
+        router = self._pick_router(request)
+        self._note_arrival(request, now_s)
+        if self._plan.ideal:
+            self._arrive_ideal(request, router, now_s)
+            return
         dispatcher, prompt = router.dispatcher, request.prompt
         settings = router.admission.settings
         decision = router.admission.decide(
             POOL,
             request.group.workspace,
-            prompt.prompt_tokens + settings.output_weight * prompt.output_tokens,
+            request.weighted_tokens(settings.output_weight),
             dispatcher.throughput(
                 POOL, self._plan.tokens_per_s, 0.0, 1.0, now_s
             ).nominal_per_s,
@@ -251,6 +200,44 @@
             return
         self._send(request, router, frozenset(), now_s)
 
+    def _pick_router(self, request: _Request) -> _Router:
+        routers, weights = self._routers, self._plan.router_weights
+        if request.group.routers and not request.refusals:
+            numbers = request.group.routers
+            routers = [routers[number] for number in numbers]
+            weights = tuple(weights[number] for number in numbers)
+        return self._rng.choices(routers, weights)[0]
+
+    def _note_arrival(self, request: _Request, now_s: float) -> None:
+        if request.refusals:
+            self._report.returned += 1
+            return
+        self._report.requests += 1
+        tokens = request.weighted_tokens(self._plan.admission.output_weight)
+        self._report.asked[int(now_s)][request.group.workspace] += tokens
+
+    def _note_begun(self, request: _Request, now_s: float) -> None:
+        self._report.returned_begun += request.refusals > 0
+        tokens = request.weighted_tokens(self._plan.admission.output_weight)
+        self._report.begun[int(now_s)][request.group.workspace] += tokens
+
+    def _arrive_ideal(self, request: _Request, router: _Router, now_s: float) -> None:
+        unable = [e.name for e in self._engines.values() if not self._takes(e, request)]
+        if len(unable) == len(self._engines):
+            self._refuse(request, 0.3, now_s)
+        else:
+            self._send(request, router, frozenset(unable), now_s)
+
+    def _takes(self, engine: BatchEngine, request: _Request) -> bool:
+        """Return whether an engine really has room for a request."""
+        present = len(engine.running) + len(engine.waiting)
+        if present + self._on_the_way[engine.name] >= engine.spec.slots:
+            return False
+        unread = sum(job.unread_tokens for job in engine.running)
+        unread += sum(job.prompt.prompt_tokens for job in engine.waiting)
+        backlog_s = unread / engine.spec.prefill_tokens_per_s
+        return backlog_s < IDEAL_BACKLOG * request.group.aim_s
+
     def _send(
         self, request: _Request, router: _Router, avoided: frozenset[str], now_s: float
     ) -> None:
@@ -268,6 +255,7 @@
             if not request.ended:
                 request.waited_s = at_s + HOP_S - request.arrived_s
                 self._report.first_token_s.append(request.waited_s)
+                self._note_begun(request, at_s + HOP_S)
 
         def end(at_s: float) -> None:
             if request.ended:
@@ -288,6 +276,7 @@
                 router.loads.end(sent, at_s)
 
         def reach(at_s: float) -> None:
+            self._on_the_way[name] -= 1
             if job.cancelled:
                 return
             if engine.submit(job):
@@ -302,6 +291,7 @@
             else:
                 self._send(request, router, frozenset((name,)), at_s + HOP_S)
 
+        self._on_the_way[name] += 1
         self._at(now_s + HOP_S, reach)
 
     def _report_load(self, router: _Router, engine: BatchEngine, now_s: float) -> None:
@@ -315,6 +305,7 @@
 
     def _refuse(self, request: _Request, retry_after_s: float, now_s: float) -> None:
         request.refusals += 1
+        self._report.refusals[int(now_s)][request.group.workspace] += 1
         self._report.refused_again += request.refusals > 1
         left_s = request.arrived_s + request.group.deadline_s - now_s
         if request.refusals > 1 or left_s <= 0:
@@ -347,6 +338,20 @@
         if now_s > self._plan.seconds:
             return
         rows = sender.loads.own_rows()
+        if not self._plan.share_s:
+            self._exchange(sender, now_s)
+        for router in self._routers:
+            if router is not sender:
+                router.loads.note_peer(sender.name, rows)
+        self._at(now_s + self._plan.digest_s, lambda t: self._digest(sender, t))
+
+    def _exchange_often(self, sender: _Router, now_s: float) -> None:
+        if now_s <= self._plan.seconds:
+            self._exchange(sender, now_s)
+            next_s = now_s + self._plan.share_s
+            self._at(next_s, lambda t: self._exchange_often(sender, t))
+
+    def _exchange(self, sender: _Router, now_s: float) -> None:
         dispatcher, admission = sender.dispatcher, sender.admission
         for pool in admission.pools():
             pressure = dispatcher.pressure(pool, now_s)
@@ -354,8 +359,9 @@
             admission.refresh(pool, pressure, slots_used, now_s)
         self._collector.note_report(sender.name, admission.report(now_s), now_s)
         fleet = self._collector.fleet_totals()
-        admission.note_totals(self._collector.totals_for(sender.name, fleet), now_s)
-        for router in self._routers:
-            if router is not sender:
-                router.loads.note_peer(sender.name, rows)
-        self._at(now_s + self._plan.digest_s, lambda t: self._digest(sender, t))
+        totals = self._collector.totals_for(sender.name, fleet)
+        if not self._plan.share_s:
+            admission.note_totals(totals, now_s)
+            return
+        at_s = now_s + TOTALS_DELAY_S
+        self._at(at_s, lambda t: admission.note_totals(totals, t))
