Separate the demand of workspaces from the decisions on it

DemandBook holds the rates of this router and the sums of the others, so that a second policy can decide on the same demand.

--- a/src/carobstair/core/admission/fair_admission.py
+++ b/src/carobstair/core/admission/fair_admission.py
@@ -21,26 +21,17 @@
 
 import math
 import random
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
+from carobstair.core.admission.demand_book import DemandBook
 from carobstair.core.admission.settings import AdmissionDecision, AdmissionSettings
-from carobstair.core.admission.shares import DemandRate, max_min_shares
+from carobstair.core.admission.shares import max_min_shares
 from carobstair.core.admission.throughput import ThroughputControl
 from carobstair.core.share_messages import PoolDemand, ShareTotals
 
 __all__ = ["FairAdmission"]
 
-# Age up to which the demand of the other routers is used: long enough for another
-# collector to take over.
-TOTALS_LIFETIME_S = 4.0
-# Age up to which the other routers' estimates of the load are used.
-ESTIMATES_LIFETIME_S = 1.0
-# A lower rate does not count as demand.
-MIN_DEMAND_TOKENS_PER_S = 1.0
-# At a lower rate of requests their mean size is not known.
-MIN_REQUESTS_PER_S = 0.1
-
 
 @dataclass(slots=True)
 class _Credit:
@@ -53,14 +44,6 @@
     part: float
 
 
-@dataclass(slots=True)
-class _FleetDemand:
-    """Demand at the other routers, and their estimates of the load."""
-
-    row: PoolDemand
-    at_s: float
-
-
 @dataclass(slots=True)
 class FairAdmission:
     """Admission by fair shares per pool and workspace.
@@ -72,24 +55,19 @@
 
     settings: AdmissionSettings = AdmissionSettings()
     rng: random.Random = field(default_factory=random.Random)
-    _own: dict[tuple[str, str], DemandRate] = field(default_factory=dict)
-    _others: dict[str, _FleetDemand] = field(default_factory=dict)
+    _book: DemandBook = field(init=False)
     _controls: dict[str, ThroughputControl] = field(default_factory=dict)
     # Nominal and limited throughput of each pool, as given with the last request.
     _capacities: dict[str, tuple[float, float]] = field(default_factory=dict)
-    # Tokens admitted lately, by pool.
-    _admitted: dict[str, DemandRate] = field(default_factory=dict)
-    # Tokens and requests sent lately to engines that limit their requests, by pool.
-    _limited_tokens: dict[str, DemandRate] = field(default_factory=dict)
-    _limited_requests: dict[str, DemandRate] = field(default_factory=dict)
     # Workspaces beyond their share.
     _credits: dict[tuple[str, str], _Credit] = field(default_factory=dict)
 
+    def __post_init__(self) -> None:
+        self._book = DemandBook(self.settings.demand_window_s)
+
     def note_totals(self, totals: ShareTotals, now_s: float) -> None:
         """Replace the demand of the other routers, and approach their throughput."""
-        self._others = {
-            pool: _FleetDemand(row, now_s) for pool, row in totals.pools.items()
-        }
+        self._book.note_totals(totals, now_s)
         for pool, row in totals.pools.items():
             if not row.samples:
                 continue
@@ -107,32 +85,27 @@
 
     def report(self, now_s: float) -> dict[str, PoolDemand]:
         """Return the demand at this router by pool, and drop what has decayed."""
-        window_s = self.settings.demand_window_s
-        demands: dict[str, dict[str, int]] = {}
-        for key, demand in list(self._own.items()):
-            rate = demand.rate(now_s, window_s)
-            if rate < MIN_DEMAND_TOKENS_PER_S:
-                del self._own[key]
-                self._credits.pop(key, None)
-            else:
-                demands.setdefault(key[0], {})[key[1]] = round(rate)
+        for key in self._book.expire(now_s):
+            self._credits.pop(key, None)
         return {
-            pool: self._report_row(pool, row, now_s) for pool, row in demands.items()
+            pool: self._report_row(pool, row, now_s)
+            for pool, row in self._book.own_demands(now_s).items()
         }
 
     def _report_row(
         self, pool: str, demands: dict[str, int], now_s: float
     ) -> PoolDemand:
         control = self._controls[pool]
+        limited_tokens, limited_requests = self._book.limited_per_s(pool, now_s)
         return PoolDemand(
             demands,
-            round(self._rate(self._admitted, pool, now_s)),
+            round(self._book.admitted_per_s(pool, now_s)),
             1,
             round(math.log(control.factor), 4),
             round(control.own_pressure, 3),
             round(control.own_slots_used, 3),
-            round(self._rate(self._limited_tokens, pool, now_s)),
-            round(self._rate(self._limited_requests, pool, now_s) * 1000.0),
+            round(limited_tokens),
+            round(limited_requests * 1000.0),
         )
 
     def refresh(
@@ -146,7 +119,7 @@
 
     def pools(self) -> list[str]:
         """Return the pools with demand at this router."""
-        return list({pool for pool, _ in self._own})
+        return self._book.pools()
 
     def give_back(self, pool: str, workspace: str, tokens: float) -> None:
         """Return the tokens of a request that was admitted and did not begin."""
@@ -162,14 +135,11 @@
         self, pool: str, workspace: str, tokens: float, now_s: float
     ) -> None:
         """Count a request that is refused without a decision towards the demand."""
-        window_s = self.settings.demand_window_s
         key = (pool, workspace)
-        own = self._own.setdefault(key, DemandRate(0.0, now_s))
-        drained = own.tokens - own.rate(now_s, window_s) * window_s
-        own.add(tokens, now_s, window_s)
+        _, rate, drained = self._book.add(pool, workspace, tokens, now_s)
         credit = self._credits.get(key)
         if credit is not None:
-            saved = own.rate(now_s, window_s) * self.settings.burst_s
+            saved = rate * self.settings.burst_s
             earned = credit.tokens + credit.part * drained
             credit.tokens = min(earned, credit.part * saved)
 
@@ -211,12 +181,8 @@
             Throughput of engines that limit their requests, which is shared as well
             and does not follow the load.
         """
-        window_s = self.settings.demand_window_s
         key = (pool, workspace)
-        own = self._own.setdefault(key, DemandRate(0.0, now_s))
-        rate_before = own.rate(now_s, window_s)
-        drained = own.tokens - rate_before * window_s
-        own.add(tokens, now_s, window_s)
+        rate_before, own_rate, drained = self._book.add(pool, workspace, tokens, now_s)
         demands = self._demands(pool, now_s)
         total_demand = sum(demands.values())
         control = self._controls.get(pool)
@@ -252,7 +218,7 @@
             self._credits.pop(key, None)
         # A request may overdraw the credit, so that large ones are admitted as well.
         if credit <= 0:
-            rate = share / demand * own.rate(now_s, window_s)
+            rate = share / demand * own_rate
             retry_after_s = self._bound_retry_s((tokens - credit) / max(rate, 1.0))
             return replace(refused, retry_after_s=retry_after_s, reason="share")
         # The estimate looks at all engines, so only requests within the share pay it.
@@ -262,33 +228,16 @@
             return replace(refused, wait=expected, reason="wait")
         if key in self._credits:
             self._credits[key].tokens = credit - tokens
-        self._note_admitted(pool, tokens, now_s)
+        self._book.note_admitted(pool, tokens, now_s)
         return AdmissionDecision(True, share, demand)
 
     def _bound_retry_s(self, wait_s: float) -> float:
         settings = self.settings
         return min(max(wait_s, settings.min_retry_after_s), settings.max_retry_after_s)
 
-    def _note_admitted(self, pool: str, tokens: float, now_s: float) -> None:
-        self._add(self._admitted, pool, tokens, now_s)
-
     def note_limited_send(self, pool: str, tokens: float, now_s: float) -> None:
         """Count a request that is sent to an engine that limits its requests."""
-        self._add(self._limited_tokens, pool, tokens, now_s)
-        self._add(self._limited_requests, pool, 1.0, now_s)
-
-    def _add(
-        self, sums: dict[str, DemandRate], pool: str, amount: float, now_s: float
-    ) -> None:
-        demand = sums.setdefault(pool, DemandRate(0.0, now_s))
-        demand.add(amount, now_s, self.settings.demand_window_s)
-
-    def _rate(self, sums: Mapping[str, DemandRate], pool: str, now_s: float) -> float:
-        """Return the amount a second of a pool."""
-        demand = sums.get(pool)
-        if demand is None:
-            return 0.0
-        return demand.rate(now_s, self.settings.demand_window_s)
+        self._book.note_limited_send(pool, tokens, now_s)
 
     def factor(self, pool: str) -> float:
         """Return the throughput of a pool relative to the nominal one."""
@@ -300,13 +249,7 @@
 
         They are the sends of all routers; 0 if there were none lately.
         """
-        tokens = self._rate(self._limited_tokens, pool, now_s)
-        requests = self._rate(self._limited_requests, pool, now_s)
-        others = self._others.get(pool)
-        if others is not None and now_s - others.at_s < TOTALS_LIFETIME_S:
-            tokens += others.row.limited_tokens
-            requests += others.row.limited_requests_per_ks / 1000.0
-        return tokens / requests if requests > MIN_REQUESTS_PER_S else 0.0
+        return self._book.limited_request_tokens(pool, now_s)
 
     def _credit(
         self,
@@ -342,9 +285,8 @@
 
     def _new_control(self, pool: str) -> ThroughputControl:
         control = ThroughputControl(self.settings)
-        others = self._others.get(pool)
-        if others is not None and others.row.samples:
-            row = others.row
+        row = self._book.last_row(pool)
+        if row is not None and row.samples:
             control.factor = math.exp(row.log_factors / row.samples)
             control.pressure = row.pressures / row.samples
         return control
@@ -359,11 +301,10 @@
         now_s: float,
     ) -> None:
         """Correct a throughput by the mean of all routers' estimates of the load."""
-        others = self._others.get(pool)
         own_pressure, own_slots_used = pressure, slots_used
-        admitted = self._rate(self._admitted, pool, now_s)
-        if others is not None and now_s - others.at_s < ESTIMATES_LIFETIME_S:
-            row = others.row
+        admitted = self._book.admitted_per_s(pool, now_s)
+        row = self._book.estimates(pool, now_s)
+        if row is not None:
             admitted += row.admitted
             pressure = (pressure + row.pressures) / (1 + row.samples)
             slots_used = (slots_used + row.slots_used) / (1 + row.samples)
@@ -378,13 +319,4 @@
         control.own_pressure, control.own_slots_used = own_pressure, own_slots_used
 
     def _demands(self, pool: str, now_s: float) -> dict[str, float]:
-        window_s = self.settings.demand_window_s
-        others = self._others.get(pool)
-        demands: dict[str, float] = {}
-        if others is not None and now_s - others.at_s < TOTALS_LIFETIME_S:
-            demands.update(others.row.demands)
-        for (name, workspace), demand in self._own.items():
-            if name == pool:
-                rate = demand.rate(now_s, window_s)
-                demands[workspace] = demands.get(workspace, 0.0) + rate
-        return demands
+        return self._book.demands(pool, now_s)
