Decide by room in the edge where the setting is on

The app asks the work-conserving policy where a pool conserves work, the exchange of demand corrects its supply, and placement chooses between two engines with a free slot. A remaining deadline below the route's time-out marks a caller that returns.

--- a/src/carobstair/core/admission/__init__.py
+++ b/src/carobstair/core/admission/__init__.py
@@ -6,7 +6,7 @@
 take, and `EngineRoom` tells whether one has room for a request.
 """
 
-from carobstair.core.admission.conserving import AdmissionRequest
+from carobstair.core.admission.conserving import ROOM, AdmissionRequest
 from carobstair.core.admission.fair_admission import FairAdmission
 from carobstair.core.admission.room import EngineLoad, EngineRoom
 from carobstair.core.admission.settings import AdmissionDecision, AdmissionSettings
@@ -15,6 +15,7 @@
 from carobstair.core.admission.throughput import ThroughputControl
 
 __all__ = [
+    "ROOM",
     "AdmissionDecision",
     "AdmissionRequest",
     "AdmissionSettings",
--- a/src/carobstair/core/admission/conserving.py
+++ b/src/carobstair/core/admission/conserving.py
@@ -18,10 +18,12 @@
 from carobstair.core.admission.supply import SupplyControl
 from carobstair.core.share_messages import PoolDemand, ShareTotals
 
-__all__ = ["AdmissionRequest", "WorkConservingShares"]
+__all__ = ["ROOM", "AdmissionRequest", "WorkConservingShares"]
 
+# Reason of requests that are admitted beyond their share.
+ROOM = "room"
 # Below this a retry arrives before anything can have changed.
-MIN_RETRY_S = 0.02
+MIN_RETRY_S = 0.03
 # Retry-After of requests without a promise, for each multiple of the share that their
 # workspace asks for: overloads last for seconds, and returns are spread over them.
 RETRY_PER_LOAD_S = 1.0
@@ -143,14 +145,19 @@
         if request.returned and request.objective_s > 0:
             overdraft = self.settings.return_credit_s * earned_per_s
         within = credit.tokens + overdraft > 0
-        if not within and not self._has_room(request, pool):
-            return self._refuse(request, pool, share, demand, own_rate, "share", now_s)
+        reason = ""
+        if not within:
+            if not self._has_room(request, pool):
+                return self._refuse(
+                    request, pool, share, demand, own_rate, "share", now_s
+                )
+            reason = ROOM
         if within and self._waits_too_long(request, pool, now_s):
             return self._refuse(request, pool, share, demand, own_rate, "wait", now_s)
         debt = self.settings.max_debt_s * earned_per_s
         credit.tokens = max(credit.tokens - request.tokens, -debt - request.tokens)
         self.book.note_admitted(request.pool, request.tokens, now_s)
-        return AdmissionDecision(True, share, demand)
+        return AdmissionDecision(True, share, demand, reason=reason)
 
     def controls(self) -> dict[str, SupplyControl]:
         """Return the control of each pool."""
--- a/src/carobstair/core/admission/room.py
+++ b/src/carobstair/core/admission/room.py
@@ -73,12 +73,18 @@
     dispatcher : Dispatcher
     others : callable
         Returns the requests of all other routers by engine, None if unknown.
+    applies : callable
+        Returns whether requests of a service are placed by the room of its engines.
     """
 
     dispatcher: Dispatcher
     others: Callable[[str, float], Mapping[str, int] | None] = lambda *args: None
+    applies: Callable[[str], bool] = lambda service: True
     _loads: dict[str, tuple[float, EngineLoad]] = field(default_factory=dict)
 
+    def __post_init__(self) -> None:
+        self.dispatcher.narrow = self.narrow
+
     def load(self, service: str, now_s: float) -> EngineLoad:
         """Return the load of a service's engines, at most `LOAD_TTL_S` old."""
         known = self._loads.get(service)
@@ -106,21 +112,22 @@
                 return True
         return False
 
-    def avoided(self, service: str, now_s: float) -> frozenset[str]:
-        """Return the engines that a request should not be placed at.
+    def narrow(self, service: str, ids: set[str], now_s: float) -> set[str]:
+        """Return the engines, of some, at which a request should be placed.
 
-        Some engines with a free slot are left, chosen at random: what is known of the
-        load is some tenths of a second old, and all routers would send to the engine
-        that was the least loaded then. None is avoided if all are full.
+        Those that are full are left out if others have a free slot. Of the latter only
+        some remain, chosen at random: what is known of the load is some tenths of a
+        second old, and all routers would send to the engine that had the least then.
         """
+        if not self.applies(service):
+            return ids
         load = self.load(service, now_s)
-        if not load.free:
-            return frozenset()
-        names = list(load.free)
-        chosen = self.dispatcher.rng.choices(
-            names, list(load.free.values()), k=PLACEMENT_CHOICES
-        )
-        return load.full.union(names).difference(chosen)
+        free = [name for name in load.free if name in ids]
+        if not free:
+            return ids
+        weights = [load.free[name] for name in free]
+        chosen = self.dispatcher.rng.choices(free, weights, k=PLACEMENT_CHOICES)
+        return ids.difference(load.full, free).union(chosen)
 
     def _take(self, load: EngineLoad, name: str) -> None:
         """Count a request that will be sent. It need not reach the same engine."""
--- a/src/carobstair/core/admission/settings.py
+++ b/src/carobstair/core/admission/settings.py
@@ -124,7 +124,8 @@
         Throughput that is shared, smoothed pressure on the engines, and expected
         wait as a fraction of the objective. All are 0 for admitted requests.
     reason : str
-        What the request exceeds if it is refused: ``share`` or ``wait``.
+        What the request exceeds if it is refused: ``share`` or ``wait``. ``room`` if it
+        is admitted although it exceeds its share.
     """
 
     admitted: bool
--- a/src/carobstair/core/dispatch.py
+++ b/src/carobstair/core/dispatch.py
@@ -4,7 +4,7 @@
 
 import math
 import random
-from collections.abc import Collection, Mapping
+from collections.abc import Callable, Collection, Mapping
 from dataclasses import dataclass, field
 
 import xxhash
@@ -46,6 +46,8 @@
     resends: ResendLimit
     rng: random.Random
     routers: frozenset[str] = field(default_factory=frozenset)
+    # Leaves out engines at which a request should not be placed now; some remain.
+    narrow: Callable[[str, set[str], float], set[str]] = lambda service, ids, now_s: ids
     permits: PermitDesk = field(init=False)
     # Ranks by upstream for the routers from which they were computed.
     _ranks: dict[str, int] = field(default_factory=dict)
@@ -95,6 +97,7 @@
             return None
         stall_durations_s = self.loads.stall_durations_s(entries, now_s)
         healthy = self.health.preferred(entries, stall_durations_s, now_s)
+        healthy = self.narrow(pool.name, healthy, now_s)
         candidates = ((u, entries[u].zone) for u in healthy)
         if pool.engine is not None:
             return entries[
--- a/src/carobstair/edge/app.py
+++ b/src/carobstair/edge/app.py
@@ -11,10 +11,17 @@
 
 import msgspec
 
-from carobstair.core.fair_admission import FairAdmission
+from carobstair.core.admission import (
+    ROOM,
+    AdmissionDecision,
+    AdmissionRequest,
+    EngineRoom,
+    FairAdmission,
+)
 from carobstair.core.fleet_view import FleetView
 from carobstair.core.framing import Framing
 from carobstair.core.overload import OverloadGuard
+from carobstair.core.rate_limits import ServiceThroughput
 from carobstair.core.refusals import PROBLEM_JSON, Refusal, refuse
 from carobstair.core.routing import (
     RequestKind,
@@ -49,6 +56,8 @@
 
 # Outcome of requests that waited too long to be read.
 TURNED_AWAY = "turned-away"
+# A first attempt states the whole time of its route, save for what its caller took.
+FIRST_ATTEMPT_TOLERANCE_S = 0.015
 # Bodies held at once, if the memory of the process is not known.
 DEFAULT_BODY_BYTES = 64 * 1024 * 1024
 MAX_LENGTH_DIGITS = 18
@@ -85,6 +94,7 @@
         Returns whether responses should close their connections.
     overload : OverloadGuard, optional
     body_budget : BodyBudget, optional
+    room : EngineRoom, optional
     """
 
     def __init__(
@@ -99,6 +109,7 @@
         over_connection_limit: Callable[[], bool] = lambda: False,
         overload: OverloadGuard | None = None,
         body_budget: BodyBudget | None = None,
+        room: EngineRoom | None = None,
     ):
         self._view = view
         self._relay = relay
@@ -110,6 +121,9 @@
         self._over_connection_limit = over_connection_limit
         self._overload = overload or OverloadGuard()
         self._body_budget = body_budget or BodyBudget(DEFAULT_BODY_BYTES)
+        self._room = room or EngineRoom(
+            relay.dispatcher, admission.running_of_others, admission.conserves_work
+        )
         self._ended_requests = 0
         self.account = ServiceAccount(
             lambda pool, name, tokens: metrics.workspace_tokens.labels(
@@ -307,7 +321,7 @@
 
         Returns whether the workspace is within its share.
         """
-        pool, prompt = exchange.pool, exchange.metadata.prompt
+        pool = exchange.pool
         workspace = exchange.workspace
         if not workspace or not self._shares_tokens(pool, limits):
             return False
@@ -318,7 +332,6 @@
             pool.name, workspace, tokens
         )
         dispatcher = self._relay.dispatcher
-        target_s = exchange.route.target_latency_s or DEFAULT_TARGET_S
         throughput = dispatcher.throughput(
             pool.name,
             limits.tokens_per_s,
@@ -326,17 +339,13 @@
             self._admission.factor(pool.name),
             now_s,
         )
-        decision = self._admission.decide(
-            pool.name,
-            workspace,
-            tokens,
-            throughput.nominal_per_s,
-            lambda: dispatcher.pressure(pool.name, now_s),
-            now_s,
-            lambda: dispatcher.queue_wait_s(pool, prompt, now_s) / target_s,
-            lambda: dispatcher.slots_used(pool.name, now_s),
-            throughput.limited_per_s,
-        )
+        if self._admission.conserves_work(pool.name):
+            request = self._admission_request(exchange, tokens, throughput, now_s)
+            decision = self._admission.decide_conserving(request, now_s)
+        else:
+            decision = self._decide_by_share(exchange, tokens, throughput, now_s)
+        if decision.reason == ROOM:
+            self._metrics.admitted_by_room.labels(pool.name).inc()
         if decision.admitted:
             exchange.admitted_tokens = tokens
             exchange.on_limited_send = lambda: self._admission.note_limited_send(
@@ -350,9 +359,60 @@
             f"wait {decision.wait:.2f} of the objective"
         )
         # Jitter, so that requests refused together aren't retried together.
-        wait_s = decision.retry_after_s * self._rng.uniform(0.7, 1.3)
+        earliest = 0.7
+        if self._admission.conserves_work(pool.name):
+            # The time is that at which the request will begin, so none comes before it.
+            earliest = 1.0
+        wait_s = decision.retry_after_s * self._rng.uniform(earliest, 1.3)
         raise refuse("overloaded", exchange.detail, wait_s)
 
+    def _decide_by_share(
+        self,
+        exchange: Exchange,
+        tokens: float,
+        throughput: ServiceThroughput,
+        now_s: float,
+    ) -> AdmissionDecision:
+        pool, prompt = exchange.pool, exchange.metadata.prompt
+        dispatcher = self._relay.dispatcher
+        target_s = exchange.route.target_latency_s or DEFAULT_TARGET_S
+        return self._admission.decide(
+            pool.name,
+            exchange.workspace,
+            tokens,
+            throughput.nominal_per_s,
+            lambda: dispatcher.pressure(pool.name, now_s),
+            now_s,
+            lambda: dispatcher.queue_wait_s(pool, prompt, now_s) / target_s,
+            lambda: dispatcher.slots_used(pool.name, now_s),
+            throughput.limited_per_s,
+        )
+
+    def _admission_request(
+        self,
+        exchange: Exchange,
+        tokens: float,
+        throughput: ServiceThroughput,
+        now_s: float,
+    ) -> AdmissionRequest:
+        pool, prompt = exchange.pool, exchange.metadata.prompt
+        dispatcher = self._relay.dispatcher
+        target_s = exchange.route.target_latency_s or DEFAULT_TARGET_S
+        elapsed_s = _elapsed_s(exchange.route, exchange.metadata)
+        left_s = target_s - elapsed_s - (now_s - exchange.arrived_s)
+        return AdmissionRequest(
+            pool.name,
+            exchange.workspace,
+            tokens,
+            throughput.nominal_per_s,
+            lambda: self._room.load(pool.name, now_s),
+            lambda: dispatcher.queue_wait_s(pool, prompt, now_s) / target_s,
+            lambda: self._room.has_room(pool.name, prompt, target_s, now_s),
+            left_s,
+            elapsed_s > 0.0,
+            throughput.limited_per_s,
+        )
+
     def _shed_beyond_share(
         self,
         table: RoutingTable,
@@ -513,6 +573,17 @@
     return allowed_s
 
 
+def _elapsed_s(route: Route, metadata: RequestMetadata) -> float:
+    """Return the time since the first attempt of a caller that was refused, else 0.
+
+    A caller that comes back states what is left of the time that its route gives it.
+    """
+    if not route.timeout_s or metadata.caller_timeout_s is None:
+        return 0.0
+    elapsed_s = route.timeout_s - metadata.caller_timeout_s
+    return elapsed_s if elapsed_s > FIRST_ATTEMPT_TOLERANCE_S else 0.0
+
+
 def _declared_bytes(headers: Headers, limits: RequestLimits) -> int:
     """Return the length of a body by its head; the largest one if it is in chunks."""
     size_bytes = 0
--- a/src/carobstair/edge/metrics.py
+++ b/src/carobstair/edge/metrics.py
@@ -69,6 +69,11 @@
             "Refused requests of workspaces, by reason",
             ("service", "workspace", "reason"),
         )
+        self.admitted_by_room = self._counter(
+            "admitted_by_room",
+            "Requests beyond the share of their workspace for which an engine had room",
+            ("service",),
+        )
         self.throughput_factor = Gauge(
             PREFIX + "throughput_factor",
             "Throughput that is shared, relative to the configured one",
--- a/src/carobstair/edge/router.py
+++ b/src/carobstair/edge/router.py
@@ -14,10 +14,10 @@
 import msgspec
 from prometheus_client import generate_latest
 
+from carobstair.core.admission import EngineRoom, FairAdmission
 from carobstair.core.directory import UpstreamDirectory
 from carobstair.core.dispatch import Dispatcher
 from carobstair.core.engine_load import LoadTracker
-from carobstair.core.fair_admission import FairAdmission
 from carobstair.core.fleet_view import FleetView, StateKind, StoreAvailability
 from carobstair.core.messages import PeerAddress
 from carobstair.core.overload import OverloadGuard
@@ -132,6 +132,11 @@
             self._rng,
         )
         self._admission = FairAdmission(settings.admission)
+        self._room = EngineRoom(
+            self._dispatcher,
+            self._admission.running_of_others,
+            self._admission.conserves_work,
+        )
         self._connections = ConnectionPool()
         self._overload = OverloadGuard(settings.overload)
         relay = Relay(self._dispatcher, self._connections, platform.dialect)
@@ -151,6 +156,7 @@
             lambda: self._caller_server.connections > listen.keep_alive_limit,
             self._overload,
             BodyBudget(settings.max_body_memory_bytes),
+            self._room,
         )
         self._caller_server = CallerServer(
             self.app,
@@ -193,6 +199,7 @@
             self._gossip.heard_by_zone,
             self._dispatcher,
             self._rng,
+            self._room,
         )
         self._follower = StoreFollower(
             self._store,
--- a/src/carobstair/edge/share_sync.py
+++ b/src/carobstair/edge/share_sync.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from carobstair.core.admission import EngineRoom
 from carobstair.core.dispatch import Dispatcher
 from carobstair.core.messages import Envelope
 from carobstair.core.share_exchange import ShareExchange
@@ -30,6 +31,8 @@
     dispatcher : Dispatcher
         Estimates the load of the engines.
     rng : random.Random
+    room : EngineRoom
+        Room at the engines of pools where nothing is refused while there is some.
     """
 
     exchange: ShareExchange
@@ -37,6 +40,7 @@
     heard_by_zone: Callable[[], dict[str, list[str]]]
     dispatcher: Dispatcher
     rng: random.Random
+    room: EngineRoom
 
     def __post_init__(self) -> None:
         self.transport.subscribe(ShareReport, self._on_report)
@@ -54,6 +58,9 @@
         """Correct the throughput of each pool and send what is due."""
         admission = self.exchange.admission
         for pool in admission.pools():
+            if admission.conserves_work(pool):
+                admission.refresh_conserving(pool, self.room.load(pool, now_s), now_s)
+                continue
             pressure = self.dispatcher.pressure(pool, now_s)
             slots_used = self.dispatcher.slots_used(pool, now_s)
             admission.refresh(pool, pressure, slots_used, now_s)
--- a/src/carobstair/scenario/overload.py
+++ b/src/carobstair/scenario/overload.py
@@ -114,12 +114,10 @@
         admission = FairAdmission(
             self._plan.admission, random.Random(f"{self._plan.seed} {name}")
         )
-        return _Router(
-            name,
-            dispatcher,
-            admission,
-            EngineRoom(dispatcher, admission.running_of_others),
+        room = EngineRoom(
+            dispatcher, admission.running_of_others, admission.conserves_work
         )
+        return _Router(name, dispatcher, admission, room)
 
     def run(self) -> LoadReport:
         """Play the whole load."""
@@ -195,10 +193,7 @@
         if not decision.admitted:
             self._refuse(request, decision.retry_after_s, now_s)
             return
-        avoided: frozenset[str] = frozenset()
-        if router.admission.conserves_work(POOL):
-            avoided = router.room.avoided(POOL, now_s)
-        self._send(request, router, avoided, now_s)
+        self._send(request, router, frozenset(), now_s)
 
     def _decide(
         self, request: _Request, router: _Router, now_s: float
--- /dev/null
+++ b/tests/test_work_conserving.py
@@ -0,0 +1,106 @@
+"""Tests of the admission that refuses nothing while engines have room.
+
+They play loads on routers that know of each other, and of the engines, as late as in a
+large fleet: digests are two seconds old, sums of all routers half a second.
+"""
+
+import unittest
+from dataclasses import replace
+
+from carobstair.core.admission import AdmissionSettings
+from carobstair.core.engine_load import PlacementSettings
+from carobstair.scenario.batch_engine import BatchEngineSpec
+from carobstair.scenario.load_plan import CallerGroup, LoadPlan
+from carobstair.scenario.overload import play_load
+
+ROUTERS = 23
+ENGINES = 14
+SPEC = BatchEngineSpec(
+    step_s=0.00297, prefill_tokens_per_s=101_000.0, kv_tokens=547_257
+)
+CONSERVING = AdmissionSettings(work_conserving=True)
+# From when to when the surges last, in whole seconds.
+SURGE_S = (5, 13)
+
+
+def make_groups(name, load, begin_s=0.0, end_s=1e9, routers=()):
+    """Return a workspace's requests of three kinds.
+
+    Parameters
+    ----------
+    load : float
+        Part of what the engines take.
+    """
+    span = {"begin_s": begin_s, "end_s": end_s, "routers": routers}
+    return (
+        CallerGroup(name, 54 * load, 5382, 6610, 384, 10, 0.6, 10.0, **span),
+        CallerGroup(name, 62 * load, 198, 628, 294, 5, 0.25, 8.0, **span),
+        CallerGroup(name, 94 * load, 568, 1800, 24, 20, 0.3, 2.5, **span),
+    )
+
+
+def make_plan(usual, surges=(), **changes):
+    """Return a play of eight even workspaces and of surges: load and routers."""
+    groups = [g for n in range(8) for g in make_groups(f"w{n}", usual / 8)]
+    for number, (load, routers) in enumerate(surges):
+        groups += make_groups(f"hot{number}", load, *SURGE_S, routers)
+    plan = LoadPlan(
+        tuple(groups),
+        ENGINES,
+        (1.0,) * ROUTERS,
+        14.0,
+        2.0,
+        1_550_000 / 4,
+        SPEC,
+        CONSERVING,
+        PlacementSettings(prefill_tokens_per_s=SPEC.prefill_tokens_per_s),
+        share_s=0.2,
+    )
+    return replace(plan, **changes)
+
+
+def begun_per_s(plan):
+    """Return the tokens a second that began once the surge had arrived."""
+    return play_load(plan).begun_per_s(SURGE_S[0] + 1, SURGE_S[1])
+
+
+class ThroughputCollapseTest(unittest.TestCase):
+    """Guards against engines that idle while nearly all is refused.
+
+    The correction of the throughput added up a pressure that answered seconds late: at
+    six times the load that engines take, a third of it began.
+    """
+
+    def check_begun(self, least, surges, **changes):
+        plan = make_plan(0.5, surges, **changes)
+        taken = begun_per_s(replace(plan, ideal=True))
+        self.assertGreater(begun_per_s(plan), least * taken)
+
+    def test_play_shows_the_collapse_without_the_setting(self):
+        plan = make_plan(0.5, ((2.8, (3,)), (2.8, ())), admission=AdmissionSettings())
+        taken = begun_per_s(replace(plan, ideal=True))
+        self.assertLess(begun_per_s(plan), 0.75 * taken)
+
+    def test_2_4_times_the_load_that_engines_take(self):
+        self.check_begun(0.93, ((1.0, (3,)), (1.0, ())))
+
+    def test_6_times_the_load_that_engines_take(self):
+        self.check_begun(0.93, ((2.8, (3,)), (2.8, ())))
+
+    def test_quarter_of_the_engines_is_lost_at_the_peak(self):
+        surges = ((0.8, (3,)), (0.8, ()))
+        self.check_begun(0.93, surges, lost_engines=4, lost_at_s=9.0)
+
+    def test_many_routers_that_hear_little_of_each_other(self):
+        surges = ((1.0, (3,)), (1.0, ()))
+        self.check_begun(0.9, surges, router_weights=(1.0,) * 91)
+
+    def test_load_that_engines_serve_is_not_refused(self):
+        report = play_load(make_plan(0.6))
+        self.assertLess(report.fraction("refused"), 0.005)
+        # Placed at the engine that had the least load seconds ago, a quarter was late.
+        self.assertGreater(report.fraction("in-aim"), 0.85)
+
+
+if __name__ == "__main__":
+    unittest.main()
