--- a/src/carobstair/edge/metrics.py
+++ b/src/carobstair/edge/metrics.py
@@ -95,6 +95,11 @@
         self.peer_utilisation = self._gauge(
             "peer_utilisation", "Median of the same of the peers that state it"
         )
+        self.admitted_by_room = self._counter(
+            "admitted_by_room",
+            "Requests beyond the share of their workspace for which an engine had room",
+            ("service",),
+        )
         self.throughput_factor = Gauge(
             PREFIX + "throughput_factor",
             "Throughput that is shared, relative to the configured one",
--- a/src/carobstair/edge/router.py
+++ b/src/carobstair/edge/router.py
@@ -14,10 +14,10 @@
 import msgspec
 from prometheus_client import generate_latest
 
+from carobstair.core.admission import EngineRoom, FairAdmission
 from carobstair.core.directory import UpstreamDirectory
 from carobstair.core.dispatch import Dispatcher
 from carobstair.core.engine_load import LoadTracker
-from carobstair.core.fair_admission import FairAdmission
 from carobstair.core.fleet_view import FleetView, StateKind, StoreAvailability
 from carobstair.core.messages import PeerAddress
 from carobstair.core.overload import OverloadGuard
@@ -131,7 +131,6 @@
         self._availability = StoreAvailability(settings.directory.removal_grace_s)
         self._loads = LoadTracker(settings.placement, settings.zone)
         self._capacity_reports = CapacityReports(self._loads, self.metrics)
-        self._loads.on_slowdown_stated = self._capacity_reports.log_slowdown_stated
         self._health = UpstreamHealth(settings.health)
         self._dispatcher = Dispatcher(
             settings.name,
@@ -143,6 +142,11 @@
             self._rng,
         )
         self._admission = FairAdmission(settings.admission)
+        self._room = EngineRoom(
+            self._dispatcher,
+            self._admission.running_of_others,
+            self._admission.conserves_work,
+        )
         self._connections = ConnectionPool()
         self._overload = OverloadGuard(settings.overload, utilisation)
         self._loads.on_slowdown_stated = self._on_slowdown_stated
@@ -164,6 +168,7 @@
             lambda: self._caller_server.connections > listen.keep_alive_limit,
             self._overload,
             BodyBudget(settings.max_body_memory_bytes),
+            self._room,
         )
         self._caller_server = CallerServer(
             self.app,
@@ -208,6 +213,7 @@
             self._gossip.heard_by_zone,
             self._dispatcher,
             self._rng,
+            self._room,
         )
         self._follower = StoreFollower(
             self._store,
@@ -357,8 +363,9 @@
 
     def _on_slowdown_stated(self, service: str) -> None:
         """Turn on what is meant for upstreams that share their machines."""
-        logger.info("upstream_slowdown_stated", service=service)
+        self._capacity_reports.log_slowdown_stated(service)
         self._overload.enable_redirect()
+        self._admission.conserve_work(service)
 
     def _on_restore(self) -> None:
         """Write again what the restored store may lack."""
@@ -449,7 +456,6 @@
             self._guard.evidence.keep(incarnations)
             self._loads.keep_incarnations(incarnations)
             self._dispatcher.permits.keep(incarnations, time.monotonic())
-            self._loads.keep_incarnations(incarnations)
 
     def _on_state_change(self, kind: StateKind, names: list[str]) -> None:
         if kind is StateKind.ROUTERS:
