--- a/tests/router_process_case.py
+++ b/tests/router_process_case.py
@@ -44,10 +44,10 @@
         self.store.put("servers", "u0", make_upstream_entry(self.upstream.port))
         self.store.put("config", "main", self.make_config())
         folder = self.enterContext(tempfile.TemporaryDirectory())
-        peer, self.front, self.ready = free_ports(3)
+        self.peer, self.front, self.ready = free_ports(3)
         text = BOOT.format(
-            peer=peer,
-            last=peer + 15,
+            peer=self.peer,
+            last=self.peer + 15,
             front=self.front,
             ready=self.ready,
             store=self.store.port,
