Bound the input of a connection from its first byte, and all connections

uvicorn parsed all that it had read and queued the requests it found, counted no time before the first request line, and accepted connections until no descriptor was left. Now the parser is given one request at a time; what waits is held up to a bound and then not read. A registry closes idle connections and unfinished heads at the bounds on connections and memory, which follow from the settings, and callers that do not read.

--- a/src/carobstair/edge/metrics.py
+++ b/src/carobstair/edge/metrics.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
 from carobstair.metrics import FIRST_TOKEN_BUCKETS_S
@@ -52,6 +54,11 @@
         self.permits = self._counter(
             "permits", "Permits asked for at upstreams with a limit", ("outcome",)
         )
+        self.closed_connections = self._counter(
+            "closed_connections",
+            "Connections refused or closed because of their client, by port and kind",
+            ("port", "kind"),
+        )
         self.suspected_segments = self._gauge(
             "suspected_segments", "Prompt segments under which upstreams ended"
         )
@@ -76,6 +83,10 @@
             registry=self.registry,
         )
 
+    def count_closed(self, port: str) -> Callable[[str], None]:
+        """Return a function that counts a closed connection of a port by its kind."""
+        return lambda kind: self.closed_connections.labels(port, kind).inc()
+
     def _counter(self, name: str, text: str, labels: tuple[str, ...]) -> Counter:
         return Counter(PREFIX + name, text, labels, registry=self.registry)
 
--- a/src/carobstair/edge/router.py
+++ b/src/carobstair/edge/router.py
@@ -40,6 +40,7 @@
 from carobstair.edge.share_sync import ShareSync
 from carobstair.edge.state_store import StateStore, StoreError
 from carobstair.logs import get_logger
+from carobstair.net.connection_limits import ConnectionLimits, ConnectionSettings
 from carobstair.net.peers import LinkKeys, PeerTransport
 from carobstair.settings_error import SettingsError
 
@@ -158,12 +159,25 @@
             listen.callers_port,
             ArrivalGate(),
             self.app.turn_away,
+            ConnectionLimits(
+                ConnectionSettings(
+                    listen.max_connections,
+                    max_held_bytes=settings.max_connection_memory_bytes,
+                ),
+                self.metrics.count_closed("callers"),
+            ),
         )
         self._ready_server = PageServer(
-            self._ready_page, listen.host, listen.ready_port
+            self._ready_page,
+            listen.host,
+            listen.ready_port,
+            self.metrics.count_closed("ready"),
         )
         self._metrics_server = PageServer(
-            self._metrics_page, listen.host, listen.metrics_port
+            self._metrics_page,
+            listen.host,
+            listen.metrics_port,
+            self.metrics.count_closed("metrics"),
         )
         transport = PeerTransport(self._own, listen, LinkKeys(), self.metrics)
         self._transport = transport
@@ -427,6 +441,8 @@
             limits = self.view.table.config.limits
             if limits.idle_timeout_s > 0:
                 self._caller_server.idle_timeout_s = limits.idle_timeout_s
+            if limits.header_timeout_s > 0:
+                self._caller_server.header_timeout_s = limits.header_timeout_s
             shapes = [p.engine for p in self.view.table.services.values() if p.engine]
             sizes = [shape.kv_tokens for shape in shapes if shape.kv_tokens]
             self._loads.kv_tokens = min(sizes, default=self._loads.kv_tokens)
--- a/src/carobstair/edge/server.py
+++ b/src/carobstair/edge/server.py
@@ -2,16 +2,21 @@
 
 from __future__ import annotations
 
-import contextlib
 import re
 import select
 import socket
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 
 import uvicorn
 
 from carobstair.edge.arrival_gate import ArrivalGate
-from carobstair.net.http import BoundedHttpProtocol
+from carobstair.net.connection_limits import (
+    Closed,
+    ConnectionLimits,
+    ConnectionSettings,
+)
+from carobstair.net.http import HEADER_TIMEOUT_S, BoundedHttpProtocol
+from carobstair.net.uvicorn_server import ACCEPTS_PER_TURN, UvicornServer
 
 __all__ = ["ARRIVED_S", "CALLER_CLOSED", "CallerServer", "PageServer"]
 
@@ -30,6 +35,10 @@
 UNUSUAL_HEADERS = (b"\r\nconnection:", b"\r\ntransfer-encoding:", b"\r\nexpect:")
 # Used until a configuration is in force.
 DEFAULT_IDLE_TIMEOUT_S = 75.0
+# The pages are read by few clients, and a machine's platform reads them every second.
+PAGE_CONNECTIONS = ConnectionSettings(
+    max_connections=32, address_share=1.0, max_held_bytes=1024 * 1024
+)
 
 
 class CallerProtocol(BoundedHttpProtocol):
@@ -39,20 +48,13 @@
     applies to open connections.
     """
 
-    # Whether the parser is within a request. Its answer may have been sent by then.
-    _in_request = False
     # When the request that is being read arrived, if it had to wait.
     _waiting_since_s: float | None = None
 
-    def connection_made(self, transport) -> None:
-        """Start the idle timer before the first request arrives."""
-        super().connection_made(transport)
-        self._start_idle_timer()
-
-    def _start_idle_timer(self) -> None:
-        self.timeout_keep_alive_task = self.loop.call_later(
-            self.config.timeout_keep_alive, self.timeout_keep_alive_handler
-        )
+    @property
+    def header_timeout_s(self) -> float:
+        """Time for a request head from its first byte."""
+        return self.config.header_timeout_s
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; a new request may have to wait for its turn."""
@@ -65,6 +67,7 @@
         # The connection is not idle, and nothing else is read from it meanwhile.
         self._unset_keepalive_if_required()
         self.transport.pause_reading()
+        self._limits.hold(self, len(data))
         gate.wait(
             lambda since_s: self._receive_later(data, since_s),
             lambda: self._turn_away(data),
@@ -74,6 +77,7 @@
         if self.transport.is_closing():
             return
         self.transport.resume_reading()
+        self._limits.hold(self, 0)
         self._waiting_since_s = since_s
         super().data_received(data)
         self._waiting_since_s = None
@@ -84,21 +88,12 @@
             return True
         if not _is_whole_request(data):
             return False
+        self._limits.hold(self, 0)
         self.transport.write(self.config.turn_away())
         self.transport.resume_reading()
         self._start_idle_timer()
         return True
 
-    def on_message_begin(self) -> None:
-        """Begin a request."""
-        self._in_request = True
-        super().on_message_begin()
-
-    def on_message_complete(self) -> None:
-        """End a request."""
-        self._in_request = False
-        super().on_message_complete()
-
     def on_headers_complete(self) -> None:
         """Pass the request on, with what tells whether its caller has left."""
         self.scope[CALLER_CLOSED] = self._is_closed_by_caller
@@ -137,12 +132,8 @@
 class _Config(uvicorn.Config):
     gate: ArrivalGate | None = None
     turn_away: Callable[[], bytes] | None = None
-
-
-class _Server(uvicorn.Server):
-    @contextlib.contextmanager
-    def capture_signals(self) -> Iterator[None]:
-        yield
+    header_timeout_s: float = HEADER_TIMEOUT_S
+    connection_limits: ConnectionLimits
 
 
 class CallerServer:
@@ -157,6 +148,8 @@
         Bounds the requests that are read in one turn of the event loop.
     turn_away : callable, optional
         Returns the answer to a request that is turned away unread.
+    limits : ConnectionLimits, optional
+        Bounds what all connections take together.
     """
 
     def __init__(
@@ -166,6 +159,7 @@
         port: int,
         gate: ArrivalGate | None = None,
         turn_away: Callable[[], bytes] | None = None,
+        limits: ConnectionLimits | None = None,
     ):
         self._config = _Config(
             app,
@@ -180,10 +174,12 @@
             timeout_keep_alive=DEFAULT_IDLE_TIMEOUT_S,
             server_header=False,
             date_header=False,
+            backlog=ACCEPTS_PER_TURN,
         )
         self._config.gate = gate
         self._config.turn_away = turn_away
-        self._server = _Server(self._config)
+        self._config.connection_limits = limits or ConnectionLimits()
+        self._server = UvicornServer(self._config, BACKLOG)
         self._socket = socket.create_server((host, port), backlog=BACKLOG)
         self.port = self._socket.getsockname()[1]
 
@@ -196,6 +192,15 @@
     def idle_timeout_s(self, timeout_s: float) -> None:
         self._config.timeout_keep_alive = timeout_s
 
+    @property
+    def header_timeout_s(self) -> float:
+        """Time for a request head from its first byte."""
+        return self._config.header_timeout_s
+
+    @header_timeout_s.setter
+    def header_timeout_s(self, timeout_s: float) -> None:
+        self._config.header_timeout_s = timeout_s
+
     @property
     def connections(self) -> int:
         """Number of open connections."""
@@ -224,11 +229,20 @@
         Returns the status and the body.
     host : str
     port : int
+    on_closed : callable, optional
+        See `ConnectionLimits`.
     """
 
-    def __init__(self, page: Callable[[], tuple[int, bytes]], host: str, port: int):
+    def __init__(
+        self,
+        page: Callable[[], tuple[int, bytes]],
+        host: str,
+        port: int,
+        on_closed: Callable[[Closed], None] = lambda kind: None,
+    ):
         self._page = page
-        super().__init__(self._respond, host, port)
+        limits = ConnectionLimits(PAGE_CONNECTIONS, on_closed)
+        super().__init__(self._respond, host, port, limits=limits)
 
     async def _respond(self, scope, receive, send) -> None:
         if scope["type"] != "http":
--- a/src/carobstair/edge/settings.py
+++ b/src/carobstair/edge/settings.py
@@ -37,6 +37,9 @@
         Number of open connections above which responses close theirs. A server
         that reaches the limit on file descriptors stops accepting connections
         for a second.
+    max_connections : int
+        Number of open connections of callers. At the limit, idle connections are
+        closed for new ones.
     """
 
     host: str
@@ -45,6 +48,7 @@
     peer_port: int = Field(ge=1, le=65535)
     metrics_port: int = Field(ge=1, le=65535)
     keep_alive_limit: int = Field(1_000, ge=1)
+    max_connections: int = Field(2_000, ge=1)
 
 
 class SyncSettings(_Model):
@@ -241,3 +245,5 @@
     directory: DirectorySettings = DirectorySettings()
     max_open_requests: int = Field(2_000, ge=1)
     max_body_memory_bytes: int = Field(64 * 1024 * 1024, ge=1)
+    # For unfinished request heads, pipelined requests and unread answers.
+    max_connection_memory_bytes: int = Field(32 * 1024 * 1024, ge=1)
--- a/src/carobstair/net/http.py
+++ b/src/carobstair/net/http.py
@@ -5,15 +5,23 @@
 import asyncio
 import contextlib
 import json
+import logging
 import socket
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Awaitable, Callable
 
 import uvicorn
-from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from carobstair.core.framing import Framing, FramingError, request_framing
 from carobstair.core.refusals import PROBLEM_JSON, Refusal, refuse
 from carobstair.logs import get_logger
+from carobstair.net.bounded_input import BoundedInputProtocol
+from carobstair.net.connection_limits import Closed, ConnectionLimits
+from carobstair.net.held_response import WithLength
+from carobstair.net.uvicorn_server import (
+    ACCEPTS_PER_TURN,
+    UvicornServer,
+    enable_dead_connection_detection,
+)
 from carobstair.net.watchdog import Watchdog
 
 __all__ = ["ON_END", "DisconnectGuard", "HttpServer"]
@@ -26,16 +34,17 @@
 MAX_HEADER_BYTES = 32 * 1024
 # Bytes received without a part of a body: trailers and chunk extensions.
 MAX_OVERHEAD_BYTES = 64 * 1024
-# Responses to callers with HTTP/1.0.
-MAX_HELD_BYTES = 4 * 1024 * 1024
 # Slow senders would otherwise hold connections and memory.
 BODY_TIMEOUT_S = 15.0
 HEADER_TIMEOUT_S = 10.0
 # A caller that reads no bytes for this long is treated as disconnected.
 CALLER_STALL_S = 20.0
-KEEPALIVE_IDLE_S = 10
-KEEPALIVE_INTERVAL_S = 5
-KEEPALIVE_PROBES = 3
+BACKLOG = 512
+CLOSED_BY_REFUSAL = {
+    "headers-too-large": Closed.HEAD_TOO_LARGE,
+    "bad-request": Closed.BAD_REQUEST,
+    "router-busy": Closed.MEMORY,
+}
 
 
 class DisconnectGuard:
@@ -167,55 +176,7 @@
             logger.exception("request_cleanup_failed")
 
 
-class _WithLength:
-    """ASGI wrapper that sends a response with its length, once it is complete.
-
-    Callers with HTTP/1.0 know no chunks, and would take a response that breaks off
-    with its connection as whole.
-    """
-
-    def __init__(self, app):
-        self._app = app
-
-    async def __call__(self, scope, receive, send) -> None:
-        """Handle one request."""
-        held = _HeldResponse(send, scope["method"])
-        await self._app(scope, receive, held)
-
-
-class _HeldResponse:
-    def __init__(self, send: Callable[[dict], Awaitable[None]], method: str):
-        self._send = send
-        self._method = method
-        self._start: dict | None = None
-        self._body = bytearray()
-
-    async def __call__(self, message: dict) -> None:
-        if message["type"] == "http.response.start":
-            names = {name.lower() for name, _ in message["headers"]}
-            if self._method == "HEAD" or b"content-length" in names:
-                await self._send(message)
-            else:
-                self._start = message
-            return
-        if self._start is None:
-            await self._send(message)
-            return
-        self._body += message.get("body", b"")
-        if len(self._body) > MAX_HELD_BYTES:
-            raise HeldResponseTooLarge(f"more than {MAX_HELD_BYTES} bytes")
-        if not message.get("more_body", False):
-            length = (b"content-length", b"%d" % len(self._body))
-            start, self._start = self._start, None
-            await self._send(start | {"headers": [*start["headers"], length]})
-            await self._send(message | {"body": bytes(self._body)})
-
-
-class HeldResponseTooLarge(Exception):
-    """A response that must be held until it is complete takes too much memory."""
-
-
-class BoundedHttpProtocol(HttpToolsProtocol):
+class BoundedHttpProtocol(BoundedInputProtocol):
     """HTTP/1.1 protocol with limits on the size and arrival time of a request head.
 
     Trailers are dropped: added to the headers after these were checked, they could
@@ -224,38 +185,57 @@
 
     def __init__(self, *args, **kwargs):
         super().__init__(*args, **kwargs)
-        self._head_bytes = 0
         self._overhead_bytes = 0
         self._head_timer: asyncio.TimerHandle | None = None
         self._refusal: Refusal | None = None
 
     def connection_made(self, transport) -> None:
-        """Have heads and bodies sent at once, although they are written apart."""
+        """Have heads and bodies sent at once, and start the idle timer."""
         # asyncio does so only for sockets whose protocol number is set.
         sock = transport.get_extra_info("socket")
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         super().connection_made(transport)
+        self._start_idle_timer()
 
-    def data_received(self, data: bytes) -> None:
-        """Parse received bytes and refuse a request head that is too large."""
-        self._overhead_bytes += len(data)
-        super().data_received(data)
-        if self._overhead_bytes > MAX_OVERHEAD_BYTES and self.parser is not None:
-            self._refuse(refuse("headers-too-large", "trailers without end"))
-        if self._head_timer is not None and self.parser is not None:
-            self._head_bytes += len(data)
-            if self._head_bytes > MAX_HEADER_BYTES:
-                self._refuse(refuse("headers-too-large"))
+    def _start_idle_timer(self) -> None:
+        self._unset_keepalive_if_required()
+        self.timeout_keep_alive_task = self.loop.call_later(
+            self.config.timeout_keep_alive, self.timeout_keep_alive_handler
+        )
+
+    @property
+    def header_timeout_s(self) -> float:
+        """Time for a request head from its first byte."""
+        return HEADER_TIMEOUT_S
 
-    def on_message_begin(self) -> None:
-        """Start the timeout for the request head."""
-        super().on_message_begin()
-        self._head_bytes = 0
-        self._head_timer = self.loop.call_later(HEADER_TIMEOUT_S, self._on_head_timeout)
+    def accept_piece(self, piece: bytes) -> bool:
+        """Refuse heads that are too large, and bodies with too little content."""
+        if self._in_head or not self._in_request:
+            self._head_bytes += len(piece)
+            if self._head_bytes > MAX_HEADER_BYTES:
+                self._refuse(refuse("headers-too-large"), Closed.HEAD_TOO_LARGE)
+                return False
+        elif self._overhead_bytes > MAX_OVERHEAD_BYTES:
+            detail = "trailers without end"
+            self._refuse(refuse("headers-too-large", detail), Closed.BODY_OVERHEAD)
+            return False
+        self._overhead_bytes += len(piece)
+        return True
+
+    def refuse_empty_lines(self) -> None:
+        """Refuse a connection that sends line ends only."""
+        self._refuse(refuse("bad-request", "too many empty lines"), Closed.EMPTY_LINES)
+
+    def _note_input(self) -> None:
+        super()._note_input()
+        if self._in_head and self._head_timer is None:
+            self._head_timer = self.loop.call_later(
+                self.header_timeout_s, self._on_head_timeout
+            )
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header to the request head."""
-        if self._head_timer is not None:
+        if self._in_head:
             super().on_header(name, value)
 
     def on_body(self, body: bytes) -> None:
@@ -284,9 +264,12 @@
         except FramingError as error:
             self._refusal = refuse("bad-request", str(error))
             raise
+        if self._limits.is_full:
+            self._refusal = refuse("router-busy", "connections hold too much memory")
+            raise ValueError("connections hold too much memory")
         if self.parser.get_http_version() == "1.0":
             # uvicorn closes the connection after the response.
-            self.app = _WithLength(self.app)
+            self.app = WithLength(self.app)
         super().on_headers_complete()
         if self.parser.should_upgrade():
             self.cycle.keep_alive = False
@@ -298,16 +281,35 @@
 
     def send_400_response(self, msg: str) -> None:
         """Refuse a request head that is invalid or too large."""
-        self._refuse(self._refusal or refuse("bad-request", msg))
+        refusal = self._refusal or refuse("bad-request", msg)
+        self._refuse(refusal, CLOSED_BY_REFUSAL.get(refusal.kind.name))
+
+    def evict(self, kind: Closed) -> None:
+        """Close the connection for others, after a refusal if that is certain."""
+        if kind is Closed.UNREAD_EVICTED:
+            self.transport.abort()
+        elif kind is Closed.NO_ROOM or self._in_head:
+            self._refuse(refuse("router-busy", "too many connections"), None)
+        else:
+            self.transport.close()
 
     def _on_head_timeout(self) -> None:
         self._head_timer = None
-        self._refuse(refuse("request-timeout", "the headers took too long"))
+        refusal = refuse("request-timeout", "the headers took too long")
+        self._refuse(refusal, Closed.HEAD_TIMEOUT)
 
-    def _refuse(self, refusal: Refusal) -> None:
+    def _refuse(self, refusal: Refusal, kind: Closed | None) -> None:
+        """Send a refusal and close the connection; count it as a kind."""
         self._stop_timer()
         if self.transport.is_closing():
             return
+        if kind is not None:
+            self._limits.count(kind)
+        cycle = self.cycle
+        if cycle and cycle.response_started and not cycle.response_complete:
+            # The refusal would be taken for a part of the answer.
+            self.transport.abort()
+            return
         body = json.dumps(refusal.problem("")).encode()
         head = (
             f"HTTP/1.1 {refusal.status} Refused\r\ncontent-type: {PROBLEM_JSON}\r\n"
@@ -326,7 +328,12 @@
     """A uvicorn server that installs no signal handlers."""
 
     def __init__(
-        self, app, host: str, port: int, body_timeout_s: float = BODY_TIMEOUT_S
+        self,
+        app,
+        host: str,
+        port: int,
+        body_timeout_s: float = BODY_TIMEOUT_S,
+        limits: ConnectionLimits | None = None,
     ):
         config = uvicorn.Config(
             DisconnectGuard(app, body_timeout_s),
@@ -338,10 +345,14 @@
             timeout_keep_alive=75,
             timeout_graceful_shutdown=2,
             server_header=False,
+            backlog=ACCEPTS_PER_TURN,
         )
-        self._server = _Server(config)
-        self._socket = socket.create_server((host, port), backlog=512)
-        _enable_dead_connection_detection(self._socket)
+        config.connection_limits = limits or ConnectionLimits()
+        # uvicorn warns of each invalid request.
+        logging.getLogger("uvicorn.error").setLevel(logging.ERROR)
+        self._server = UvicornServer(config, BACKLOG)
+        self._socket = socket.create_server((host, port), backlog=BACKLOG)
+        enable_dead_connection_detection(self._socket, CALLER_STALL_S)
         self.port = self._socket.getsockname()[1]
 
     async def serve(self) -> None:
@@ -351,23 +362,3 @@
     def stop(self) -> None:
         """Make `serve` return once the open requests have ended."""
         self._server.should_exit = True
-
-
-def _enable_dead_connection_detection(listener: socket.socket) -> None:
-    """Have the kernel close accepted connections whose peer is unreachable."""
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    for name, value in (
-        ("TCP_KEEPIDLE", KEEPALIVE_IDLE_S),
-        ("TCP_KEEPINTVL", KEEPALIVE_INTERVAL_S),
-        ("TCP_KEEPCNT", KEEPALIVE_PROBES),
-        ("TCP_USER_TIMEOUT", int(CALLER_STALL_S * 1000)),
-    ):
-        option = getattr(socket, name, None)
-        if option is not None:
-            listener.setsockopt(socket.IPPROTO_TCP, option, value)
-
-
-class _Server(uvicorn.Server):
-    @contextlib.contextmanager
-    def capture_signals(self) -> Iterator[None]:
-        yield
--- a/src/carobstair/platform/boot.py
+++ b/src/carobstair/platform/boot.py
@@ -30,6 +30,12 @@
 OWN_MEMORY_MB = 100
 BODY_MEMORY_SHARE = 0.6
 MIN_BODY_MEMORY_MB = 16
+# The part of it for unfinished heads, pipelined requests and unread answers.
+CONNECTION_MEMORY_SHARE = 0.25
+MIN_CONNECTION_MEMORY_MB = 8
+# Of the sockets, callers may take this share. A third is for upstreams, and the rest
+# for peers and the store.
+CALLER_SOCKET_SHARE = 5 / 8
 # Of the process's descriptor limit, the platform reserves these for files.
 RESERVED_DESCRIPTORS = 200
 # With fewer descriptors than this a process can't serve any caller.
@@ -123,6 +129,10 @@
         MIN_BODY_MEMORY_MB,
         int(BODY_MEMORY_SHARE * (boot.limits.memory_mb - OWN_MEMORY_MB)),
     )
+    connection_memory_mb = max(
+        MIN_CONNECTION_MEMORY_MB,
+        int(CONNECTION_MEMORY_SHARE * (boot.limits.memory_mb - OWN_MEMORY_MB)),
+    )
     sockets = max(MIN_SOCKETS, boot.limits.max_fds - RESERVED_DESCRIPTORS)
     return EdgeSettings(
         name=boot.node_name,
@@ -134,6 +144,7 @@
             peer_port=peer_port,
             metrics_port=ports[0] + METRICS_PORT_OFFSET,
             keep_alive_limit=sockets // 2,
+            max_connections=int(CALLER_SOCKET_SHARE * sockets),
         ),
         sync=SyncSettings(
             store_address=boot.platform.address,
@@ -154,6 +165,7 @@
         # A request needs one connection to its caller and one to an upstream.
         max_open_requests=sockets // 3,
         max_body_memory_bytes=body_memory_mb * 1_000_000,
+        max_connection_memory_bytes=connection_memory_mb * 1_000_000,
     )
 
 
