--- a/src/carobstair/edge/server.py
+++ b/src/carobstair/edge/server.py
@@ -14,6 +14,7 @@
     Closed,
     ConnectionLimits,
     ConnectionSettings,
+    Phase,
 )
 from carobstair.net.http import HEADER_TIMEOUT_S, BoundedHttpProtocol
 from carobstair.net.uvicorn_server import ACCEPTS_PER_TURN, UvicornServer
@@ -68,6 +69,7 @@
         self._unset_keepalive_if_required()
         self.transport.pause_reading()
         self._limits.hold(self, len(data))
+        self._limits.set_phase(self, Phase.REQUEST)
         gate.wait(
             lambda since_s: self._receive_later(data, since_s),
             lambda: self._turn_away(data),
@@ -89,6 +91,7 @@
         if not _is_whole_request(data):
             return False
         self._limits.hold(self, 0)
+        self._limits.set_phase(self, Phase.IDLE)
         self.transport.write(self.config.turn_away())
         self.transport.resume_reading()
         self._start_idle_timer()
--- a/src/carobstair/net/bounded_input.py
+++ b/src/carobstair/net/bounded_input.py
@@ -201,7 +201,7 @@
         self._stop_body_timer()
         super().on_message_complete()
         if self.cycle.response_complete:
-            self._limits.set_phase(self, Phase.IDLE)
+            self._note_idle()
 
     def on_response_complete(self) -> None:
         """Go on with what was received meanwhile."""
@@ -215,10 +215,15 @@
                 UNFINISHED_BODY_S, self._on_unfinished_body
             )
             return
-        self._limits.set_phase(self, Phase.IDLE)
+        self._note_idle()
         if self._pending or self._is_paused:
             self.loop.call_soon(self._resume)
 
+    def _note_idle(self) -> None:
+        # An answer that waits for its caller still takes memory.
+        if not self.flow.write_paused:
+            self._limits.set_phase(self, Phase.IDLE)
+
     def pause_writing(self) -> None:
         """Note that the caller is behind with reading."""
         super().pause_writing()
@@ -228,6 +233,8 @@
         """Note that the caller reads."""
         super().resume_writing()
         self._limits.note_unread(self, False)
+        if not self._in_request and self.cycle and self.cycle.response_complete:
+            self._limits.set_phase(self, Phase.IDLE)
         if self._pending or self._is_paused:
             self.loop.call_soon(self._resume)
 
--- a/src/carobstair/net/connection_limits.py
+++ b/src/carobstair/net/connection_limits.py
@@ -39,6 +39,8 @@
 # connection does not see its end.
 SWEEP_INTERVAL_S = 0.25
 LOG_INTERVAL_S = 1.0
+# Between two looks at what callers have read.
+CHECK_INTERVAL_S = 1.0
 # Of the process's descriptors, those that are left to files, the store, peers and
 # pages, and the share of the rest that callers' connections may take. Upstreams take
 # most of what remains.
@@ -175,6 +177,7 @@
         self._counts: Counter[Closed] = Counter()
         self._sweep_timer: asyncio.TimerHandle | None = None
         self._logged_s = 0.0
+        self._checked_s = 0.0
 
     @property
     def connections(self) -> int:
@@ -337,8 +340,10 @@
             if _is_ended(connection.transport):
                 connection.transport.abort()
         self._relieve()
-        for entry in [*self._entries.values(), *self._closing.values()]:
-            self._check_progress(entry, now_s)
+        if now_s - self._checked_s >= CHECK_INTERVAL_S:
+            self._checked_s = now_s
+            for entry in [*self._entries.values(), *self._closing.values()]:
+                self._check_progress(entry, now_s)
         if self._counts and now_s - self._logged_s >= LOG_INTERVAL_S:
             self._logged_s = now_s
             counts = {kind.replace("-", "_"): n for kind, n in self._counts.items()}
