--- a/src/carobstair/metrics.py
+++ b/src/carobstair/metrics.py
@@ -94,6 +94,11 @@
         self.peer_dropped = self._counter(
             "peer_messages_dropped", "Peer messages that were dropped", ("reason",)
         )
+        self.closed_connections = self._counter(
+            "closed_connections",
+            "Connections refused or closed because of their client",
+            ("kind",),
+        )
         self.bad_input = self._counter(
             "bad_input",
             "Input that made no sense and was dropped or corrected",
--- a/src/carobstair/net/bounded_input.py
+++ b/src/carobstair/net/bounded_input.py
@@ -94,7 +94,7 @@
                     return
             size = self._piece_bytes(data)
             piece, data = data[:size], data[size:]
-            self._last_bytes = piece[-2:]
+            self._last_bytes = (self._last_bytes[-1:] + piece[-2:])[-2:]
             if not self.accept_piece(piece):
                 return
             super().data_received(piece)
--- a/src/carobstair/net/http.py
+++ b/src/carobstair/net/http.py
@@ -15,7 +15,11 @@
 from carobstair.core.refusals import PROBLEM_JSON, Refusal, refuse
 from carobstair.logs import get_logger
 from carobstair.net.bounded_input import BoundedInputProtocol
-from carobstair.net.connection_limits import Closed, ConnectionLimits
+from carobstair.net.connection_limits import (
+    Closed,
+    ConnectionLimits,
+    ConnectionSettings,
+)
 from carobstair.net.held_response import WithLength
 from carobstair.net.uvicorn_server import (
     ACCEPTS_PER_TURN,
@@ -347,7 +351,10 @@
             server_header=False,
             backlog=ACCEPTS_PER_TURN,
         )
-        config.connection_limits = limits or ConnectionLimits()
+        # Stand-ins get all their connections from one address.
+        config.connection_limits = limits or ConnectionLimits(
+            ConnectionSettings(address_share=1.0)
+        )
         # uvicorn warns of each invalid request.
         logging.getLogger("uvicorn.error").setLevel(logging.ERROR)
         self._server = UvicornServer(config, BACKLOG)
--- a/src/carobstair/net/router.py
+++ b/src/carobstair/net/router.py
@@ -20,6 +20,7 @@
 from carobstair.net.app import make_app
 from carobstair.net.capacity import CapacityDriver
 from carobstair.net.chat import ChatRelay
+from carobstair.net.connection_limits import ConnectionLimits
 from carobstair.net.gateway import Gateway
 from carobstair.net.http import HttpServer
 from carobstair.net.orders import OrderDriver
@@ -124,7 +125,15 @@
         )
         app = make_app(self.gateway, self.agent, self.metrics, settings)
         self._server = HttpServer(
-            app, instance.host, instance.http_port, settings.gateway.body_timeout_s
+            app,
+            instance.host,
+            instance.http_port,
+            settings.gateway.body_timeout_s,
+            ConnectionLimits(
+                on_closed=lambda kind: self.metrics.closed_connections.labels(
+                    kind
+                ).inc()
+            ),
         )
         self._stopping = asyncio.Event()
 
