Spend less per relayed event and request head

Whole events are not searched for their ends, parts that have arrived are taken without a coroutine, the poll object of a caller's connection is kept, and the set of dropped headers is built only where a Connection header adds to it. The splitter gives the same results as before on 100,000 random inputs. 148 tests of the modules around it pass.

--- a/src/carobstair/edge/event_stream.py
+++ b/src/carobstair/edge/event_stream.py
@@ -63,6 +63,10 @@
         EventTooLarge
         """
         partial = self._partial
+        if not partial and data.endswith(b"\n\n"):
+            # Whole events, as nearly all parts are.
+            self._note_id(data)
+            return data
         # The end may span two parts; what was searched before is not searched again.
         start = max(0, len(partial) - LONGEST_END_BYTES + 1)
         partial += data
@@ -73,10 +77,13 @@
         del partial[:end]
         if len(partial) > MAX_EVENT_BYTES:
             raise EventTooLarge(f"an event has more than {MAX_EVENT_BYTES} bytes")
+        self._note_id(events)
+        return events
+
+    def _note_id(self, events: bytes) -> None:
         ids = EVENT_ID.findall(events)
         if ids:
             self.last_id = ids[-1].decode("latin-1")
-        return events
 
     @property
     def at_boundary(self) -> bool:
--- a/src/carobstair/edge/server.py
+++ b/src/carobstair/edge/server.py
@@ -78,6 +78,8 @@
     _waiting_since_s: float | None = None
     # The response in progress, and what to call when the connection is lost.
     _running: tuple[RequestResponseCycle, Callable[[], None]] | None = None
+    # Polls the socket for the end of the caller's side.
+    _poll: select.poll | None = None
     # Drawn for the request that is being read, while requests are shed.
     _shed_draw: float | None = None
 
@@ -190,9 +192,10 @@
             return True
         if not POLL_CLOSED:
             return False
-        poll = select.poll()
-        poll.register(self.transport.get_extra_info("socket"), POLL_CLOSED)
-        return bool(poll.poll(0))
+        if self._poll is None:
+            self._poll = select.poll()
+            self._poll.register(self.transport.get_extra_info("socket"), POLL_CLOSED)
+        return bool(self._poll.poll(0))
 
     def on_response_complete(self) -> None:
         """Start the idle timer with the current timeout."""
--- a/src/carobstair/edge/upstream_connection.py
+++ b/src/carobstair/edge/upstream_connection.py
@@ -260,7 +260,8 @@
         ConnectionBroken
         """
         while True:
-            item = await self._dequeue()
+            await self._wait_for_data()
+            item = self._take()
             if isinstance(item, ResponseHead):
                 return item
 
@@ -275,15 +276,17 @@
         ConnectionBroken
             If the response was truncated.
         """
-        item = await self._dequeue()
+        received = self._received
+        if not received:
+            await self._wait_for_data()
+        item = self._take()
         if item is _BODY_END:
             return None
-        received = self._received
         if not received or not isinstance(received[0], bytes):
             return item
         parts, size = [item], len(item)
         while received and isinstance(received[0], bytes) and size < MAX_JOINED_BYTES:
-            parts.append(await self._dequeue())
+            parts.append(self._take())
             size += len(parts[-1])
         return b"".join(parts)
 
@@ -335,7 +338,7 @@
                 self._transport.pause_reading()
         self._wake()
 
-    async def _dequeue(self):
+    async def _wait_for_data(self) -> None:
         while not self._received:
             if self._error is not None:
                 raise self._error
@@ -344,6 +347,8 @@
                 await self._waiter
             finally:
                 self._waiter = None
+
+    def _take(self):
         item = self._received.popleft()
         if isinstance(item, bytes):
             self._buffered -= len(item)
--- a/src/carobstair/platform/headers.py
+++ b/src/carobstair/platform/headers.py
@@ -125,7 +125,9 @@
 
     def write_request(self, headers: Headers, metadata: ForwardMetadata) -> Headers:
         """Return the request headers to send to an upstream."""
-        dropped = STRIPPED_FROM_REQUESTS | _connection_options(headers)
+        dropped = STRIPPED_FROM_REQUESTS
+        if options := _connection_options(headers):
+            dropped |= options
         forwarded = [(name, value) for name, value in headers if name not in dropped]
         forwarded.append((DEADLINE_MS, b"%d" % metadata.remaining_ms))
         forwarded.append((EXPECT_INSTANCE, metadata.upstream_id.encode()))
@@ -157,7 +159,9 @@
 
     def write_response(self, headers: Headers) -> Headers:
         """Return the response headers to send to the caller."""
-        dropped = HOP_BY_HOP | _connection_options(headers)
+        dropped = HOP_BY_HOP
+        if options := _connection_options(headers):
+            dropped |= options
         return [(name, value) for name, value in headers if name not in dropped]
 
 
