--- a/tests/test_router_load.py
+++ b/tests/test_router_load.py
@@ -12,7 +12,7 @@
 import msgspec
 
 import test_edge
-from carobstair.core.messages import FleetDigest, PeerAddress, decode, encode
+from carobstair.core.messages import Envelope, FleetDigest, PeerAddress, decode, encode
 from carobstair.core.overload import OverloadGuard, OverloadSettings
 from carobstair.core.router_load import (
     NOTHING_SHED,
@@ -21,6 +21,7 @@
 )
 from carobstair.edge.measured_selector import measured_loop
 from edge_test_case import EdgeCase, wait_until
+from gossip_nodes import RecordingTransport, make_node
 
 # Processor time of a small machine, assumed.
 ADMISSION_S, EVENT_S = 0.0015, 0.00012
@@ -365,7 +366,24 @@
 
 
 class DigestFieldTest(unittest.TestCase):
-    """Guards against digests that routers of other releases can't read."""
+    """Guards against digests that do not say how busy their sender is.
+
+    Routers of other releases must be able to read them, and their own count as silent.
+    """
+
+    def test_peer_records_the_figure_until_the_sender_falls_silent(self):
+        sender = make_node("r1", 7400, RecordingTransport()).gossip
+        receiver = make_node("r0", 7400, RecordingTransport()).gossip
+        envelope = Envelope(1, "r1", 1, 0, 1, "FleetDigest", msgspec.Raw(b""))
+        group = sender._same_zone_group
+        receiver._on_digest(envelope, sender._make_digest(group, 1.0))
+        peers = receiver._shedding.peers
+        self.assertIsNone(peers.median(1.0))
+        sender._shedding.own = make_guard(0.85).utilisation
+        receiver._on_digest(envelope, sender._make_digest(group, 2.0))
+        self.assertAlmostEqual(peers.median(2.0), 0.85, delta=0.01)
+        receiver._expire_silent_peers(time.monotonic() + 100.0)
+        self.assertIsNone(peers.median(3.0))
 
     def test_digest_with_and_without_the_field_is_decoded(self):
         address = PeerAddress("r1", 1, "127.0.0.1", 1, 1, "a")
