--- a/src/carobstair/core/upstream_capacity/placement.py
+++ b/src/carobstair/core/upstream_capacity/placement.py
@@ -17,9 +17,10 @@
 NO_MEMORY_S = 1000.0
 # Cost of a plain upstream without a free slot, which rejects the request.
 NO_SLOT_S = 10.0
-# Requests beyond the mean fill that cost nothing: at small loads one request more is
-# no imbalance.
-BALANCE_REQUESTS = 1.0
+# Requests beyond the mean fill that cost nothing: at small loads fractions of a
+# request are no imbalance. With 1.0, the busiest of 30 engines at two fifths of their
+# load had 1.44 times the mean work in a play, and 1.21 times with 0.3.
+BALANCE_REQUESTS = 0.3
 # Fill at which a plain upstream's wait counts as endless: above 1, as full ones are
 # known by their slots.
 PLAIN_POLE = 1.25
--- a/src/carobstair/scenario/overload.py
+++ b/src/carobstair/scenario/overload.py
@@ -207,7 +207,8 @@
             UpstreamHealth(),
             ColdSendLimit(limits, -10.0),
             ResendLimit(limits),
-            random.Random(self._plan.seed),
+            # With one seed for all, every router would first choose the same engine.
+            random.Random(f"{self._plan.seed} {name} choice"),
         )
         admission = FairAdmission(
             self._plan.admission, random.Random(f"{self._plan.seed} {name}")
