--- a/src/carobstair/core/upstream_capacity/capacity.py
+++ b/src/carobstair/core/upstream_capacity/capacity.py
@@ -35,7 +35,7 @@
     typical : UpstreamRecord
         Coefficients of an upstream of which nothing is known.
     fill, near_fill, near_wait_s : float
-        Load of all upstreams and of those in the own zone at the last placement:
+        Load of all upstreams and of those in the own zone when last measured:
         requests relative to the concurrency, and the mean wait for queued prompts.
     mean_held_tokens : float
         Tokens that one request holds in an engine's memory, on average.
@@ -51,11 +51,11 @@
     _records: dict[Incarnation, UpstreamRecord] = field(default_factory=dict)
     _mean_speed: float = 1.0
     _refreshed_s: float = -math.inf
+    _filled_s: float = -math.inf
 
     def __post_init__(self) -> None:
         self._model = WaitModel(self.settings.prefill_tokens_per_s)
-        self.typical.token_s = self._model.token_s
-        self.typical.concurrency = UNKNOWN_SLOTS
+        self._update_typical()
 
     @property
     def base_s(self) -> float:
@@ -68,7 +68,10 @@
         if record is None:
             typical = self.typical
             record = self._records[incarnation] = UpstreamRecord(
-                token_s=typical.token_s, concurrency=typical.concurrency
+                token_s=typical.token_s,
+                backlog_token_s=typical.backlog_token_s,
+                concurrency=typical.concurrency,
+                running_s=typical.running_s,
             )
         return record
 
@@ -189,23 +192,41 @@
         if now_s - self._refreshed_s < self.settings.refresh_s:
             return
         self._refreshed_s = now_s
-        self.typical.token_s = self._model.token_s
-        self.typical.concurrency = float(self.typical.slots or UNKNOWN_SLOTS)
+        self._update_typical()
         total = 0.0
         for record in self._records.values():
             self._update(record, now_s)
             total += record.speed / record.slowdown_at(self.settings, now_s)
         self._mean_speed = total / len(self._records) if self._records else 1.0
 
+    def wants_fill(self, now_s: float) -> bool:
+        """Return whether the fill is to be measured again, and assume that it is."""
+        if now_s - self._filled_s < self.settings.fill_s:
+            return False
+        self._filled_s = now_s
+        return True
+
+    def _update_typical(self) -> None:
+        typical, settings = self.typical, self.settings
+        typical.token_s = self._model.token_s
+        typical.backlog_token_s = settings.backlog_weight * typical.token_s
+        typical.concurrency = float(typical.slots or UNKNOWN_SLOTS)
+        typical.running_s = settings.full_s / typical.concurrency
+
     def _update(self, record: UpstreamRecord, now_s: float) -> None:
         settings = self.settings
         slowdown = record.slowdown_at(settings, now_s)
         record.speed = self._speed(record, now_s)
         record.token_s = self._model.token_s * slowdown / record.speed
         record.late_s = record.late_at(settings, now_s)
+        # Among upstreams of usual speeds, the balance follows from their fill.
+        slow = max(0.0, slowdown / record.speed - settings.usual_ratio)
+        record.wait_s = record.late_s + self._model.base_s * slow
         record.transient = slowdown / record.usual_slowdown
+        record.backlog_token_s = settings.backlog_weight * record.token_s
         slots = record.slots or self.typical.slots or UNKNOWN_SLOTS
         record.concurrency = record.limit_at(slots, settings, now_s)
+        record.running_s = settings.full_s * record.transient / record.concurrency
 
     def _token_s(self, record: UpstreamRecord | None, now_s: float) -> float:
         if record is None:
--- a/src/carobstair/core/upstream_capacity/placement.py
+++ b/src/carobstair/core/upstream_capacity/placement.py
@@ -70,8 +70,7 @@
 ) -> str:
     """Return the engine with the least cost, at random among near-equal ones.
 
-    All is computed in one pass without calls, as there may be hundreds of engines.
-    The mean fill that the balance refers to is that of the pass before.
+    The cost is computed without calls, as there may be hundreds of engines.
 
     Parameters
     ----------
@@ -79,79 +78,137 @@
         Upstream id and zone, at least one.
     """
     capacity.refresh(now_s)
+    candidates = list(candidates)
+    fresh_s = now_s - weights.report_lifetime_s
+    if capacity.wants_fill(now_s):
+        _measure_fill(candidates, capacity, zone, loads, peer_totals, fresh_s)
     settings, typical = capacity.settings, capacity.typical
     random_value, margin_s = rng.random, settings.margin_s
-    backlog_weight = settings.backlog_weight
     # What others lose is the same wherever a prompt is read twice; at the rate of each
     # engine, fast ones would attract all reads.
     others_token_s = (settings.uncached_weight - 1.0) * typical.token_s
-    fresh_s = now_s - weights.report_lifetime_s
+    slot_wait_s = weights.slot_wait_s
     fair_fill = capacity.fill * (1.0 + settings.balance_slack)
     other_zone_s = _other_zone_s(capacity, weights)
-    full_s, balance_s = settings.full_s, settings.balance_s
+    balance_s = settings.balance_s
     prompt_tokens, segments = prompt.prompt_tokens, prompt.segments
-    held = prompt_tokens + prompt.output_tokens
-    mean_held = capacity.mean_held_tokens
-    free_tokens = settings.kv_fraction * kv_tokens - held
+    loads_get, totals_get = loads.get, peer_totals.get
+    without_memory: set[str] = set()
+    while True:
+        best, lowest_s = "", math.inf
+        for upstream_id, its_zone in candidates:
+            backlog, running = totals_get(upstream_id, NO_TOTALS)
+            uncached = prompt_tokens
+            record = typical
+            load = loads_get(upstream_id)
+            if load is not None:
+                backlog += load.backlog_tokens
+                if load.reported_s > fresh_s:
+                    running = load.reported_requests + load.running
+                    running -= load.own_at_report
+                else:
+                    running += load.running
+                if load.record is not None:
+                    record = load.record
+                cached = load.cached
+                for segment, tokens in segments:
+                    if segment not in cached:
+                        break
+                    uncached -= tokens
+            room = record.concurrency
+            cost_s = (
+                record.wait_s
+                + record.backlog_token_s * backlog
+                + record.running_s * running
+                + margin_s * random_value()
+            )
+            if uncached > 0:
+                cost_s += (record.token_s + others_token_s) * uncached
+            if running >= room:
+                cost_s += slot_wait_s * (running - room + 1.0)
+            excess = running - fair_fill * room - BALANCE_REQUESTS
+            if excess > 0.0:
+                cost_s += balance_s * excess / room
+            if its_zone != zone:
+                cost_s += other_zone_s
+            if permits and upstream_id in permits:
+                permit = permits[upstream_id]
+                send_s = weights.limited_send_weight * permit.interval_s
+                cost_s += settings.backlog_weight * permit.wait_s
+                cost_s += min(send_s, weights.max_limited_send_s)
+            if without_memory and upstream_id in without_memory:
+                cost_s += NO_MEMORY_S
+            if cost_s < lowest_s:
+                best, lowest_s = upstream_id, cost_s
+        # Checked for the chosen one only, as engines seldom are without memory.
+        if lowest_s >= NO_MEMORY_S or best in without_memory:
+            return best
+        load, running = loads_get(best), totals_get(best, NO_TOTALS)[1]
+        if _has_memory(load, running, prompt, capacity, kv_tokens, fresh_s):
+            return best
+        without_memory.add(best)
+
+
+def _has_memory(
+    load: PlacementLoad | None,
+    peers_running: int,
+    prompt: Any,
+    capacity: UpstreamCapacity,
+    kv_tokens: int,
+    fresh_s: float,
+) -> bool:
+    """Return whether an engine can hold a request and its whole answer.
+
+    What other routers' requests hold is estimated by the mean. Requests that wait
+    beyond the slots hold nothing yet.
+    """
+    held = prompt.prompt_tokens + prompt.output_tokens
+    others, slots = peers_running, 0
+    if load is not None:
+        held += load.held_tokens
+        slots = load.record.slots if load.record is not None else 0
+        if load.reported_s > fresh_s:
+            others = max(0, load.reported_requests - load.own_at_report)
+    if slots:
+        others = min(others, slots)
+    held += capacity.mean_held_tokens * others
+    return held <= capacity.settings.kv_fraction * kv_tokens
+
+
+def _measure_fill(
+    candidates: Sequence[tuple[str, str]],
+    capacity: UpstreamCapacity,
+    zone: str,
+    loads: Mapping[str, PlacementLoad],
+    peer_totals: Mapping[str, Sequence[int]],
+    fresh_s: float,
+) -> None:
+    """Measure the load that balance and the cost of other zones refer to."""
     all_running = all_room = near_running = near_room = near_wait_s = 0.0
     near_count = 0
-    best, lowest_s = "", math.inf
     for upstream_id, its_zone in candidates:
         backlog, running = peer_totals.get(upstream_id, NO_TOTALS)
-        uncached, others, held_own = prompt_tokens, running, 0
-        record = typical
+        record = capacity.typical
         load = loads.get(upstream_id)
         if load is not None:
             backlog += load.backlog_tokens
-            own = load.running
-            running += own
+            running += load.running
             if load.reported_s > fresh_s:
-                running = max(load.reported_requests + own - load.own_at_report, own)
-                others = running - own
-            held_own = load.held_tokens
+                running = load.reported_requests + load.running - load.own_at_report
             if load.record is not None:
                 record = load.record
-            cached = load.cached
-            for segment, tokens in segments:
-                if segment not in cached:
-                    break
-                uncached -= tokens
-        token_s, room = record.token_s, record.concurrency
-        read_s = token_s * backlog
-        fill = running / room
-        cost_s = backlog_weight * read_s + record.late_s + margin_s * random_value()
-        cost_s += full_s * record.transient * fill
-        if uncached > 0:
-            cost_s += (token_s + others_token_s) * uncached
-        if running >= room:
-            cost_s += weights.slot_wait_s * (running - room + 1.0)
-        if running > fair_fill * room + BALANCE_REQUESTS:
-            cost_s += balance_s * (fill - fair_fill - BALANCE_REQUESTS / room)
-        # Requests that wait beyond the slots hold no memory yet.
-        if held_own + mean_held * min(others, record.slots or others) > free_tokens:
-            cost_s += NO_MEMORY_S
         all_running += running
-        all_room += room
+        all_room += record.concurrency
         if its_zone == zone:
             near_running += running
-            near_room += room
-            near_wait_s += read_s
+            near_room += record.concurrency
+            near_wait_s += record.token_s * backlog
             near_count += 1
-        else:
-            cost_s += other_zone_s
-        if upstream_id in permits:
-            permit = permits[upstream_id]
-            send_s = weights.limited_send_weight * permit.interval_s
-            cost_s += backlog_weight * permit.wait_s
-            cost_s += min(send_s, weights.max_limited_send_s)
-        if cost_s < lowest_s:
-            best, lowest_s = upstream_id, cost_s
     if all_room:
-        capacity.fill = all_running / all_room
+        capacity.fill = max(0.0, all_running / all_room)
     if near_count:
         capacity.near_fill = near_running / near_room
         capacity.near_wait_s = near_wait_s / near_count
-    return best
 
 
 def choose_plain(
--- a/src/carobstair/core/upstream_capacity/record.py
+++ b/src/carobstair/core/upstream_capacity/record.py
@@ -26,6 +26,8 @@
         Slots by the last report; 0 until then.
     token_s : float
         Time to read a prompt token now.
+    backlog_token_s, running_s : float
+        Cost of a prompt token queued ahead, and of a request at the upstream.
     concurrency : float
         Requests up to which first tokens keep their objective.
     transient : float
@@ -34,6 +36,9 @@
         Speed relative to the service's mean, at its usual slowdown.
     late_s : float
         Time by which first bytes are later than the speed explains.
+    wait_s : float
+        Time by which first bytes are later than at an upstream of usual speed,
+        whatever is queued there.
     occupancy : float
         Smoothed number of requests that the upstream has reported.
     """
@@ -41,10 +46,13 @@
     slots: int = 0
     # Coefficients
     token_s: float = 0.0
+    backlog_token_s: float = 0.0
+    running_s: float = 0.0
     concurrency: float = 1.0
     transient: float = 1.0
     speed: float = 1.0
     late_s: float = 0.0
+    wait_s: float = 0.0
     occupancy: float = 0.0
     # Evidence
     expected_s: float = 0.0
--- a/src/carobstair/core/upstream_capacity/settings.py
+++ b/src/carobstair/core/upstream_capacity/settings.py
@@ -59,12 +59,17 @@
         the concurrency as it is.
     refresh_s : float
         Interval at which the coefficients of all upstreams are computed anew.
+    fill_s : float
+        Interval at which the mean fill of a service's upstreams is measured.
     backlog_weight : float
         Weight of the time to read the prompts queued ahead of a request.
     uncached_weight : float
         Weight of the time to read the request's own uncached prompt, far above 1, as
         others wait for it too. In plays near the limit of the engines, 10 read more
         and served fewer in time than 24, while the balance was the same.
+    usual_ratio : float
+        Slowness relative to the mean from which an upstream costs its whole wait:
+        upstreams of 0.7 of the mean speed are not slow ones.
     full_s : float
         Cost of an upstream whose concurrency is used up, in proportion below it.
     balance_slack : float
@@ -101,8 +106,10 @@
     recovery_s: float = 30.0
     max_transient_slowdown: float = 1.3
     refresh_s: float = 0.2
+    fill_s: float = 0.05
     backlog_weight: float = 3.0
     uncached_weight: float = 20.0
+    usual_ratio: float = 1.6
     full_s: float = 0.1
     balance_slack: float = 0.1
     balance_s: float = 3.0
