--- a/src/carobstair/core/upstream_capacity/settings.py
+++ b/src/carobstair/core/upstream_capacity/settings.py
@@ -110,7 +110,7 @@
     backlog_weight: float = 3.0
     uncached_weight: float = 20.0
     usual_ratio: float = 1.6
-    full_s: float = 0.1
+    full_s: float = 0.3
     balance_slack: float = 0.1
     balance_s: float = 3.0
     margin_s: float = 0.01
--- a/tests/test_upstream_capacity.py
+++ b/tests/test_upstream_capacity.py
@@ -1,6 +1,8 @@
 """Tests of the estimates of upstreams' capacity, and of placement by them."""
 
 import hashlib
+import heapq
+import itertools
 import random
 import unittest
 
@@ -487,5 +489,85 @@
         self.assertEqual(report.rejected, 0)
 
 
+class PlainFleetTest(unittest.TestCase):
+    """Guards against many routers that fill a plain upstream slowed by neighbours."""
+
+    UPSTREAMS, ROUTERS, PLAIN_SLOTS, SECONDS = 3, 62, 6, 30.0
+
+    def play(self, slowdown_stated, rate_per_s=91.0, time_s=0.08):
+        """Return the requests, those rejected, and the times of the others."""
+        rng = random.Random(8)
+        zones = ("a", "b", "c")
+        fleet = [
+            LoadTracker(PlacementSettings(), zones[n % 3]) for n in range(self.ROUTERS)
+        ]
+        candidates = [(f"u{n}", zones[n]) for n in range(self.UPSTREAMS)]
+        slowed = {
+            u: [(t, t + 0.6) for t in (rng.uniform(0, self.SECONDS) for _ in range(6))]
+            for u, _ in candidates
+        }
+        running, rejected, times_s = dict.fromkeys(slowed, 0), 0, []
+        events, order, count = [], itertools.count(), 0
+
+        def factor(upstream, now_s):
+            busy = any(begin <= now_s < end for begin, end in slowed[upstream])
+            return 2.5 if busy else 1.0
+
+        def arrive(now_s):
+            nonlocal rejected, count
+            push(now_s + rng.expovariate(rate_per_s), arrive)
+            count += 1
+            loads = rng.choice(fleet)
+            upstream = loads.pick_plain(candidates, rng, {}, now_s, "s")
+            loads.note_incarnation(upstream, "s", 1)
+            sent = loads.begin(upstream, PromptShape(), now_s)
+            accepted = running[upstream] < self.PLAIN_SLOTS
+            running[upstream] += accepted
+            rejected += not accepted
+            took_s = 0.003
+            if accepted:
+                took_s += time_s * factor(upstream, now_s) * rng.uniform(0.5, 1.5)
+                times_s.append(took_s)
+
+            def end(now_s):
+                running[upstream] -= accepted
+                stated = factor(upstream, now_s) if slowdown_stated else None
+                loads.note_report(
+                    upstream, running[upstream], 0, 6, now_s, stated, "s", 1
+                )
+                if accepted:
+                    loads.note_first_byte(sent, now_s)
+                loads.end(sent, now_s)
+
+            push(now_s + took_s, end)
+
+        def send_digests(now_s):
+            push(now_s + 0.3, send_digests)
+            for sender, loads in enumerate(fleet):
+                rows = loads.own_rows()
+                waits, cursors[sender] = loads.recent_waits(cursors[sender], 64)
+                for peer in fleet:
+                    if peer is not loads:
+                        peer.note_peer(f"r{sender}", rows)
+                        for row in waits:
+                            peer.note_peer_wait("s", row, now_s)
+
+        def push(at_s, action):
+            heapq.heappush(events, (at_s, next(order), action))
+
+        cursors = [0] * self.ROUTERS
+        push(0.0, arrive)
+        push(0.0, send_digests)
+        while events[0][0] < self.SECONDS:
+            now_s, _, action = heapq.heappop(events)
+            action(now_s)
+        return count, rejected, sorted(times_s)
+
+    def test_fewer_requests_are_rejected_or_late_than_without_the_slowdown(self):
+        before, after = self.play(False), self.play(True)
+        self.assertLess(after[1] / after[0], 0.5 * before[1] / before[0])
+        self.assertLess(after[2][int(0.95 * len(after[2]))], 0.2)
+
+
 if __name__ == "__main__":
     unittest.main()
