Split the load tracker, and leave out waits of cold upstreams

Its value types are in core/placement.py, and the estimates by service in core/upstream_capacity/services.py; public names stay importable from engine_load. A cold upstream answers late whatever its speed, so its waits are no samples.

--- a/src/carobstair/core/dispatch.py
+++ b/src/carobstair/core/dispatch.py
@@ -144,7 +144,13 @@
             return False
         if pool.cold_rate > 0:
             self.cold.note_send(entry.upstream_id, now_s)
-        self.loads.note_incarnation(entry.upstream_id, pool.name, entry.born_ms)
+        if self.loads.states_slowdown(pool.name):
+            self.loads.note_send(
+                entry.upstream_id,
+                pool.name,
+                entry.born_ms,
+                self.directory.is_cold(entry, now_s),
+            )
         self.rates.note_send((entry.upstream_id, entry.born_ms), now_s)
         return True
 
--- a/src/carobstair/core/engine_load.py
+++ b/src/carobstair/core/engine_load.py
@@ -14,12 +14,14 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from carobstair.core.placement import PlacementSettings, PromptShape, SentRequest
 from carobstair.core.rate_limits import PermitOutlook
 from carobstair.core.upstream_capacity import (
-    CapacitySettings,
     Incarnation,
+    ServiceCapacities,
     UpstreamCapacity,
     UpstreamRecord,
+    WaitRow,
     choose_engine,
     choose_plain,
 )
@@ -29,8 +31,6 @@
 # KV-cache capacity of an engine until the configuration gives it.
 DEFAULT_KV_TOKENS = 500_000
 
-# Waits of own requests that are kept for digests: those of some seconds.
-MAX_RECENT_WAITS = 256
 # Recently sent segments that are kept for digests; peers gain little from older ones.
 MAX_RECENT_SEGMENTS = 256
 
@@ -41,119 +41,9 @@
 # Far below any cost difference, so that it only breaks ties.
 TIE_BREAK_S = 1e-6
 
-# Upstream with its start time, expected and actual wait in milliseconds, and the
-# slowdown in percent.
-WaitRow = tuple[str, int, int, int, int]
-Segments = tuple[tuple[str, int], ...]
-
-
-@dataclass(frozen=True, slots=True)
-class PromptShape:
-    """Sizes of a model request.
-
-    Attributes
-    ----------
-    prompt_tokens, output_tokens : int
-        `output_tokens` is the length that the caller expects, or the maximum.
-    segments : tuple of (str, int)
-        Segments of the prompt in order, each as its id and its number of tokens.
-    shared_segments : tuple of str
-        Ids of all segments but the last, which other requests may share. Given
-        whatever else of the prompt is unknown.
-    """
-
-    prompt_tokens: int = 0
-    output_tokens: int = 0
-    segments: Segments = ()
-    shared_segments: tuple[str, ...] = ()
-
-
 NO_PROMPT = PromptShape()
 
 
-@dataclass(frozen=True, slots=True)
-class PlacementSettings:
-    """Weights of the estimated time to the first token.
-
-    Attributes
-    ----------
-    prefill_tokens_per_s : float
-        Prefill rate of an engine in prompt tokens a second, from its data sheet.
-    backlog_weight : float
-        Weight of the prompt tokens queued at an engine ahead of the request.
-    uncached_weight : float
-        Weight of the request's own tokens that the engine has not cached. Far above
-        1: prefilling a segment twice takes time from every other request, whereas
-        choosing an engine that has it cached costs only a longer wait.
-    limited_uncached_weight : float
-        The same at engines that limit their requests: they are short of sends, not of
-        time to read, so long prompts are best placed there.
-    limited_send_weight : float
-        Weight of the time between two sends that such an engine accepts: each request
-        takes it from the others whatever its size, so short ones are placed elsewhere.
-    max_limited_send_s : float
-        Bound of that cost, at which long prompts still prefer such an engine.
-    running_request_s : float
-        Delay per running request: a decode step takes longer with a larger batch.
-    other_zone_s : float
-        Cost of an upstream in another zone: the network hop and the traffic.
-    target_wait_s : float
-        Mean wait for queued prompts at which engines count as fully loaded. Below
-        two thirds of the shortest objective for the first token, 400 ms, because
-        waits vary.
-    target_running : float
-        Running requests at which an engine counts as fully loaded: by its data sheet
-        a decode step then takes 1.5 times as long as with one request. With more,
-        long answers miss their deadlines.
-    target_slot_fraction : float
-        The same limit as a fraction of the slots, for engines with few slots:
-        requests beyond the number of slots have to wait.
-    cache_fraction : float
-        Fraction of an engine's KV cache that is assumed to hold the segments known
-        here; the rest holds running requests and segments known only to peers.
-    report_lifetime_s : float
-        How long the load that an upstream reported is used instead of the sum over
-        all routers.
-    slot_wait_s : float
-        Delay for each request beyond the slots of an engine: the time after which
-        the next of its slots becomes free.
-    capacity : CapacitySettings
-        Estimates of each upstream, for services whose upstreams state a slowdown.
-    """
-
-    prefill_tokens_per_s: float = 56_600.0
-    backlog_weight: float = 3.0
-    uncached_weight: float = 16.0
-    limited_uncached_weight: float = 8.0
-    limited_send_weight: float = 4.0
-    max_limited_send_s: float = 0.8
-    running_request_s: float = 0.002
-    other_zone_s: float = 0.005
-    target_wait_s: float = 0.25
-    target_running: float = 22.0
-    target_slot_fraction: float = 1.0
-    cache_fraction: float = 0.5
-    report_lifetime_s: float = 0.5
-    slot_wait_s: float = 0.2
-    capacity: CapacitySettings = CapacitySettings()
-
-
-@dataclass(slots=True)
-class SentRequest:
-    """A request in flight at an upstream."""
-
-    upstream_id: str
-    uncached_tokens: int
-    sent_s: float
-    first_byte_s: float | None = None
-    # Prompt and whole answer in an engine's memory.
-    held_tokens: int = 0
-    # Load at the send, for services whose upstreams state a slowdown.
-    incarnation: Incarnation | None = None
-    tokens_ahead: int = 0
-    running_at_send: int = 0
-
-
 @dataclass(slots=True)
 class _Load:
     backlog_tokens: int = 0
@@ -172,6 +62,8 @@
     capacity: UpstreamCapacity | None = None
     incarnation: Incarnation | None = None
     record: UpstreamRecord | None = None
+    # Waits of a cold upstream say nothing of its speed.
+    is_cold: bool = False
 
 
 @dataclass(slots=True)
@@ -182,15 +74,13 @@
     ----------
     kv_tokens : int
         KV-cache capacity of one engine.
-    on_slowdown_stated : callable or None
-        Called with the service when one of its upstreams states a slowdown for the
-        first time. From then on, `UpstreamCapacity` decides for this service.
+    capacities : ServiceCapacities
+        Estimates of the services whose upstreams state a slowdown.
     """
 
     settings: PlacementSettings
     zone: str
     kv_tokens: int = DEFAULT_KV_TOKENS
-    on_slowdown_stated: Callable[[str], None] | None = None
     # Reported loads of which some figure could not be read.
     unreadable_reports: int = 0
     _loads: dict[str, _Load] = field(default_factory=dict)
@@ -201,11 +91,10 @@
         default_factory=lambda: deque(maxlen=MAX_RECENT_SEGMENTS)
     )
     _segment_count: int = 0
-    _recent_waits: deque[WaitRow] = field(
-        default_factory=lambda: deque(maxlen=MAX_RECENT_WAITS)
-    )
-    _wait_count: int = 0
-    _capacities: dict[str, UpstreamCapacity] = field(default_factory=dict)
+    capacities: ServiceCapacities = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.capacities = ServiceCapacities(self.settings.capacity)
 
     # Own requests
 
@@ -217,7 +106,7 @@
         )
         sent.held_tokens = prompt.prompt_tokens + prompt.output_tokens
         load.held_tokens += sent.held_tokens
-        if load.capacity is not None and load.incarnation is not None:
+        if load.capacity is not None and load.incarnation and not load.is_cold:
             sent.incarnation = load.incarnation
             sent.tokens_ahead = self.backlog_tokens(upstream_id)
             sent.running_at_send = self.occupancy(upstream_id, now_s)
@@ -311,10 +200,10 @@
         """
         load = self._load(upstream_id)
         if slowdown is not None and service:
-            self._switch_on(service)
-        if service in self._capacities:
+            self.capacities.switch_on(service)
+        if service in self.capacities.by_service:
             self.note_incarnation(upstream_id, service, born_ms)
-            self._capacities[service].note_report(
+            self.capacities.by_service[service].note_report(
                 (upstream_id, born_ms), running, waiting, slots, slowdown, now_s
             )
         load.reported_requests = running + waiting
@@ -364,17 +253,22 @@
 
     # Capacity by upstream
 
+    @property
+    def on_slowdown_stated(self) -> Callable[[str], None] | None:
+        """Called with a service when its upstreams first state a slowdown."""
+        return self.capacities.on_slowdown_stated
+
+    @on_slowdown_stated.setter
+    def on_slowdown_stated(self, callback: Callable[[str], None] | None) -> None:
+        self.capacities.on_slowdown_stated = callback
+
     def states_slowdown(self, service: str) -> bool:
         """Return whether upstreams of a service have stated a slowdown."""
-        return service in self._capacities
-
-    def capacities(self) -> Mapping[str, UpstreamCapacity]:
-        """Return the estimates of the services whose upstreams state a slowdown."""
-        return self._capacities
+        return service in self.capacities.by_service
 
     def note_incarnation(self, upstream_id: str, service: str, born_ms: int) -> None:
         """Record which incarnation of an upstream receives requests now."""
-        capacity = self._capacities.get(service)
+        capacity = self.capacities.by_service.get(service)
         if capacity is None:
             return
         load, incarnation = self._load(upstream_id), (upstream_id, born_ms)
@@ -390,62 +284,36 @@
         load.capacity, load.incarnation = capacity, incarnation
         load.record = capacity.record(incarnation)
 
-    def note_peer_wait(self, service: str, row: WaitRow, now_s: float) -> None:
-        """Record the wait of a peer's request at an upstream of a service."""
-        upstream_id, born_ms, expected_ms, waited_ms, slowdown_percent = row
-        self._switch_on(service)
+    def note_send(
+        self, upstream_id: str, service: str, born_ms: int, is_cold: bool
+    ) -> None:
+        """Record which incarnation is about to get a request, and if it is cold."""
         self.note_incarnation(upstream_id, service, born_ms)
-        self._capacities[service].note_peer_wait(
-            (upstream_id, born_ms),
-            max(1, expected_ms) / 1000,
-            max(1, waited_ms) / 1000,
-            max(1, slowdown_percent) / 100,
-            now_s,
-        )
-
-    def recent_waits(self, since: int, limit: int) -> tuple[list[WaitRow], int]:
-        """Return the waits since an earlier call, as `recent_segments` does."""
-        count = min(self._wait_count - since, len(self._recent_waits), limit)
-        rows = list(self._recent_waits)[-count:] if count > 0 else []
-        return rows, self._wait_count
-
-    def _switch_on(self, service: str) -> None:
-        if service not in self._capacities:
-            self._capacities[service] = UpstreamCapacity(self.settings.capacity)
-            if self.on_slowdown_stated is not None:
-                self.on_slowdown_stated(service)
+        self._load(upstream_id).is_cold = is_cold
 
     def keep_incarnations(self, incarnations: Collection[Incarnation]) -> None:
         """Drop the estimates of incarnations that are gone."""
-        for capacity in self._capacities.values():
-            capacity.keep(incarnations)
+        self.capacities.keep(incarnations)
         for load in self._loads.values():
             if load.incarnation is not None and load.incarnation not in incarnations:
                 load.incarnation = load.record = None
 
+    def note_peer_wait(self, service: str, row: WaitRow, now_s: float) -> None:
+        """Record the wait of a peer's request at an upstream of a service."""
+        self.capacities.switch_on(service)
+        self.note_incarnation(row[0], service, row[1])
+        self.capacities.note_peer_wait(service, row, now_s)
+
     def _note_wait(self, load: _Load, sent: SentRequest, now_s: float) -> None:
-        record = load.record
-        if load.capacity is None or record is None:
-            return
-        if load.incarnation != sent.incarnation:
-            return
-        wait_s = now_s - sent.sent_s
-        expected_s = load.capacity.note_first_byte(
-            sent.incarnation,
-            sent.tokens_ahead + sent.uncached_tokens,
-            sent.running_at_send,
-            wait_s,
-            now_s,
-        )
-        self._recent_waits.append(
-            (
-                *sent.incarnation,
-                round(1000 * expected_s),
-                round(1000 * wait_s),
-                round(100 * record.slowdown),
+        if load.record is not None and load.incarnation == sent.incarnation:
+            self.capacities.note_wait(
+                load.capacity,
+                sent.incarnation,
+                sent.tokens_ahead + sent.uncached_tokens,
+                sent.running_at_send,
+                now_s - sent.sent_s,
+                now_s,
             )
-        )
-        self._wait_count += 1
 
     def _note_no_first_byte(self, load: _Load, sent: SentRequest, now_s: float) -> None:
         """Count a request that ended without an answer for the time that it waited.
@@ -617,7 +485,7 @@
         service : str, optional
             Given so that its upstreams' capacity counts where they state a slowdown.
         """
-        capacity = self._capacities.get(service)
+        capacity = self.capacities.by_service.get(service)
         if capacity is not None:
             return choose_engine(
                 candidates,
@@ -686,7 +554,7 @@
         Those with the shortest wait for a permit come first. Where upstreams state a
         slowdown, the one with the least expected time is returned.
         """
-        capacity = self._capacities.get(service)
+        capacity = self.capacities.by_service.get(service)
         if capacity is not None:
             return choose_plain(
                 candidates,
--- a/src/carobstair/core/upstream_capacity/__init__.py
+++ b/src/carobstair/core/upstream_capacity/__init__.py
@@ -9,15 +9,18 @@
 from carobstair.core.upstream_capacity.capacity import Incarnation, UpstreamCapacity
 from carobstair.core.upstream_capacity.placement import choose_engine, choose_plain
 from carobstair.core.upstream_capacity.record import UpstreamRecord
+from carobstair.core.upstream_capacity.services import ServiceCapacities, WaitRow
 from carobstair.core.upstream_capacity.settings import CapacitySettings
 from carobstair.core.upstream_capacity.wait_model import WaitModel
 
 __all__ = [
     "CapacitySettings",
     "Incarnation",
+    "ServiceCapacities",
     "UpstreamCapacity",
     "UpstreamRecord",
     "WaitModel",
+    "WaitRow",
     "choose_engine",
     "choose_plain",
 ]
--- a/src/carobstair/edge/capacity_reports.py
+++ b/src/carobstair/edge/capacity_reports.py
@@ -38,7 +38,7 @@
     def log_changes(self, now_s: float) -> None:
         """Log upstreams that have become slow, or are no longer."""
         lines, known = 0, set()
-        for service, capacity in self.loads.capacities().items():
+        for service, capacity in self.loads.capacities.by_service.items():
             for incarnation in capacity.incarnations():
                 known.add(incarnation)
                 speed = capacity.relative_speed(incarnation, now_s)
@@ -70,7 +70,7 @@
         )
         for gauge in gauges:
             gauge.clear()
-        for service, capacity in self.loads.capacities().items():
+        for service, capacity in self.loads.capacities.by_service.items():
             for incarnation in capacity.incarnations()[:MAX_SERIES]:
                 slots = capacity.record(incarnation).slots
                 values = (
--- a/src/carobstair/edge/gossip.py
+++ b/src/carobstair/edge/gossip.py
@@ -61,7 +61,7 @@
     segment_cursor : int
         Position in the sequence of prompt segments; see `LoadTracker.recent_segments`.
     wait_cursor : int
-        Position in the sequence of waits; see `LoadTracker.recent_waits`.
+        Position in the sequence of waits; see `ServiceCapacities.recent_waits`.
     sent_backlog : dict
         Backlog in prompt tokens by upstream, as last sent.
     """
@@ -228,7 +228,7 @@
         rows, group.segment_cursor = self._loads.recent_segments(
             group.segment_cursor, MAX_SEGMENT_ROWS
         )
-        waits, group.wait_cursor = self._loads.recent_waits(
+        waits, group.wait_cursor = self._loads.capacities.recent_waits(
             group.wait_cursor, MAX_WAIT_ROWS
         )
         segments: dict[str, list[tuple[str, int]]] = {}
--- a/src/carobstair/scenario/overload.py
+++ b/src/carobstair/scenario/overload.py
@@ -393,7 +393,7 @@
             segments, sender.segment_cursor = sender.loads.recent_segments(
                 sender.segment_cursor, 100
             )
-            waits, sender.wait_cursor = sender.loads.recent_waits(
+            waits, sender.wait_cursor = sender.loads.capacities.recent_waits(
                 sender.wait_cursor, 100
             )
         dispatcher, admission = sender.dispatcher, sender.admission
--- a/tests/test_upstream_capacity.py
+++ b/tests/test_upstream_capacity.py
@@ -362,18 +362,27 @@
                 if upstream == "u1":
                     self.loads.note_first_byte(sent, ends_s)
                 self.loads.end(sent, ends_s)
-        capacity = self.loads.capacities()["s"]
+        capacity = self.loads.capacities.by_service["s"]
         late, usual = (capacity.relative_speed((u, 1), 3.0) for u in ("u0", "u1"))
         self.assertLess(late, 0.5 * usual)
-        rows, cursor = self.loads.recent_waits(0, 64)
+        rows, cursor = self.loads.capacities.recent_waits(0, 64)
         self.assertEqual((len(rows), cursor), (40, 40))
 
+    def test_waits_of_a_cold_engine_do_not_count_as_its_speed(self):
+        self.report("u0", 0)
+        for is_cold in (True, False):
+            self.loads.note_send("u0", "s", 1, is_cold)
+            sent = self.loads.begin("u0", self.PROMPT, 1.0)
+            self.loads.note_first_byte(sent, 3.0)
+            rows, _ = self.loads.capacities.recent_waits(0, 64)
+            self.assertEqual(len(rows), 0 if is_cold else 1)
+
     def test_waits_of_peers_teach_the_speed_and_switch_on(self):
         for _ in range(60):
             self.loads.note_peer_wait("s", ("u0", 1, 50, 100, 100), 1.0)
             self.loads.note_peer_wait("s", ("u1", 1, 50, 50, 100), 1.0)
         self.assertEqual(self.stated, ["s"])
-        capacity = self.loads.capacities()["s"]
+        capacity = self.loads.capacities.by_service["s"]
         self.assertLess(capacity.relative_speed(("u0", 1), 1.3), 0.8)
         self.assertGreater(capacity.relative_speed(("u1", 1), 1.3), 1.2)
 
@@ -391,7 +400,7 @@
             self.loads.note_peer_wait("s", ("u0", 1, 50, 150, 100), 1.1)
         record = self.loads._load("u0").record
         record.limit, record.limited_s = 6.0, 1.1
-        self.loads.capacities()["s"].refresh(1.2)
+        self.loads.capacities.by_service["s"].refresh(1.2)
         after = (
             self.loads.queue_wait_s("u0", SLOTS, 1.2),
             self.loads.expected_wait_s("u0", self.PROMPT),
@@ -545,7 +554,9 @@
             push(now_s + 0.3, send_digests)
             for sender, loads in enumerate(fleet):
                 rows = loads.own_rows()
-                waits, cursors[sender] = loads.recent_waits(cursors[sender], 64)
+                waits, cursors[sender] = loads.capacities.recent_waits(
+                    cursors[sender], 64
+                )
                 for peer in fleet:
                     if peer is not loads:
                         peer.note_peer(f"r{sender}", rows)
