Restore core/placement.py, which the split of the load tracker had overwritten

The value types of placement were written to a file name that belonged to the weighted routing of providers; its importers failed. They are in core/request_shapes.py now, and core/placement.py is as it was.

--- a/src/carobstair/core/engine_load.py
+++ b/src/carobstair/core/engine_load.py
@@ -14,8 +14,12 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from carobstair.core.placement import PlacementSettings, PromptShape, SentRequest
 from carobstair.core.rate_limits import PermitOutlook
+from carobstair.core.request_shapes import (
+    PlacementSettings,
+    PromptShape,
+    SentRequest,
+)
 from carobstair.core.upstream_capacity import (
     Incarnation,
     ServiceCapacities,
--- a/src/carobstair/core/placement.py
+++ b/src/carobstair/core/placement.py
@@ -1,115 +1,167 @@
-"""Sizes of model requests, the weights of placement, and requests in flight."""
+"""Choice of the upstream for a request that is about to be granted a slot."""
 
 from __future__ import annotations
 
+import random
+from collections import OrderedDict
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
-from carobstair.core.upstream_capacity import CapacitySettings, Incarnation
+import xxhash
 
-__all__ = ["PlacementSettings", "PromptShape", "SentRequest"]
+__all__ = ["CacheEvent", "Candidate", "Placement", "PrefixIndex", "prefix_hashes"]
 
-Segments = tuple[tuple[str, int], ...]
+BLOCK_CHARACTERS = 512
+MAX_BLOCKS = 16
+DEFAULT_MAX_ENTRIES = 50_000
+# Loads are compared in this many steps; within one step the zone decides.
+LOAD_STEPS = 4
 
 
 @dataclass(frozen=True, slots=True)
-class PromptShape:
-    """Sizes of a model request.
+class Candidate:
+    """An upstream with a free slot."""
 
-    Attributes
-    ----------
-    prompt_tokens, output_tokens : int
-        `output_tokens` is the length that the caller expects, or the maximum.
-    segments : tuple of (str, int)
-        Segments of the prompt in order, each as its id and its number of tokens.
-    shared_segments : tuple of str
-        Ids of all segments but the last, which other requests may share. Given
-        whatever else of the prompt is unknown.
-    """
-
-    prompt_tokens: int = 0
-    output_tokens: int = 0
-    segments: Segments = ()
-    shared_segments: tuple[str, ...] = ()
+    upstream: str
+    free_slots: int
+    used_slots: int
+    same_zone: bool = False
 
 
 @dataclass(frozen=True, slots=True)
-class PlacementSettings:
-    """Weights of the estimated time to the first token.
+class CacheEvent:
+    """A numbered change of an engine's prefix cache."""
+
+    number: int
+    cached: tuple[int, ...] = ()
+    evicted: tuple[int, ...] = ()
+
+
+def prefix_hashes(prompt: str) -> tuple[int, ...]:
+    """Return the hashes of a prompt's leading blocks, each over the whole prefix."""
+    digest = xxhash.xxh3_64()
+    hashes = []
+    for start in range(0, len(prompt) - BLOCK_CHARACTERS + 1, BLOCK_CHARACTERS):
+        digest.update(prompt[start : start + BLOCK_CHARACTERS].encode())
+        hashes.append(digest.intdigest())
+        if len(hashes) == MAX_BLOCKS:
+            break
+    return tuple(hashes)
+
+
+class PrefixIndex:
+    """Bounded, approximate index of the prefix blocks that each upstream caches.
+
+    Parameters
+    ----------
+    max_entries : int, optional
+        Largest number of blocks, over all upstreams.
+    """
 
-    Attributes
+    def __init__(self, max_entries: int = DEFAULT_MAX_ENTRIES):
+        self._max_entries = max_entries
+        self._entries: OrderedDict[tuple[str, int], None] = OrderedDict()
+        self._blocks: dict[str, set[int]] = {}
+        self._positions: dict[str, tuple[str, int]] = {}
+        self.gap_count = 0
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def position(self, upstream: str) -> int:
+        """Return the number of the last event that was applied from an upstream."""
+        return self._positions.get(upstream, ("", 0))[1]
+
+    def on_events(
+        self, upstream: str, incarnation: str, events: Sequence[CacheEvent]
+    ) -> None:
+        """Apply events, which may be late, repeated or incomplete.
+
+        A gap may hide evictions, so all entries of the upstream are dropped.
+        """
+        known, last = self._positions.get(upstream, ("", 0))
+        if known != incarnation:
+            # Blocks that this process recorded itself may predate the restart.
+            if known:
+                self.forget(upstream)
+            last = 0
+        for event in sorted(events, key=lambda e: e.number):
+            if event.number <= last:
+                continue
+            if last and event.number > last + 1:
+                self.gap_count += 1
+                self.forget(upstream)
+            last = event.number
+            self.note_evicted(upstream, event.evicted)
+            self.note_cached(upstream, event.cached)
+        self._positions[upstream] = (incarnation, last)
+
+    def note_cached(self, upstream: str, hashes: Iterable[int]) -> None:
+        """Record that an upstream caches blocks; the oldest entries are evicted."""
+        blocks = self._blocks.setdefault(upstream, set())
+        for block in hashes:
+            self._entries[(upstream, block)] = None
+            self._entries.move_to_end((upstream, block))
+            blocks.add(block)
+        while len(self._entries) > self._max_entries:
+            (name, block), _ = self._entries.popitem(last=False)
+            self._blocks[name].discard(block)
+
+    def note_evicted(self, upstream: str, hashes: Iterable[int]) -> None:
+        """Record that an upstream evicted blocks."""
+        for block in hashes:
+            self._entries.pop((upstream, block), None)
+            self._blocks.get(upstream, set()).discard(block)
+
+    def forget(self, upstream: str) -> None:
+        """Drop all of an upstream's entries, as after its restart."""
+        for block in self._blocks.pop(upstream, ()):
+            del self._entries[(upstream, block)]
+        self._positions.pop(upstream, None)
+
+    def keep_only(self, upstreams: Iterable[str]) -> None:
+        """Drop the entries of all other upstreams."""
+        for name in set(self._blocks) | set(self._positions):
+            if name not in upstreams:
+                self.forget(name)
+
+    def cached_blocks(self, upstream: str, hashes: Sequence[int]) -> int:
+        """Return how many leading blocks an upstream caches."""
+        for count, block in enumerate(hashes):
+            if (upstream, block) not in self._entries:
+                return count
+        return len(hashes)
+
+
+class Placement:
+    """Chooses the longest cached prefix first, then by load and zone.
+
+    Parameters
     ----------
-    prefill_tokens_per_s : float
-        Prefill rate of an engine in prompt tokens a second, from its data sheet.
-    backlog_weight : float
-        Weight of the prompt tokens queued at an engine ahead of the request.
-    uncached_weight : float
-        Weight of the request's own tokens that the engine has not cached. Far above
-        1: prefilling a segment twice takes time from every other request, whereas
-        choosing an engine that has it cached costs only a longer wait.
-    limited_uncached_weight : float
-        The same at engines that limit their requests: they are short of sends, not of
-        time to read, so long prompts are best placed there.
-    limited_send_weight : float
-        Weight of the time between two sends that such an engine accepts: each request
-        takes it from the others whatever its size, so short ones are placed elsewhere.
-    max_limited_send_s : float
-        Bound of that cost, at which long prompts still prefer such an engine.
-    running_request_s : float
-        Delay per running request: a decode step takes longer with a larger batch.
-    other_zone_s : float
-        Cost of an upstream in another zone: the network hop and the traffic.
-    target_wait_s : float
-        Mean wait for queued prompts at which engines count as fully loaded. Below
-        two thirds of the shortest objective for the first token, 400 ms, because
-        waits vary.
-    target_running : float
-        Running requests at which an engine counts as fully loaded: by its data sheet
-        a decode step then takes 1.5 times as long as with one request. With more,
-        long answers miss their deadlines.
-    target_slot_fraction : float
-        The same limit as a fraction of the slots, for engines with few slots:
-        requests beyond the number of slots have to wait.
-    cache_fraction : float
-        Fraction of an engine's KV cache that is assumed to hold the segments known
-        here; the rest holds running requests and segments known only to peers.
-    report_lifetime_s : float
-        How long the load that an upstream reported is used instead of the sum over
-        all routers.
-    slot_wait_s : float
-        Delay for each request beyond the slots of an engine: the time after which
-        the next of its slots becomes free.
-    capacity : CapacitySettings
-        Estimates of each upstream, for services whose upstreams state a slowdown.
+    index : PrefixIndex
+    generator : random.Random
+        Breaks ties, so that processes don't all choose the same upstream.
     """
 
-    prefill_tokens_per_s: float = 56_600.0
-    backlog_weight: float = 3.0
-    uncached_weight: float = 16.0
-    limited_uncached_weight: float = 8.0
-    limited_send_weight: float = 4.0
-    max_limited_send_s: float = 0.8
-    running_request_s: float = 0.002
-    other_zone_s: float = 0.005
-    target_wait_s: float = 0.25
-    target_running: float = 22.0
-    target_slot_fraction: float = 1.0
-    cache_fraction: float = 0.5
-    report_lifetime_s: float = 0.5
-    slot_wait_s: float = 0.2
-    capacity: CapacitySettings = CapacitySettings()
-
-
-@dataclass(slots=True)
-class SentRequest:
-    """A request in flight at an upstream."""
-
-    upstream_id: str
-    uncached_tokens: int
-    sent_s: float
-    first_byte_s: float | None = None
-    # Prompt and whole answer in an engine's memory.
-    held_tokens: int = 0
-    # Load at the send, for services whose upstreams state a slowdown.
-    incarnation: Incarnation | None = None
-    tokens_ahead: int = 0
-    running_at_send: int = 0
+    def __init__(self, index: PrefixIndex, generator: random.Random):
+        self._index = index
+        self._generator = generator
+
+    def choose(
+        self, candidates: Sequence[Candidate], prefix: Sequence[int]
+    ) -> str | None:
+        """Return the best upstream's name, or None without candidates."""
+        if not candidates:
+            return None
+        return max(candidates, key=lambda c: self._score(c, prefix)).upstream
+
+    def _score(self, candidate: Candidate, prefix: Sequence[int]) -> tuple:
+        used, free = candidate.used_slots, max(1, candidate.free_slots)
+        load = used / (used + free)
+        return (
+            self._index.cached_blocks(candidate.upstream, prefix) if prefix else 0,
+            -int(load * LOAD_STEPS),
+            candidate.same_zone,
+            -load,
+            self._generator.random(),
+        )
