--- a/src/carobstair/scenario/overload.py
+++ b/src/carobstair/scenario/overload.py
@@ -118,7 +118,8 @@
             UpstreamHealth(),
             ColdSendLimit(limits, -10.0),
             ResendLimit(limits),
-            random.Random(self._plan.seed),
+            # With one seed for all, every router would first choose the same engine.
+            random.Random(f"{self._plan.seed} {name} choice"),
         )
         admission = FairAdmission(
             self._plan.admission, random.Random(f"{self._plan.seed} {name}")
@@ -399,7 +400,7 @@
             segments, sender.segment_cursor = sender.loads.recent_segments(
                 sender.segment_cursor, 100
             )
-            waits, sender.wait_cursor = sender.loads.recent_waits(
+            waits, sender.wait_cursor = sender.loads.capacities.recent_waits(
                 sender.wait_cursor, 100
             )
         if not self._plan.share_s:
