--- a/soak/faults.py
+++ b/soak/faults.py
@@ -8,10 +8,12 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
+from crowds import inject_crowd
 from world import ZONES, World
 
 __all__ = [
     "ANSWER_FAULTS",
+    "CROWD_FAULTS",
     "FAULTS",
     "LATER_FAULTS",
     "LIMIT_FAULTS",
@@ -57,6 +59,7 @@
     faults += _draw_spaced(random.Random(f"ends-{seed}"), seconds, ANSWER_FAULTS)
     faults += _draw_spaced(random.Random(f"prompts-{seed}"), seconds, PROMPT_FAULTS)
     faults += _draw_spaced(random.Random(f"limits-{seed}"), seconds, LIMIT_FAULTS)
+    faults += _draw_spaced(random.Random(f"crowds-{seed}"), seconds, CROWD_FAULTS)
     at_s = FIRST_FAULT_S
     while at_s < seconds:
         kind = rng.choice(sorted(FAULTS))
@@ -419,4 +422,7 @@
     "engine-limits": _engine_limits,
     "odd-entry": _odd_entry,
 }
-_ALL_FAULTS = FAULTS | LATER_FAULTS | ANSWER_FAULTS | PROMPT_FAULTS | LIMIT_FAULTS
+CROWD_FAULTS: dict[str, Inject] = {"crowd": inject_crowd}
+_ALL_FAULTS = (
+    FAULTS | LATER_FAULTS | ANSWER_FAULTS | PROMPT_FAULTS | LIMIT_FAULTS | CROWD_FAULTS
+)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -16,6 +16,7 @@
 from engines import EVENTS_PER_STREAM, Arrival
 from faults import (
     ANSWER_FAULTS,
+    CROWD_FAULTS,
     FAULTS,
     LATER_FAULTS,
     LIMIT_FAULTS,
@@ -267,7 +268,14 @@
 
     def test_seeds_draw_every_fault(self):
         drawn = {f.kind for seed in range(60) for f in draw_faults(seed, 30.0)}
-        kinds = {*FAULTS, *LATER_FAULTS, *ANSWER_FAULTS, *PROMPT_FAULTS, *LIMIT_FAULTS}
+        kinds = {
+            *FAULTS,
+            *LATER_FAULTS,
+            *ANSWER_FAULTS,
+            *PROMPT_FAULTS,
+            *LIMIT_FAULTS,
+            *CROWD_FAULTS,
+        }
         self.assertEqual(drawn, kinds)
 
     def test_short_run_finds_no_violations(self):
