--- a/src/carobstair/core/engine_load.py
+++ b/src/carobstair/core/engine_load.py
@@ -203,7 +203,7 @@
             Empty if the response came from another incarnation than this one.
         """
         load = self._load(upstream_id)
-        if slowdown is not None and service:
+        if service and (slowdown is not None or self.settings.capacity.always):
             self.capacities.switch_on(service)
         if service in self.capacities.by_service:
             self.note_incarnation(upstream_id, service, born_ms)
--- a/src/carobstair/core/upstream_capacity/settings.py
+++ b/src/carobstair/core/upstream_capacity/settings.py
@@ -13,6 +13,9 @@
 
     Attributes
     ----------
+    always : bool
+        Learn the capacity of all upstreams that report their load, also of those that
+        state no slowdown.
     prefill_tokens_per_s : float
         Read rate of an upstream until requests have shown it.
     objective_s : float
@@ -89,6 +92,7 @@
         growth of answers is known only roughly.
     """
 
+    always: bool = False
     prefill_tokens_per_s: float = 56_600.0
     objective_s: float = 0.25
     sample_weight: float = 0.03
--- a/src/carobstair/platform/boot.py
+++ b/src/carobstair/platform/boot.py
@@ -10,7 +10,9 @@
 from pydantic.alias_generators import to_camel
 
 from carobstair.core.directory import DirectorySettings
+from carobstair.core.engine_load import PlacementSettings
 from carobstair.core.send_limits import SendLimitSettings
+from carobstair.core.upstream_capacity import CapacitySettings
 from carobstair.edge.settings import (
     EdgeSettings,
     ListenSettings,
@@ -25,6 +27,8 @@
 # Offsets of the router's own ports in the internal port range of the platform.
 PEER_PORT_OFFSET = 0
 METRICS_PORT_OFFSET = 1
+# Names deployments whose callers compete for too little room.
+PRESSURE = "pressure"
 # A new upstream is used by then, even if no peer tells of it.
 MAX_UPSTREAMS_PAUSE_S = 1.5
 # A process under load without bodies, and the part of the rest that bodies may take:
@@ -87,6 +91,8 @@
     listen: _Listen
     platform: _Platform
     bounds: _Bounds = _Bounds()
+    # Parts of the platform's rules that are in force.
+    contracts: list[str] = []
     limits: _Limits = _Limits()
 
 
@@ -172,6 +178,9 @@
             bounds.retry_slack,
             bounds.retry_window_s,
         ),
+        placement=PlacementSettings(
+            capacity=CapacitySettings(always=PRESSURE in boot.contracts)
+        ),
         # Requests that are on their way need the rest of the time.
         directory=DirectorySettings(leaving_use_s=bounds.drain_timeout_ms / 2000),
         # A request needs one connection to its caller and one to an upstream.
