Send waits to peers of the own zone only, and test the way of the header

Bytes between zones cost, and some twenty routers of one zone see enough. Tests follow a fourth figure from the response to the metrics, and waits from one router to another.

--- a/src/carobstair/edge/gossip.py
+++ b/src/carobstair/edge/gossip.py
@@ -31,6 +31,7 @@
     StatePull,
     StateRow,
 )
+from carobstair.core.upstream_capacity import WaitRow
 from carobstair.edge.settings import EdgeSettings
 from carobstair.logs import get_logger
 from carobstair.net.peers import PeerTransport
@@ -228,9 +229,12 @@
         rows, group.segment_cursor = self._loads.recent_segments(
             group.segment_cursor, MAX_SEGMENT_ROWS
         )
-        waits, group.wait_cursor = self._loads.capacities.recent_waits(
-            group.wait_cursor, MAX_WAIT_ROWS
-        )
+        waits: list[WaitRow] = []
+        if not group.cross_zone:
+            # Those of one zone's routers are enough, and bytes between zones cost.
+            waits, group.wait_cursor = self._loads.capacities.recent_waits(
+                group.wait_cursor, MAX_WAIT_ROWS
+            )
         segments: dict[str, list[tuple[str, int]]] = {}
         for upstream, segment, tokens in rows:
             segments.setdefault(upstream, []).append((segment, tokens))
--- a/tests/test_upstream_capacity.py
+++ b/tests/test_upstream_capacity.py
@@ -4,14 +4,23 @@
 import heapq
 import itertools
 import random
+import time
 import unittest
+from unittest import mock
+
+from prometheus_client import generate_latest
 
 from carobstair.core.engine_load import LoadTracker, PlacementSettings, PromptShape
+from carobstair.core.messages import PeerAddress
 from carobstair.core.rate_limits import PermitOutlook
 from carobstair.core.upstream_capacity import UpstreamCapacity
+from carobstair.edge.capacity_reports import CapacityReports
 from carobstair.platform.headers import PlatformDialect
 from carobstair.scenario.batch_engine import BatchEngineSpec
 from carobstair.scenario.overload import CallerGroup, LoadPlan, play_load
+from edge_test_case import EdgeCase
+from gossip_nodes import RecordingTransport, make_node
+from test_directory import make_entry
 
 SLOTS = 24
 
@@ -425,6 +434,68 @@
         self.assertEqual(self.plain(zones="a"), [1.0])
 
 
+class EdgeTest(EdgeCase):
+    """Guards against load headers that reach the estimates wrongly or not at all."""
+
+    async def call_with_load(self, load):
+        """Send a request whose response states a load."""
+        for upstream in self.upstreams:
+            upstream.raw_headers = [f"Carobstair-Engine-Load: {load}"]
+            upstream.raw_headers.append("Content-Length: 0")
+        status, _, _ = await self.call("/safe/x")
+        self.assertEqual(status, 200)
+
+    async def test_header_with_a_fourth_figure_switches_the_service_on(self):
+        await self.start_upstreams("raw")
+        reports = CapacityReports(self.dispatcher.loads, self.metrics)
+        self.dispatcher.loads.on_slowdown_stated = reports.log_slowdown_stated
+        await self.call_with_load("1,0,6")
+        self.assertFalse(self.dispatcher.loads.states_slowdown("plain"))
+        with mock.patch("carobstair.edge.capacity_reports.logger") as logger:
+            for _ in range(3):
+                await self.call_with_load("1,0,6,250")
+        logger.info.assert_called_once_with("upstreams_state_slowdown", service="plain")
+        reports.export(time.monotonic())
+        page = generate_latest(self.metrics.registry).decode()
+        self.assertIn('upstream_relative_speed{service="plain",upstream="u0"}', page)
+
+    async def test_unreadable_loads_are_counted_and_logged_once(self):
+        await self.start_upstreams("raw")
+        with mock.patch("carobstair.edge.response_relay.logger") as logger:
+            for load in ("1,0", "a,b,c,d", "1,0,6,-1"):
+                await self.call_with_load(load)
+        logger.info.assert_called_once_with("upstream_load_unreadable", upstream="u0")
+        self.assertEqual(self.dispatcher.loads.unreadable_reports, 3)
+
+
+class DigestTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against waits that are lost or cross zones in digests."""
+
+    async def test_waits_reach_peers_of_the_own_zone_once(self):
+        sent = RecordingTransport()
+        node, peer = make_node("r0", 7400, sent), make_node("r1", 7401, sent)
+        for number, zone in enumerate("ab"):
+            address = PeerAddress(f"p{number}", 1, "127.0.0.1", 1, 1, zone)
+            node.gossip.add(address)
+        peer.gossip.add(node.address)
+        peer.directory.put(make_entry("u0"), 1, 0.0)
+        born_ms = peer.directory.find("u0").entry.born_ms
+        node.loads.note_report("u0", 0, 0, 6, 1.0, 1.0, "model", born_ms)
+        for gone_ms in (born_ms, born_ms + 1):
+            node.loads.note_report("u0", 0, 0, 6, 1.0, 1.0, "model", gone_ms)
+            request = node.loads.begin("u0", PromptShape(10, 10), 1.0)
+            node.loads.note_first_byte(request, 1.1)
+        gossip = node.gossip
+        for group in (gossip._same_zone_group, gossip._cross_zone_group) * 2:
+            gossip._send_digest(group, ["p0"], 1.0)
+        digests = [digest for _, digest in sent.sent]
+        self.assertEqual([len(d.waits) for d in digests], [2, 0, 0, 0])
+        peer.gossip._on_digest(mock.Mock(incarnation=1), digests[0])
+        # The second names an incarnation that the peer does not list.
+        capacity = peer.loads.capacities.by_service["model"]
+        self.assertEqual(capacity.incarnations(), [("u0", born_ms)])
+
+
 class FleetTest(unittest.TestCase):
     """Guards against many routers that place by stale loads and read them alike."""
 
