--- a/src/carobstair/core/directory.py
+++ b/src/carobstair/core/directory.py
@@ -30,6 +30,8 @@
         Unix time of its start; a restart under the same id has a different one.
     cold_s : float
         Remaining cold period when the entry was read.
+    version : str
+        Version of its software; empty if the entry names none.
     """
 
     upstream_id: str
@@ -41,6 +43,7 @@
     draining: bool
     cold_s: float
     born_ms: int
+    version: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -284,6 +287,14 @@
             return True
         return now_s < self._zone_cold_until_s.get(known.entry.zone, 0.0)
 
+    def listed(self, service: str) -> list[UpstreamEntry]:
+        """Return all known upstreams of a service."""
+        return [u.entry for u in self._by_service.get(service, {}).values()]
+
+    def services(self) -> set[str]:
+        """Return the services that have a known upstream."""
+        return {service for service, known in self._by_service.items() if known}
+
     def usable(self, service: str, now_s: float) -> list[UpstreamEntry]:
         """Return the upstreams of a service that may receive requests."""
         warm, cold = self.warm_and_cold(service, now_s)
--- a/src/carobstair/core/dispatch.py
+++ b/src/carobstair/core/dispatch.py
@@ -18,6 +18,7 @@
     StatedRates,
     service_throughput,
 )
+from carobstair.core.rollouts import VersionGate
 from carobstair.core.routing import ServicePool
 from carobstair.core.send_limits import ColdSendLimit, ResendLimit
 from carobstair.core.upstream_health import UpstreamHealth
@@ -36,6 +37,8 @@
     ----------
     name : str
         Name of this router, from which its rank among the others is computed.
+    versions : VersionGate or None
+        Filters upstreams by their version, where roll-outs are in force.
     """
 
     name: str
@@ -46,6 +49,7 @@
     resends: ResendLimit
     rng: random.Random
     routers: frozenset[str] = field(default_factory=frozenset)
+    versions: VersionGate | None = None
     permits: PermitDesk = field(init=False)
     # Ranks by upstream for the routers from which they were computed.
     _ranks: dict[str, int] = field(default_factory=dict)
@@ -70,6 +74,7 @@
         avoided: Collection[str],
         now_s: float,
         max_wait_s: float = math.inf,
+        version_draw: float = 1.0,
     ) -> UpstreamEntry | None:
         """Return the upstream for a request, or None if none is available.
 
@@ -77,8 +82,39 @@
         ----------
         max_wait_s : float
             Longest wait for a permit, where an upstream limits its requests.
+        version_draw : float
+            See `VersionGate.groups`.
         """
         warm, cold = self.directory.warm_and_cold(pool.name, now_s)
+        groups = None
+        if self.versions is not None:
+            groups = self.versions.groups(pool.name, version_draw, now_s)
+        if groups is None:
+            return self._choose(pool, prompt, avoided, now_s, max_wait_s, warm, cold)
+        for group in groups:
+            entry = self._choose(
+                pool,
+                prompt,
+                avoided,
+                now_s,
+                max_wait_s,
+                [e for e in warm if e.upstream_id in group],
+                [e for e in cold if e.upstream_id in group],
+            )
+            if entry is not None:
+                return entry
+        return None
+
+    def _choose(
+        self,
+        pool: ServicePool,
+        prompt: PromptShape,
+        avoided: Collection[str],
+        now_s: float,
+        max_wait_s: float,
+        warm: list[UpstreamEntry],
+        cold: list[UpstreamEntry],
+    ) -> UpstreamEntry | None:
         entries = {
             entry.upstream_id: entry
             for entry in [
@@ -138,6 +174,8 @@
         """
         if not self.directory.is_usable(entry, now_s):
             return False
+        if self.versions is not None and not self.versions.allows(entry, now_s):
+            return False
         if not self._cold_limit_allows(entry, pool, now_s):
             return False
         if pool.cold_rate > 0:
@@ -183,6 +221,9 @@
         if known is not None and now_s - known[0] < THROUGHPUT_TTL_S:
             return known[1]
         entries, listed = self.directory.usable_and_listed_count(service, now_s)
+        if self.versions is not None:
+            entries = self.versions.in_use(service, entries, now_s)
+            listed = max(1, listed - self.versions.hidden_count(service, now_s))
         throughput = ServiceThroughput(tokens_per_s)
         if entries:
             throughput = service_throughput(
@@ -210,12 +251,12 @@
 
     def slots_used(self, service: str, now_s: float) -> float:
         """Return the requests at a service's engines relative to their slots."""
-        entries = self.directory.usable(service, now_s)
+        entries = self._in_use(service, now_s)
         return self.loads.slots_used({e.upstream_id: e.slots for e in entries}, now_s)
 
     def pressure(self, service: str, now_s: float) -> float:
         """Return the load of a service's engines relative to its target (1.0)."""
-        entries = {e.upstream_id: e for e in self.directory.usable(service, now_s)}
+        entries = {e.upstream_id: e for e in self._in_use(service, now_s)}
         known = self._throughputs.get(service)
         return self.loads.pressure(
             {upstream_id: e.slots for upstream_id, e in entries.items()},
@@ -224,6 +265,13 @@
             known[1].limited_parts if known is not None else {},
         )
 
+    def _in_use(self, service: str, now_s: float) -> list[UpstreamEntry]:
+        """Return the usable upstreams that get ordinary requests."""
+        entries = self.directory.usable(service, now_s)
+        if self.versions is None:
+            return entries
+        return self.versions.in_use(service, entries, now_s)
+
     def rank(self, upstream_id: str) -> int:
         """Return this router's rank among all for an upstream (rendezvous hashing)."""
         if self._ranked_routers is not self.routers:
--- a/src/carobstair/core/fleet_view.py
+++ b/src/carobstair/core/fleet_view.py
@@ -17,7 +17,14 @@
 from carobstair.core.routing import RoutingConfig, RoutingTable
 from carobstair.core.store_stamp import Stamp
 
-__all__ = ["FleetView", "Stamp", "StateKind", "StoreChange", "StoreAvailability"]
+__all__ = [
+    "BASE_KINDS",
+    "FleetView",
+    "Stamp",
+    "StateKind",
+    "StoreChange",
+    "StoreAvailability",
+]
 
 # Removed names that are kept, so that peers can be told of the removals.
 MAX_REMOVED_NAMES = 2000
@@ -31,8 +38,12 @@
     EVACUATIONS = "evacuations"
     ROUTERS = "routers"
     REFUSED_SEGMENTS = "refused_segments"
+    ROLLOUTS = "rollouts"
 
 
+# Kinds that every router follows. The others cost calls to the store and are followed
+# where the settings ask for it.
+BASE_KINDS = tuple(kind for kind in StateKind if kind is not StateKind.ROLLOUTS)
 # Stands for a document that is not read; no decoder accepts it.
 UNREADABLE = b"null"
 # Kinds that routers write: a store that was restored from a copy may lack them, and
@@ -131,13 +142,18 @@
     decode_upstream : callable
         Decodes the upstream in an object, or returns None if the object describes
         no usable upstream.
+    kinds : tuple of StateKind
+        Kinds that this process follows, in the order of `StateKind`.
     """
 
     directory: UpstreamDirectory
     decode_routing: Callable[[bytes], RoutingConfig | None]
     decode_upstream: Callable[[str, bytes], UpstreamEntry | None]
     table: RoutingTable | None = None
+    kinds: tuple[StateKind, ...] = BASE_KINDS
     undecodable_count: int = 0
+    # Kinds of which a complete list has been read.
+    listed: set[StateKind] = field(default_factory=set)
     # Upstreams of which a restored store has an entry of an earlier start.
     _copied: dict[str, Stamp] = field(default_factory=dict)
     _kinds: dict[StateKind, _ObjectSet] = field(
@@ -155,7 +171,7 @@
 
     def stamps(self) -> dict[str, Stamp]:
         """Return the stamp of the last known change of each kind."""
-        return {kind.value: objects.stamp for kind, objects in self._kinds.items()}
+        return {kind.value: self._kinds[kind].stamp for kind in self.kinds}
 
     def objects(self, kind: StateKind) -> dict[str, StoreChange]:
         """Return the objects of a kind by name."""
@@ -189,6 +205,7 @@
         What routers write is kept: limits are divided by their number, and those
         that run write again.
         """
+        self.listed.add(kind)
         objects, listed = self._kinds[kind], list(listed)
         names = {change.name for change in listed}
         missing = [
--- a/src/carobstair/core/messages.py
+++ b/src/carobstair/core/messages.py
@@ -33,6 +33,7 @@
     PermitReturn,
     RateNews,
 )
+from carobstair.core.rollout_messages import RolloutNews, RolloutReport
 from carobstair.core.share_messages import ShareReport, ShareTotals, ZoneTotals
 
 __all__ = [
@@ -391,6 +392,8 @@
     PermitRequest,
     PermitReturn,
     RateNews,
+    RolloutNews,
+    RolloutReport,
     SegmentEvidence,
     ShareReport,
     ShareTotals,
--- /dev/null
+++ b/src/carobstair/core/rollouts/controller.py
@@ -0,0 +1,482 @@
+"""One router's part in all roll-outs: orders, evidence, exposure and the verdict."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Collection
+from dataclasses import dataclass, field
+
+import msgspec
+
+from carobstair.core.rollout_messages import (
+    OrderDirective,
+    OrderReport,
+    RolloutNews,
+    RolloutReport,
+)
+from carobstair.core.rollouts.collector import Decision, OrderCollector
+from carobstair.core.rollouts.counts import AnswerLedger, TrackedAnswer
+from carobstair.core.rollouts.orders import (
+    OrderState,
+    Phase,
+    RolloutOrder,
+    RolloutState,
+)
+from carobstair.core.rollouts.settings import RolloutSettings
+from carobstair.core.shares import rendezvous_rank
+from carobstair.core.store_stamp import Stamp
+
+__all__ = ["LogEvent", "RolloutController", "SendMessage", "WriteStatus"]
+
+# Routers that collect at a time: if one is lost, the other has all counts.
+COLLECTORS = 2
+# Routers write a verdict one after the other, so that one write is usually enough.
+WRITER_INTERVAL_S = 0.25
+MAX_WRITERS = 8
+# A status that is not seen is written again after this time.
+WRITE_RETRY_S = 0.8
+# An order that a restored store lacks is kept for this time; operators write it again.
+RESTORED_GRACE_S = 5.0
+# Routers that are not collectors write at the deadline if the collectors have not.
+LAST_WRITE_S = 0.3
+
+
+@dataclass(frozen=True, slots=True)
+class SendMessage:
+    """A message to send."""
+
+    receivers: tuple[str, ...]
+    payload: msgspec.Struct
+
+
+@dataclass(frozen=True, slots=True)
+class WriteStatus:
+    """A status to write, if the object still has the stamp."""
+
+    service: str
+    target: str
+    state: RolloutState
+    stamp: Stamp
+
+
+@dataclass(frozen=True, slots=True)
+class LogEvent:
+    """An event to log with its fields."""
+
+    event: str
+    fields: dict[str, object]
+
+
+Effect = SendMessage | WriteStatus | LogEvent
+
+
+@dataclass(slots=True)
+class _Rollout:
+    """An order with what this router counts and collects for it."""
+
+    state: OrderState
+    ledger: AnswerLedger
+    collector: OrderCollector
+
+
+@dataclass(slots=True)
+class RolloutController:
+    """Orders of all services, as one router follows them.
+
+    Parameters
+    ----------
+    name : str
+        Name of this router.
+    incarnation : int
+        Incarnation of this process.
+    settings : RolloutSettings
+    has_target : callable
+        Returns whether an upstream of a version may get requests of a service.
+    skip_reason : callable
+        Returns why an order can't be followed now, or an empty text.
+    """
+
+    name: str
+    incarnation: int
+    settings: RolloutSettings
+    has_target: Callable[[str, str, float], bool] = lambda service, version, now_s: True
+    skip_reason: Callable[[RolloutOrder, bool], str] = lambda order, has_begun: ""
+    # Raised with each change of an exposure, so that plans are computed anew.
+    generation: int = 0
+    _rollouts: dict[str, _Rollout] = field(default_factory=dict)
+    _events: list[LogEvent] = field(default_factory=list)
+
+    # Orders and their status
+
+    def on_order(
+        self,
+        order: RolloutOrder,
+        stated: RolloutState | None,
+        now_s: float,
+        is_first_list: bool = False,
+    ) -> None:
+        """Apply an object that the store lists.
+
+        Parameters
+        ----------
+        stated : RolloutState or None
+            Its status, as far as it concerns the target of the order.
+        is_first_list : bool
+            Whether the object may have been there before this router started.
+        """
+        known = self._rollouts.get(order.service)
+        if known is None:
+            self._begin(order, stated, now_s, is_first_list)
+            return
+        if known.state.is_restarted_by(order, stated):
+            # The status is that of the previous order if the object kept it.
+            is_kept = stated is known.state.stated
+            self._begin(order, None if is_kept else stated, now_s, False)
+            return
+        state = known.state
+        was_restored = order.stamp.era > state.order.stamp.era
+        state.order, state.forget_s = order, None
+        if was_restored and state.is_final and stated in (None, RolloutState.RUNNING):
+            # The copy is older than the verdict, which is written again.
+            state.verdict, state.stated = state.final, stated
+            state.write_after_s = None
+            self._log("rollout_restored", state, verdict=str(state.verdict))
+            return
+        self._note_stated(state, stated, now_s)
+
+    def _begin(
+        self,
+        order: RolloutOrder,
+        stated: RolloutState | None,
+        now_s: float,
+        is_first_list: bool,
+    ) -> None:
+        state = OrderState(order, order.stamp, now_s, not is_first_list)
+        collector = OrderCollector(self.settings, order.duration_s)
+        rollout = _Rollout(state, AnswerLedger(), collector)
+        self._rollouts[order.service] = rollout
+        self.generation += 1
+        self._log("rollout_ordered", state, duration_s=order.duration_s)
+        self._note_stated(state, stated, now_s)
+        self._check(rollout)
+
+    def _note_stated(
+        self, state: OrderState, stated: RolloutState | None, now_s: float
+    ) -> None:
+        state.stated = stated
+        if stated in (None, RolloutState.RUNNING) or stated is state.final:
+            return
+        state.verdict = state.final = stated
+        state.write_after_s = None
+        state.share = 1.0 if stated is RolloutState.COMPLETED else 0.0
+        self.generation += 1
+        age_s = round(state.age_s(now_s), 2)
+        self._log("rollout_status", state, state=str(stated), age_s=age_s)
+
+    def on_removed(
+        self, service: str, now_s: float, was_restored: bool = False
+    ) -> None:
+        """Forget an order that was removed: its versions are plain upstreams again.
+
+        A store that was restored from a copy may lack an order that operators will
+        write again; it is kept until then.
+        """
+        rollout = self._rollouts.get(service)
+        if rollout is None:
+            return
+        if was_restored:
+            rollout.state.forget_s = now_s + RESTORED_GRACE_S
+            return
+        del self._rollouts[service]
+        self.generation += 1
+        self._log("rollout_removed", rollout.state)
+
+    def state_of(self, service: str) -> OrderState | None:
+        """Return the order of a service, unless it is skipped."""
+        rollout = self._rollouts.get(service)
+        if rollout is None or rollout.state.skipped:
+            return None
+        return rollout.state
+
+    # Requests
+
+    def share(self, service: str, now_s: float) -> float:
+        """Return the share of a service's requests for the version of its order."""
+        state = self.state_of(service)
+        if state is None:
+            return 0.0
+        if state.is_final:
+            return float(state.final is RolloutState.COMPLETED)
+        if state.verdict is RolloutState.ROLLED_BACK:
+            return 0.0
+        if now_s - state.decided_s > self.settings.evidence_timeout_s:
+            return 0.0
+        return state.share
+
+    def allows(self, service: str, version: str, now_s: float) -> bool:
+        """Return whether an upstream of a version may get a request of a service."""
+        state = self.state_of(service)
+        if state is None:
+            return True
+        if version == state.order.target:
+            return self.share(service, now_s) > 0.0
+        return state.final is not RolloutState.COMPLETED
+
+    def begin_answer(
+        self,
+        service: str,
+        route: str,
+        version: str,
+        upstream_id: str,
+        size_tokens: int,
+        is_resumable: bool = False,
+        is_cold: bool = False,
+    ) -> TrackedAnswer | None:
+        """Count a request that is sent; None if no order of the service runs."""
+        rollout = self._rollouts.get(service)
+        if rollout is None or rollout.state.skipped or rollout.state.is_final:
+            return None
+        # Requests of other versions before this router has heard a decision count too:
+        # they are the base of the bound.
+        is_target = version == rollout.state.order.target
+        return rollout.ledger.begin(
+            route, size_tokens, upstream_id if is_target else "", is_resumable, is_cold
+        )
+
+    # Exchange and decisions
+
+    def is_running(self) -> bool:
+        """Return whether any order still needs evidence or a write."""
+        return any(
+            not r.state.is_final or r.state.stated is not r.state.final
+            for r in self._rollouts.values()
+        )
+
+    def tick(self, heard: Collection[str], known: int, now_s: float) -> list[Effect]:
+        """Return the messages, writes and log lines that are due.
+
+        Parameters
+        ----------
+        heard : collection of str
+            Names of the other routers that are heard.
+        known : int
+            Number of the other routers that the store lists.
+        """
+        effects: list[Effect] = []
+        running: list[_Rollout] = []
+        for service, rollout in list(self._rollouts.items()):
+            state = rollout.state
+            if state.forget_s is not None and now_s >= state.forget_s:
+                self.on_removed(service, now_s)
+                continue
+            self._check(rollout)
+            if not state.is_final and not state.skipped:
+                running.append(rollout)
+            elif state.is_final and state.stated is not state.final:
+                rank = self._ranked(heard).index(self.name)
+                effects += self._due_write(state, rank, now_s)
+        if running:
+            effects += self._exchange(running, heard, known, now_s)
+        effects += self._events
+        self._events = []
+        return effects
+
+    def _ranked(self, heard: Collection[str]) -> list[str]:
+        return rendezvous_rank("rollouts", sorted({*heard, self.name}))
+
+    def _check(self, rollout: _Rollout) -> None:
+        """Skip an order that can't be followed, or follow it after all."""
+        state = rollout.state
+        has_begun = state.phase > Phase.WAITING or state.is_final
+        reason = "" if state.is_final else self.skip_reason(state.order, has_begun)
+        if reason != state.skipped:
+            state.skipped = reason
+            self.generation += 1
+            if reason:
+                self._log("rollout_skipped", state, reason=reason)
+
+    def _exchange(
+        self,
+        running: list[_Rollout],
+        heard: Collection[str],
+        known: int,
+        now_s: float,
+    ) -> list[Effect]:
+        interval_s = self.settings.scaled_interval_s(len(heard) + 1)
+        ranked = self._ranked(heard)
+        collectors = ranked[:COLLECTORS]
+        reports = [self._report(rollout, now_s) for rollout in running]
+        effects: list[Effect] = []
+        receivers = tuple(name for name in collectors if name != self.name)
+        if receivers:
+            effects.append(SendMessage(receivers, RolloutReport(reports)))
+        own_rank = ranked.index(self.name)
+        # Without most of the routers that the store lists, this one may be cut off.
+        in_touch = len(ranked) * 2 > known + 1
+        directives = []
+        for rollout, report in zip(running, reports, strict=True):
+            if own_rank < COLLECTORS and in_touch:
+                collector = rollout.collector
+                collector.note_report(self.name, self.incarnation, report, now_s)
+                directive = self._decide(rollout, ranked, interval_s, now_s)
+                if directive is not None:
+                    directives.append(directive)
+            effects += self._due_write(rollout.state, own_rank, now_s)
+        if directives and heard:
+            effects.append(SendMessage(tuple(sorted(heard)), RolloutNews(directives)))
+        return effects
+
+    def _report(self, rollout: _Rollout, now_s: float) -> OrderReport:
+        state = rollout.state
+        return OrderReport(
+            state.order.service,
+            state.order.target,
+            (state.started.era, state.started.revision),
+            state.age_s(now_s),
+            state.phase,
+            rollout.ledger.at_old,
+            rollout.ledger.report_rows(),
+        )
+
+    def _decide(
+        self,
+        rollout: _Rollout,
+        routers: Collection[str],
+        interval_s: float,
+        now_s: float,
+    ) -> OrderDirective | None:
+        state = rollout.state
+        order, age_s = state.order, state.age_s(now_s)
+        has_target = self.has_target(order.service, order.target, now_s)
+        decision = rollout.collector.decide(
+            age_s, has_target, routers, interval_s, now_s
+        )
+        if decision is None:
+            return None
+        directive = OrderDirective(
+            order.service,
+            order.target,
+            (state.started.era, state.started.revision),
+            age_s,
+            decision.phase,
+            decision.share,
+        )
+        if decision.has_advanced:
+            self._log_decision("rollout_exposure", state, decision, age_s)
+        is_undone = decision.phase is Phase.BAD
+        if decision.verdict not in (RolloutState.RUNNING, state.verdict) and (
+            state.verdict is RolloutState.RUNNING or is_undone
+        ):
+            state.verdict, state.write_after_s = decision.verdict, None
+            self._log_decision("rollout_verdict", state, decision, age_s)
+        self._apply(state, directive, now_s)
+        return directive
+
+    def _due_write(
+        self, state: OrderState, own_rank: int, now_s: float
+    ) -> list[Effect]:
+        """Return the write of a verdict that the store does not show yet."""
+        order = state.order
+        last_s = order.duration_s - LAST_WRITE_S
+        if state.verdict is RolloutState.RUNNING and state.age_s(now_s) >= last_s:
+            is_full = state.phase is Phase.FULL
+            state.verdict = (
+                RolloutState.COMPLETED if is_full else RolloutState.ROLLED_BACK
+            )
+            self._log("rollout_deadline", state, verdict=str(state.verdict))
+            state.write_after_s = now_s + self._write_delay_s(own_rank)
+        elif state.verdict is not RolloutState.RUNNING and state.write_after_s is None:
+            state.write_after_s = now_s + self._write_delay_s(own_rank)
+        if state.write_after_s is None or now_s < state.write_after_s:
+            return []
+        state.write_after_s = now_s + WRITE_RETRY_S + self._write_delay_s(own_rank)
+        return [WriteStatus(order.service, order.target, state.verdict, order.stamp)]
+
+    @staticmethod
+    def _write_delay_s(own_rank: int) -> float:
+        return WRITER_INTERVAL_S * min(own_rank, MAX_WRITERS)
+
+    # Messages
+
+    def on_report(
+        self, sender: str, incarnation: int, report: RolloutReport, now_s: float
+    ) -> None:
+        """Collect the report of a router."""
+        for row in report.orders:
+            rollout = self._matching(row.service, row.target, row.started)
+            if rollout is not None:
+                self._adopt_age(rollout.state, row.started, row.age_s, now_s)
+                rollout.collector.note_report(sender, incarnation, row, now_s)
+
+    def on_news(self, sender: str, news: RolloutNews, now_s: float) -> None:
+        """Apply the decisions of a collector."""
+        for row in news.orders:
+            rollout = self._matching(row.service, row.target, row.started)
+            if rollout is not None:
+                self._adopt_age(rollout.state, row.started, row.age_s, now_s)
+                self._apply(rollout.state, row, now_s)
+
+    def _matching(
+        self, service: str, target: str, started: tuple[int, int]
+    ) -> _Rollout | None:
+        """Return the order that a message is about, if this router follows it."""
+        rollout = self._rollouts.get(service)
+        if rollout is None or rollout.state.order.target != target:
+            return None
+        state = rollout.state
+        # One that this router did not see appear may have begun earlier. A status
+        # that was written meanwhile makes an order seem to begin later.
+        if Stamp(*started) < state.started and state.is_witnessed:
+            return None
+        return rollout if Stamp(*started) <= state.order.stamp else None
+
+    def _adopt_age(
+        self, state: OrderState, started: tuple[int, int], age_s: float, now_s: float
+    ) -> None:
+        if Stamp(*started) < state.started:
+            state.started = Stamp(*started)
+        if 0.0 <= age_s <= 2.0 * state.order.duration_s:
+            state.began_s = min(state.began_s, now_s - age_s)
+
+    def _apply(
+        self, state: OrderState, directive: OrderDirective, now_s: float
+    ) -> None:
+        """Apply a decision, unless a later phase is known."""
+        if state.is_final or directive.phase not in Phase._value2member_map_:
+            return
+        phase = Phase(directive.phase)
+        if phase < state.phase:
+            return
+        share = min(1.0, max(0.0, directive.share))
+        if phase is Phase.BAD and state.verdict is not RolloutState.ROLLED_BACK:
+            state.verdict, state.write_after_s = RolloutState.ROLLED_BACK, None
+        if phase is not state.phase or share != state.share:
+            self.generation += 1
+        if phase is not state.phase:
+            self._log("rollout_phase", state, phase=phase.name.lower(), share=share)
+        state.phase, state.share, state.decided_s = phase, share, now_s
+
+    # Log
+
+    def _log(self, event: str, state: OrderState, **fields: object) -> None:
+        order = state.order
+        named = {"service": order.service, "version": order.target}
+        named["revision"] = order.stamp.revision
+        self._events.append(LogEvent(event, named | fields))
+
+    def _log_decision(
+        self, event: str, state: OrderState, decision: Decision, age_s: float
+    ) -> None:
+        counts = decision.counts
+        self._log(
+            event,
+            state,
+            phase=decision.phase.name.lower(),
+            share=round(decision.share, 3),
+            verdict=str(decision.verdict),
+            reason=decision.reason,
+            age_s=round(age_s, 2),
+            requests=counts.requests,
+            exposed=counts.exposed,
+            bad=counts.bad,
+            begun=",".join(f"{r}:{n}" for r, n in sorted(counts.begun.items())[:8]),
+        )
--- /dev/null
+++ b/src/carobstair/core/rollouts/versions.py
@@ -0,0 +1,230 @@
+"""Which upstreams of a service may get requests, by their version."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass, field
+
+from carobstair.core.directory import UpstreamDirectory, UpstreamEntry
+from carobstair.core.rollouts.controller import RolloutController
+from carobstair.core.rollouts.orders import OrderState, RolloutOrder, RolloutState
+from carobstair.core.rollouts.settings import RolloutSettings
+from carobstair.core.shares import rendezvous_rank
+
+__all__ = ["VersionGate", "VersionPlan"]
+
+# Plans are computed anew after this time, as upstreams come, leave and warm up.
+PLAN_TTL_S = 0.05
+
+
+@dataclass(frozen=True, slots=True)
+class VersionPlan:
+    """Upstreams of a service that may get requests.
+
+    Attributes
+    ----------
+    share : float
+        Share of the requests for the new version.
+    new, old : frozenset of str
+        Ids of the upstreams of the new version that share it, and of the others.
+    hidden : int
+        Number of listed upstreams that get no ordinary requests.
+    """
+
+    share: float
+    new: frozenset[str]
+    old: frozenset[str]
+    hidden: int
+
+    @property
+    def in_use(self) -> frozenset[str]:
+        """Ids of the upstreams that get ordinary requests."""
+        if self.share >= 1.0 and self.new:
+            return self.new
+        return self.old | self.new
+
+
+@dataclass(slots=True)
+class VersionGate:
+    """Filters the upstreams of a service by the order that runs or ended.
+
+    Parameters
+    ----------
+    directory : UpstreamDirectory
+    controller : RolloutController
+    settings : RolloutSettings
+    """
+
+    directory: UpstreamDirectory
+    controller: RolloutController
+    settings: RolloutSettings
+    _held_until_s: dict[str, dict[str, float]] = field(default_factory=dict)
+    _plans: dict[str, tuple[float, int, VersionPlan | None]] = field(
+        default_factory=dict
+    )
+
+    def __post_init__(self) -> None:
+        self.controller.has_target = self.has_target
+        self.controller.skip_reason = self.skip_reason
+
+    def plan(self, service: str, now_s: float) -> VersionPlan | None:
+        """Return the plan for a service; None if all its upstreams may be used."""
+        known = self._plans.get(service)
+        generation = self.controller.generation
+        is_current = known is not None and known[1] == generation
+        if is_current and 0.0 <= now_s - known[0] < PLAN_TTL_S:
+            return known[2]
+        plan = self._make_plan(service, now_s)
+        self._plans[service] = now_s, generation, plan
+        return plan
+
+    def groups(
+        self, service: str, draw: float, now_s: float
+    ) -> list[frozenset[str]] | None:
+        """Return sets of upstreams to choose from, the preferred one first.
+
+        Parameters
+        ----------
+        draw : float
+            Number of the request, evenly distributed between 0 and 1. It is drawn
+            once for each request: one drawn for each attempt would raise the share
+            while upstreams are busy.
+        """
+        plan = self.plan(service, now_s)
+        if plan is None:
+            return None
+        if draw < plan.share or plan.share >= 1.0:
+            return [plan.new, plan.old]
+        return [plan.old]
+
+    def allows(self, entry: UpstreamEntry, now_s: float) -> bool:
+        """Return whether an upstream may get a request now."""
+        plan = self.plan(entry.service, now_s)
+        if plan is None or entry.upstream_id in plan.old:
+            return True
+        return plan.share > 0.0 and entry.upstream_id in plan.new
+
+    def in_use(
+        self, service: str, entries: list[UpstreamEntry], now_s: float
+    ) -> list[UpstreamEntry]:
+        """Return those upstreams that get ordinary requests."""
+        plan = self.plan(service, now_s)
+        if plan is None:
+            return entries
+        return [entry for entry in entries if entry.upstream_id in plan.in_use]
+
+    def hidden_count(self, service: str, now_s: float) -> int:
+        """Return the number of listed upstreams that get no ordinary requests."""
+        plan = self.plan(service, now_s)
+        return 0 if plan is None else plan.hidden
+
+    def has_target(self, service: str, version: str, now_s: float) -> bool:
+        """Return whether a warm upstream of a version may get requests."""
+        warm, _ = self.directory.warm_and_cold(service, now_s)
+        return any(entry.version == version for entry in warm)
+
+    def skip_reason(self, order: RolloutOrder, has_begun: bool) -> str:
+        """Return why an order can't be followed now, or an empty text."""
+        versions = {e.version for e in self.directory.listed(order.service)}
+        if has_begun:
+            return ""
+        if not versions:
+            return "no upstream of the service is known"
+        if versions == {order.target}:
+            return "the version runs already"
+        return ""
+
+    def keep(self, now_s: float) -> None:
+        """Note the versions of all services, and forget services without upstreams."""
+        services = self.directory.services()
+        for service in services:
+            self.plan(service, now_s)
+        for service in [s for s in self._held_until_s if s not in services]:
+            del self._held_until_s[service]
+            self._plans.pop(service, None)
+
+    def _make_plan(self, service: str, now_s: float) -> VersionPlan | None:
+        listed = self.directory.listed(service)
+        if not listed:
+            return None
+        held = self._note_versions(service, listed, now_s)
+        state = self.controller.state_of(service)
+        if state is None:
+            allowed = [e for e in listed if e.version not in held]
+            if len(allowed) == len(listed) or not allowed:
+                return None
+            return _fixed(allowed, len(listed))
+        target = [e for e in listed if e.version == state.order.target]
+        others = [e for e in listed if e.version != state.order.target]
+        if state.final is RolloutState.COMPLETED:
+            return self._completed_plan(state, target, others, held)
+        usable = [e for e in others if e.version not in held] or others
+        if state.final is RolloutState.ROLLED_BACK:
+            # Without any other upstream, the service would not be served at all.
+            return _fixed(usable, len(listed)) if others else None
+        share = self.controller.share(service, now_s)
+        new = self._selected(state, target, len(usable), share, now_s)
+        old = frozenset(e.upstream_id for e in usable)
+        used = len(new) if share >= 1.0 and new else len(new) + len(old)
+        return VersionPlan(share, new, old, len(listed) - used)
+
+    def _completed_plan(
+        self,
+        state: OrderState,
+        target: list[UpstreamEntry],
+        others: list[UpstreamEntry],
+        held: set[str],
+    ) -> VersionPlan | None:
+        if state.replaced is None:
+            state.replaced = frozenset(entry.version for entry in others)
+        if not target:
+            return None
+        # Later versions may come without an order.
+        later = [e for e in others if e.version not in state.replaced | held]
+        return _fixed([*target, *later], len(target) + len(others))
+
+    def _note_versions(
+        self, service: str, listed: list[UpstreamEntry], now_s: float
+    ) -> set[str]:
+        """Return the versions that wait because an order may be on its way.
+
+        At first sight, the version of most upstreams is the one that runs.
+        """
+        counts = Counter(entry.version for entry in listed)
+        held_until_s = self._held_until_s.get(service)
+        if held_until_s is None:
+            held_until_s = self._held_until_s[service] = {}
+            most = min(counts, key=lambda version: (-counts[version], version))
+            held_until_s[most] = now_s
+        for version in counts:
+            held_until_s.setdefault(version, now_s + self.settings.unordered_hold_s)
+        return {version for version in counts if now_s < held_until_s[version]}
+
+    def _selected(
+        self,
+        state: OrderState,
+        target: list[UpstreamEntry],
+        old_count: int,
+        share: float,
+        now_s: float,
+    ) -> frozenset[str]:
+        """Return the upstreams of the new version that share its requests.
+
+        So few that each is as loaded as the old ones are: a version that is bad under
+        load only would not show otherwise. All routers select the same ones.
+        """
+        if share <= 0.0:
+            return frozenset()
+        usable = [e for e in target if self.directory.is_usable(e, now_s)]
+        if share >= 1.0:
+            return frozenset(entry.upstream_id for entry in usable)
+        warm = [e.upstream_id for e in usable if not self.directory.is_cold(e, now_s)]
+        count = max(1, round(old_count * share / (1.0 - share)))
+        key = f"{state.started}\0{state.order.service}"
+        return frozenset(rendezvous_rank(key, warm)[:count])
+
+
+def _fixed(allowed: list[UpstreamEntry], listed: int) -> VersionPlan:
+    """Return the plan by which only some upstreams are used."""
+    ids = frozenset(entry.upstream_id for entry in allowed)
+    return VersionPlan(0.0, frozenset(), ids, listed - len(ids))
--- a/src/carobstair/edge/exchange.py
+++ b/src/carobstair/edge/exchange.py
@@ -88,6 +88,9 @@
         Weighted tokens that the admission took from the share of the workspace.
     on_begun : callable
         Called when the head of the response is sent.
+    version_draw : float
+        Evenly distributed number that decides whether the first attempt goes to a
+        version that is rolled out; later attempts go to the old one.
     on_limited_send : callable
         Called when the request is sent to an upstream that limits its requests.
     """
@@ -127,5 +130,6 @@
     is_trial: bool = False
     held_bytes: int = 0
     admitted_tokens: float = 0.0
+    version_draw: float = 1.0
     on_begun: Callable[[], None] = lambda: None
     on_limited_send: Callable[[], None] = lambda: None
--- a/src/carobstair/edge/follower.py
+++ b/src/carobstair/edge/follower.py
@@ -78,7 +78,7 @@
     async def run(self) -> None:
         """Follow all kinds until cancelled."""
         async with asyncio.TaskGroup() as group:
-            for kind in StateKind:
+            for kind in self._view.kinds:
                 group.create_task(self._follow(kind))
 
     async def _follow(self, kind: StateKind) -> None:
--- a/src/carobstair/edge/gossip.py
+++ b/src/carobstair/edge/gossip.py
@@ -230,11 +230,11 @@
         group.sent_backlog = {upstream: tokens for upstream, tokens, _ in loads}
         return FleetDigest(
             self._own,
-            [own[kind.value].revision for kind in StateKind],
+            [own[kind.value].revision for kind in self._view.kinds],
             [LoadRow(*row) for row in loads],
             segments,
             None,
-            [own[kind.value].era for kind in StateKind],
+            [own[kind.value].era for kind in self._view.kinds],
             self._view.directory.leaving()[:MAX_LEAVING_ROWS],
         )
 
@@ -281,7 +281,7 @@
         for upstream, born_ms in digest.leaving:
             self._view.directory.note_leaving_incarnation(upstream, born_ms, now_s)
         eras = digest.eras or [0] * len(digest.revisions)
-        kinds = [kind.value for kind in StateKind]
+        kinds = [kind.value for kind in self._view.kinds]
         stamps = map(Stamp, eras, digest.revisions)
         self._pull_if_behind(peer, dict(zip(kinds, stamps, strict=False)), now_s)
 
@@ -306,7 +306,7 @@
 
     def _on_pull(self, envelope: Envelope, pull: StatePull) -> None:
         steady = self._availability.grace_until_s(time.monotonic()) is None
-        for kind in StateKind:
+        for kind in self._view.kinds:
             known, era = pull.revisions.get(kind.value, 0), pull.eras.get(kind.value, 0)
             changes = self._view.changes_since(kind, known, era)
             if not changes:
@@ -324,6 +324,8 @@
     def _on_state(self, envelope: Envelope, news: StateNews) -> None:
         now_s = time.monotonic()
         kind = StateKind(news.kind)
+        if kind not in self._view.kinds:
+            return
         grace_until_s = None if news.steady else now_s + self._availability.grace_s
         changes = [
             StoreChange(row.name, row.revision, row.spec, row.era) for row in news.rows
--- a/src/carobstair/edge/metrics.py
+++ b/src/carobstair/edge/metrics.py
@@ -76,6 +76,24 @@
             registry=self.registry,
         )
 
+        self.rollout_answers = self._counter(
+            "rollout_answers",
+            "Requests that ended while an order ran, by version",
+            ("service", "version", "outcome"),
+        )
+        self.rollout_verdicts = self._counter(
+            "rollout_verdicts", "Verdicts seen in the store", ("service", "state")
+        )
+        self.rollouts_skipped = self._counter(
+            "rollouts_skipped", "Orders that were not followed", ("reason",)
+        )
+        self.rollout_share = Gauge(
+            PREFIX + "rollout_share",
+            "Share of the requests for the new version, as last decided",
+            ("service",),
+            registry=self.registry,
+        )
+
     def _counter(self, name: str, text: str, labels: tuple[str, ...]) -> Counter:
         return Counter(PREFIX + name, text, labels, registry=self.registry)
 
--- a/src/carobstair/edge/relay.py
+++ b/src/carobstair/edge/relay.py
@@ -30,6 +30,7 @@
 from carobstair.edge.metadata import Dialect, ForwardMetadata
 from carobstair.edge.permit_exchange import Permit, PermitExchange
 from carobstair.edge.response_relay import ResponseRelay
+from carobstair.edge.rollout_evidence import RolloutEvidence
 from carobstair.edge.upstream_connection import (
     CONNECT_TIMEOUT_S,
     ConnectionBroken,
@@ -67,11 +68,14 @@
     dispatcher : Dispatcher
     connections : ConnectionPool
     dialect : Dialect
+    rollouts : RolloutEvidence or None
+        Counts attempts by version, where roll-outs are in force.
     """
 
     dispatcher: Dispatcher
     connections: ConnectionPool
     dialect: Dialect
+    rollouts: RolloutEvidence | None = None
     responses: ResponseRelay = field(init=False)
     guard: CrashGuard = field(init=False)
     permits: PermitExchange = field(init=False)
@@ -96,6 +100,8 @@
         CallerLeft
         """
         exchange.upstream_id = ""
+        if self.rollouts is not None:
+            exchange.version_draw = self.dispatcher.rng.random()
         self.dispatcher.resends.note_request(exchange.pool.name, exchange.arrived_s)
         if exchange.route.kind is RequestKind.STREAM and exchange.route.resumable:
             exchange.splitter = EventSplitter(exchange.metadata.last_event_id)
@@ -133,6 +139,10 @@
         sent = loads.begin(entry.upstream_id, prompt, now_s)
         exchange.uncached_tokens = sent.uncached_tokens
         self.guard.begin(exchange, entry)
+        exchange.version_draw = 1.0
+        observed = None
+        if self.rollouts is not None:
+            observed = self.rollouts.begin(exchange, entry)
         outcome: Outcome | None = None
         reusable = False
         may_have_run_before = exchange.may_have_run
@@ -154,6 +164,8 @@
         finally:
             loads.end(sent, time.monotonic())
             self.guard.end(exchange, entry, outcome)
+            if self.rollouts is not None:
+                self.rollouts.end(observed, exchange, outcome)
             if reusable:
                 self.connections.release(entry, connection)
             else:
@@ -248,6 +260,7 @@
                 exchange.excluded | full,
                 now_s,
                 max(0.0, wait_until_s - now_s),
+                exchange.version_draw,
             )
             if entry is None:
                 if full:
--- a/src/carobstair/edge/router.py
+++ b/src/carobstair/edge/router.py
@@ -18,9 +18,15 @@
 from carobstair.core.dispatch import Dispatcher
 from carobstair.core.engine_load import LoadTracker
 from carobstair.core.fair_admission import FairAdmission
-from carobstair.core.fleet_view import FleetView, StateKind, StoreAvailability
+from carobstair.core.fleet_view import (
+    BASE_KINDS,
+    FleetView,
+    StateKind,
+    StoreAvailability,
+)
 from carobstair.core.messages import PeerAddress
 from carobstair.core.overload import OverloadGuard
+from carobstair.core.rollouts import RolloutController, RolloutSettings, VersionGate
 from carobstair.core.send_limits import ColdSendLimit, ResendLimit
 from carobstair.core.share_exchange import ShareExchange
 from carobstair.core.upstream_health import UpstreamHealth
@@ -35,6 +41,8 @@
 from carobstair.edge.metrics import EdgeMetrics
 from carobstair.edge.refusal_store import RefusalStore
 from carobstair.edge.relay import Relay
+from carobstair.edge.rollout_driver import RolloutDriver
+from carobstair.edge.rollout_evidence import RolloutEvidence
 from carobstair.edge.server import CallerServer, PageServer
 from carobstair.edge.settings import EdgeSettings
 from carobstair.edge.share_sync import ShareSync
@@ -80,6 +88,8 @@
         Returns the current settings; raises `SettingsError`.
     settings_stamp : callable
         Returns a value that changes whenever the settings change.
+    decode_rollout, encode_rollout_status : callable
+        See `RolloutDriver`.
     """
 
     dialect: Dialect
@@ -88,6 +98,8 @@
     decode_upstream: Callable
     reload: Callable[[], EdgeSettings]
     settings_stamp: Callable[[], object]
+    decode_rollout: Callable
+    encode_rollout_status: Callable
 
 
 class EdgeRouter:
@@ -117,7 +129,10 @@
         self._store = platform.make_store(self._count_store_call)
         self._directory = UpstreamDirectory(settings.directory)
         self.view = FleetView(
-            self._directory, platform.decode_routing, platform.decode_upstream
+            self._directory,
+            platform.decode_routing,
+            platform.decode_upstream,
+            kinds=tuple(StateKind) if settings.rollouts else BASE_KINDS,
         )
         self._availability = StoreAvailability(settings.directory.removal_grace_s)
         self._loads = LoadTracker(settings.placement, settings.zone)
@@ -204,6 +219,9 @@
             lambda: len(self._gossip.peers),
             self._on_restore,
         )
+        self._rollouts: RolloutDriver | None = None
+        if settings.rollouts is not None:
+            self._rollouts = self._make_rollouts(settings.rollouts, relay)
         self._registration: asyncio.Task | None = None
         self._stopping = asyncio.Event()
         # Monotonic times: when the event loop last was on time, and the earliest time
@@ -211,6 +229,30 @@
         self._on_time_s = started_s
         self._signalled_s = started_s
 
+    def _make_rollouts(self, settings: RolloutSettings, relay: Relay) -> RolloutDriver:
+        controller = RolloutController(
+            self._own.instance, self._own.incarnation, settings
+        )
+        gate = VersionGate(self._directory, controller, settings)
+        evidence = RolloutEvidence(controller, self._dispatcher, self.metrics)
+        self._dispatcher.versions, relay.rollouts = gate, evidence
+        return RolloutDriver(
+            controller,
+            gate,
+            evidence,
+            self.view,
+            self._store,
+            self._transport,
+            lambda: [
+                n for names in self._gossip.heard_by_zone().values() for n in names
+            ],
+            lambda: len(self._gossip.peers),
+            self._platform.decode_rollout,
+            self._platform.encode_rollout_status,
+            self.metrics,
+            self._rng,
+        )
+
     async def run(self) -> None:
         """Serve until a stop signal, then drain open requests and exit."""
         loop = asyncio.get_running_loop()
@@ -233,6 +275,8 @@
             asyncio.create_task(self._log_service()),
         ]
         self._registration = asyncio.create_task(self._register())
+        if self._rollouts is not None:
+            tasks.append(asyncio.create_task(self._rollouts.run()))
         logger.info(
             "router_started",
             instance=self._own.instance,
@@ -423,6 +467,8 @@
             return
         if kind is StateKind.REFUSED_SEGMENTS:
             self._refusals.apply(names)
+        if kind is StateKind.ROLLOUTS and self._rollouts is not None:
+            self._rollouts.apply(names)
         if kind is StateKind.ROUTING and self.view.table is not None:
             limits = self.view.table.config.limits
             if limits.idle_timeout_s > 0:
--- a/src/carobstair/edge/settings.py
+++ b/src/carobstair/edge/settings.py
@@ -11,6 +11,7 @@
 from carobstair.core.fair_admission import AdmissionSettings
 from carobstair.core.fleet_view import StateKind
 from carobstair.core.overload import OverloadSettings
+from carobstair.core.rollouts import RolloutSettings
 from carobstair.core.send_limits import SendLimitSettings
 from carobstair.core.share_collector import ShareSettings
 from carobstair.core.upstream_health import HealthSettings
@@ -197,7 +198,11 @@
         """Return a random wait for the next watch of a kind that rarely changes."""
         part = rng.uniform(0.6, 1.0)
         fleet_s = self.state_wait_s * (peers + 1)
-        is_state = kind in (StateKind.ROUTING, StateKind.EVACUATIONS)
+        is_state = kind in (
+            StateKind.ROUTING,
+            StateKind.EVACUATIONS,
+            StateKind.ROLLOUTS,
+        )
         if is_state and fleet_s < self.quiet_wait_s:
             return fleet_s * part
         return max(self.random_watch_wait_s(peers, rng), self.quiet_wait_s * part)
@@ -223,7 +228,13 @@
 
 
 class EdgeSettings(_Model):
-    """All settings of an edge router."""
+    """All settings of an edge router.
+
+    Attributes
+    ----------
+    rollouts : RolloutSettings or None
+        None where no roll-outs are in force; their orders are then not followed.
+    """
 
     model_config = ConfigDict(extra="forbid", frozen=True, arbitrary_types_allowed=True)
 
@@ -239,5 +250,6 @@
     shares: ShareSettings = ShareSettings()
     overload: OverloadSettings = OverloadSettings()
     directory: DirectorySettings = DirectorySettings()
+    rollouts: RolloutSettings | None = None
     max_open_requests: int = Field(2_000, ge=1)
     max_body_memory_bytes: int = Field(64 * 1024 * 1024, ge=1)
--- a/src/carobstair/edge/state_store.py
+++ b/src/carobstair/edge/state_store.py
@@ -27,7 +27,17 @@
 
 
 class StoreConflict(StoreError):
-    """The object has another revision, already exists, or does not exist."""
+    """The object has another revision, already exists, or does not exist.
+
+    Attributes
+    ----------
+    current : StoreChange or None
+        The object as the store has it, if it said so.
+    """
+
+    def __init__(self, message: str, current: StoreChange | None = None):
+        super().__init__(message)
+        self.current = current
 
 
 class RevisionExpired(StoreError):
@@ -72,6 +82,24 @@
     async def put(self, kind: StateKind, name: str, spec: object) -> None:
         """Create or replace an object that belongs to this router."""
 
+    async def put_status(
+        self, kind: StateKind, name: str, status: object, revision: int
+    ) -> StoreChange | None:
+        """Write the status of an object, if it still has the revision.
+
+        Returns
+        -------
+        StoreChange or None
+            The object after the write, if the store returned it.
+
+        Raises
+        ------
+        StoreConflict
+            If the object has another revision or does not exist.
+        StoreUnavailable
+            The write may have succeeded.
+        """
+
     async def delete(self, kind: StateKind, name: str) -> None:
         """Delete an object that belongs to this router."""
 
--- a/src/carobstair/platform/adapter.py
+++ b/src/carobstair/platform/adapter.py
@@ -8,7 +8,12 @@
 from carobstair.edge.router import PlatformParts
 from carobstair.edge.settings import EdgeSettings
 from carobstair.platform.boot import load_boot_settings, settings_stamp
-from carobstair.platform.documents import decode_routing, decode_upstream
+from carobstair.platform.documents import (
+    decode_rollout,
+    decode_routing,
+    decode_upstream,
+    rollout_status,
+)
 from carobstair.platform.headers import PlatformDialect
 from carobstair.platform.store import PlatformStore
 
@@ -24,4 +29,6 @@
         decode_upstream,
         partial(load_boot_settings, path),
         partial(settings_stamp, path),
+        decode_rollout,
+        rollout_status,
     )
--- a/src/carobstair/platform/boot.py
+++ b/src/carobstair/platform/boot.py
@@ -10,6 +10,7 @@
 from pydantic.alias_generators import to_camel
 
 from carobstair.core.directory import DirectorySettings
+from carobstair.core.rollouts import RolloutSettings
 from carobstair.core.send_limits import SendLimitSettings
 from carobstair.edge.settings import (
     EdgeSettings,
@@ -32,6 +33,8 @@
 MIN_BODY_MEMORY_MB = 16
 # Of the process's descriptor limit, the platform reserves these for files.
 RESERVED_DESCRIPTORS = 200
+# In the list of contracts where roll-outs are in force.
+ROLLOUT_CONTRACT = "rollout"
 # With fewer descriptors than this a process can't serve any caller.
 MIN_SOCKETS = 100
 
@@ -58,6 +61,9 @@
     cold_overshoot: float = Field(1.5, ge=0)
     cold_slack: float = Field(5.0, ge=0)
     drain_timeout_ms: float = Field(2000.0, gt=0)
+    exposure_share: float = Field(0.1, gt=0, le=1)
+    exposure_slack: float = Field(50.0, ge=0)
+    rollback_ms: float = Field(5000.0, gt=0)
 
 
 class _Limits(_BootModel):
@@ -77,6 +83,8 @@
     platform: _Platform
     bounds: _Bounds = _Bounds()
     limits: _Limits = _Limits()
+    # Words of other kinds may be added by the platform.
+    contracts: list[object] = []
 
 
 def boot_path() -> Path | None:
@@ -154,6 +162,16 @@
         # A request needs one connection to its caller and one to an upstream.
         max_open_requests=sockets // 3,
         max_body_memory_bytes=body_memory_mb * 1_000_000,
+        rollouts=_rollouts(boot),
+    )
+
+
+def _rollouts(boot: _Boot) -> RolloutSettings | None:
+    if ROLLOUT_CONTRACT not in boot.contracts:
+        return None
+    bounds = boot.bounds
+    return RolloutSettings(
+        bounds.exposure_share, bounds.exposure_slack, bounds.rollback_ms / 1000
     )
 
 
--- a/src/carobstair/platform/documents.py
+++ b/src/carobstair/platform/documents.py
@@ -13,7 +13,13 @@
 
 from carobstair.core.addresses import parse_address
 from carobstair.core.directory import UpstreamEntry
-from carobstair.core.fleet_view import StateKind
+from carobstair.core.fleet_view import StateKind, StoreChange
+from carobstair.core.rollouts import (
+    MAX_DURATION_S,
+    MIN_DURATION_S,
+    RolloutOrder,
+    RolloutState,
+)
 from carobstair.core.routing import (
     EngineShape,
     RequestKind,
@@ -25,17 +31,25 @@
 )
 from carobstair.logs import get_logger
 
-__all__ = ["OBJECT_KINDS", "decode_routing", "decode_upstream"]
+__all__ = [
+    "OBJECT_KINDS",
+    "decode_rollout",
+    "decode_routing",
+    "decode_upstream",
+    "rollout_status",
+]
 
 logger = get_logger(__name__)
 
-# Object kind on the platform for each kind of state. Routers write the last two.
+# Object kind on the platform for each kind of state. Routers write those with the
+# project's name, and the status of roll-outs.
 OBJECT_KINDS = {
     StateKind.ROUTING: "config",
     StateKind.UPSTREAMS: "servers",
     StateKind.EVACUATIONS: "evacuations",
     StateKind.ROUTERS: "carobstair-routers",
     StateKind.REFUSED_SEGMENTS: "carobstair-refused-parts",
+    StateKind.ROLLOUTS: "rollouts",
 }
 # Larger values are mistakes of other programs that write to the store.
 MAX_SLOTS = 1_000_000
@@ -119,8 +133,32 @@
     cold_remaining_ms: Annotated[float, msgspec.Meta(le=MAX_COLD_MS)] = 0.0
     # Start time of the engine in Unix milliseconds.
     born: Annotated[int, msgspec.Meta(ge=0, le=MAX_UNIX_MS)] = 0
+    # A version that can't be read must not take its engine out of service.
+    version: msgspec.Raw = msgspec.Raw(b'""')
+
+
+_Version = Annotated[str, msgspec.Meta(min_length=1, max_length=MAX_NAME)]
+
+
+class _RolloutSpec(msgspec.Struct, rename="camel"):
+    service: Annotated[str, msgspec.Meta(min_length=1, max_length=MAX_NAME)]
+    to: _Version
+    duration_s: Annotated[float, msgspec.Meta(ge=MIN_DURATION_S, le=MAX_DURATION_S)]
+
 
+class _RolloutStatus(msgspec.Struct):
+    state: Literal["running", "completed", "rolled_back"]
+    to: str
 
+
+class _Rollout(msgspec.Struct):
+    spec: _RolloutSpec
+    status: msgspec.Raw = msgspec.Raw(b"null")
+
+
+_ROLLOUT = msgspec.json.Decoder(_Rollout)
+_ROLLOUT_STATUS = msgspec.json.Decoder(_RolloutStatus | None)
+_VERSION = msgspec.json.Decoder(_Version)
 _CONFIG = msgspec.json.Decoder(_Config)
 _SERVER = msgspec.json.Decoder(_Server)
 
@@ -173,9 +211,56 @@
         server.state == "draining",
         max(0.0, server.cold_remaining_ms / 1000),
         server.born,
+        _read_version(name, server.version),
     )
 
 
+def decode_rollout(
+    change: StoreChange,
+) -> tuple[RolloutOrder, RolloutState | None] | None:
+    """Return the order and its state from a ``rollouts`` document.
+
+    The state is None if the object has no status for the version that is ordered.
+    """
+    try:
+        document = _ROLLOUT.decode(change.spec)
+        spec = document.spec
+        if spec.service != change.name:
+            raise ValueError(f"it is for the service {spec.service[:80]!r}")
+    except (msgspec.DecodeError, ValueError, RecursionError) as error:
+        logger.warning(
+            "rollout_unreadable", name=change.name[:MAX_NAME], error=str(error)
+        )
+        return None
+    order = RolloutOrder(spec.service, spec.to, spec.duration_s, change.stamp)
+    try:
+        status = _ROLLOUT_STATUS.decode(document.status)
+    except (msgspec.DecodeError, RecursionError) as error:
+        # Only the status is lost; the order itself is valid.
+        logger.warning(
+            "rollout_status_unreadable", name=change.name[:MAX_NAME], error=str(error)
+        )
+        status = None
+    if status is None or status.to != spec.to:
+        return order, None
+    return order, RolloutState(status.state)
+
+
+def rollout_status(target: str, state: RolloutState) -> dict[str, str]:
+    """Return the status document for a verdict."""
+    return {"state": state.value, "to": target}
+
+
+def _read_version(name: str, raw: msgspec.Raw) -> str:
+    if bytes(raw) in (b'""', b"null"):
+        return ""
+    try:
+        return _VERSION.decode(raw)
+    except (msgspec.DecodeError, RecursionError) as error:
+        logger.warning("upstream_version_unreadable", upstream=name, error=str(error))
+        return ""
+
+
 def _route(route: _Route) -> Route:
     split = tuple((target.service, target.weight) for target in route.traffic_split)
     if not split and route.service is not None:
--- a/src/carobstair/platform/store.py
+++ b/src/carobstair/platform/store.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Annotated
 from urllib.parse import quote, urlencode
 
@@ -52,6 +53,7 @@
 class _Object(msgspec.Struct):
     metadata: _Metadata
     spec: msgspec.Raw = msgspec.Raw(b"null")
+    status: msgspec.Raw = msgspec.Raw(b"null")
 
 
 class _Page(msgspec.Struct, rename="camel"):
@@ -71,6 +73,14 @@
     current_rev: _Revision = 0
 
 
+class _Refused(StoreConflict):
+    """A conflict with the body of the response."""
+
+    def __init__(self, message: str, body: bytes):
+        super().__init__(message)
+        self.body = body
+
+
 _PAGE = msgspec.json.Decoder(_Page)
 _WATCH = msgspec.json.Decoder(_WatchResponse)
 _OBJECT = msgspec.json.Decoder(_Object)
@@ -111,7 +121,7 @@
             first_era = era
             last = ""
             for raw in page.entries:
-                change = _decode_object(raw, era)
+                change = _decode_object(raw, era, kind)
                 if change is not None:
                     changes[change.name] = change
                     last = change.name
@@ -133,7 +143,7 @@
             # The same revision names another state in another era.
             raise RevisionExpired(f"the store is in era {now_era}")
         response = await self._decode(_WATCH, body, EVENT_LEVELS)
-        decoded = (_decode_event(raw, era) for raw in response.events)
+        decoded = (_decode_event(raw, era, kind) for raw in response.events)
         changes = [change for change in decoded if change is not None]
         return Listing(changes, max(revision, response.current_rev), era)
 
@@ -146,6 +156,20 @@
         except StoreConflict:
             await self._call("PUT", f"{path}/{name}", "replace", document)
 
+    async def put_status(
+        self, kind: StateKind, name: str, status: object, revision: int
+    ) -> StoreChange | None:
+        """Write the status of an object, if it still has the revision."""
+        metadata = {"name": name, "revision": revision}
+        document = {"metadata": metadata, "status": status}
+        path = f"{OBJECT_KINDS[kind]}/{name}/status"
+        try:
+            body, era = await self._call("PUT", path, "put_status", document)
+        except _Refused as error:
+            current = _read_object(error.body, kind, self._era)
+            raise StoreConflict(str(error), current) from error
+        return _read_object(body, kind, era)
+
     async def delete(self, kind: StateKind, name: str) -> None:
         """Delete an object that the router owns."""
         await self._call("DELETE", f"{OBJECT_KINDS[kind]}/{name}", "delete")
@@ -194,7 +218,7 @@
         if status == 410:
             raise RevisionExpired(f"status {status}")
         if status in (404, 409):
-            raise StoreConflict(f"status {status}")
+            raise _Refused(f"status {status}", body)
         raise StoreUnavailable(f"status {status}")
 
     async def _decode(self, decoder: msgspec.json.Decoder, body: bytes, levels: int):
@@ -224,23 +248,41 @@
     return int(value) if value is not None and value.isdigit() else None
 
 
-def _decode_object(raw: msgspec.Raw, era: int) -> StoreChange | None:
+def _read_object(body: bytes, kind: StateKind, era: int) -> StoreChange | None:
+    """Return the object in the response to a write, if there is one."""
+    try:
+        return _change(_OBJECT.decode(body), kind, era)
+    except (msgspec.DecodeError, RecursionError):
+        # The watch shows the object as well.
+        return None
+
+
+def _change(decoded: _Object, kind: StateKind, era: int) -> StoreChange:
+    spec = bytes(decoded.spec)
+    if kind is StateKind.ROLLOUTS:
+        # Their status is a part of the state.
+        spec = b'{"spec":%s,"status":%s}' % (spec, bytes(decoded.status))
+    return StoreChange(decoded.metadata.name, decoded.metadata.revision, spec, era)
+
+
+def _decode_object(
+    raw: msgspec.Raw, era: int, kind: StateKind = StateKind.UPSTREAMS
+) -> StoreChange | None:
     try:
         decoded = _OBJECT.decode(raw)
     except msgspec.DecodeError as error:
         logger.warning("store_object_unreadable", error=str(error))
         return None
-    return StoreChange(
-        decoded.metadata.name, decoded.metadata.revision, bytes(decoded.spec), era
-    )
+    return _change(decoded, kind, era)
 
 
-def _decode_event(raw: msgspec.Raw, era: int) -> StoreChange | None:
+def _decode_event(
+    raw: msgspec.Raw, era: int, kind: StateKind = StateKind.UPSTREAMS
+) -> StoreChange | None:
     try:
         event = _EVENT.decode(raw)
     except msgspec.DecodeError as error:
         logger.warning("store_object_unreadable", error=str(error))
         return None
-    metadata = event.object.metadata
-    spec = None if event.deleted else bytes(event.object.spec)
-    return StoreChange(metadata.name, metadata.revision, spec, era)
+    change = _change(event.object, kind, era)
+    return replace(change, spec=None) if event.deleted else change
