--- a/src/carobstair/core/rollouts/controller.py
+++ b/src/carobstair/core/rollouts/controller.py
@@ -127,6 +127,8 @@
         if known is None:
             self._begin(order, stated, now_s, is_first_list)
             return
+        if order.stamp <= known.state.order.stamp:
+            return
         if known.state.is_restarted_by(order, stated):
             # The status is that of the previous order if the object kept it.
             is_kept = stated is known.state.stated
@@ -457,8 +459,8 @@
 
     # Log
 
-    def _log(self, event: str, state: OrderState, **fields: object) -> None:
-        order = state.order
+    def _log(self, event: str, known: OrderState, **fields: object) -> None:
+        order = known.order
         named = {"service": order.service, "version": order.target}
         named["revision"] = order.stamp.revision
         self._events.append(LogEvent(event, named | fields))
--- a/src/carobstair/core/rollouts/counts.py
+++ b/src/carobstair/core/rollouts/counts.py
@@ -12,8 +12,8 @@
 
 # Times to the first byte are classed by factors of this, from 1 ms; a version that is
 # several times slower differs by several classes.
-TIME_CLASS_FACTOR = 1.3
-MAX_TIME_CLASS = 40
+TIME_CLASS_FACTOR = 1.15
+MAX_TIME_CLASS = 72
 # Sizes are classed by powers of two, from this.
 MIN_SIZE_TOKENS = 128
 # Rows of one order; more routes and upstreams than any service has.
--- a/src/carobstair/core/rollouts/evidence.py
+++ b/src/carobstair/core/rollouts/evidence.py
@@ -5,8 +5,9 @@
 is likelier under a worse version and falls to zero with good ones, so a version that
 turns bad late is found as fast as one that was bad from the start.
 
-One upstream that fails says nothing of its version: each sum is also kept without the
-answers of each single upstream, and the smallest of these counts.
+Single upstreams that fail say nothing of their version: each sum is also kept without
+the answers of each upstream. The smallest of these, less what a few other upstreams
+contributed that stand out by themselves, must be evidence as well.
 """
 
 from __future__ import annotations
@@ -36,6 +37,12 @@
     bad_limit, slow_limit : float
         Sums (natural logarithms of likelihood ratios) at which a version is bad.
         Chosen by simulation: wrong in fewer than 1 in 100 roll-outs.
+    rest_part : float
+        Part of the limit that the sum must reach without the worst upstreams.
+    upstreams_per_worst : int
+        One upstream is left out, and another for each of these that are in use.
+    worst_limit : float
+        Sum of one upstream from which it stands out: more than a single bad answer.
     bad_rise, slow_rise : float
         By how much the part of bad or slow answers rises in a bad version: just below
         the smallest rise that must be found, 5 and 10 %.
@@ -52,8 +59,11 @@
         upstream that ends breaks all its answers, a neighbour slows many at once.
     """
 
-    bad_limit: float = 6.0
-    slow_limit: float = 9.0
+    bad_limit: float = 5.5
+    slow_limit: float = 8.0
+    rest_part: float = 0.65
+    upstreams_per_worst: int = 5
+    worst_limit: float = 4.0
     bad_rise: float = 0.045
     slow_rise: float = 0.1
     min_bad_rate: float = 0.004
@@ -63,7 +73,7 @@
     min_old_answers: float = 15.0
     burst_s: float = 1.0
     max_broken: int = 2
-    max_slow: int = 4
+    max_slow: int = 6
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,22 +91,28 @@
 
     total: float = 0.0
     without: dict[str, float] = field(default_factory=dict)
+    own: dict[str, float] = field(default_factory=dict)
 
     def add(self, parts: Mapping[str, float]) -> None:
         """Add the contributions of upstreams."""
-        for upstream in parts:
+        for upstream, part in parts.items():
             self.without.setdefault(upstream, self.total)
+            self.own[upstream] = max(0.0, self.own.get(upstream, 0.0) + part)
         whole = sum(parts.values())
         for upstream, value in self.without.items():
             rise = whole - parts.get(upstream, 0.0)
             self.without[upstream] = max(0.0, value + rise)
         self.total = max(0.0, self.total + whole)
 
-    def score(self, upstreams: int) -> float:
+    def score(self, upstreams: int, settings: EvidenceSettings) -> float:
         """Return the sum that counts, for a number of upstreams that are in use."""
         if upstreams < 2 or not self.without:
             return self.total
-        return min(self.total, *self.without.values())
+        others = upstreams // settings.upstreams_per_worst
+        worst = sorted(self.own.values(), reverse=True)[1 : 1 + others]
+        outliers = sum(value for value in worst if value >= settings.worst_limit)
+        rest = min(self.without.values()) - outliers
+        return min(self.total, max(0.0, rest) / settings.rest_part)
 
 
 @dataclass(slots=True)
@@ -276,7 +292,7 @@
         for (of_kind, route), known in self._sums.items():
             if of_kind != kind:
                 continue
-            score = known.score(upstreams)
+            score = known.score(upstreams, self.settings)
             self.suspicion = max(self.suspicion, score / limit)
             if score >= limit and self.finding is None:
                 self.finding = Finding(kind, route, round(score, 2))
--- a/src/carobstair/core/rollouts/settings.py
+++ b/src/carobstair/core/rollouts/settings.py
@@ -61,11 +61,11 @@
     hold_share: float = 0.05
     ramp_shares: tuple[float, float] = (0.2, 0.5)
     verdict_part: float = 0.42
-    ramp_part: float = 0.7
+    ramp_part: float = 0.68
     step_part: float = 0.06
-    undecided_part: float = 0.88
-    completion_margin_part: float = 0.06
-    rollback_margin_part: float = 0.08
+    undecided_part: float = 0.85
+    completion_margin_part: float = 0.08
+    rollback_margin_part: float = 0.1
     min_margin_s: float = 0.5
     probe_answers: int = 20
     min_route_answers: int = 40
