--- a/src/carobstair/core/rollouts/collector.py
+++ b/src/carobstair/core/rollouts/collector.py
@@ -107,7 +107,7 @@
     def decide(
         self,
         age_s: float,
-        has_target: bool,
+        targets: int,
         routers: Collection[str],
         interval_s: float,
         now_s: float,
@@ -118,8 +118,8 @@
         ----------
         age_s : float
             Time since the order began.
-        has_target : bool
-            Whether an upstream of the new version may get requests.
+        targets : int
+            Number of upstreams of the new version that may get requests.
         routers : collection of str
             Names of the routers that are present, with this one.
         """
@@ -130,7 +130,9 @@
         before = self.plan.phase
         totals = self.totals()
         counts = FleetCounts.of(totals)
-        upstreams = len({u for (_, _, u), row in totals.items() if u and row.sent})
+        used = len({u for (_, _, u), row in totals.items() if u and row.sent})
+        # Before the second of them was used, nothing is said of the version.
+        upstreams = max(used, min(2, targets))
         self.evidence.update(totals, upstreams, now_s)
         reported = max((r.phase for r in reports.values()), default=0)
         if reported in Phase._value2member_map_:
@@ -140,7 +142,7 @@
             self._finding = f"{finding.kind} answers on {finding.route or 'all routes'}"
             self.plan.adopt(Phase.BAD, age_s)
         elif self.plan.phase is not Phase.BAD:
-            self.plan.advance(counts, self.evidence.suspicion, has_target, age_s)
+            self.plan.advance(counts, self.evidence.suspicion, targets > 0, age_s)
         verdict, reason = self._verdict(reports, routers, age_s)
         return Decision(
             self.plan.phase,
--- a/src/carobstair/core/rollouts/controller.py
+++ b/src/carobstair/core/rollouts/controller.py
@@ -89,8 +89,8 @@
     incarnation : int
         Incarnation of this process.
     settings : RolloutSettings
-    has_target : callable
-        Returns whether an upstream of a version may get requests of a service.
+    count_target : callable
+        Returns how many warm upstreams of a version may get requests of a service.
     skip_reason : callable
         Returns why an order can't be followed now, or an empty text.
     """
@@ -98,7 +98,7 @@
     name: str
     incarnation: int
     settings: RolloutSettings
-    has_target: Callable[[str, str, float], bool] = lambda service, version, now_s: True
+    count_target: Callable[[str, str, float], int] = lambda service, version, now_s: 1
     skip_reason: Callable[[RolloutOrder, bool], str] = lambda order, has_begun: ""
     # Raised with each change of an exposure, so that plans are computed anew.
     generation: int = 0
@@ -348,10 +348,8 @@
     ) -> OrderDirective | None:
         state = rollout.state
         order, age_s = state.order, state.age_s(now_s)
-        has_target = self.has_target(order.service, order.target, now_s)
-        decision = rollout.collector.decide(
-            age_s, has_target, routers, interval_s, now_s
-        )
+        targets = self.count_target(order.service, order.target, now_s)
+        decision = rollout.collector.decide(age_s, targets, routers, interval_s, now_s)
         if decision is None:
             return None
         directive = OrderDirective(
--- a/src/carobstair/core/rollouts/versions.py
+++ b/src/carobstair/core/rollouts/versions.py
@@ -13,6 +13,8 @@
 
 __all__ = ["VersionGate", "VersionPlan"]
 
+# A single upstream that fails could not be told from a bad version.
+MIN_SELECTED = 2
 # Plans are computed anew after this time, as upstreams come, leave and warm up.
 PLAN_TTL_S = 0.05
 
@@ -64,7 +66,7 @@
     )
 
     def __post_init__(self) -> None:
-        self.controller.has_target = self.has_target
+        self.controller.count_target = self.count_target
         self.controller.skip_reason = self.skip_reason
 
     def plan(self, service: str, now_s: float) -> VersionPlan | None:
@@ -118,10 +120,10 @@
         plan = self.plan(service, now_s)
         return 0 if plan is None else plan.hidden
 
-    def has_target(self, service: str, version: str, now_s: float) -> bool:
-        """Return whether a warm upstream of a version may get requests."""
+    def count_target(self, service: str, version: str, now_s: float) -> int:
+        """Return how many warm upstreams of a version may get requests."""
         warm, _ = self.directory.warm_and_cold(service, now_s)
-        return any(entry.version == version for entry in warm)
+        return sum(entry.version == version for entry in warm)
 
     def skip_reason(self, order: RolloutOrder, has_begun: bool) -> str:
         """Return why an order can't be followed now, or an empty text."""
@@ -219,7 +221,7 @@
         if share >= 1.0:
             return frozenset(entry.upstream_id for entry in usable)
         warm = [e.upstream_id for e in usable if not self.directory.is_cold(e, now_s)]
-        count = max(1, round(old_count * share / (1.0 - share)))
+        count = max(MIN_SELECTED, round(old_count * share / (1.0 - share)))
         key = f"{state.started}\0{state.order.service}"
         return frozenset(rendezvous_rank(key, warm)[:count])
 
