--- a/src/carobstair/core/rollouts/controller.py
+++ b/src/carobstair/core/rollouts/controller.py
@@ -452,7 +452,7 @@
         if phase is not state.phase or share != state.share:
             self.generation += 1
         if phase is not state.phase:
-            self._log("rollout_phase", state, phase=phase.name.lower(), share=share)
+            self._log("rollout_phase", state, phase=phase.name.lower(), share=round(share, 3))
         state.phase, state.share, state.decided_s = phase, share, now_s
 
     # Log
--- a/src/carobstair/core/rollouts/versions.py
+++ b/src/carobstair/core/rollouts/versions.py
@@ -156,6 +156,8 @@
             if len(allowed) == len(listed) or not allowed:
                 return None
             return _fixed(allowed, len(listed))
+        # Once the order is removed, its version needs to wait for none.
+        self._held_until_s[service][state.order.target] = now_s
         target = [e for e in listed if e.version == state.order.target]
         others = [e for e in listed if e.version != state.order.target]
         if state.final is RolloutState.COMPLETED:
--- a/src/carobstair/edge/rollout_driver.py
+++ b/src/carobstair/edge/rollout_driver.py
@@ -33,8 +33,6 @@
 
 # Interval at which versions of upstreams are noted while no order runs.
 IDLE_INTERVAL_S = 0.5
-# Changed orders that are logged in one batch; others are only counted.
-MAX_LOGGED_SKIPS = 8
 
 DecodedRollout = tuple[RolloutOrder, RolloutState | None]
 
@@ -148,6 +146,8 @@
         if effect.event == "rollout_skipped":
             self.metrics.rollouts_skipped.labels("not_applicable").inc()
         elif effect.event == "rollout_status":
+            is_completed = fields["state"] == RolloutState.COMPLETED
+            self.metrics.rollout_share.labels(service).set(float(is_completed))
             self.metrics.rollout_verdicts.labels(service, str(fields["state"])).inc()
         elif effect.event == "rollout_phase":
             self.metrics.rollout_share.labels(service).set(float(fields["share"]))
--- a/tests/edge_test_case.py
+++ b/tests/edge_test_case.py
@@ -70,6 +70,7 @@
             frozenset({"r0"}),
         )
         relay = Relay(self.dispatcher, ConnectionPool(), PlatformDialect())
+        self.relay = relay
         self.keep_alive_limit = 100
         self.overload = OverloadGuard()
         self.gate = ArrivalGate()
@@ -101,7 +102,7 @@
                 max_retry_s=0.05,
             ),
             rng,
-            lambda kind, names: None,
+            lambda kind, names: self.on_state_change(kind, names),
         )
         self.tasks = [
             asyncio.create_task(self.server.serve()),
@@ -109,6 +110,9 @@
         ]
         self.session = aiohttp.ClientSession()
 
+    def on_state_change(self, kind, names):
+        """Take note of changed objects; by default, nothing follows from them."""
+
     async def asyncTearDown(self):
         await self.session.close()
         await self.client.close()
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -143,6 +143,9 @@
         self.compacted_revision = 0
         self.down = False
         self.calls = 0
+        # Kinds of all calls, and the status writes among them.
+        self.called_kinds = set()
+        self.status_writes = []
         # Bytes that are sent in place of specs, by a text that stands for each.
         self.raw_specs = {}
         # None sends no era, as stores did before they could be restored.
@@ -174,6 +177,20 @@
         self.objects[kind, name] = stored
         self._record_event(kind, stored, False)
 
+    def put_status(self, kind, name, revision, status):
+        """Write the status of an object that has a revision; return the answer."""
+        stored = self.objects.get((kind, name))
+        if stored is None:
+            return 404, {}
+        if revision != stored["metadata"]["revision"]:
+            return 409, stored
+        self.revision += 1
+        metadata = {"name": name, "revision": self.revision}
+        stored = {"metadata": metadata, "spec": stored["spec"], "status": status}
+        self.objects[kind, name] = stored
+        self._record_event(kind, stored, False)
+        return 200, stored
+
     def delete(self, kind, name):
         """Remove an object."""
         stored = self.objects.pop((kind, name))
@@ -195,6 +212,7 @@
         path, _, query = request.target.partition("?")
         options = dict(part.split("=") for part in query.split("&") if part)
         kind, _, name = path.removeprefix("/v1/objects/").partition("/")
+        self.called_kinds.add(kind)
         if request.method == "GET":
             status, document = await self._read(kind, options)
         else:
@@ -244,6 +262,12 @@
             self.delete(kind, name)
             return 200, {}
         document = json.loads(request.body)
+        if name.endswith("/status"):
+            revision = document["metadata"]["revision"]
+            status = document["status"]
+            self.status_writes.append((name, revision, status))
+            name = name.removesuffix("/status")
+            return self.put_status(kind, name, revision, status)
         name = name or document["metadata"]["name"]
         if request.method == "POST" and (kind, name) in self.objects:
             return 409, self.objects[kind, name]
