--- a/src/carobstair/core/rollouts/__init__.py
+++ b/src/carobstair/core/rollouts/__init__.py
@@ -14,18 +14,14 @@
     RolloutReport,
 )
 from carobstair.core.rollouts.collector import Decision, OrderCollector
-from carobstair.core.rollouts.controller import (
-    LogEvent,
-    RolloutController,
-    SendMessage,
-    WriteStatus,
-)
+from carobstair.core.rollouts.controller import RolloutController
 from carobstair.core.rollouts.counts import (
     AnswerLedger,
     AnswerOutcome,
     TrackedAnswer,
     VersionCounts,
 )
+from carobstair.core.rollouts.effects import LogEvent, SendMessage, WriteStatus
 from carobstair.core.rollouts.evidence import (
     EvidenceSettings,
     Finding,
--- a/src/carobstair/core/rollouts/controller.py
+++ b/src/carobstair/core/rollouts/controller.py
@@ -5,77 +5,38 @@
 from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 
-import msgspec
-
 from carobstair.core.rollout_messages import (
     OrderDirective,
-    OrderReport,
     RolloutNews,
     RolloutReport,
 )
-from carobstair.core.rollouts.collector import Decision, OrderCollector
+from carobstair.core.rollouts.collector import OrderCollector
 from carobstair.core.rollouts.counts import AnswerLedger, TrackedAnswer
+from carobstair.core.rollouts.effects import (
+    Effect,
+    LogEvent,
+    SendMessage,
+    decision_event,
+    order_event,
+)
 from carobstair.core.rollouts.orders import (
     OrderState,
     Phase,
     RolloutOrder,
     RolloutState,
 )
+from carobstair.core.rollouts.rollout import Rollout
 from carobstair.core.rollouts.settings import RolloutSettings
+from carobstair.core.rollouts.verdicts import due_write
 from carobstair.core.shares import rendezvous_rank
 from carobstair.core.store_stamp import Stamp
 
-__all__ = ["LogEvent", "RolloutController", "SendMessage", "WriteStatus"]
+__all__ = ["RolloutController"]
 
 # Routers that collect at a time: if one is lost, the other has all counts.
 COLLECTORS = 2
-# Routers write a verdict one after the other, so that one write is usually enough.
-WRITER_INTERVAL_S = 0.25
-MAX_WRITERS = 8
-# A status that is not seen is written again after this time.
-WRITE_RETRY_S = 0.8
 # An order that a restored store lacks is kept for this time; operators write it again.
 RESTORED_GRACE_S = 5.0
-# Routers that are not collectors write at the deadline if the collectors have not.
-LAST_WRITE_S = 0.3
-
-
-@dataclass(frozen=True, slots=True)
-class SendMessage:
-    """A message to send."""
-
-    receivers: tuple[str, ...]
-    payload: msgspec.Struct
-
-
-@dataclass(frozen=True, slots=True)
-class WriteStatus:
-    """A status to write, if the object still has the stamp."""
-
-    service: str
-    target: str
-    state: RolloutState
-    stamp: Stamp
-
-
-@dataclass(frozen=True, slots=True)
-class LogEvent:
-    """An event to log with its fields."""
-
-    event: str
-    fields: dict[str, object]
-
-
-Effect = SendMessage | WriteStatus | LogEvent
-
-
-@dataclass(slots=True)
-class _Rollout:
-    """An order with what this router counts and collects for it."""
-
-    state: OrderState
-    ledger: AnswerLedger
-    collector: OrderCollector
 
 
 @dataclass(slots=True)
@@ -102,7 +63,7 @@
     skip_reason: Callable[[RolloutOrder, bool], str] = lambda order, has_begun: ""
     # Raised with each change of an exposure, so that plans are computed anew.
     generation: int = 0
-    _rollouts: dict[str, _Rollout] = field(default_factory=dict)
+    _rollouts: dict[str, Rollout] = field(default_factory=dict)
     _events: list[LogEvent] = field(default_factory=list)
 
     # Orders and their status
@@ -141,7 +102,7 @@
             # The copy is older than the verdict, which is written again.
             state.verdict, state.stated = state.final, stated
             state.write_after_s = None
-            self._log("rollout_restored", state, verdict=str(state.verdict))
+            self._note("rollout_restored", state, verdict=str(state.verdict))
             return
         self._note_stated(state, stated, now_s)
 
@@ -154,10 +115,10 @@
     ) -> None:
         state = OrderState(order, order.stamp, now_s, not is_first_list)
         collector = OrderCollector(self.settings, order.duration_s)
-        rollout = _Rollout(state, AnswerLedger(), collector)
+        rollout = Rollout(state, AnswerLedger(), collector)
         self._rollouts[order.service] = rollout
         self.generation += 1
-        self._log("rollout_ordered", state, duration_s=order.duration_s)
+        self._note("rollout_ordered", state, duration_s=order.duration_s)
         self._note_stated(state, stated, now_s)
         self._check(rollout)
 
@@ -172,7 +133,7 @@
         state.share = 1.0 if stated is RolloutState.COMPLETED else 0.0
         self.generation += 1
         age_s = round(state.age_s(now_s), 2)
-        self._log("rollout_status", state, state=str(stated), age_s=age_s)
+        self._note("rollout_status", state, state=str(stated), age_s=age_s)
 
     def on_removed(
         self, service: str, now_s: float, was_restored: bool = False
@@ -190,7 +151,7 @@
             return
         del self._rollouts[service]
         self.generation += 1
-        self._log("rollout_removed", rollout.state)
+        self._note("rollout_removed", rollout.state)
 
     def state_of(self, service: str) -> OrderState | None:
         """Return the order of a service, unless it is skipped."""
@@ -264,7 +225,7 @@
             Number of the other routers that the store lists.
         """
         effects: list[Effect] = []
-        running: list[_Rollout] = []
+        running: list[Rollout] = []
         for service, rollout in list(self._rollouts.items()):
             state = rollout.state
             if state.forget_s is not None and now_s >= state.forget_s:
@@ -275,7 +236,7 @@
                 running.append(rollout)
             elif state.is_final and state.stated is not state.final:
                 rank = self._ranked(heard).index(self.name)
-                effects += self._due_write(state, rank, now_s)
+                effects += due_write(state, rank, now_s)
         if running:
             effects += self._exchange(running, heard, known, now_s)
         effects += self._events
@@ -285,7 +246,7 @@
     def _ranked(self, heard: Collection[str]) -> list[str]:
         return rendezvous_rank("rollouts", sorted({*heard, self.name}))
 
-    def _check(self, rollout: _Rollout) -> None:
+    def _check(self, rollout: Rollout) -> None:
         """Skip an order that can't be followed, or follow it after all."""
         state = rollout.state
         has_begun = state.phase > Phase.WAITING or state.is_final
@@ -294,11 +255,11 @@
             state.skipped = reason
             self.generation += 1
             if reason:
-                self._log("rollout_skipped", state, reason=reason)
+                self._note("rollout_skipped", state, reason=reason)
 
     def _exchange(
         self,
-        running: list[_Rollout],
+        running: list[Rollout],
         heard: Collection[str],
         known: int,
         now_s: float,
@@ -306,7 +267,7 @@
         interval_s = self.settings.scaled_interval_s(len(heard) + 1)
         ranked = self._ranked(heard)
         collectors = ranked[:COLLECTORS]
-        reports = [self._report(rollout, now_s) for rollout in running]
+        reports = [rollout.report(now_s) for rollout in running]
         effects: list[Effect] = []
         receivers = tuple(name for name in collectors if name != self.name)
         if receivers:
@@ -322,26 +283,14 @@
                 directive = self._decide(rollout, ranked, interval_s, now_s)
                 if directive is not None:
                     directives.append(directive)
-            effects += self._due_write(rollout.state, own_rank, now_s)
+            effects += due_write(rollout.state, own_rank, now_s)
         if directives and heard:
             effects.append(SendMessage(tuple(sorted(heard)), RolloutNews(directives)))
         return effects
 
-    def _report(self, rollout: _Rollout, now_s: float) -> OrderReport:
-        state = rollout.state
-        return OrderReport(
-            state.order.service,
-            state.order.target,
-            (state.started.era, state.started.revision),
-            state.age_s(now_s),
-            state.phase,
-            rollout.ledger.at_old,
-            rollout.ledger.report_rows(),
-        )
-
     def _decide(
         self,
-        rollout: _Rollout,
+        rollout: Rollout,
         routers: Collection[str],
         interval_s: float,
         now_s: float,
@@ -361,40 +310,20 @@
             decision.share,
         )
         if decision.has_advanced:
-            self._log_decision("rollout_exposure", state, decision, age_s)
+            self._events.append(
+                decision_event("rollout_exposure", state, decision, age_s)
+            )
         is_undone = decision.phase is Phase.BAD
         if decision.verdict not in (RolloutState.RUNNING, state.verdict) and (
             state.verdict is RolloutState.RUNNING or is_undone
         ):
             state.verdict, state.write_after_s = decision.verdict, None
-            self._log_decision("rollout_verdict", state, decision, age_s)
+            self._events.append(
+                decision_event("rollout_verdict", state, decision, age_s)
+            )
         self._apply(state, directive, now_s)
         return directive
 
-    def _due_write(
-        self, state: OrderState, own_rank: int, now_s: float
-    ) -> list[Effect]:
-        """Return the write of a verdict that the store does not show yet."""
-        order = state.order
-        last_s = order.duration_s - LAST_WRITE_S
-        if state.verdict is RolloutState.RUNNING and state.age_s(now_s) >= last_s:
-            is_full = state.phase is Phase.FULL
-            state.verdict = (
-                RolloutState.COMPLETED if is_full else RolloutState.ROLLED_BACK
-            )
-            self._log("rollout_deadline", state, verdict=str(state.verdict))
-            state.write_after_s = now_s + self._write_delay_s(own_rank)
-        elif state.verdict is not RolloutState.RUNNING and state.write_after_s is None:
-            state.write_after_s = now_s + self._write_delay_s(own_rank)
-        if state.write_after_s is None or now_s < state.write_after_s:
-            return []
-        state.write_after_s = now_s + WRITE_RETRY_S + self._write_delay_s(own_rank)
-        return [WriteStatus(order.service, order.target, state.verdict, order.stamp)]
-
-    @staticmethod
-    def _write_delay_s(own_rank: int) -> float:
-        return WRITER_INTERVAL_S * min(own_rank, MAX_WRITERS)
-
     # Messages
 
     def on_report(
@@ -417,7 +346,7 @@
 
     def _matching(
         self, service: str, target: str, started: tuple[int, int]
-    ) -> _Rollout | None:
+    ) -> Rollout | None:
         """Return the order that a message is about, if this router follows it."""
         rollout = self._rollouts.get(service)
         if rollout is None or rollout.state.order.target != target:
@@ -452,31 +381,10 @@
         if phase is not state.phase or share != state.share:
             self.generation += 1
         if phase is not state.phase:
-            self._log("rollout_phase", state, phase=phase.name.lower(), share=round(share, 3))
+            self._note(
+                "rollout_phase", state, phase=phase.name.lower(), share=round(share, 3)
+            )
         state.phase, state.share, state.decided_s = phase, share, now_s
 
-    # Log
-
-    def _log(self, event: str, known: OrderState, **fields: object) -> None:
-        order = known.order
-        named = {"service": order.service, "version": order.target}
-        named["revision"] = order.stamp.revision
-        self._events.append(LogEvent(event, named | fields))
-
-    def _log_decision(
-        self, event: str, state: OrderState, decision: Decision, age_s: float
-    ) -> None:
-        counts = decision.counts
-        self._log(
-            event,
-            state,
-            phase=decision.phase.name.lower(),
-            share=round(decision.share, 3),
-            verdict=str(decision.verdict),
-            reason=decision.reason,
-            age_s=round(age_s, 2),
-            requests=counts.requests,
-            exposed=counts.exposed,
-            bad=counts.bad,
-            begun=",".join(f"{r}:{n}" for r, n in sorted(counts.begun.items())[:8]),
-        )
+    def _note(self, event: str, known: OrderState, **fields: object) -> None:
+        self._events.append(order_event(event, known, **fields))
--- a/src/carobstair/core/rollouts/exposure.py
+++ b/src/carobstair/core/rollouts/exposure.py
@@ -81,6 +81,7 @@
     _entered_age_s: float = 0.0
     _entered_begun: int = 0
     _entered_requests: int = 0
+    _share: float = 0.0
 
     def adopt(self, phase: Phase, age_s: float) -> None:
         """Adopt a later phase that another collector has decided."""
@@ -96,42 +97,42 @@
     ) -> bool:
         """Enter the next phase if the evidence allows; return whether it did."""
         settings, part = self.settings, age_s / self.duration_s
-        begun = sum(counts.begun.values())
-        phase = self.phase
         calm = suspicion < MAX_SUSPICION
-        stepped = age_s - self._entered_age_s >= settings.step_part * self.duration_s
-        if phase is Phase.WAITING:
+        if self.phase is Phase.WAITING:
             ready = has_target
-        elif phase is Phase.PROBE:
-            ready = calm and self._has_answers_since(
-                settings.probe_answers, settings.probe_share, counts, begun
-            )
-        elif phase is Phase.CANARY:
-            ready = calm and part >= settings.verdict_part and self._has_enough(counts)
-        elif phase is Phase.GOOD:
+        elif self.phase is Phase.PROBE:
+            ready = calm and self._has_answers_since(settings.probe_answers, counts)
+        elif self.phase is Phase.CANARY:
+            ready = part >= settings.verdict_part and self._has_enough(counts, part)
+            ready = ready and calm
+        elif self.phase is Phase.GOOD:
             ready = calm and part >= settings.ramp_part
-        elif phase is Phase.FIRST_STEP:
-            ready = (
-                calm
-                and stepped
-                and self._has_answers_since(
-                    STEP_ANSWERS, settings.ramp_shares[0], counts, begun
-                )
-            )
-        elif phase is Phase.SECOND_STEP:
-            undecided = part >= settings.undecided_part
-            ready = stepped and (calm or undecided) and suspicion < UNDONE_SUSPICION
-            ready = ready and self._has_answers_since(
-                STEP_ANSWERS, settings.ramp_shares[1], counts, begun
-            )
+        elif self.phase in (Phase.FIRST_STEP, Phase.SECOND_STEP):
+            is_last = self.phase is Phase.SECOND_STEP
+            if is_last and part >= settings.undecided_part:
+                calm = suspicion < UNDONE_SUSPICION
+            ready = calm and self.time_in_phase_s(age_s) >= self._step_s()
+            ready = ready and self._has_answers_since(STEP_ANSWERS, counts)
         else:
             return False
         if ready:
-            self._enter(Phase(phase + 1), age_s, begun, counts.requests)
+            begun = sum(counts.begun.values())
+            self._enter(Phase(self.phase + 1), age_s, begun, counts.requests)
         return ready
 
+    def _step_s(self) -> float:
+        """Return the length of a step; half of it if the ramp began late."""
+        settings = self.settings
+        usual_s = settings.step_part * self.duration_s
+        late_s = (settings.ramp_part + settings.step_part) * self.duration_s
+        return usual_s if self._entered_age_s <= late_s + usual_s / 2 else usual_s / 2
+
     def share(self, counts: FleetCounts, age_s: float) -> float:
         """Return the share of the requests for the current phase."""
+        self._share = self._bounded_share(counts, age_s)
+        return self._share
+
+    def _bounded_share(self, counts: FleetCounts, age_s: float) -> float:
         settings = self.settings
         first, second = settings.ramp_shares
         planned = {
@@ -163,29 +164,34 @@
         self.phase, self._entered_age_s = phase, age_s
         self._entered_begun, self._entered_requests = begun, requests
 
-    def _has_answers_since(
-        self, wanted: int, share: float, counts: FleetCounts, begun: int
-    ) -> bool:
+    def _has_answers_since(self, wanted: int, counts: FleetCounts) -> bool:
         """Return whether the current phase has brought answers of its own.
 
         Where few requests come, a third of what the share gives is enough.
         """
         requests = counts.requests - self._entered_requests
-        needed = max(1.0, min(wanted, 0.3 * share * requests))
-        return begun - self._entered_begun >= needed
+        needed = max(1.0, min(wanted, 0.3 * self._share * requests))
+        return sum(counts.begun.values()) - self._entered_begun >= needed
+
+    def _has_enough(self, counts: FleetCounts, part: float) -> bool:
+        """Return whether each route has enough answers for a good verdict.
 
-    def _has_enough(self, counts: FleetCounts) -> bool:
-        """Return whether each route has enough answers for a good verdict."""
+        If new upstreams came late, a part of them must do: the ramp is watched too.
+        """
         settings = self.settings
         total = sum(counts.sent.values())
         if not total:
             return False
+        late = (part - settings.ramp_part) / (
+            settings.undecided_part - settings.ramp_part
+        )
+        eased = 1.0 - 0.75 * min(1.0, max(0.0, late))
         for route, sent in counts.sent.items():
             if sent < settings.min_route_share * total:
                 continue
             # On routes with few requests, half of what the share gives.
             expected = 0.5 * settings.canary_share * sent
-            needed = max(1.0, min(settings.min_route_answers, expected))
+            needed = max(1.0, eased * min(settings.min_route_answers, expected))
             if counts.begun.get(route, 0) < needed:
                 return False
             if counts.ended.get(route, 0) < 0.25 * needed:
--- a/src/carobstair/core/rollouts/settings.py
+++ b/src/carobstair/core/rollouts/settings.py
@@ -66,7 +66,7 @@
     undecided_part: float = 0.85
     completion_margin_part: float = 0.08
     rollback_margin_part: float = 0.1
-    min_margin_s: float = 0.5
+    min_margin_s: float = 0.6
     probe_answers: int = 20
     min_route_answers: int = 40
     min_route_share: float = 0.02
