Judge a version by a higher estimate of the old one's bad answers

With 3 % of bad answers in both versions, 4 of 200 good versions were rolled back on simulated time; 1 of 200 with the whole standard error added instead of half of it. Of 200 versions with 10 % more, all were found, the 99th percentile at 49 bad answers.

--- a/src/carobstair/core/rollouts/evidence.py
+++ b/src/carobstair/core/rollouts/evidence.py
@@ -228,7 +228,7 @@
         mean = (overall.bad + 0.5) / (overall.trials + 100.0)
         rate = (rates.bad + 50.0 * mean) / (max(0.0, rates.trials) + 50.0)
         error = math.sqrt(rate / (max(0.0, rates.trials) + 50.0))
-        return min(0.9, max(self.settings.min_bad_rate, rate + 0.5 * error))
+        return min(0.9, max(self.settings.min_bad_rate, rate + error))
 
     def _slow_score(
         self, route: str, size: int, delta: VersionCounts, burst: _Burst
