--- a/src/carobstair/core/rollouts/collector.py
+++ b/src/carobstair/core/rollouts/collector.py
@@ -142,7 +142,10 @@
             self._finding = f"{finding.kind} answers on {finding.route or 'all routes'}"
             self.plan.adopt(Phase.BAD, age_s)
         elif self.plan.phase is not Phase.BAD:
-            self.plan.advance(counts, self.evidence.suspicion, targets > 0, age_s)
+            evidence = self.evidence
+            self.plan.advance(
+                counts, evidence.suspicion, evidence.doubt, targets > 0, age_s
+            )
         verdict, reason = self._verdict(reports, routers, age_s)
         return Decision(
             self.plan.phase,
--- a/src/carobstair/core/rollouts/controller.py
+++ b/src/carobstair/core/rollouts/controller.py
@@ -60,7 +60,7 @@
     incarnation: int
     settings: RolloutSettings
     count_target: Callable[[str, str, float], int] = lambda service, version, now_s: 1
-    skip_reason: Callable[[RolloutOrder, bool], str] = lambda order, has_begun: ""
+    skip_reason: Callable[[RolloutOrder, bool], str] = lambda order, is_new: ""
     # Raised with each change of an exposure, so that plans are computed anew.
     generation: int = 0
     _rollouts: dict[str, Rollout] = field(default_factory=dict)
@@ -249,8 +249,9 @@
     def _check(self, rollout: Rollout) -> None:
         """Skip an order that can't be followed, or follow it after all."""
         state = rollout.state
-        has_begun = state.phase > Phase.WAITING or state.is_final
-        reason = "" if state.is_final else self.skip_reason(state.order, has_begun)
+        reason = ""
+        if state.phase is Phase.WAITING and not state.is_final:
+            reason = self.skip_reason(state.order, state.is_witnessed)
         if reason != state.skipped:
             state.skipped = reason
             self.generation += 1
--- a/src/carobstair/core/rollouts/evidence.py
+++ b/src/carobstair/core/rollouts/evidence.py
@@ -73,7 +73,7 @@
     min_old_answers: float = 15.0
     burst_s: float = 1.0
     max_broken: int = 2
-    max_slow: int = 6
+    max_slow: int = 8
 
 
 @dataclass(frozen=True, slots=True)
@@ -141,11 +141,19 @@
     Parameters
     ----------
     settings : EvidenceSettings
+
+    Attributes
+    ----------
+    finding : Finding or None
+        Why the version is bad.
+    suspicion, doubt : float
+        Largest sum relative to its limit, without the worst upstreams and with them.
     """
 
     settings: EvidenceSettings = EvidenceSettings()
     finding: Finding | None = None
     suspicion: float = 0.0
+    doubt: float = 0.0
     _seen: dict[RowKey, VersionCounts] = field(default_factory=dict)
     _old: dict[str, _OldRates] = field(default_factory=dict)
     _old_first: dict[tuple[str, int], dict[int, float]] = field(default_factory=dict)
@@ -285,7 +293,7 @@
                 together[upstream] = together.get(upstream, 0.0) + score
         # Suspicion is that of both kinds, so it starts anew with the first.
         if kind == "bad":
-            self.suspicion = 0.0
+            self.suspicion = self.doubt = 0.0
         for route, parts in (*scores.items(), (ALL_ROUTES, together)):
             if parts:
                 self._sums.setdefault((kind, route), _Sum()).add(parts)
@@ -294,6 +302,7 @@
                 continue
             score = known.score(upstreams, self.settings)
             self.suspicion = max(self.suspicion, score / limit)
+            self.doubt = max(self.doubt, known.total / limit)
             if score >= limit and self.finding is None:
                 self.finding = Finding(kind, route, round(score, 2))
 
--- a/src/carobstair/core/rollouts/exposure.py
+++ b/src/carobstair/core/rollouts/exposure.py
@@ -18,6 +18,11 @@
 CANARY_PART = 0.55
 # Suspicion (score relative to the limit) at which the share does not rise.
 MAX_SUSPICION = 0.5
+# Doubt (the score with all upstreams) at which the first rise waits: a version that is
+# bad from the start should be found at the smallest share. It does not wait for long,
+# as the doubt may come from a single upstream.
+PROBE_DOUBT = 0.25
+LONGEST_PROBE_PART = 0.2
 # At the end of the time, a version with this suspicion is undone.
 UNDONE_SUSPICION = 0.75
 # Answers begun in a step of the ramp before the next.
@@ -93,15 +98,30 @@
         return age_s - self._entered_age_s
 
     def advance(
-        self, counts: FleetCounts, suspicion: float, has_target: bool, age_s: float
+        self,
+        counts: FleetCounts,
+        suspicion: float,
+        doubt: float,
+        has_target: bool,
+        age_s: float,
     ) -> bool:
-        """Enter the next phase if the evidence allows; return whether it did."""
+        """Enter the next phase if the evidence allows; return whether it did.
+
+        Parameters
+        ----------
+        suspicion, doubt : float
+            See `VersionEvidence`.
+        has_target : bool
+            Whether an upstream of the new version may get requests.
+        """
         settings, part = self.settings, age_s / self.duration_s
         calm = suspicion < MAX_SUSPICION
         if self.phase is Phase.WAITING:
             ready = has_target
         elif self.phase is Phase.PROBE:
-            ready = calm and self._has_answers_since(settings.probe_answers, counts)
+            ready = doubt < PROBE_DOUBT or part >= LONGEST_PROBE_PART
+            ready = ready and calm
+            ready = ready and self._has_answers_since(settings.probe_answers, counts)
         elif self.phase is Phase.CANARY:
             ready = part >= settings.verdict_part and self._has_enough(counts, part)
             ready = ready and calm
--- a/src/carobstair/core/rollouts/settings.py
+++ b/src/carobstair/core/rollouts/settings.py
@@ -56,7 +56,7 @@
     interval_s: float = 0.2
     max_interval_s: float = 0.4
     full_rate_routers: int = 65
-    probe_share: float = 0.04
+    probe_share: float = 0.03
     canary_share: float = 0.07
     hold_share: float = 0.05
     ramp_shares: tuple[float, float] = (0.2, 0.5)
--- a/src/carobstair/core/rollouts/versions.py
+++ b/src/carobstair/core/rollouts/versions.py
@@ -61,6 +61,8 @@
     controller: RolloutController
     settings: RolloutSettings
     _held_until_s: dict[str, dict[str, float]] = field(default_factory=dict)
+    # Version that runs, by service: that of most upstreams, then that of each order.
+    _running: dict[str, str] = field(default_factory=dict)
     _plans: dict[str, tuple[float, int, VersionPlan | None]] = field(
         default_factory=dict
     )
@@ -125,14 +127,21 @@
         warm, _ = self.directory.warm_and_cold(service, now_s)
         return sum(entry.version == version for entry in warm)
 
-    def skip_reason(self, order: RolloutOrder, has_begun: bool) -> str:
-        """Return why an order can't be followed now, or an empty text."""
-        versions = {e.version for e in self.directory.listed(order.service)}
-        if has_begun:
-            return ""
-        if not versions:
+    def skip_reason(self, order: RolloutOrder, is_new: bool) -> str:
+        """Return why an order can't be followed before it has begun, or nothing.
+
+        Parameters
+        ----------
+        is_new : bool
+            Whether the order appeared after this router started. Otherwise the new
+            version may have more upstreams than the one that runs.
+        """
+        listed = self.directory.listed(order.service)
+        versions = {entry.version for entry in listed if not entry.draining}
+        if not listed:
             return "no upstream of the service is known"
-        if versions == {order.target}:
+        runs = self._running.get(order.service) == order.target
+        if versions == {order.target} or (is_new and runs and order.target in versions):
             return "the version runs already"
         return ""
 
@@ -144,6 +153,7 @@
         for service in [s for s in self._held_until_s if s not in services]:
             del self._held_until_s[service]
             self._plans.pop(service, None)
+            self._running.pop(service, None)
 
     def _make_plan(self, service: str, now_s: float) -> VersionPlan | None:
         listed = self.directory.listed(service)
@@ -179,6 +189,7 @@
         others: list[UpstreamEntry],
         held: set[str],
     ) -> VersionPlan | None:
+        self._running[state.order.service] = state.order.target
         if state.replaced is None:
             state.replaced = frozenset(entry.version for entry in others)
         if not target:
@@ -200,6 +211,7 @@
             held_until_s = self._held_until_s[service] = {}
             most = min(counts, key=lambda version: (-counts[version], version))
             held_until_s[most] = now_s
+            self._running[service] = most
         for version in counts:
             held_until_s.setdefault(version, now_s + self.settings.unordered_hold_s)
         return {version for version in counts if now_s < held_until_s[version]}
--- a/tests/rollout_simulation.py
+++ b/tests/rollout_simulation.py
@@ -291,7 +291,7 @@
             is_bad = is_bad or rng.random() < population.bad_part
             if rng.random() < population.slow_part:
                 first_s *= 3.0
-                self._count_bad()
+                self.at(first_s, self._count_bad)
         rest_s = rng.expovariate(1.0)
         if is_bad:
             is_broken = rng.random() < 0.3
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -48,7 +48,7 @@
             self.assertEqual(run.status, RolloutState.ROLLED_BACK)
             self.assertLessEqual(run.exposed, run.bound)
             self.assertEqual(run.sent_late, 0)
-            self.assertLessEqual(run.bad_at_verdict, 60)
+            self.assertLessEqual(run.bad_at_verdict, 50)
 
     def check_good(self, name, routers, seed):
         """Run a good version and check that it is in time and old ones get nothing."""
@@ -283,6 +283,19 @@
         self.assertEqual(self.allowed(1.0), "de")
         self.assertEqual(self.writes(9.9), [])
 
+    def test_running_version_beside_others_is_not_rolled_out(self):
+        self.order(5, target="v1")
+        self.assertEqual(self.allowed(0.2), "abc")
+        self.assertEqual(self.writes(9.9), [])
+
+    def test_former_version_can_be_ordered_back(self):
+        self.order(5)
+        self.order(6, stated=RolloutState.COMPLETED, now_s=1.0)
+        self.assertEqual(self.allowed(1.1), "de")
+        self.order(7, target="v1", now_s=2.0)
+        self.assertEqual(self.allowed(2.1), "de")
+        self.assertIsNotNone(self.controller.state_of(SERVICE))
+
     def test_few_upstreams_take_the_share(self):
         self.order(5)
         for number in range(20):
