--- a/src/carobstair/core/rollouts/versions.py
+++ b/src/carobstair/core/rollouts/versions.py
@@ -145,6 +145,10 @@
             return "the version runs already"
         return ""
 
+    def on_upstreams_changed(self) -> None:
+        """Compute plans anew, so that a new version waits from its first moment on."""
+        self._plans.clear()
+
     def keep(self, now_s: float) -> None:
         """Note the versions of all services, and forget services without upstreams."""
         services = self.directory.services()
--- a/src/carobstair/edge/rollout_driver.py
+++ b/src/carobstair/edge/rollout_driver.py
@@ -120,6 +120,13 @@
             else:
                 self._begin_write(effect)
 
+    def on_state_change(self, kind: StateKind, names: list[str]) -> None:
+        """Apply changes of orders and of upstreams."""
+        if kind is StateKind.UPSTREAMS:
+            self.gate.on_upstreams_changed()
+        elif kind is StateKind.ROLLOUTS:
+            self.apply(names)
+
     def apply(self, names: list[str]) -> None:
         """Apply objects that were written or removed in the store."""
         now_s = time.monotonic()
--- a/src/carobstair/edge/router.py
+++ b/src/carobstair/edge/router.py
@@ -467,8 +467,8 @@
             return
         if kind is StateKind.REFUSED_SEGMENTS:
             self._refusals.apply(names)
-        if kind is StateKind.ROLLOUTS and self._rollouts is not None:
-            self._rollouts.apply(names)
+        if self._rollouts is not None:
+            self._rollouts.on_state_change(kind, names)
         if kind is StateKind.ROUTING and self.view.table is not None:
             limits = self.view.table.config.limits
             if limits.idle_timeout_s > 0:
--- a/tests/test_rollout_edge.py
+++ b/tests/test_rollout_edge.py
@@ -59,9 +59,8 @@
         self.tasks.append(asyncio.create_task(self.driver.run()))
 
     def on_state_change(self, kind, names):
-        """Pass orders on."""
-        if kind is StateKind.ROLLOUTS:
-            self.driver.apply(names)
+        """Pass orders and upstreams on."""
+        self.driver.on_state_change(kind, names)
 
     async def start_versions(self, new_script):
         """Start two upstreams of each version, and give the order."""
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -211,7 +211,9 @@
         return [e for e in effects if isinstance(e, WriteStatus)]
 
     def test_version_without_order_waits(self):
-        self.assertEqual(self.allowed(0.1), "abc")
+        # Just after a plan without the new version was computed.
+        self.gate.on_upstreams_changed()
+        self.assertEqual(self.allowed(0.01), "abc")
         self.assertEqual(self.allowed(5.2), "abcde")
 
     def test_nothing_is_sent_without_evidence(self):
