--- a/src/carobstair/edge/metrics.py
+++ b/src/carobstair/edge/metrics.py
@@ -114,6 +114,24 @@
             registry=self.registry,
         )
 
+        self.rollout_answers = self._counter(
+            "rollout_answers",
+            "Requests that ended while an order ran, by version",
+            ("service", "version", "outcome"),
+        )
+        self.rollout_verdicts = self._counter(
+            "rollout_verdicts", "Verdicts seen in the store", ("service", "state")
+        )
+        self.rollouts_skipped = self._counter(
+            "rollouts_skipped", "Orders that were not followed", ("reason",)
+        )
+        self.rollout_share = Gauge(
+            PREFIX + "rollout_share",
+            "Share of the requests for the new version, as last decided",
+            ("service",),
+            registry=self.registry,
+        )
+
     def count_end(self, service: str, framing: str, outcome: str) -> None:
         """Count a request that ended after it was placed."""
         self._child(self.requests, service, outcome).inc()
--- a/src/carobstair/platform/boot.py
+++ b/src/carobstair/platform/boot.py
@@ -11,6 +11,7 @@
 
 from carobstair.core.directory import DirectorySettings
 from carobstair.core.engine_load import PlacementSettings
+from carobstair.core.rollouts import RolloutSettings
 from carobstair.core.send_limits import SendLimitSettings
 from carobstair.core.upstream_capacity import CapacitySettings
 from carobstair.edge.settings import (
@@ -47,6 +48,8 @@
 MIN_PEER_SOCKETS = 64
 # Of the process's descriptor limit, the platform reserves these for files.
 RESERVED_DESCRIPTORS = 200
+# In the list of contracts where roll-outs are in force.
+ROLLOUT_CONTRACT = "rollout"
 # With fewer descriptors than this a process can't serve any caller.
 MIN_SOCKETS = 100
 
@@ -73,6 +76,9 @@
     cold_overshoot: float = Field(1.5, ge=0)
     cold_slack: float = Field(5.0, ge=0)
     drain_timeout_ms: float = Field(2000.0, gt=0)
+    exposure_share: float = Field(0.1, gt=0, le=1)
+    exposure_slack: float = Field(50.0, ge=0)
+    rollback_ms: float = Field(5000.0, gt=0)
 
 
 class _Limits(_BootModel):
@@ -91,9 +97,9 @@
     listen: _Listen
     platform: _Platform
     bounds: _Bounds = _Bounds()
-    # Parts of the platform's rules that are in force.
-    contracts: list[str] = []
     limits: _Limits = _Limits()
+    # Parts of the platform's rules that are in force. Words of other kinds may be added.
+    contracts: list[object] = []
 
 
 def boot_path() -> Path | None:
@@ -187,6 +193,16 @@
         max_open_requests=sockets // 3,
         max_body_memory_bytes=body_memory_mb * 1_000_000,
         max_connection_memory_bytes=connection_memory_mb * 1_000_000,
+        rollouts=_rollouts(boot),
+    )
+
+
+def _rollouts(boot: _Boot) -> RolloutSettings | None:
+    if ROLLOUT_CONTRACT not in boot.contracts:
+        return None
+    bounds = boot.bounds
+    return RolloutSettings(
+        bounds.exposure_share, bounds.exposure_slack, bounds.rollback_ms / 1000
     )
 
 
