--- a/bench/edge_cost.py
+++ b/bench/edge_cost.py
@@ -297,7 +297,7 @@
         lambda: False,
         guard,
     )
-    server = CallerServer(app, "127.0.0.1", 0, ArrivalGate(), app.turn_away, app)
+    server = CallerServer(app, "127.0.0.1", 0, ArrivalGate(), app.refusals)
     return app, server, guard
 
 
--- a/src/carobstair/edge/app.py
+++ b/src/carobstair/edge/app.py
@@ -5,7 +5,6 @@
 import asyncio
 import math
 import random
-import re
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -17,7 +16,6 @@
 from carobstair.core.framing import Framing
 from carobstair.core.overload import OverloadGuard
 from carobstair.core.refusals import PROBLEM_JSON, Refusal, refuse
-from carobstair.core.router_load import ShedParts
 from carobstair.core.routing import (
     RequestKind,
     RequestLimits,
@@ -27,6 +25,12 @@
 )
 from carobstair.core.service_account import ServiceAccount
 from carobstair.edge.body_budget import SMALL_BODY_BYTES, BodyBudget, BudgetExceeded
+from carobstair.edge.early_refusals import (
+    DEFAULT_ROUTE_TIMEOUT_S,
+    OTHER_ROUTER_RETRY_S,
+    EarlyRefusals,
+    retry_after_text,
+)
 from carobstair.edge.exchange import CallerLeft, Exchange, IncompleteResponse
 from carobstair.edge.metadata import BadRequest, Dialect, Headers, RequestMetadata
 from carobstair.edge.metrics import EdgeMetrics
@@ -45,26 +49,10 @@
 
 logger = get_logger(__name__)
 
-# Limit for requests whose route has no timeout; a caller's deadline may shorten it.
-DEFAULT_ROUTE_TIMEOUT_S = 60.0
 # Objective for the first token of routes that have none.
 DEFAULT_TARGET_S = 1.0
 # Logs one of this many successful requests; failures are always logged.
 SUCCESS_LOG_INTERVAL = 20
-# Retry-After while this router is overloaded or shutting down; the retry reaches
-# another router.
-OTHER_ROUTER_RETRY_S = 0.3
-
-
-# Outcome of requests that waited too long to be read.
-TURNED_AWAY = "turned-away"
-# Outcome of requests that were shed unread, for a less busy peer.
-SHED = "shed"
-# A target without query and escapes, and the Host headers of a request's head.
-REQUEST_TARGET = re.compile(rb"[A-Z]+ (/[!-$&->@-~]*)(?:\?[!-~]*)? HTTP/1\.1\r\n")
-HOST = re.compile(rb"\r\nhost:[ \t]*([!-~]*)[ \t]*(?=\r\n)", re.IGNORECASE)
-# Shorter waits are stated in milliseconds, longer ones in hundredths.
-SHORT_WAIT_S = 0.1
 # Bodies held at once, if the memory of the process is not known.
 DEFAULT_BODY_BYTES = 64 * 1024 * 1024
 MAX_LENGTH_DIGITS = 18
@@ -129,7 +117,7 @@
         self._overload = overload or OverloadGuard()
         self._body_budget = body_budget or BodyBudget(DEFAULT_BODY_BYTES)
         self._ended_requests = 0
-        self._shed_requests = 0
+        self.refusals = EarlyRefusals(view, dialect, metrics, rng, self._overload)
         self.account = ServiceAccount(
             lambda pool, name, tokens: metrics.count_tokens(
                 pool, name, "asked", tokens
@@ -163,7 +151,9 @@
                 table, limits = self._active_config()
                 metadata = self._read_metadata(scope, limits)
                 route, workspace = self._admit(table, metadata, scope["path"])
-                self._shed_early(scope, route, metadata, arrived_s)
+                self.refusals.check(
+                    route, metadata.caller_timeout_s, scope.get(SHED_DRAW), arrived_s
+                )
                 self._shed_beyond_share(table, route, metadata, workspace, arrived_s)
                 exchange = self._exchange(
                     scope, table, metadata, route, workspace, arrived_s
@@ -397,7 +387,7 @@
             self._admission.note_demand(pool, workspace, tokens, now_s)
             self.account.note_asked(pool, workspace, tokens)
             self.account.note_refused(pool, workspace, "router-busy")
-            raise self._busy_refusal(now_s)
+            raise self.refusals.busy(now_s)
 
     def _check_overload(self, exchange: Exchange, within_share: bool) -> None:
         """Refuse some of the other requests while this process is late."""
@@ -409,43 +399,7 @@
                 self.account.note_refused(
                     exchange.pool.name, exchange.workspace, "router-busy"
                 )
-            raise self._busy_refusal(now_s)
-
-    def _shed_early(
-        self, scope, route: Route, metadata: RequestMetadata, now_s: float
-    ) -> None:
-        """Refuse some requests before this process is late, for a less busy peer."""
-        early = self._overload.early
-        parts = early.parts(now_s)
-        if not parts.first:
-            return
-        draw = scope.get(SHED_DRAW)
-        if draw is None:
-            draw = self._rng.random()
-        part = self._shed_part(parts, route, metadata.caller_timeout_s)
-        if draw < part:
-            self._shed_requests += 1
-            self._metrics.shed_by_head.inc()
-            raise self._busy_refusal(now_s)
-
-    def _shed_part(
-        self, parts: ShedParts, route: Route, caller_timeout_s: float | None
-    ) -> float:
-        if route.kind is not RequestKind.STREAM:
-            return parts.last
-        timeout_s = route.timeout_s or DEFAULT_ROUTE_TIMEOUT_S
-        if self._overload.early.is_returned(caller_timeout_s, timeout_s):
-            return parts.last
-        return parts.first
-
-    def _busy_refusal(self, now_s: float) -> Refusal:
-        lag_s = self._overload.lag_s(now_s)
-        if self._overload.is_early(now_s):
-            early = self._overload.early
-            detail = f"{early.utilisation():.0%} busy, {lag_s:.3f} s behind"
-            return refuse("router-busy", detail, early.retry_after_s(self._rng))
-        wait_s = OTHER_ROUTER_RETRY_S * self._rng.uniform(0.3, 1.0)
-        return refuse("router-busy", f"{lag_s:.3f} s behind", wait_s)
+            raise self.refusals.busy(now_s)
 
     def _give_back(self, exchange: Exchange | None) -> None:
         """Return the share of a request that was admitted and did not begin."""
@@ -466,57 +420,6 @@
 
     # Refusals and logging
 
-    def shed_draw(self) -> float | None:
-        """Return a random number that decides on a new request; None sheds none."""
-        if self._overload.early.parts(time.monotonic()).first:
-            return self._rng.random()
-        return None
-
-    def shed_unread(self, request: bytes, draw: float) -> bytes | None:
-        """Return the answer to a whole request that is shed unread, if it is.
-
-        What can't be told from the bytes is decided when the request is read.
-        """
-        now_s = time.monotonic()
-        parts = self._overload.early.parts(now_s)
-        table = self._view.table
-        if draw >= parts.first or table is None:
-            return None
-        target = REQUEST_TARGET.match(request)
-        hosts = HOST.findall(request, 0, request.find(b"\r\n\r\n") + 2)
-        if target is None or len(hosts) != 1:
-            return None
-        route = table.find_route(hosts[0].decode("latin-1"), target[1].decode("ascii"))
-        if route is None:
-            return None
-        caller_timeout_s = self._dialect.read_caller_timeout_s(request)
-        if draw >= self._shed_part(parts, route, caller_timeout_s):
-            return None
-        self._shed_requests += 1
-        self._metrics.shed_unread.inc()
-        return self._unread_answer(self._busy_refusal(now_s), SHED)
-
-    def take_shed(self) -> int:
-        """Return how many requests were shed early since the last call."""
-        count, self._shed_requests = self._shed_requests, 0
-        return count
-
-    def turn_away(self) -> bytes:
-        """Return the answer to a request that is not read, and count it."""
-        return self._unread_answer(self._busy_refusal(time.monotonic()), TURNED_AWAY)
-
-    def _unread_answer(self, refusal: Refusal, outcome: str) -> bytes:
-        self._metrics.requests.labels("", outcome).inc()
-        if not is_suppressed(__name__, "request_refused", outcome):
-            logger.info("request_refused", outcome=outcome)
-        body = msgspec.json.encode(refusal.problem(""))
-        head = (
-            f"HTTP/1.1 {refusal.status} Service Unavailable\r\n"
-            f"content-type: {PROBLEM_JSON}\r\ncontent-length: {len(body)}\r\n"
-            f"retry-after: {refusal.retry_after_s:{_wait_format(refusal)}}\r\n\r\n"
-        )
-        return head.encode() + body
-
     async def _refuse(self, scope, send, refusal: Refusal) -> None:
         body = msgspec.json.encode(refusal.problem(""))
         headers = [
@@ -524,7 +427,7 @@
             (b"content-length", b"%d" % len(body)),
         ]
         if refusal.retry_after_s is not None:
-            wait = format(refusal.retry_after_s, _wait_format(refusal))
+            wait = retry_after_text(refusal.retry_after_s)
             headers.append((b"retry-after", wait.encode()))
         if self._closes_connection() or refusal.status in (400, 408, 413, 431):
             headers.append((b"connection", b"close"))
@@ -604,10 +507,6 @@
     return allowed_s
 
 
-def _wait_format(refusal: Refusal) -> str:
-    return ".3f" if refusal.retry_after_s < SHORT_WAIT_S else ".2f"
-
-
 def _declared_bytes(headers: Headers, limits: RequestLimits) -> int:
     """Return the length of a body by its head; the largest one if it is in chunks."""
     size_bytes = 0
--- a/src/carobstair/edge/router.py
+++ b/src/carobstair/edge/router.py
@@ -166,8 +166,7 @@
             listen.host,
             listen.callers_port,
             ArrivalGate(),
-            self.app.turn_away,
-            self.app,
+            self.app.refusals,
         )
         self._ready_server = PageServer(
             self._ready_page, listen.host, listen.ready_port
@@ -398,7 +397,7 @@
             self._log_shed()
 
     def _log_shed(self) -> None:
-        count = self.app.take_shed()
+        count = self.app.refusals.take_shed()
         if not count:
             return
         early = self._overload.early
--- a/src/carobstair/edge/server.py
+++ b/src/carobstair/edge/server.py
@@ -64,6 +64,9 @@
     def shed_unread(self, request: bytes, draw: float) -> bytes | None:
         """Return the answer to a whole request that is shed unread, if it is."""
 
+    def turn_away(self) -> bytes:
+        """Return the answer to a request that waited too long to be read."""
+
 
 class CallerProtocol(BoundedHttpProtocol):
     """Passes requests through a gate, and closes connections that have been idle.
@@ -144,7 +147,7 @@
             return True
         if not _is_whole_request(data):
             return False
-        self.transport.write(self.config.turn_away())
+        self.transport.write(self.config.shedder.turn_away())
         self.transport.resume_reading()
         self._start_idle_timer()
         return True
@@ -232,7 +235,6 @@
 
 class _Config(uvicorn.Config):
     gate: ArrivalGate | None = None
-    turn_away: Callable[[], bytes] | None = None
     shedder: Shedder | None = None
 
 
@@ -252,10 +254,9 @@
     port : int
     gate : ArrivalGate, optional
         Bounds the requests that are read in one turn of the event loop.
-    turn_away : callable, optional
-        Returns the answer to a request that is turned away unread.
     shedder : Shedder, optional
-        Refuses requests unread while the process has too little time.
+        Refuses requests unread while the process has too little time. Needed with a
+        gate.
     """
 
     def __init__(
@@ -264,7 +265,6 @@
         host: str,
         port: int,
         gate: ArrivalGate | None = None,
-        turn_away: Callable[[], bytes] | None = None,
         shedder: Shedder | None = None,
     ):
         self._config = _Config(
@@ -282,7 +282,6 @@
             date_header=False,
         )
         self._config.gate = gate
-        self._config.turn_away = turn_away
         self._config.shedder = shedder
         self._server = _Server(self._config)
         self._socket = socket.create_server((host, port), backlog=BACKLOG)
--- a/tests/edge_test_case.py
+++ b/tests/edge_test_case.py
@@ -86,7 +86,7 @@
             self.overload,
         )
         self.server = CallerServer(
-            self.app, "127.0.0.1", 0, self.gate, self.app.turn_away, self.app
+            self.app, "127.0.0.1", 0, self.gate, self.app.refusals
         )
         self.client = PlatformStore(f"127.0.0.1:{self.store.port}", lambda *args: None)
         self.availability = StoreAvailability(0.5)
--- a/tests/test_router_load.py
+++ b/tests/test_router_load.py
@@ -420,7 +420,7 @@
         self.set_load(0.89, 0.1)
         self.assertEqual((await self.call("/stream/x", "POST", 1900))[0], 200)
         self.assertEqual((await self.call("/safe/x"))[0], 200)
-        self.assertEqual(self.app.take_shed(), 1)
+        self.assertEqual(self.app.refusals.take_shed(), 1)
 
     async def test_stream_whose_body_has_not_arrived_is_refused_by_its_head(self):
         await self.start_upstreams("stream")
