--- a/src/carobstair/edge/router.py
+++ b/src/carobstair/edge/router.py
@@ -192,8 +192,7 @@
             listen.host,
             listen.callers_port,
             ArrivalGate(),
-            self.app.turn_away,
-            self.app,
+            self.app.refusals,
             ConnectionLimits(
                 ConnectionSettings(
                     listen.max_connections,
@@ -480,7 +479,7 @@
             self._capacity_reports.log_changes(time.monotonic())
 
     def _log_shed(self) -> None:
-        count = self.app.take_shed()
+        count = self.app.refusals.take_shed()
         if not count:
             return
         early = self._overload.early
--- a/src/carobstair/edge/server.py
+++ b/src/carobstair/edge/server.py
@@ -74,6 +74,9 @@
     def shed_unread(self, request: bytes, draw: float) -> bytes | None:
         """Return the answer to a whole request that is shed unread, if it is."""
 
+    def turn_away(self) -> bytes:
+        """Return the answer to a request that waited too long to be read."""
+
 
 class CallerProtocol(BoundedHttpProtocol):
     """Passes requests through a gate, and closes connections that have been idle.
@@ -156,7 +159,7 @@
             return False
         self._limits.hold(self, 0)
         self._limits.set_phase(self, Phase.IDLE)
-        self.transport.write(self.config.turn_away())
+        self.transport.write(self.config.shedder.turn_away())
         self.transport.resume_reading()
         self._start_idle_timer()
         return True
@@ -234,7 +237,6 @@
 
 class _Config(uvicorn.Config):
     gate: ArrivalGate | None = None
-    turn_away: Callable[[], bytes] | None = None
     shedder: Shedder | None = None
     header_timeout_s: float = HEADER_TIMEOUT_S
     connection_limits: ConnectionLimits
@@ -250,10 +252,9 @@
     port : int
     gate : ArrivalGate, optional
         Bounds the requests that are read in one turn of the event loop.
-    turn_away : callable, optional
-        Returns the answer to a request that is turned away unread.
     shedder : Shedder, optional
-        Refuses requests unread while the process has too little time.
+        Refuses requests unread while the process has too little time. Needed with a
+        gate.
     limits : ConnectionLimits, optional
         Bounds what all connections take together.
     """
@@ -264,7 +265,6 @@
         host: str,
         port: int,
         gate: ArrivalGate | None = None,
-        turn_away: Callable[[], bytes] | None = None,
         shedder: Shedder | None = None,
         limits: ConnectionLimits | None = None,
     ):
@@ -284,7 +284,6 @@
             backlog=ACCEPTS_PER_TURN,
         )
         self._config.gate = gate
-        self._config.turn_away = turn_away
         self._config.shedder = shedder
         self._config.connection_limits = limits or ConnectionLimits()
         self._server = UvicornServer(self._config, BACKLOG)
--- a/src/carobstair/platform/boot.py
+++ b/src/carobstair/platform/boot.py
@@ -98,7 +98,7 @@
     platform: _Platform
     bounds: _Bounds = _Bounds()
     limits: _Limits = _Limits()
-    # Parts of the platform's rules that are in force. Words of other kinds may be added.
+    # Parts of the platform's rules that are in force; others may be added.
     contracts: list[object] = []
 
 
