--- a/src/carobstair/scenario/overload.py
+++ b/src/carobstair/scenario/overload.py
@@ -409,6 +409,7 @@
                 router.loads.note_peer(sender.name, rows)
                 for upstream, segment, tokens in segments:
                     router.loads.note_segment(upstream, segment, tokens)
-                for row in waits:
-                    router.loads.note_peer_wait(POOL, row, now_s)
+                if router.loads.zone == sender.loads.zone:
+                    for row in waits:
+                        router.loads.note_peer_wait(POOL, row, now_s)
         self._at(now_s + self._plan.digest_s, lambda t: self._digest(sender, t))
