--- a/src/carobstair/core/admission/conserving.py
+++ b/src/carobstair/core/admission/conserving.py
@@ -83,6 +83,8 @@
     ----------
     level : float
         Largest share of a workspace.
+    excess_per_s : float
+        Demand of all workspaces beyond the supply.
     others : mapping
         Demand at the other routers by workspace.
     first : mapping
@@ -95,6 +97,7 @@
     limited_per_s: float = 0.0
     engines: EngineLoad = field(default_factory=EngineLoad)
     level: float = math.inf
+    excess_per_s: float = 0.0
     others: Mapping[str, int] = field(default_factory=dict)
     first: Mapping[str, float] = field(default_factory=dict)
     computed_s: float = -math.inf
@@ -183,16 +186,13 @@
         control = pool.control
         pool.engines = engines
         admitted = self.book.admitted_per_s(name, now_s)
-        slots_used, wait_s = engines.slots_used, engines.wait_s
         row = self.book.estimates(name, now_s)
         if row is not None and row.samples:
             admitted += row.admitted
-            backlog = engines.backlog_tokens + row.backlog_tokens
-            wait_s = backlog / engines.read_tokens_per_s
-        control.own_slots_used = control.slots_used = slots_used
+        control.own_slots_used = control.slots_used = engines.slots_used
         load = max(
-            slots_used / self.settings.target_slots_used,
-            wait_s / engines.target_wait_s,
+            engines.slots_used / self.settings.target_slots_used,
+            engines.wait_s / engines.target_wait_s,
         )
         control.own_pressure = load
         admitted = max(0.0, admitted - pool.limited_per_s) / pool.capacity
@@ -220,10 +220,10 @@
             },
         )
 
-    def running_of_others(self, name: str, now_s: float) -> Mapping[str, int] | None:
-        """Return the requests of all other routers by engine, None if unknown."""
+    def load_of_others(self, name: str, now_s: float) -> PoolDemand | None:
+        """Return what all other routers report of a pool, None if unknown."""
         row = self.book.estimates(name, now_s)
-        return None if row is None or not row.samples else row.engines
+        return None if row is None or not row.samples else row
 
     def note_demand(
         self, pool: str, workspace: str, tokens: float, now_s: float
@@ -267,6 +267,7 @@
         pool.first = self.book.first_demands(name, now_s)
         demands = sorted(pool.first.values())
         left = pool.capacity * pool.control.factor + pool.limited_per_s
+        pool.excess_per_s = sum(self.book.demands(name, now_s).values()) - left
         pool.level = math.inf
         for index, demand in enumerate(demands):
             level = left / (len(demands) - index)
@@ -299,8 +300,9 @@
         return credit
 
     def _has_room(self, request: AdmissionRequest, pool: _Pool) -> bool:
-        part = pool.control.room_part()
-        if part < 1.0 and self.rng.random() >= part:
+        # Many routers see the same free slot.
+        room_per_s = pool.capacity * pool.control.room()
+        if self.rng.random() * pool.excess_per_s >= room_per_s:
             return False
         return request.room()
 
@@ -347,13 +349,16 @@
         """
         settings = self.settings
         in_time_s = settings.promise_part * max(request.objective_s, 0.0)
+        ahead = self.pools[request.pool].control.ahead
+        drained_s = max(0.0, ahead - 1.0) * settings.hold_s
         credit = self._credits.get((request.pool, request.workspace))
         if credit is None:
-            return max(in_time_s, MIN_RETRY_S)
+            return max(in_time_s, drained_s, MIN_RETRY_S)
         earned_per_s = max(earned_per_s, 1.0)
         owed_s = max(0.0, -credit.tokens) / earned_per_s
-        begins_s = max(now_s + owed_s, credit.promised_s)
+        begins_s = max(now_s + owed_s + drained_s, credit.promised_s)
         if not request.returned and begins_s - now_s <= in_time_s:
             credit.promised_s = begins_s + request.tokens / earned_per_s
             return max(begins_s - now_s, MIN_RETRY_S)
-        return min(max(in_time_s, RETRY_PER_LOAD_S / part), settings.max_retry_after_s)
+        retry_s = max(in_time_s, RETRY_PER_LOAD_S / part) + drained_s
+        return min(retry_s, settings.max_retry_after_s)
--- a/src/carobstair/core/admission/fair_admission.py
+++ b/src/carobstair/core/admission/fair_admission.py
@@ -21,7 +21,7 @@
 
 import math
 import random
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
 from carobstair.core.admission.conserving import (
@@ -88,9 +88,9 @@
         """Count a request of a pool that `conserves_work`, and decide on it."""
         return self._conserving.decide(request, now_s)
 
-    def running_of_others(self, pool: str, now_s: float) -> Mapping[str, int] | None:
-        """Return the requests of all other routers by engine, None if unknown."""
-        return self._conserving.running_of_others(pool, now_s)
+    def load_of_others(self, pool: str, now_s: float) -> PoolDemand | None:
+        """Return what all other routers report of a pool, None if unknown."""
+        return self._conserving.load_of_others(pool, now_s)
 
     def refresh_conserving(self, pool: str, engines: EngineLoad, now_s: float) -> None:
         """Correct the supply of a pool in time, whether requests arrive or not."""
--- a/src/carobstair/core/admission/room.py
+++ b/src/carobstair/core/admission/room.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from carobstair.core.dispatch import Dispatcher
 from carobstair.core.engine_load import PromptShape
+from carobstair.core.share_messages import PoolDemand
 
 __all__ = ["EngineLoad", "EngineRoom"]
 
@@ -38,7 +39,7 @@
     slots_used : float
         Requests of all routers relative to the slots, as this router sees them.
     wait_s : float
-        Mean time for which prompts of all routers wait, as this router sees it.
+        Mean time for which the prompts of all routers wait to be read.
     read_tokens_per_s : float
         Rate at which all of them read prompts.
     target_wait_s : float
@@ -47,6 +48,11 @@
         Free slots by engine.
     full : frozenset of str
         Engines without a free slot.
+    least : frozenset of str
+        The half of them with the fewest requests.
+    least_excess : float
+        Requests beyond the slots, and one more, at the last of these, relative to its
+        slots.
     """
 
     engines: int = 0
@@ -59,6 +65,8 @@
     target_wait_s: float = 1.0
     free: dict[str, int] = field(default_factory=dict)
     full: frozenset[str] = frozenset()
+    least: frozenset[str] = frozenset()
+    least_excess: float = 0.0
 
 
 @dataclass(slots=True)
@@ -72,13 +80,13 @@
     ----------
     dispatcher : Dispatcher
     others : callable
-        Returns the requests of all other routers by engine, None if unknown.
+        Returns what all other routers report of a service, None if unknown.
     applies : callable
         Returns whether requests of a service are placed by the room of its engines.
     """
 
     dispatcher: Dispatcher
-    others: Callable[[str, float], Mapping[str, int] | None] = lambda *args: None
+    others: Callable[[str, float], PoolDemand | None] = lambda *args: None
     applies: Callable[[str], bool] = lambda service: True
     _loads: dict[str, tuple[float, EngineLoad]] = field(default_factory=dict)
 
@@ -107,7 +115,8 @@
         names = list(load.free)
         limit_s = OBJECTIVE_PART * objective_s
         for name in rng.sample(names, min(TRIED_ENGINES, len(names))):
-            if loads.expected_wait_s(name, prompt) <= limit_s:
+            unread = loads.uncached_tokens(name, prompt)
+            if load.wait_s + unread / loads.settings.prefill_tokens_per_s <= limit_s:
                 self._take(load, name)
                 return True
         return False
@@ -124,11 +133,24 @@
         load = self.load(service, now_s)
         free = [name for name in load.free if name in ids]
         if not free:
-            return ids
+            return ids.intersection(load.least) or ids
         weights = [load.free[name] for name in free]
         chosen = self.dispatcher.rng.choices(free, weights, k=PLACEMENT_CHOICES)
         return ids.difference(load.full, free).union(chosen)
 
+    def wait_s(self, service: str, hold_s: float, now_s: float) -> float:
+        """Return the wait for a slot and for the prompts that are read before.
+
+        Parameters
+        ----------
+        hold_s : float
+            Mean time that a request holds its slot.
+        """
+        load = self.load(service, now_s)
+        if load.free or not load.engines:
+            return load.wait_s
+        return load.wait_s + hold_s * load.least_excess
+
     def _take(self, load: EngineLoad, name: str) -> None:
         """Count a request that will be sent. It need not reach the same engine."""
         load.free[name] -= 1
@@ -150,25 +172,35 @@
         own = {name: (tokens, running) for name, tokens, running in loads.own_rows()}
         load = EngineLoad(target_wait_s=settings.target_wait_s)
         cap_tokens = int(MAX_ENGINE_WAIT_S * settings.prefill_tokens_per_s)
-        used = 0
+        used = backlog = 0
+        excess: list[tuple[float, str]] = []
         for name in healthy:
             slots = entries[name].slots
             tokens, running = own.get(name, (0, 0))
             if others is None:
                 present = loads.occupancy(name, now_s)
             else:
-                present = running + others.get(name, 0)
+                present = running + others.engines.get(name, 0)
             load.slots += slots
             if running:
                 load.own[name] = running
             load.backlog_tokens += min(tokens, cap_tokens)
             used += present
-            load.wait_s += min(loads.backlog_tokens(name), cap_tokens)
+            backlog += min(loads.backlog_tokens(name), cap_tokens)
             if present < slots:
                 load.free[name] = slots - present
+            else:
+                excess.append(((present - slots + 1) / max(1, slots), name))
         load.engines = len(healthy)
         load.full = frozenset(healthy - load.free.keys())
+        if excess:
+            excess.sort()
+            half = excess[: len(excess) // 2 + 1]
+            load.least = frozenset(name for _, name in half)
+            load.least_excess = half[-1][0]
         load.slots_used = used / max(1, load.slots)
         load.read_tokens_per_s = settings.prefill_tokens_per_s * max(1, len(healthy))
-        load.wait_s /= load.read_tokens_per_s
+        if others is not None:
+            backlog = load.backlog_tokens + others.backlog_tokens
+        load.wait_s = backlog / load.read_tokens_per_s
         return load
--- a/src/carobstair/core/admission/settings.py
+++ b/src/carobstair/core/admission/settings.py
@@ -66,10 +66,9 @@
         slots in use varied from 1.0 to 2.1 of all, with 1.2 from 0.9 to 1.3.
     least_part : float
         Least supply relative to what engines were given lately.
-    room_band : float
-        Load below its target, as a fraction of it, at which any request is admitted for
-        which an engine has room. Closer to the target a part of them is: many routers
-        see the same free slot.
+    room_fill : float
+        Time in which requests beyond their share fill the room of the engines, relative
+        to `hold_s`. Each router admits its part of them: all see the same free slots.
     max_debt_s : float
         What a workspace owes at most for requests admitted beyond its share, in seconds
         of its share.
@@ -105,7 +104,7 @@
     lag_s: float = 0.4
     fill_gain: float = 1.2
     least_part: float = 0.5
-    room_band: float = 0.5
+    room_fill: float = 0.5
     max_debt_s: float = 1.0
     return_credit_s: float = 0.25
     promise_part: float = 0.5
--- a/src/carobstair/core/admission/supply.py
+++ b/src/carobstair/core/admission/supply.py
@@ -69,9 +69,13 @@
         """Whether some engine may have a queue."""
         return max(self.load, self.ahead) > LIGHT_LOAD
 
-    def room_part(self) -> float:
-        """Return the part of the requests beyond their share that engines can take."""
-        return min(max((1.0 - self.ahead) / self.settings.room_band, 0.0), 1.0)
+    def room(self) -> float:
+        """Return the throughput that fills the room of the engines while they have it.
+
+        Relative to the nominal throughput, and in addition to `factor`.
+        """
+        room = max(0.0, 1.0 - self.ahead) / self.settings.room_fill
+        return max(self._given, MIN_FACTOR) / self._load * room
 
     def adopt(self, factor: float) -> None:
         """Begin with the factor of the other routers."""
--- a/src/carobstair/edge/app.py
+++ b/src/carobstair/edge/app.py
@@ -122,7 +122,7 @@
         self._overload = overload or OverloadGuard()
         self._body_budget = body_budget or BodyBudget(DEFAULT_BODY_BYTES)
         self._room = room or EngineRoom(
-            relay.dispatcher, admission.running_of_others, admission.conserves_work
+            relay.dispatcher, admission.load_of_others, admission.conserves_work
         )
         self._ended_requests = 0
         self.account = ServiceAccount(
@@ -396,7 +396,7 @@
         now_s: float,
     ) -> AdmissionRequest:
         pool, prompt = exchange.pool, exchange.metadata.prompt
-        dispatcher = self._relay.dispatcher
+        hold_s = self._admission.settings.hold_s
         target_s = exchange.route.target_latency_s or DEFAULT_TARGET_S
         elapsed_s = _elapsed_s(exchange.route, exchange.metadata)
         left_s = target_s - elapsed_s - (now_s - exchange.arrived_s)
@@ -406,7 +406,7 @@
             tokens,
             throughput.nominal_per_s,
             lambda: self._room.load(pool.name, now_s),
-            lambda: dispatcher.queue_wait_s(pool, prompt, now_s) / target_s,
+            lambda: self._room.wait_s(pool.name, hold_s, now_s) / target_s,
             lambda: self._room.has_room(pool.name, prompt, target_s, now_s),
             left_s,
             elapsed_s > 0.0,
--- a/src/carobstair/edge/router.py
+++ b/src/carobstair/edge/router.py
@@ -134,7 +134,7 @@
         self._admission = FairAdmission(settings.admission)
         self._room = EngineRoom(
             self._dispatcher,
-            self._admission.running_of_others,
+            self._admission.load_of_others,
             self._admission.conserves_work,
         )
         self._connections = ConnectionPool()
--- a/src/carobstair/scenario/overload.py
+++ b/src/carobstair/scenario/overload.py
@@ -115,7 +115,7 @@
             self._plan.admission, random.Random(f"{self._plan.seed} {name}")
         )
         room = EngineRoom(
-            dispatcher, admission.running_of_others, admission.conserves_work
+            dispatcher, admission.load_of_others, admission.conserves_work
         )
         return _Router(name, dispatcher, admission, room)
 
@@ -225,15 +225,14 @@
             POOL, self._plan.tokens_per_s, 0.0, 1.0, now_s
         )
         left_s = request.arrived_s + group.aim_s - now_s
+        hold_s = router.admission.settings.hold_s
         asked = AdmissionRequest(
             POOL,
             group.workspace,
             request.weighted_tokens(router.admission.settings.output_weight),
             throughput.nominal_per_s,
             lambda: router.room.load(POOL, now_s),
-            lambda: (
-                dispatcher.queue_wait_s(self._pool, request.prompt, now_s) / group.aim_s
-            ),
+            lambda: router.room.wait_s(POOL, hold_s, now_s) / group.aim_s,
             lambda: router.room.has_room(POOL, request.prompt, group.aim_s, now_s),
             left_s,
             request.refusals > 0,
--- a/tests/test_work_conserving.py
+++ b/tests/test_work_conserving.py
@@ -41,7 +41,7 @@
 
 def make_plan(usual, surges=(), **changes):
     """Return a play of eight even workspaces and of surges: load and routers."""
-    groups = [g for n in range(8) for g in make_groups(f"w{n}", usual / 8)]
+    groups = [g for n in range(8) for g in make_groups(f"w{n}", usual / 8) if usual]
     for number, (load, routers) in enumerate(surges):
         groups += make_groups(f"hot{number}", load, *SURGE_S, routers)
     plan = LoadPlan(
@@ -102,5 +102,37 @@
         self.assertGreater(report.fraction("in-aim"), 0.85)
 
 
+class FairnessTest(unittest.TestCase):
+    """Guards against room that goes to those who ask most.
+
+    With the room given to whoever asked, a workspace that asked for three times the
+    throughput of all engines got five times what each small one got.
+    """
+
+    def check_fairness(self, least, usual, surges, **changes):
+        report = play_load(make_plan(usual, surges, seconds=16.0, **changes))
+        # In the first second and a half, sums of all routers do not show a surge yet.
+        self.assertGreaterEqual(report.worst_part(SURGE_S[0] + 2, SURGE_S[1]), least)
+
+    def test_hot_workspaces_whose_callers_reach_1_10_and_all_routers(self):
+        surges = ((0.8, (3,)), (0.8, tuple(range(4, 14))), (0.8, ()))
+        self.check_fairness(0.75, 0.4, surges)
+
+    def test_small_workspaces_beside_6_times_the_load(self):
+        self.check_fairness(0.6, 0.5, ((2.8, (3,)), (2.8, ())))
+
+
+class ReturnTest(unittest.TestCase):
+    """Guards against callers that come back when told and are refused again."""
+
+    def test_callers_of_a_short_overload_are_served_when_they_return(self):
+        groups = [g for n in range(8) for g in make_groups(f"w{n}", 0.06)]
+        for n in range(3):
+            groups += make_groups(f"hot{n}", 0.8, 5.0, 5.7, (n,))
+        report = play_load(make_plan(0.0, groups=tuple(groups)))
+        self.assertGreater(report.returned, 50)
+        self.assertGreater(report.returned_begun, 0.8 * report.returned)
+
+
 if __name__ == "__main__":
     unittest.main()
