--- a/src/carobstair/core/admission/conserving.py
+++ b/src/carobstair/core/admission/conserving.py
@@ -122,6 +122,7 @@
 
     def decide(self, request: AdmissionRequest, now_s: float) -> AdmissionDecision:
         """Count a request towards the demand and decide on its admission."""
+        settings = self.settings
         key = request.pool, request.workspace
         rate_before, own_rate, drained = self.book.add(*key, request.tokens, now_s)
         if request.returned:
@@ -129,14 +130,14 @@
         pool = self._pool(request)
         if pool.control.is_due(now_s):
             self.correct(request.pool, request.engines(), now_s)
-        if now_s - pool.computed_s >= self.settings.shares_ttl_s:
+        if now_s - pool.computed_s >= settings.shares_ttl_s:
             self._compute_shares(request.pool, pool, now_s)
         demand = own_rate + pool.others.get(request.workspace, 0.0)
         first = pool.first.get(request.workspace, demand)
         share = min(first, pool.level)
         if first <= pool.level:
             self._credits.pop(key, None)
-            if not self._waits_too_long(request, pool, now_s):
+            if not self._waits_too_long(request, pool, settings.max_wait):
                 self.book.note_admitted(request.pool, request.tokens, now_s)
                 return AdmissionDecision(True, demand, demand)
             return self._refuse(request, pool, share, demand, own_rate, "wait", now_s)
@@ -146,7 +147,7 @@
         earned_per_s = part * own_rate
         overdraft = 0.0
         if request.returned and request.objective_s > 0:
-            overdraft = self.settings.return_credit_s * earned_per_s
+            overdraft = settings.return_credit_s * earned_per_s
         within = credit.tokens + overdraft > 0
         reason = ""
         if not within:
@@ -155,9 +156,9 @@
                     request, pool, share, demand, own_rate, "share", now_s
                 )
             reason = ROOM
-        if within and self._waits_too_long(request, pool, now_s):
+        if within and self._waits_too_long(request, pool, settings.beyond_max_wait):
             return self._refuse(request, pool, share, demand, own_rate, "wait", now_s)
-        debt = self.settings.max_debt_s * earned_per_s
+        debt = settings.max_debt_s * earned_per_s
         credit.tokens = max(credit.tokens - request.tokens, -debt - request.tokens)
         self.book.note_admitted(request.pool, request.tokens, now_s)
         return AdmissionDecision(True, share, demand, reason=reason)
@@ -307,11 +308,9 @@
         return request.room()
 
     def _waits_too_long(
-        self, request: AdmissionRequest, pool: _Pool, now_s: float
+        self, request: AdmissionRequest, pool: _Pool, max_wait: float
     ) -> bool:
-        if not pool.control.is_loaded:
-            return False
-        return request.wait() > self.settings.max_wait
+        return pool.control.is_loaded and request.wait() > max_wait
 
     def _refuse(
         self,
--- a/src/carobstair/core/admission/room.py
+++ b/src/carobstair/core/admission/room.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 
 from carobstair.core.dispatch import Dispatcher
@@ -121,7 +121,7 @@
                 return True
         return False
 
-    def narrow(self, service: str, ids: set[str], now_s: float) -> set[str]:
+    def narrow(self, service: str, ids: set[str], now_s: float) -> Collection[str]:
         """Return the engines, of some, at which a request should be placed.
 
         Those that are full are left out if others have a free slot. Of the latter only
@@ -133,10 +133,10 @@
         load = self.load(service, now_s)
         free = [name for name in load.free if name in ids]
         if not free:
-            return ids.intersection(load.least) or ids
+            return sorted(ids.intersection(load.least) or ids)
         weights = [load.free[name] for name in free]
         chosen = self.dispatcher.rng.choices(free, weights, k=PLACEMENT_CHOICES)
-        return ids.difference(load.full, free).union(chosen)
+        return sorted(ids.difference(load.full, free).union(chosen))
 
     def wait_s(self, service: str, hold_s: float, now_s: float) -> float:
         """Return the wait for a slot and for the prompts that are read before.
@@ -174,7 +174,7 @@
         cap_tokens = int(MAX_ENGINE_WAIT_S * settings.prefill_tokens_per_s)
         used = backlog = 0
         excess: list[tuple[float, str]] = []
-        for name in healthy:
+        for name in sorted(healthy):
             slots = entries[name].slots
             tokens, running = own.get(name, (0, 0))
             if others is None:
--- a/src/carobstair/core/admission/settings.py
+++ b/src/carobstair/core/admission/settings.py
@@ -69,6 +69,9 @@
     room_fill : float
         Time in which requests beyond their share fill the room of the engines, relative
         to `hold_s`. Each router admits its part of them: all see the same free slots.
+    beyond_max_wait : float
+        `max_wait` of workspaces beyond their share, so that an overload of the engines
+        is first met by those who make it. Their supply does not fall by it.
     max_debt_s : float
         What a workspace owes at most for requests admitted beyond its share, in seconds
         of its share.
@@ -105,6 +108,7 @@
     fill_gain: float = 1.2
     least_part: float = 0.5
     room_fill: float = 0.5
+    beyond_max_wait: float = 0.5
     max_debt_s: float = 1.0
     return_credit_s: float = 0.25
     promise_part: float = 0.5
--- a/src/carobstair/core/dispatch.py
+++ b/src/carobstair/core/dispatch.py
@@ -47,7 +47,9 @@
     rng: random.Random
     routers: frozenset[str] = field(default_factory=frozenset)
     # Leaves out engines at which a request should not be placed now; some remain.
-    narrow: Callable[[str, set[str], float], set[str]] = lambda service, ids, now_s: ids
+    narrow: Callable[[str, set[str], float], Collection[str]] = (
+        lambda service, ids, now_s: ids
+    )
     permits: PermitDesk = field(init=False)
     # Ranks by upstream for the routers from which they were computed.
     _ranks: dict[str, int] = field(default_factory=dict)
@@ -97,8 +99,8 @@
             return None
         stall_durations_s = self.loads.stall_durations_s(entries, now_s)
         healthy = self.health.preferred(entries, stall_durations_s, now_s)
-        healthy = self.narrow(pool.name, healthy, now_s)
-        candidates = ((u, entries[u].zone) for u in healthy)
+        placeable = self.narrow(pool.name, healthy, now_s)
+        candidates = ((u, entries[u].zone) for u in placeable)
         if pool.engine is not None:
             return entries[
                 self.loads.pick(candidates, prompt, self.rng, now_s, permits)
