--- a/src/carobstair/core/admission/conserving.py
+++ b/src/carobstair/core/admission/conserving.py
@@ -146,7 +146,7 @@
         self._credits[key] = credit
         earned_per_s = part * own_rate
         overdraft = 0.0
-        if request.returned and request.objective_s > 0:
+        if request.returned:
             overdraft = settings.return_credit_s * earned_per_s
         within = credit.tokens + overdraft > 0
         reason = ""
@@ -156,7 +156,8 @@
                     request, pool, share, demand, own_rate, "share", now_s
                 )
             reason = ROOM
-        if within and self._waits_too_long(request, pool, settings.beyond_max_wait):
+        max_wait = settings.max_wait if request.returned else settings.beyond_max_wait
+        if within and self._waits_too_long(request, pool, max_wait):
             return self._refuse(request, pool, share, demand, own_rate, "wait", now_s)
         debt = settings.max_debt_s * earned_per_s
         credit.tokens = max(credit.tokens - request.tokens, -debt - request.tokens)
--- a/src/carobstair/core/admission/settings.py
+++ b/src/carobstair/core/admission/settings.py
@@ -76,7 +76,7 @@
         What a workspace owes at most for requests admitted beyond its share, in seconds
         of its share.
     return_credit_s : float
-        Credit that the requests of callers that return in time may overdraw, in seconds
+        Credit that the requests of callers that return may overdraw, in seconds
         of the share of their workspace.
     promise_part : float
         Part of the objective within which a refused request is promised to begin.
