--- a/src/carobstair/core/admission/__init__.py
+++ b/src/carobstair/core/admission/__init__.py
@@ -13,6 +13,7 @@
 from carobstair.core.admission.shares import max_min_shares
 from carobstair.core.admission.supply import SupplyControl
 from carobstair.core.admission.throughput import ThroughputControl
+from carobstair.core.admission.waiting_room import WaitingRequest, WaitingRoom
 
 __all__ = [
     "ROOM",
@@ -24,5 +25,7 @@
     "FairAdmission",
     "SupplyControl",
     "ThroughputControl",
+    "WaitingRequest",
+    "WaitingRoom",
     "max_min_shares",
 ]
--- a/src/carobstair/core/admission/conserving.py
+++ b/src/carobstair/core/admission/conserving.py
@@ -22,6 +22,8 @@
 
 # Reason of requests that are admitted beyond their share.
 ROOM = "room"
+# Time in which a waiting request asks for room as often as an arriving one.
+ROOM_INTERVAL_S = 0.2
 # Below this a retry arrives before anything can have changed.
 MIN_RETRY_S = 0.03
 # Retry-After of requests without a promise, for each multiple of the share that their
@@ -164,6 +166,54 @@
         self.book.note_admitted(request.pool, request.tokens, now_s)
         return AdmissionDecision(True, share, demand, reason=reason)
 
+    def reconsider(
+        self, request: AdmissionRequest, tick_s: float, now_s: float
+    ) -> AdmissionDecision:
+        """Decide on a request that waits, which was counted when it arrived.
+
+        Parameters
+        ----------
+        tick_s : float
+            Time since it was last decided on.
+        """
+        settings = self.settings
+        key = request.pool, request.workspace
+        rate_before, own_rate, drained = self.book.add(*key, 0.0, now_s)
+        pool = self._pool(request)
+        if pool.control.is_due(now_s):
+            self.correct(request.pool, request.engines(), now_s)
+        if now_s - pool.computed_s >= settings.shares_ttl_s:
+            self._compute_shares(request.pool, pool, now_s)
+        demand = max(own_rate + pool.others.get(request.workspace, 0.0), 1.0)
+        first = pool.first.get(request.workspace, demand)
+        share = min(first, pool.level)
+        reason = ""
+        if first <= pool.level:
+            self._credits.pop(key, None)
+            if self._waits_too_long(request, pool, settings.max_wait):
+                return self._refuse(
+                    request, pool, share, demand, own_rate, "wait", now_s
+                )
+        else:
+            part = share / demand
+            credit = self._credit(key, part, request.tokens, rate_before, drained)
+            self._credits[key] = credit
+            within = credit.tokens > 0
+            if within and self._waits_too_long(request, pool, settings.max_wait):
+                within = False
+            # A request that waits asks for room again and again.
+            if not within:
+                asks = self.rng.random() < tick_s / ROOM_INTERVAL_S
+                if not asks or not self._has_room(request, pool):
+                    return self._refuse(
+                        request, pool, share, demand, own_rate, "share", now_s
+                    )
+                reason = ROOM
+            debt = settings.max_debt_s * part * own_rate
+            credit.tokens = max(credit.tokens - request.tokens, -debt - request.tokens)
+        self.book.note_admitted(request.pool, request.tokens, now_s)
+        return AdmissionDecision(True, share, demand, reason=reason)
+
     def controls(self) -> dict[str, SupplyControl]:
         """Return the control of each pool."""
         return {name: pool.control for name, pool in self.pools.items()}
--- a/src/carobstair/core/admission/fair_admission.py
+++ b/src/carobstair/core/admission/fair_admission.py
@@ -88,6 +88,12 @@
         """Count a request of a pool that `conserves_work`, and decide on it."""
         return self._conserving.decide(request, now_s)
 
+    def reconsider(
+        self, request: AdmissionRequest, tick_s: float, now_s: float
+    ) -> AdmissionDecision:
+        """Decide on a request that waits and that was decided on `tick_s` ago."""
+        return self._conserving.reconsider(request, tick_s, now_s)
+
     def load_of_others(self, pool: str, now_s: float) -> PoolDemand | None:
         """Return what all other routers report of a pool, None if unknown."""
         return self._conserving.load_of_others(pool, now_s)
--- a/src/carobstair/scenario/load_plan.py
+++ b/src/carobstair/scenario/load_plan.py
@@ -97,6 +97,8 @@
         refused attempts, by second and workspace.
     returned, returned_begun : int
         Second attempts, and those whose answers began.
+    waited_begun : int
+        Requests that waited at a router and were sent in time.
     loads : dict
         Slots in use relative to all, and the mean factor, by second.
     """
@@ -113,6 +115,7 @@
     refusals: TokensBySecond = field(default_factory=lambda: defaultdict(Counter))
     returned: int = 0
     returned_begun: int = 0
+    waited_begun: int = 0
     loads: dict[int, list[float]] = field(default_factory=dict)
 
     def begun_per_s(self, begin_s: int, end_s: int) -> float:
--- a/src/carobstair/scenario/overload.py
+++ b/src/carobstair/scenario/overload.py
@@ -12,13 +12,15 @@
 import random
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from carobstair.core.admission import (
     AdmissionDecision,
     AdmissionRequest,
     EngineRoom,
     FairAdmission,
+    WaitingRequest,
+    WaitingRoom,
 )
 from carobstair.core.directory import UpstreamDirectory, UpstreamEntry
 from carobstair.core.dispatch import Dispatcher
@@ -38,6 +40,10 @@
 # Engines count as able to take a request in the ideal case up to this backlog, relative
 # to its objective.
 IDEAL_BACKLOG = 0.5
+# Interval at which waiting requests are decided on, and the part of the objective up to
+# which they wait.
+WAIT_TICK_S = 0.01
+WAIT_PART = 0.7
 # Time from the report of a router until the totals with it reach another: it passes two
 # collectors, each of which sends at its own interval.
 TOTALS_DELAY_S = 0.3
@@ -49,6 +55,8 @@
     dispatcher: Dispatcher
     admission: FairAdmission
     room: EngineRoom
+    waiting: WaitingRoom
+    held: dict[int, _Request] = field(default_factory=dict)
 
     @property
     def loads(self) -> LoadTracker:
@@ -117,7 +125,9 @@
         room = EngineRoom(
             dispatcher, admission.load_of_others, admission.conserves_work
         )
-        return _Router(name, dispatcher, admission, room)
+        return _Router(
+            name, dispatcher, admission, room, WaitingRoom(admission.settings)
+        )
 
     def run(self) -> LoadReport:
         """Play the whole load."""
@@ -191,7 +201,8 @@
             return
         decision = self._decide(request, router, now_s)
         if not decision.admitted:
-            self._refuse(request, decision.retry_after_s, now_s)
+            if not self._wait(request, router, decision, now_s):
+                self._refuse(request, decision.retry_after_s, now_s)
             return
         self._send(request, router, frozenset(), now_s)
 
@@ -217,16 +228,73 @@
             lambda: dispatcher.slots_used(POOL, now_s),
         )
 
+    def _wait(
+        self,
+        request: _Request,
+        router: _Router,
+        decision: AdmissionDecision,
+        now_s: float,
+    ) -> bool:
+        """Let a refused request wait if it may begin in time."""
+        if not router.admission.settings.max_waiting:
+            return False
+        latest_s = request.arrived_s + WAIT_PART * request.group.aim_s
+        if now_s + decision.retry_after_s >= latest_s:
+            return False
+        asked = self._asked(request, router, now_s)
+        waiting = WaitingRequest(
+            next(self._order), asked, decision.share, now_s, latest_s
+        )
+        if not len(router.waiting):
+            self._at(now_s + WAIT_TICK_S, lambda t: self._pump(router, t))
+        refused = router.waiting.offer(waiting, now_s)
+        router.held[waiting.request_id] = request
+        if refused is not None:
+            held = router.held.pop(refused.request_id)
+            self._refuse(held, decision.retry_after_s, now_s)
+        return True
+
+    def _pump(self, router: _Router, now_s: float) -> None:
+        """Let begin what may, as the gate of the edge does."""
+        waiting, passed = router.waiting, set()
+        for late in waiting.expired(now_s):
+            held = router.held.pop(late.request_id)
+            asked = self._asked(held, router, now_s)
+            decision = router.admission.reconsider(asked, WAIT_TICK_S, now_s)
+            if decision.admitted:
+                self._send(held, router, frozenset(), now_s)
+            else:
+                self._refuse(held, decision.retry_after_s, now_s)
+        while (first := waiting.next(now_s, passed)) is not None:
+            held = router.held[first.request_id]
+            asked = self._asked(held, router, now_s)
+            if router.admission.reconsider(asked, WAIT_TICK_S, now_s).admitted:
+                waiting.begin(first)
+                self._report.waited_begun += 1
+                self._send(
+                    router.held.pop(first.request_id), router, frozenset(), now_s
+                )
+            else:
+                passed.add(first.key)
+        if len(waiting):
+            self._at(now_s + WAIT_TICK_S, lambda t: self._pump(router, t))
+
     def _decide_conserving(
         self, request: _Request, router: _Router, now_s: float
     ) -> AdmissionDecision:
+        asked = self._asked(request, router, now_s)
+        return router.admission.decide_conserving(asked, now_s)
+
+    def _asked(
+        self, request: _Request, router: _Router, now_s: float
+    ) -> AdmissionRequest:
         dispatcher, group = router.dispatcher, request.group
         throughput = dispatcher.throughput(
             POOL, self._plan.tokens_per_s, 0.0, 1.0, now_s
         )
         left_s = request.arrived_s + group.aim_s - now_s
         hold_s = router.admission.settings.hold_s
-        asked = AdmissionRequest(
+        return AdmissionRequest(
             POOL,
             group.workspace,
             request.weighted_tokens(router.admission.settings.output_weight),
@@ -237,7 +305,6 @@
             left_s,
             request.refusals > 0,
         )
-        return router.admission.decide_conserving(asked, now_s)
 
     def _pick_router(self, request: _Request) -> _Router:
         routers, weights = self._routers, self._plan.router_weights
