Bound what a few crowded engines count in the supply

Prompts that wait for a slot counted as requests and again as unread tokens, and the average of tokens per slot went on in an overload: at six times the load the supply fell to half of what engines took while ten of 14 had a free slot. Unread tokens now count at engines with a free slot only and up to 1.2 of the target, one engine up to 1.5 of its slots, and the average rests while engines are saturated.

--- a/src/carobstair/core/admission/conserving.py
+++ b/src/carobstair/core/admission/conserving.py
@@ -24,6 +24,9 @@
 ROOM = "room"
 # Time in which a waiting request asks for room as often as an arriving one.
 ROOM_INTERVAL_S = 0.2
+# Load for which unread prompts count at most. Those of a few crowded engines would
+# otherwise stop the admission to all others.
+MAX_WAIT_LOAD = 1.2
 # Below this a retry arrives before anything can have changed.
 MIN_RETRY_S = 0.03
 # Retry-After of requests without a promise, for each multiple of the share that their
@@ -244,7 +247,7 @@
         control.own_slots_used = control.slots_used = engines.slots_used
         load = max(
             engines.slots_used / self.settings.target_slots_used,
-            engines.wait_s / engines.target_wait_s,
+            min(engines.wait_s / engines.target_wait_s, MAX_WAIT_LOAD),
         )
         control.own_pressure = load
         admitted = max(0.0, admitted - pool.limited_per_s) / pool.capacity
--- a/src/carobstair/core/admission/room.py
+++ b/src/carobstair/core/admission/room.py
@@ -22,7 +22,7 @@
 # nearly stalls would otherwise stand for the whole service.
 MAX_ENGINE_WAIT_S = 0.5
 # Requests of a single engine that count towards the mean, relative to its slots.
-MAX_ENGINE_LOAD = 2.0
+MAX_ENGINE_LOAD = 1.5
 # Part of the objective within which the first token is to be expected.
 OBJECTIVE_PART = 0.8
 
@@ -37,7 +37,7 @@
     own : dict
         Requests of this router by engine.
     backlog_tokens : int
-        Prompt tokens of these requests that the engines have not read.
+        Prompt tokens of these requests that engines with a free slot have not read.
     slots_used : float
         Requests of all routers relative to the slots, as this router sees them.
     wait_s : float
@@ -189,11 +189,12 @@
             load.slots += slots
             if running:
                 load.own[name] = running
-            load.backlog_tokens += min(tokens, cap_tokens)
             used += min(present[name], MAX_ENGINE_LOAD * slots)
-            backlog += min(loads.backlog_tokens(name), cap_tokens)
             if present[name] < slots:
                 load.free[name] = slots - present[name]
+                # Prompts that wait for a slot count as requests, not once more here.
+                load.backlog_tokens += min(tokens, cap_tokens)
+                backlog += min(loads.backlog_tokens(name), cap_tokens)
             else:
                 excess.append(((present[name] - slots + 1) / max(1, slots), name))
         load.engines = len(healthy)
--- a/src/carobstair/core/admission/supply.py
+++ b/src/carobstair/core/admission/supply.py
@@ -19,6 +19,8 @@
 LIGHT_LOAD = 0.4
 # Lower loads say nothing of what engines take.
 MIN_LOAD = 0.1
+# At a higher load requests queue up, so that the load says nothing of what is finished.
+SATURATED_LOAD = 1.25
 # Bounds of the load that is expected after `lag_s`, relative to the one that was read.
 MIN_AHEAD, MAX_AHEAD = 0.6, 1.6
 # Bounds of the supply relative to the nominal throughput.
@@ -97,12 +99,15 @@
         self.load = load = max(load, MIN_LOAD)
         weight = 1.0 - math.exp(-step_s / settings.hold_s)
         self.given += weight * (admitted - self.given)
-        slow = 1.0 - math.exp(-step_s / settings.mix_s)
-        self._given += slow * (self.given - self._given)
-        self._load += slow * (load - self._load)
+        if load <= SATURATED_LOAD:
+            slow = 1.0 - math.exp(-step_s / settings.mix_s)
+            self._given += slow * (self.given - self._given)
+            self._load += slow * (load - self._load)
         at_target = max(self._given, MIN_FACTOR) / self._load
         growth = (admitted / at_target - load) * settings.lag_s / settings.hold_s
         self.ahead = ahead = min(max(load + growth, MIN_AHEAD * load), MAX_AHEAD * load)
-        factor = at_target * (ahead + settings.fill_gain * (1.0 - ahead))
+        # What engines finish does not grow beyond their target load.
+        finished = min(ahead, 1.0)
+        factor = at_target * (finished + settings.fill_gain * (1.0 - ahead))
         factor = max(factor, settings.least_part * at_target * min(load, 1.0))
         self.factor = min(max(factor, MIN_FACTOR), MAX_FACTOR)
--- a/src/carobstair/core/share_messages.py
+++ b/src/carobstair/core/share_messages.py
@@ -29,7 +29,7 @@
         Requests that these routers have at each engine. Digests of peers say the same,
         but in a large fleet they are seconds old.
     backlog_tokens : int
-        Prompt tokens of these requests that the engines have not read.
+        Prompt tokens of these requests that engines with a free slot have not read.
     returned : dict
         Part of `demands` that callers ask for again after a refusal, by workspace.
     """
