Let requests wait at the router for room at the engines

AdmissionGate drives the waiting room: a request that is refused though it may begin within its objective waits before its body is read, is decided on every 10 ms and when a request ends, and is refused when its first token would be late, when its caller leaves or when the process stops. Off unless AdmissionSettings.max_waiting is set.

_check_fair_share is a coroutine now, so __call__ awaits it.

--- a/src/carobstair/edge/app.py
+++ b/src/carobstair/edge/app.py
@@ -31,6 +31,7 @@
     ServicePool,
 )
 from carobstair.core.service_account import ServiceAccount
+from carobstair.edge.admission_gate import AdmissionGate
 from carobstair.edge.body_budget import BodyBudget, BudgetExceeded
 from carobstair.edge.exchange import CallerLeft, Exchange, IncompleteResponse
 from carobstair.edge.metadata import BadRequest, Dialect, Headers, RequestMetadata
@@ -124,6 +125,11 @@
         self._room = room or EngineRoom(
             relay.dispatcher, admission.load_of_others, admission.conserves_work
         )
+        self._gate = AdmissionGate(
+            admission,
+            lambda: self.draining,
+            lambda pool, outcome: metrics.waited.labels(pool, outcome).inc(),
+        )
         self._ended_requests = 0
         self.account = ServiceAccount(
             lambda pool, name, tokens: metrics.workspace_tokens.labels(
@@ -166,7 +172,7 @@
                 # What can be refused by the head is, before its body is read.
                 self._check_shutdown(exchange)
                 self._relay.guard.admit(exchange)
-                within_share = self._check_fair_share(exchange, limits)
+                within_share = await self._check_fair_share(exchange, limits)
                 self._check_overload(exchange, within_share)
                 await self._read_body(caller, limits, exchange)
                 # A stop may have begun since.
@@ -316,7 +322,9 @@
         if late:
             raise refuse("shutting-down", retry_after_s=OTHER_ROUTER_RETRY_S)
 
-    def _check_fair_share(self, exchange: Exchange, limits: RequestLimits) -> bool:
+    async def _check_fair_share(
+        self, exchange: Exchange, limits: RequestLimits
+    ) -> bool:
         """Refuse requests that would wait too long, fairly between workspaces.
 
         Returns whether the workspace is within its share.
@@ -340,8 +348,7 @@
             now_s,
         )
         if self._admission.conserves_work(pool.name):
-            request = self._admission_request(exchange, tokens, throughput, now_s)
-            decision = self._admission.decide_conserving(request, now_s)
+            decision = await self._decide_by_room(exchange, tokens, throughput, now_s)
         else:
             decision = self._decide_by_share(exchange, tokens, throughput, now_s)
         if decision.reason == ROOM:
@@ -388,6 +395,30 @@
             throughput.limited_per_s,
         )
 
+    async def _decide_by_room(
+        self,
+        exchange: Exchange,
+        tokens: float,
+        throughput: ServiceThroughput,
+        now_s: float,
+    ) -> AdmissionDecision:
+        """Decide on a request; it waits if it may begin in time later."""
+
+        def ask(at_s: float) -> AdmissionRequest:
+            return self._admission_request(exchange, tokens, throughput, at_s)
+
+        request = ask(now_s)
+        decision = self._admission.decide_conserving(request, now_s)
+        if decision.admitted:
+            return decision
+        latest_s = self._gate.may_wait(decision, request.objective_s, now_s)
+        if latest_s is None:
+            return decision
+        latest_s = min(latest_s, exchange.deadline_s)
+        return await self._gate.wait(
+            ask, decision, latest_s, exchange.route.priority, exchange.caller_closed
+        )
+
     def _admission_request(
         self,
         exchange: Exchange,
@@ -456,6 +487,7 @@
 
     def _give_back(self, exchange: Exchange | None) -> None:
         """Return the share of a request that was admitted and did not begin."""
+        self._gate.wake()
         if exchange is None or not exchange.admitted_tokens or exchange.started:
             return
         self._admission.give_back(
--- a/src/carobstair/edge/metrics.py
+++ b/src/carobstair/edge/metrics.py
@@ -74,6 +74,11 @@
             "Requests beyond the share of their workspace for which an engine had room",
             ("service",),
         )
+        self.waited = self._counter(
+            "waited",
+            "Requests that waited for room at the engines, by outcome",
+            ("service", "outcome"),
+        )
         self.throughput_factor = Gauge(
             PREFIX + "throughput_factor",
             "Throughput that is shared, relative to the configured one",
