--- a/src/carobstair/core/admission/conserving.py
+++ b/src/carobstair/core/admission/conserving.py
@@ -22,6 +22,11 @@
 
 # Reason of requests that are admitted beyond their share.
 ROOM = "room"
+# Time in which a waiting request asks for room as often as an arriving one.
+ROOM_INTERVAL_S = 0.2
+# Load for which unread prompts count at most. Those of a few crowded engines would
+# otherwise stop the admission to all others.
+MAX_WAIT_LOAD = 1.2
 # Below this a retry arrives before anything can have changed.
 MIN_RETRY_S = 0.03
 # Retry-After of requests without a promise, for each multiple of the share that their
@@ -83,6 +88,8 @@
     ----------
     level : float
         Largest share of a workspace.
+    excess_per_s : float
+        Demand of all workspaces beyond the supply.
     others : mapping
         Demand at the other routers by workspace.
     first : mapping
@@ -95,6 +102,7 @@
     limited_per_s: float = 0.0
     engines: EngineLoad = field(default_factory=EngineLoad)
     level: float = math.inf
+    excess_per_s: float = 0.0
     others: Mapping[str, int] = field(default_factory=dict)
     first: Mapping[str, float] = field(default_factory=dict)
     computed_s: float = -math.inf
@@ -119,6 +127,7 @@
 
     def decide(self, request: AdmissionRequest, now_s: float) -> AdmissionDecision:
         """Count a request towards the demand and decide on its admission."""
+        settings = self.settings
         key = request.pool, request.workspace
         rate_before, own_rate, drained = self.book.add(*key, request.tokens, now_s)
         if request.returned:
@@ -126,14 +135,14 @@
         pool = self._pool(request)
         if pool.control.is_due(now_s):
             self.correct(request.pool, request.engines(), now_s)
-        if now_s - pool.computed_s >= self.settings.shares_ttl_s:
+        if now_s - pool.computed_s >= settings.shares_ttl_s:
             self._compute_shares(request.pool, pool, now_s)
         demand = own_rate + pool.others.get(request.workspace, 0.0)
         first = pool.first.get(request.workspace, demand)
         share = min(first, pool.level)
         if first <= pool.level:
             self._credits.pop(key, None)
-            if not self._waits_too_long(request, pool, now_s):
+            if not self._waits_too_long(request, pool, settings.max_wait):
                 self.book.note_admitted(request.pool, request.tokens, now_s)
                 return AdmissionDecision(True, demand, demand)
             return self._refuse(request, pool, share, demand, own_rate, "wait", now_s)
@@ -142,8 +151,8 @@
         self._credits[key] = credit
         earned_per_s = part * own_rate
         overdraft = 0.0
-        if request.returned and request.objective_s > 0:
-            overdraft = self.settings.return_credit_s * earned_per_s
+        if request.returned:
+            overdraft = settings.return_credit_s * earned_per_s
         within = credit.tokens + overdraft > 0
         reason = ""
         if not within:
@@ -152,13 +161,62 @@
                     request, pool, share, demand, own_rate, "share", now_s
                 )
             reason = ROOM
-        if within and self._waits_too_long(request, pool, now_s):
+        max_wait = settings.max_wait if request.returned else settings.beyond_max_wait
+        if within and self._waits_too_long(request, pool, max_wait):
             return self._refuse(request, pool, share, demand, own_rate, "wait", now_s)
-        debt = self.settings.max_debt_s * earned_per_s
+        debt = settings.max_debt_s * earned_per_s
         credit.tokens = max(credit.tokens - request.tokens, -debt - request.tokens)
         self.book.note_admitted(request.pool, request.tokens, now_s)
         return AdmissionDecision(True, share, demand, reason=reason)
 
+    def reconsider(
+        self, request: AdmissionRequest, tick_s: float, now_s: float
+    ) -> AdmissionDecision:
+        """Decide on a request that waits, which was counted when it arrived.
+
+        Parameters
+        ----------
+        tick_s : float
+            Time since it was last decided on.
+        """
+        settings = self.settings
+        key = request.pool, request.workspace
+        rate_before, own_rate, drained = self.book.add(*key, 0.0, now_s)
+        pool = self._pool(request)
+        if pool.control.is_due(now_s):
+            self.correct(request.pool, request.engines(), now_s)
+        if now_s - pool.computed_s >= settings.shares_ttl_s:
+            self._compute_shares(request.pool, pool, now_s)
+        demand = max(own_rate + pool.others.get(request.workspace, 0.0), 1.0)
+        first = pool.first.get(request.workspace, demand)
+        share = min(first, pool.level)
+        reason = ""
+        if first <= pool.level:
+            self._credits.pop(key, None)
+            if self._waits_too_long(request, pool, settings.max_wait):
+                return self._refuse(
+                    request, pool, share, demand, own_rate, "wait", now_s
+                )
+        else:
+            part = share / demand
+            credit = self._credit(key, part, request.tokens, rate_before, drained)
+            self._credits[key] = credit
+            within = credit.tokens > 0
+            if within and self._waits_too_long(request, pool, settings.max_wait):
+                within = False
+            # A request that waits asks for room again and again.
+            if not within:
+                asks = self.rng.random() < tick_s / ROOM_INTERVAL_S
+                if not asks or not self._has_room(request, pool):
+                    return self._refuse(
+                        request, pool, share, demand, own_rate, "share", now_s
+                    )
+                reason = ROOM
+            debt = settings.max_debt_s * part * own_rate
+            credit.tokens = max(credit.tokens - request.tokens, -debt - request.tokens)
+        self.book.note_admitted(request.pool, request.tokens, now_s)
+        return AdmissionDecision(True, share, demand, reason=reason)
+
     def controls(self) -> dict[str, SupplyControl]:
         """Return the control of each pool."""
         return {name: pool.control for name, pool in self.pools.items()}
@@ -183,16 +241,13 @@
         control = pool.control
         pool.engines = engines
         admitted = self.book.admitted_per_s(name, now_s)
-        slots_used, wait_s = engines.slots_used, engines.wait_s
         row = self.book.estimates(name, now_s)
         if row is not None and row.samples:
             admitted += row.admitted
-            backlog = engines.backlog_tokens + row.backlog_tokens
-            wait_s = backlog / engines.read_tokens_per_s
-        control.own_slots_used = control.slots_used = slots_used
+        control.own_slots_used = control.slots_used = engines.slots_used
         load = max(
-            slots_used / self.settings.target_slots_used,
-            wait_s / engines.target_wait_s,
+            engines.slots_used / self.settings.target_slots_used,
+            min(engines.wait_s / engines.target_wait_s, MAX_WAIT_LOAD),
         )
         control.own_pressure = load
         admitted = max(0.0, admitted - pool.limited_per_s) / pool.capacity
@@ -220,10 +275,10 @@
             },
         )
 
-    def running_of_others(self, name: str, now_s: float) -> Mapping[str, int] | None:
-        """Return the requests of all other routers by engine, None if unknown."""
+    def load_of_others(self, name: str, now_s: float) -> PoolDemand | None:
+        """Return what all other routers report of a pool, None if unknown."""
         row = self.book.estimates(name, now_s)
-        return None if row is None or not row.samples else row.engines
+        return None if row is None or not row.samples else row
 
     def note_demand(
         self, pool: str, workspace: str, tokens: float, now_s: float
@@ -267,6 +322,7 @@
         pool.first = self.book.first_demands(name, now_s)
         demands = sorted(pool.first.values())
         left = pool.capacity * pool.control.factor + pool.limited_per_s
+        pool.excess_per_s = sum(self.book.demands(name, now_s).values()) - left
         pool.level = math.inf
         for index, demand in enumerate(demands):
             level = left / (len(demands) - index)
@@ -299,17 +355,16 @@
         return credit
 
     def _has_room(self, request: AdmissionRequest, pool: _Pool) -> bool:
-        part = pool.control.room_part()
-        if part < 1.0 and self.rng.random() >= part:
+        # Many routers see the same free slot.
+        room_per_s = pool.capacity * pool.control.room()
+        if self.rng.random() * pool.excess_per_s >= room_per_s:
             return False
         return request.room()
 
     def _waits_too_long(
-        self, request: AdmissionRequest, pool: _Pool, now_s: float
+        self, request: AdmissionRequest, pool: _Pool, max_wait: float
     ) -> bool:
-        if not pool.control.is_loaded:
-            return False
-        return request.wait() > self.settings.max_wait
+        return pool.control.is_loaded and request.wait() > max_wait
 
     def _refuse(
         self,
@@ -347,13 +402,16 @@
         """
         settings = self.settings
         in_time_s = settings.promise_part * max(request.objective_s, 0.0)
+        ahead = self.pools[request.pool].control.ahead
+        drained_s = max(0.0, ahead - 1.0) * settings.hold_s
         credit = self._credits.get((request.pool, request.workspace))
         if credit is None:
-            return max(in_time_s, MIN_RETRY_S)
+            return max(in_time_s, drained_s, MIN_RETRY_S)
         earned_per_s = max(earned_per_s, 1.0)
         owed_s = max(0.0, -credit.tokens) / earned_per_s
-        begins_s = max(now_s + owed_s, credit.promised_s)
+        begins_s = max(now_s + owed_s + drained_s, credit.promised_s)
         if not request.returned and begins_s - now_s <= in_time_s:
             credit.promised_s = begins_s + request.tokens / earned_per_s
             return max(begins_s - now_s, MIN_RETRY_S)
-        return min(max(in_time_s, RETRY_PER_LOAD_S / part), settings.max_retry_after_s)
+        retry_s = max(in_time_s, RETRY_PER_LOAD_S / part) + drained_s
+        return min(retry_s, settings.max_retry_after_s)
--- a/src/carobstair/core/admission/settings.py
+++ b/src/carobstair/core/admission/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 
 __all__ = ["AdmissionDecision", "AdmissionSettings"]
@@ -51,8 +52,9 @@
         Requests that may wait at this router for room at the engines; 0 for none.
     target_slots_used : float
         Slots in use relative to all, waiting requests included, at which engines are at
-        their target load. In plays with 23 routers, 0.85 began 0.82 of what engines
-        take, 0.95 began 0.9 and 1.1 began 0.95, with more first tokens late.
+        their target load. Routers learn of each other's sends half a second late, so
+        engines differ, and some have a free slot while others have a queue: in plays of
+        2.4 times the load, 1.0 began 0.94 of what engines take and 1.1 began 0.96.
     hold_s : float
         Mean time that a request holds its slot, over which admitted tokens are
         averaged.
@@ -66,16 +68,22 @@
         slots in use varied from 1.0 to 2.1 of all, with 1.2 from 0.9 to 1.3.
     least_part : float
         Least supply relative to what engines were given lately.
-    room_band : float
-        Load below its target, as a fraction of it, at which any request is admitted for
-        which an engine has room. Closer to the target a part of them is: many routers
-        see the same free slot.
+    room_fill : float
+        Time in which requests beyond their share fill the room of the engines, relative
+        to `hold_s`. Each router admits its part of them: all see the same free slots.
+    beyond_max_wait : float
+        `max_wait` of workspaces beyond their share, so that an overload of the engines
+        is first met by those who make it. Their supply does not fall by it.
     max_debt_s : float
         What a workspace owes at most for requests admitted beyond its share, in seconds
         of its share.
     return_credit_s : float
-        Credit that the requests of callers that return in time may overdraw, in seconds
+        Credit that the requests of callers that return may overdraw, in seconds
         of the share of their workspace.
+    returned_after_s : float
+        A caller that states so much less time than its route's time-out has been
+        refused before. Set it only where first attempts state the whole time-out; the
+        deadlines of most callers are their own.
     promise_part : float
         Part of the objective within which a refused request is promised to begin.
     shares_ttl_s : float
@@ -99,15 +107,17 @@
     max_retry_after_s: float = 3.0
     work_conserving: bool = False
     max_waiting: int = 0
-    target_slots_used: float = 1.0
+    target_slots_used: float = 1.1
     hold_s: float = 1.2
     mix_s: float = 3.0
     lag_s: float = 0.4
     fill_gain: float = 1.2
     least_part: float = 0.5
-    room_band: float = 0.5
+    room_fill: float = 0.5
+    beyond_max_wait: float = 0.5
     max_debt_s: float = 1.0
     return_credit_s: float = 0.25
+    returned_after_s: float = math.inf
     promise_part: float = 0.5
     shares_ttl_s: float = 0.025
 
--- a/src/carobstair/core/admission/supply.py
+++ b/src/carobstair/core/admission/supply.py
@@ -19,6 +19,8 @@
 LIGHT_LOAD = 0.4
 # Lower loads say nothing of what engines take.
 MIN_LOAD = 0.1
+# At a higher load requests queue up, so that the load says nothing of what is finished.
+SATURATED_LOAD = 1.25
 # Bounds of the load that is expected after `lag_s`, relative to the one that was read.
 MIN_AHEAD, MAX_AHEAD = 0.6, 1.6
 # Bounds of the supply relative to the nominal throughput.
@@ -69,9 +71,13 @@
         """Whether some engine may have a queue."""
         return max(self.load, self.ahead) > LIGHT_LOAD
 
-    def room_part(self) -> float:
-        """Return the part of the requests beyond their share that engines can take."""
-        return min(max((1.0 - self.ahead) / self.settings.room_band, 0.0), 1.0)
+    def room(self) -> float:
+        """Return the throughput that fills the room of the engines while they have it.
+
+        Relative to the nominal throughput, and in addition to `factor`.
+        """
+        room = max(0.0, 1.0 - self.ahead) / self.settings.room_fill
+        return max(self._given, MIN_FACTOR) / self._load * room
 
     def adopt(self, factor: float) -> None:
         """Begin with the factor of the other routers."""
@@ -93,12 +99,15 @@
         self.load = load = max(load, MIN_LOAD)
         weight = 1.0 - math.exp(-step_s / settings.hold_s)
         self.given += weight * (admitted - self.given)
-        slow = 1.0 - math.exp(-step_s / settings.mix_s)
-        self._given += slow * (self.given - self._given)
-        self._load += slow * (load - self._load)
+        if load <= SATURATED_LOAD:
+            slow = 1.0 - math.exp(-step_s / settings.mix_s)
+            self._given += slow * (self.given - self._given)
+            self._load += slow * (load - self._load)
         at_target = max(self._given, MIN_FACTOR) / self._load
         growth = (admitted / at_target - load) * settings.lag_s / settings.hold_s
         self.ahead = ahead = min(max(load + growth, MIN_AHEAD * load), MAX_AHEAD * load)
-        factor = at_target * (ahead + settings.fill_gain * (1.0 - ahead))
+        # What engines finish does not grow beyond their target load.
+        finished = min(ahead, 1.0)
+        factor = at_target * (finished + settings.fill_gain * (1.0 - ahead))
         factor = max(factor, settings.least_part * at_target * min(load, 1.0))
         self.factor = min(max(factor, MIN_FACTOR), MAX_FACTOR)
--- a/src/carobstair/core/router_load/shedding.py
+++ b/src/carobstair/core/router_load/shedding.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from dataclasses import dataclass, field
 from typing import NamedTuple
@@ -46,7 +47,8 @@
         together.
     returned_after_s : float
         A caller that states so much less time than its route's time-out has been
-        refused before: the wait of `min_retry_after_s` is within the time it lost.
+        refused before. Set it only where first attempts state the whole time-out; the
+        deadlines of most callers are their own.
     pause_from, pause_until : float
         Utilisation from which streams pause after each relayed part, and at which they
         do so for `max_event_pause_s`: before anything is refused.
@@ -64,7 +66,7 @@
     full_gain: float = 0.3
     min_retry_after_s: float = 0.01
     max_retry_after_s: float = 0.03
-    returned_after_s: float = 0.008
+    returned_after_s: float = math.inf
     pause_from: float = 0.4
     pause_until: float = 0.7
     max_event_pause_s: float = 0.04
--- a/src/carobstair/edge/app.py
+++ b/src/carobstair/edge/app.py
@@ -31,6 +31,7 @@
     ServicePool,
 )
 from carobstair.core.service_account import ServiceAccount
+from carobstair.edge.admission_gate import AdmissionGate
 from carobstair.edge.body_budget import SMALL_BODY_BYTES, BodyBudget, BudgetExceeded
 from carobstair.edge.early_refusals import (
     DEFAULT_ROUTE_TIMEOUT_S,
@@ -60,8 +61,6 @@
 DEFAULT_TARGET_S = 1.0
 # Logs one of this many successful requests; failures are always logged.
 SUCCESS_LOG_INTERVAL = 20
-# A first attempt states the whole time of its route, save for what its caller took.
-FIRST_ATTEMPT_TOLERANCE_S = 0.015
 # Bodies held at once, if the memory of the process is not known.
 DEFAULT_BODY_BYTES = 64 * 1024 * 1024
 MAX_LENGTH_DIGITS = 18
@@ -128,7 +127,12 @@
         self._overload = overload or OverloadGuard()
         self._body_budget = body_budget or BodyBudget(DEFAULT_BODY_BYTES)
         self._room = room or EngineRoom(
-            relay.dispatcher, admission.running_of_others, admission.conserves_work
+            relay.dispatcher, admission.load_of_others, admission.conserves_work
+        )
+        self._gate = AdmissionGate(
+            admission,
+            lambda: self.draining,
+            lambda pool, outcome: metrics.waited.labels(pool, outcome).inc(),
         )
         self._ended_requests = 0
         self.refusals = EarlyRefusals(view, dialect, metrics, rng, self._overload)
@@ -175,7 +179,7 @@
                 # What can be refused by the head is, before its body is read.
                 self._check_shutdown(exchange)
                 self._relay.guard.admit(exchange)
-                within_share = self._check_fair_share(exchange, limits)
+                within_share = await self._check_fair_share(exchange, limits)
                 self._check_overload(exchange, within_share)
                 await self._read_body(caller, limits, exchange)
                 # A stop may have begun since.
@@ -328,7 +332,9 @@
         if late:
             raise refuse("shutting-down", retry_after_s=OTHER_ROUTER_RETRY_S)
 
-    def _check_fair_share(self, exchange: Exchange, limits: RequestLimits) -> bool:
+    async def _check_fair_share(
+        self, exchange: Exchange, limits: RequestLimits
+    ) -> bool:
         """Refuse requests that would wait too long, fairly between workspaces.
 
         Returns whether the workspace is within its share.
@@ -352,8 +358,7 @@
             now_s,
         )
         if self._admission.conserves_work(pool.name):
-            request = self._admission_request(exchange, tokens, throughput, now_s)
-            decision = self._admission.decide_conserving(request, now_s)
+            decision = await self._decide_by_room(exchange, tokens, throughput, now_s)
         else:
             decision = self._decide_by_share(exchange, tokens, throughput, now_s)
         if decision.reason == ROOM:
@@ -400,6 +405,30 @@
             throughput.limited_per_s,
         )
 
+    async def _decide_by_room(
+        self,
+        exchange: Exchange,
+        tokens: float,
+        throughput: ServiceThroughput,
+        now_s: float,
+    ) -> AdmissionDecision:
+        """Decide on a request; it waits if it may begin in time later."""
+
+        def ask(at_s: float) -> AdmissionRequest:
+            return self._admission_request(exchange, tokens, throughput, at_s)
+
+        request = ask(now_s)
+        decision = self._admission.decide_conserving(request, now_s)
+        if decision.admitted:
+            return decision
+        latest_s = self._gate.may_wait(decision, request.objective_s, now_s)
+        if latest_s is None:
+            return decision
+        latest_s = min(latest_s, exchange.deadline_s)
+        return await self._gate.wait(
+            ask, decision, latest_s, exchange.route.priority, exchange.caller_closed
+        )
+
     def _admission_request(
         self,
         exchange: Exchange,
@@ -408,9 +437,10 @@
         now_s: float,
     ) -> AdmissionRequest:
         pool, prompt = exchange.pool, exchange.metadata.prompt
-        dispatcher = self._relay.dispatcher
+        hold_s = self._admission.settings.hold_s
         target_s = exchange.route.target_latency_s or DEFAULT_TARGET_S
-        elapsed_s = _elapsed_s(exchange.route, exchange.metadata)
+        known_after_s = self._admission.settings.returned_after_s
+        elapsed_s = _elapsed_s(exchange.route, exchange.metadata, known_after_s)
         left_s = target_s - elapsed_s - (now_s - exchange.arrived_s)
         return AdmissionRequest(
             pool.name,
@@ -418,7 +448,7 @@
             tokens,
             throughput.nominal_per_s,
             lambda: self._room.load(pool.name, now_s),
-            lambda: dispatcher.queue_wait_s(pool, prompt, now_s) / target_s,
+            lambda: self._room.wait_s(pool.name, hold_s, now_s) / target_s,
             lambda: self._room.has_room(pool.name, prompt, target_s, now_s),
             left_s,
             elapsed_s > 0.0,
@@ -463,6 +493,7 @@
 
     def _give_back(self, exchange: Exchange | None) -> None:
         """Return the share of a request that was admitted and did not begin."""
+        self._gate.wake()
         if exchange is None or not exchange.admitted_tokens or exchange.started:
             return
         self._admission.give_back(
@@ -567,15 +598,12 @@
     return allowed_s
 
 
-def _elapsed_s(route: Route, metadata: RequestMetadata) -> float:
-    """Return the time since the first attempt of a caller that was refused, else 0.
-
-    A caller that comes back states what is left of the time that its route gives it.
-    """
+def _elapsed_s(route: Route, metadata: RequestMetadata, known_after_s: float) -> float:
+    """Return the time since the first attempt of a caller that was refused, else 0."""
     if not route.timeout_s or metadata.caller_timeout_s is None:
         return 0.0
     elapsed_s = route.timeout_s - metadata.caller_timeout_s
-    return elapsed_s if elapsed_s > FIRST_ATTEMPT_TOLERANCE_S else 0.0
+    return elapsed_s if elapsed_s > known_after_s else 0.0
 
 
 def _declared_bytes(headers: Headers, limits: RequestLimits) -> int:
