--- a/src/carobstair/edge/router.py
+++ b/src/carobstair/edge/router.py
@@ -10,6 +10,7 @@
 import signal
 import time
 from collections.abc import Callable
+from dataclasses import replace
 
 import msgspec
 from prometheus_client import generate_latest
@@ -64,6 +65,14 @@
 MAX_LOGGED_LIMITS = 8
 # Changed objects listed in one log line.
 MAX_LOGGED_NAMES = 16
+# A digest has some hundred bytes, and a list of all objects some 100 kB, which is
+# fetched from one peer.
+PEER_LIMITS = PeerLimits(
+    burst_bytes=512 * 1024,
+    bytes_per_s=4 * 1024 * 1024,
+    total_burst_bytes=4 * 1024 * 1024,
+    total_bytes_per_s=16 * 1024 * 1024,
+)
 # Settings applied on reload. The others, such as addresses and placement, are read
 # once at start.
 RELOADABLE = frozenset({"send_limits", "stop"})
@@ -185,7 +194,7 @@
             listen,
             LinkKeys(),
             self.metrics,
-            PeerLimits(listen.max_peer_connections),
+            replace(PEER_LIMITS, max_connections=listen.max_peer_connections),
         )
         self._transport = transport
         self._gossip = Gossip(
--- a/src/carobstair/net/peer_guard.py
+++ b/src/carobstair/net/peer_guard.py
@@ -31,6 +31,9 @@
 # For new connections: on loopback a crowd sends 100 MB in 0.1 s.
 YOUNG_INTERVAL_S = 0.01
 YOUNG_S = 2.0
+# A late event loop sees at once what peers sent in that time; beyond this, memory
+# comes first.
+MAX_REFILL_S = 1.0
 LOG_INTERVAL_S = 1.0
 # Of `struct tcp_info`: tcpi_bytes_received.
 BYTES_RECEIVED = struct.Struct("=Q")
@@ -184,8 +187,8 @@
     def _bound_bytes(self, links: list[_Link], now_s: float) -> None:
         """Shut down connections that send more than they may."""
         limits = self._limits
-        refill = limits.total_bytes_per_s * (now_s - self._measured_s)
-        self._left_bytes = min(limits.total_burst_bytes, self._left_bytes + refill)
+        refill = limits.total_bytes_per_s * min(MAX_REFILL_S, now_s - self._measured_s)
+        self._left_bytes = min(limits.total_burst_bytes, self._left_bytes) + refill
         self._measured_s = now_s
         new_bytes: dict[int, int] = {}
         for link in links:
@@ -195,9 +198,9 @@
                 continue
             sent = received_bytes - link.received_bytes
             link.received_bytes = received_bytes
-            refill = limits.bytes_per_s * (now_s - link.measured_s)
+            refill = limits.bytes_per_s * min(MAX_REFILL_S, now_s - link.measured_s)
             link.measured_s = now_s
-            link.left_bytes = min(limits.burst_bytes, link.left_bytes + refill) - sent
+            link.left_bytes = min(limits.burst_bytes, link.left_bytes) + refill - sent
             new_bytes[link.descriptor] = sent
             self._left_bytes -= sent
             if link.left_bytes < 0:
