Let one address have nine tenths of the connections

Three quarters were fewer than the number from which answers close their connections, so callers behind one balancer would have lost idle connections without being told.

--- a/src/carobstair/net/connection_limits.py
+++ b/src/carobstair/net/connection_limits.py
@@ -84,7 +84,8 @@
     max_connections : int
         Fewer are open if the process may not open enough descriptors.
     address_share : float
-        Largest share of the connections that one address may have.
+        Largest share of the connections that one address may have. All callers may
+        come through one balancer, so answers close connections before this limit.
     max_held_bytes : int
         Memory for unfinished heads, requests that wait for an earlier one on their
         connection, and unread answers.
@@ -93,7 +94,7 @@
     """
 
     max_connections: int = 4_096
-    address_share: float = 0.75
+    address_share: float = 0.9
     max_held_bytes: int = 32 * 1024 * 1024
     stall_s: float = 20.0
 
