Add carobstair-ticket check

Faults in a ticket or a routing configuration showed only once routers had taken it. The new command reports errors that routers refuse, entries that never match, limits that contradict each other, and differences from a document in force. The tickets in examples/ have no findings.

--- /dev/null
+++ b/src/carobstair/cli/config_check.py
@@ -0,0 +1,155 @@
+"""Command ``carobstair-ticket check``: reads documents and prints the findings."""
+
+from __future__ import annotations
+
+import json
+import uuid
+from collections import Counter
+from collections.abc import Mapping
+from dataclasses import dataclass, replace
+from pathlib import Path
+
+import msgspec
+
+from carobstair.cli.program import EXIT_FAILED, EXIT_USAGE, fail
+from carobstair.core.config_check import (
+    CheckSettings,
+    Finding,
+    check_routing,
+    check_ticket,
+    format_path,
+    state_of_ticket,
+    unreadable,
+)
+from carobstair.core.routing import RoutingConfig
+from carobstair.core.state import FleetState
+from carobstair.models import (
+    ModelError,
+    decode_state,
+    decode_ticket,
+    encode_core_ticket,
+    invalid_fields,
+)
+from carobstair.platform.config_check import FIELD_NAMES, is_routing, parse_routing
+
+__all__ = ["check_documents"]
+
+_FIELDS = msgspec.json.Decoder(dict[str, msgspec.Raw])
+
+
+@dataclass(frozen=True, slots=True)
+class _Document:
+    """A file that holds a JSON object.
+
+    Attributes
+    ----------
+    is_routing : bool
+        Whether it is a routing configuration; otherwise it is a ticket, or a
+        snapshot of the fleet state.
+    """
+
+    path: Path
+    data: bytes
+    fields: frozenset[str]
+    is_routing: bool
+
+
+def check_documents(
+    path: Path, in_force: Path | None, as_json: bool, settings: CheckSettings
+) -> int:
+    """Check a document, print what was found, and return the exit status."""
+    document = _read(path)
+    other = _read(in_force) if in_force is not None else None
+    if other is not None and other.is_routing is not document.is_routing:
+        fail(f"{path} and {in_force} are documents of two kinds", EXIT_USAGE)
+    if document.is_routing:
+        known = _routing_in_force(other) if other is not None else None
+        config, problems = parse_routing(document.data)
+        if config is None:
+            findings = unreadable(problems)
+        else:
+            findings = check_routing(config, known, settings)
+        names = FIELD_NAMES
+    else:
+        state = _state_in_force(other) if other is not None else None
+        findings = _check_ticket(document.data, state)
+        names = {}
+    if as_json:
+        _print_json(document, findings, names)
+    else:
+        _print_text(path, findings, names)
+    return EXIT_FAILED if findings else 0
+
+
+def _read(path: Path) -> _Document:
+    try:
+        data = path.read_bytes()
+        fields = frozenset(_FIELDS.decode(data))
+    except (OSError, msgspec.DecodeError, RecursionError) as error:
+        fail(f"{path}: {error}", EXIT_USAGE)
+    return _Document(path, data, fields, is_routing(fields))
+
+
+def _routing_in_force(document: _Document) -> RoutingConfig:
+    config, problems = parse_routing(document.data)
+    if config is None:
+        _, text = problems[0]
+        fail(f"{document.path}: {text}", EXIT_USAGE)
+    return config
+
+
+def _state_in_force(document: _Document) -> FleetState:
+    try:
+        if "submissions" in document.fields:
+            return decode_state(document.data)
+        return state_of_ticket(decode_ticket(document.data))
+    except ModelError as error:
+        fail(f"{document.path}: {error}", EXIT_USAGE)
+
+
+def _check_ticket(data: bytes, in_force: FleetState | None) -> list[Finding]:
+    try:
+        ticket = decode_ticket(data)
+    except ModelError as error:
+        return unreadable(invalid_fields(error))
+    # As it is stored: filing adds what is missing.
+    filed = replace(
+        ticket,
+        number=ticket.number or 1,
+        submission_id=ticket.submission_id or uuid.UUID(int=0).hex,
+    )
+    return check_ticket(ticket, len(encode_core_ticket(filed)), in_force)
+
+
+def _print_json(
+    document: _Document, findings: list[Finding], names: Mapping[str, str]
+) -> None:
+    rows = [
+        {
+            "rule": finding.rule,
+            "severity": finding.severity.value,
+            "path": format_path(finding.path, names),
+            "message": finding.message,
+            "action": finding.action,
+        }
+        for finding in findings
+    ]
+    kind = "configuration" if document.is_routing else "ticket"
+    print(json.dumps({"document": kind, "findings": rows}, indent=2))
+
+
+def _print_text(path: Path, findings: list[Finding], names: Mapping[str, str]) -> None:
+    for finding in findings:
+        place = format_path(finding.path, names)
+        line = f"{place}: {finding.severity} {finding.rule}: {finding.message}"
+        print(_printable(f"{line} {finding.action}"))
+    counts = Counter(finding.severity.value for finding in findings)
+    parts = [f"{severity} {count}" for severity, count in counts.items()]
+    print(f"{path}: {', '.join(parts) or 'nothing found'}")
+
+
+def _printable(text: str) -> str:
+    """Escape control characters, which names of routes may hold."""
+    return "".join(
+        c if c.isprintable() else c.encode("unicode_escape").decode() for c in text
+    )
--- a/src/carobstair/cli/ticket.py
+++ b/src/carobstair/cli/ticket.py
@@ -1,7 +1,8 @@
-"""Program ``carobstair-ticket``: files change tickets and shows which are in force.
+"""Program ``carobstair-ticket``: checks, files and shows change tickets.
 
 Exit statuses: 0 success; 1 refused, nothing was written; 2 invalid argument or
-settings; 3 not in force on all instances; 4 no response, or outcome unknown.
+settings; 3 not in force on all instances; 4 no response, or outcome unknown. Of
+``check``: 0 nothing found; 1 findings; 2 a file can't be read.
 """
 
 from __future__ import annotations
@@ -15,10 +16,14 @@
 import uuid
 from dataclasses import dataclass
 from pathlib import Path
+from typing import Annotated
 
+from cyclopts import Parameter
 from pydantic import Field
 
+from carobstair.cli.config_check import check_documents
 from carobstair.cli.program import EXIT_FAILED, fail, make_app, read_settings, run
+from carobstair.core.config_check import DEFAULT_BODY_MEMORY_BYTES, CheckSettings
 from carobstair.models import ModelError, TicketModel, encode_ticket, parse_model
 from carobstair.settings import ProgramSettings, Section
 
@@ -161,6 +166,31 @@
     print(f"{ticket}: valid")
 
 
+@app.command(name="check")
+def check_document(
+    document: Path,
+    *,
+    in_force: Path | None = None,
+    as_json: Annotated[bool, Parameter(name="--json")] = False,
+    body_memory_bytes: int = DEFAULT_BODY_MEMORY_BYTES,
+) -> None:
+    """Check a ticket or a routing configuration, and what it changes for callers.
+
+    Parameters
+    ----------
+    document : Path
+        JSON file.
+    in_force : Path
+        JSON file of the configuration, ticket or snapshot to compare with.
+    as_json : bool
+        Print the findings as JSON.
+    body_memory_bytes : int
+        Memory for request bodies of the smallest router.
+    """
+    settings = CheckSettings(body_memory_bytes)
+    sys.exit(check_documents(document, in_force, as_json, settings))
+
+
 def main() -> None:
     """Run the program."""
     run(app)
--- a/src/carobstair/models.py
+++ b/src/carobstair/models.py
@@ -40,6 +40,7 @@
     "encode_epoch",
     "encode_state",
     "encode_ticket",
+    "invalid_fields",
 ]
 
 Name = Annotated[str, StringConstraints(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")]
@@ -187,6 +188,18 @@
     return "; ".join(lines[:5])
 
 
+def invalid_fields(error: ModelError) -> list[tuple[tuple[str | int, ...], str]]:
+    """Return the path of each invalid field, and why it is invalid."""
+    cause = error.__cause__
+    if not isinstance(cause, ValidationError):
+        return [((), str(error))]
+    return [
+        # An invalid name is located as "[key]" below itself.
+        (tuple(part for part in item["loc"] if part != "[key]"), item["msg"])
+        for item in cause.errors(include_url=False, include_context=False)
+    ]
+
+
 def encode_ticket(ticket: TicketModel) -> bytes:
     """Return a ticket as the JSON that is stored in the object API."""
     return ticket.model_dump_json(exclude_defaults=True).encode()
--- a/src/carobstair/platform/documents.py
+++ b/src/carobstair/platform/documents.py
@@ -36,6 +36,7 @@
     "decode_rollout",
     "decode_routing",
     "decode_upstream",
+    "read_routing",
     "rollout_status",
 ]
 
@@ -166,10 +167,21 @@
 def decode_routing(spec: bytes) -> RoutingConfig | None:
     """Return the routing configuration from a ``config`` document."""
     try:
-        config = _CONFIG.decode(spec)
+        return read_routing(spec)
     except (msgspec.DecodeError, RecursionError) as error:
         logger.warning("configuration_unreadable", error=str(error))
         return None
+
+
+def read_routing(spec: bytes) -> RoutingConfig:
+    """Return the routing configuration from a ``config`` document.
+
+    Raises
+    ------
+    msgspec.DecodeError, RecursionError
+        If it can't be read.
+    """
+    config = _CONFIG.decode(spec)
     return RoutingConfig(
         config.version,
         tuple(map(_route, config.routes)),
