--- a/src/carobstair/core/config_check/check.py
+++ b/src/carobstair/core/config_check/check.py
@@ -6,6 +6,7 @@
 
 from carobstair.core.config_check.differences import differences
 from carobstair.core.config_check.errors import (
+    document_bounds,
     ticket_number,
     ticket_size,
     version_number,
@@ -23,6 +24,7 @@
 
 def check_routing(
     config: RoutingConfig,
+    document: bytes,
     in_force: RoutingConfig | None = None,
     settings: CheckSettings | None = None,
 ) -> list[Finding]:
@@ -30,11 +32,14 @@
 
     Parameters
     ----------
+    document : bytes
+        What the configuration was read from.
     in_force : RoutingConfig, optional
         Configuration to compare with.
     """
+    findings = document_bounds(document)
     # Routers start at version 0 and only take newer ones.
-    findings = version_number(config.version, in_force.version if in_force else 0)
+    findings += version_number(config.version, in_force.version if in_force else 0)
     findings += unreachable_entries(config)
     findings += contradicting_limits(config, settings or CheckSettings())
     if in_force is not None:
