--- a/src/carobstair/cli/config_check.py
+++ b/src/carobstair/cli/config_check.py
@@ -68,7 +68,7 @@
         if config is None:
             findings = unreadable(problems)
         else:
-            findings = check_routing(config, document.data, known, settings)
+            findings = check_routing(config, known, settings)
         names = FIELD_NAMES
     else:
         state = _state_in_force(other) if other is not None else None
--- a/src/carobstair/core/document_bounds.py
+++ b/src/carobstair/core/document_bounds.py
@@ -4,7 +4,7 @@
 
 import re
 
-__all__ = ["MAX_DOCUMENT_BYTES", "MAX_NESTING", "is_within_bounds"]
+__all__ = ["is_within_bounds"]
 
 MAX_DOCUMENT_BYTES = 256 * 1024
 # Far below the depth at which decoders give up, wherever they are called.
