Compare a ticket with all tickets before it

Changed tuples and engine shapes are printed as words instead of class names. The tickets in examples/ have no findings, which a test now checks.

--- a/src/carobstair/cli/config_check.py
+++ b/src/carobstair/cli/config_check.py
@@ -5,7 +5,7 @@
 import json
 import uuid
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, replace
 from pathlib import Path
 
@@ -55,15 +55,25 @@
 
 
 def check_documents(
-    path: Path, in_force: Path | None, as_json: bool, settings: CheckSettings
+    path: Path, in_force: Sequence[Path], as_json: bool, settings: CheckSettings
 ) -> int:
-    """Check a document, print what was found, and return the exit status."""
+    """Check a document, print what was found, and return the exit status.
+
+    Parameters
+    ----------
+    in_force : sequence of Path
+        A configuration; or a snapshot, a ticket or several, in the order in which
+        they were filed. Empty if there is nothing to compare with.
+    """
     document = _read(path)
-    other = _read(in_force) if in_force is not None else None
-    if other is not None and other.is_routing is not document.is_routing:
-        fail(f"{path} and {in_force} are documents of two kinds", EXIT_USAGE)
+    others = [_read(other) for other in in_force]
+    for other in others:
+        if other.is_routing is not document.is_routing:
+            fail(f"{path} and {other.path} are documents of two kinds", EXIT_USAGE)
     if document.is_routing:
-        known = _routing_in_force(other) if other is not None else None
+        if len(others) > 1:
+            fail("only one configuration can be in force", EXIT_USAGE)
+        known = _routing_in_force(others[0]) if others else None
         config, problems = parse_routing(document.data)
         if config is None:
             findings = unreadable(problems)
@@ -71,7 +81,9 @@
             findings = check_routing(config, known, settings)
         names = FIELD_NAMES
     else:
-        state = _state_in_force(other) if other is not None else None
+        state = None
+        for other in others:
+            state = _state_after(other, state)
         findings = _check_ticket(document.data, state)
         names = {}
     if as_json:
@@ -98,11 +110,12 @@
     return config
 
 
-def _state_in_force(document: _Document) -> FleetState:
+def _state_after(document: _Document, state: FleetState | None) -> FleetState:
+    """Return a snapshot, or the state after a ticket that follows a state."""
     try:
         if "submissions" in document.fields:
             return decode_state(document.data)
-        return state_of_ticket(decode_ticket(document.data))
+        return state_of_ticket(decode_ticket(document.data), state)
     except ModelError as error:
         fail(f"{document.path}: {error}", EXIT_USAGE)
 
--- a/src/carobstair/cli/ticket.py
+++ b/src/carobstair/cli/ticket.py
@@ -170,7 +170,7 @@
 def check_document(
     document: Path,
     *,
-    in_force: Path | None = None,
+    in_force: list[Path] | None = None,
     as_json: Annotated[bool, Parameter(name="--json")] = False,
     body_memory_bytes: int = DEFAULT_BODY_MEMORY_BYTES,
 ) -> None:
@@ -180,15 +180,16 @@
     ----------
     document : Path
         JSON file.
-    in_force : Path
-        JSON file of the configuration, ticket or snapshot to compare with.
+    in_force : list of Path
+        JSON file of the configuration or fleet state to compare with. The state is a
+        snapshot, or all tickets in order, each with its own --in-force.
     as_json : bool
         Print the findings as JSON.
     body_memory_bytes : int
         Memory for request bodies of the smallest router.
     """
     settings = CheckSettings(body_memory_bytes)
-    sys.exit(check_documents(document, in_force, as_json, settings))
+    sys.exit(check_documents(document, in_force or (), as_json, settings))
 
 
 def main() -> None:
--- a/src/carobstair/core/config_check/differences.py
+++ b/src/carobstair/core/config_check/differences.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
+from dataclasses import asdict, is_dataclass
 
 from carobstair.core.config_check.findings import Finding, Path, Severity
 from carobstair.core.routing import Route, RoutingConfig, ServicePool
@@ -251,8 +252,14 @@
 
 
 def _text(value: object) -> str:
-    if value is None:
+    if value is None or value in ("", ()):
         return "none"
     if isinstance(value, bool):
         return "yes" if value else "no"
-    return f"{value:g}" if isinstance(value, float) else str(value)
+    if isinstance(value, float):
+        return f"{value:g}"
+    if isinstance(value, tuple):
+        return "; ".join(map(_text, value))
+    if is_dataclass(value):
+        return " ".join(f"{n}={_text(v)}" for n, v in asdict(value).items())
+    return str(value)
--- a/tests/test_config_check.py
+++ b/tests/test_config_check.py
@@ -33,6 +33,7 @@
 from carobstair.platform.documents import decode_routing, decode_upstream
 from platform_standins import make_config, make_route
 
+EXAMPLES = Path(__file__).resolve().parent.parent / "examples"
 KEY = "0" * 64
 OTHER_KEY = "1" * 64
 MAX_CHECK_S = 1.0
@@ -251,6 +252,9 @@
         self.check(new, "service-added")
         self.check(make_config(), "service-removed", old=new)
         self.check(with_service(maxConnections=80), "service-changed")
+        shape = {"slots": 9, "kvCapacityTokens": 70}
+        (found,) = self.check(with_service(engine=shape), "service-changed")
+        self.assertIn("engine changes from none to slots=9 kv_tokens=70", found.message)
         limits = make_config()["limits"] | {"maxBodyBytes": 1}
         self.check(make_config(limits=limits), "limit-changed")
 
@@ -361,6 +365,10 @@
         self.check({"upstreams": {"e": engine(state="leaving")}}, "upstream-changed")
         self.check({"upstreams": {"e": None}}, "upstream-removed")
         self.check({"upstreams": {"f": engine()}}, "upstream-added")
+        self.check({"workspaces": {"w": None}}, "workspace-removed")
+        self.check({"zones": {"z0": None}}, "zone-removed")
+        more = workspace(pools=["m", "s", "x"])
+        self.check({"workspaces": {"w": more}}, "pool-added")
         self.check({"zones": {"z0": {"in_service": False}}}, "zone-changed")
 
 
@@ -487,18 +495,16 @@
         self.assertEqual(counts, expected | {"pool-without-upstream": 2_000})
 
 
-def run_program(document, in_force=None, *, as_json=True):
+def run_program(document, *in_force, as_json=True):
     """Run the check on documents, given as values or bytes; return status and text."""
     out = io.StringIO()
     with tempfile.TemporaryDirectory() as folder:
         arguments = ["check"]
-        for name, value in (("new", document), ("old", in_force)):
-            if value is None:
-                continue
-            path = Path(folder, f"{name}.json")
+        for index, value in enumerate((document, *in_force)):
+            path = Path(folder, f"{index}.json")
             data = value if isinstance(value, bytes) else json.dumps(value).encode()
             path.write_bytes(data)
-            arguments += ["--in-force", str(path)] if name == "old" else [str(path)]
+            arguments += ["--in-force", str(path)] if index else [str(path)]
         with contextlib.redirect_stdout(out), contextlib.redirect_stderr(out):
             try:
                 program.app(
@@ -524,6 +530,14 @@
         self.assertEqual(run_program(make_config(), make_ticket())[0], 2)
         self.assertEqual(run_program(make_ticket(), {"zones": 1})[0], 2)
 
+    def test_tickets_of_the_examples_have_no_findings(self):
+        paths = sorted(EXAMPLES.glob("*/ticket*.json"))
+        self.assertTrue(paths)
+        for path in paths:
+            with self.subTest(path):
+                status, text = run_program(path.read_bytes())
+                self.assertEqual(status, 0, text)
+
     def test_json_names_the_fields_of_the_document(self):
         status, text = run_program(with_route(timeoutMs=100))
         found = json.loads(text)
@@ -539,6 +553,15 @@
         self.assertIn("a\\x1b[2J\\nb", text)
         self.assertEqual(len(text.splitlines()), 2)
 
+    def test_several_tickets_in_force_apply_in_order(self):
+        tickets = [make_ticket(), {"upstreams": {"f": engine()}}]
+        document = {"upstreams": {"f": None}}
+        _, text = run_program(document, *tickets)
+        (finding,) = json.loads(text)["findings"]
+        self.assertEqual(finding["rule"], "upstream-removed")
+        two = make_config(1), make_config(2)
+        self.assertEqual(run_program(make_config(3), *two)[0], 2)
+
     def test_snapshot_in_force(self):
         ticket = decode_ticket(json.dumps(make_ticket(number=1)).encode())
         snapshot = encode_state(state_of_ticket(ticket))
