Admit by room while little is known of what engines take

A pool whose configured throughput is far below what its engines take refused 59 of 60 requests to an idle engine: room was given in proportion to the estimate of the throughput. Below a quarter of the target load any request is admitted that an engine has room for, and what the router's own requests free is counted at once.

--- a/src/carobstair/core/admission/__init__.py
+++ b/src/carobstair/core/admission/__init__.py
@@ -6,8 +6,9 @@
 take, and `EngineRoom` tells whether one has room for a request.
 """
 
-from carobstair.core.admission.conserving import ROOM, AdmissionRequest
+from carobstair.core.admission.conserving import ROOM
 from carobstair.core.admission.fair_admission import FairAdmission
+from carobstair.core.admission.request import AdmissionRequest
 from carobstair.core.admission.room import EngineLoad, EngineRoom
 from carobstair.core.admission.settings import AdmissionDecision, AdmissionSettings
 from carobstair.core.admission.shares import max_min_shares
--- a/src/carobstair/core/admission/conserving.py
+++ b/src/carobstair/core/admission/conserving.py
@@ -9,21 +9,27 @@
 
 import math
 import random
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 from carobstair.core.admission.demand_book import DemandBook
+from carobstair.core.admission.request import AdmissionRequest
 from carobstair.core.admission.room import EngineLoad
 from carobstair.core.admission.settings import AdmissionDecision, AdmissionSettings
 from carobstair.core.admission.supply import SupplyControl
 from carobstair.core.share_messages import PoolDemand, ShareTotals
 
-__all__ = ["ROOM", "AdmissionRequest", "WorkConservingShares"]
+__all__ = ["ROOM", "WorkConservingShares"]
 
 # Reason of requests that are admitted beyond their share.
 ROOM = "room"
 # Time in which a waiting request asks for room as often as an arriving one.
 ROOM_INTERVAL_S = 0.2
+# A lower demand does not count, to divide by.
+MIN_DEMAND_PER_S = 1.0
+# Load below which any request is admitted for which an engine has room: then too little
+# is known of what engines take, which may be many times the configured throughput.
+EMPTY_LOAD = 0.25
 # Load for which unread prompts count at most. Those of a few crowded engines would
 # otherwise stop the admission to all others.
 MAX_WAIT_LOAD = 1.2
@@ -34,40 +40,6 @@
 RETRY_PER_LOAD_S = 1.0
 
 
-@dataclass(slots=True)
-class AdmissionRequest:
-    """A request on whose admission is decided.
-
-    Attributes
-    ----------
-    tokens : float
-        Weighted tokens.
-    capacity, limited_per_s : float
-        Nominal throughput of the engines, and that of engines that limit requests.
-    engines : callable
-        Returns the load of the engines.
-    wait : callable
-        Returns the expected wait for the first token as a fraction of the objective.
-    room : callable
-        Returns whether an engine has room for the request now.
-    objective_s : float
-        Time that is left of the objective for the first token.
-    returned : bool
-        Whether the caller was refused before.
-    """
-
-    pool: str
-    workspace: str
-    tokens: float
-    capacity: float
-    engines: Callable[[], EngineLoad]
-    wait: Callable[[], float] = lambda: 0.0
-    room: Callable[[], bool] = lambda: False
-    objective_s: float = 1.0
-    returned: bool = False
-    limited_per_s: float = 0.0
-
-
 @dataclass(slots=True)
 class _Credit:
     """Tokens that a workspace beyond its share may still begin.
@@ -132,13 +104,7 @@
         rate_before, own_rate, drained = self.book.add(*key, request.tokens, now_s)
         if request.returned:
             self.book.note_returned(*key, request.tokens, now_s)
-        pool = self._pool(request)
-        if pool.control.is_due(now_s):
-            self.correct(request.pool, request.engines(), now_s)
-        if now_s - pool.computed_s >= settings.shares_ttl_s:
-            self._compute_shares(request.pool, pool, now_s)
-        demand = own_rate + pool.others.get(request.workspace, 0.0)
-        first = pool.first.get(request.workspace, demand)
+        pool, demand, first = self._shares(request, own_rate, now_s)
         share = min(first, pool.level)
         if first <= pool.level:
             self._credits.pop(key, None)
@@ -182,13 +148,7 @@
         settings = self.settings
         key = request.pool, request.workspace
         rate_before, own_rate, drained = self.book.add(*key, 0.0, now_s)
-        pool = self._pool(request)
-        if pool.control.is_due(now_s):
-            self.correct(request.pool, request.engines(), now_s)
-        if now_s - pool.computed_s >= settings.shares_ttl_s:
-            self._compute_shares(request.pool, pool, now_s)
-        demand = max(own_rate + pool.others.get(request.workspace, 0.0), 1.0)
-        first = pool.first.get(request.workspace, demand)
+        pool, demand, first = self._shares(request, own_rate, now_s)
         share = min(first, pool.level)
         reason = ""
         if first <= pool.level:
@@ -304,6 +264,19 @@
         """Drop what is known of a workspace that asks no more."""
         self._credits.pop(key, None)
 
+    def _shares(
+        self, request: AdmissionRequest, own_rate: float, now_s: float
+    ) -> tuple[_Pool, float, float]:
+        """Return the pool, and its workspace's demand with and without repetitions."""
+        pool = self._pool(request)
+        if pool.control.is_due(now_s):
+            self.correct(request.pool, request.engines(), now_s)
+        if now_s - pool.computed_s >= self.settings.shares_ttl_s:
+            self._compute_shares(request.pool, pool, now_s)
+        demand = own_rate + pool.others.get(request.workspace, 0.0)
+        demand = max(demand, MIN_DEMAND_PER_S)
+        return pool, demand, pool.first.get(request.workspace, demand)
+
     def _pool(self, request: AdmissionRequest) -> _Pool:
         pool = self.pools.get(request.pool)
         if pool is None:
@@ -355,6 +328,8 @@
         return credit
 
     def _has_room(self, request: AdmissionRequest, pool: _Pool) -> bool:
+        if pool.control.ahead < EMPTY_LOAD:
+            return request.room()
         # Many routers see the same free slot.
         room_per_s = pool.capacity * pool.control.room()
         if self.rng.random() * pool.excess_per_s >= room_per_s:
--- a/src/carobstair/core/admission/fair_admission.py
+++ b/src/carobstair/core/admission/fair_admission.py
@@ -24,11 +24,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
-from carobstair.core.admission.conserving import (
-    AdmissionRequest,
-    WorkConservingShares,
-)
+from carobstair.core.admission.conserving import WorkConservingShares
 from carobstair.core.admission.demand_book import DemandBook
+from carobstair.core.admission.request import AdmissionRequest
 from carobstair.core.admission.room import EngineLoad
 from carobstair.core.admission.settings import AdmissionDecision, AdmissionSettings
 from carobstair.core.admission.shares import max_min_shares
--- a/src/carobstair/core/admission/room.py
+++ b/src/carobstair/core/admission/room.py
@@ -75,8 +75,8 @@
 class EngineRoom:
     """Answers whether an engine would begin a request within its objective.
 
-    Engines that stall or fail are left out. What the router sends after the load was
-    read is counted by `note_sent`.
+    Engines that stall or fail are left out. What the router sends, and what ends, after
+    the load was read is counted.
 
     Parameters
     ----------
@@ -117,9 +117,11 @@
         names = list(load.free)
         limit_s = OBJECTIVE_PART * objective_s
         for name in rng.sample(names, min(TRIED_ENGINES, len(names))):
+            sent = loads.own_running(name) - load.own.get(name, 0)
+            if sent >= load.free[name]:
+                continue
             unread = loads.uncached_tokens(name, prompt)
             if load.wait_s + unread / loads.settings.prefill_tokens_per_s <= limit_s:
-                self._take(load, name)
                 return True
         return False
 
@@ -153,12 +155,6 @@
             return load.wait_s
         return load.wait_s + hold_s * load.least_excess
 
-    def _take(self, load: EngineLoad, name: str) -> None:
-        """Count a request that will be sent. It need not reach the same engine."""
-        load.free[name] -= 1
-        if load.free[name] <= 0:
-            del load.free[name]
-
     def _read(self, service: str, now_s: float) -> EngineLoad:
         dispatcher = self.dispatcher
         loads, settings = dispatcher.loads, dispatcher.loads.settings
--- a/src/carobstair/core/admission/settings.py
+++ b/src/carobstair/core/admission/settings.py
@@ -108,7 +108,7 @@
     lag_s: float = 0.4
     fill_gain: float = 1.2
     least_part: float = 0.5
-    room_fill: float = 0.5
+    room_fill: float = 2.0
     beyond_max_wait: float = 0.5
     max_debt_s: float = 1.0
     return_credit_s: float = 0.25
--- a/src/carobstair/core/admission/waiting_room.py
+++ b/src/carobstair/core/admission/waiting_room.py
@@ -5,7 +5,7 @@
 from collections.abc import Collection
 from dataclasses import dataclass, field
 
-from carobstair.core.admission.conserving import AdmissionRequest
+from carobstair.core.admission.request import AdmissionRequest
 from carobstair.core.admission.settings import AdmissionSettings
 
 __all__ = ["WaitingRequest", "WaitingRoom"]
--- a/tests/test_admission_gate.py
+++ b/tests/test_admission_gate.py
@@ -14,6 +14,8 @@
 from carobstair.core.refusals import Refusal
 from carobstair.edge.admission_gate import AdmissionGate
 from carobstair.edge.exchange import CallerLeft
+from edge_test_case import EdgeCase
+from platform_standins import make_config
 
 REFUSED = AdmissionDecision(False, 1.0, 2.0, retry_after_s=0.01)
 ADMITTED = AdmissionDecision(True, 1.0, 2.0)
@@ -94,5 +96,40 @@
         self.assertIsNone(self.gate.may_wait(REFUSED, 0.01, 0.0))
 
 
+class WorkConservingEdgeTest(EdgeCase):
+    """Guards against refusals by a configured throughput while engines are idle."""
+
+    async def start_engine(self):
+        service = {
+            "name": "plain",
+            "healthPath": "/health",
+            "maxConnections": 90,
+            "engine": {"slots": 8, "kvCapacityTokens": 100_000},
+        }
+        limits = {"maxHeaderBytes": 16384, "maxBodyBytes": 1000, "tokensPerS": 100.0}
+        config = make_config(services=[service], limits=limits)
+        await self.start_upstreams("ok", config=config)
+
+    async def count_answered(self, requests=60):
+        statuses = []
+        for number in range(requests):
+            status, _, _ = await self.call(
+                "/safe/x",
+                attempt_id=f"id{number}",
+                **{"Carobstair-Token-Counts": "1000,10"},
+            )
+            statuses.append(status)
+        return statuses.count(200)
+
+    async def test_requests_beyond_the_share_are_answered_by_idle_engines(self):
+        await self.start_engine()
+        self.app._admission.conserve_work("plain")
+        self.assertEqual(await self.count_answered(), 60)
+
+    async def test_setting_is_off_unless_it_is_given(self):
+        await self.start_engine()
+        self.assertFalse(self.app._admission.conserves_work("plain"))
+
+
 if __name__ == "__main__":
     unittest.main()
