--- /dev/null
+++ b/src/carobstair/scenario/load_router.py
@@ -0,0 +1,130 @@
+"""Routers of a played load: each has its own tracker, directory and admission."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from carobstair.core.admission import (
+    AdmissionDecision,
+    AdmissionRequest,
+    EngineRoom,
+    FairAdmission,
+    WaitingRoom,
+)
+from carobstair.core.directory import UpstreamDirectory, UpstreamEntry
+from carobstair.core.dispatch import Dispatcher
+from carobstair.core.engine_load import LoadTracker, PromptShape
+from carobstair.core.routing import EngineShape, ServicePool
+from carobstair.core.send_limits import ColdSendLimit, ResendLimit, SendLimitSettings
+from carobstair.core.upstream_health import UpstreamHealth
+from carobstair.scenario.load_plan import CallerGroup, LoadPlan
+
+__all__ = ["POOL", "PlayedRequest", "PlayedRouter", "make_router"]
+
+POOL = "model"
+
+
+@dataclass(slots=True, eq=False)
+class PlayedRequest:
+    """A request of a caller, who returns once after a refusal."""
+
+    group: CallerGroup
+    prompt: PromptShape
+    arrived_s: float
+    refusals: int = 0
+    rejected: bool = False
+    waited_s: float = 0.0
+    ended: bool = False
+
+    def weighted_tokens(self, output_weight: float) -> float:
+        """Return the tokens by which the admission counts the request."""
+        return self.prompt.prompt_tokens + output_weight * self.prompt.output_tokens
+
+
+@dataclass(slots=True)
+class PlayedRouter:
+    """A router of the edge without its sockets, and the requests that wait at it."""
+
+    name: str
+    plan: LoadPlan
+    dispatcher: Dispatcher
+    admission: FairAdmission
+    room: EngineRoom
+    waiting: WaitingRoom
+    held: dict[int, PlayedRequest] = field(default_factory=dict)
+
+    @property
+    def loads(self) -> LoadTracker:
+        """Load of the engines as this router knows it."""
+        return self.dispatcher.loads
+
+    @property
+    def pool(self) -> ServicePool:
+        """Pool of the engines."""
+        return ServicePool(POOL, engine=EngineShape(self.plan.spec.slots, 0))
+
+    def decide(self, request: PlayedRequest, now_s: float) -> AdmissionDecision:
+        """Count a request and decide on its admission."""
+        dispatcher, prompt = self.dispatcher, request.prompt
+        settings = self.admission.settings
+        if settings.work_conserving:
+            return self.admission.decide_conserving(self.asked(request, now_s), now_s)
+        return self.admission.decide(
+            POOL,
+            request.group.workspace,
+            request.weighted_tokens(settings.output_weight),
+            dispatcher.throughput(
+                POOL, self.plan.tokens_per_s, 0.0, 1.0, now_s
+            ).nominal_per_s,
+            lambda: dispatcher.pressure(POOL, now_s),
+            now_s,
+            lambda: (
+                dispatcher.queue_wait_s(self.pool, prompt, now_s) / request.group.aim_s
+            ),
+            lambda: dispatcher.slots_used(POOL, now_s),
+        )
+
+    def asked(self, request: PlayedRequest, now_s: float) -> AdmissionRequest:
+        """Return a request as the admission by room sees it now."""
+        dispatcher, group = self.dispatcher, request.group
+        throughput = dispatcher.throughput(
+            POOL, self.plan.tokens_per_s, 0.0, 1.0, now_s
+        )
+        left_s = request.arrived_s + group.aim_s - now_s
+        hold_s = self.admission.settings.hold_s
+        return AdmissionRequest(
+            POOL,
+            group.workspace,
+            request.weighted_tokens(self.admission.settings.output_weight),
+            throughput.nominal_per_s,
+            lambda: self.room.load(POOL, now_s),
+            lambda: self.room.wait_s(POOL, hold_s, now_s) / group.aim_s,
+            lambda: self.room.has_room(POOL, request.prompt, group.aim_s, now_s),
+            left_s,
+            request.refusals > 0,
+        )
+
+
+def make_router(name: str, plan: LoadPlan, engines: Iterable[str]) -> PlayedRouter:
+    """Return a router that knows some engines."""
+    directory = UpstreamDirectory()
+    for engine in engines:
+        entry = UpstreamEntry(engine, POOL, "", 1, "a", plan.spec.slots, False, 0.0, 1)
+        directory.put(entry, 1, 0.0)
+    limits = SendLimitSettings()
+    dispatcher = Dispatcher(
+        name,
+        directory,
+        LoadTracker(plan.placement, "a"),
+        UpstreamHealth(),
+        ColdSendLimit(limits, -10.0),
+        ResendLimit(limits),
+        random.Random(plan.seed),
+    )
+    admission = FairAdmission(plan.admission, random.Random(f"{plan.seed} {name}"))
+    room = EngineRoom(dispatcher, admission.load_of_others, admission.conserves_work)
+    return PlayedRouter(
+        name, plan, dispatcher, admission, room, WaitingRoom(admission.settings)
+    )
--- a/src/carobstair/scenario/overload.py
+++ b/src/carobstair/scenario/overload.py
@@ -12,29 +12,25 @@
 import random
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass, field
 
 from carobstair.core.admission import (
     AdmissionDecision,
-    AdmissionRequest,
-    EngineRoom,
-    FairAdmission,
     WaitingRequest,
-    WaitingRoom,
 )
-from carobstair.core.directory import UpstreamDirectory, UpstreamEntry
-from carobstair.core.dispatch import Dispatcher
-from carobstair.core.engine_load import LoadTracker, PromptShape
+from carobstair.core.engine_load import PromptShape
 from carobstair.core.routing import EngineShape, ServicePool
-from carobstair.core.send_limits import ColdSendLimit, ResendLimit, SendLimitSettings
 from carobstair.core.share_collector import ShareCollector
-from carobstair.core.upstream_health import UpstreamHealth
 from carobstair.scenario.batch_engine import BatchEngine, EngineJob
 from carobstair.scenario.load_plan import CallerGroup, LoadPlan, LoadReport
+from carobstair.scenario.load_router import (
+    POOL,
+    PlayedRequest,
+    PlayedRouter,
+    make_router,
+)
 
 __all__ = ["CallerGroup", "LoadPlan", "LoadReport", "play_load"]
 
-POOL = "model"
 # One way between a router and an engine.
 HOP_S = 0.001
 # Engines count as able to take a request in the ideal case up to this backlog, relative
@@ -49,35 +45,6 @@
 TOTALS_DELAY_S = 0.3
 
 
-@dataclass(slots=True)
-class _Router:
-    name: str
-    dispatcher: Dispatcher
-    admission: FairAdmission
-    room: EngineRoom
-    waiting: WaitingRoom
-    held: dict[int, _Request] = field(default_factory=dict)
-
-    @property
-    def loads(self) -> LoadTracker:
-        return self.dispatcher.loads
-
-
-@dataclass(slots=True, eq=False)
-class _Request:
-    group: CallerGroup
-    prompt: PromptShape
-    arrived_s: float
-    refusals: int = 0
-    rejected: bool = False
-    waited_s: float = 0.0
-    ended: bool = False
-
-    def weighted_tokens(self, output_weight: float) -> float:
-        """Return the tokens by which the admission counts the request."""
-        return self.prompt.prompt_tokens + output_weight * self.prompt.output_tokens
-
-
 def play_load(plan: LoadPlan) -> LoadReport:
     """Play a load and return what the callers got."""
     return _Play(plan).run()
@@ -94,7 +61,8 @@
         }
         self._stepping: set[str] = set()
         self._routers = [
-            self._make_router(f"r{n}") for n in range(len(plan.router_weights))
+            make_router(f"r{n}", plan, self._engines)
+            for n in range(len(plan.router_weights))
         ]
         self._pool = ServicePool(POOL, engine=EngineShape(plan.spec.slots, 0))
         self._collector = ShareCollector()
@@ -102,33 +70,6 @@
         self._on_the_way: Counter[str] = Counter()
         self._report = LoadReport()
 
-    def _make_router(self, name: str) -> _Router:
-        directory = UpstreamDirectory()
-        for engine in self._engines:
-            entry = UpstreamEntry(
-                engine, POOL, "", 1, "a", self._plan.spec.slots, False, 0.0, 1
-            )
-            directory.put(entry, 1, 0.0)
-        limits = SendLimitSettings()
-        dispatcher = Dispatcher(
-            name,
-            directory,
-            LoadTracker(self._plan.placement, "a"),
-            UpstreamHealth(),
-            ColdSendLimit(limits, -10.0),
-            ResendLimit(limits),
-            random.Random(self._plan.seed),
-        )
-        admission = FairAdmission(
-            self._plan.admission, random.Random(f"{self._plan.seed} {name}")
-        )
-        room = EngineRoom(
-            dispatcher, admission.load_of_others, admission.conserves_work
-        )
-        return _Router(
-            name, dispatcher, admission, room, WaitingRoom(admission.settings)
-        )
-
     def run(self) -> LoadReport:
         """Play the whole load."""
         plan = self._plan
@@ -191,47 +132,25 @@
         )
         segments = ((shared, group.shared_tokens), (f"own-{next(self._order)}", own))
         prompt = PromptShape(group.shared_tokens + own, output, segments)
-        self._arrive(_Request(group, prompt, now_s), now_s)
+        self._arrive(PlayedRequest(group, prompt, now_s), now_s)
 
-    def _arrive(self, request: _Request, now_s: float) -> None:
+    def _arrive(self, request: PlayedRequest, now_s: float) -> None:
         router = self._pick_router(request)
         self._note_arrival(request, now_s)
         if self._plan.ideal:
             self._arrive_ideal(request, router, now_s)
             return
-        decision = self._decide(request, router, now_s)
+        decision = router.decide(request, now_s)
         if not decision.admitted:
             if not self._wait(request, router, decision, now_s):
                 self._refuse(request, decision.retry_after_s, now_s)
             return
         self._send(request, router, frozenset(), now_s)
 
-    def _decide(
-        self, request: _Request, router: _Router, now_s: float
-    ) -> AdmissionDecision:
-        dispatcher, prompt = router.dispatcher, request.prompt
-        settings = router.admission.settings
-        if settings.work_conserving:
-            return self._decide_conserving(request, router, now_s)
-        return router.admission.decide(
-            POOL,
-            request.group.workspace,
-            request.weighted_tokens(settings.output_weight),
-            dispatcher.throughput(
-                POOL, self._plan.tokens_per_s, 0.0, 1.0, now_s
-            ).nominal_per_s,
-            lambda: dispatcher.pressure(POOL, now_s),
-            now_s,
-            lambda: (
-                dispatcher.queue_wait_s(self._pool, prompt, now_s) / request.group.aim_s
-            ),
-            lambda: dispatcher.slots_used(POOL, now_s),
-        )
-
     def _wait(
         self,
-        request: _Request,
-        router: _Router,
+        request: PlayedRequest,
+        router: PlayedRouter,
         decision: AdmissionDecision,
         now_s: float,
     ) -> bool:
@@ -241,7 +160,7 @@
         latest_s = request.arrived_s + WAIT_PART * request.group.aim_s
         if now_s + decision.retry_after_s >= latest_s:
             return False
-        asked = self._asked(request, router, now_s)
+        asked = router.asked(request, now_s)
         waiting = WaitingRequest(
             next(self._order), asked, decision.share, now_s, latest_s
         )
@@ -254,12 +173,12 @@
             self._refuse(held, decision.retry_after_s, now_s)
         return True
 
-    def _pump(self, router: _Router, now_s: float) -> None:
+    def _pump(self, router: PlayedRouter, now_s: float) -> None:
         """Let begin what may, as the gate of the edge does."""
         waiting, passed = router.waiting, set()
         for late in waiting.expired(now_s):
             held = router.held.pop(late.request_id)
-            asked = self._asked(held, router, now_s)
+            asked = router.asked(held, now_s)
             decision = router.admission.reconsider(asked, WAIT_TICK_S, now_s)
             if decision.admitted:
                 self._send(held, router, frozenset(), now_s)
@@ -267,7 +186,7 @@
                 self._refuse(held, decision.retry_after_s, now_s)
         while (first := waiting.next(now_s, passed)) is not None:
             held = router.held[first.request_id]
-            asked = self._asked(held, router, now_s)
+            asked = router.asked(held, now_s)
             if router.admission.reconsider(asked, WAIT_TICK_S, now_s).admitted:
                 waiting.begin(first)
                 self._report.waited_begun += 1
@@ -279,34 +198,7 @@
         if len(waiting):
             self._at(now_s + WAIT_TICK_S, lambda t: self._pump(router, t))
 
-    def _decide_conserving(
-        self, request: _Request, router: _Router, now_s: float
-    ) -> AdmissionDecision:
-        asked = self._asked(request, router, now_s)
-        return router.admission.decide_conserving(asked, now_s)
-
-    def _asked(
-        self, request: _Request, router: _Router, now_s: float
-    ) -> AdmissionRequest:
-        dispatcher, group = router.dispatcher, request.group
-        throughput = dispatcher.throughput(
-            POOL, self._plan.tokens_per_s, 0.0, 1.0, now_s
-        )
-        left_s = request.arrived_s + group.aim_s - now_s
-        hold_s = router.admission.settings.hold_s
-        return AdmissionRequest(
-            POOL,
-            group.workspace,
-            request.weighted_tokens(router.admission.settings.output_weight),
-            throughput.nominal_per_s,
-            lambda: router.room.load(POOL, now_s),
-            lambda: router.room.wait_s(POOL, hold_s, now_s) / group.aim_s,
-            lambda: router.room.has_room(POOL, request.prompt, group.aim_s, now_s),
-            left_s,
-            request.refusals > 0,
-        )
-
-    def _pick_router(self, request: _Request) -> _Router:
+    def _pick_router(self, request: PlayedRequest) -> PlayedRouter:
         routers, weights = self._routers, self._plan.router_weights
         if request.group.routers and not request.refusals:
             numbers = request.group.routers
@@ -314,7 +206,7 @@
             weights = tuple(weights[number] for number in numbers)
         return self._rng.choices(routers, weights)[0]
 
-    def _note_arrival(self, request: _Request, now_s: float) -> None:
+    def _note_arrival(self, request: PlayedRequest, now_s: float) -> None:
         if request.refusals:
             self._report.returned += 1
             return
@@ -322,19 +214,21 @@
         tokens = request.weighted_tokens(self._plan.admission.output_weight)
         self._report.asked[int(now_s)][request.group.workspace] += tokens
 
-    def _note_begun(self, request: _Request, now_s: float) -> None:
+    def _note_begun(self, request: PlayedRequest, now_s: float) -> None:
         self._report.returned_begun += request.refusals > 0
         tokens = request.weighted_tokens(self._plan.admission.output_weight)
         self._report.begun[int(now_s)][request.group.workspace] += tokens
 
-    def _arrive_ideal(self, request: _Request, router: _Router, now_s: float) -> None:
+    def _arrive_ideal(
+        self, request: PlayedRequest, router: PlayedRouter, now_s: float
+    ) -> None:
         unable = [e.name for e in self._engines.values() if not self._takes(e, request)]
         if len(unable) == len(self._engines):
             self._refuse(request, 0.3, now_s)
         else:
             self._send(request, router, frozenset(unable), now_s)
 
-    def _takes(self, engine: BatchEngine, request: _Request) -> bool:
+    def _takes(self, engine: BatchEngine, request: PlayedRequest) -> bool:
         """Return whether an engine really has room for a request."""
         present = len(engine.running) + len(engine.waiting)
         if present + self._on_the_way[engine.name] >= engine.spec.slots:
@@ -345,7 +239,11 @@
         return backlog_s < IDEAL_BACKLOG * request.group.aim_s
 
     def _send(
-        self, request: _Request, router: _Router, avoided: frozenset[str], now_s: float
+        self,
+        request: PlayedRequest,
+        router: PlayedRouter,
+        avoided: frozenset[str],
+        now_s: float,
     ) -> None:
         entry = router.dispatcher.choose(self._pool, request.prompt, avoided, now_s)
         if entry is None:
@@ -401,7 +299,9 @@
         self._on_the_way[name] += 1
         self._at(now_s + HOP_S, reach)
 
-    def _report_load(self, router: _Router, engine: BatchEngine, now_s: float) -> None:
+    def _report_load(
+        self, router: PlayedRouter, engine: BatchEngine, now_s: float
+    ) -> None:
         router.loads.note_report(
             engine.name,
             len(engine.running),
@@ -410,7 +310,9 @@
             now_s + HOP_S,
         )
 
-    def _refuse(self, request: _Request, retry_after_s: float, now_s: float) -> None:
+    def _refuse(
+        self, request: PlayedRequest, retry_after_s: float, now_s: float
+    ) -> None:
         request.refusals += 1
         self._report.refusals[int(now_s)][request.group.workspace] += 1
         self._report.refused_again += request.refusals > 1
@@ -421,7 +323,7 @@
         wait_s = min(retry_after_s * self._rng.uniform(0.7, 1.3), left_s / 3)
         self._at(now_s + wait_s, lambda t: self._arrive(request, t))
 
-    def _end(self, request: _Request, outcome: str) -> None:
+    def _end(self, request: PlayedRequest, outcome: str) -> None:
         request.ended = True
         counter = self._report.counts.setdefault(request.group.workspace, Counter())
         counter[outcome] += 1
@@ -441,7 +343,7 @@
 
         self._at(ends_s, end_step)
 
-    def _digest(self, sender: _Router, now_s: float) -> None:
+    def _digest(self, sender: PlayedRouter, now_s: float) -> None:
         if now_s > self._plan.seconds:
             return
         rows = sender.loads.own_rows()
@@ -452,13 +354,13 @@
                 router.loads.note_peer(sender.name, rows)
         self._at(now_s + self._plan.digest_s, lambda t: self._digest(sender, t))
 
-    def _exchange_often(self, sender: _Router, now_s: float) -> None:
+    def _exchange_often(self, sender: PlayedRouter, now_s: float) -> None:
         if now_s <= self._plan.seconds:
             self._exchange(sender, now_s)
             next_s = now_s + self._plan.share_s
             self._at(next_s, lambda t: self._exchange_often(sender, t))
 
-    def _exchange(self, sender: _Router, now_s: float) -> None:
+    def _exchange(self, sender: PlayedRouter, now_s: float) -> None:
         dispatcher, admission = sender.dispatcher, sender.admission
         for pool in admission.pools():
             if admission.conserves_work(pool):
