Fill the room of engines faster, and learn nothing from empty or unseen ones

Cause: with a quiet start the supply estimate lagged by three seconds and refused while two thirds of the slots were free; while the sums of all routers were missing, or no engine was usable, it learnt from figures that don't belong together. Upstreams held back by a roll-out counted as free, and plain services were placed by old loads. Change: below 0.7 of the target load engines count as taking the configured throughput at least, free slots are filled within the age of the sums, and those cases are left out of the estimate.

--- a/src/carobstair/core/admission/conserving.py
+++ b/src/carobstair/core/admission/conserving.py
@@ -29,7 +29,7 @@
 MIN_DEMAND_PER_S = 1.0
 # Load below which any request is admitted for which an engine has room: then too little
 # is known of what engines take, which may be many times the configured throughput.
-EMPTY_LOAD = 0.25
+EMPTY_LOAD = 0.5
 # Load for which unread prompts count at most. Those of a few crowded engines would
 # otherwise stop the admission to all others.
 MAX_WAIT_LOAD = 1.2
@@ -210,6 +210,11 @@
             min(engines.wait_s / engines.target_wait_s, MAX_WAIT_LOAD),
         )
         control.own_pressure = load
+        known = self.book.last_row(name)
+        are_sums_missing = row is None and known is not None and known.samples
+        if are_sums_missing or not engines.engines:
+            control.observe(load, now_s)
+            return
         admitted = max(0.0, admitted - pool.limited_per_s) / pool.capacity
         control.correct(load, admitted, now_s)
 
--- a/src/carobstair/core/admission/room.py
+++ b/src/carobstair/core/admission/room.py
@@ -164,7 +164,7 @@
         limited = {upstream_id for upstream_id, _ in dispatcher.rates.limited()}
         entries = {
             entry.upstream_id: entry
-            for entry in dispatcher.directory.usable(service, now_s)
+            for entry in dispatcher.in_use(service, now_s)
             if entry.upstream_id not in limited
         }
         others = self.others(service, now_s)
--- a/src/carobstair/core/admission/settings.py
+++ b/src/carobstair/core/admission/settings.py
@@ -70,7 +70,7 @@
         Least supply relative to what engines were given lately.
     room_fill : float
         Time in which requests beyond their share fill the room of the engines, relative
-        to `hold_s`. Each router admits its part of them: all see the same free slots.
+        to `lag_s`. Each router admits its part of them: all see the same free slots.
     beyond_max_wait : float
         `max_wait` of workspaces beyond their share, so that an overload of the engines
         is first met by those who make it. Their supply does not fall by it.
--- a/src/carobstair/core/admission/supply.py
+++ b/src/carobstair/core/admission/supply.py
@@ -17,8 +17,10 @@
 
 # At a lower load requests rarely wait, so that the wait need not be estimated.
 LIGHT_LOAD = 0.4
-# Lower loads say nothing of what engines take.
+# Lower loads say nothing of what engines take, so nothing is learnt from them.
 MIN_LOAD = 0.1
+# Load below which engines take at least the configured throughput.
+UNLOADED = 0.7
 # At a higher load requests queue up, so that the load says nothing of what is finished.
 SATURATED_LOAD = 1.25
 # Bounds of the load that is expected after `lag_s`, relative to the one that was read.
@@ -76,13 +78,25 @@
 
         Relative to the nominal throughput, and in addition to `factor`.
         """
-        room = max(0.0, 1.0 - self.ahead) / self.settings.room_fill
-        return max(self._given, MIN_FACTOR) / self._load * room
+        settings = self.settings
+        # Slots that are free now are filled within the age of the sums.
+        rate = settings.hold_s / (settings.room_fill * settings.lag_s)
+        return self._at_target() * max(0.0, 1.0 - self.ahead) * rate
+
+    def _at_target(self) -> float:
+        """Return what engines take at their target load, by the averages."""
+        at_target = max(self._given, MIN_FACTOR) / self._load
+        return max(at_target, 1.0) if self.ahead < UNLOADED else at_target
 
     def adopt(self, factor: float) -> None:
         """Begin with the factor of the other routers."""
         self.factor = self.given = self._given = factor
 
+    def observe(self, load: float, now_s: float) -> None:
+        """Record a load while it is not known what all routers admit."""
+        self.corrected_s = now_s
+        self.load = self.ahead = max(load, MIN_LOAD)
+
     def correct(self, load: float, admitted: float, now_s: float) -> None:
         """Estimate the supply.
 
@@ -96,14 +110,15 @@
         settings = self.settings
         step_s = min(now_s - self.corrected_s, settings.hold_s)
         self.corrected_s = now_s
+        is_telling = load >= MIN_LOAD
         self.load = load = max(load, MIN_LOAD)
         weight = 1.0 - math.exp(-step_s / settings.hold_s)
         self.given += weight * (admitted - self.given)
-        if load <= SATURATED_LOAD:
+        if is_telling and load <= SATURATED_LOAD:
             slow = 1.0 - math.exp(-step_s / settings.mix_s)
             self._given += slow * (self.given - self._given)
             self._load += slow * (load - self._load)
-        at_target = max(self._given, MIN_FACTOR) / self._load
+        at_target = self._at_target()
         growth = (admitted / at_target - load) * settings.lag_s / settings.hold_s
         self.ahead = ahead = min(max(load + growth, MIN_AHEAD * load), MAX_AHEAD * load)
         # What engines finish does not grow beyond their target load.
--- a/src/carobstair/core/dispatch.py
+++ b/src/carobstair/core/dispatch.py
@@ -265,12 +265,12 @@
 
     def slots_used(self, service: str, now_s: float) -> float:
         """Return the requests at a service's engines relative to their slots."""
-        entries = self._in_use(service, now_s)
+        entries = self.in_use(service, now_s)
         return self.loads.slots_used({e.upstream_id: e.slots for e in entries}, now_s)
 
     def pressure(self, service: str, now_s: float) -> float:
         """Return the load of a service's engines relative to its target (1.0)."""
-        entries = {e.upstream_id: e for e in self._in_use(service, now_s)}
+        entries = {e.upstream_id: e for e in self.in_use(service, now_s)}
         known = self._throughputs.get(service)
         return self.loads.pressure(
             {upstream_id: e.slots for upstream_id, e in entries.items()},
@@ -279,7 +279,7 @@
             known[1].limited_parts if known is not None else {},
         )
 
-    def _in_use(self, service: str, now_s: float) -> list[UpstreamEntry]:
+    def in_use(self, service: str, now_s: float) -> list[UpstreamEntry]:
         """Return the usable upstreams that get ordinary requests."""
         entries = self.directory.usable(service, now_s)
         if self.versions is None:
--- a/src/carobstair/edge/app.py
+++ b/src/carobstair/edge/app.py
@@ -449,7 +449,7 @@
             throughput.nominal_per_s,
             lambda: self._room.load(pool.name, now_s),
             lambda: self._room.wait_s(pool.name, hold_s, now_s) / target_s,
-            lambda: self._room.has_room(pool.name, prompt, target_s, now_s),
+            lambda: self._room.has_room(pool.name, prompt, left_s, now_s),
             left_s,
             elapsed_s > 0.0,
             throughput.limited_per_s,
--- a/src/carobstair/edge/router.py
+++ b/src/carobstair/edge/router.py
@@ -438,7 +438,10 @@
         """Turn on what is meant for upstreams that share their machines."""
         self._capacity_reports.log_slowdown_stated(service)
         self._overload.enable_redirect()
-        self._admission.conserve_work(service)
+        table = self.view.table
+        pool = table.services.get(service) if table is not None else None
+        if pool is not None and pool.engine is not None:
+            self._admission.conserve_work(service)
 
     def _on_restore(self) -> None:
         """Write again what the restored store may lack."""
