Bound links from hosts of known peers

Cause: every connection from the host of a known peer went unmeasured, and anyone can make a host known. A link that lost the exemption had its whole past counted as one burst. The monitor event of a handshake has the value 0, so that no link was ever marked as a peer's.

Change: at most two links of a known host are exempt from the frequent measurement; four exempt links are measured each 0.1 s, in turn. Links beyond the bound are taken from those that are not exempt.

--- a/src/carobstair/net/peer_guard.py
+++ b/src/carobstair/net/peer_guard.py
@@ -31,6 +31,11 @@
 # For new connections: on loopback a crowd sends 100 MB in 0.1 s.
 YOUNG_INTERVAL_S = 0.01
 YOUNG_S = 2.0
+# A peer has one link, and for a short time a second one after it restarts.
+MAX_EXEMPT_PER_HOST = 2
+# Of the exempt links, those that are measured in each interval, in turn: a hundred
+# links take 120 system calls a second, and each is measured every 2.5 s.
+EXEMPT_PER_MEASURE = 4
 # A late event loop sees at once what peers sent in that time; beyond this, memory
 # comes first.
 MAX_REFILL_S = 1.0
@@ -42,7 +47,8 @@
 # Linux; identifies a socket even if its descriptor is used again.
 SO_COOKIE = 57
 COOKIE_BYTES = 8
-EVENTS = zmq.EVENT_ACCEPTED | zmq.EVENT_HANDSHAKE_SUCCEEDED | zmq.EVENT_DISCONNECTED
+# The event of a handshake doesn't tell the descriptor: its value is 0.
+EVENTS = zmq.EVENT_ACCEPTED | zmq.EVENT_DISCONNECTED
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,7 +80,7 @@
     accepted_s: float
     measured_s: float
     left_bytes: float
-    is_peer: bool = False
+    is_exempt: bool = False
     received_bytes: int = 0
 
 
@@ -90,9 +96,10 @@
     on_closed : callable
         Called with the reason of each connection that is shut down.
     is_peer_host : callable
-        Returns whether an address is that of a known peer. What peers send is not
-        measured: in a fleet of a hundred routers that took a thousand system calls a
-        second.
+        Returns whether an address is that of a known peer. The first links of such
+        a host are exempt from the frequent measurement: in a fleet of a hundred
+        routers that took a thousand system calls a second. Anyone can make a host
+        known, so further links are measured as those of other hosts are.
     """
 
     def __init__(
@@ -110,6 +117,8 @@
         self._is_peer_host = is_peer_host
         # By descriptor, in the order in which they were accepted.
         self._links: dict[int, _Link] = {}
+        self._exempt: Counter[str] = Counter()
+        self._turn = 0
         self._measured_s = time.monotonic()
         self._left_bytes: float = limits.total_burst_bytes
         # Set when a connection is accepted.
@@ -134,23 +143,57 @@
 
     def _note(self, event: int, descriptor: int) -> None:
         if event == zmq.EVENT_DISCONNECTED:
-            self._links.pop(descriptor, None)
-        elif event == zmq.EVENT_HANDSHAKE_SUCCEEDED:
-            if descriptor in self._links:
-                self._links[descriptor].is_peer = True
+            self._forget(descriptor)
         elif event == zmq.EVENT_ACCEPTED:
             link = _open_link(descriptor, self._port, self._limits.burst_bytes)
             if link is not None:
-                self._links.pop(descriptor, None)
+                self._forget(descriptor)
                 self._links[descriptor] = link
-                if not self._is_peer_host(link.address):
-                    self._wake.set()
+                self._exempt_if_room(link)
+                # Exempt links too are measured from here on.
+                self._wake.set()
                 self._bound_connections()
 
+    def _forget(self, descriptor: int) -> None:
+        link = self._links.pop(descriptor, None)
+        if link is not None and link.is_exempt:
+            link.is_exempt = False
+            self._exempt[link.address] -= 1
+            if not self._exempt[link.address]:
+                del self._exempt[link.address]
+
+    def _exempt_if_room(self, link: _Link) -> None:
+        if (
+            not link.is_exempt
+            and self._exempt[link.address] < MAX_EXEMPT_PER_HOST
+            and self._is_peer_host(link.address)
+        ):
+            link.is_exempt = True
+            self._exempt[link.address] += 1
+
+    def _update_exempt(self, now_s: float) -> None:
+        """Exempt links of hosts that became known, and measure those of others."""
+        was_exempt = [link for link in self._links.values() if link.is_exempt]
+        self._exempt.clear()
+        for link in self._links.values():
+            link.is_exempt = False
+            self._exempt_if_room(link)
+        for link in was_exempt:
+            if not link.is_exempt:
+                # What it sent while exempt is not a burst of the next interval.
+                self._bound_link(link, now_s)
+
+    def _bound_exempt(self, now_s: float) -> None:
+        """Measure the next exempt links, apart from the total."""
+        links = [link for link in self._links.values() if link.is_exempt]
+        for index in range(min(EXEMPT_PER_MEASURE, len(links))):
+            self._bound_link(links[(self._turn + index) % len(links)], now_s)
+        self._turn += EXEMPT_PER_MEASURE
+
     def _bound_connections(self) -> None:
         while len(self._links) > self._limits.max_connections:
             links = self._links.values()
-            found = next((link for link in links if not link.is_peer), None)
+            found = next((link for link in links if not link.is_exempt), None)
             if found is None:
                 # Peers have one connection, so this one has too many.
                 addresses = Counter(link.address for link in links)
@@ -163,12 +206,13 @@
         all_due_s = 0.0
         while True:
             now_s = time.monotonic()
-            young, links = self._young(now_s), self._measured_links()
             if now_s >= all_due_s:
                 all_due_s = now_s + MEASURE_INTERVAL_S
-                self._bound_bytes(links, now_s)
+                self._update_exempt(now_s)
+                self._bound_bytes(self._measured_links(), now_s)
+                self._bound_exempt(now_s)
             else:
-                self._bound_bytes(young, now_s)
+                self._bound_bytes(self._young(now_s), now_s)
             if self._counts and now_s - self._logged_s >= LOG_INTERVAL_S:
                 self._logged_s = now_s
                 logger.warning(
@@ -176,11 +220,11 @@
                 )
                 self._counts.clear()
             self._wake.clear()
-            if young:
+            if self._young(now_s):
                 await asyncio.sleep(YOUNG_INTERVAL_S)
                 continue
-            # Without links to measure, nothing is due until one is accepted.
-            wait_s = MEASURE_INTERVAL_S if links or self._counts else None
+            # Without links, nothing is due until one is accepted.
+            wait_s = MEASURE_INTERVAL_S if self._links or self._counts else None
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(wait_s):
                     await self._wake.wait()
@@ -191,13 +235,29 @@
         for link in reversed(self._links.values()):
             if now_s - link.accepted_s > YOUNG_S:
                 break
-            if not self._is_peer_host(link.address):
+            if not link.is_exempt:
                 found.append(link)
         return found
 
     def _measured_links(self) -> list[_Link]:
-        links = self._links.values()
-        return [link for link in links if not self._is_peer_host(link.address)]
+        return [link for link in self._links.values() if not link.is_exempt]
+
+    def _bound_link(self, link: _Link, now_s: float) -> int:
+        """Return what a link has sent since it was measured; 0 if it is shut down."""
+        limits = self._limits
+        received_bytes = _received_bytes(link)
+        if received_bytes is None:
+            self._forget(link.descriptor)
+            return 0
+        sent = received_bytes - link.received_bytes
+        link.received_bytes = received_bytes
+        refill = limits.bytes_per_s * min(MAX_REFILL_S, now_s - link.measured_s)
+        link.measured_s = now_s
+        link.left_bytes = min(limits.burst_bytes, link.left_bytes) + refill - sent
+        if link.left_bytes < 0:
+            self._shut_down(link, "bytes")
+            return 0
+        return sent
 
     def _bound_bytes(self, links: list[_Link], now_s: float) -> None:
         """Shut down connections that send more than they may."""
@@ -207,21 +267,10 @@
         self._measured_s = now_s
         new_bytes: dict[int, int] = {}
         for link in links:
-            received_bytes = _received_bytes(link)
-            if received_bytes is None:
-                self._links.pop(link.descriptor, None)
-                continue
-            sent = received_bytes - link.received_bytes
-            link.received_bytes = received_bytes
-            refill = limits.bytes_per_s * min(MAX_REFILL_S, now_s - link.measured_s)
-            link.measured_s = now_s
-            link.left_bytes = min(limits.burst_bytes, link.left_bytes) + refill - sent
-            new_bytes[link.descriptor] = sent
-            self._left_bytes -= sent
-            if link.left_bytes < 0:
-                del new_bytes[link.descriptor]
-                self._left_bytes += sent
-                self._shut_down(link, "bytes")
+            sent = self._bound_link(link, now_s)
+            if sent:
+                new_bytes[link.descriptor] = sent
+                self._left_bytes -= sent
         for descriptor in sorted(new_bytes, key=new_bytes.get, reverse=True):
             if self._left_bytes >= 0:
                 return
@@ -229,7 +278,7 @@
             self._shut_down(self._links[descriptor], "bytes")
 
     def _shut_down(self, link: _Link, reason: str) -> None:
-        self._links.pop(link.descriptor, None)
+        self._forget(link.descriptor)
         self._counts[reason] += 1
         self._on_closed(reason)
         with contextlib.suppress(OSError), _borrowed(link.descriptor) as sock:
--- a/tests/test_bounded_connections.py
+++ b/tests/test_bounded_connections.py
@@ -3,6 +3,9 @@
 import asyncio
 import unittest
 
+import zmq
+import zmq.asyncio
+
 from carobstair.edge.server import CallerServer
 from carobstair.net.connection_limits import (
     Closed,
@@ -10,6 +13,7 @@
     ConnectionSettings,
     Phase,
 )
+from carobstair.net.peer_guard import PeerGuard, PeerLimits
 from edge_test_case import EdgeCase, wait_until
 from platform_standins import UpstreamStandIn, make_config, make_upstream_entry
 
@@ -256,5 +260,54 @@
         self.assertEqual(limits.held_bytes, 0)
 
 
+class KnownPeerHostTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against crowds from the hosts of known peers, and cut links of peers."""
+
+    async def asyncSetUp(self):
+        self.context = zmq.asyncio.Context()
+        self.addCleanup(self.context.destroy, 0)
+        self.is_known = True
+        self.closed = []
+        self.inbound = inbound = self.context.socket(zmq.PULL)
+        limits = PeerLimits(burst_bytes=100_000, bytes_per_s=500_000)
+        self.port = inbound.bind_to_random_port("tcp://127.0.0.1")
+        self.guard = PeerGuard(
+            inbound, self.port, limits, self.closed.append, lambda host: self.is_known
+        )
+        self.addCleanup(self.guard.close)
+        guarding = asyncio.create_task(self.guard.run())
+        self.addCleanup(guarding.cancel)
+
+    async def connect(self, number):
+        found = []
+        for _ in range(number):
+            link = self.context.socket(zmq.PUSH)
+            link.setsockopt(zmq.RECONNECT_IVL, -1)
+            link.connect(f"tcp://127.0.0.1:{self.port}")
+            found.append(link)
+        links = self.guard._links
+        await wait_until(lambda: len(links) == number)
+        return found
+
+    async def test_two_links_of_a_known_host_are_exempt_and_all_are_bounded(self):
+        links = await self.connect(6)
+        self.assertEqual(len(self.guard._measured_links()), 4)
+        for link in links:
+            await link.send(b"a" * 1_000_000)
+        await wait_until(lambda: self.closed == ["bytes"] * 6)
+
+    async def test_link_that_is_no_longer_exempt_stays_open(self):
+        links = await self.connect(2)
+        # More in all than a burst and the refill of the longest interval.
+        for _ in range(20):
+            for link in links:
+                await link.send(b"a" * 40_000)
+            await asyncio.sleep(0.1)
+        self.is_known = False
+        await asyncio.sleep(0.3)
+        self.assertEqual(len(self.guard._measured_links()), 2)
+        self.assertEqual(self.closed, [])
+
+
 if __name__ == "__main__":
     unittest.main()
