--- a/tests/test_bounded_connections.py
+++ b/tests/test_bounded_connections.py
@@ -285,7 +285,7 @@
             link.setsockopt(zmq.RECONNECT_IVL, -1)
             link.connect(f"tcp://127.0.0.1:{self.port}")
             found.append(link)
-        links = self.guard._links
+        links, number = self.guard._links, len(self.guard._links) + number
         await wait_until(lambda: len(links) == number)
         return found
 
@@ -304,8 +304,9 @@
                 await link.send(b"a" * 40_000)
             await asyncio.sleep(0.1)
         self.is_known = False
+        await self.connect(1)
         await asyncio.sleep(0.3)
-        self.assertEqual(len(self.guard._measured_links()), 2)
+        self.assertEqual(len(self.guard._measured_links()), 3)
         self.assertEqual(self.closed, [])
 
 
