Keep the connection open that lets the guard measure in a test

Result: passes with the fix; with the guard of it fails, as the two links of the peer are shut down for their past bytes.

--- a/tests/test_bounded_connections.py
+++ b/tests/test_bounded_connections.py
@@ -304,7 +304,7 @@
                 await link.send(b"a" * 40_000)
             await asyncio.sleep(0.1)
         self.is_known = False
-        await self.connect(1)
+        links += await self.connect(1)
         await asyncio.sleep(0.3)
         self.assertEqual(len(self.guard._measured_links()), 3)
         self.assertEqual(self.closed, [])
