Bound unread refusals and connections that are being closed

Causes and changes: - Input was read on while refusals of unread requests piled up, and a growing write buffer counted as progress. They now count in the limit and, with what they have still to write, in the memory; the oldest is aborted at the bound. - Memory was taken from connections in phase HEAD that held nothing. Only those that hold memory are closed. - After the rest of a body that arrived behind its answer no timer was set. The idle timer is started.

--- a/src/carobstair/net/bounded_input.py
+++ b/src/carobstair/net/bounded_input.py
@@ -120,9 +120,11 @@
 
     def _must_wait(self) -> bool:
         """Return whether an earlier request is not answered, or the answer unread."""
-        if self._in_request or self.cycle is None:
+        if self._in_request:
             return False
-        return not self.cycle.response_complete or self.flow.write_paused
+        # A request that was refused unread has no cycle, but its answer waits too.
+        is_answered = self.cycle is None or self.cycle.response_complete
+        return self.flow.write_paused or not is_answered
 
     def _hold(self, data: bytes) -> None:
         self._pending += data
@@ -201,6 +203,8 @@
         self._stop_body_timer()
         super().on_message_complete()
         if self.cycle.response_complete:
+            # Input stopped the timer, and uvicorn sets it after an answer only.
+            self._start_idle_timer()
             self._note_idle()
 
     def on_response_complete(self) -> None:
@@ -238,6 +242,9 @@
         if self._pending or self._is_paused:
             self.loop.call_soon(self._resume)
 
+    def _start_idle_timer(self) -> None:
+        raise NotImplementedError
+
     def evict(self, kind: Closed) -> None:
         """Close the connection for others."""
         raise NotImplementedError
--- a/src/carobstair/net/connection_limits.py
+++ b/src/carobstair/net/connection_limits.py
@@ -171,6 +171,8 @@
         self._closing: dict[BoundedConnection, _Entry] = {}
         self._queues = {Phase.IDLE: _Queue(), Phase.HEAD: _Queue()}
         self._by_address: Counter[str] = Counter()
+        # Without a whole head, and holding memory.
+        self._holding: OrderedDict[BoundedConnection, None] = OrderedDict()
         self._unread: OrderedDict[BoundedConnection, None] = OrderedDict()
         self._paused: set[BoundedConnection] = set()
         self._held_bytes = 0
@@ -211,6 +213,9 @@
         limit = min(self.settings.max_connections, _connections_within_descriptors())
         per_address = max(1, int(share * limit))
         has_room = True
+        # Those being closed have descriptors too, and some callers never read.
+        while self._closing and len(self._entries) + len(self._closing) >= limit:
+            self._abort_closing(next(iter(self._closing)))
         if self._by_address[address] >= per_address:
             has_room = self._evict_one(address)
         elif len(self._entries) >= limit:
@@ -229,7 +234,9 @@
     def remove(self, connection: BoundedConnection) -> None:
         """Forget a connection that is closed."""
         self._release(connection)
-        self._closing.pop(connection, None)
+        entry = self._closing.pop(connection, None)
+        if entry is not None:
+            self._held_bytes -= entry.unread_bytes
 
     def set_phase(self, connection: BoundedConnection, phase: Phase) -> None:
         """Note what a connection waits for."""
@@ -241,6 +248,13 @@
         entry.phase = phase
         if phase in self._queues:
             self._queues[phase].add(connection)
+        self._note_holding(entry)
+
+    def _note_holding(self, entry: _Entry) -> None:
+        if entry.phase is Phase.HEAD and entry.held_bytes > 0:
+            self._holding.setdefault(entry.connection)
+        else:
+            self._holding.pop(entry.connection, None)
 
     def hold(self, connection: BoundedConnection, held_bytes: int) -> None:
         """Set the memory that a connection's unread input takes."""
@@ -249,6 +263,7 @@
             return
         self._held_bytes += held_bytes - entry.held_bytes
         entry.held_bytes = held_bytes
+        self._note_holding(entry)
         self._relieve()
 
     def note_unread(self, connection: BoundedConnection, is_unread: bool) -> None:
@@ -260,13 +275,17 @@
         entry.unread_bytes = 0
         self._unread.pop(connection, None)
         if is_unread:
-            buffered_bytes = connection.transport.get_write_buffer_size()
-            entry.unread_bytes = UNREAD_BYTES + buffered_bytes
             entry.unread_since_s = asyncio.get_running_loop().time()
-            self._held_bytes += entry.unread_bytes
+            self._count_unread(entry)
             self._unread[connection] = None
             self._relieve()
 
+    def _count_unread(self, entry: _Entry) -> None:
+        buffered_bytes = entry.connection.transport.get_write_buffer_size()
+        self._held_bytes -= entry.unread_bytes
+        entry.unread_bytes = UNREAD_BYTES + buffered_bytes
+        self._held_bytes += entry.unread_bytes
+
     def note_paused(self, connection: BoundedConnection, is_paused: bool) -> None:
         """Note whether a connection is not read, so that its end goes unseen."""
         if is_paused and connection in self._entries:
@@ -290,6 +309,8 @@
         if not self._by_address[connection.address]:
             del self._by_address[connection.address]
         self._held_bytes -= entry.held_bytes + entry.unread_bytes
+        entry.held_bytes = entry.unread_bytes = 0
+        self._holding.pop(connection, None)
         self._unread.pop(connection, None)
         self._paused.discard(connection)
 
@@ -310,11 +331,32 @@
         self._release(connection)
         self.count(kind)
         connection.evict(kind)
+        self._count_closing(connection)
+
+    def _count_closing(self, connection: BoundedConnection) -> None:
+        """Count what a connection that is being closed has still to write."""
+        entry = self._closing.get(connection)
+        if entry is None:
+            return
+        buffered_bytes = connection.transport.get_write_buffer_size()
+        self._held_bytes += buffered_bytes - entry.unread_bytes
+        entry.unread_bytes = buffered_bytes
+
+    def _abort_closing(self, connection: BoundedConnection) -> None:
+        """Close a connection without what it has still to write."""
+        entry = self._closing.pop(connection)
+        self._held_bytes -= entry.unread_bytes
+        connection.transport.abort()
 
     def _relieve(self) -> None:
         """Close connections until the rest hold no more memory than they may."""
         while self.is_full:
-            connection = self._queues[Phase.HEAD].oldest()
+            closing = (c for c, entry in self._closing.items() if entry.unread_bytes)
+            connection = next(closing, None)
+            if connection is not None:
+                self._abort_closing(connection)
+                continue
+            connection = next(iter(self._holding), None)
             if connection is not None:
                 self._close(connection, Closed.HEAD_EVICTED)
                 continue
@@ -340,6 +382,10 @@
         for connection in list(self._paused):
             if _is_ended(connection.transport):
                 connection.transport.abort()
+        for connection in self._unread:
+            self._count_unread(self._entries[connection])
+        for connection in self._closing:
+            self._count_closing(connection)
         self._relieve()
         if now_s - self._checked_s >= CHECK_INTERVAL_S:
             self._checked_s = now_s
@@ -361,8 +407,13 @@
     def _check_progress(self, entry: _Entry, now_s: float) -> None:
         transport = entry.connection.transport
         buffered_bytes = transport.get_write_buffer_size()
-        if not buffered_bytes or buffered_bytes != entry.buffered_bytes:
-            entry.buffered_bytes = buffered_bytes
+        if entry.connection in self._unread and entry.buffered_bytes:
+            # What is added to a buffer beyond its bound is not read by the caller.
+            has_progress = buffered_bytes < entry.buffered_bytes
+        else:
+            has_progress = buffered_bytes != entry.buffered_bytes
+        entry.buffered_bytes = buffered_bytes
+        if not buffered_bytes or has_progress:
             entry.buffered_since_s = now_s
         elif now_s - entry.buffered_since_s >= self.settings.stall_s:
             self.count(Closed.UNREAD)
--- a/tests/test_bounded_connections.py
+++ b/tests/test_bounded_connections.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from types import SimpleNamespace
 
 import zmq
 import zmq.asyncio
@@ -196,18 +197,58 @@
         self.server = usual
 
 
+class UnreadAnswerTest(BoundedCase):
+    """Guards against refusals that pile up, and connections without a timer."""
+
+    async def test_input_waits_until_refusals_are_read(self):
+        answer = (
+            b"HTTP/1.1 503 Refused\r\ncontent-length: 60000\r\n\r\n" + b"a" * 60_000
+        )
+        protocols = []
+
+        def shed_unread(data, draw):
+            return answer
+
+        shedder = SimpleNamespace(shed_draw=lambda: 0.5, shed_unread=shed_unread)
+        limits = self.server._config.connection_limits
+        add = limits.add
+        limits.add = lambda c: protocols.append(c) or add(c)
+        _, writer = await self.open()
+        await wait_until(lambda: protocols)
+        protocols[0].config.shedder = shedder
+        for _ in range(400):
+            writer.write(request_bytes("a"))
+            await asyncio.sleep(0.002)
+        self.assertLess(protocols[0].transport.get_write_buffer_size(), 1_000_000)
+
+    async def test_connection_has_a_timer_after_a_late_body(self):
+        self.server.idle_timeout_s = 0.5
+        reader, writer = await self.open()
+        data = request_bytes("a", b"body").replace(b"key1", b"other")
+        writer.write(data[:-2])
+        self.assertGreaterEqual((await self.read_answer(reader))[0], 400)
+        writer.write(data[-2:])
+        async with asyncio.timeout(TIMEOUT_S):
+            self.assertEqual(await reader.read(), b"")
+
+
 class FakeConnection:
     """A connection that notes why it was closed."""
 
     def __init__(self, address="a", buffered_bytes=0):
         self.address = address
         self.closed = None
+        self.aborted = False
         self.transport = self
         self.buffered_bytes = buffered_bytes
 
     def evict(self, kind):
         self.closed = kind
 
+    def abort(self):
+        self.buffered_bytes = 0
+        self.aborted = True
+
     def get_write_buffer_size(self):
         return self.buffered_bytes
 
@@ -259,6 +300,42 @@
             limits.remove(connection)
         self.assertEqual(limits.held_bytes, 0)
 
+    async def test_connections_that_are_being_closed_are_bounded(self):
+        limits = ConnectionLimits(ConnectionSettings(4, 1.0, 1_000_000))
+        connections = [FakeConnection(buffered_bytes=10_000) for _ in range(20)]
+        for connection in connections:
+            limits.add(connection)
+        is_open = [c for c in connections if not c.aborted]
+        self.assertLessEqual(len(is_open), 5)
+        self.assertEqual(limits.held_bytes, 10_000)
+        for connection in connections:
+            limits.remove(connection)
+        self.assertEqual(limits.held_bytes, 0)
+
+    async def test_memory_is_not_taken_from_heads_that_hold_nothing(self):
+        limits = ConnectionLimits(ConnectionSettings(9, 1.0, 500_000))
+        empty, head, unread = self.open_all(
+            limits, (Phase.HEAD, Phase.HEAD, Phase.REQUEST)
+        )
+        limits.hold(head, 1_000)
+        limits.note_unread(unread, True)
+        self.assertEqual([empty.closed, head.closed], [None, Closed.HEAD_EVICTED])
+
+    async def test_growing_buffer_is_counted_and_is_no_progress(self):
+        limits = ConnectionLimits(ConnectionSettings(9, 1.0, 10_000_000, stall_s=1.5))
+        (unread,) = self.open_all(limits, [Phase.IDLE])
+        limits.note_unread(unread, True)
+        before = limits.held_bytes
+        for _ in range(40):
+            unread.buffered_bytes += 1_000
+            await asyncio.sleep(0.1)
+            if unread.aborted:
+                break
+            counted = limits.held_bytes - before
+        self.assertTrue(unread.aborted)
+        self.assertGreater(counted, 0)
+        limits.remove(unread)
+
 
 class KnownPeerHostTest(unittest.IsolatedAsyncioTestCase):
     """Guards against crowds from the hosts of known peers, and cut links of peers."""
