Hide versions that never completed from later orders

A version that was rolled back, or not judged when its order was replaced, counted as an old one for the next order, and got full traffic. The controller now keeps the targets of orders that were never completed, and the gate hides them until they are unlisted, ordered, or their order is removed. Two new tests in test_rollouts.OrderTest fail without the change and pass with it.

--- a/src/carobstair/core/rollouts/controller.py
+++ b/src/carobstair/core/rollouts/controller.py
@@ -64,6 +64,8 @@
     # Raised with each change of an exposure, so that plans are computed anew.
     generation: int = 0
     _rollouts: dict[str, Rollout] = field(default_factory=dict)
+    # Targets of former orders that were never completed, by service.
+    _unfinished: dict[str, set[str]] = field(default_factory=dict)
     _events: list[LogEvent] = field(default_factory=list)
 
     # Orders and their status
@@ -113,6 +115,7 @@
         now_s: float,
         is_first_list: bool,
     ) -> None:
+        self._note_unfinished(order)
         state = OrderState(order, order.stamp, now_s, not is_first_list)
         collector = OrderCollector(self.settings, order.duration_s)
         rollout = Rollout(state, AnswerLedger(), collector)
@@ -122,6 +125,29 @@
         self._note_stated(state, stated, now_s)
         self._check(rollout)
 
+    def _note_unfinished(self, order: RolloutOrder) -> None:
+        """Note the target of the order that another one replaces."""
+        unfinished = self._unfinished.setdefault(order.service, set())
+        previous = self._rollouts.get(order.service)
+        if previous is not None and not previous.state.skipped:
+            state = previous.state
+            if state.final is RolloutState.COMPLETED:
+                unfinished.discard(state.order.target)
+            else:
+                unfinished.add(state.order.target)
+        unfinished.discard(order.target)
+
+    def unfinished(self, service: str, listed: Collection[str]) -> set[str]:
+        """Return versions whose orders were never completed and replaced by others.
+
+        They are bad or not judged. One that is no longer listed is forgotten.
+        """
+        versions = self._unfinished.get(service)
+        if not versions:
+            return set()
+        versions.intersection_update(listed)
+        return set(versions)
+
     def _note_stated(
         self, state: OrderState, stated: RolloutState | None, now_s: float
     ) -> None:
@@ -150,6 +176,7 @@
             rollout.state.forget_s = now_s + RESTORED_GRACE_S
             return
         del self._rollouts[service]
+        self._unfinished.pop(service, None)
         self.generation += 1
         self._note("rollout_removed", rollout.state)
 
--- a/src/carobstair/core/rollouts/versions.py
+++ b/src/carobstair/core/rollouts/versions.py
@@ -164,6 +164,7 @@
         if not listed:
             return None
         held = self._note_versions(service, listed, now_s)
+        held |= self.controller.unfinished(service, {e.version for e in listed})
         state = self.controller.state_of(service)
         if state is None:
             allowed = [e for e in listed if e.version not in held]
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -298,6 +298,25 @@
         self.assertEqual(self.allowed(2.1), "de")
         self.assertIsNotNone(self.controller.state_of(SERVICE))
 
+    def test_bad_version_stays_hidden_from_the_next_order(self):
+        self.order(5)
+        self.order(6, stated=RolloutState.ROLLED_BACK, now_s=3.0)
+        self.assertEqual(self.allowed(3.1), "abc")
+        for revision, target in ((7, "v1"), (8, "v3")):
+            with self.subTest(target):
+                self.order(revision, target=target, now_s=float(revision))
+                self.assertEqual(self.allowed(revision + 0.5), "abc")
+        self.order(9, now_s=20.0)
+        self.decide(Phase.CANARY, 0.07, 21.0, revision=9)
+        self.assertEqual(self.allowed(21.1), "abcde")
+
+    def test_version_that_was_not_judged_stays_hidden_from_the_next_order(self):
+        self.order(5)
+        self.decide(Phase.CANARY, 0.07, 1.0)
+        self.assertEqual(self.allowed(1.1), "abcde")
+        self.order(8, target="v3", now_s=2.0)
+        self.assertEqual(self.allowed(12.0), "abc")
+
     def test_few_upstreams_take_the_share(self):
         self.order(5)
         for number in range(20):
