Keep the last readable order while its object exists

An object that could no longer be read was treated as removed, so that a bad or running version was used like any other at once. The driver now keeps the last readable order until the object is removed. The new test in test_rollout_edge fails without the change and passes with it.

--- a/src/carobstair/edge/rollout_driver.py
+++ b/src/carobstair/edge/rollout_driver.py
@@ -140,8 +140,12 @@
             if decoded is not None:
                 self.controller.on_order(*decoded, now_s, not self._has_list)
                 continue
-            unreadable += change is not None
-            self.controller.on_removed(name, now_s, was_restored and change is None)
+            if change is None:
+                self.controller.on_removed(name, now_s, was_restored)
+                continue
+            # The last readable order still holds: without it, the upstreams of a bad
+            # version would be used like any others.
+            unreadable += 1
         if unreadable:
             self.metrics.rollouts_skipped.labels("unreadable").inc(unreadable)
         self._has_list = True
--- a/tests/test_rollout_edge.py
+++ b/tests/test_rollout_edge.py
@@ -128,6 +128,18 @@
         self.assertEqual(caught.exception.current.revision, self.store.revision)
         self.assertNotIn("status", self.store.objects["rollouts", "plain"])
 
+    async def test_order_that_becomes_unreadable_still_holds(self):
+        """Guards against a bad version that is used as if its order were removed."""
+        await self.start_versions("ok")
+        await wait_until(lambda: self.controller.state_of("plain") is not None)
+        self.store.put("rollouts", "plain", ORDER | {"durationS": -1})
+        known = self.view.objects(StateKind.ROLLOUTS)
+        revision = self.store.revision
+        await wait_until(lambda: known["plain"].revision == revision)
+        self.assertEqual(self.controller.state_of("plain").order.target, "v2")
+        self.store.delete("rollouts", "plain")
+        await wait_until(lambda: self.controller.state_of("plain") is None)
+
     async def test_unreadable_orders_are_skipped_alone(self):
         await self.start_upstreams("ok")
         odd = [[], {}, {"service": "plain"}, ORDER | {"durationS": -1}]
