Take only whole objects from responses to status writes

A response that held the status without the spec replaced the order by an unreadable one, and a single response raised the stamp of the kind past changes of other orders that were still on their way. Responses without spec are now left to the watch, and FleetView.apply_response applies one object without changing the stamp of its kind; it leaves a new era to the list. Two new tests in test_rollout_edge fail without the change; test_rollout_edge, test_edge_state and test_store_restore pass (40 tests).

--- a/src/carobstair/core/fleet_view.py
+++ b/src/carobstair/core/fleet_view.py
@@ -257,6 +257,21 @@
             self.directory.set_evacuated(objects.known, now_s)
         return [change.name for change in accepted]
 
+    def apply_response(self, kind: StateKind, change: StoreChange) -> bool:
+        """Apply the object in the response to a write; return whether it is newer.
+
+        Only for kinds without decoded form. Changes of other objects before it may
+        still be on their way, so that the stamp of the kind stays as it is; and a
+        new era is entered by the list, which shows what the restored store lacks.
+        """
+        objects = self._kinds[kind]
+        stamp = objects.stamp
+        if change.era != stamp.era:
+            return False
+        accepted = objects.apply(self._bounded(change))
+        objects.stamp = stamp
+        return accepted
+
     def _bounded(self, change: StoreChange) -> StoreChange:
         """Return the change without a document that no decoder should be given."""
         if change.spec is None or is_within_bounds(change.spec):
--- a/src/carobstair/edge/rollout_driver.py
+++ b/src/carobstair/edge/rollout_driver.py
@@ -195,11 +195,8 @@
             # It may have been written: the watch shows it, or it is written again.
             logger.info("rollout_status_uncertain", **fields, error=str(error))
             return
-        if change is not None:
-            now_s = time.monotonic()
-            names = self.view.apply(StateKind.ROLLOUTS, [change], None, now_s)
-            if names:
-                self.apply(names)
+        if change is not None and self.view.apply_response(StateKind.ROLLOUTS, change):
+            self.apply([change.name])
 
     # Messages
 
--- a/src/carobstair/platform/store.py
+++ b/src/carobstair/platform/store.py
@@ -249,12 +249,16 @@
 
 
 def _read_object(body: bytes, kind: StateKind, era: int) -> StoreChange | None:
-    """Return the object in the response to a write, if there is one."""
+    """Return the object in the response to a write, if there is a whole one."""
+    # The watch shows the object as well.
     try:
-        return _change(_OBJECT.decode(body), kind, era)
+        decoded = _OBJECT.decode(body)
     except (msgspec.DecodeError, RecursionError):
-        # The watch shows the object as well.
         return None
+    if bytes(decoded.spec) == b"null":
+        # The response may name only the status; the object has a spec all the same.
+        return None
+    return _change(decoded, kind, era)
 
 
 def _change(decoded: _Object, kind: StateKind, era: int) -> StoreChange:
--- a/tests/test_rollout_edge.py
+++ b/tests/test_rollout_edge.py
@@ -140,6 +140,36 @@
         self.store.delete("rollouts", "plain")
         await wait_until(lambda: self.controller.state_of("plain") is None)
 
+    async def test_status_response_without_spec_changes_no_order(self):
+        """Guards against an order that is lost by a response with the status alone."""
+        self.store.put("rollouts", "plain", ORDER)
+        put_status = self.store.put_status
+
+        def put_status_alone(*args):
+            code, stored = put_status(*args)
+            return code, {key: stored[key] for key in stored if key != "spec"}
+
+        self.store.put_status = put_status_alone
+        status = {"state": "completed", "to": "v2"}
+        revision = self.store.revision
+        call = self.client.put_status(StateKind.ROLLOUTS, "plain", status, revision)
+        self.assertIsNone(await call)
+        with self.assertRaises(StoreConflict) as caught:
+            await self.client.put_status(StateKind.ROLLOUTS, "plain", status, revision)
+        self.assertIsNone(caught.exception.current)
+
+    async def test_status_response_does_not_pass_other_orders(self):
+        """Guards against changes of other orders that seem to be known already."""
+        self.store.put("rollouts", "plain", ORDER)
+        known = self.view.objects(StateKind.ROLLOUTS)
+        await wait_until(lambda: "plain" in known)
+        before = self.view.stamps()
+        change = known["plain"]
+        newer = StoreChange("plain", change.revision + 9, change.spec, change.era)
+        self.assertTrue(self.view.apply_response(StateKind.ROLLOUTS, newer))
+        self.assertEqual(known["plain"].revision, newer.revision)
+        self.assertEqual(self.view.stamps(), before)
+
     async def test_unreadable_orders_are_skipped_alone(self):
         await self.start_upstreams("ok")
         odd = [[], {}, {"service": "plain"}, ORDER | {"durationS": -1}]
