Serve from hidden versions where no other upstream can

Plans counted draining and unusable upstreams as allowed: with all old ones draining, a version that waited for an order, or one that was rolled back, got nothing and the service was not served. Versions that wait are now used if no allowed upstream is usable; those that never completed are used only if all others drain.

--- a/src/carobstair/core/rollouts/versions.py
+++ b/src/carobstair/core/rollouts/versions.py
@@ -164,11 +164,11 @@
         if not listed:
             return None
         held = self._note_versions(service, listed, now_s)
-        held |= self.controller.unfinished(service, {e.version for e in listed})
+        unfinished = self.controller.unfinished(service, {e.version for e in listed})
         state = self.controller.state_of(service)
         if state is None:
-            allowed = [e for e in listed if e.version not in held]
-            if len(allowed) == len(listed) or not allowed:
+            allowed = self._released(listed, held, unfinished, now_s)
+            if len(allowed) == len(listed):
                 return None
             return _fixed(allowed, len(listed))
         # Once the order is removed, its version needs to wait for none.
@@ -176,17 +176,37 @@
         target = [e for e in listed if e.version == state.order.target]
         others = [e for e in listed if e.version != state.order.target]
         if state.final is RolloutState.COMPLETED:
-            return self._completed_plan(state, target, others, held)
-        usable = [e for e in others if e.version not in held] or others
+            return self._completed_plan(state, target, others, held | unfinished)
+        if all(e.draining for e in others):
+            # Without the new version, the service would not be served at all.
+            return None
+        usable = self._released(others, held, unfinished, now_s)
         if state.final is RolloutState.ROLLED_BACK:
-            # Without any other upstream, the service would not be served at all.
-            return _fixed(usable, len(listed)) if others else None
+            return _fixed(usable, len(listed))
         share = self.controller.share(service, now_s)
         new = self._selected(state, target, len(usable), share, now_s)
         old = frozenset(e.upstream_id for e in usable)
         used = len(new) if share >= 1.0 and new else len(new) + len(old)
         return VersionPlan(share, new, old, len(listed) - used)
 
+    def _released(
+        self,
+        entries: list[UpstreamEntry],
+        held: set[str],
+        unfinished: set[str],
+        now_s: float,
+    ) -> list[UpstreamEntry]:
+        """Return upstreams that may be used, with hidden ones if no other serves.
+
+        Versions that wait for an order come first. Those that never completed are
+        the last, and a pause of the others is no reason to use them.
+        """
+        trusted = [e for e in entries if e.version not in unfinished]
+        allowed = [e for e in trusted if e.version not in held]
+        if any(self.directory.is_usable(e, now_s) for e in allowed):
+            return allowed
+        return entries if all(e.draining for e in trusted) else trusted
+
     def _completed_plan(
         self,
         state: OrderState,
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -175,6 +175,7 @@
 
     def setUp(self):
         self.directory = UpstreamDirectory()
+        self.revision = 0
         self.settings = RolloutSettings()
         self.controller = RolloutController("r0", 1, self.settings)
         self.gate = VersionGate(self.directory, self.controller, self.settings)
@@ -184,10 +185,19 @@
         for name in ("d", "e"):
             self.list_upstream(name, "v2")
 
-    def list_upstream(self, name, version):
+    def list_upstream(self, name, version, draining=False, born_ms=1):
         """List an upstream of a version."""
-        entry = UpstreamEntry(name, SERVICE, "h", 1, "a", 8, False, 0.0, 1, version)
-        self.directory.put(entry, Stamp(0, 1), 0.0)
+        entry = UpstreamEntry(
+            name, SERVICE, "h", 1, "a", 8, draining, 0.0, born_ms, version
+        )
+        self.revision += 1
+        self.directory.put(entry, Stamp(0, self.revision), 0.0)
+
+    def drain_old(self):
+        """Let all upstreams of the old version drain."""
+        for name in "abc":
+            self.list_upstream(name, "v1", draining=True)
+        self.gate.on_upstreams_changed()
 
     def order(self, revision, target="v2", stated=None, now_s=0.0, era=0):
         """Apply an object of the store."""
@@ -203,7 +213,8 @@
     def allowed(self, now_s):
         """Return the ids of the upstreams that may get requests."""
         entries = self.directory.listed(SERVICE)
-        return "".join(e.upstream_id for e in entries if self.gate.allows(e, now_s))
+        allowed = (e.upstream_id for e in entries if self.gate.allows(e, now_s))
+        return "".join(sorted(allowed))
 
     def writes(self, now_s):
         """Return the writes that are due."""
@@ -280,7 +291,7 @@
 
     def test_running_version_is_not_rolled_out(self):
         for name in "abc":
-            self.directory.remove(name, Stamp(0, 2), None)
+            self.directory.remove(name, Stamp(0, 99), None)
         self.order(5)
         self.assertEqual(self.allowed(1.0), "de")
         self.assertEqual(self.writes(9.9), [])
@@ -317,6 +328,21 @@
         self.order(8, target="v3", now_s=2.0)
         self.assertEqual(self.allowed(12.0), "abc")
 
+    def test_version_without_order_serves_if_the_old_one_drains(self):
+        self.assertEqual(self.allowed(0.1), "abc")
+        self.drain_old()
+        self.assertEqual(self.allowed(1.0), "abcde")
+
+    def test_undone_version_serves_only_if_the_old_one_drains(self):
+        self.order(5)
+        self.order(6, stated=RolloutState.ROLLED_BACK, now_s=3.0)
+        for entry in self.directory.listed(SERVICE):
+            if entry.version == "v1":
+                self.directory.note_pause(entry, 9.0)
+        self.assertEqual(self.allowed(8.0), "abc")
+        self.drain_old()
+        self.assertEqual(self.allowed(8.1), "abcde")
+
     def test_few_upstreams_take_the_share(self):
         self.order(5)
         for number in range(20):
