Hide replaced upstreams by their start, and only while others serve

After an order was completed, all other versions that the first plan saw were hidden for good, so that a router that started during a later change without order hid the newer version. Replaced upstreams are now hidden by id and start time, for 10 s if the router did not see the order appear, and not if no upstream of the target is usable.

--- a/src/carobstair/core/rollouts/orders.py
+++ b/src/carobstair/core/rollouts/orders.py
@@ -108,8 +108,10 @@
     write_after_s: float | None = None
     forget_s: float | None = None
     skipped: str = ""
-    # Versions that were replaced when the order was completed.
-    replaced: frozenset[str] | None = None
+    # Upstreams that were replaced when the order was completed, with their start
+    # times, and until when they are hidden.
+    replaced: frozenset[tuple[str, int]] | None = None
+    replaced_until_s: float = float("inf")
 
     def age_s(self, now_s: float) -> float:
         """Return the time since the order began."""
--- a/src/carobstair/core/rollouts/versions.py
+++ b/src/carobstair/core/rollouts/versions.py
@@ -17,6 +17,9 @@
 MIN_SELECTED = 2
 # Plans are computed anew after this time, as upstreams come, leave and warm up.
 PLAN_TTL_S = 0.05
+# A router that starts after an order was completed hides other versions for this time:
+# replaced upstreams stop at completion, and are unlisted by then.
+REPLACED_HOLD_S = 10.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -176,7 +179,7 @@
         target = [e for e in listed if e.version == state.order.target]
         others = [e for e in listed if e.version != state.order.target]
         if state.final is RolloutState.COMPLETED:
-            return self._completed_plan(state, target, others, held | unfinished)
+            return self._completed_plan(state, target, others, held, unfinished, now_s)
         if all(e.draining for e in others):
             # Without the new version, the service would not be served at all.
             return None
@@ -213,14 +216,27 @@
         target: list[UpstreamEntry],
         others: list[UpstreamEntry],
         held: set[str],
-    ) -> VersionPlan | None:
+        unfinished: set[str],
+        now_s: float,
+    ) -> VersionPlan:
         self._running[state.order.service] = state.order.target
         if state.replaced is None:
-            state.replaced = frozenset(entry.version for entry in others)
-        if not target:
-            return None
+            state.replaced = frozenset((e.upstream_id, e.born_ms) for e in others)
+            if not state.is_witnessed:
+                # Some of them may have come after the completion, without an order.
+                state.replaced_until_s = now_s + REPLACED_HOLD_S
+        if not any(self.directory.is_usable(e, now_s) for e in target):
+            listed = [*target, *others]
+            allowed = self._released(listed, held, unfinished, now_s)
+            return _fixed(allowed, len(listed))
         # Later versions may come without an order.
-        later = [e for e in others if e.version not in state.replaced | held]
+        replaced = state.replaced if now_s < state.replaced_until_s else frozenset()
+        hidden = held | unfinished
+        later = [
+            e
+            for e in others
+            if e.version not in hidden and (e.upstream_id, e.born_ms) not in replaced
+        ]
         return _fixed([*target, *later], len(target) + len(others))
 
     def _note_versions(
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -199,10 +199,12 @@
             self.list_upstream(name, "v1", draining=True)
         self.gate.on_upstreams_changed()
 
-    def order(self, revision, target="v2", stated=None, now_s=0.0, era=0):
+    def order(
+        self, revision, target="v2", stated=None, now_s=0.0, era=0, is_first=False
+    ):
         """Apply an object of the store."""
         order = RolloutOrder(SERVICE, target, 10.0, Stamp(era, revision))
-        self.controller.on_order(order, stated, now_s)
+        self.controller.on_order(order, stated, now_s, is_first)
         return order
 
     def decide(self, phase, share, now_s, revision=5):
@@ -343,6 +345,24 @@
         self.drain_old()
         self.assertEqual(self.allowed(8.1), "abcde")
 
+    def test_router_that_starts_late_hides_later_versions_for_a_time(self):
+        self.order(5, stated=RolloutState.COMPLETED, is_first=True)
+        self.assertEqual(self.allowed(0.1), "de")
+        self.assertEqual(self.allowed(9.0), "de")
+        self.assertEqual(self.allowed(11.0), "abcde")
+
+    def test_replaced_upstreams_stay_hidden_while_the_new_version_serves(self):
+        self.order(5)
+        self.order(6, stated=RolloutState.COMPLETED, now_s=1.0)
+        self.assertEqual(self.allowed(1.1), "de")
+        self.assertEqual(self.allowed(99.0), "de")
+        # Started after the completion, of a version that is not ordered.
+        self.list_upstream("a", "v1", born_ms=9)
+        self.assertEqual(self.allowed(99.1), "ade")
+        for name in "de":
+            self.list_upstream(name, "v2", draining=True)
+        self.assertEqual(self.allowed(99.2), "abcde")
+
     def test_few_upstreams_take_the_share(self):
         self.order(5)
         for number in range(20):
