Choose the running version by age, and wait for the orders

A router that started in the middle of a roll-out sent everything to the version of most upstreams until the orders were listed, and a tie went to the lexically smaller name. The version of the oldest upstream is now the one that runs, and the router is not ready until the orders are listed, for up to 2 s after the first change from the store, where roll-outs are in force.

--- a/src/carobstair/core/rollouts/versions.py
+++ b/src/carobstair/core/rollouts/versions.py
@@ -64,7 +64,7 @@
     controller: RolloutController
     settings: RolloutSettings
     _held_until_s: dict[str, dict[str, float]] = field(default_factory=dict)
-    # Version that runs, by service: that of most upstreams, then that of each order.
+    # Version that runs, by service: that of the oldest upstream, then of each order.
     _running: dict[str, str] = field(default_factory=dict)
     _plans: dict[str, tuple[float, int, VersionPlan | None]] = field(
         default_factory=dict
@@ -244,15 +244,16 @@
     ) -> set[str]:
         """Return the versions that wait because an order may be on its way.
 
-        At first sight, the version of most upstreams is the one that runs.
+        At first sight, the version of the oldest upstream is the one that runs: in the
+        middle of a roll-out, the new version may have more upstreams.
         """
         counts = Counter(entry.version for entry in listed)
         held_until_s = self._held_until_s.get(service)
         if held_until_s is None:
             held_until_s = self._held_until_s[service] = {}
-            most = min(counts, key=lambda version: (-counts[version], version))
-            held_until_s[most] = now_s
-            self._running[service] = most
+            oldest = min(listed, key=lambda e: (e.born_ms, -counts[e.version]))
+            held_until_s[oldest.version] = now_s
+            self._running[service] = oldest.version
         for version in counts:
             held_until_s.setdefault(version, now_s + self.settings.unordered_hold_s)
         return {version for version in counts if now_s < held_until_s[version]}
--- a/src/carobstair/edge/rollout_driver.py
+++ b/src/carobstair/edge/rollout_driver.py
@@ -33,6 +33,9 @@
 
 # Interval at which versions of upstreams are noted while no order runs.
 IDLE_INTERVAL_S = 0.5
+# How long a router that knows its configuration waits for the orders before it is
+# ready: a store without this kind must not keep it from serving.
+LIST_WAIT_S = 2.0
 
 DecodedRollout = tuple[RolloutOrder, RolloutState | None]
 
@@ -78,6 +81,8 @@
     _has_list: bool = False
     _era: int = 0
     _noted_s: float = 0.0
+    # Monotonic time of the first change that the store showed.
+    _first_change_s: float | None = None
 
     def __post_init__(self) -> None:
         self.transport.subscribe(RolloutReport, self._on_report)
@@ -122,11 +127,20 @@
 
     def on_state_change(self, kind: StateKind, names: list[str]) -> None:
         """Apply changes of orders and of upstreams."""
+        if self._first_change_s is None:
+            self._first_change_s = time.monotonic()
         if kind is StateKind.UPSTREAMS:
             self.gate.on_upstreams_changed()
         elif kind is StateKind.ROLLOUTS:
             self.apply(names)
 
+    def is_ready(self, now_s: float) -> bool:
+        """Return whether the orders are listed, or were waited for long enough."""
+        if StateKind.ROLLOUTS in self.view.listed:
+            return True
+        first_s = self._first_change_s
+        return first_s is not None and now_s - first_s >= LIST_WAIT_S
+
     def apply(self, names: list[str]) -> None:
         """Apply objects that were written or removed in the store."""
         now_s = time.monotonic()
--- a/src/carobstair/edge/router.py
+++ b/src/carobstair/edge/router.py
@@ -575,6 +575,8 @@
             return 503, b"stopping"
         if self.view.table is None:
             return 503, b"no configuration"
+        if self._rollouts is not None and not self._rollouts.is_ready(time.monotonic()):
+            return 503, b"roll-outs are not listed"
         return 200, b"ready"
 
     def _metrics_page(self) -> tuple[int, bytes]:
--- a/tests/test_rollout_edge.py
+++ b/tests/test_rollout_edge.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import tempfile
+import time
 import unittest
 from pathlib import Path
 
@@ -170,6 +171,16 @@
         self.assertEqual(known["plain"].revision, newer.revision)
         self.assertEqual(self.view.stamps(), before)
 
+    async def test_router_is_ready_once_orders_are_listed(self):
+        """Guards against requests that are placed before orders are known."""
+        await wait_until(lambda: StateKind.ROLLOUTS in self.view.listed)
+        self.assertTrue(self.driver.is_ready(0.0))
+        self.view.listed.clear()
+        self.driver.on_state_change(StateKind.ROUTING, ["routing"])
+        now_s = time.monotonic()
+        self.assertFalse(self.driver.is_ready(now_s))
+        self.assertTrue(self.driver.is_ready(now_s + 2.0))
+
     async def test_unreadable_orders_are_skipped_alone(self):
         await self.start_upstreams("ok")
         odd = [[], {}, {"service": "plain"}, ORDER | {"durationS": -1}]
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -363,6 +363,18 @@
             self.list_upstream(name, "v2", draining=True)
         self.assertEqual(self.allowed(99.2), "abcde")
 
+    def test_router_that_starts_in_a_roll_out_uses_the_oldest_version(self):
+        """Guards against a choice by number or name of the version."""
+        self.directory = UpstreamDirectory()
+        self.gate = VersionGate(self.directory, self.controller, self.settings)
+        for name, version, born_ms in (
+            ("a", "v9", 5),
+            ("b", "v10", 8),
+            ("c", "v10", 7),
+        ):
+            self.list_upstream(name, version, born_ms=born_ms)
+        self.assertEqual(self.allowed(0.1), "a")
+
     def test_few_upstreams_take_the_share(self):
         self.order(5)
         for number in range(20):
