Derive the time a decision holds from the time to roll back

rollback_s was used nowhere, so that a shorter time to roll back did not shorten the 3 s for which a router follows its last decision. It is now min(3 s, 0.6 * rollback_s). The new test fails without the change; test_rollouts and test_rollout_edge pass (46 tests).

--- a/src/carobstair/core/rollouts/settings.py
+++ b/src/carobstair/core/rollouts/settings.py
@@ -6,6 +6,10 @@
 
 __all__ = ["RolloutSettings"]
 
+# Bounds of the time for which a decision holds, the second relative to `rollback_s`.
+MAX_EVIDENCE_TIMEOUT_S = 3.0
+EVIDENCE_TIMEOUT_PART = 0.6
+
 
 @dataclass(frozen=True, slots=True)
 class RolloutSettings:
@@ -43,8 +47,6 @@
         found in seven of eight cases on that route alone, and the ramp is watched.
     min_route_share : float
         Routes with a smaller part of the requests are judged together with the rest.
-    evidence_timeout_s : float
-        Without a decision of a collector for this time, the new version gets nothing.
     unordered_hold_s : float
         How long upstreams of a version that no order names wait: the order may be on
         its way.
@@ -70,9 +72,16 @@
     probe_answers: int = 20
     min_route_answers: int = 40
     min_route_share: float = 0.02
-    evidence_timeout_s: float = 3.0
     unordered_hold_s: float = 5.0
 
+    @property
+    def evidence_timeout_s(self) -> float:
+        """Return after which time without a decision the new version gets nothing.
+
+        The rest of `rollback_s` is for the way of the evidence to this decision.
+        """
+        return min(MAX_EVIDENCE_TIMEOUT_S, EVIDENCE_TIMEOUT_PART * self.rollback_s)
+
     def scaled_interval_s(self, routers: int) -> float:
         """Return the interval of reports in a fleet with a number of routers."""
         scaled_s = self.interval_s * max(1.0, routers / self.full_rate_routers)
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -237,6 +237,15 @@
         # A router that was frozen or is cut off has no decision for three seconds.
         self.assertEqual(self.allowed(4.2), "abc")
 
+    def test_evidence_ends_before_the_time_to_roll_back(self):
+        for rollback_s, timeout_s in ((2.0, 1.2), (5.0, 3.0), (60.0, 3.0)):
+            with self.subTest(rollback_s=rollback_s):
+                self.controller.settings = RolloutSettings(rollback_s=rollback_s)
+                self.order(5)
+                self.decide(Phase.CANARY, 0.07, 1.0)
+                self.assertEqual(self.controller.share(SERVICE, 0.9 + timeout_s), 0.07)
+                self.assertEqual(self.controller.share(SERVICE, 1.1 + timeout_s), 0.0)
+
     def test_verdicts_move_all_requests(self):
         self.order(5)
         self.order(6, stated=RolloutState.COMPLETED, now_s=1.0)
