--- a/src/carobstair/core/rollouts/settings.py
+++ b/src/carobstair/core/rollouts/settings.py
@@ -60,11 +60,11 @@
     full_rate_routers: int = 65
     probe_share: float = 0.03
     canary_share: float = 0.07
-    hold_share: float = 0.05
+    hold_share: float = 0.02
     ramp_shares: tuple[float, float] = (0.2, 0.5)
     verdict_part: float = 0.42
-    ramp_part: float = 0.68
-    step_part: float = 0.06
+    ramp_part: float = 0.74
+    step_part: float = 0.05
     undecided_part: float = 0.85
     completion_margin_part: float = 0.08
     rollback_margin_part: float = 0.1
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -77,6 +77,13 @@
         self.check_good("good", 72, 1)
         self.check_good("good", 195, 1)
 
+    def test_version_that_turns_bad_in_the_last_phase_stays_within_the_bound(self):
+        for seed in range(3):
+            run = FleetSimulation(Population(0.2, from_part=0.84), 8, seed).run()
+            with self.subTest(seed=seed, run=run.summary()):
+                self.assertEqual(run.status, RolloutState.ROLLED_BACK)
+                self.assertLessEqual(run.exposed, run.bound)
+
     def test_exposure_stays_low_until_the_ramp(self):
         run = FleetSimulation(Population(), 8).run(until_s=8.0)
         self.assertLess(run.exposed, 0.08 * run.requests)
