--- a/src/carobstair/core/rollouts/versions.py
+++ b/src/carobstair/core/rollouts/versions.py
@@ -17,6 +17,9 @@
 MIN_SELECTED = 2
 # Plans are computed anew after this time, as upstreams come, leave and warm up.
 PLAN_TTL_S = 0.05
+# A router that starts after an order was completed hides other versions for this time:
+# replaced upstreams stop at completion, and are unlisted by then.
+REPLACED_HOLD_S = 10.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,7 +64,7 @@
     controller: RolloutController
     settings: RolloutSettings
     _held_until_s: dict[str, dict[str, float]] = field(default_factory=dict)
-    # Version that runs, by service: that of most upstreams, then that of each order.
+    # Version that runs, by service: that of the oldest upstream, then of each order.
     _running: dict[str, str] = field(default_factory=dict)
     _plans: dict[str, tuple[float, int, VersionPlan | None]] = field(
         default_factory=dict
@@ -164,10 +167,11 @@
         if not listed:
             return None
         held = self._note_versions(service, listed, now_s)
+        unfinished = self.controller.unfinished(service, {e.version for e in listed})
         state = self.controller.state_of(service)
         if state is None:
-            allowed = [e for e in listed if e.version not in held]
-            if len(allowed) == len(listed) or not allowed:
+            allowed = self._released(listed, held, unfinished, now_s)
+            if len(allowed) == len(listed):
                 return None
             return _fixed(allowed, len(listed))
         # Once the order is removed, its version needs to wait for none.
@@ -175,31 +179,64 @@
         target = [e for e in listed if e.version == state.order.target]
         others = [e for e in listed if e.version != state.order.target]
         if state.final is RolloutState.COMPLETED:
-            return self._completed_plan(state, target, others, held)
-        usable = [e for e in others if e.version not in held] or others
+            return self._completed_plan(state, target, others, held, unfinished, now_s)
+        if all(e.draining for e in others):
+            # Without the new version, the service would not be served at all.
+            return None
+        usable = self._released(others, held, unfinished, now_s)
         if state.final is RolloutState.ROLLED_BACK:
-            # Without any other upstream, the service would not be served at all.
-            return _fixed(usable, len(listed)) if others else None
+            return _fixed(usable, len(listed))
         share = self.controller.share(service, now_s)
         new = self._selected(state, target, len(usable), share, now_s)
         old = frozenset(e.upstream_id for e in usable)
         used = len(new) if share >= 1.0 and new else len(new) + len(old)
         return VersionPlan(share, new, old, len(listed) - used)
 
+    def _released(
+        self,
+        entries: list[UpstreamEntry],
+        held: set[str],
+        unfinished: set[str],
+        now_s: float,
+    ) -> list[UpstreamEntry]:
+        """Return upstreams that may be used, with hidden ones if no other serves.
+
+        Versions that wait for an order come first. Those that never completed are
+        the last, and a pause of the others is no reason to use them.
+        """
+        trusted = [e for e in entries if e.version not in unfinished]
+        allowed = [e for e in trusted if e.version not in held]
+        if any(self.directory.is_usable(e, now_s) for e in allowed):
+            return allowed
+        return entries if all(e.draining for e in trusted) else trusted
+
     def _completed_plan(
         self,
         state: OrderState,
         target: list[UpstreamEntry],
         others: list[UpstreamEntry],
         held: set[str],
-    ) -> VersionPlan | None:
+        unfinished: set[str],
+        now_s: float,
+    ) -> VersionPlan:
         self._running[state.order.service] = state.order.target
         if state.replaced is None:
-            state.replaced = frozenset(entry.version for entry in others)
-        if not target:
-            return None
+            state.replaced = frozenset((e.upstream_id, e.born_ms) for e in others)
+            if not state.is_witnessed:
+                # Some of them may have come after the completion, without an order.
+                state.replaced_until_s = now_s + REPLACED_HOLD_S
+        if not any(self.directory.is_usable(e, now_s) for e in target):
+            listed = [*target, *others]
+            allowed = self._released(listed, held, unfinished, now_s)
+            return _fixed(allowed, len(listed))
         # Later versions may come without an order.
-        later = [e for e in others if e.version not in state.replaced | held]
+        replaced = state.replaced if now_s < state.replaced_until_s else frozenset()
+        hidden = held | unfinished
+        later = [
+            e
+            for e in others
+            if e.version not in hidden and (e.upstream_id, e.born_ms) not in replaced
+        ]
         return _fixed([*target, *later], len(target) + len(others))
 
     def _note_versions(
@@ -207,15 +244,16 @@
     ) -> set[str]:
         """Return the versions that wait because an order may be on its way.
 
-        At first sight, the version of most upstreams is the one that runs.
+        At first sight, the version of the oldest upstream is the one that runs: in the
+        middle of a roll-out, the new version may have more upstreams.
         """
         counts = Counter(entry.version for entry in listed)
         held_until_s = self._held_until_s.get(service)
         if held_until_s is None:
             held_until_s = self._held_until_s[service] = {}
-            most = min(counts, key=lambda version: (-counts[version], version))
-            held_until_s[most] = now_s
-            self._running[service] = most
+            oldest = min(listed, key=lambda e: (e.born_ms, -counts[e.version]))
+            held_until_s[oldest.version] = now_s
+            self._running[service] = oldest.version
         for version in counts:
             held_until_s.setdefault(version, now_s + self.settings.unordered_hold_s)
         return {version for version in counts if now_s < held_until_s[version]}
--- a/tests/test_rollout_edge.py
+++ b/tests/test_rollout_edge.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import tempfile
+import time
 import unittest
 from pathlib import Path
 
@@ -128,6 +129,58 @@
         self.assertEqual(caught.exception.current.revision, self.store.revision)
         self.assertNotIn("status", self.store.objects["rollouts", "plain"])
 
+    async def test_order_that_becomes_unreadable_still_holds(self):
+        """Guards against a bad version that is used as if its order were removed."""
+        await self.start_versions("ok")
+        await wait_until(lambda: self.controller.state_of("plain") is not None)
+        self.store.put("rollouts", "plain", ORDER | {"durationS": -1})
+        known = self.view.objects(StateKind.ROLLOUTS)
+        revision = self.store.revision
+        await wait_until(lambda: known["plain"].revision == revision)
+        self.assertEqual(self.controller.state_of("plain").order.target, "v2")
+        self.store.delete("rollouts", "plain")
+        await wait_until(lambda: self.controller.state_of("plain") is None)
+
+    async def test_status_response_without_spec_changes_no_order(self):
+        """Guards against an order that is lost by a response with the status alone."""
+        self.store.put("rollouts", "plain", ORDER)
+        put_status = self.store.put_status
+
+        def put_status_alone(*args):
+            code, stored = put_status(*args)
+            return code, {key: stored[key] for key in stored if key != "spec"}
+
+        self.store.put_status = put_status_alone
+        status = {"state": "completed", "to": "v2"}
+        revision = self.store.revision
+        call = self.client.put_status(StateKind.ROLLOUTS, "plain", status, revision)
+        self.assertIsNone(await call)
+        with self.assertRaises(StoreConflict) as caught:
+            await self.client.put_status(StateKind.ROLLOUTS, "plain", status, revision)
+        self.assertIsNone(caught.exception.current)
+
+    async def test_status_response_does_not_pass_other_orders(self):
+        """Guards against changes of other orders that seem to be known already."""
+        self.store.put("rollouts", "plain", ORDER)
+        known = self.view.objects(StateKind.ROLLOUTS)
+        await wait_until(lambda: "plain" in known)
+        before = self.view.stamps()
+        change = known["plain"]
+        newer = StoreChange("plain", change.revision + 9, change.spec, change.era)
+        self.assertTrue(self.view.apply_response(StateKind.ROLLOUTS, newer))
+        self.assertEqual(known["plain"].revision, newer.revision)
+        self.assertEqual(self.view.stamps(), before)
+
+    async def test_router_is_ready_once_orders_are_listed(self):
+        """Guards against requests that are placed before orders are known."""
+        await wait_until(lambda: StateKind.ROLLOUTS in self.view.listed)
+        self.assertTrue(self.driver.is_ready(0.0))
+        self.view.listed.clear()
+        self.driver.on_state_change(StateKind.ROUTING, ["routing"])
+        now_s = time.monotonic()
+        self.assertFalse(self.driver.is_ready(now_s))
+        self.assertTrue(self.driver.is_ready(now_s + 2.0))
+
     async def test_unreadable_orders_are_skipped_alone(self):
         await self.start_upstreams("ok")
         odd = [[], {}, {"service": "plain"}, ORDER | {"durationS": -1}]
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -77,6 +77,13 @@
         self.check_good("good", 72, 1)
         self.check_good("good", 195, 1)
 
+    def test_version_that_turns_bad_in_the_last_phase_stays_within_the_bound(self):
+        for seed in range(3):
+            run = FleetSimulation(Population(0.2, from_part=0.84), 8, seed).run()
+            with self.subTest(seed=seed, run=run.summary()):
+                self.assertEqual(run.status, RolloutState.ROLLED_BACK)
+                self.assertLessEqual(run.exposed, run.bound)
+
     def test_exposure_stays_low_until_the_ramp(self):
         run = FleetSimulation(Population(), 8).run(until_s=8.0)
         self.assertLess(run.exposed, 0.08 * run.requests)
@@ -175,6 +182,7 @@
 
     def setUp(self):
         self.directory = UpstreamDirectory()
+        self.revision = 0
         self.settings = RolloutSettings()
         self.controller = RolloutController("r0", 1, self.settings)
         self.gate = VersionGate(self.directory, self.controller, self.settings)
@@ -184,15 +192,26 @@
         for name in ("d", "e"):
             self.list_upstream(name, "v2")
 
-    def list_upstream(self, name, version):
+    def list_upstream(self, name, version, draining=False, born_ms=1):
         """List an upstream of a version."""
-        entry = UpstreamEntry(name, SERVICE, "h", 1, "a", 8, False, 0.0, 1, version)
-        self.directory.put(entry, Stamp(0, 1), 0.0)
+        entry = UpstreamEntry(
+            name, SERVICE, "h", 1, "a", 8, draining, 0.0, born_ms, version
+        )
+        self.revision += 1
+        self.directory.put(entry, Stamp(0, self.revision), 0.0)
+
+    def drain_old(self):
+        """Let all upstreams of the old version drain."""
+        for name in "abc":
+            self.list_upstream(name, "v1", draining=True)
+        self.gate.on_upstreams_changed()
 
-    def order(self, revision, target="v2", stated=None, now_s=0.0, era=0):
+    def order(
+        self, revision, target="v2", stated=None, now_s=0.0, era=0, is_first=False
+    ):
         """Apply an object of the store."""
         order = RolloutOrder(SERVICE, target, 10.0, Stamp(era, revision))
-        self.controller.on_order(order, stated, now_s)
+        self.controller.on_order(order, stated, now_s, is_first)
         return order
 
     def decide(self, phase, share, now_s, revision=5):
@@ -203,7 +222,8 @@
     def allowed(self, now_s):
         """Return the ids of the upstreams that may get requests."""
         entries = self.directory.listed(SERVICE)
-        return "".join(e.upstream_id for e in entries if self.gate.allows(e, now_s))
+        allowed = (e.upstream_id for e in entries if self.gate.allows(e, now_s))
+        return "".join(sorted(allowed))
 
     def writes(self, now_s):
         """Return the writes that are due."""
@@ -224,6 +244,15 @@
         # A router that was frozen or is cut off has no decision for three seconds.
         self.assertEqual(self.allowed(4.2), "abc")
 
+    def test_evidence_ends_before_the_time_to_roll_back(self):
+        for rollback_s, timeout_s in ((2.0, 1.2), (5.0, 3.0), (60.0, 3.0)):
+            with self.subTest(rollback_s=rollback_s):
+                self.controller.settings = RolloutSettings(rollback_s=rollback_s)
+                self.order(5)
+                self.decide(Phase.CANARY, 0.07, 1.0)
+                self.assertEqual(self.controller.share(SERVICE, 0.9 + timeout_s), 0.07)
+                self.assertEqual(self.controller.share(SERVICE, 1.1 + timeout_s), 0.0)
+
     def test_verdicts_move_all_requests(self):
         self.order(5)
         self.order(6, stated=RolloutState.COMPLETED, now_s=1.0)
@@ -280,7 +309,7 @@
 
     def test_running_version_is_not_rolled_out(self):
         for name in "abc":
-            self.directory.remove(name, Stamp(0, 2), None)
+            self.directory.remove(name, Stamp(0, 99), None)
         self.order(5)
         self.assertEqual(self.allowed(1.0), "de")
         self.assertEqual(self.writes(9.9), [])
@@ -298,6 +327,70 @@
         self.assertEqual(self.allowed(2.1), "de")
         self.assertIsNotNone(self.controller.state_of(SERVICE))
 
+    def test_bad_version_stays_hidden_from_the_next_order(self):
+        self.order(5)
+        self.order(6, stated=RolloutState.ROLLED_BACK, now_s=3.0)
+        self.assertEqual(self.allowed(3.1), "abc")
+        for revision, target in ((7, "v1"), (8, "v3")):
+            with self.subTest(target):
+                self.order(revision, target=target, now_s=float(revision))
+                self.assertEqual(self.allowed(revision + 0.5), "abc")
+        self.order(9, now_s=20.0)
+        self.decide(Phase.CANARY, 0.07, 21.0, revision=9)
+        self.assertEqual(self.allowed(21.1), "abcde")
+
+    def test_version_that_was_not_judged_stays_hidden_from_the_next_order(self):
+        self.order(5)
+        self.decide(Phase.CANARY, 0.07, 1.0)
+        self.assertEqual(self.allowed(1.1), "abcde")
+        self.order(8, target="v3", now_s=2.0)
+        self.assertEqual(self.allowed(12.0), "abc")
+
+    def test_version_without_order_serves_if_the_old_one_drains(self):
+        self.assertEqual(self.allowed(0.1), "abc")
+        self.drain_old()
+        self.assertEqual(self.allowed(1.0), "abcde")
+
+    def test_undone_version_serves_only_if_the_old_one_drains(self):
+        self.order(5)
+        self.order(6, stated=RolloutState.ROLLED_BACK, now_s=3.0)
+        for entry in self.directory.listed(SERVICE):
+            if entry.version == "v1":
+                self.directory.note_pause(entry, 9.0)
+        self.assertEqual(self.allowed(8.0), "abc")
+        self.drain_old()
+        self.assertEqual(self.allowed(8.1), "abcde")
+
+    def test_router_that_starts_late_hides_later_versions_for_a_time(self):
+        self.order(5, stated=RolloutState.COMPLETED, is_first=True)
+        self.assertEqual(self.allowed(0.1), "de")
+        self.assertEqual(self.allowed(9.0), "de")
+        self.assertEqual(self.allowed(11.0), "abcde")
+
+    def test_replaced_upstreams_stay_hidden_while_the_new_version_serves(self):
+        self.order(5)
+        self.order(6, stated=RolloutState.COMPLETED, now_s=1.0)
+        self.assertEqual(self.allowed(1.1), "de")
+        self.assertEqual(self.allowed(99.0), "de")
+        # Started after the completion, of a version that is not ordered.
+        self.list_upstream("a", "v1", born_ms=9)
+        self.assertEqual(self.allowed(99.1), "ade")
+        for name in "de":
+            self.list_upstream(name, "v2", draining=True)
+        self.assertEqual(self.allowed(99.2), "abcde")
+
+    def test_router_that_starts_in_a_roll_out_uses_the_oldest_version(self):
+        """Guards against a choice by number or name of the version."""
+        self.directory = UpstreamDirectory()
+        self.gate = VersionGate(self.directory, self.controller, self.settings)
+        for name, version, born_ms in (
+            ("a", "v9", 5),
+            ("b", "v10", 8),
+            ("c", "v10", 7),
+        ):
+            self.list_upstream(name, version, born_ms=born_ms)
+        self.assertEqual(self.allowed(0.1), "a")
+
     def test_few_upstreams_take_the_share(self):
         self.order(5)
         for number in range(20):
