Withdraw a busy router from the load balancer while its peers are idle

Change: while the router is busy and the median peer is idle, it reports unready and answers close their connections, so that the balancer sends the callers elsewhere.

--- a/src/carobstair/core/router_load/__init__.py
+++ b/src/carobstair/core/router_load/__init__.py
@@ -1,8 +1,9 @@
 """Utilisation of a router's event loop, and early load shedding towards idle peers.
 
 `LoopUtilisation` is the share of time that the event loop does not wait for events,
-`PeerUtilisation` is what peers state of theirs, and `EarlyShedding` is the part of new
-requests that a router refuses, so that their callers reach a peer.
+`PeerUtilisation` is what peers state of theirs, `EarlyShedding` is the part of new
+requests that a router refuses, so that their callers reach a peer, and `Withdrawal`
+decides when the load balancer should send no new connections.
 """
 
 from carobstair.core.router_load.peers import PeerUtilisation
@@ -13,6 +14,7 @@
     ShedParts,
 )
 from carobstair.core.router_load.utilisation import LoopUtilisation
+from carobstair.core.router_load.withdrawal import Withdrawal, WithdrawalSettings
 
 __all__ = [
     "NOTHING_SHED",
@@ -21,4 +23,6 @@
     "LoopUtilisation",
     "PeerUtilisation",
     "ShedParts",
+    "Withdrawal",
+    "WithdrawalSettings",
 ]
--- a/src/carobstair/edge/app.py
+++ b/src/carobstair/edge/app.py
@@ -135,7 +135,9 @@
             lambda pool, outcome: metrics.waited.labels(pool, outcome).inc(),
         )
         self._ended_requests = 0
-        self.refusals = EarlyRefusals(view, dialect, metrics, rng, self._overload)
+        self.refusals = EarlyRefusals(
+            view, dialect, metrics, rng, self._overload, self._closes_connection
+        )
         self.account = ServiceAccount(
             lambda pool, name, tokens: metrics.count_tokens(
                 pool, name, "asked", tokens
--- a/src/carobstair/edge/early_refusals.py
+++ b/src/carobstair/edge/early_refusals.py
@@ -8,6 +8,7 @@
 import random
 import re
 import time
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import msgspec
@@ -57,6 +58,8 @@
     metrics : EdgeMetrics
     rng : random.Random
     overload : OverloadGuard
+    closes_connections : callable, optional
+        Returns whether answers should close their connections.
     """
 
     view: FleetView
@@ -64,6 +67,7 @@
     metrics: EdgeMetrics
     rng: random.Random
     overload: OverloadGuard
+    closes_connections: Callable[[], bool] = lambda: False
     _shed_requests: int = 0
 
     def check(
@@ -158,8 +162,9 @@
         if not is_suppressed(__name__, "request_refused", outcome):
             logger.info("request_refused", outcome=outcome)
         body = msgspec.json.encode(refusal.problem(""))
+        close = "connection: close\r\n" if self.closes_connections() else ""
         head = (
-            f"HTTP/1.1 {refusal.status} Service Unavailable\r\n"
+            f"HTTP/1.1 {refusal.status} Service Unavailable\r\n{close}"
             f"content-type: {PROBLEM_JSON}\r\ncontent-length: {len(body)}\r\n"
             f"retry-after: {retry_after_text(refusal.retry_after_s)}\r\n\r\n"
         )
--- a/src/carobstair/edge/router.py
+++ b/src/carobstair/edge/router.py
@@ -28,7 +28,7 @@
 from carobstair.core.messages import PeerAddress
 from carobstair.core.overload import OverloadGuard
 from carobstair.core.rollouts import RolloutController, RolloutSettings, VersionGate
-from carobstair.core.router_load import LoopUtilisation
+from carobstair.core.router_load import LoopUtilisation, Withdrawal
 from carobstair.core.send_limits import ColdSendLimit, ResendLimit
 from carobstair.core.share_exchange import ShareExchange
 from carobstair.core.upstream_health import UpstreamHealth
@@ -175,6 +175,7 @@
         )
         self._connections = ConnectionPool()
         self._overload = OverloadGuard(settings.overload, utilisation)
+        self._withdrawal = Withdrawal()
         self._loads.on_slowdown_stated = self._on_slowdown_stated
         relay = Relay(self._dispatcher, self._connections, platform.dialect)
         relay.responses.event_pause_s = self._overload.early.event_pause_s
@@ -191,7 +192,7 @@
             self.metrics,
             self._rng,
             settings.max_open_requests,
-            lambda: self._caller_server.connections > listen.keep_alive_limit,
+            self._should_close_connections,
             self._overload,
             BodyBudget(settings.max_body_memory_bytes),
             self._room,
@@ -464,11 +465,27 @@
             await asyncio.sleep(LAG_PROBE_INTERVAL_S)
             now_s = time.monotonic()
             self._overload.note(now_s - due_s, now_s)
+            self._update_withdrawal(now_s)
             # A signal that came while the loop was late is handled after this timer.
             is_late = now_s - due_s > LATE_TIMER_S
             self._on_time_s = last_s if is_late else now_s
             last_s = now_s
 
+    def _update_withdrawal(self, now_s: float) -> None:
+        """Leave the load balancer's rotation while only this router is busy."""
+        early = self._overload.early
+        utilisation = early.utilisation()
+        if self._withdrawal.update(utilisation, early.gain(now_s) >= 1.0, now_s):
+            logger.info(
+                "balancer_left" if self._withdrawal.is_active else "balancer_rejoined",
+                utilisation=_rounded(utilisation),
+                connections=self._caller_server.connections,
+            )
+
+    def _should_close_connections(self) -> bool:
+        limit = self._settings.listen.keep_alive_limit
+        return self._withdrawal.is_active or self._caller_server.connections > limit
+
     async def _log_service(self) -> None:
         """Log what workspaces with refusals asked for and got at this router."""
         while True:
@@ -578,6 +595,8 @@
             return 503, b"stopping"
         if self.view.table is None:
             return 503, b"no configuration"
+        if self._withdrawal.is_active:
+            return 503, b"busy"
         if self._rollouts is not None and not self._rollouts.is_ready(time.monotonic()):
             return 503, b"roll-outs are not listed"
         return 200, b"ready"
--- a/src/carobstair/edge/server.py
+++ b/src/carobstair/edge/server.py
@@ -77,6 +77,9 @@
     def turn_away(self) -> bytes:
         """Return the answer to a request that waited too long to be read."""
 
+    def closes_connections(self) -> bool:
+        """Return whether these answers close their connections."""
+
 
 class CallerProtocol(BoundedHttpProtocol):
     """Passes requests through a gate, and closes connections that have been idle.
@@ -138,10 +141,16 @@
         if answer is None:
             return False
         self._unset_keepalive_if_required()
-        self.transport.write(answer)
-        self._start_idle_timer()
+        self._answer_unread(answer)
         return True
 
+    def _answer_unread(self, answer: bytes) -> None:
+        self.transport.write(answer)
+        if self.config.shedder.closes_connections():
+            self.transport.close()
+        else:
+            self._start_idle_timer()
+
     def _receive_later(self, data: bytes, since_s: float) -> None:
         if self.transport.is_closing():
             return
@@ -159,9 +168,8 @@
             return False
         self._limits.hold(self, 0)
         self._limits.set_phase(self, Phase.IDLE)
-        self.transport.write(self.config.shedder.turn_away())
         self.transport.resume_reading()
-        self._start_idle_timer()
+        self._answer_unread(self.config.shedder.turn_away())
         return True
 
     def on_headers_complete(self) -> None:
--- a/tests/test_router_load.py
+++ b/tests/test_router_load.py
@@ -20,6 +20,7 @@
     EarlySheddingSettings,
     LoopUtilisation,
     PeerUtilisation,
+    Withdrawal,
 )
 from carobstair.edge.measured_selector import measured_loop
 from edge_test_case import EdgeCase, wait_until
@@ -377,6 +378,34 @@
         self.assertAlmostEqual(self.measure(0.02, 0.02), 0.5, delta=0.25)
 
 
+class WithdrawalTest(unittest.TestCase):
+    """Guards against a router that stays busy because its callers can't leave it."""
+
+    def play(self, loads, peers_idle=True):
+        """Return whether a router is withdrawn after each tenth of a second."""
+        withdrawal, states = Withdrawal(), []
+        for number, load in enumerate(loads):
+            withdrawal.update(load, peers_idle, number / 10)
+            states.append(withdrawal.is_active)
+        return states
+
+    def test_router_that_stays_busy_withdraws_until_it_is_calm(self):
+        states = self.play([0.95] * 10 + [0.7] * 25 + [0.3] * 5)
+        self.assertFalse(any(states[:3]))
+        self.assertTrue(all(states[4:34]))
+        self.assertFalse(any(states[36:]))
+
+    def test_short_peak_and_busy_peers_change_nothing(self):
+        self.assertFalse(any(self.play([0.95, 0.95, 0.4] * 10)))
+        self.assertFalse(any(self.play([0.95] * 50, peers_idle=False)))
+        self.assertFalse(any(self.play([None] * 50)))
+
+    def test_withdrawal_ends_although_the_load_stays(self):
+        states = self.play([0.95] * 100)
+        self.assertTrue(states[60])
+        self.assertIn(False, states[80:90])
+
+
 class DigestFieldTest(unittest.TestCase):
     """Guards against digests that do not say how busy their sender is.
 
