Keep waiting requests apart from the failures of others

Cause: an exception for one waiting request, or the outcome of a request that was cancelled, ended the task that decides on all, and nothing bounded their wait.

Change: failures are caught and logged per request and per turn, ended outcomes are not set again, and a request waits 0.1 s beyond its latest time at most.

Result: test_admission_gate passes (11 tests); its three new tests fail without the change.

--- a/src/carobstair/edge/admission_gate.py
+++ b/src/carobstair/edge/admission_gate.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import itertools
 import time
 from collections.abc import Callable
@@ -21,14 +22,20 @@
 )
 from carobstair.core.refusals import refuse
 from carobstair.edge.exchange import CallerLeft
+from carobstair.logs import get_logger
 
 __all__ = ["AdmissionGate"]
 
+logger = get_logger(__name__)
+
 # Interval at which waiting requests are decided on if nothing ends meanwhile.
 TICK_S = 0.01
 # Part of what is left of the objective for which a request may wait: the rest is for
 # reading its prompt.
 WAIT_PART = 0.7
+# Beyond its latest time, a request waits no longer for its decision.
+LATE_S = 0.1
+LOG_INTERVAL_S = 1.0
 # The retry of a request that waited when this process began to stop reaches another.
 STOP_RETRY_S = 0.03
 
@@ -113,7 +120,12 @@
             self._pump = asyncio.create_task(self._run())
         outcome = "left"
         try:
-            decision = await held.outcome
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(latest_s - now_s + LATE_S):
+                    await held.outcome
+            if held.outcome.done() and not held.outcome.cancelled():
+                # Also if it was decided on in the turn in which the time ended.
+                decision = held.outcome.result()
             outcome = "begun" if decision.admitted else "refused"
             return decision
         finally:
@@ -130,27 +142,43 @@
         if self.is_draining():
             for request in self.waiting.clear():
                 error = refuse("shutting-down", retry_after_s=STOP_RETRY_S)
-                self._fail(request, error)
+                self._fail(request.request_id, error)
             return
         for request_id, held in list(self._held.items()):
             if held.caller_closed() and self.waiting.remove(request_id):
-                held.outcome.set_exception(CallerLeft())
+                self._fail(request_id, CallerLeft())
         for request in self.waiting.expired(now_s):
-            held = self._held.get(request.request_id)
-            if held is not None:
-                decided = self.admission.reconsider(held.ask(now_s), TICK_S, now_s)
+            decided = self._reconsider(request, now_s)
+            if decided is not None:
                 self._settle(request, decided)
         passed: set[tuple[str, str]] = set()
         while (request := self.waiting.next(now_s, passed)) is not None:
-            held = self._held[request.request_id]
-            decided = self.admission.reconsider(held.ask(now_s), TICK_S, now_s)
-            if decided.admitted:
+            decided = self._reconsider(request, now_s)
+            if decided is None:
+                self.waiting.remove(request.request_id)
+            elif decided.admitted:
                 self.waiting.begin(request)
                 self._settle(request, decided)
             else:
                 passed.add(request.key)
 
+    def _reconsider(
+        self, request: WaitingRequest, now_s: float
+    ) -> AdmissionDecision | None:
+        """Return the decision on a request; None if it has ended or failed."""
+        held = self._held.get(request.request_id)
+        if held is None or held.outcome.done():
+            return None
+        try:
+            return self.admission.reconsider(held.ask(now_s), TICK_S, now_s)
+        except Exception as error:
+            # Only this request fails, as all others wait for the same task.
+            logger.exception("waiting_request_failed", request_id=request.request_id)
+            self._fail(request.request_id, error)
+            return None
+
     async def _run(self) -> None:
+        logged_s = -LOG_INTERVAL_S
         while len(self.waiting):
             self._wake.clear()
             try:
@@ -158,14 +186,19 @@
                     await self._wake.wait()
             except TimeoutError:
                 pass
-            self.tick(time.monotonic())
+            try:
+                self.tick(now_s := time.monotonic())
+            except Exception:
+                if now_s - logged_s >= LOG_INTERVAL_S:
+                    logged_s = now_s
+                    logger.exception("admission_tick_failed")
 
     def _settle(self, request: WaitingRequest, decision: AdmissionDecision) -> None:
         held = self._held.get(request.request_id)
         if held is not None and not held.outcome.done():
             held.outcome.set_result(decision)
 
-    def _fail(self, request: WaitingRequest, error: Exception) -> None:
-        held = self._held.get(request.request_id)
+    def _fail(self, request_id: int, error: Exception) -> None:
+        held = self._held.get(request_id)
         if held is not None and not held.outcome.done():
             held.outcome.set_exception(error)
--- a/tests/test_admission_gate.py
+++ b/tests/test_admission_gate.py
@@ -4,6 +4,7 @@
 import time
 import unittest
 from types import SimpleNamespace
+from unittest import mock
 
 from carobstair.core.admission import (
     AdmissionDecision,
@@ -95,6 +96,41 @@
         self.assertIsNotNone(self.gate.may_wait(REFUSED, 0.1, 0.0))
         self.assertIsNone(self.gate.may_wait(REFUSED, 0.01, 0.0))
 
+    async def test_failure_of_one_request_does_not_stop_the_others(self):
+        waits = [self.wait() for _ in range(2)]
+        await asyncio.sleep(0)
+        errors = iter((ValueError("of the first"),))
+
+        def reconsider(request, tick_s, now_s):
+            for error in errors:
+                raise error
+            return ADMITTED
+
+        self.gate.admission.reconsider = reconsider
+        async with asyncio.timeout(1.0):
+            first, second = await asyncio.gather(*waits, return_exceptions=True)
+        self.assertIsInstance(first, ValueError)
+        self.assertTrue(second.admitted)
+
+    async def test_caller_that_left_a_cancelled_request_does_not_stop_the_others(self):
+        waits = [self.wait() for _ in range(2)]
+        await asyncio.sleep(0)
+        self.gate._held[0].outcome.cancel()
+        self.gate._held[0].caller_closed = lambda: True
+        self.gate._held[1].caller_closed = lambda: False
+        self.gate.tick(time.monotonic())
+        self.decision = ADMITTED
+        async with asyncio.timeout(1.0):
+            first, second = await asyncio.gather(*waits, return_exceptions=True)
+        self.assertIsInstance(first, asyncio.CancelledError)
+        self.assertTrue(second.admitted)
+
+    async def test_request_ends_in_time_if_nothing_is_decided(self):
+        with mock.patch.object(AdmissionGate, "tick", side_effect=ValueError):
+            async with asyncio.timeout(1.0):
+                self.assertFalse((await self.wait(0.05)).admitted)
+        await self.check_ended("refused")
+
 
 class WorkConservingEdgeTest(EdgeCase):
     """Guards against refusals by a configured throughput while engines are idle."""
