--- a/src/carobstair/core/admission/room.py
+++ b/src/carobstair/core/admission/room.py
@@ -138,7 +138,7 @@
         free = [name for name in load.free if name in ids]
         if not free:
             return sorted(ids.intersection(load.least) or ids)
-        if self.dispatcher.loads.states_slowdown(service):
+        if self.dispatcher.loads.has_capacity_estimates(service):
             # Placement by capacity chooses among near-equal engines itself.
             return sorted(ids.difference(load.full))
         weights = [load.free[name] for name in free]
--- a/src/carobstair/core/dispatch.py
+++ b/src/carobstair/core/dispatch.py
@@ -187,7 +187,7 @@
             return False
         if pool.cold_rate > 0:
             self.cold.note_send(entry.upstream_id, now_s)
-        if self.loads.states_slowdown(pool.name):
+        if self.loads.has_capacity_estimates(pool.name):
             self.loads.note_send(
                 entry.upstream_id,
                 pool.name,
--- a/src/carobstair/core/engine_load.py
+++ b/src/carobstair/core/engine_load.py
@@ -258,15 +258,15 @@
     # Capacity by upstream
 
     @property
-    def on_slowdown_stated(self) -> Callable[[str], None] | None:
+    def on_capacity_enabled(self) -> Callable[[str], None] | None:
         """Called with a service when its upstreams first state a slowdown."""
-        return self.capacities.on_slowdown_stated
+        return self.capacities.on_capacity_enabled
 
-    @on_slowdown_stated.setter
-    def on_slowdown_stated(self, callback: Callable[[str], None] | None) -> None:
-        self.capacities.on_slowdown_stated = callback
+    @on_capacity_enabled.setter
+    def on_capacity_enabled(self, callback: Callable[[str], None] | None) -> None:
+        self.capacities.on_capacity_enabled = callback
 
-    def states_slowdown(self, service: str) -> bool:
+    def has_capacity_estimates(self, service: str) -> bool:
         """Return whether upstreams of a service have stated a slowdown."""
         return service in self.capacities.by_service
 
--- a/src/carobstair/core/upstream_capacity/services.py
+++ b/src/carobstair/core/upstream_capacity/services.py
@@ -26,13 +26,13 @@
     Attributes
     ----------
     by_service : dict
-    on_slowdown_stated : callable or None
+    on_capacity_enabled : callable or None
         Called with a service when it is switched on, which happens once: when one of
         its upstreams, or a peer for it, first states a slowdown.
     """
 
     settings: CapacitySettings = CapacitySettings()
-    on_slowdown_stated: Callable[[str], None] | None = None
+    on_capacity_enabled: Callable[[str], None] | None = None
     by_service: dict[str, UpstreamCapacity] = field(default_factory=dict)
     _recent_waits: deque[WaitRow] = field(
         default_factory=lambda: deque(maxlen=MAX_RECENT_WAITS)
@@ -43,8 +43,8 @@
         """Begin the estimates of a service, unless they have begun."""
         if service not in self.by_service:
             self.by_service[service] = UpstreamCapacity(self.settings)
-            if self.on_slowdown_stated is not None:
-                self.on_slowdown_stated(service)
+            if self.on_capacity_enabled is not None:
+                self.on_capacity_enabled(service)
 
     def keep(self, incarnations: Collection[Incarnation]) -> None:
         """Drop the incarnations that are not given."""
--- a/src/carobstair/edge/capacity_reports.py
+++ b/src/carobstair/edge/capacity_reports.py
@@ -31,9 +31,9 @@
     metrics: EdgeMetrics
     _slow: set[Incarnation] = field(default_factory=set)
 
-    def log_slowdown_stated(self, service: str) -> None:
+    def log_capacity_enabled(self, service: str) -> None:
         """Log that the estimates decide for a service from now on."""
-        logger.info("upstreams_state_slowdown", service=service)
+        logger.info("capacity_estimates_enabled", service=service)
 
     def log_changes(self, now_s: float) -> None:
         """Log upstreams that have become slow, or are no longer."""
--- a/src/carobstair/edge/router.py
+++ b/src/carobstair/edge/router.py
@@ -176,7 +176,7 @@
         self._connections = ConnectionPool()
         self._overload = OverloadGuard(settings.overload, utilisation)
         self._withdrawal = Withdrawal()
-        self._loads.on_slowdown_stated = self._on_slowdown_stated
+        self._loads.on_capacity_enabled = self._on_capacity_enabled
         relay = Relay(self._dispatcher, self._connections, platform.dialect)
         relay.responses.event_pause_s = self._overload.early.event_pause_s
         self._guard = relay.guard
@@ -435,9 +435,9 @@
         self._evidence_exchange.on_peer_heard(peer)
         self._permits.on_peer_heard(peer)
 
-    def _on_slowdown_stated(self, service: str) -> None:
+    def _on_capacity_enabled(self, service: str) -> None:
         """Turn on what is meant for upstreams that share their machines."""
-        self._capacity_reports.log_slowdown_stated(service)
+        self._capacity_reports.log_capacity_enabled(service)
         self._overload.enable_redirect()
         table = self.view.table
         pool = table.services.get(service) if table is not None else None
--- a/tests/test_upstream_capacity.py
+++ b/tests/test_upstream_capacity.py
@@ -238,7 +238,7 @@
     def setUp(self):
         self.loads = LoadTracker(PlacementSettings(), "a")
         self.stated = []
-        self.loads.on_slowdown_stated = self.stated.append
+        self.loads.on_capacity_enabled = self.stated.append
         self.rng = random.Random(2)
 
     def report(
@@ -269,10 +269,10 @@
 
     def test_service_is_switched_on_once_by_the_first_stated_slowdown(self):
         self.loads.note_report("u0", 1, 0, 24, 1.0, None, "s", 1)
-        self.assertFalse(self.loads.states_slowdown("s"))
+        self.assertFalse(self.loads.has_capacity_estimates("s"))
         self.report("u0", 1)
         self.report("u1", 1)
-        self.assertTrue(self.loads.states_slowdown("s"))
+        self.assertTrue(self.loads.has_capacity_estimates("s"))
         self.assertEqual(self.stated, ["s"])
 
     def test_equal_engines_share_requests_although_all_read_the_same_reports(self):
@@ -448,13 +448,15 @@
     async def test_header_with_a_fourth_figure_switches_the_service_on(self):
         await self.start_upstreams("raw")
         reports = CapacityReports(self.dispatcher.loads, self.metrics)
-        self.dispatcher.loads.on_slowdown_stated = reports.log_slowdown_stated
+        self.dispatcher.loads.on_capacity_enabled = reports.log_capacity_enabled
         await self.call_with_load("1,0,6")
-        self.assertFalse(self.dispatcher.loads.states_slowdown("plain"))
+        self.assertFalse(self.dispatcher.loads.has_capacity_estimates("plain"))
         with mock.patch("carobstair.edge.capacity_reports.logger") as logger:
             for _ in range(3):
                 await self.call_with_load("1,0,6,250")
-        logger.info.assert_called_once_with("upstreams_state_slowdown", service="plain")
+        logger.info.assert_called_once_with(
+            "capacity_estimates_enabled", service="plain"
+        )
         reports.export(time.monotonic())
         page = generate_latest(self.metrics.registry).decode()
         self.assertIn('upstream_relative_speed{service="plain",upstream="u0"}', page)
