Withdraw sooner and for longer

Cause: a router was shed at for two seconds until the balancer acted, and its callers came back with it 2.5 s later. Change: from 0.7 busy for 0.2 s, for 6 to 12 s.

--- a/src/carobstair/core/router_load/withdrawal.py
+++ b/src/carobstair/core/router_load/withdrawal.py
@@ -21,16 +21,16 @@
         Utilisation below which it reports ready again.
     min_s : float
         Shortest withdrawal: the balancer removes a router after two failed checks, a
-        second apart.
+        second apart, and its callers come back with it.
     max_s : float
         Longest withdrawal. Afterwards the balancer may have moved the callers.
     """
 
-    busy_from: float = 0.85
-    busy_for_s: float = 0.3
+    busy_from: float = 0.7
+    busy_for_s: float = 0.2
     calm_below: float = 0.5
-    min_s: float = 2.5
-    max_s: float = 8.0
+    min_s: float = 6.0
+    max_s: float = 12.0
 
 
 @dataclass(slots=True)
