Use usual names in the new parts, and drop an unused method

Change: renames and the removal; no behaviour. Result: test_rollouts, test_rollout_edge, test_router_load and test_gossip pass.

--- a/src/carobstair/core/overload.py
+++ b/src/carobstair/core/overload.py
@@ -79,7 +79,7 @@
 
     def is_early(self, now_s: float) -> bool:
         """Return whether a refused caller should try a less busy peer at once."""
-        return self.early.gain(now_s) > 0.0
+        return self.early.peer_advantage(now_s) > 0.0
 
     def note(self, lag_s: float, now_s: float) -> None:
         """Record how late a timer fired."""
--- a/src/carobstair/core/rollouts/controller.py
+++ b/src/carobstair/core/rollouts/controller.py
@@ -202,15 +202,6 @@
             return 0.0
         return state.share
 
-    def allows(self, service: str, version: str, now_s: float) -> bool:
-        """Return whether an upstream of a version may get a request of a service."""
-        state = self.state_of(service)
-        if state is None:
-            return True
-        if version == state.order.target:
-            return self.share(service, now_s) > 0.0
-        return state.final is not RolloutState.COMPLETED
-
     def begin_answer(
         self,
         service: str,
--- a/src/carobstair/core/router_load/shedding.py
+++ b/src/carobstair/core/router_load/shedding.py
@@ -93,7 +93,7 @@
         """Return the utilisation of this router, or None if it is not measured."""
         return None if self.own is None else self.own.value
 
-    def gain(self, now_s: float) -> float:
+    def peer_advantage(self, now_s: float) -> float:
         """Return how much idler the peers are, from 0 to 1 (as in the settings)."""
         own = self.utilisation()
         if not self.enabled or own is None:
@@ -110,12 +110,12 @@
         settings = self.settings
         if not self.enabled or own is None or own <= settings.first_from:
             return NOTHING_SHED
-        gain = self.gain(now_s)
-        if gain <= 0.0:
+        advantage = self.peer_advantage(now_s)
+        if advantage <= 0.0:
             return NOTHING_SHED
         first = _ramp(own, settings.first_from, settings.first_until)
         last = _ramp(own, settings.last_from, settings.last_until)
-        return ShedParts(gain * first, gain * settings.max_last * last)
+        return ShedParts(advantage * first, advantage * settings.max_last * last)
 
     def event_pause_s(self) -> float:
         """Return how long a stream is not read after a part of it was relayed."""
--- a/src/carobstair/core/upstream_capacity/placement.py
+++ b/src/carobstair/core/upstream_capacity/placement.py
@@ -23,7 +23,7 @@
 BALANCE_REQUESTS = 0.3
 # Fill at which a plain upstream's wait counts as endless: above 1, as full ones are
 # known by their slots.
-PLAIN_POLE = 1.25
+PLAIN_SATURATION = 1.25
 # Differences of plain upstreams below this fraction of their time do not count.
 PLAIN_MARGIN = 0.15
 
@@ -244,8 +244,8 @@
         room = record.concurrency
         slots = record.slots or room
         time_s = base_s * record.transient * record.usual_slowdown / record.speed
-        pole = PLAIN_POLE * room
-        time_s *= 1.0 + running / max(pole - running, 0.1 * room)
+        saturation = PLAIN_SATURATION * room
+        time_s *= 1.0 + running / max(saturation - running, 0.1 * room)
         cost_s = time_s + record.late_s + PLAIN_MARGIN * base_s * rng.random()
         if running >= slots:
             cost_s += NO_SLOT_S + running - slots
--- a/src/carobstair/edge/router.py
+++ b/src/carobstair/edge/router.py
@@ -475,7 +475,9 @@
         """Leave the load balancer's rotation while only this router is busy."""
         early = self._overload.early
         utilisation = early.utilisation()
-        if self._withdrawal.update(utilisation, early.gain(now_s) >= 1.0, now_s):
+        if self._withdrawal.update(
+            utilisation, early.peer_advantage(now_s) >= 1.0, now_s
+        ):
             logger.info(
                 "balancer_left" if self._withdrawal.is_active else "balancer_rejoined",
                 utilisation=_rounded(utilisation),
--- a/src/carobstair/net/peer_guard.py
+++ b/src/carobstair/net/peer_guard.py
@@ -281,14 +281,14 @@
         self._forget(link.descriptor)
         self._counts[reason] += 1
         self._on_closed(reason)
-        with contextlib.suppress(OSError), _borrowed(link.descriptor) as sock:
+        with contextlib.suppress(OSError), _socket_view(link.descriptor) as sock:
             if _cookie(sock) == link.cookie:
                 # libzmq sees the end of the connection and closes the descriptor.
                 sock.shutdown(socket.SHUT_RDWR)
 
 
 @contextlib.contextmanager
-def _borrowed(descriptor: int):
+def _socket_view(descriptor: int):
     """Provide a socket for a descriptor that stays open."""
     # The family is given, as its detection takes three more system calls.
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM, 0, descriptor)
@@ -305,7 +305,7 @@
 def _open_link(descriptor: int, port: int, burst_bytes: int) -> _Link | None:
     """Return what is known of a connection, or None if it is closed already."""
     try:
-        with _borrowed(descriptor) as sock:
+        with _socket_view(descriptor) as sock:
             if sock.getsockname()[1] != port:
                 return None
             now_s = time.monotonic()
@@ -318,7 +318,7 @@
 def _received_bytes(link: _Link) -> int | None:
     """Return what a connection has received, or None if it is closed."""
     try:
-        with _borrowed(link.descriptor) as sock:
+        with _socket_view(link.descriptor) as sock:
             if _cookie(sock) != link.cookie:
                 return None
             info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
