Leave placement to the capacity estimates, and aim at engines with a free slot

Change: where capacity is estimated, only the placement by capacity chooses; admission aims at 0.9 of the slots on the users' platform.

--- a/src/carobstair/core/admission/room.py
+++ b/src/carobstair/core/admission/room.py
@@ -134,13 +134,13 @@
         """
         if not self.applies(service):
             return ids
+        if self.dispatcher.loads.has_capacity_estimates(service):
+            # Placement by capacity weighs full engines against prompts that they hold.
+            return ids
         load = self.load(service, now_s)
         free = [name for name in load.free if name in ids]
         if not free:
             return sorted(ids.intersection(load.least) or ids)
-        if self.dispatcher.loads.has_capacity_estimates(service):
-            # Placement by capacity chooses among near-equal engines itself.
-            return sorted(ids.difference(load.full))
         weights = [load.free[name] for name in free]
         chosen = self.dispatcher.rng.choices(free, weights, k=PLACEMENT_CHOICES)
         return sorted(ids.difference(load.full, free).union(chosen))
--- a/src/carobstair/platform/boot.py
+++ b/src/carobstair/platform/boot.py
@@ -9,6 +9,7 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 from pydantic.alias_generators import to_camel
 
+from carobstair.core.admission import AdmissionSettings
 from carobstair.core.directory import DirectorySettings
 from carobstair.core.engine_load import PlacementSettings
 from carobstair.core.rollouts import RolloutSettings
@@ -30,6 +31,8 @@
 METRICS_PORT_OFFSET = 1
 # Names deployments whose callers compete for too little room.
 PRESSURE = "pressure"
+# Objectives count to the first token, which waits for a slot at a full engine.
+TARGET_SLOTS_USED = 0.9
 # A new upstream is used by then, even if no peer tells of it.
 MAX_UPSTREAMS_PAUSE_S = 1.5
 # A process under load without bodies, and the part of the rest that bodies may take:
@@ -184,6 +187,7 @@
             bounds.retry_slack,
             bounds.retry_window_s,
         ),
+        admission=AdmissionSettings(target_slots_used=TARGET_SLOTS_USED),
         placement=PlacementSettings(
             capacity=CapacitySettings(always=PRESSURE in boot.contracts)
         ),
