--- a/src/carobstair/core/engine_load.py
+++ b/src/carobstair/core/engine_load.py
@@ -10,11 +10,25 @@
 import math
 import random
 from collections import OrderedDict, deque
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 from typing import Any
 
 from carobstair.core.rate_limits import PermitOutlook
+from carobstair.core.request_shapes import (
+    PlacementSettings,
+    PromptShape,
+    SentRequest,
+)
+from carobstair.core.upstream_capacity import (
+    Incarnation,
+    ServiceCapacities,
+    UpstreamCapacity,
+    UpstreamRecord,
+    WaitRow,
+    choose_engine,
+    choose_plain,
+)
 
 __all__ = ["LoadTracker", "PlacementSettings", "PromptShape", "SentRequest"]
 
@@ -31,102 +45,7 @@
 # Far below any cost difference, so that it only breaks ties.
 TIE_BREAK_S = 1e-6
 
-Segments = tuple[tuple[str, int], ...]
-
-
-@dataclass(frozen=True, slots=True)
-class PromptShape:
-    """Sizes of a model request.
-
-    Attributes
-    ----------
-    prompt_tokens, output_tokens : int
-        `output_tokens` is the length that the caller expects, or the maximum.
-    segments : tuple of (str, int)
-        Segments of the prompt in order, each as its id and its number of tokens.
-    shared_segments : tuple of str
-        Ids of all segments but the last, which other requests may share. Given
-        whatever else of the prompt is unknown.
-    """
-
-    prompt_tokens: int = 0
-    output_tokens: int = 0
-    segments: Segments = ()
-    shared_segments: tuple[str, ...] = ()
-
-
-@dataclass(frozen=True, slots=True)
-class PlacementSettings:
-    """Weights of the estimated time to the first token.
-
-    Attributes
-    ----------
-    prefill_tokens_per_s : float
-        Prefill rate of an engine in prompt tokens a second, from its data sheet.
-    backlog_weight : float
-        Weight of the prompt tokens queued at an engine ahead of the request.
-    uncached_weight : float
-        Weight of the request's own tokens that the engine has not cached. Far above
-        1: prefilling a segment twice takes time from every other request, whereas
-        choosing an engine that has it cached costs only a longer wait.
-    limited_uncached_weight : float
-        The same at engines that limit their requests: they are short of sends, not of
-        time to read, so long prompts are best placed there.
-    limited_send_weight : float
-        Weight of the time between two sends that such an engine accepts: each request
-        takes it from the others whatever its size, so short ones are placed elsewhere.
-    max_limited_send_s : float
-        Bound of that cost, at which long prompts still prefer such an engine.
-    running_request_s : float
-        Delay per running request: a decode step takes longer with a larger batch.
-    other_zone_s : float
-        Cost of an upstream in another zone: the network hop and the traffic.
-    target_wait_s : float
-        Mean wait for queued prompts at which engines count as fully loaded. Below
-        two thirds of the shortest objective for the first token, 400 ms, because
-        waits vary.
-    target_running : float
-        Running requests at which an engine counts as fully loaded: by its data sheet
-        a decode step then takes 1.5 times as long as with one request. With more,
-        long answers miss their deadlines.
-    target_slot_fraction : float
-        The same limit as a fraction of the slots, for engines with few slots:
-        requests beyond the number of slots have to wait.
-    cache_fraction : float
-        Fraction of an engine's KV cache that is assumed to hold the segments known
-        here; the rest holds running requests and segments known only to peers.
-    report_lifetime_s : float
-        How long the load that an upstream reported is used instead of the sum over
-        all routers.
-    slot_wait_s : float
-        Delay for each request beyond the slots of an engine: the time after which
-        the next of its slots becomes free.
-    """
-
-    prefill_tokens_per_s: float = 56_600.0
-    backlog_weight: float = 3.0
-    uncached_weight: float = 16.0
-    limited_uncached_weight: float = 8.0
-    limited_send_weight: float = 4.0
-    max_limited_send_s: float = 0.8
-    running_request_s: float = 0.002
-    other_zone_s: float = 0.005
-    target_wait_s: float = 0.25
-    target_running: float = 22.0
-    target_slot_fraction: float = 1.0
-    cache_fraction: float = 0.5
-    report_lifetime_s: float = 0.5
-    slot_wait_s: float = 0.2
-
-
-@dataclass(slots=True)
-class SentRequest:
-    """A request in flight at an upstream."""
-
-    upstream_id: str
-    uncached_tokens: int
-    sent_s: float
-    first_byte_s: float | None = None
+NO_PROMPT = PromptShape()
 
 
 @dataclass(slots=True)
@@ -142,6 +61,13 @@
     own_at_report: int = 0
     cached: OrderedDict[str, int] = field(default_factory=OrderedDict)
     cached_tokens: int = 0
+    held_tokens: int = 0
+    # Set where upstreams of the service have stated a slowdown.
+    capacity: UpstreamCapacity | None = None
+    incarnation: Incarnation | None = None
+    record: UpstreamRecord | None = None
+    # Waits of a cold upstream say nothing of its speed.
+    is_cold: bool = False
 
 
 @dataclass(slots=True)
@@ -152,11 +78,15 @@
     ----------
     kv_tokens : int
         KV-cache capacity of one engine.
+    capacities : ServiceCapacities
+        Estimates of the services whose upstreams state a slowdown.
     """
 
     settings: PlacementSettings
     zone: str
     kv_tokens: int = DEFAULT_KV_TOKENS
+    # Reported loads of which some figure could not be read.
+    unreadable_reports: int = 0
     _loads: dict[str, _Load] = field(default_factory=dict)
     _peers: dict[str, dict[str, tuple[int, int]]] = field(default_factory=dict)
     # Sums over all peers, as placement reads them for every upstream and request.
@@ -165,6 +95,10 @@
         default_factory=lambda: deque(maxlen=MAX_RECENT_SEGMENTS)
     )
     _segment_count: int = 0
+    capacities: ServiceCapacities = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.capacities = ServiceCapacities(self.settings.capacity)
 
     # Own requests
 
@@ -174,6 +108,13 @@
         sent = SentRequest(
             upstream_id, self.uncached_tokens(upstream_id, prompt), now_s
         )
+        sent.held_tokens = prompt.prompt_tokens + prompt.output_tokens
+        load.held_tokens += sent.held_tokens
+        if load.capacity is not None and load.incarnation and not load.is_cold:
+            sent.incarnation = load.incarnation
+            sent.tokens_ahead = self.backlog_tokens(upstream_id)
+            sent.running_at_send = self.occupancy(upstream_id, now_s)
+            load.capacity.note_held(sent.held_tokens)
         load.backlog_tokens += sent.uncached_tokens
         load.running += 1
         load.unanswered[id(sent)] = sent
@@ -194,6 +135,8 @@
             sent.first_byte_s = now_s
             load.backlog_tokens -= sent.uncached_tokens
             load.unanswered.pop(id(sent), None)
+            if sent.incarnation is not None:
+                self._note_wait(load, sent, now_s)
 
     def note_activity(self, upstream_id: str, now_s: float) -> None:
         """Record that bytes arrived from an upstream."""
@@ -205,7 +148,10 @@
         if sent.first_byte_s is None:
             load.backlog_tokens -= sent.uncached_tokens
             load.unanswered.pop(id(sent), None)
+            if sent.incarnation is not None:
+                self._note_no_first_byte(load, sent, now_s)
         load.running -= 1
+        load.held_tokens -= sent.held_tokens
 
     # Cached segments
 
@@ -237,10 +183,33 @@
     # Load reported by others
 
     def note_report(
-        self, upstream_id: str, running: int, waiting: int, slots: int, now_s: float
+        self,
+        upstream_id: str,
+        running: int,
+        waiting: int,
+        slots: int,
+        now_s: float,
+        slowdown: float | None = None,
+        service: str = "",
+        born_ms: int = 0,
     ) -> None:
-        """Record the load that a response reported."""
+        """Record the load that a response reported.
+
+        Parameters
+        ----------
+        slowdown : float, optional
+            How long work takes there relative to its usual time, if stated.
+        service : str
+            Empty if the response came from another incarnation than this one.
+        """
         load = self._load(upstream_id)
+        if service and (slowdown is not None or self.settings.capacity.always):
+            self.capacities.switch_on(service)
+        if service in self.capacities.by_service:
+            self.note_incarnation(upstream_id, service, born_ms)
+            self.capacities.by_service[service].note_report(
+                (upstream_id, born_ms), running, waiting, slots, slowdown, now_s
+            )
         load.reported_requests = running + waiting
         load.reported_slots, load.reported_s = slots, now_s
         load.own_at_report = load.running
@@ -286,6 +255,81 @@
             if not self._loads[upstream_id].running:
                 del self._loads[upstream_id]
 
+    # Capacity by upstream
+
+    @property
+    def on_capacity_enabled(self) -> Callable[[str], None] | None:
+        """Called with a service when its upstreams first state a slowdown."""
+        return self.capacities.on_capacity_enabled
+
+    @on_capacity_enabled.setter
+    def on_capacity_enabled(self, callback: Callable[[str], None] | None) -> None:
+        self.capacities.on_capacity_enabled = callback
+
+    def has_capacity_estimates(self, service: str) -> bool:
+        """Return whether upstreams of a service have stated a slowdown."""
+        return service in self.capacities.by_service
+
+    def note_incarnation(self, upstream_id: str, service: str, born_ms: int) -> None:
+        """Record which incarnation of an upstream receives requests now."""
+        capacity = self.capacities.by_service.get(service)
+        if capacity is None:
+            return
+        load, incarnation = self._load(upstream_id), (upstream_id, born_ms)
+        if load.incarnation == incarnation:
+            return
+        if load.incarnation is not None and load.incarnation[1] > born_ms:
+            # A late answer of an incarnation that has ended.
+            return
+        if load.incarnation is not None:
+            # It has restarted, and holds no prompts.
+            self.forget_segments(upstream_id)
+            load.reported_s = -math.inf
+        load.capacity, load.incarnation = capacity, incarnation
+        load.record = capacity.record(incarnation)
+
+    def note_send(
+        self, upstream_id: str, service: str, born_ms: int, is_cold: bool
+    ) -> None:
+        """Record which incarnation is about to get a request, and if it is cold."""
+        self.note_incarnation(upstream_id, service, born_ms)
+        self._load(upstream_id).is_cold = is_cold
+
+    def keep_incarnations(self, incarnations: Collection[Incarnation]) -> None:
+        """Drop the estimates of incarnations that are gone."""
+        self.capacities.keep(incarnations)
+        for load in self._loads.values():
+            if load.incarnation is not None and load.incarnation not in incarnations:
+                load.incarnation = load.record = None
+
+    def note_peer_wait(self, service: str, row: WaitRow, now_s: float) -> None:
+        """Record the wait of a peer's request at an upstream of a service."""
+        self.capacities.switch_on(service)
+        self.note_incarnation(row[0], service, row[1])
+        self.capacities.note_peer_wait(service, row, now_s)
+
+    def _note_wait(self, load: _Load, sent: SentRequest, now_s: float) -> None:
+        if load.record is not None and load.incarnation == sent.incarnation:
+            self.capacities.note_wait(
+                load.capacity,
+                sent.incarnation,
+                sent.tokens_ahead + sent.uncached_tokens,
+                sent.running_at_send,
+                now_s - sent.sent_s,
+                now_s,
+            )
+
+    def _note_no_first_byte(self, load: _Load, sent: SentRequest, now_s: float) -> None:
+        """Count a request that ended without an answer for the time that it waited.
+
+        A short one was rejected or its caller left, which says nothing of the speed.
+        """
+        wait_s = now_s - sent.sent_s
+        if wait_s > self.settings.capacity.objective_s + self.expected_wait_s(
+            sent.upstream_id, NO_PROMPT
+        ):
+            self._note_wait(load, sent, now_s)
+
     # Estimates
 
     def backlog_tokens(self, upstream_id: str) -> int:
@@ -346,11 +390,19 @@
         """Return the unweighted estimate of the time to the first token."""
         tokens = self.backlog_tokens(upstream_id)
         tokens += self.uncached_tokens(upstream_id, prompt)
+        record = self._load(upstream_id).record
+        if record is not None:
+            return tokens * record.token_s
         return tokens / self.settings.prefill_tokens_per_s
 
     def queue_wait_s(self, upstream_id: str, slots: int, now_s: float) -> float:
         """Return the time that a request would wait before its prompt is read."""
         settings = self.settings
+        record = self._load(upstream_id).record
+        if record is not None:
+            wait_s = self.backlog_tokens(upstream_id) * record.token_s
+            excess = self.occupancy(upstream_id, now_s) - record.concurrency + 1.0
+            return wait_s + settings.slot_wait_s * max(0.0, excess)
         wait_s = self.backlog_tokens(upstream_id) / settings.prefill_tokens_per_s
         excess = self.occupancy(upstream_id, now_s) - slots + 1
         if slots > 0 and excess > 0:
@@ -366,7 +418,14 @@
             Slots by upstream id.
         """
         running = sum(self.occupancy(upstream, now_s) for upstream in upstreams)
-        return running / max(1, sum(upstreams.values()))
+        room = sum(
+            slots
+            if (record := self._load(upstream).record) is None
+            # A concurrency of an upstream that reported no slots is a guess.
+            else min(record.concurrency, slots or record.concurrency)
+            for upstream, slots in upstreams.items()
+        )
+        return running / max(1, room)
 
     def pressure(
         self,
@@ -389,8 +448,15 @@
         parts = wait_s = running = target_total = 0.0
         for upstream, slots in upstreams.items():
             part = limited_parts.get(upstream, 1.0)
-            own_wait_s = self.backlog_tokens(upstream) / settings.prefill_tokens_per_s
+            backlog = self.backlog_tokens(upstream)
+            own_wait_s = backlog / settings.prefill_tokens_per_s
             target = min(settings.target_running, settings.target_slot_fraction * slots)
+            record = self._load(upstream).record
+            if record is not None:
+                own_wait_s = backlog * record.token_s
+                target = min(target, record.concurrency)
+                # An even mean would follow the slowest upstream.
+                part *= record.speed
             parts += part
             if upstream in permits:
                 own_wait_s += permits[upstream].wait_s
@@ -407,6 +473,7 @@
         rng: random.Random,
         now_s: float = math.inf,
         permits: Mapping[str, PermitOutlook] = NOTHING,
+        service: str = "",
     ) -> str:
         """Return the engine with the least `first_token_s`, ties at random.
 
@@ -419,7 +486,24 @@
             Upstream id and zone, at least one.
         permits : mapping, optional
             Permits of engines that limit their requests.
+        service : str, optional
+            Given so that its upstreams' capacity counts where they state a slowdown.
         """
+        capacity = self.capacities.by_service.get(service)
+        if capacity is not None:
+            return choose_engine(
+                candidates,
+                prompt,
+                capacity,
+                self.settings,
+                self.zone,
+                self.kv_tokens,
+                self._loads,
+                self._peer_totals,
+                permits,
+                rng,
+                now_s,
+            )
         settings = self.settings
         per_backlog_s = settings.backlog_weight / settings.prefill_tokens_per_s
         per_uncached_s = settings.uncached_weight / settings.prefill_tokens_per_s
@@ -466,11 +550,26 @@
         candidates: Iterable[tuple[str, str]],
         rng: random.Random,
         permits: Mapping[str, PermitOutlook] = NOTHING,
+        now_s: float = math.inf,
+        service: str = "",
     ) -> str:
         """Return the upstream of a plain service with the fewest running requests.
 
-        Those with the shortest wait for a permit come first.
+        Those with the shortest wait for a permit come first. Where upstreams state a
+        slowdown, the one with the least expected time is returned.
         """
+        capacity = self.capacities.by_service.get(service)
+        if capacity is not None:
+            return choose_plain(
+                candidates,
+                capacity,
+                self.settings,
+                self.zone,
+                self._loads,
+                permits,
+                rng,
+                now_s,
+            )
         ranked = []
         for u, zone in candidates:
             cost = float(self.running(u))
--- a/src/carobstair/core/messages.py
+++ b/src/carobstair/core/messages.py
@@ -33,6 +33,7 @@
     PermitReturn,
     RateNews,
 )
+from carobstair.core.rollout_messages import RolloutNews, RolloutReport
 from carobstair.core.share_messages import ShareReport, ShareTotals, ZoneTotals
 
 __all__ = [
@@ -310,6 +311,12 @@
         Eras of the revisions; routers of older releases send none.
     leaving : list of (str, int)
         Upstreams that say they are leaving, with their start times.
+    utilisation_percent : int, optional
+        Utilisation of the sender's event loop; routers of older releases send none.
+    waits : list of (str, int, int, int, int)
+        Of own requests since the last digest, where upstreams state a slowdown: the
+        upstream with its start time, the expected and the actual time to the first
+        byte in milliseconds, and the slowdown in percent.
     """
 
     address: PeerAddress
@@ -319,6 +326,8 @@
     demands: dict[str, dict[str, int]] | None = None
     eras: list[int] = []
     leaving: list[tuple[str, int]] = []
+    utilisation_percent: int | None = None
+    waits: list[tuple[str, int, int, int, int]] = []
 
 
 class SegmentEvidence(msgspec.Struct, frozen=True, array_like=True):
@@ -391,6 +400,8 @@
     PermitRequest,
     PermitReturn,
     RateNews,
+    RolloutNews,
+    RolloutReport,
     SegmentEvidence,
     ShareReport,
     ShareTotals,
--- a/src/carobstair/edge/app.py
+++ b/src/carobstair/edge/app.py
@@ -11,10 +11,17 @@
 
 import msgspec
 
-from carobstair.core.fair_admission import FairAdmission
+from carobstair.core.admission import (
+    ROOM,
+    AdmissionDecision,
+    AdmissionRequest,
+    EngineRoom,
+    FairAdmission,
+)
 from carobstair.core.fleet_view import FleetView
 from carobstair.core.framing import Framing
 from carobstair.core.overload import OverloadGuard
+from carobstair.core.rate_limits import ServiceThroughput
 from carobstair.core.refusals import PROBLEM_JSON, Refusal, refuse
 from carobstair.core.routing import (
     RequestKind,
@@ -24,31 +31,36 @@
     ServicePool,
 )
 from carobstair.core.service_account import ServiceAccount
-from carobstair.edge.body_budget import BodyBudget, BudgetExceeded
+from carobstair.edge.admission_gate import AdmissionGate
+from carobstair.edge.body_budget import SMALL_BODY_BYTES, BodyBudget, BudgetExceeded
+from carobstair.edge.early_refusals import (
+    DEFAULT_ROUTE_TIMEOUT_S,
+    OTHER_ROUTER_RETRY_S,
+    EarlyRefusals,
+    retry_after_text,
+)
 from carobstair.edge.exchange import CallerLeft, Exchange, IncompleteResponse
 from carobstair.edge.metadata import BadRequest, Dialect, Headers, RequestMetadata
 from carobstair.edge.metrics import EdgeMetrics
 from carobstair.edge.relay import Relay
-from carobstair.edge.server import ARRIVED_S, CALLER_CLOSED
+from carobstair.edge.server import (
+    ARRIVED_S,
+    CALLER_CLOSED,
+    HOLD_HEAD,
+    ON_CALLER_LEFT,
+    SHED_DRAW,
+    WHOLE_BODY,
+)
 from carobstair.logs import get_logger, is_suppressed
 
 __all__ = ["EdgeApp"]
 
 logger = get_logger(__name__)
 
-# Limit for requests whose route has no timeout; a caller's deadline may shorten it.
-DEFAULT_ROUTE_TIMEOUT_S = 60.0
 # Objective for the first token of routes that have none.
 DEFAULT_TARGET_S = 1.0
 # Logs one of this many successful requests; failures are always logged.
 SUCCESS_LOG_INTERVAL = 20
-# Retry-After while this router is overloaded or shutting down; the retry reaches
-# another router.
-OTHER_ROUTER_RETRY_S = 0.3
-
-
-# Outcome of requests that waited too long to be read.
-TURNED_AWAY = "turned-away"
 # Bodies held at once, if the memory of the process is not known.
 DEFAULT_BODY_BYTES = 64 * 1024 * 1024
 MAX_LENGTH_DIGITS = 18
@@ -58,14 +70,16 @@
 class _CallerConnection:
     """Cancels a request's handler when its caller disconnects."""
 
+    scope: dict
     receive: Callable
     disconnected: bool = False
 
-    async def cancel_on_disconnect(self, handler: asyncio.Task) -> None:
-        while (await self.receive())["type"] != "http.disconnect":
-            pass
-        self.disconnected = True
-        handler.cancel()
+    def cancel_when_left(self, handler: asyncio.Task) -> None:
+        def cancel() -> None:
+            self.disconnected = True
+            handler.cancel()
+
+        self.scope[ON_CALLER_LEFT](cancel)
 
 
 class EdgeApp:
@@ -85,6 +99,7 @@
         Returns whether responses should close their connections.
     overload : OverloadGuard, optional
     body_budget : BodyBudget, optional
+    room : EngineRoom, optional
     """
 
     def __init__(
@@ -99,6 +114,7 @@
         over_connection_limit: Callable[[], bool] = lambda: False,
         overload: OverloadGuard | None = None,
         body_budget: BodyBudget | None = None,
+        room: EngineRoom | None = None,
     ):
         self._view = view
         self._relay = relay
@@ -110,14 +126,25 @@
         self._over_connection_limit = over_connection_limit
         self._overload = overload or OverloadGuard()
         self._body_budget = body_budget or BodyBudget(DEFAULT_BODY_BYTES)
+        self._room = room or EngineRoom(
+            relay.dispatcher, admission.load_of_others, admission.conserves_work
+        )
+        self._gate = AdmissionGate(
+            admission,
+            lambda: self.draining,
+            lambda pool, outcome: metrics.waited.labels(pool, outcome).inc(),
+        )
         self._ended_requests = 0
+        self.refusals = EarlyRefusals(
+            view, dialect, metrics, rng, self._overload, self._closes_connection
+        )
         self.account = ServiceAccount(
-            lambda pool, name, tokens: metrics.workspace_tokens.labels(
-                pool, name, "asked"
-            ).inc(tokens),
-            lambda pool, name, tokens: metrics.workspace_tokens.labels(
-                pool, name, "begun"
-            ).inc(tokens),
+            lambda pool, name, tokens: metrics.count_tokens(
+                pool, name, "asked", tokens
+            ),
+            lambda pool, name, tokens: metrics.count_tokens(
+                pool, name, "begun", tokens
+            ),
             lambda pool, name, reason: metrics.workspace_refusals.labels(
                 pool, name, reason
             ).inc(),
@@ -136,8 +163,7 @@
         arrived_s = scope.get(ARRIVED_S) or time.monotonic()
         task = asyncio.current_task()
         self.open_requests.add(task)
-        caller = _CallerConnection(receive)
-        watcher: asyncio.Task | None = None
+        caller = _CallerConnection(scope, receive)
         exchange: Exchange | None = None
         outcome, detail = "cancelled", ""
         try:
@@ -145,6 +171,9 @@
                 table, limits = self._active_config()
                 metadata = self._read_metadata(scope, limits)
                 route, workspace = self._admit(table, metadata, scope["path"])
+                self.refusals.check(
+                    route, metadata.caller_timeout_s, scope.get(SHED_DRAW), arrived_s
+                )
                 self._shed_beyond_share(table, route, metadata, workspace, arrived_s)
                 exchange = self._exchange(
                     scope, table, metadata, route, workspace, arrived_s
@@ -152,13 +181,13 @@
                 # What can be refused by the head is, before its body is read.
                 self._check_shutdown(exchange)
                 self._relay.guard.admit(exchange)
-                within_share = self._check_fair_share(exchange, limits)
+                within_share = await self._check_fair_share(exchange, limits)
                 self._check_overload(exchange, within_share)
                 await self._read_body(caller, limits, exchange)
                 # A stop may have begun since.
                 self._check_shutdown(exchange)
                 exchange.close_connection = self._closes_connection()
-                watcher = asyncio.create_task(caller.cancel_on_disconnect(task))
+                caller.cancel_when_left(task)
                 await self._relay.run(exchange, send)
                 outcome = "answered"
             except Refusal as refusal:
@@ -183,8 +212,6 @@
                     raise
                 await self._refuse(scope, send, refuse("internal-error"))
         finally:
-            if watcher is not None:
-                watcher.cancel()
             self.open_requests.discard(task)
             self._give_back(exchange)
             if exchange is not None:
@@ -227,6 +254,10 @@
         self, caller: _CallerConnection, limits: RequestLimits, exchange: Exchange
     ) -> None:
         """Read the body, which must arrive before the request's deadline."""
+        body = caller.scope[WHOLE_BODY](min(SMALL_BODY_BYTES, limits.max_body_bytes))
+        if body is not None:
+            exchange.body = body
+            return
         size_bytes = _declared_bytes(exchange.headers, limits)
         try:
             async with asyncio.timeout_at(exchange.deadline_s):
@@ -279,7 +310,8 @@
             b"",
             arrived_s,
             arrived_s + _allowed_s(route, metadata),
-            caller_closed=scope.get(CALLER_CLOSED, lambda: False),
+            caller_closed=scope[CALLER_CLOSED],
+            hold_head=scope[HOLD_HEAD],
         )
 
     def _closes_connection(self) -> bool:
@@ -302,12 +334,14 @@
         if late:
             raise refuse("shutting-down", retry_after_s=OTHER_ROUTER_RETRY_S)
 
-    def _check_fair_share(self, exchange: Exchange, limits: RequestLimits) -> bool:
+    async def _check_fair_share(
+        self, exchange: Exchange, limits: RequestLimits
+    ) -> bool:
         """Refuse requests that would wait too long, fairly between workspaces.
 
         Returns whether the workspace is within its share.
         """
-        pool, prompt = exchange.pool, exchange.metadata.prompt
+        pool = exchange.pool
         workspace = exchange.workspace
         if not workspace or not self._shares_tokens(pool, limits):
             return False
@@ -318,7 +352,6 @@
             pool.name, workspace, tokens
         )
         dispatcher = self._relay.dispatcher
-        target_s = exchange.route.target_latency_s or DEFAULT_TARGET_S
         throughput = dispatcher.throughput(
             pool.name,
             limits.tokens_per_s,
@@ -326,17 +359,12 @@
             self._admission.factor(pool.name),
             now_s,
         )
-        decision = self._admission.decide(
-            pool.name,
-            workspace,
-            tokens,
-            throughput.nominal_per_s,
-            lambda: dispatcher.pressure(pool.name, now_s),
-            now_s,
-            lambda: dispatcher.queue_wait_s(pool, prompt, now_s) / target_s,
-            lambda: dispatcher.slots_used(pool.name, now_s),
-            throughput.limited_per_s,
-        )
+        if self._admission.conserves_work(pool.name):
+            decision = await self._decide_by_room(exchange, tokens, throughput, now_s)
+        else:
+            decision = self._decide_by_share(exchange, tokens, throughput, now_s)
+        if decision.reason == ROOM:
+            self._metrics.admitted_by_room.labels(pool.name).inc()
         if decision.admitted:
             exchange.admitted_tokens = tokens
             exchange.on_limited_send = lambda: self._admission.note_limited_send(
@@ -350,9 +378,85 @@
             f"wait {decision.wait:.2f} of the objective"
         )
         # Jitter, so that requests refused together aren't retried together.
-        wait_s = decision.retry_after_s * self._rng.uniform(0.7, 1.3)
+        earliest = 0.7
+        if self._admission.conserves_work(pool.name):
+            # The time is that at which the request will begin, so none comes before it.
+            earliest = 1.0
+        wait_s = decision.retry_after_s * self._rng.uniform(earliest, 1.3)
         raise refuse("overloaded", exchange.detail, wait_s)
 
+    def _decide_by_share(
+        self,
+        exchange: Exchange,
+        tokens: float,
+        throughput: ServiceThroughput,
+        now_s: float,
+    ) -> AdmissionDecision:
+        pool, prompt = exchange.pool, exchange.metadata.prompt
+        dispatcher = self._relay.dispatcher
+        target_s = exchange.route.target_latency_s or DEFAULT_TARGET_S
+        return self._admission.decide(
+            pool.name,
+            exchange.workspace,
+            tokens,
+            throughput.nominal_per_s,
+            lambda: dispatcher.pressure(pool.name, now_s),
+            now_s,
+            lambda: dispatcher.queue_wait_s(pool, prompt, now_s) / target_s,
+            lambda: dispatcher.slots_used(pool.name, now_s),
+            throughput.limited_per_s,
+        )
+
+    async def _decide_by_room(
+        self,
+        exchange: Exchange,
+        tokens: float,
+        throughput: ServiceThroughput,
+        now_s: float,
+    ) -> AdmissionDecision:
+        """Decide on a request; it waits if it may begin in time later."""
+
+        def ask(at_s: float) -> AdmissionRequest:
+            return self._admission_request(exchange, tokens, throughput, at_s)
+
+        request = ask(now_s)
+        decision = self._admission.decide_conserving(request, now_s)
+        if decision.admitted:
+            return decision
+        latest_s = self._gate.may_wait(decision, request.objective_s, now_s)
+        if latest_s is None:
+            return decision
+        latest_s = min(latest_s, exchange.deadline_s)
+        return await self._gate.wait(
+            ask, decision, latest_s, exchange.route.priority, exchange.caller_closed
+        )
+
+    def _admission_request(
+        self,
+        exchange: Exchange,
+        tokens: float,
+        throughput: ServiceThroughput,
+        now_s: float,
+    ) -> AdmissionRequest:
+        pool, prompt = exchange.pool, exchange.metadata.prompt
+        hold_s = self._admission.settings.hold_s
+        target_s = exchange.route.target_latency_s or DEFAULT_TARGET_S
+        known_after_s = self._admission.settings.returned_after_s
+        elapsed_s = _elapsed_s(exchange.route, exchange.metadata, known_after_s)
+        left_s = target_s - elapsed_s - (now_s - exchange.arrived_s)
+        return AdmissionRequest(
+            pool.name,
+            exchange.workspace,
+            tokens,
+            throughput.nominal_per_s,
+            lambda: self._room.load(pool.name, now_s),
+            lambda: self._room.wait_s(pool.name, hold_s, now_s) / target_s,
+            lambda: self._room.has_room(pool.name, prompt, left_s, now_s),
+            left_s,
+            elapsed_s > 0.0,
+            throughput.limited_per_s,
+        )
+
     def _shed_beyond_share(
         self,
         table: RoutingTable,
@@ -375,7 +479,7 @@
             self._admission.note_demand(pool, workspace, tokens, now_s)
             self.account.note_asked(pool, workspace, tokens)
             self.account.note_refused(pool, workspace, "router-busy")
-            raise self._busy_refusal(now_s)
+            raise self.refusals.busy(now_s)
 
     def _check_overload(self, exchange: Exchange, within_share: bool) -> None:
         """Refuse some of the other requests while this process is late."""
@@ -387,15 +491,11 @@
                 self.account.note_refused(
                     exchange.pool.name, exchange.workspace, "router-busy"
                 )
-            raise self._busy_refusal(now_s)
-
-    def _busy_refusal(self, now_s: float) -> Refusal:
-        lag_s = self._overload.lag_s(now_s)
-        wait_s = OTHER_ROUTER_RETRY_S * self._rng.uniform(0.3, 1.0)
-        return refuse("router-busy", f"{lag_s:.3f} s behind", wait_s)
+            raise self.refusals.busy(now_s)
 
     def _give_back(self, exchange: Exchange | None) -> None:
         """Return the share of a request that was admitted and did not begin."""
+        self._gate.wake()
         if exchange is None or not exchange.admitted_tokens or exchange.started:
             return
         self._admission.give_back(
@@ -413,20 +513,6 @@
 
     # Refusals and logging
 
-    def turn_away(self) -> bytes:
-        """Return the answer to a request that is not read, and count it."""
-        refusal = self._busy_refusal(time.monotonic())
-        self._metrics.requests.labels("", TURNED_AWAY).inc()
-        if not is_suppressed(__name__, "request_refused", TURNED_AWAY):
-            logger.info("request_refused", outcome=TURNED_AWAY)
-        body = msgspec.json.encode(refusal.problem(""))
-        head = (
-            f"HTTP/1.1 {refusal.status} Service Unavailable\r\n"
-            f"content-type: {PROBLEM_JSON}\r\ncontent-length: {len(body)}\r\n"
-            f"retry-after: {refusal.retry_after_s:.2f}\r\n\r\n"
-        )
-        return head.encode() + body
-
     async def _refuse(self, scope, send, refusal: Refusal) -> None:
         body = msgspec.json.encode(refusal.problem(""))
         headers = [
@@ -434,9 +520,11 @@
             (b"content-length", b"%d" % len(body)),
         ]
         if refusal.retry_after_s is not None:
-            headers.append((b"retry-after", b"%.2f" % refusal.retry_after_s))
+            wait = retry_after_text(refusal.retry_after_s)
+            headers.append((b"retry-after", wait.encode()))
         if self._closes_connection() or refusal.status in (400, 408, 413, 431):
             headers.append((b"connection", b"close"))
+        scope[HOLD_HEAD]()
         start = {"type": "http.response.start", "status": refusal.status}
         await send(start | {"headers": headers})
         if scope["method"] == "HEAD":
@@ -466,14 +554,13 @@
             )
             return
         service = exchange.pool.name
-        self._metrics.requests.labels(service, outcome).inc()
         first_s = None
         if exchange.first_byte_s is not None:
             first_s = round(exchange.first_byte_s - arrived_s, 4)
-            self._metrics.first_byte_s.labels(service).observe(first_s)
+            self._metrics.observe_first_byte(service, first_s)
         self._ended_requests += 1
         framing = exchange.framing
-        self._metrics.responses.labels(framing or "", outcome).inc()
+        self._metrics.count_end(service, framing or "", outcome)
         at_connection_end = framing is Framing.CONNECTION_END
         first_try = outcome == "answered" and exchange.attempts == 1
         # Only the log shows whether a response without a length was truncated.
@@ -513,6 +600,14 @@
     return allowed_s
 
 
+def _elapsed_s(route: Route, metadata: RequestMetadata, known_after_s: float) -> float:
+    """Return the time since the first attempt of a caller that was refused, else 0."""
+    if not route.timeout_s or metadata.caller_timeout_s is None:
+        return 0.0
+    elapsed_s = route.timeout_s - metadata.caller_timeout_s
+    return elapsed_s if elapsed_s > known_after_s else 0.0
+
+
 def _declared_bytes(headers: Headers, limits: RequestLimits) -> int:
     """Return the length of a body by its head; the largest one if it is in chunks."""
     size_bytes = 0
--- a/src/carobstair/edge/exchange.py
+++ b/src/carobstair/edge/exchange.py
@@ -74,6 +74,8 @@
         Last bytes of a stream that was relayed.
     caller_closed : callable
         Returns whether the caller has closed its connection.
+    hold_head : callable
+        Has the head of the response written together with what follows it.
     progress : AttemptProgress
         Progress of the latest attempt.
     tracked : TrackedAttempt or None
@@ -88,6 +90,9 @@
         Weighted tokens that the admission took from the share of the workspace.
     on_begun : callable
         Called when the head of the response is sent.
+    version_draw : float
+        Evenly distributed number that decides whether the first attempt goes to a
+        version that is rolled out; later attempts go to the old one.
     on_limited_send : callable
         Called when the request is sent to an upstream that limits its requests.
     """
@@ -121,11 +126,13 @@
     framing: Framing | None = None
     last_bytes: bytes = b""
     caller_closed: Callable[[], bool] = lambda: False
+    hold_head: Callable[[], None] = lambda: None
     progress: AttemptProgress = field(default_factory=lambda: AttemptProgress(0.0))
     tracked: TrackedAttempt | None = None
     is_suspect: bool = False
     is_trial: bool = False
     held_bytes: int = 0
     admitted_tokens: float = 0.0
+    version_draw: float = 1.0
     on_begun: Callable[[], None] = lambda: None
     on_limited_send: Callable[[], None] = lambda: None
--- a/src/carobstair/edge/gossip.py
+++ b/src/carobstair/edge/gossip.py
@@ -31,6 +31,8 @@
     StatePull,
     StateRow,
 )
+from carobstair.core.router_load import EarlyShedding
+from carobstair.core.upstream_capacity import WaitRow
 from carobstair.edge.settings import EdgeSettings
 from carobstair.logs import get_logger
 from carobstair.net.peers import PeerTransport
@@ -41,6 +43,9 @@
 
 MAX_SEGMENT_ROWS = 64
 MAX_LEAVING_ROWS = 32
+# Waits in one digest: more first bytes than one router relays in its interval, except
+# under overload, when the latest are enough.
+MAX_WAIT_ROWS = 64
 # Rows in one state message; pulls are repeated until the router is up to date.
 MAX_STATE_ROWS = 400
 
@@ -57,6 +62,8 @@
         Monotonic time of the last digest.
     segment_cursor : int
         Position in the sequence of prompt segments; see `LoadTracker.recent_segments`.
+    wait_cursor : int
+        Position in the sequence of waits; see `ServiceCapacities.recent_waits`.
     sent_backlog : dict
         Backlog in prompt tokens by upstream, as last sent.
     """
@@ -64,6 +71,7 @@
     cross_zone: bool
     sent_s: float = -math.inf
     segment_cursor: int = 0
+    wait_cursor: int = 0
     sent_backlog: dict[str, int] = field(default_factory=dict)
 
 
@@ -83,6 +91,8 @@
         Called with a kind of state and the names of the objects that changed.
     on_peer_heard : callable, optional
         Called with the name of a peer that was not heard before, or not lately.
+    shedding : EarlyShedding, optional
+        States this router's utilisation and records that of the peers.
     """
 
     def __init__(
@@ -96,6 +106,7 @@
         rng: random.Random,
         on_change: Callable[[StateKind, list[str]], None],
         on_peer_heard: Callable[[str], None] = lambda peer: None,
+        shedding: EarlyShedding | None = None,
     ):
         self._own = own
         self._settings = settings
@@ -106,6 +117,7 @@
         self._rng = rng
         self._on_change = on_change
         self._on_peer_heard = on_peer_heard
+        self._shedding = shedding or EarlyShedding()
         self._peers: dict[str, PeerAddress] = {}
         self._last_heard_s: dict[str, float] = {}
         # Peers that were heard once and are not any more.
@@ -222,6 +234,12 @@
         rows, group.segment_cursor = self._loads.recent_segments(
             group.segment_cursor, MAX_SEGMENT_ROWS
         )
+        waits: list[WaitRow] = []
+        if not group.cross_zone:
+            # Those of one zone's routers are enough, and bytes between zones cost.
+            waits, group.wait_cursor = self._loads.capacities.recent_waits(
+                group.wait_cursor, MAX_WAIT_ROWS
+            )
         segments: dict[str, list[tuple[str, int]]] = {}
         for upstream, segment, tokens in rows:
             segments.setdefault(upstream, []).append((segment, tokens))
@@ -230,14 +248,20 @@
         group.sent_backlog = {upstream: tokens for upstream, tokens, _ in loads}
         return FleetDigest(
             self._own,
-            [own[kind.value].revision for kind in StateKind],
+            [own[kind.value].revision for kind in self._view.kinds],
             [LoadRow(*row) for row in loads],
             segments,
             None,
-            [own[kind.value].era for kind in StateKind],
+            [own[kind.value].era for kind in self._view.kinds],
             self._view.directory.leaving()[:MAX_LEAVING_ROWS],
+            self._utilisation_percent(),
+            waits,
         )
 
+    def _utilisation_percent(self) -> int | None:
+        utilisation = self._shedding.utilisation()
+        return None if utilisation is None else round(100.0 * utilisation)
+
     def _expire_silent_peers(self, now_s: float) -> None:
         for name in list(self._last_heard_s):
             if self._is_silent(name, now_s):
@@ -256,6 +280,7 @@
 
     def _forget_load(self, name: str) -> None:
         self._loads.forget_peer(name)
+        self._shedding.peers.forget(name)
 
     # Messages
 
@@ -272,16 +297,22 @@
             self._on_peer_heard(peer)
         self._last_heard_s[peer] = now_s
         self._silent.discard(peer)
+        percent = digest.utilisation_percent
+        self._shedding.peers.note(peer, None if percent is None else percent / 100.0)
         self._loads.note_peer(
             peer, ((r.upstream, r.backlog_tokens, r.running) for r in digest.loads)
         )
         for upstream, segments in digest.segments.items():
             for segment, tokens in segments:
                 self._loads.note_segment(upstream, segment, tokens)
+        for row in digest.waits[:MAX_WAIT_ROWS]:
+            listed = self._view.directory.find(row[0])
+            if listed is not None and listed.entry.born_ms == row[1]:
+                self._loads.note_peer_wait(listed.entry.service, row, now_s)
         for upstream, born_ms in digest.leaving:
             self._view.directory.note_leaving_incarnation(upstream, born_ms, now_s)
         eras = digest.eras or [0] * len(digest.revisions)
-        kinds = [kind.value for kind in StateKind]
+        kinds = [kind.value for kind in self._view.kinds]
         stamps = map(Stamp, eras, digest.revisions)
         self._pull_if_behind(peer, dict(zip(kinds, stamps, strict=False)), now_s)
 
@@ -306,7 +337,7 @@
 
     def _on_pull(self, envelope: Envelope, pull: StatePull) -> None:
         steady = self._availability.grace_until_s(time.monotonic()) is None
-        for kind in StateKind:
+        for kind in self._view.kinds:
             known, era = pull.revisions.get(kind.value, 0), pull.eras.get(kind.value, 0)
             changes = self._view.changes_since(kind, known, era)
             if not changes:
@@ -324,6 +355,8 @@
     def _on_state(self, envelope: Envelope, news: StateNews) -> None:
         now_s = time.monotonic()
         kind = StateKind(news.kind)
+        if kind not in self._view.kinds:
+            return
         grace_until_s = None if news.steady else now_s + self._availability.grace_s
         changes = [
             StoreChange(row.name, row.revision, row.spec, row.era) for row in news.rows
--- a/src/carobstair/edge/metrics.py
+++ b/src/carobstair/edge/metrics.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
 from carobstair.metrics import FIRST_TOKEN_BUCKETS_S
@@ -16,6 +18,7 @@
 
     def __init__(self) -> None:
         self.registry = CollectorRegistry()
+        self._children: dict = {}
         self.requests = self._counter(
             "requests", "Requests that ended, by outcome", ("service", "outcome")
         )
@@ -52,6 +55,11 @@
         self.permits = self._counter(
             "permits", "Permits asked for at upstreams with a limit", ("outcome",)
         )
+        self.closed_connections = self._counter(
+            "closed_connections",
+            "Connections refused or closed because of their client, by port and kind",
+            ("port", "kind"),
+        )
         self.suspected_segments = self._gauge(
             "suspected_segments", "Prompt segments under which upstreams ended"
         )
@@ -59,6 +67,18 @@
             "refused_segments", "Prompt segments that are refused"
         )
 
+        self.unreadable_loads = self._gauge(
+            "unreadable_loads", "Loads in responses with figures that were ignored"
+        )
+        self.upstream_read_rate = self._upstream_gauge(
+            "upstream_read_tokens_per_second", "Estimated read rate of an upstream"
+        )
+        self.upstream_concurrency = self._upstream_gauge(
+            "upstream_concurrency", "Requests up to which first tokens are in time"
+        )
+        self.upstream_speed = self._upstream_gauge(
+            "upstream_relative_speed", "Speed relative to the mean of the service"
+        )
         self.workspace_tokens = self._counter(
             "workspace_tokens",
             "Weighted tokens that workspaces asked for, and that began",
@@ -69,6 +89,29 @@
             "Refused requests of workspaces, by reason",
             ("service", "workspace", "reason"),
         )
+        shed = self._counter(
+            "shed_requests",
+            "Requests refused early, unread or by their head, for a less busy peer",
+            ("stage",),
+        )
+        self.shed_unread = shed.labels("unread")
+        self.shed_by_head = shed.labels("head")
+        self.loop_utilisation = self._gauge(
+            "loop_utilisation", "Share of time that the event loop spends on work"
+        )
+        self.peer_utilisation = self._gauge(
+            "peer_utilisation", "Median of the same of the peers that state it"
+        )
+        self.admitted_by_room = self._counter(
+            "admitted_by_room",
+            "Requests beyond the share of their workspace for which an engine had room",
+            ("service",),
+        )
+        self.waited = self._counter(
+            "waited",
+            "Requests that waited for room at the engines, by outcome",
+            ("service", "outcome"),
+        )
         self.throughput_factor = Gauge(
             PREFIX + "throughput_factor",
             "Throughput that is shared, relative to the configured one",
@@ -76,8 +119,61 @@
             registry=self.registry,
         )
 
+        self.rollout_answers = self._counter(
+            "rollout_answers",
+            "Requests that ended while an order ran, by version",
+            ("service", "version", "outcome"),
+        )
+        self.rollout_verdicts = self._counter(
+            "rollout_verdicts", "Verdicts seen in the store", ("service", "state")
+        )
+        self.rollouts_skipped = self._counter(
+            "rollouts_skipped", "Orders that were not followed", ("reason",)
+        )
+        self.rollout_share = Gauge(
+            PREFIX + "rollout_share",
+            "Share of the requests for the new version, as last decided",
+            ("service",),
+            registry=self.registry,
+        )
+
+    def count_end(self, service: str, framing: str, outcome: str) -> None:
+        """Count a request that ended after it was placed."""
+        self._child(self.requests, service, outcome).inc()
+        self._child(self.responses, framing, outcome).inc()
+
+    def count_tokens(
+        self, service: str, workspace: str, stage: str, tokens: float
+    ) -> None:
+        """Count weighted tokens of a workspace at a stage."""
+        self._child(self.workspace_tokens, service, workspace, stage).inc(tokens)
+
+    def observe_first_byte(self, service: str, first_s: float) -> None:
+        """Record the time to the first byte of an answer."""
+        self._child(self.first_byte_s, service).observe(first_s)
+
+    def _child(self, metric, *labels: str):
+        """Return a labelled metric; a lookup by the client takes several times longer.
+
+        Labels are bounded by the configuration, and so is what is kept here.
+        """
+        key = metric, labels
+        child = self._children.get(key)
+        if child is None:
+            child = self._children[key] = metric.labels(*labels)
+        return child
+
+    def count_closed(self, port: str) -> Callable[[str], None]:
+        """Return a function that counts a closed connection of a port by its kind."""
+        return lambda kind: self.closed_connections.labels(port, kind).inc()
+
     def _counter(self, name: str, text: str, labels: tuple[str, ...]) -> Counter:
         return Counter(PREFIX + name, text, labels, registry=self.registry)
 
     def _gauge(self, name: str, text: str) -> Gauge:
         return Gauge(PREFIX + name, text, registry=self.registry)
+
+    def _upstream_gauge(self, name: str, text: str) -> Gauge:
+        return Gauge(
+            PREFIX + name, text, ("service", "upstream"), registry=self.registry
+        )
--- a/src/carobstair/edge/response_relay.py
+++ b/src/carobstair/edge/response_relay.py
@@ -7,7 +7,8 @@
 
 import asyncio
 import time
-from dataclasses import dataclass, replace
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
 
 from carobstair.core.directory import UpstreamEntry
 from carobstair.core.dispatch import Dispatcher
@@ -39,6 +40,8 @@
 DISCARD_TIMEOUT_S = 0.1
 # Last bytes of a stream that are kept for its log line.
 LOGGED_BYTES = 8
+# Incarnations of which an unreadable load is logged only once.
+MAX_LOGGED_LOADS = 1024
 # A client may take these to mean that the request was not executed.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
@@ -56,12 +59,17 @@
         Updated with the progress of answers.
     permits : PermitExchange
         Updated with the rates that responses state.
+    event_pause_s : callable
+        Returns how long a stream is not read after a part of it was relayed.
     """
 
     dispatcher: Dispatcher
     dialect: Dialect
     guard: CrashGuard
     permits: PermitExchange
+    event_pause_s: Callable[[], float] = lambda: 0.0
+    # Incarnations whose unreadable load has been logged.
+    _logged_loads: set[tuple[str, int]] = field(default_factory=set)
 
     @property
     def loads(self) -> LoadTracker:
@@ -136,8 +144,17 @@
         if metadata.load is not None:
             load = metadata.load
             self.loads.note_report(
-                entry.upstream_id, load.running, load.waiting, load.slots, now_s
+                entry.upstream_id,
+                load.running,
+                load.waiting,
+                load.slots,
+                now_s,
+                load.slowdown,
+                "" if metadata.other_incarnation else entry.service,
+                entry.born_ms,
             )
+        if metadata.load_unreadable:
+            self._note_unreadable_load(entry)
         if metadata.other_incarnation:
             # The response describes another upstream.
             return
@@ -152,6 +169,15 @@
                 pause_s=round(metadata.pause_s, 3),
             )
 
+    def _note_unreadable_load(self, entry: UpstreamEntry) -> None:
+        self.loads.unreadable_reports += 1
+        incarnation = entry.upstream_id, entry.born_ms
+        if incarnation not in self._logged_loads:
+            if len(self._logged_loads) >= MAX_LOGGED_LOADS:
+                self._logged_loads.clear()
+            self._logged_loads.add(incarnation)
+            logger.info("upstream_load_unreadable", upstream=entry.upstream_id)
+
     def _note_rate(
         self, exchange: Exchange, entry: UpstreamEntry, metadata: ResponseMetadata
     ) -> None:
@@ -250,7 +276,11 @@
         send: Send,
     ) -> Outcome:
         await self._send_head(exchange, head, None, send)
-        await _send_body(send, b"".join(parts), more=True)
+        body = b"".join(parts)
+        # While a caller does not read, each copy takes memory.
+        parts.clear()
+        await _send_body(send, body, more=True)
+        del body
         while (part := await connection.read_body()) is not None:
             await _send_body(send, part, more=True)
         await _send_body(send, b"", more=False)
@@ -285,7 +315,16 @@
                 exchange.first_byte_s = now_s
                 await self._send_head(exchange, head, None, send)
             exchange.last_bytes = part[-LOGGED_BYTES:]
+            if connection.body_ended and events.at_boundary:
+                # One write for the last event and the end.
+                await connection.read_body()
+                await _send_body(send, part, more=False)
+                exchange.completed = True
+                return Outcome.ANSWERED
             await _send_body(send, part, more=True)
+            pause_s = self.event_pause_s()
+            if pause_s > 0.0:
+                await connection.pause(pause_s)
         if not events.at_boundary:
             exchange.detail = "the stream ended within an event"
             return Outcome.UNKNOWN
@@ -322,8 +361,14 @@
         exchange.status = head.status
         if 200 <= head.status < 300:
             exchange.on_begun()
-        message = {"type": "http.response.start", "status": head.status}
-        await send(message | {"headers": headers})
+        exchange.hold_head()
+        await send(
+            {
+                "type": "http.response.start",
+                "status": head.status,
+                "headers": headers,
+            }
+        )
 
 
 async def _send_body(send: Send, body: bytes, more: bool) -> None:
--- a/src/carobstair/edge/router.py
+++ b/src/carobstair/edge/router.py
@@ -10,23 +10,32 @@
 import signal
 import time
 from collections.abc import Callable
+from dataclasses import replace
 
 import msgspec
 from prometheus_client import generate_latest
 
+from carobstair.core.admission import EngineRoom, FairAdmission
 from carobstair.core.directory import UpstreamDirectory
 from carobstair.core.dispatch import Dispatcher
 from carobstair.core.engine_load import LoadTracker
-from carobstair.core.fair_admission import FairAdmission
-from carobstair.core.fleet_view import FleetView, StateKind, StoreAvailability
+from carobstair.core.fleet_view import (
+    BASE_KINDS,
+    FleetView,
+    StateKind,
+    StoreAvailability,
+)
 from carobstair.core.messages import PeerAddress
 from carobstair.core.overload import OverloadGuard
+from carobstair.core.rollouts import RolloutController, RolloutSettings, VersionGate
+from carobstair.core.router_load import LoopUtilisation, Withdrawal
 from carobstair.core.send_limits import ColdSendLimit, ResendLimit
 from carobstair.core.share_exchange import ShareExchange
 from carobstair.core.upstream_health import UpstreamHealth
 from carobstair.edge.app import EdgeApp
 from carobstair.edge.arrival_gate import ArrivalGate
 from carobstair.edge.body_budget import BodyBudget
+from carobstair.edge.capacity_reports import CapacityReports
 from carobstair.edge.connection_pool import ConnectionPool
 from carobstair.edge.evidence_exchange import EvidenceExchange
 from carobstair.edge.follower import StoreFollower
@@ -35,11 +44,15 @@
 from carobstair.edge.metrics import EdgeMetrics
 from carobstair.edge.refusal_store import RefusalStore
 from carobstair.edge.relay import Relay
+from carobstair.edge.rollout_driver import RolloutDriver
+from carobstair.edge.rollout_evidence import RolloutEvidence
 from carobstair.edge.server import CallerServer, PageServer
 from carobstair.edge.settings import EdgeSettings
 from carobstair.edge.share_sync import ShareSync
 from carobstair.edge.state_store import StateStore, StoreError
 from carobstair.logs import get_logger
+from carobstair.net.connection_limits import ConnectionLimits, ConnectionSettings
+from carobstair.net.peer_guard import PeerLimits
 from carobstair.net.peers import LinkKeys, PeerTransport
 from carobstair.settings_error import SettingsError
 
@@ -62,6 +75,14 @@
 MAX_LOGGED_LIMITS = 8
 # Changed objects listed in one log line.
 MAX_LOGGED_NAMES = 16
+# A digest has some hundred bytes, and a list of all objects some 100 kB, which is
+# fetched from one peer.
+PEER_LIMITS = PeerLimits(
+    burst_bytes=512 * 1024,
+    bytes_per_s=4 * 1024 * 1024,
+    total_burst_bytes=4 * 1024 * 1024,
+    total_bytes_per_s=16 * 1024 * 1024,
+)
 # Settings applied on reload. The others, such as addresses and placement, are read
 # once at start.
 RELOADABLE = frozenset({"send_limits", "stop"})
@@ -80,6 +101,8 @@
         Returns the current settings; raises `SettingsError`.
     settings_stamp : callable
         Returns a value that changes whenever the settings change.
+    decode_rollout, encode_rollout_status : callable
+        See `RolloutDriver`.
     """
 
     dialect: Dialect
@@ -88,6 +111,8 @@
     decode_upstream: Callable
     reload: Callable[[], EdgeSettings]
     settings_stamp: Callable[[], object]
+    decode_rollout: Callable
+    encode_rollout_status: Callable
 
 
 class EdgeRouter:
@@ -97,9 +122,16 @@
     ----------
     settings : EdgeSettings
     platform : PlatformParts
+    utilisation : LoopUtilisation, optional
+        Measure of the event loop that runs the router, if it has one.
     """
 
-    def __init__(self, settings: EdgeSettings, platform: PlatformParts):
+    def __init__(
+        self,
+        settings: EdgeSettings,
+        platform: PlatformParts,
+        utilisation: LoopUtilisation | None = None,
+    ):
         self._settings = settings
         self._platform = platform
         started_s = time.monotonic()
@@ -117,10 +149,14 @@
         self._store = platform.make_store(self._count_store_call)
         self._directory = UpstreamDirectory(settings.directory)
         self.view = FleetView(
-            self._directory, platform.decode_routing, platform.decode_upstream
+            self._directory,
+            platform.decode_routing,
+            platform.decode_upstream,
+            kinds=tuple(StateKind) if settings.rollouts else BASE_KINDS,
         )
         self._availability = StoreAvailability(settings.directory.removal_grace_s)
         self._loads = LoadTracker(settings.placement, settings.zone)
+        self._capacity_reports = CapacityReports(self._loads, self.metrics)
         self._health = UpstreamHealth(settings.health)
         self._dispatcher = Dispatcher(
             settings.name,
@@ -132,9 +168,17 @@
             self._rng,
         )
         self._admission = FairAdmission(settings.admission)
+        self._room = EngineRoom(
+            self._dispatcher,
+            self._admission.load_of_others,
+            self._admission.conserves_work,
+        )
         self._connections = ConnectionPool()
-        self._overload = OverloadGuard(settings.overload)
+        self._overload = OverloadGuard(settings.overload, utilisation)
+        self._withdrawal = Withdrawal()
+        self._loads.on_capacity_enabled = self._on_capacity_enabled
         relay = Relay(self._dispatcher, self._connections, platform.dialect)
+        relay.responses.event_pause_s = self._overload.early.event_pause_s
         self._guard = relay.guard
         self._refusals = RefusalStore(
             self._guard, self.view, self._store, self._dispatcher.rank
@@ -148,24 +192,44 @@
             self.metrics,
             self._rng,
             settings.max_open_requests,
-            lambda: self._caller_server.connections > listen.keep_alive_limit,
+            self._should_close_connections,
             self._overload,
             BodyBudget(settings.max_body_memory_bytes),
+            self._room,
         )
         self._caller_server = CallerServer(
             self.app,
             listen.host,
             listen.callers_port,
             ArrivalGate(),
-            self.app.turn_away,
+            self.app.refusals,
+            ConnectionLimits(
+                ConnectionSettings(
+                    listen.max_connections,
+                    max_held_bytes=settings.max_connection_memory_bytes,
+                ),
+                self.metrics.count_closed("callers"),
+            ),
         )
         self._ready_server = PageServer(
-            self._ready_page, listen.host, listen.ready_port
+            self._ready_page,
+            listen.host,
+            listen.ready_port,
+            self.metrics.count_closed("ready"),
         )
         self._metrics_server = PageServer(
-            self._metrics_page, listen.host, listen.metrics_port
+            self._metrics_page,
+            listen.host,
+            listen.metrics_port,
+            self.metrics.count_closed("metrics"),
+        )
+        transport = PeerTransport(
+            self._own,
+            listen,
+            LinkKeys(),
+            self.metrics,
+            replace(PEER_LIMITS, max_connections=listen.max_peer_connections),
         )
-        transport = PeerTransport(self._own, listen, LinkKeys(), self.metrics)
         self._transport = transport
         self._gossip = Gossip(
             self._own,
@@ -177,6 +241,7 @@
             self._rng,
             self._on_state_change,
             self._on_peer_heard,
+            self._overload.early,
         )
         self._evidence_exchange = EvidenceExchange(
             self._guard, transport, lambda: self._gossip.peers
@@ -193,6 +258,7 @@
             self._gossip.heard_by_zone,
             self._dispatcher,
             self._rng,
+            self._room,
         )
         self._follower = StoreFollower(
             self._store,
@@ -204,6 +270,9 @@
             lambda: len(self._gossip.peers),
             self._on_restore,
         )
+        self._rollouts: RolloutDriver | None = None
+        if settings.rollouts is not None:
+            self._rollouts = self._make_rollouts(settings.rollouts, relay)
         self._registration: asyncio.Task | None = None
         self._stopping = asyncio.Event()
         # Monotonic times: when the event loop last was on time, and the earliest time
@@ -211,6 +280,30 @@
         self._on_time_s = started_s
         self._signalled_s = started_s
 
+    def _make_rollouts(self, settings: RolloutSettings, relay: Relay) -> RolloutDriver:
+        controller = RolloutController(
+            self._own.instance, self._own.incarnation, settings
+        )
+        gate = VersionGate(self._directory, controller, settings)
+        evidence = RolloutEvidence(controller, self._dispatcher, self.metrics)
+        self._dispatcher.versions, relay.rollouts = gate, evidence
+        return RolloutDriver(
+            controller,
+            gate,
+            evidence,
+            self.view,
+            self._store,
+            self._transport,
+            lambda: [
+                n for names in self._gossip.heard_by_zone().values() for n in names
+            ],
+            lambda: len(self._gossip.peers),
+            self._platform.decode_rollout,
+            self._platform.encode_rollout_status,
+            self.metrics,
+            self._rng,
+        )
+
     async def run(self) -> None:
         """Serve until a stop signal, then drain open requests and exit."""
         loop = asyncio.get_running_loop()
@@ -233,6 +326,8 @@
             asyncio.create_task(self._log_service()),
         ]
         self._registration = asyncio.create_task(self._register())
+        if self._rollouts is not None:
+            tasks.append(asyncio.create_task(self._rollouts.run()))
         logger.info(
             "router_started",
             instance=self._own.instance,
@@ -340,6 +435,15 @@
         self._evidence_exchange.on_peer_heard(peer)
         self._permits.on_peer_heard(peer)
 
+    def _on_capacity_enabled(self, service: str) -> None:
+        """Turn on what is meant for upstreams that share their machines."""
+        self._capacity_reports.log_capacity_enabled(service)
+        self._overload.enable_redirect()
+        table = self.view.table
+        pool = table.services.get(service) if table is not None else None
+        if pool is not None and pool.engine is not None:
+            self._admission.conserve_work(service)
+
     def _on_restore(self) -> None:
         """Write again what the restored store may lack."""
         if not self.app.draining:
@@ -361,11 +465,29 @@
             await asyncio.sleep(LAG_PROBE_INTERVAL_S)
             now_s = time.monotonic()
             self._overload.note(now_s - due_s, now_s)
+            self._update_withdrawal(now_s)
             # A signal that came while the loop was late is handled after this timer.
             is_late = now_s - due_s > LATE_TIMER_S
             self._on_time_s = last_s if is_late else now_s
             last_s = now_s
 
+    def _update_withdrawal(self, now_s: float) -> None:
+        """Leave the load balancer's rotation while only this router is busy."""
+        early = self._overload.early
+        utilisation = early.utilisation()
+        if self._withdrawal.update(
+            utilisation, early.peer_advantage(now_s) >= 1.0, now_s
+        ):
+            logger.info(
+                "balancer_left" if self._withdrawal.is_active else "balancer_rejoined",
+                utilisation=_rounded(utilisation),
+                connections=self._caller_server.connections,
+            )
+
+    def _should_close_connections(self) -> bool:
+        limit = self._settings.listen.keep_alive_limit
+        return self._withdrawal.is_active or self._caller_server.connections > limit
+
     async def _log_service(self) -> None:
         """Log what workspaces with refusals asked for and got at this router."""
         while True:
@@ -384,6 +506,20 @@
                     pressure=round(pressure, 2),
                 )
             self._log_limited_upstreams()
+            self._log_shed()
+            self._capacity_reports.log_changes(time.monotonic())
+
+    def _log_shed(self) -> None:
+        count = self.app.refusals.take_shed()
+        if not count:
+            return
+        early = self._overload.early
+        logger.info(
+            "requests_shed",
+            count=count,
+            utilisation=_rounded(early.utilisation()),
+            peers=_rounded(early.peers.median(time.monotonic())),
+        )
 
     def _log_limited_upstreams(self) -> None:
         now_s = time.monotonic()
@@ -413,6 +549,7 @@
             }
             self._connections.prune(incarnations)
             self._guard.evidence.keep(incarnations)
+            self._loads.keep_incarnations(incarnations)
             self._dispatcher.permits.keep(incarnations, time.monotonic())
 
     def _on_state_change(self, kind: StateKind, names: list[str]) -> None:
@@ -423,10 +560,14 @@
             return
         if kind is StateKind.REFUSED_SEGMENTS:
             self._refusals.apply(names)
+        if self._rollouts is not None:
+            self._rollouts.on_state_change(kind, names)
         if kind is StateKind.ROUTING and self.view.table is not None:
             limits = self.view.table.config.limits
             if limits.idle_timeout_s > 0:
                 self._caller_server.idle_timeout_s = limits.idle_timeout_s
+            if limits.header_timeout_s > 0:
+                self._caller_server.header_timeout_s = limits.header_timeout_s
             shapes = [p.engine for p in self.view.table.services.values() if p.engine]
             sizes = [shape.kv_tokens for shape in shapes if shape.kv_tokens]
             self._loads.kv_tokens = min(sizes, default=self._loads.kv_tokens)
@@ -456,6 +597,10 @@
             return 503, b"stopping"
         if self.view.table is None:
             return 503, b"no configuration"
+        if self._withdrawal.is_active:
+            return 503, b"busy"
+        if self._rollouts is not None and not self._rollouts.is_ready(time.monotonic()):
+            return 503, b"roll-outs are not listed"
         return 200, b"ready"
 
     def _metrics_page(self) -> tuple[int, bytes]:
@@ -465,10 +610,18 @@
         self.metrics.limited_upstreams.set(len(self._dispatcher.rates.limited()))
         self.metrics.suspected_segments.set(suspected)
         self.metrics.refused_segments.set(refused)
+        self._capacity_reports.export(time.monotonic())
         for pool, (factor, _) in self._admission.throughput_factors().items():
             self.metrics.throughput_factor.labels(pool).set(factor)
+        early = self._overload.early
+        self.metrics.loop_utilisation.set(early.utilisation() or 0.0)
+        self.metrics.peer_utilisation.set(early.peers.median(time.monotonic()) or 0.0)
         self.metrics.peers.set(self._gossip.count_alive(time.monotonic()))
         return 200, generate_latest(self.metrics.registry)
 
     def _count_store_call(self, operation: str, outcome: str) -> None:
         self.metrics.store_calls.labels(operation, outcome).inc()
+
+
+def _rounded(value: float | None) -> float | None:
+    return None if value is None else round(value, 3)
--- a/src/carobstair/edge/server.py
+++ b/src/carobstair/edge/server.py
@@ -2,24 +2,53 @@
 
 from __future__ import annotations
 
-import contextlib
 import re
 import select
 import socket
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
+from functools import partial
+from typing import Protocol
 
 import uvicorn
+from uvicorn.protocols.http.httptools_impl import RequestResponseCycle
 
 from carobstair.edge.arrival_gate import ArrivalGate
-from carobstair.net.http import BoundedHttpProtocol
-
-__all__ = ["ARRIVED_S", "CALLER_CLOSED", "CallerServer", "PageServer"]
+from carobstair.edge.joined_writes import JoinedWrites
+from carobstair.net.connection_limits import (
+    Closed,
+    ConnectionLimits,
+    ConnectionSettings,
+    Phase,
+)
+from carobstair.net.http import HEADER_TIMEOUT_S, BoundedHttpProtocol
+from carobstair.net.uvicorn_server import ACCEPTS_PER_TURN, UvicornServer
+
+__all__ = [
+    "ARRIVED_S",
+    "CALLER_CLOSED",
+    "HOLD_HEAD",
+    "ON_CALLER_LEFT",
+    "SHED_DRAW",
+    "WHOLE_BODY",
+    "CallerServer",
+    "PageServer",
+]
 
 # Key in the ASGI scope of a function that returns whether the caller has closed its
 # connection, also if the event loop has not read that yet.
 CALLER_CLOSED = "carobstair.caller_closed"
 # Key of the monotonic time at which the request arrived, if it had to wait.
 ARRIVED_S = "carobstair.arrived_s"
+# Key of the random number that decides whether the request is shed, if one was drawn.
+SHED_DRAW = "carobstair.shed_draw"
+# Key of a function that has the head of the response written with what follows it.
+HOLD_HEAD = "carobstair.hold_head"
+# Key of a function that takes what to call when the caller closes its connection before
+# the response is complete.
+ON_CALLER_LEFT = "carobstair.on_caller_left"
+# Key of a function that returns the body if it has arrived whole and has at most as
+# many bytes as given, or else None.
+WHOLE_BODY = "carobstair.whole_body"
 # Not known on all systems.
 POLL_CLOSED = getattr(select, "POLLRDHUP", 0)
 
@@ -30,6 +59,26 @@
 UNUSUAL_HEADERS = (b"\r\nconnection:", b"\r\ntransfer-encoding:", b"\r\nexpect:")
 # Used until a configuration is in force.
 DEFAULT_IDLE_TIMEOUT_S = 75.0
+# The pages are read by few clients, and a machine's platform reads them every second.
+PAGE_CONNECTIONS = ConnectionSettings(
+    max_connections=32, address_share=1.0, max_held_bytes=1024 * 1024
+)
+
+
+class Shedder(Protocol):
+    """Decides which new requests are refused unread."""
+
+    def shed_draw(self) -> float | None:
+        """Return a random number that decides on a new request; None sheds none."""
+
+    def shed_unread(self, request: bytes, draw: float) -> bytes | None:
+        """Return the answer to a whole request that is shed unread, if it is."""
+
+    def turn_away(self) -> bytes:
+        """Return the answer to a request that waited too long to be read."""
+
+    def closes_connections(self) -> bool:
+        """Return whether these answers close their connections."""
 
 
 class CallerProtocol(BoundedHttpProtocol):
@@ -39,41 +88,74 @@
     applies to open connections.
     """
 
-    # Whether the parser is within a request. Its answer may have been sent by then.
-    _in_request = False
     # When the request that is being read arrived, if it had to wait.
     _waiting_since_s: float | None = None
+    # The response in progress, and what to call when the connection is lost.
+    _running: tuple[RequestResponseCycle, Callable[[], None]] | None = None
+    # Polls the socket for the end of the caller's side.
+    _poll: select.poll | None = None
+    # Drawn for the request that is being read, while requests are shed.
+    _shed_draw: float | None = None
 
     def connection_made(self, transport) -> None:
-        """Start the idle timer before the first request arrives."""
-        super().connection_made(transport)
-        self._start_idle_timer()
+        """Join the writes of heads with those of bodies."""
+        super().connection_made(JoinedWrites(transport))
 
-    def _start_idle_timer(self) -> None:
-        self.timeout_keep_alive_task = self.loop.call_later(
-            self.config.timeout_keep_alive, self.timeout_keep_alive_handler
-        )
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Report the end of the connection to the request in progress."""
+        super().connection_lost(exc)
+        self._report_left()
+
+    @property
+    def header_timeout_s(self) -> float:
+        """Time for a request head from its first byte."""
+        return self.config.header_timeout_s
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; a new request may have to wait for its turn."""
         gate = self.config.gate
         is_answered = self.cycle is None or self.cycle.response_complete
         is_new = is_answered and not self._in_request
+        if is_new and self.config.shedder is not None and self._shed(data):
+            return
         if gate is None or not is_new or gate.enter():
             super().data_received(data)
             return
         # The connection is not idle, and nothing else is read from it meanwhile.
         self._unset_keepalive_if_required()
         self.transport.pause_reading()
+        self._limits.hold(self, len(data))
+        self._limits.set_phase(self, Phase.REQUEST)
         gate.wait(
             lambda since_s: self._receive_later(data, since_s),
             lambda: self._turn_away(data),
         )
 
+    def _shed(self, data: bytes) -> bool:
+        """Refuse a request unread if this process has too little time for it."""
+        shedder = self.config.shedder
+        self._shed_draw = draw = shedder.shed_draw()
+        if draw is None or not _is_whole_request(data):
+            return False
+        answer = shedder.shed_unread(data, draw)
+        if answer is None:
+            return False
+        self._unset_keepalive_if_required()
+        self._answer_unread(answer)
+        return True
+
+    def _answer_unread(self, answer: bytes) -> None:
+        self.transport.write(answer)
+        if self.config.shedder.closes_connections():
+            self.transport.close()
+        else:
+            self._start_idle_timer()
+
     def _receive_later(self, data: bytes, since_s: float) -> None:
         if self.transport.is_closing():
             return
         self.transport.resume_reading()
+        self._limits.hold(self, 0)
         self._waiting_since_s = since_s
         super().data_received(data)
         self._waiting_since_s = None
@@ -84,43 +166,70 @@
             return True
         if not _is_whole_request(data):
             return False
-        self.transport.write(self.config.turn_away())
+        self._limits.hold(self, 0)
+        self._limits.set_phase(self, Phase.IDLE)
         self.transport.resume_reading()
-        self._start_idle_timer()
+        self._answer_unread(self.config.shedder.turn_away())
         return True
 
-    def on_message_begin(self) -> None:
-        """Begin a request."""
-        self._in_request = True
-        super().on_message_begin()
-
-    def on_message_complete(self) -> None:
-        """End a request."""
-        self._in_request = False
-        super().on_message_complete()
-
     def on_headers_complete(self) -> None:
         """Pass the request on, with what tells whether its caller has left."""
         self.scope[CALLER_CLOSED] = self._is_closed_by_caller
+        self.scope[HOLD_HEAD] = self.transport.hold_next
         if self._waiting_since_s is not None:
             self.scope[ARRIVED_S] = self._waiting_since_s
+        if self._shed_draw is not None:
+            self.scope[SHED_DRAW] = self._shed_draw
+            self._shed_draw = None
         super().on_headers_complete()
+        # The cycle is that of this request, which may have to wait for the one before.
+        self.scope[ON_CALLER_LEFT] = partial(self._call_when_left, self.cycle)
+        self.scope[WHOLE_BODY] = partial(_take_whole_body, self.cycle)
+
+    def _call_when_left(self, cycle, on_left: Callable[[], None]) -> None:
+        # Requests of one connection run one after the other.
+        self._running = cycle, on_left
+        cycle.flow.resume_reading()
+        if self.parser is None:
+            # The connection was lost before.
+            self.loop.call_soon(self._report_left)
+
+    def _report_left(self) -> None:
+        if self._running is not None:
+            (cycle, on_left), self._running = self._running, None
+            cycle.disconnected = True
+            on_left()
 
     def _is_closed_by_caller(self) -> bool:
         if self.transport.is_closing():
             return True
         if not POLL_CLOSED:
             return False
-        poll = select.poll()
-        poll.register(self.transport.get_extra_info("socket"), POLL_CLOSED)
-        return bool(poll.poll(0))
+        if self._poll is None:
+            self._poll = select.poll()
+            self._poll.register(self.transport.get_extra_info("socket"), POLL_CLOSED)
+        return bool(self._poll.poll(0))
 
     def on_response_complete(self) -> None:
         """Start the idle timer with the current timeout."""
+        self._running = None
+        self.transport.flush()
         self.timeout_keep_alive = self.config.timeout_keep_alive
         super().on_response_complete()
 
 
+def _take_whole_body(cycle: RequestResponseCycle, max_bytes: int) -> bytes | None:
+    """Return the body of a request, or None if it must be waited for or is larger."""
+    if cycle.more_body or cycle.disconnected or cycle.waiting_for_100_continue:
+        return None
+    if len(cycle.body) > max_bytes:
+        return None
+    cycle.flow.resume_reading()
+    body = bytes(cycle.body)
+    cycle.body = bytearray()
+    return body
+
+
 def _is_whole_request(data: bytes) -> bool:
     """Return whether data is one request that leaves its connection open."""
     head_bytes = data.find(b"\r\n\r\n") + 4
@@ -136,13 +245,9 @@
 
 class _Config(uvicorn.Config):
     gate: ArrivalGate | None = None
-    turn_away: Callable[[], bytes] | None = None
-
-
-class _Server(uvicorn.Server):
-    @contextlib.contextmanager
-    def capture_signals(self) -> Iterator[None]:
-        yield
+    shedder: Shedder | None = None
+    header_timeout_s: float = HEADER_TIMEOUT_S
+    connection_limits: ConnectionLimits
 
 
 class CallerServer:
@@ -155,8 +260,11 @@
     port : int
     gate : ArrivalGate, optional
         Bounds the requests that are read in one turn of the event loop.
-    turn_away : callable, optional
-        Returns the answer to a request that is turned away unread.
+    shedder : Shedder, optional
+        Refuses requests unread while the process has too little time. Needed with a
+        gate.
+    limits : ConnectionLimits, optional
+        Bounds what all connections take together.
     """
 
     def __init__(
@@ -165,7 +273,8 @@
         host: str,
         port: int,
         gate: ArrivalGate | None = None,
-        turn_away: Callable[[], bytes] | None = None,
+        shedder: Shedder | None = None,
+        limits: ConnectionLimits | None = None,
     ):
         self._config = _Config(
             app,
@@ -180,10 +289,12 @@
             timeout_keep_alive=DEFAULT_IDLE_TIMEOUT_S,
             server_header=False,
             date_header=False,
+            backlog=ACCEPTS_PER_TURN,
         )
         self._config.gate = gate
-        self._config.turn_away = turn_away
-        self._server = _Server(self._config)
+        self._config.shedder = shedder
+        self._config.connection_limits = limits or ConnectionLimits()
+        self._server = UvicornServer(self._config, BACKLOG)
         self._socket = socket.create_server((host, port), backlog=BACKLOG)
         self.port = self._socket.getsockname()[1]
 
@@ -196,6 +307,15 @@
     def idle_timeout_s(self, timeout_s: float) -> None:
         self._config.timeout_keep_alive = timeout_s
 
+    @property
+    def header_timeout_s(self) -> float:
+        """Time for a request head from its first byte."""
+        return self._config.header_timeout_s
+
+    @header_timeout_s.setter
+    def header_timeout_s(self, timeout_s: float) -> None:
+        self._config.header_timeout_s = timeout_s
+
     @property
     def connections(self) -> int:
         """Number of open connections."""
@@ -224,11 +344,20 @@
         Returns the status and the body.
     host : str
     port : int
+    on_closed : callable, optional
+        See `ConnectionLimits`.
     """
 
-    def __init__(self, page: Callable[[], tuple[int, bytes]], host: str, port: int):
+    def __init__(
+        self,
+        page: Callable[[], tuple[int, bytes]],
+        host: str,
+        port: int,
+        on_closed: Callable[[Closed], None] = lambda kind: None,
+    ):
         self._page = page
-        super().__init__(self._respond, host, port)
+        limits = ConnectionLimits(PAGE_CONNECTIONS, on_closed)
+        super().__init__(self._respond, host, port, limits=limits)
 
     async def _respond(self, scope, receive, send) -> None:
         if scope["type"] != "http":
--- a/src/carobstair/edge/settings.py
+++ b/src/carobstair/edge/settings.py
@@ -11,6 +11,7 @@
 from carobstair.core.fair_admission import AdmissionSettings
 from carobstair.core.fleet_view import StateKind
 from carobstair.core.overload import OverloadSettings
+from carobstair.core.rollouts import RolloutSettings
 from carobstair.core.send_limits import SendLimitSettings
 from carobstair.core.share_collector import ShareSettings
 from carobstair.core.upstream_health import HealthSettings
@@ -37,6 +38,11 @@
         Number of open connections above which responses close theirs. A server
         that reaches the limit on file descriptors stops accepting connections
         for a second.
+    max_connections : int
+        Number of open connections of callers. At the limit, idle connections are
+        closed for new ones.
+    max_peer_connections : int
+        Number of connections that peers have to this router.
     """
 
     host: str
@@ -45,6 +51,8 @@
     peer_port: int = Field(ge=1, le=65535)
     metrics_port: int = Field(ge=1, le=65535)
     keep_alive_limit: int = Field(1_000, ge=1)
+    max_connections: int = Field(2_000, ge=1)
+    max_peer_connections: int = Field(512, ge=1)
 
 
 class SyncSettings(_Model):
@@ -64,7 +72,8 @@
         within which a change must be in force.
     max_upstreams_pause_s, max_routers_pause_s : float
         The same for upstreams, which change most often in large fleets, and for
-        routers, whose addresses digests carry as well.
+        routers, whose addresses digests carry as well. Peers that are ahead pass
+        changes on meanwhile, so the pauses bound only how late a change may be.
     quiet_wait_s : float
         How long watches of the kinds that rarely change wait at most. TCP keep-alive
         detects a dead connection; the watch of the upstreams shows whether the store
@@ -173,10 +182,11 @@
     def scaled_watch_pause_s(self, peers: int, kind: StateKind) -> float:
         """Return the pause after a watch that returned changes."""
         slowdown, longest_s = self.slowdown(peers), self.max_watch_pause_s
+        # Each change costs as many calls as there are routers, and the number of
+        # changes grows with the fleet as well.
         if kind is StateKind.UPSTREAMS:
-            longest_s = self.max_upstreams_pause_s
+            slowdown, longest_s = slowdown**2, self.max_upstreams_pause_s
         elif kind is StateKind.ROUTERS:
-            # Far longer than for the others, as nothing waits for an address.
             slowdown, longest_s = slowdown**2, self.max_routers_pause_s
         return min(longest_s, self.watch_pause_s * slowdown)
 
@@ -197,7 +207,11 @@
         """Return a random wait for the next watch of a kind that rarely changes."""
         part = rng.uniform(0.6, 1.0)
         fleet_s = self.state_wait_s * (peers + 1)
-        is_state = kind in (StateKind.ROUTING, StateKind.EVACUATIONS)
+        is_state = kind in (
+            StateKind.ROUTING,
+            StateKind.EVACUATIONS,
+            StateKind.ROLLOUTS,
+        )
         if is_state and fleet_s < self.quiet_wait_s:
             return fleet_s * part
         return max(self.random_watch_wait_s(peers, rng), self.quiet_wait_s * part)
@@ -223,7 +237,13 @@
 
 
 class EdgeSettings(_Model):
-    """All settings of an edge router."""
+    """All settings of an edge router.
+
+    Attributes
+    ----------
+    rollouts : RolloutSettings or None
+        None where no roll-outs are in force; their orders are then not followed.
+    """
 
     model_config = ConfigDict(extra="forbid", frozen=True, arbitrary_types_allowed=True)
 
@@ -239,5 +259,8 @@
     shares: ShareSettings = ShareSettings()
     overload: OverloadSettings = OverloadSettings()
     directory: DirectorySettings = DirectorySettings()
+    rollouts: RolloutSettings | None = None
     max_open_requests: int = Field(2_000, ge=1)
     max_body_memory_bytes: int = Field(64 * 1024 * 1024, ge=1)
+    # For unfinished request heads, pipelined requests and unread answers.
+    max_connection_memory_bytes: int = Field(32 * 1024 * 1024, ge=1)
--- a/src/carobstair/edge/upstream_connection.py
+++ b/src/carobstair/edge/upstream_connection.py
@@ -18,6 +18,7 @@
 
 from carobstair.core.framing import Framing, FramingError, response_framing
 from carobstair.edge.metadata import Headers
+from carobstair.net.bounded_reads import BoundedReads
 
 __all__ = [
     "ConnectionBroken",
@@ -38,8 +39,9 @@
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
-# Buffer for response data that the caller has not read yet.
-MAX_BUFFERED_BYTES = 256 * 1024
+# Buffer for response data that the caller has not read yet. With 256 KiB and reads of
+# the same size, 450 streams that were not read took 100 MB.
+MAX_BUFFERED_BYTES = 64 * 1024
 # Parts of a body are joined up to this size.
 MAX_JOINED_BYTES = 64 * 1024
 # Bytes received without a part of a body: heads, informational responses, trailers
@@ -79,7 +81,7 @@
 _BODY_END = object()
 
 
-class UpstreamConnection(asyncio.Protocol):
+class UpstreamConnection(BoundedReads):
     """One connection to an upstream, with one request in progress at a time."""
 
     def __init__(self):
@@ -260,7 +262,8 @@
         ConnectionBroken
         """
         while True:
-            item = await self._dequeue()
+            await self._wait_for_data()
+            item = self._take()
             if isinstance(item, ResponseHead):
                 return item
 
@@ -275,18 +278,36 @@
         ConnectionBroken
             If the response was truncated.
         """
-        item = await self._dequeue()
+        received = self._received
+        if not received:
+            await self._wait_for_data()
+        item = self._take()
         if item is _BODY_END:
             return None
-        received = self._received
         if not received or not isinstance(received[0], bytes):
             return item
         parts, size = [item], len(item)
         while received and isinstance(received[0], bytes) and size < MAX_JOINED_BYTES:
-            parts.append(await self._dequeue())
+            parts.append(self._take())
             size += len(parts[-1])
         return b"".join(parts)
 
+    async def pause(self, pause_s: float) -> None:
+        """Read nothing for a time, so that what arrives meanwhile is read at once."""
+        if self._paused or self._transport.is_closing():
+            return
+        self._transport.pause_reading()
+        try:
+            await asyncio.sleep(pause_s)
+        finally:
+            if not self._transport.is_closing():
+                self._transport.resume_reading()
+
+    @property
+    def body_ended(self) -> bool:
+        """Whether the rest of the body is its end, which `read_body` returns next."""
+        return bool(self._received) and self._received[0] is _BODY_END
+
     def mark_idle(self, now_s: float) -> None:
         """Mark the connection idle after a complete response."""
         self._response_expected = 0
@@ -319,7 +340,7 @@
                 self._transport.pause_reading()
         self._wake()
 
-    async def _dequeue(self):
+    async def _wait_for_data(self) -> None:
         while not self._received:
             if self._error is not None:
                 raise self._error
@@ -328,6 +349,8 @@
                 await self._waiter
             finally:
                 self._waiter = None
+
+    def _take(self):
         item = self._received.popleft()
         if isinstance(item, bytes):
             self._buffered -= len(item)
--- a/src/carobstair/platform/boot.py
+++ b/src/carobstair/platform/boot.py
@@ -9,8 +9,12 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 from pydantic.alias_generators import to_camel
 
+from carobstair.core.admission import AdmissionSettings
 from carobstair.core.directory import DirectorySettings
+from carobstair.core.engine_load import PlacementSettings
+from carobstair.core.rollouts import RolloutSettings
 from carobstair.core.send_limits import SendLimitSettings
+from carobstair.core.upstream_capacity import CapacitySettings
 from carobstair.edge.settings import (
     EdgeSettings,
     ListenSettings,
@@ -25,13 +29,30 @@
 # Offsets of the router's own ports in the internal port range of the platform.
 PEER_PORT_OFFSET = 0
 METRICS_PORT_OFFSET = 1
+# Names deployments whose callers compete for too little room.
+PRESSURE = "pressure"
+# Objectives count to the first token, which waits for a slot at a full engine.
+TARGET_SLOTS_USED = 0.9
+# A new upstream is used by then, even if no peer tells of it.
+MAX_UPSTREAMS_PAUSE_S = 1.5
 # A process under load without bodies, and the part of the rest that bodies may take:
 # while one is sent on, a part of it is held twice.
 OWN_MEMORY_MB = 100
 BODY_MEMORY_SHARE = 0.6
 MIN_BODY_MEMORY_MB = 16
+# The part of it for unfinished heads, pipelined requests and unread answers.
+CONNECTION_MEMORY_SHARE = 0.25
+MIN_CONNECTION_MEMORY_MB = 8
+# Of the sockets, callers and peers may take these shares. A third is for upstreams,
+# and the store needs a few.
+CALLER_SOCKET_SHARE = 9 / 16
+PEER_SOCKET_SHARE = 0.1
+# Enough for a fleet of a few dozen routers, whatever the limit on descriptors.
+MIN_PEER_SOCKETS = 64
 # Of the process's descriptor limit, the platform reserves these for files.
 RESERVED_DESCRIPTORS = 200
+# In the list of contracts where roll-outs are in force.
+ROLLOUT_CONTRACT = "rollout"
 # With fewer descriptors than this a process can't serve any caller.
 MIN_SOCKETS = 100
 
@@ -58,6 +79,9 @@
     cold_overshoot: float = Field(1.5, ge=0)
     cold_slack: float = Field(5.0, ge=0)
     drain_timeout_ms: float = Field(2000.0, gt=0)
+    exposure_share: float = Field(0.1, gt=0, le=1)
+    exposure_slack: float = Field(50.0, ge=0)
+    rollback_ms: float = Field(5000.0, gt=0)
 
 
 class _Limits(_BootModel):
@@ -77,6 +101,8 @@
     platform: _Platform
     bounds: _Bounds = _Bounds()
     limits: _Limits = _Limits()
+    # Parts of the platform's rules that are in force; others may be added.
+    contracts: list[object] = []
 
 
 def boot_path() -> Path | None:
@@ -123,6 +149,10 @@
         MIN_BODY_MEMORY_MB,
         int(BODY_MEMORY_SHARE * (boot.limits.memory_mb - OWN_MEMORY_MB)),
     )
+    connection_memory_mb = max(
+        MIN_CONNECTION_MEMORY_MB,
+        int(CONNECTION_MEMORY_SHARE * (boot.limits.memory_mb - OWN_MEMORY_MB)),
+    )
     sockets = max(MIN_SOCKETS, boot.limits.max_fds - RESERVED_DESCRIPTORS)
     return EdgeSettings(
         name=boot.node_name,
@@ -134,12 +164,20 @@
             peer_port=peer_port,
             metrics_port=ports[0] + METRICS_PORT_OFFSET,
             keep_alive_limit=sockets // 2,
+            max_connections=int(CALLER_SOCKET_SHARE * sockets),
+            max_peer_connections=max(
+                MIN_PEER_SOCKETS, int(PEER_SOCKET_SHARE * sockets)
+            ),
         ),
         sync=SyncSettings(
             store_address=boot.platform.address,
             seeds=[
                 f"{seed.rpartition(':')[0]}:{peer_port}" for seed in boot.seed_nodes
             ],
+            # Leaves as much for requests that are on their way to a leaving upstream.
+            max_upstreams_pause_s=min(
+                bounds.drain_timeout_ms / 2000, MAX_UPSTREAMS_PAUSE_S
+            ),
         ),
         stop=ShutdownSettings(grace_s=bounds.grace_s),
         send_limits=SendLimitSettings(
@@ -149,11 +187,26 @@
             bounds.retry_slack,
             bounds.retry_window_s,
         ),
+        admission=AdmissionSettings(target_slots_used=TARGET_SLOTS_USED),
+        placement=PlacementSettings(
+            capacity=CapacitySettings(always=PRESSURE in boot.contracts)
+        ),
         # Requests that are on their way need the rest of the time.
         directory=DirectorySettings(leaving_use_s=bounds.drain_timeout_ms / 2000),
         # A request needs one connection to its caller and one to an upstream.
         max_open_requests=sockets // 3,
         max_body_memory_bytes=body_memory_mb * 1_000_000,
+        max_connection_memory_bytes=connection_memory_mb * 1_000_000,
+        rollouts=_rollouts(boot),
+    )
+
+
+def _rollouts(boot: _Boot) -> RolloutSettings | None:
+    if ROLLOUT_CONTRACT not in boot.contracts:
+        return None
+    bounds = boot.bounds
+    return RolloutSettings(
+        bounds.exposure_share, bounds.exposure_slack, bounds.rollback_ms / 1000
     )
 
 
--- a/src/carobstair/scenario/overload.py
+++ b/src/carobstair/scenario/overload.py
@@ -12,128 +12,37 @@
 import random
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass, field
 
-from carobstair.core.directory import UpstreamDirectory, UpstreamEntry
-from carobstair.core.dispatch import Dispatcher
-from carobstair.core.engine_load import LoadTracker, PlacementSettings, PromptShape
-from carobstair.core.fair_admission import AdmissionSettings, FairAdmission
+from carobstair.core.admission import (
+    AdmissionDecision,
+    WaitingRequest,
+)
+from carobstair.core.engine_load import PromptShape
 from carobstair.core.routing import EngineShape, ServicePool
-from carobstair.core.send_limits import ColdSendLimit, ResendLimit, SendLimitSettings
 from carobstair.core.share_collector import ShareCollector
-from carobstair.core.upstream_health import UpstreamHealth
-from carobstair.scenario.batch_engine import BatchEngine, BatchEngineSpec, EngineJob
+from carobstair.scenario.batch_engine import BatchEngine, EngineJob
+from carobstair.scenario.load_plan import CallerGroup, LoadPlan, LoadReport
+from carobstair.scenario.load_router import (
+    POOL,
+    PlayedRequest,
+    PlayedRouter,
+    make_router,
+)
 
 __all__ = ["CallerGroup", "LoadPlan", "LoadReport", "play_load"]
 
-POOL = "model"
 # One way between a router and an engine.
 HOP_S = 0.001
-
-
-@dataclass(frozen=True, slots=True)
-class CallerGroup:
-    """Requests of one workspace and one size.
-
-    Attributes
-    ----------
-    rate_per_s : float
-    shared_tokens, own_tokens, output_tokens : int
-        Mean sizes; a shared segment is one of `segments` of the group's workspace.
-    aim_s, deadline_s : float
-        Objective for the first token, and when the caller gives up.
-    begin_s, end_s : float
-        When the group sends requests.
-    """
-
-    workspace: str
-    rate_per_s: float
-    shared_tokens: int = 200
-    own_tokens: int = 600
-    output_tokens: int = 290
-    segments: int = 10
-    aim_s: float = 0.4
-    deadline_s: float = 12.0
-    begin_s: float = 0.0
-    end_s: float = 1e9
-
-
-@dataclass(frozen=True, slots=True)
-class LoadPlan:
-    """A load, and the fleet that it is played on.
-
-    Attributes
-    ----------
-    router_weights : tuple of float
-        Fraction of the requests that each router receives, in relative terms.
-    digest_s : float
-        Interval between the digests of one router.
-    tokens_per_s : float
-        Configured throughput of all engines.
-    lost_engines : int
-        Engines that end at `lost_at_s`.
-    """
-
-    groups: tuple[CallerGroup, ...]
-    engines: int = 7
-    router_weights: tuple[float, ...] = (6.0, 2.0, 1.0, 1.0)
-    seconds: float = 20.0
-    digest_s: float = 0.2
-    tokens_per_s: float = 1e6
-    spec: BatchEngineSpec = BatchEngineSpec()
-    admission: AdmissionSettings = AdmissionSettings()
-    placement: PlacementSettings = PlacementSettings()
-    seed: int = 1
-    lost_engines: int = 0
-    lost_at_s: float = 0.0
-
-
-@dataclass(slots=True)
-class LoadReport:
-    """Outcomes by workspace, and what the engines did.
-
-    `counts` has the outcomes of each workspace, each request counted once with its
-    last outcome: ``in-aim``, ``late``, ``refused``, ``failed`` or ``gave-up``.
-    """
-
-    counts: dict[str, Counter] = field(default_factory=dict)
-    first_token_s: list[float] = field(default_factory=list)
-    refused_again: int = 0
-    rejected: int = 0
-    read_tokens: int = 0
-    requests: int = 0
-    timeline: dict[int, Counter] = field(default_factory=dict)
-
-    def fraction(self, outcome: str, workspace: str | None = None) -> float:
-        """Return the fraction of the requests with an outcome."""
-        counters = [
-            counter
-            for name, counter in self.counts.items()
-            if workspace in (None, name)
-        ]
-        total = sum(sum(counter.values()) for counter in counters)
-        return sum(counter[outcome] for counter in counters) / max(1, total)
-
-
-@dataclass(slots=True)
-class _Router:
-    name: str
-    dispatcher: Dispatcher
-    admission: FairAdmission
-
-    @property
-    def loads(self) -> LoadTracker:
-        return self.dispatcher.loads
-
-
-@dataclass(slots=True, eq=False)
-class _Request:
-    group: CallerGroup
-    prompt: PromptShape
-    arrived_s: float
-    refusals: int = 0
-    waited_s: float = 0.0
-    ended: bool = False
+# Engines count as able to take a request in the ideal case up to this backlog, relative
+# to its objective.
+IDEAL_BACKLOG = 0.5
+# Interval at which waiting requests are decided on, and the part of the objective up to
+# which they wait.
+WAIT_TICK_S = 0.01
+WAIT_PART = 0.7
+# Time from the report of a router until the totals with it reach another: it passes two
+# collectors, each of which sends at its own interval.
+TOTALS_DELAY_S = 0.3
 
 
 def play_load(plan: LoadPlan) -> LoadReport:
@@ -148,38 +57,25 @@
         self._events: list[tuple[float, int, Callable[[float], None]]] = []
         self._order = itertools.count()
         self._engines = {
-            f"e{n}": BatchEngine(f"e{n}", plan.spec) for n in range(plan.engines)
+            f"e{n}": BatchEngine(
+                f"e{n}",
+                plan.spec,
+                plan.speeds[n % len(plan.speeds)] if plan.speeds else 1.0,
+                plan.slowdowns.get(n, ()),
+            )
+            for n in range(plan.engines)
         }
         self._stepping: set[str] = set()
         self._routers = [
-            self._make_router(f"r{n}") for n in range(len(plan.router_weights))
+            make_router(f"r{n}", plan, self._engines, plan.zones[n % len(plan.zones)])
+            for n in range(len(plan.router_weights))
         ]
         self._pool = ServicePool(POOL, engine=EngineShape(plan.spec.slots, 0))
         self._collector = ShareCollector()
+        # Requests on the way to each engine.
+        self._on_the_way: Counter[str] = Counter()
         self._report = LoadReport()
 
-    def _make_router(self, name: str) -> _Router:
-        directory = UpstreamDirectory()
-        for engine in self._engines:
-            entry = UpstreamEntry(
-                engine, POOL, "", 1, "a", self._plan.spec.slots, False, 0.0, 1
-            )
-            directory.put(entry, 1, 0.0)
-        limits = SendLimitSettings()
-        dispatcher = Dispatcher(
-            name,
-            directory,
-            LoadTracker(self._plan.placement, "a"),
-            UpstreamHealth(),
-            ColdSendLimit(limits, -10.0),
-            ResendLimit(limits),
-            random.Random(self._plan.seed),
-        )
-        admission = FairAdmission(
-            self._plan.admission, random.Random(f"{self._plan.seed} {name}")
-        )
-        return _Router(name, dispatcher, admission)
-
     def run(self) -> LoadReport:
         """Play the whole load."""
         plan = self._plan
@@ -188,6 +84,11 @@
         for number, router in enumerate(self._routers):
             offset_s = plan.digest_s * number / len(self._routers)
             self._at(offset_s, lambda t, r=router: self._digest(r, t))
+            if plan.share_s:
+                offset_s = plan.share_s * number / len(self._routers)
+                self._at(offset_s, lambda t, r=router: self._exchange_often(r, t))
+        for second in range(int(plan.seconds)):
+            self._at(second + 0.5, self._note_load)
         if plan.lost_engines:
             self._at(plan.lost_at_s, self._lose_engines)
         while self._events:
@@ -198,14 +99,28 @@
         for engine in self._engines.values():
             self._report.rejected += engine.rejected
             self._report.read_tokens += engine.read_tokens
+            work = engine.work_tokens / engine.mean_speed(plan.seconds)
+            self._report.weighed_work[engine.name] = work
         return self._report
 
+    def _note_load(self, now_s: float) -> None:
+        running = sum(len(e.running) + len(e.waiting) for e in self._engines.values())
+        slots = self._plan.spec.slots * len(self._engines)
+        factors = [
+            factor
+            for router in self._routers
+            for factor, _ in router.admission.throughput_factors().values()
+        ]
+        mean = sum(factors) / max(1, len(factors))
+        self._report.loads[int(now_s)] = [running / slots, mean]
+
     def _at(self, at_s: float, action: Callable[[float], None]) -> None:
         heapq.heappush(self._events, (at_s, next(self._order), action))
 
     def _lose_engines(self, now_s: float) -> None:
         for name in list(self._engines)[: self._plan.lost_engines]:
             engine = self._engines.pop(name)
+            self._on_the_way.pop(name, None)
             self._report.rejected += engine.rejected
             for router in self._routers:
                 router.dispatcher.directory.remove(name, 2, None)
@@ -225,40 +140,126 @@
         )
         segments = ((shared, group.shared_tokens), (f"own-{next(self._order)}", own))
         prompt = PromptShape(group.shared_tokens + own, output, segments)
-        self._arrive(_Request(group, prompt, now_s), now_s)
-
-    def _arrive(self, request: _Request, now_s: float) -> None:
-        self._report.requests += request.refusals == 0
-        router = self._rng.choices(self._routers, self._plan.router_weights)[0]
-        dispatcher, prompt = router.dispatcher, request.prompt
-        settings = router.admission.settings
-        decision = router.admission.decide(
-            POOL,
-            request.group.workspace,
-            prompt.prompt_tokens + settings.output_weight * prompt.output_tokens,
-            dispatcher.throughput(
-                POOL, self._plan.tokens_per_s, 0.0, 1.0, now_s
-            ).nominal_per_s,
-            lambda: dispatcher.pressure(POOL, now_s),
-            now_s,
-            lambda: (
-                dispatcher.queue_wait_s(self._pool, prompt, now_s) / request.group.aim_s
-            ),
-            lambda: dispatcher.slots_used(POOL, now_s),
-        )
+        self._arrive(PlayedRequest(group, prompt, now_s), now_s)
+
+    def _arrive(self, request: PlayedRequest, now_s: float) -> None:
+        router = self._pick_router(request)
+        self._note_arrival(request, now_s)
+        if self._plan.ideal:
+            self._arrive_ideal(request, router, now_s)
+            return
+        decision = router.decide(request, now_s)
         if not decision.admitted:
-            self._refuse(request, decision.retry_after_s, now_s)
+            if not self._wait(request, router, decision, now_s):
+                self._refuse(request, decision.retry_after_s, now_s)
             return
         self._send(request, router, frozenset(), now_s)
 
+    def _wait(
+        self,
+        request: PlayedRequest,
+        router: PlayedRouter,
+        decision: AdmissionDecision,
+        now_s: float,
+    ) -> bool:
+        """Let a refused request wait if it may begin in time."""
+        if not router.admission.settings.max_waiting:
+            return False
+        latest_s = request.arrived_s + WAIT_PART * request.group.aim_s
+        if now_s + decision.retry_after_s >= latest_s:
+            return False
+        asked = router.asked(request, now_s)
+        waiting = WaitingRequest(
+            next(self._order), asked, decision.share, now_s, latest_s
+        )
+        if not len(router.waiting):
+            self._at(now_s + WAIT_TICK_S, lambda t: self._pump(router, t))
+        refused = router.waiting.offer(waiting, now_s)
+        router.held[waiting.request_id] = request
+        if refused is not None:
+            held = router.held.pop(refused.request_id)
+            self._refuse(held, decision.retry_after_s, now_s)
+        return True
+
+    def _pump(self, router: PlayedRouter, now_s: float) -> None:
+        """Let begin what may, as the gate of the edge does."""
+        waiting, passed = router.waiting, set()
+        for late in waiting.expired(now_s):
+            held = router.held.pop(late.request_id)
+            asked = router.asked(held, now_s)
+            decision = router.admission.reconsider(asked, WAIT_TICK_S, now_s)
+            if decision.admitted:
+                self._send(held, router, frozenset(), now_s)
+            else:
+                self._refuse(held, decision.retry_after_s, now_s)
+        while (first := waiting.next(now_s, passed)) is not None:
+            held = router.held[first.request_id]
+            asked = router.asked(held, now_s)
+            if router.admission.reconsider(asked, WAIT_TICK_S, now_s).admitted:
+                waiting.begin(first)
+                self._report.waited_begun += 1
+                self._send(
+                    router.held.pop(first.request_id), router, frozenset(), now_s
+                )
+            else:
+                passed.add(first.key)
+        if len(waiting):
+            self._at(now_s + WAIT_TICK_S, lambda t: self._pump(router, t))
+
+    def _pick_router(self, request: PlayedRequest) -> PlayedRouter:
+        routers, weights = self._routers, self._plan.router_weights
+        if request.group.routers and not request.refusals:
+            numbers = request.group.routers
+            routers = [routers[number] for number in numbers]
+            weights = tuple(weights[number] for number in numbers)
+        return self._rng.choices(routers, weights)[0]
+
+    def _note_arrival(self, request: PlayedRequest, now_s: float) -> None:
+        if request.refusals:
+            self._report.returned += 1
+            return
+        self._report.requests += 1
+        tokens = request.weighted_tokens(self._plan.admission.output_weight)
+        self._report.asked[int(now_s)][request.group.workspace] += tokens
+
+    def _note_begun(self, request: PlayedRequest, now_s: float) -> None:
+        self._report.returned_begun += request.refusals > 0
+        tokens = request.weighted_tokens(self._plan.admission.output_weight)
+        self._report.begun[int(now_s)][request.group.workspace] += tokens
+
+    def _arrive_ideal(
+        self, request: PlayedRequest, router: PlayedRouter, now_s: float
+    ) -> None:
+        unable = [e.name for e in self._engines.values() if not self._takes(e, request)]
+        if len(unable) == len(self._engines):
+            self._refuse(request, 0.3, now_s)
+        else:
+            self._send(request, router, frozenset(unable), now_s)
+
+    def _takes(self, engine: BatchEngine, request: PlayedRequest) -> bool:
+        """Return whether an engine really has room for a request."""
+        present = len(engine.running) + len(engine.waiting)
+        if present + self._on_the_way[engine.name] >= engine.spec.slots:
+            return False
+        unread = sum(job.unread_tokens for job in engine.running)
+        unread += sum(job.prompt.prompt_tokens for job in engine.waiting)
+        backlog_s = unread / engine.spec.prefill_tokens_per_s
+        return backlog_s < IDEAL_BACKLOG * request.group.aim_s
+
     def _send(
-        self, request: _Request, router: _Router, avoided: frozenset[str], now_s: float
+        self,
+        request: PlayedRequest,
+        router: PlayedRouter,
+        avoided: frozenset[str],
+        now_s: float,
     ) -> None:
         entry = router.dispatcher.choose(self._pool, request.prompt, avoided, now_s)
         if entry is None:
             self._refuse(request, 0.5, now_s)
             return
         name = entry.upstream_id
+        router.dispatcher.confirm(entry, self._pool, now_s)
+        self._report.other_zone_sends += entry.zone != router.loads.zone
         sent = router.loads.begin(name, request.prompt, now_s)
         engine = self._engines[name]
 
@@ -268,6 +269,7 @@
             if not request.ended:
                 request.waited_s = at_s + HOP_S - request.arrived_s
                 self._report.first_token_s.append(request.waited_s)
+                self._note_begun(request, at_s + HOP_S)
 
         def end(at_s: float) -> None:
             if request.ended:
@@ -288,6 +290,7 @@
                 router.loads.end(sent, at_s)
 
         def reach(at_s: float) -> None:
+            self._on_the_way[name] -= 1
             if job.cancelled:
                 return
             if engine.submit(job):
@@ -297,24 +300,34 @@
                 return
             self._report_load(router, engine, at_s)
             router.loads.end(sent, at_s)
-            if avoided:
+            if request.rejected:
                 self._refuse(request, 0.3, at_s + HOP_S)
             else:
-                self._send(request, router, frozenset((name,)), at_s + HOP_S)
+                request.rejected = True
+                self._send(request, router, avoided | {name}, at_s + HOP_S)
 
+        self._on_the_way[name] += 1
         self._at(now_s + HOP_S, reach)
 
-    def _report_load(self, router: _Router, engine: BatchEngine, now_s: float) -> None:
+    def _report_load(
+        self, router: PlayedRouter, engine: BatchEngine, now_s: float
+    ) -> None:
         router.loads.note_report(
             engine.name,
             len(engine.running),
             len(engine.waiting),
             engine.spec.slots,
             now_s + HOP_S,
+            engine.slowdown_at(now_s) if self._plan.states_slowdown else None,
+            POOL,
+            1,
         )
 
-    def _refuse(self, request: _Request, retry_after_s: float, now_s: float) -> None:
+    def _refuse(
+        self, request: PlayedRequest, retry_after_s: float, now_s: float
+    ) -> None:
         request.refusals += 1
+        self._report.refusals[int(now_s)][request.group.workspace] += 1
         self._report.refused_again += request.refusals > 1
         left_s = request.arrived_s + request.group.deadline_s - now_s
         if request.refusals > 1 or left_s <= 0:
@@ -323,7 +336,7 @@
         wait_s = min(retry_after_s * self._rng.uniform(0.7, 1.3), left_s / 3)
         self._at(now_s + wait_s, lambda t: self._arrive(request, t))
 
-    def _end(self, request: _Request, outcome: str) -> None:
+    def _end(self, request: PlayedRequest, outcome: str) -> None:
         request.ended = True
         counter = self._report.counts.setdefault(request.group.workspace, Counter())
         counter[outcome] += 1
@@ -343,19 +356,50 @@
 
         self._at(ends_s, end_step)
 
-    def _digest(self, sender: _Router, now_s: float) -> None:
+    def _digest(self, sender: PlayedRouter, now_s: float) -> None:
         if now_s > self._plan.seconds:
             return
-        rows = sender.loads.own_rows()
+        rows, segments, waits = sender.loads.own_rows(), [], []
+        if self._plan.shares_segments:
+            segments, sender.segment_cursor = sender.loads.recent_segments(
+                sender.segment_cursor, 100
+            )
+            waits, sender.wait_cursor = sender.loads.capacities.recent_waits(
+                sender.wait_cursor, 100
+            )
+        if not self._plan.share_s:
+            self._exchange(sender, now_s)
+        for router in self._routers:
+            if router is not sender:
+                router.loads.note_peer(sender.name, rows)
+                for upstream, segment, tokens in segments:
+                    router.loads.note_segment(upstream, segment, tokens)
+                if router.loads.zone == sender.loads.zone:
+                    for row in waits:
+                        router.loads.note_peer_wait(POOL, row, now_s)
+        self._at(now_s + self._plan.digest_s, lambda t: self._digest(sender, t))
+
+    def _exchange_often(self, sender: PlayedRouter, now_s: float) -> None:
+        if now_s <= self._plan.seconds:
+            self._exchange(sender, now_s)
+            next_s = now_s + self._plan.share_s
+            self._at(next_s, lambda t: self._exchange_often(sender, t))
+
+    def _exchange(self, sender: PlayedRouter, now_s: float) -> None:
         dispatcher, admission = sender.dispatcher, sender.admission
         for pool in admission.pools():
+            if admission.conserves_work(pool):
+                load = sender.room.load(pool, now_s)
+                admission.refresh_conserving(pool, load, now_s)
+                continue
             pressure = dispatcher.pressure(pool, now_s)
             slots_used = dispatcher.slots_used(pool, now_s)
             admission.refresh(pool, pressure, slots_used, now_s)
         self._collector.note_report(sender.name, admission.report(now_s), now_s)
         fleet = self._collector.fleet_totals()
-        admission.note_totals(self._collector.totals_for(sender.name, fleet), now_s)
-        for router in self._routers:
-            if router is not sender:
-                router.loads.note_peer(sender.name, rows)
-        self._at(now_s + self._plan.digest_s, lambda t: self._digest(sender, t))
+        totals = self._collector.totals_for(sender.name, fleet)
+        if not self._plan.share_s:
+            admission.note_totals(totals, now_s)
+            return
+        at_s = now_s + TOTALS_DELAY_S
+        self._at(at_s, lambda t: admission.note_totals(totals, t))
