Turn on only the redirect of busy routers where settings name pressure

Change: the setting turns on early shedding and the withdrawal; admission and placement stay as they were there.

--- a/src/carobstair/platform/boot.py
+++ b/src/carobstair/platform/boot.py
@@ -11,10 +11,9 @@
 
 from carobstair.core.admission import AdmissionSettings
 from carobstair.core.directory import DirectorySettings
-from carobstair.core.engine_load import PlacementSettings
+from carobstair.core.overload import OverloadSettings
 from carobstair.core.rollouts import RolloutSettings
 from carobstair.core.send_limits import SendLimitSettings
-from carobstair.core.upstream_capacity import CapacitySettings
 from carobstair.edge.settings import (
     EdgeSettings,
     ListenSettings,
@@ -188,9 +187,7 @@
             bounds.retry_window_s,
         ),
         admission=AdmissionSettings(target_slots_used=TARGET_SLOTS_USED),
-        placement=PlacementSettings(
-            capacity=CapacitySettings(always=PRESSURE in boot.contracts)
-        ),
+        overload=OverloadSettings(redirect=PRESSURE in boot.contracts),
         # Requests that are on their way need the rest of the time.
         directory=DirectorySettings(leaving_use_s=bounds.drain_timeout_ms / 2000),
         # A request needs one connection to its caller and one to an upstream.
