--- a/src/carobstair/core/rollouts/controller.py
+++ b/src/carobstair/core/rollouts/controller.py
@@ -35,6 +35,9 @@
 
 # Routers that collect at a time: if one is lost, the other has all counts.
 COLLECTORS = 2
+# Time for a write to appear. A version found bad in between would send requests to old
+# upstreams that have stopped.
+SETTLE_S = 1.0
 # An order that a restored store lacks is kept for this time; operators write it again.
 RESTORED_GRACE_S = 5.0
 
@@ -198,8 +201,6 @@
         rollout = self._rollouts.get(service)
         if rollout is None or rollout.state.skipped or rollout.state.is_final:
             return None
-        # Requests of other versions before this router has heard a decision count too:
-        # they are the base of the bound.
         is_target = version == rollout.state.order.target
         return rollout.ledger.begin(
             route, size_tokens, upstream_id if is_target else "", is_resumable, is_cold
@@ -298,6 +299,10 @@
     ) -> OrderDirective | None:
         state = rollout.state
         order, age_s = state.order, state.age_s(now_s)
+        if now_s < state.settled_s:
+            # The write is on its way, and at its end the old upstreams stop.
+            state.decided_s = now_s
+            return None
         targets = self.count_target(order.service, order.target, now_s)
         decision = rollout.collector.decide(age_s, targets, routers, interval_s, now_s)
         if decision is None:
@@ -319,6 +324,8 @@
             state.verdict is RolloutState.RUNNING or is_undone
         ):
             state.verdict, state.write_after_s = decision.verdict, None
+            if decision.verdict is RolloutState.COMPLETED:
+                state.settled_s = now_s + SETTLE_S
             self._events.append(
                 decision_event("rollout_verdict", state, decision, age_s)
             )
@@ -373,6 +380,8 @@
         """Apply a decision, unless a later phase is known."""
         if state.is_final or directive.phase not in Phase._value2member_map_:
             return
+        if now_s < state.settled_s:
+            return
         phase = Phase(directive.phase)
         if phase < state.phase:
             return
--- a/src/carobstair/core/rollouts/orders.py
+++ b/src/carobstair/core/rollouts/orders.py
@@ -89,6 +89,8 @@
         Share of the requests for the new version, as last decided at `decided_s`.
     write_after_s : float or None
         Monotonic time from which this router writes the verdict.
+    settled_s : float
+        Monotonic time until which a decision to complete is not taken back.
     forget_s : float or None
         When the order is forgotten, because a restored store lacks it.
     skipped : str
@@ -106,6 +108,7 @@
     share: float = 0.0
     decided_s: float = float("-inf")
     write_after_s: float | None = None
+    settled_s: float = float("-inf")
     forget_s: float | None = None
     skipped: str = ""
     # Versions that were replaced when the order was completed.
