Place prompts at homes of their shared part

Cause: routers learn 1 to 4 s late which engine holds a shared prompt part, so several of them have it read at different engines.

Change: weighted rendezvous hashing ranks engines for a part, the price of a second reading falls with the rank, and placement of such prompts depends less on queues and momentary loads that are known late. Sends by home and repeated tokens are logged and counted.

--- a/src/carobstair/core/dispatch.py
+++ b/src/carobstair/core/dispatch.py
@@ -138,8 +138,11 @@
         placeable = self.narrow(pool.name, healthy, now_s)
         candidates = ((u, entries[u].zone) for u in placeable)
         if pool.engine is not None:
+            cold_ids = {e.upstream_id for e in cold}
             return entries[
-                self.loads.pick(candidates, prompt, self.rng, now_s, permits, pool.name)
+                self.loads.pick(
+                    candidates, prompt, self.rng, now_s, permits, pool.name, cold_ids
+                )
             ]
         return entries[
             self.loads.pick_plain(candidates, self.rng, permits, now_s, pool.name)
--- a/src/carobstair/core/engine_load.py
+++ b/src/carobstair/core/engine_load.py
@@ -14,6 +14,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from carobstair.core.prompt_homes import NO_TERMS, HomeTerms, PromptHomes
 from carobstair.core.rate_limits import PermitOutlook
 from carobstair.core.request_shapes import (
     PlacementSettings,
@@ -80,6 +81,8 @@
         KV-cache capacity of one engine.
     capacities : ServiceCapacities
         Estimates of the services whose upstreams state a slowdown.
+    homes : PromptHomes
+        Engines at which all routers have shared prompt parts read, once enabled.
     """
 
     settings: PlacementSettings
@@ -96,9 +99,11 @@
     )
     _segment_count: int = 0
     capacities: ServiceCapacities = field(init=False)
+    homes: PromptHomes = field(init=False)
 
     def __post_init__(self) -> None:
         self.capacities = ServiceCapacities(self.settings.capacity)
+        self.homes = PromptHomes(self.settings.homes, self.zone)
 
     # Own requests
 
@@ -109,6 +114,10 @@
             upstream_id, self.uncached_tokens(upstream_id, prompt), now_s
         )
         sent.held_tokens = prompt.prompt_tokens + prompt.output_tokens
+        if self.homes.enabled:
+            self.homes.note_send(
+                upstream_id, prompt, sent.uncached_tokens, self._is_held
+            )
         load.held_tokens += sent.held_tokens
         if load.capacity is not None and load.incarnation and not load.is_cold:
             sent.incarnation = load.incarnation
@@ -180,6 +189,10 @@
             uncached -= tokens
         return max(0, uncached)
 
+    def _is_held(self, segment: str) -> bool:
+        """Return whether some engine is known to hold a segment."""
+        return any(segment in load.cached for load in self._loads.values())
+
     # Load reported by others
 
     def note_report(
@@ -254,6 +267,7 @@
         for upstream_id in [u for u in self._loads if u not in upstream_ids]:
             if not self._loads[upstream_id].running:
                 del self._loads[upstream_id]
+        self.homes.keep(upstream_ids)
 
     # Capacity by upstream
 
@@ -474,6 +488,7 @@
         now_s: float = math.inf,
         permits: Mapping[str, PermitOutlook] = NOTHING,
         service: str = "",
+        cold: Collection[str] = (),
     ) -> str:
         """Return the engine with the least `first_token_s`, ties at random.
 
@@ -488,8 +503,14 @@
             Permits of engines that limit their requests.
         service : str, optional
             Given so that its upstreams' capacity counts where they state a slowdown.
+        cold : collection of str
+            Candidates that are cold, and thus no homes.
         """
         capacity = self.capacities.by_service.get(service)
+        homes = NO_TERMS
+        if self.homes.enabled:
+            candidates = list(candidates)
+            homes = self._home_terms(candidates, prompt, service, now_s, cold)
         if capacity is not None:
             return choose_engine(
                 candidates,
@@ -503,14 +524,20 @@
                 permits,
                 rng,
                 now_s,
+                homes,
             )
         settings = self.settings
         per_backlog_s = settings.backlog_weight / settings.prefill_tokens_per_s
+        per_backlog_s *= homes.backlog_part
         per_uncached_s = settings.uncached_weight / settings.prefill_tokens_per_s
         per_limited_uncached_s = (
             settings.limited_uncached_weight / settings.prefill_tokens_per_s
         )
         fresh_s = now_s - settings.report_lifetime_s
+        # The time to read the request's own prompt is no price that others pay.
+        own_token_s = 1.0 / settings.prefill_tokens_per_s
+        discounts, own_tokens = homes.discounts, homes.own_tokens
+        bound_requests = homes.bound_requests
         best, lowest_s = "", math.inf
         for upstream_id, zone in candidates:
             backlog, running = self._peer_totals.get(upstream_id, NO_LOAD)
@@ -528,9 +555,15 @@
             cost_s = per_backlog_s * backlog + settings.running_request_s * running
             limited = upstream_id in permits
             if uncached > 0:
-                cost_s += (
-                    per_limited_uncached_s if limited else per_uncached_s
-                ) * uncached
+                per_token_s = per_limited_uncached_s if limited else per_uncached_s
+                cost_s += per_token_s * uncached
+                if discounts and upstream_id in discounts and uncached > own_tokens:
+                    price_s = (per_token_s - own_token_s) * (uncached - own_tokens)
+                    cost_s -= discounts[upstream_id] * price_s
+            if running > bound_requests:
+                room = load.reported_slots if load is not None else 0
+                excess = (running - bound_requests) / (room or settings.target_running)
+                cost_s += homes.balance_s * excess
             if load is not None and 0 < load.reported_slots <= running:
                 cost_s += settings.slot_wait_s * (running - load.reported_slots + 1)
             if zone != self.zone:
@@ -580,6 +613,39 @@
             ranked.append((cost, rng.random(), u))
         return min(ranked)[2]
 
+    def _home_terms(
+        self,
+        candidates: list[tuple[str, str]],
+        prompt: PromptShape,
+        service: str,
+        now_s: float,
+        cold: Collection[str],
+    ) -> HomeTerms:
+        """Return what homes change in the costs of engines for a request."""
+        homes = self.homes
+        keyed = homes.key(prompt)
+        if keyed is None:
+            return NO_TERMS
+        zones = dict(candidates)
+        if homes.is_due(service, now_s):
+            running = {u: self.occupancy(u, now_s) for u in zones}
+            homes.update(service, running, self._home_capacities(zones), now_s)
+        return homes.terms(service, keyed, prompt, zones, cold)
+
+    def _home_capacities(self, upstream_ids: Iterable[str]) -> dict[str, float]:
+        """Return what engines take, of those for which it is estimated.
+
+        The concurrency is left out: routers learn it from their own requests only, and
+        would not agree.
+        """
+        capacities = {}
+        for upstream_id in upstream_ids:
+            record = self._load(upstream_id).record
+            if record is not None and record.slots:
+                speed = record.speed / record.usual_slowdown
+                capacities[upstream_id] = record.slots * speed
+        return capacities
+
     def _adjust_peer_totals(self, peer: str, sign: int) -> None:
         for upstream_id, (tokens, running) in self._peers.get(peer, {}).items():
             totals = self._peer_totals.setdefault(upstream_id, [0, 0])
--- a/src/carobstair/core/request_shapes.py
+++ b/src/carobstair/core/request_shapes.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 
+from carobstair.core.prompt_homes import HomeSettings
 from carobstair.core.upstream_capacity import CapacitySettings, Incarnation
 
 __all__ = ["PlacementSettings", "PromptShape", "SentRequest"]
@@ -80,6 +81,8 @@
         the next of its slots becomes free.
     capacity : CapacitySettings
         Estimates of each upstream, for services whose upstreams state a slowdown.
+    homes : HomeSettings
+        Homes of shared prompt parts, where they are enabled.
     """
 
     prefill_tokens_per_s: float = 56_600.0
@@ -97,6 +100,7 @@
     report_lifetime_s: float = 0.5
     slot_wait_s: float = 0.2
     capacity: CapacitySettings = CapacitySettings()
+    homes: HomeSettings = HomeSettings()
 
 
 @dataclass(slots=True)
--- a/src/carobstair/core/upstream_capacity/placement.py
+++ b/src/carobstair/core/upstream_capacity/placement.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterable, Mapping, Sequence
 from typing import Any, Protocol
 
+from carobstair.core.prompt_homes import NO_TERMS, HomeTerms
 from carobstair.core.rate_limits import PermitOutlook
 from carobstair.core.upstream_capacity.capacity import UpstreamCapacity
 from carobstair.core.upstream_capacity.record import UpstreamRecord
@@ -67,6 +68,7 @@
     permits: Mapping[str, PermitOutlook],
     rng: random.Random,
     now_s: float,
+    homes: HomeTerms = NO_TERMS,
 ) -> str:
     """Return the engine with the least cost, at random among near-equal ones.
 
@@ -76,6 +78,8 @@
     ----------
     candidates : iterable of (str, str)
         Upstream id and zone, at least one.
+    homes : HomeTerms
+        What homes of the prompt's shared part change.
     """
     capacity.refresh(now_s)
     candidates = list(candidates)
@@ -88,6 +92,9 @@
     # engine, fast ones would attract all reads.
     others_token_s = (settings.uncached_weight - 1.0) * typical.token_s
     slot_wait_s = weights.slot_wait_s
+    discounts, own_tokens = homes.discounts, homes.own_tokens
+    backlog_part = homes.backlog_part
+    spare_requests = homes.spare_requests if discounts else BALANCE_REQUESTS
     fair_fill = capacity.fill * (1.0 + settings.balance_slack)
     other_zone_s = _other_zone_s(capacity, weights)
     balance_s = settings.balance_s
@@ -118,15 +125,18 @@
             room = record.concurrency
             cost_s = (
                 record.wait_s
-                + record.backlog_token_s * backlog
+                + record.backlog_token_s * (backlog_part * backlog)
                 + record.running_s * running
                 + margin_s * random_value()
             )
             if uncached > 0:
                 cost_s += (record.token_s + others_token_s) * uncached
+                if discounts and upstream_id in discounts and uncached > own_tokens:
+                    price_s = others_token_s * (uncached - own_tokens)
+                    cost_s -= discounts[upstream_id] * price_s
             if running >= room:
                 cost_s += slot_wait_s * (running - room + 1.0)
-            excess = running - fair_fill * room - BALANCE_REQUESTS
+            excess = running - fair_fill * room - spare_requests
             if excess > 0.0:
                 cost_s += balance_s * excess / room
             if its_zone != zone:
--- a/src/carobstair/edge/metrics.py
+++ b/src/carobstair/edge/metrics.py
@@ -79,6 +79,14 @@
         self.upstream_speed = self._upstream_gauge(
             "upstream_relative_speed", "Speed relative to the mean of the service"
         )
+        self.home_sends = self._counter(
+            "home_sends", "Sends of prompts whose shared part has homes", ("home",)
+        )
+        self.home_repeated_tokens = self._counter(
+            "home_repeated_tokens",
+            "Shared tokens sent to an engine although another was known to hold them",
+            (),
+        )
         self.workspace_tokens = self._counter(
             "workspace_tokens",
             "Weighted tokens that workspaces asked for, and that began",
--- a/src/carobstair/edge/router.py
+++ b/src/carobstair/edge/router.py
@@ -40,6 +40,7 @@
 from carobstair.edge.evidence_exchange import EvidenceExchange
 from carobstair.edge.follower import StoreFollower
 from carobstair.edge.gossip import Gossip
+from carobstair.edge.home_reports import HomeReports
 from carobstair.edge.metadata import Dialect
 from carobstair.edge.metrics import EdgeMetrics
 from carobstair.edge.refusal_store import RefusalStore
@@ -177,6 +178,9 @@
         self._overload = OverloadGuard(settings.overload, utilisation)
         self._withdrawal = Withdrawal()
         self._loads.on_capacity_enabled = self._on_capacity_enabled
+        self._home_reports = HomeReports(self._loads.homes, self.metrics)
+        if settings.overload.redirect:
+            self._home_reports.enable("settings")
         relay = Relay(self._dispatcher, self._connections, platform.dialect)
         relay.responses.event_pause_s = self._overload.early.event_pause_s
         self._guard = relay.guard
@@ -439,6 +443,7 @@
         """Turn on what is meant for upstreams that share their machines."""
         self._capacity_reports.log_capacity_enabled(service)
         self._overload.enable_redirect()
+        self._home_reports.enable(service)
         table = self.view.table
         pool = table.services.get(service) if table is not None else None
         if pool is not None and pool.engine is not None:
@@ -508,6 +513,7 @@
             self._log_limited_upstreams()
             self._log_shed()
             self._capacity_reports.log_changes(time.monotonic())
+            self._home_reports.log_sends()
 
     def _log_shed(self) -> None:
         count = self.app.refusals.take_shed()
@@ -611,6 +617,7 @@
         self.metrics.suspected_segments.set(suspected)
         self.metrics.refused_segments.set(refused)
         self._capacity_reports.export(time.monotonic())
+        self._home_reports.export()
         for pool, (factor, _) in self._admission.throughput_factors().items():
             self.metrics.throughput_factor.labels(pool).set(factor)
         early = self._overload.early
--- a/src/carobstair/scenario/batch_engine.py
+++ b/src/carobstair/scenario/batch_engine.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict, deque
+from collections import Counter, OrderedDict, deque
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
@@ -76,6 +76,8 @@
         Periods in which neighbours slow it down: begin, end and factor.
     work_tokens : int
         Tokens read, and twice the tokens written.
+    shared_reads : Counter
+        How often each segment was read that is not the last of its prompt.
     """
 
     name: str
@@ -87,6 +89,7 @@
     running: list[EngineJob] = field(default_factory=list)
     read_tokens: int = 0
     rejected: int = 0
+    shared_reads: Counter[str] = field(default_factory=Counter)
     _kept: OrderedDict[str, int] = field(default_factory=OrderedDict)
     _kept_tokens: int = 0
 
@@ -152,6 +155,8 @@
                 break
             self._kept.move_to_end(segment)
             unread -= tokens
+        missing = [s for s, _ in job.prompt.segments[:-1] if s not in self._kept]
+        self.shared_reads.update(missing)
         for segment, tokens in job.prompt.segments:
             self._kept_tokens += tokens - self._kept.pop(segment, 0)
             self._kept[segment] = tokens
--- a/src/carobstair/scenario/load_plan.py
+++ b/src/carobstair/scenario/load_plan.py
@@ -73,6 +73,10 @@
         Whether digests carry the segments that a router has sent, and its waits.
     zones : tuple of str
         Zones of routers and of engines in turn.
+    digest_delay_s : float
+        Time until a digest reaches the others.
+    has_homes : bool
+        Whether the homes of shared prompt parts are enabled.
     """
 
     groups: tuple[CallerGroup, ...]
@@ -96,6 +100,8 @@
     states_slowdown: bool = False
     shares_segments: bool = False
     zones: tuple[str, ...] = ("a",)
+    digest_delay_s: float = 0.0
+    has_homes: bool = False
 
 
 TokensBySecond = dict[int, Counter[str]]
@@ -119,6 +125,12 @@
         Requests that waited at a router and were sent in time.
     loads : dict
         Slots in use relative to all, and the mean factor, by second.
+    shared_reads : Counter
+        How often engines read each shared segment.
+    segment_tokens : dict
+        Tokens of the shared segments.
+    other_zone_sends, other_zone_tokens : int
+        Sends to engines of other zones, and the prompt tokens of these.
     """
 
     counts: dict[str, Counter] = field(default_factory=dict)
@@ -129,6 +141,9 @@
     # Work by engine relative to its speed, for the balance.
     weighed_work: dict[str, float] = field(default_factory=dict)
     other_zone_sends: int = 0
+    other_zone_tokens: int = 0
+    shared_reads: Counter[str] = field(default_factory=Counter)
+    segment_tokens: dict[str, int] = field(default_factory=dict)
     requests: int = 0
     timeline: dict[int, Counter] = field(default_factory=dict)
     asked: TokensBySecond = field(default_factory=lambda: defaultdict(Counter))
@@ -144,6 +159,11 @@
         work = self.weighed_work.values()
         return max(work) * len(work) / max(1.0, sum(work))
 
+    def repeated_tokens(self) -> int:
+        """Return the tokens of shared segments that were read more than once."""
+        tokens = self.segment_tokens
+        return sum((n - 1) * tokens[s] for s, n in self.shared_reads.items())
+
     def begun_per_s(self, begin_s: int, end_s: int) -> float:
         """Return the weighted tokens a second that began in some seconds."""
         tokens = sum(sum(self.begun[s].values()) for s in range(begin_s, end_s))
--- a/src/carobstair/scenario/load_router.py
+++ b/src/carobstair/scenario/load_router.py
@@ -122,10 +122,13 @@
         )
         directory.put(entry, 1, 0.0)
     limits = SendLimitSettings()
+    loads = LoadTracker(plan.placement, zone)
+    if plan.has_homes:
+        loads.homes.enable()
     dispatcher = Dispatcher(
         name,
         directory,
-        LoadTracker(plan.placement, zone),
+        loads,
         UpstreamHealth(),
         ColdSendLimit(limits, -10.0),
         ResendLimit(limits),
--- a/src/carobstair/scenario/overload.py
+++ b/src/carobstair/scenario/overload.py
@@ -99,6 +99,7 @@
         for engine in self._engines.values():
             self._report.rejected += engine.rejected
             self._report.read_tokens += engine.read_tokens
+            self._report.shared_reads.update(engine.shared_reads)
             work = engine.work_tokens / engine.mean_speed(plan.seconds)
             self._report.weighed_work[engine.name] = work
         return self._report
@@ -134,6 +135,7 @@
         gap_s = self._rng.expovariate(group.rate_per_s)
         self._at(now_s + gap_s, lambda t: self._next_arrival(group, t))
         shared = f"{group.workspace}-{self._rng.randrange(group.segments)}"
+        self._report.segment_tokens[shared] = group.shared_tokens
         own = max(1, round(group.own_tokens * self._rng.lognormvariate(-0.2, 0.6)))
         output = max(
             1, round(group.output_tokens * self._rng.lognormvariate(-0.1, 0.4))
@@ -259,7 +261,9 @@
             return
         name = entry.upstream_id
         router.dispatcher.confirm(entry, self._pool, now_s)
-        self._report.other_zone_sends += entry.zone != router.loads.zone
+        if entry.zone != router.loads.zone:
+            self._report.other_zone_sends += 1
+            self._report.other_zone_tokens += request.prompt.prompt_tokens
         sent = router.loads.begin(name, request.prompt, now_s)
         engine = self._engines[name]
 
@@ -369,14 +373,21 @@
             )
         if not self._plan.share_s:
             self._exchange(sender, now_s)
-        for router in self._routers:
-            if router is not sender:
-                router.loads.note_peer(sender.name, rows)
-                for upstream, segment, tokens in segments:
-                    router.loads.note_segment(upstream, segment, tokens)
-                if router.loads.zone == sender.loads.zone:
-                    for row in waits:
-                        router.loads.note_peer_wait(POOL, row, now_s)
+
+        def receive(at_s: float) -> None:
+            for router in self._routers:
+                if router is not sender:
+                    router.loads.note_peer(sender.name, rows)
+                    for upstream, segment, tokens in segments:
+                        router.loads.note_segment(upstream, segment, tokens)
+                    if router.loads.zone == sender.loads.zone:
+                        for row in waits:
+                            router.loads.note_peer_wait(POOL, row, at_s)
+
+        if self._plan.digest_delay_s:
+            self._at(now_s + self._plan.digest_delay_s, receive)
+        else:
+            receive(now_s)
         self._at(now_s + self._plan.digest_s, lambda t: self._digest(sender, t))
 
     def _exchange_often(self, sender: PlayedRouter, now_s: float) -> None:
