Hand streams of a busy router to idle peers

Cause: a router that receives all callers of a hot workspace refuses up to half of them while its peers have a utilisation of 0.05 to 0.1; half of the retries reach it again. Change: from a utilisation of 0.45 on, whole stream requests are sent unchanged to the idler of two peers of the own zone, at a port of its own, and the answer is relayed as bytes (core/handoff, edge/handoff_*). The digest states the port in a new last field. Off unless overload.redirect is set or an upstream states a slowdown; then no port is open.

--- a/bench/edge_cost.py
+++ b/bench/edge_cost.py
@@ -5,14 +5,13 @@
 Streams of two lengths give the cost of a request and of an event. With `--profile` the
 functions of one kind of load are listed by their own time, and nothing is measured.
 
-    python bench/edge_cost.py [--profile plain|stream|event]
+    python bench/edge_cost.py [--profile plain|stream|event|handed]
 """
 
 from __future__ import annotations
 
 import argparse
 import asyncio
-import contextlib
 import cProfile
 import multiprocessing
 import os
@@ -21,7 +20,7 @@
 import statistics
 import sys
 import time
-from dataclasses import dataclass
+from types import SimpleNamespace
 
 import msgspec
 
@@ -30,6 +29,7 @@
 from carobstair.core.engine_load import LoadTracker, PlacementSettings
 from carobstair.core.fair_admission import FairAdmission
 from carobstair.core.fleet_view import FleetView, StateKind, StoreChange
+from carobstair.core.handoff import HandoffDecision, HandoffPeers, HandoffSettings
 from carobstair.core.overload import OverloadGuard, OverloadSettings
 from carobstair.core.router_load import LoopUtilisation
 from carobstair.core.send_limits import (
@@ -41,173 +41,23 @@
 from carobstair.edge.app import EdgeApp
 from carobstair.edge.arrival_gate import ArrivalGate
 from carobstair.edge.connection_pool import ConnectionPool
+from carobstair.edge.handoff_driver import Handoff
+from carobstair.edge.handoff_server import RELAYED_PAUSE_S
 from carobstair.edge.measured_selector import measured_loop
 from carobstair.edge.metrics import EdgeMetrics
 from carobstair.edge.relay import Relay
-from carobstair.edge.server import CallerServer
+from carobstair.edge.server import EVENT_PAUSE_S, CallerServer
 from carobstair.logs import LineWriter, configure_logging
 from carobstair.platform.documents import decode_routing, decode_upstream
 from carobstair.platform.headers import PlatformDialect
+from edge_cost_load import LONG_EVENTS, PHASES, SHORT_EVENTS, peers_main
 
 ENGINES, PLAIN_INSTANCES = 56, 4
-SHORT_EVENTS, LONG_EVENTS = 2, 102
-EVENT_INTERVAL_S = 0.004
-CALLERS = 8
-REQUESTS = {"plain": 1000, "stream": 600, "long": 64, "shed": 1000, "head": 600}
 WARM_UP = 200
 # The lowest of several repetitions is least disturbed by other processes.
 REPEATS = 7
 # Functions in a profile.
 LISTED = 45
-BODY = b"x" * 512
-EVENT = b'id: %d\ndata: {"choices":[{"delta":{"content":"word"}}]}\n\n'
-
-
-@dataclass(frozen=True)
-class Phase:
-    """One kind of load."""
-
-    path: str
-    events: int
-    requests: int
-
-
-PHASES = {
-    "plain": Phase("/plain/x", 0, REQUESTS["plain"]),
-    "stream": Phase("/stream/x", SHORT_EVENTS, REQUESTS["stream"]),
-    "long": Phase("/stream/x", LONG_EVENTS, REQUESTS["long"]),
-    # Streams pause between reads, as those of a busy router do.
-    "paced": Phase("/stream/x", LONG_EVENTS, REQUESTS["long"]),
-    "shed": Phase("/stream/x", SHORT_EVENTS, REQUESTS["shed"]),
-    # The body arrives after the head, so the router can't refuse the request unread.
-    "head": Phase("/stream/x", SHORT_EVENTS, REQUESTS["head"]),
-}
-
-
-class Engine(asyncio.Protocol):
-    """Answers requests with events, or with a short body on other paths."""
-
-    def __init__(self):
-        self.data = b""
-        self.transport = None
-
-    def connection_made(self, transport):
-        """Keep the transport."""
-        self.transport = transport
-
-    def data_received(self, data):
-        """Answer a request once it has arrived whole."""
-        self.data += data
-        head, end, body = self.data.partition(b"\r\n\r\n")
-        if not end or len(body) < len(BODY):
-            return
-        self.data = b""
-        lines = dict(
-            line.split(b": ", 1) for line in head.lower().split(b"\r\n")[1:] if line
-        )
-        answer = (
-            b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
-            b"Carobstair-Attempt-Id: %s\r\nCarobstair-Response-Seal: c2VhbA\r\n"
-            b"Carobstair-Engine-Load: 4,0,16\r\nKeep-Alive: timeout=30\r\n"
-            % lines[b"carobstair-attempt-id"]
-        )
-        if head.startswith(b"POST /plain/"):
-            body = b"{}" * 64
-            length = b"Content-Length: %d\r\n\r\n" % len(body)
-            self.transport.write(answer + length + body)
-            return
-        answer += b"Transfer-Encoding: chunked\r\n\r\n"
-        events = int(lines[b"x-events"])
-        self.send_event(answer, 0, events)
-
-    def send_event(self, head, number, events):
-        """Send an event and schedule the next one."""
-        event = EVENT % number
-        data = head + b"%x\r\n%s\r\n" % (len(event), event)
-        if number + 1 == events:
-            self.transport.write(data + b"0\r\n\r\n")
-            return
-        self.transport.write(data)
-        asyncio.get_running_loop().call_later(
-            EVENT_INTERVAL_S, self.send_event, b"", number + 1, events
-        )
-
-
-class Caller:
-    """Sends requests on one kept connection."""
-
-    def __init__(self, port):
-        self.port = port
-        self.number = 0
-
-    async def open(self):
-        """Connect to the router."""
-        self.reader, self.writer = await asyncio.open_connection("127.0.0.1", self.port)
-        return self
-
-    async def call(self, phase, split):
-        """Send a request and read its response; return the status."""
-        self.number += 1
-        request_id = b"c%x-%d" % (id(self), self.number)
-        head = (
-            b"POST %s HTTP/1.1\r\nHost: api.test\r\nContent-Type: application/json\r\n"
-            b"Carobstair-Key: key%d\r\nCarobstair-Attempt-Id: %s\r\n"
-            b"Carobstair-Deadline-Ms: 10000\r\nCarobstair-Token-Counts: 2368,120\r\n"
-            b"Carobstair-Prompt-Prefix: s%d:900,t%d:800,%s:668\r\nX-Events: %d\r\n"
-            b"Carobstair-Length-Hint: 110\r\nContent-Length: %d\r\n\r\n"
-        ) % (
-            phase.path.encode(),
-            self.number % 30,
-            request_id,
-            self.number % 12,
-            self.number % 70,
-            request_id,
-            phase.events,
-            len(BODY),
-        )
-        if split:
-            self.writer.write(head)
-            await asyncio.sleep(0.002)
-            self.writer.write(BODY)
-        else:
-            self.writer.write(head + BODY)
-        answer = await self.reader.readuntil(b"\r\n\r\n")
-        lines = answer.lower().split(b"\r\n")
-        lengths = [line for line in lines if line.startswith(b"content-length:")]
-        if lengths:
-            await self.reader.readexactly(int(lengths[0].split(b":")[1]))
-        else:
-            while await self.reader.readuntil(b"\r\n") != b"0\r\n":
-                pass
-            await self.reader.readuntil(b"\r\n")
-        return int(answer.split(b" ", 2)[1])
-
-
-async def run_peers(pipe):
-    """Serve as engines, and send the load that the router's process asks for."""
-    loop = asyncio.get_running_loop()
-    server = await loop.create_server(Engine, "127.0.0.1", 0)
-    pipe.send(server.sockets[0].getsockname()[1])
-    router_port = await loop.run_in_executor(None, pipe.recv)
-    callers = [await Caller(router_port).open() for _ in range(CALLERS)]
-    while True:
-        order = await loop.run_in_executor(None, pipe.recv)
-        if order is None:
-            return
-        name, requests = order
-        statuses = set()
-
-        async def send(caller, name=name, count=requests // CALLERS, seen=statuses):
-            for _ in range(count):
-                seen.add(await caller.call(PHASES[name], name == "head"))
-
-        await asyncio.gather(*map(send, callers))
-        pipe.send(sorted(statuses))
-
-
-def peers_main(pipe):
-    """Run the second process."""
-    asyncio.run(run_peers(pipe))
 
 
 def make_documents(port):
@@ -297,8 +147,35 @@
         lambda: False,
         guard,
     )
-    server = CallerServer(app, "127.0.0.1", 0, ArrivalGate(), app.refusals)
-    return app, server, guard
+    gate = ArrivalGate()
+    peers = HandoffPeers("a")
+    handoff = Handoff(
+        HandoffDecision(HandoffSettings(), peers, 2000, True),
+        SimpleNamespace(utilisation=lambda: 1.0),
+        app.refusals,
+        app._metrics,
+        rng,
+    )
+    host = "127.0.0.1"
+    servers = {
+        "callers": CallerServer(app, host, 0, gate, app.refusals),
+        "busy": CallerServer(app, host, 0, gate, app.refusals, None, handoff),
+        "handoff": CallerServer(serve_for_peers(app), host, 0, gate, app.refusals),
+    }
+    for server in servers.values():
+        # Each is used by some of the phases only.
+        server.idle_timeout_s = 3600.0
+    return servers, guard, peers
+
+
+def serve_for_peers(app):
+    """Return the application of the hand-off port, as `HandoffPort` serves it."""
+
+    async def serve(scope, receive, send):
+        scope[EVENT_PAUSE_S] = RELAYED_PAUSE_S
+        await app(scope, receive, send)
+
+    return serve
 
 
 class AlwaysBusy(LoopUtilisation):
@@ -310,13 +187,21 @@
         return 1.0
 
 
-async def measure(pipe, profiled):
+async def state_utilisation(peers, port):
+    """Have an idle peer of the own zone state its load, as its digests do."""
+    while True:
+        peers.note("r1", "a", "127.0.0.1", port, 0.1, time.monotonic())
+        await asyncio.sleep(0.2)
+
+
+async def measure(pipe, profiled, only):
     """Run the phases and print the processor time of each."""
     loop = asyncio.get_running_loop()
-    engine_port = await loop.run_in_executor(None, pipe.recv)
-    app, server, guard = make_router(engine_port, LoopUtilisation())
-    serving = asyncio.create_task(server.serve())
-    pipe.send(server.port)
+    engine_port, peer_port = await loop.run_in_executor(None, pipe.recv)
+    servers, guard, peers = make_router(engine_port, LoopUtilisation())
+    serving = [asyncio.create_task(server.serve()) for server in servers.values()]
+    serving.append(asyncio.create_task(state_utilisation(peers, peer_port)))
+    pipe.send({name: server.port for name, server in servers.items()})
 
     async def run(name, requests):
         pipe.send((name, requests))
@@ -324,6 +209,8 @@
 
     costs_us = {}
     for name, phase in PHASES.items():
+        if only and name not in only:
+            continue
         if name == "paced":
             guard.enable_redirect()
             guard.early.own = AlwaysBusy()
@@ -355,19 +242,23 @@
         )
     if costs_us:
         events = LONG_EVENTS - SHORT_EVENTS
-        for name in ("long", "paced"):
-            event_us = (costs_us[name] - costs_us["stream"]) / events
-            print(f"event ({name}): {event_us:.1f} us")
+        shorter = {"handed-long": "handed", "taken-long": "taken"}
+        for name in ("long", "paced", "handed-long", "taken-long"):
+            short = shorter.get(name, "stream")
+            if name in costs_us and short in costs_us:
+                event_us = (costs_us[name] - costs_us[short]) / events
+                print(f"event ({name}): {event_us:.1f} us")
     pipe.send(None)
-    serving.cancel()
-    with contextlib.suppress(asyncio.CancelledError):
-        await serving
+    for task in serving:
+        task.cancel()
+    await asyncio.gather(*serving, return_exceptions=True)
 
 
 def main():
     """Measure the costs and print them."""
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--profile", choices=["plain", "stream", "event", "shed"])
+    parser.add_argument("--profile", choices=["event", *PHASES])
+    parser.add_argument("--only", nargs="*", choices=PHASES, help="kinds of load")
     arguments = parser.parse_args()
     profiled = "long" if arguments.profile == "event" else arguments.profile
     with open("/dev/null", "w") as null:
@@ -378,7 +269,7 @@
         peers.start()
         utilisation = LoopUtilisation()
         with asyncio.Runner(loop_factory=lambda: measured_loop(utilisation)) as runner:
-            runner.run(measure(pipe, profiled))
+            runner.run(measure(pipe, profiled, arguments.only))
         peers.join(5.0)
 
 
--- a/src/carobstair/core/messages.py
+++ b/src/carobstair/core/messages.py
@@ -317,6 +317,9 @@
         Of own requests since the last digest, where upstreams state a slowdown: the
         upstream with its start time, the expected and the actual time to the first
         byte in milliseconds, and the slowdown in percent.
+    handoff_port : int
+        Port that takes requests from peers; 0 for none. Routers of older releases send
+        none.
     """
 
     address: PeerAddress
@@ -328,6 +331,7 @@
     leaving: list[tuple[str, int]] = []
     utilisation_percent: int | None = None
     waits: list[tuple[str, int, int, int, int]] = []
+    handoff_port: int = 0
 
 
 class SegmentEvidence(msgspec.Struct, frozen=True, array_like=True):
--- a/src/carobstair/edge/app.py
+++ b/src/carobstair/edge/app.py
@@ -46,6 +46,7 @@
 from carobstair.edge.server import (
     ARRIVED_S,
     CALLER_CLOSED,
+    EVENT_PAUSE_S,
     HOLD_HEAD,
     ON_CALLER_LEFT,
     SHED_DRAW,
@@ -312,6 +313,7 @@
             arrived_s + _allowed_s(route, metadata),
             caller_closed=scope[CALLER_CLOSED],
             hold_head=scope[HOLD_HEAD],
+            event_pause_s=scope.get(EVENT_PAUSE_S, 0.0),
         )
 
     def _closes_connection(self) -> bool:
--- a/src/carobstair/edge/early_refusals.py
+++ b/src/carobstair/edge/early_refusals.py
@@ -111,14 +111,9 @@
         """
         now_s = time.monotonic()
         parts = self.overload.early.parts(now_s)
-        table = self.view.table
-        if draw >= parts.first or table is None:
-            return None
-        target = REQUEST_TARGET.match(request)
-        hosts = HOST.findall(request, 0, request.find(b"\r\n\r\n") + 2)
-        if target is None or len(hosts) != 1:
+        if draw >= parts.first:
             return None
-        route = table.find_route(hosts[0].decode("latin-1"), target[1].decode("ascii"))
+        route = self.find_route(request)
         if route is None:
             return None
         caller_timeout_s = self.dialect.read_caller_timeout_s(request)
@@ -128,6 +123,17 @@
         self.metrics.shed_unread.inc()
         return self._unread_answer(self.busy(now_s), SHED)
 
+    def find_route(self, request: bytes) -> Route | None:
+        """Return the route of a whole request, if its bytes tell it with certainty."""
+        table = self.view.table
+        if table is None:
+            return None
+        target = REQUEST_TARGET.match(request)
+        hosts = HOST.findall(request, 0, request.find(b"\r\n\r\n") + 2)
+        if target is None or len(hosts) != 1:
+            return None
+        return table.find_route(hosts[0].decode("latin-1"), target[1].decode("ascii"))
+
     def turn_away(self) -> bytes:
         """Return the answer to a request that is not read, and count it."""
         return self._unread_answer(self.busy(time.monotonic()), TURNED_AWAY)
--- a/src/carobstair/edge/exchange.py
+++ b/src/carobstair/edge/exchange.py
@@ -93,6 +93,8 @@
     version_draw : float
         Evenly distributed number that decides whether the first attempt goes to a
         version that is rolled out; later attempts go to the old one.
+    event_pause_s : float
+        How long a stream is not read at least after a part of it was relayed.
     on_limited_send : callable
         Called when the request is sent to an upstream that limits its requests.
     """
@@ -135,4 +137,5 @@
     admitted_tokens: float = 0.0
     version_draw: float = 1.0
     on_begun: Callable[[], None] = lambda: None
+    event_pause_s: float = 0.0
     on_limited_send: Callable[[], None] = lambda: None
--- a/src/carobstair/edge/gossip.py
+++ b/src/carobstair/edge/gossip.py
@@ -22,6 +22,7 @@
     StoreAvailability,
     StoreChange,
 )
+from carobstair.core.handoff import HandoffPeers
 from carobstair.core.messages import (
     Envelope,
     FleetDigest,
@@ -118,6 +119,9 @@
         self._on_change = on_change
         self._on_peer_heard = on_peer_heard
         self._shedding = shedding or EarlyShedding()
+        self.handoff_peers = HandoffPeers(own.zone, settings.handoff)
+        # Returns the port that takes requests from peers.
+        self.handoff_port: Callable[[], int] = lambda: 0
         self._peers: dict[str, PeerAddress] = {}
         self._last_heard_s: dict[str, float] = {}
         # Peers that were heard once and are not any more.
@@ -256,6 +260,7 @@
             self._view.directory.leaving()[:MAX_LEAVING_ROWS],
             self._utilisation_percent(),
             waits,
+            self.handoff_port(),
         )
 
     def _utilisation_percent(self) -> int | None:
@@ -281,6 +286,7 @@
     def _forget_load(self, name: str) -> None:
         self._loads.forget_peer(name)
         self._shedding.peers.forget(name)
+        self.handoff_peers.forget(name)
 
     # Messages
 
@@ -298,7 +304,12 @@
         self._last_heard_s[peer] = now_s
         self._silent.discard(peer)
         percent = digest.utilisation_percent
-        self._shedding.peers.note(peer, None if percent is None else percent / 100.0)
+        utilisation = None if percent is None else percent / 100.0
+        self._shedding.peers.note(peer, utilisation)
+        address = digest.address
+        self.handoff_peers.note(
+            peer, address.zone, address.host, digest.handoff_port, utilisation, now_s
+        )
         self._loads.note_peer(
             peer, ((r.upstream, r.backlog_tokens, r.running) for r in digest.loads)
         )
--- /dev/null
+++ b/src/carobstair/edge/handoff_request.py
@@ -0,0 +1,264 @@
+"""A request that is handed to a peer, between its caller and a link."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+from enum import StrEnum
+from typing import Protocol
+
+from carobstair.core.handoff import AnswerError, AnswerFraming, HandoffPeer
+from carobstair.edge.handoff_links import HandoffLink
+
+__all__ = ["HandedOffRequest", "HandoffCaller", "HandoffOutcome"]
+
+# Closing with this option drops what is not sent and tells the other side so.
+RESET = struct.pack("ii", 1, 0)
+CLOSE_LINE = b"connection: close\r\n"
+
+
+class HandoffOutcome(StrEnum):
+    """How a hand-off ended.
+
+    `NOT_SENT` requests are served by this router. Of `UNKNOWN` and `OVERDUE` ones the
+    caller got no answer, of `BROKEN` ones a part.
+    """
+
+    ANSWERED = "answered"
+    REFUSED = "refused"
+    BROKEN = "broken"
+    UNKNOWN = "unknown"
+    OVERDUE = "overdue"
+    CALLER_LEFT = "caller-left"
+    NOT_SENT = "not-sent"
+
+
+class HandoffCaller(Protocol):
+    """What a handed-off request asks of its caller's connection."""
+
+    transport: asyncio.Transport
+
+    def note_held(self) -> None:
+        """Update the memory that the connection takes."""
+
+    def is_gone(self) -> bool:
+        """Return whether the caller has closed its connection, read or not."""
+
+    def end_handoff(self, closes: bool) -> None:
+        """Go on after the whole answer."""
+
+    def serve_here(self, data: bytes, arrived_s: float) -> None:
+        """Serve a request that was not sent."""
+
+
+class Owner(Protocol):
+    """What a handed-off request asks of the driver."""
+
+    def connect(self, request: HandedOffRequest) -> None:
+        """Open a link for a request."""
+
+    def note_begun(self, request: HandedOffRequest) -> None:
+        """Record that the answer has begun."""
+
+    def note_end(
+        self, request: HandedOffRequest, outcome: HandoffOutcome, detail: str = ""
+    ) -> None:
+        """Record the end of a request; each request ends once."""
+
+    def closes_connections(self) -> bool:
+        """Return whether answers should close their callers' connections."""
+
+
+class HandedOffRequest:
+    """Sends a request to a peer once, and passes the answer on as bytes.
+
+    Parameters
+    ----------
+    owner : Owner
+    caller : HandoffCaller
+    peer : HandoffPeer
+    data : bytes
+        The whole request.
+    arrived_s, deadline_s : float
+        Monotonic times.
+    """
+
+    __slots__ = (
+        "_answer",
+        "_begun",
+        "_caller",
+        "_closes",
+        "_data",
+        "_ended",
+        "_held",
+        "_link",
+        "_owner",
+        "_paused",
+        "arrived_s",
+        "deadline_s",
+        "peer",
+    )
+
+    def __init__(
+        self,
+        owner: Owner,
+        caller: HandoffCaller,
+        peer: HandoffPeer,
+        data: bytes,
+        arrived_s: float,
+        deadline_s: float,
+    ):
+        self._owner = owner
+        self._caller = caller
+        self.peer = peer
+        self._data = data
+        self.arrived_s = arrived_s
+        self.deadline_s = deadline_s
+        self._answer = AnswerFraming()
+        self._begun = False
+        self._closes = False
+        self._held = b""
+        self._link: HandoffLink | None = None
+        self._paused = False
+        self._ended = False
+
+    @property
+    def buffered_bytes(self) -> int:
+        """Bytes held for the request: its own until sent, and an unfinished head."""
+        unsent_bytes = len(self._data)
+        if self._link is not None:
+            unsent_bytes += self._link.transport.get_write_buffer_size()
+        return unsent_bytes + len(self._held)
+
+    @property
+    def answer_began(self) -> bool:
+        """Whether the head of the answer has arrived."""
+        return self._begun
+
+    @property
+    def is_held_up(self) -> bool:
+        """Whether the answer waits for the caller to read."""
+        return self._paused
+
+    def send(self, link: HandoffLink) -> None:
+        """Send the request; from here on its outcome is unknown until the answer."""
+        self._link, link.user = link, self
+        data, self._data = self._data, b""
+        link.transport.write(data)
+
+    def connect(self) -> None:
+        """Have a link opened, and do not read from the caller meanwhile."""
+        self._caller.transport.pause_reading()
+        self._owner.connect(self)
+
+    # The link
+
+    def on_connected(self, link: HandoffLink) -> None:
+        """Send the request, unless its caller has left meanwhile."""
+        if self._ended or self._caller.is_gone():
+            link.release()
+            if not self._ended:
+                self.abort(HandoffOutcome.CALLER_LEFT)
+            return
+        self._caller.transport.resume_reading()
+        self.send(link)
+        self._caller.note_held()
+
+    def on_not_connected(self, reason: str) -> None:
+        """Have the request served here: nothing of it was sent."""
+        if self._ended:
+            return
+        self._end(HandoffOutcome.NOT_SENT, reason)
+        data, self._data = self._data, b""
+        self._caller.serve_here(data, self.arrived_s)
+
+    def on_data(self, data: bytes) -> None:
+        """Pass on a part of the answer, and the end of it."""
+        try:
+            end = self._answer.feed(data)
+        except AnswerError as error:
+            self._break_off(str(error))
+            return
+        write = self._caller.transport.write
+        if self._begun:
+            if end < 0:
+                write(data)
+                return
+        elif not self._answer.status:
+            self._held += data
+            self._caller.note_held()
+            return
+        else:
+            self._begun = True
+            self._owner.note_begun(self)
+            held, self._held = self._held, b""
+            if end >= 0:
+                end += len(held)
+            data = held + data
+            self._closes = self._answer.closes
+            if not self._closes and self._owner.closes_connections():
+                self._closes = True
+                line_end = data.index(b"\n") + 1
+                data = data[:line_end] + CLOSE_LINE + data[line_end:]
+                if end >= 0:
+                    end += len(CLOSE_LINE)
+            if end < 0:
+                write(data)
+                return
+        self._finish(data, end)
+
+    def _finish(self, data: bytes, end: int) -> None:
+        link, self._link = self._link, None
+        is_stray = end < len(data)
+        # A connection that closes after its answer carries no further request.
+        if is_stray or self._answer.closes:
+            link.abort()
+        else:
+            link.release()
+        refused = self._answer.status >= 400
+        self._end(HandoffOutcome.REFUSED if refused else HandoffOutcome.ANSWERED)
+        self._caller.transport.write(data[:end] if is_stray else data)
+        self._caller.end_handoff(self._closes)
+
+    def on_lost(self, reason: str) -> None:
+        """Break off the answer: what the peer did with the request is unknown."""
+        self._link = None
+        self._break_off(reason)
+
+    def _break_off(self, reason: str) -> None:
+        began = self._begun
+        self.abort(HandoffOutcome.BROKEN if began else HandoffOutcome.UNKNOWN, reason)
+
+    # The caller
+
+    def abort(self, outcome: HandoffOutcome, detail: str = "") -> None:
+        """End the request and both connections, at the caller recognisably."""
+        if self._ended:
+            return
+        self._end(outcome, detail)
+        if self._link is not None:
+            link, self._link = self._link, None
+            link.abort()
+        transport = self._caller.transport
+        if not transport.is_closing():
+            # A regular end could complete an answer that is delimited by it.
+            sock = transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+        transport.abort()
+
+    def pause(self) -> None:
+        """Read nothing from the link while the caller does not read."""
+        self._paused = True
+        if self._link is not None:
+            self._link.transport.pause_reading()
+
+    def resume(self) -> None:
+        """Read from the link again."""
+        self._paused = False
+        if self._link is not None:
+            self._link.transport.resume_reading()
+
+    def _end(self, outcome: HandoffOutcome, detail: str = "") -> None:
+        self._ended = True
+        self._owner.note_end(self, outcome, detail)
--- a/src/carobstair/edge/metrics.py
+++ b/src/carobstair/edge/metrics.py
@@ -96,6 +96,19 @@
         )
         self.shed_unread = shed.labels("unread")
         self.shed_by_head = shed.labels("head")
+        self.handoffs = self._counter(
+            "handed_off_requests",
+            "Requests that were handed to a peer, by outcome",
+            ("outcome",),
+        )
+        self.taken_over = Counter(
+            PREFIX + "taken_over_requests",
+            "Requests that peers handed to this router",
+            registry=self.registry,
+        )
+        self.open_handoffs = self._gauge(
+            "open_handoffs", "Requests that peers serve for this router"
+        )
         self.loop_utilisation = self._gauge(
             "loop_utilisation", "Share of time that the event loop spends on work"
         )
@@ -152,6 +165,10 @@
         """Record the time to the first byte of an answer."""
         self._child(self.first_byte_s, service).observe(first_s)
 
+    def count_handoff(self, outcome: str) -> None:
+        """Count a request that was handed to a peer."""
+        self._child(self.handoffs, outcome).inc()
+
     def _child(self, metric, *labels: str):
         """Return a labelled metric; a lookup by the client takes several times longer.
 
--- a/src/carobstair/edge/response_relay.py
+++ b/src/carobstair/edge/response_relay.py
@@ -322,7 +322,7 @@
                 exchange.completed = True
                 return Outcome.ANSWERED
             await _send_body(send, part, more=True)
-            pause_s = self.event_pause_s()
+            pause_s = max(exchange.event_pause_s, self.event_pause_s())
             if pause_s > 0.0:
                 await connection.pause(pause_s)
         if not events.at_boundary:
--- a/src/carobstair/edge/router.py
+++ b/src/carobstair/edge/router.py
@@ -25,6 +25,7 @@
     StateKind,
     StoreAvailability,
 )
+from carobstair.core.handoff import HandoffDecision, HandoffPeers
 from carobstair.core.messages import PeerAddress
 from carobstair.core.overload import OverloadGuard
 from carobstair.core.rollouts import RolloutController, RolloutSettings, VersionGate
@@ -40,6 +41,8 @@
 from carobstair.edge.evidence_exchange import EvidenceExchange
 from carobstair.edge.follower import StoreFollower
 from carobstair.edge.gossip import Gossip
+from carobstair.edge.handoff_driver import Handoff
+from carobstair.edge.handoff_server import HandoffPort
 from carobstair.edge.metadata import Dialect
 from carobstair.edge.metrics import EdgeMetrics
 from carobstair.edge.refusal_store import RefusalStore
@@ -197,19 +200,35 @@
             BodyBudget(settings.max_body_memory_bytes),
             self._room,
         )
+        limits = ConnectionLimits(
+            ConnectionSettings(
+                listen.max_connections,
+                max_held_bytes=settings.max_connection_memory_bytes,
+            ),
+            self.metrics.count_closed("callers"),
+        )
+        self._handoff = Handoff(
+            HandoffDecision(
+                settings.handoff,
+                HandoffPeers(settings.zone, settings.handoff),
+                settings.max_open_requests,
+            ),
+            self._overload.early,
+            self.app.refusals,
+            self.metrics,
+            self._rng,
+            lambda: not limits.is_tight,
+        )
+        gate = ArrivalGate()
+        self._handoff_port = HandoffPort(self.app, settings, gate, self.metrics)
         self._caller_server = CallerServer(
             self.app,
             listen.host,
             listen.callers_port,
-            ArrivalGate(),
+            gate,
             self.app.refusals,
-            ConnectionLimits(
-                ConnectionSettings(
-                    listen.max_connections,
-                    max_held_bytes=settings.max_connection_memory_bytes,
-                ),
-                self.metrics.count_closed("callers"),
-            ),
+            limits,
+            self._handoff,
         )
         self._ready_server = PageServer(
             self._ready_page,
@@ -243,6 +262,10 @@
             self._on_peer_heard,
             self._overload.early,
         )
+        self._gossip.handoff_peers = self._handoff.decision.peers
+        self._gossip.handoff_port = lambda: self._handoff_port.port
+        if settings.overload.redirect:
+            self._enable_handoff()
         self._evidence_exchange = EvidenceExchange(
             self._guard, transport, lambda: self._gossip.peers
         )
@@ -316,6 +339,7 @@
             asyncio.create_task(self._caller_server.serve()),
             asyncio.create_task(self._ready_server.serve()),
             asyncio.create_task(self._metrics_server.serve()),
+            asyncio.create_task(self._handoff_port.run()),
             asyncio.create_task(self._transport.run()),
             asyncio.create_task(self._follower.run()),
             asyncio.create_task(self._gossip.run()),
@@ -335,7 +359,8 @@
         )
         await self._stopping.wait()
         await self._drain()
-        logger.info("router_stopped", open=len(self.app.open_requests))
+        logger.info("router_stopped", open=self._open_requests())
+        self._handoff.abort_all()
         for task in (*tasks, self._registration):
             task.cancel()
         # Exit without waiting for the remaining tasks: connections close with the
@@ -391,13 +416,14 @@
         stop_deadline_s = began_s + stop.grace_s - stop.margin_s
         logger.info(
             "router_stopping",
-            open=len(self.app.open_requests),
+            open=self._open_requests(),
             late_s=round(time.monotonic() - began_s, 3),
         )
         accept_s = min(stop.accept_s, stop.grace_s / 2)
         self.app.stream_cutoff_s = began_s + accept_s
         self.app.stop_deadline_s = stop_deadline_s
         self.app.draining = True
+        self._handoff.decision.stopping = True
         self._dispatcher.permits.is_leaving = True
         leaving = asyncio.create_task(self._unregister())
         await asyncio.sleep(max(0.0, began_s + accept_s - time.monotonic()))
@@ -414,10 +440,21 @@
 
     async def _wait_until_idle(self, stop_deadline_s: float) -> None:
         while time.monotonic() < stop_deadline_s and (
-            self.app.open_requests or not self._caller_server.is_idle
+            self._open_requests()
+            or not self._caller_server.is_idle
+            or not self._handoff_port.is_idle
         ):
             await asyncio.sleep(0.02)
 
+    def _open_requests(self) -> int:
+        """Return how many requests run, here or at the peers that took them over."""
+        return len(self.app.open_requests) + self._handoff.open_requests
+
+    def _enable_handoff(self) -> None:
+        """Hand off streams while busy, and take those of busy peers."""
+        self._handoff.decision.enabled = True
+        self._handoff_port.enable()
+
     async def _register(self) -> None:
         """Register this router in the store, with retries until it succeeds."""
         delay_s = self._settings.sync.retry_s
@@ -439,6 +476,7 @@
         """Turn on what is meant for upstreams that share their machines."""
         self._capacity_reports.log_capacity_enabled(service)
         self._overload.enable_redirect()
+        self._enable_handoff()
         table = self.view.table
         pool = table.services.get(service) if table is not None else None
         if pool is not None and pool.engine is not None:
@@ -507,6 +545,7 @@
                 )
             self._log_limited_upstreams()
             self._log_shed()
+            self._handoff.log_counts()
             self._capacity_reports.log_changes(time.monotonic())
 
     def _log_shed(self) -> None:
@@ -606,6 +645,7 @@
     def _metrics_page(self) -> tuple[int, bytes]:
         self.metrics.version.set(self.view.version)
         self.metrics.open_requests.set(len(self.app.open_requests))
+        self.metrics.open_handoffs.set(self._handoff.open_requests)
         suspected, refused = self._guard.refusals.counts()
         self.metrics.limited_upstreams.set(len(self._dispatcher.rates.limited()))
         self.metrics.suspected_segments.set(suspected)
--- a/src/carobstair/edge/server.py
+++ b/src/carobstair/edge/server.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import re
-import select
 import socket
 from collections.abc import Callable
 from functools import partial
@@ -13,6 +12,8 @@
 from uvicorn.protocols.http.httptools_impl import RequestResponseCycle
 
 from carobstair.edge.arrival_gate import ArrivalGate
+from carobstair.edge.handoff_caller import HandoffCallerProtocol
+from carobstair.edge.handoff_driver import Handoff
 from carobstair.edge.joined_writes import JoinedWrites
 from carobstair.net.connection_limits import (
     Closed,
@@ -20,12 +21,17 @@
     ConnectionSettings,
     Phase,
 )
-from carobstair.net.http import HEADER_TIMEOUT_S, BoundedHttpProtocol
-from carobstair.net.uvicorn_server import ACCEPTS_PER_TURN, UvicornServer
+from carobstair.net.http import CALLER_STALL_S, HEADER_TIMEOUT_S
+from carobstair.net.uvicorn_server import (
+    ACCEPTS_PER_TURN,
+    UvicornServer,
+    enable_dead_connection_detection,
+)
 
 __all__ = [
     "ARRIVED_S",
     "CALLER_CLOSED",
+    "EVENT_PAUSE_S",
     "HOLD_HEAD",
     "ON_CALLER_LEFT",
     "SHED_DRAW",
@@ -49,8 +55,8 @@
 # Key of a function that returns the body if it has arrived whole and has at most as
 # many bytes as given, or else None.
 WHOLE_BODY = "carobstair.whole_body"
-# Not known on all systems.
-POLL_CLOSED = getattr(select, "POLLRDHUP", 0)
+# Key of the least time for which a stream is not read after a part was relayed.
+EVENT_PAUSE_S = "carobstair.event_pause_s"
 
 BACKLOG = 1024
 # Of a head in lower case.
@@ -81,7 +87,7 @@
         """Return whether these answers close their connections."""
 
 
-class CallerProtocol(BoundedHttpProtocol):
+class CallerProtocol(HandoffCallerProtocol):
     """Passes requests through a gate, and closes connections that have been idle.
 
     The idle timeout is read at the start of each idle period, so that a change also
@@ -92,8 +98,6 @@
     _waiting_since_s: float | None = None
     # The response in progress, and what to call when the connection is lost.
     _running: tuple[RequestResponseCycle, Callable[[], None]] | None = None
-    # Polls the socket for the end of the caller's side.
-    _poll: select.poll | None = None
     # Drawn for the request that is being read, while requests are shed.
     _shed_draw: float | None = None
 
@@ -113,9 +117,20 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; a new request may have to wait for its turn."""
-        gate = self.config.gate
         is_answered = self.cycle is None or self.cycle.response_complete
         is_new = is_answered and not self._in_request
+        if is_new and self.config.handoff is not None and self._hand_off(data):
+            return
+        self._receive(data, is_new)
+
+    def receive_new(self, data: bytes, arrived_s: float) -> None:
+        """Take a new request that arrived earlier."""
+        self._waiting_since_s = arrived_s
+        self._receive(data, True)
+        self._waiting_since_s = None
+
+    def _receive(self, data: bytes, is_new: bool) -> None:
+        gate = self.config.gate
         if is_new and self.config.shedder is not None and self._shed(data):
             return
         if gate is None or not is_new or gate.enter():
@@ -174,7 +189,7 @@
 
     def on_headers_complete(self) -> None:
         """Pass the request on, with what tells whether its caller has left."""
-        self.scope[CALLER_CLOSED] = self._is_closed_by_caller
+        self.scope[CALLER_CLOSED] = self.is_gone
         self.scope[HOLD_HEAD] = self.transport.hold_next
         if self._waiting_since_s is not None:
             self.scope[ARRIVED_S] = self._waiting_since_s
@@ -200,16 +215,6 @@
             cycle.disconnected = True
             on_left()
 
-    def _is_closed_by_caller(self) -> bool:
-        if self.transport.is_closing():
-            return True
-        if not POLL_CLOSED:
-            return False
-        if self._poll is None:
-            self._poll = select.poll()
-            self._poll.register(self.transport.get_extra_info("socket"), POLL_CLOSED)
-        return bool(self._poll.poll(0))
-
     def on_response_complete(self) -> None:
         """Start the idle timer with the current timeout."""
         self._running = None
@@ -246,6 +251,7 @@
 class _Config(uvicorn.Config):
     gate: ArrivalGate | None = None
     shedder: Shedder | None = None
+    handoff: Handoff | None = None
     header_timeout_s: float = HEADER_TIMEOUT_S
     connection_limits: ConnectionLimits
 
@@ -265,6 +271,8 @@
         gate.
     limits : ConnectionLimits, optional
         Bounds what all connections take together.
+    handoff : Handoff, optional
+        Hands new requests to peers while the process has too little time.
     """
 
     def __init__(
@@ -275,6 +283,7 @@
         gate: ArrivalGate | None = None,
         shedder: Shedder | None = None,
         limits: ConnectionLimits | None = None,
+        handoff: Handoff | None = None,
     ):
         self._config = _Config(
             app,
@@ -293,6 +302,7 @@
         )
         self._config.gate = gate
         self._config.shedder = shedder
+        self._config.handoff = handoff
         self._config.connection_limits = limits or ConnectionLimits()
         self._server = UvicornServer(self._config, BACKLOG)
         self._socket = socket.create_server((host, port), backlog=BACKLOG)
@@ -330,6 +340,10 @@
             for protocol in self._server.server_state.connections
         )
 
+    def detect_dead_connections(self) -> None:
+        """Have the kernel close connections whose other side is unreachable."""
+        enable_dead_connection_detection(self._socket, CALLER_STALL_S)
+
     async def serve(self) -> None:
         """Serve until cancelled."""
         await self._server.serve(sockets=[self._socket])
--- a/src/carobstair/edge/settings.py
+++ b/src/carobstair/edge/settings.py
@@ -10,6 +10,7 @@
 from carobstair.core.engine_load import PlacementSettings
 from carobstair.core.fair_admission import AdmissionSettings
 from carobstair.core.fleet_view import StateKind
+from carobstair.core.handoff import HandoffSettings
 from carobstair.core.overload import OverloadSettings
 from carobstair.core.rollouts import RolloutSettings
 from carobstair.core.send_limits import SendLimitSettings
@@ -43,6 +44,11 @@
         closed for new ones.
     max_peer_connections : int
         Number of connections that peers have to this router.
+    handoff_port : int
+        Port at which peers hand requests to this router; 0 for none. Callers must not
+        reach it. It is opened where the hand-off is enabled.
+    max_handoff_connections : int
+        Number of connections to this port.
     """
 
     host: str
@@ -53,6 +59,8 @@
     keep_alive_limit: int = Field(1_000, ge=1)
     max_connections: int = Field(2_000, ge=1)
     max_peer_connections: int = Field(512, ge=1)
+    handoff_port: int = Field(0, ge=0, le=65535)
+    max_handoff_connections: int = Field(512, ge=1)
 
 
 class SyncSettings(_Model):
@@ -258,6 +266,7 @@
     admission: AdmissionSettings = AdmissionSettings()
     shares: ShareSettings = ShareSettings()
     overload: OverloadSettings = OverloadSettings()
+    handoff: HandoffSettings = HandoffSettings()
     directory: DirectorySettings = DirectorySettings()
     rollouts: RolloutSettings | None = None
     max_open_requests: int = Field(2_000, ge=1)
--- a/src/carobstair/platform/boot.py
+++ b/src/carobstair/platform/boot.py
@@ -28,6 +28,7 @@
 # Offsets of the router's own ports in the internal port range of the platform.
 PEER_PORT_OFFSET = 0
 METRICS_PORT_OFFSET = 1
+HANDOFF_PORT_OFFSET = 2
 # Names deployments whose callers compete for too little room.
 PRESSURE = "pressure"
 # Objectives count to the first token, which waits for a slot at a full engine.
@@ -46,6 +47,8 @@
 # and the store needs a few.
 CALLER_SOCKET_SHARE = 9 / 16
 PEER_SOCKET_SHARE = 0.1
+# Peers hand over few requests each, and a router is idle that takes them.
+HANDOFF_SOCKET_SHARE = 0.1
 # Enough for a fleet of a few dozen routers, whatever the limit on descriptors.
 MIN_PEER_SOCKETS = 64
 # Of the process's descriptor limit, the platform reserves these for files.
@@ -162,11 +165,15 @@
             ready_port=_port(boot.listen.ready),
             peer_port=peer_port,
             metrics_port=ports[0] + METRICS_PORT_OFFSET,
+            handoff_port=_handoff_port(ports),
             keep_alive_limit=sockets // 2,
             max_connections=int(CALLER_SOCKET_SHARE * sockets),
             max_peer_connections=max(
                 MIN_PEER_SOCKETS, int(PEER_SOCKET_SHARE * sockets)
             ),
+            max_handoff_connections=max(
+                MIN_PEER_SOCKETS, int(HANDOFF_SOCKET_SHARE * sockets)
+            ),
         ),
         sync=SyncSettings(
             store_address=boot.platform.address,
@@ -207,5 +214,11 @@
     )
 
 
+def _handoff_port(ports: list[int]) -> int:
+    """Return the port for requests from peers; 0 if the range is too short for it."""
+    port = ports[0] + HANDOFF_PORT_OFFSET
+    return port if port <= ports[1] else 0
+
+
 def _port(address: str) -> int:
     return int(address.rpartition(":")[2])
