Let a few routers of each zone watch the store

Change: with StoreFollowing enabled (overload.redirect, or the first stated slowdown), the first three routers of a zone by rendezvous hash watch and announce with FollowNews what they have read; the others pull it. Stamps that move only without a gap (ReadStamps) show what a router has missed, also removals that no list shows. Routers watch by themselves if nobody announces that the store answers, or if they stay behind an announcement. A newer era is listed by each router. Off by default; then nothing is announced, and pulls and watches are as before.

--- a/src/carobstair/core/fleet_view.py
+++ b/src/carobstair/core/fleet_view.py
@@ -96,6 +96,24 @@
         """Record that the store came back from a copy, which lacks newer entries."""
         self._returned_s = now_s
 
+    def failing_for_s(self, now_s: float) -> float:
+        """Return for how long all calls have failed; 0 if the last one succeeded."""
+        since_s = self._failing_since_s
+        return 0.0 if since_s is None else now_s - since_s
+
+    def follow(self, steady: bool, now_s: float) -> bool:
+        """Record what routers that call the store say; return whether it is back.
+
+        Steady means that removals may be applied at once, so that no further grace
+        follows.
+        """
+        if not steady:
+            self.note_failure(now_s)
+            return False
+        was_failing = self._failing_since_s is not None
+        self._failing_since_s = None
+        return was_failing
+
     def grace_until_s(self, now_s: float) -> float | None:
         """Return until when a missing upstream may be used; None for not at all."""
         if self._failing_since_s is not None:
@@ -109,6 +127,8 @@
     known: dict[str, StoreChange] = field(default_factory=dict)
     removed: dict[str, Stamp] = field(default_factory=dict)
     stamp: Stamp = Stamp(0, 0)
+    # Newest removal that is no longer kept.
+    forgotten: Stamp = Stamp(0, 0)
 
     def apply(self, change: StoreChange) -> bool:
         known = self.known.get(change.name)
@@ -123,7 +143,8 @@
             self.removed.pop(change.name, None)
             self.removed[change.name] = change.stamp
             if len(self.removed) > MAX_REMOVED_NAMES:
-                self.removed.pop(next(iter(self.removed)))
+                dropped = self.removed.pop(next(iter(self.removed)))
+                self.forgotten = max(self.forgotten, dropped)
         else:
             self.removed.pop(change.name, None)
             self.known[change.name] = change
@@ -177,6 +198,10 @@
         """Return the objects of a kind by name."""
         return self._kinds[kind].known
 
+    def forgotten(self, kind: StateKind) -> Stamp:
+        """Return the stamp up to which removals of a kind are no longer kept."""
+        return self._kinds[kind].forgotten
+
     def changes_since(
         self, kind: StateKind, revision: int, era: int = 0
     ) -> list[StoreChange]:
--- a/src/carobstair/core/messages.py
+++ b/src/carobstair/core/messages.py
@@ -27,6 +27,7 @@
     TicketPull,
     TicketPush,
 )
+from carobstair.core.follow_messages import FollowNews
 from carobstair.core.permit_messages import (
     PermitAnswer,
     PermitRequest,
@@ -45,6 +46,7 @@
     "EpochAck",
     "EpochNotice",
     "FleetDigest",
+    "FollowNews",
     "FreeSlots",
     "GrantRenewal",
     "GrantRenewed",
@@ -365,10 +367,15 @@
 
 
 class StatePull(msgspec.Struct, frozen=True, array_like=True):
-    """Requests the state changes after the given revisions."""
+    """Requests the state changes after the given revisions.
+
+    `contiguous` means that the sender knows all changes up to these revisions, and
+    that the answer must hold all that follow.
+    """
 
     revisions: dict[str, int]
     eras: dict[str, int] = {}
+    contiguous: bool = False
 
 
 class StateRow(msgspec.Struct, frozen=True, array_like=True):
@@ -385,17 +392,21 @@
 
     `steady` means that the sender's store has been available for long enough for
     removals to be applied at once. If `complete_at` is given, the rows are all objects
-    of the kind as of this era and revision.
+    of the kind as of this era and revision. In answers to contiguous pulls, the rows
+    are all changes after `since`, if it is given, and up to `through`.
     """
 
     kind: str
     rows: list[StateRow]
     steady: bool
     complete_at: tuple[int, int] | None = None
+    since: tuple[int, int] | None = None
+    through: tuple[int, int] | None = None
 
 
 _PAYLOADS = (
     FleetDigest,
+    FollowNews,
     PermitAnswer,
     PermitRequest,
     PermitReturn,
--- a/src/carobstair/edge/follower.py
+++ b/src/carobstair/edge/follower.py
@@ -5,7 +5,8 @@
 import asyncio
 import random
 import time
-from collections.abc import Callable
+from collections import defaultdict
+from collections.abc import Callable, Iterable
 
 from carobstair.core.fleet_view import (
     FleetView,
@@ -13,6 +14,7 @@
     StateKind,
     StoreAvailability,
 )
+from carobstair.core.store_following import FollowingSettings, StoreFollowing
 from carobstair.edge.settings import SyncSettings
 from carobstair.edge.state_store import (
     Listing,
@@ -30,9 +32,16 @@
 PROBE_WAIT_S = 0.001
 
 
+class _WatchInterrupted(Exception):
+    """A watch was ended by this router, to stop or to check the store."""
+
+
 class StoreFollower:
     """Keeps a `FleetView` in sync with the store.
 
+    While `following` says that other routers watch, nothing is watched here, and a
+    kind is listed only if it has to be.
+
     Parameters
     ----------
     store : StateStore
@@ -46,6 +55,13 @@
         Returns the number of other routers in the fleet.
     on_restore : callable, optional
         Called when the store has come back from an older copy.
+    following : StoreFollowing, optional
+        Decides whether this router watches.
+
+    Attributes
+    ----------
+    on_changes_read : callable
+        Called when a list or a watch has returned changes.
     """
 
     def __init__(
@@ -58,6 +74,7 @@
         on_change: Callable[[StateKind, list[str]], None],
         count_peers: Callable[[], int] = lambda: 0,
         on_restore: Callable[[], None] = lambda: None,
+        following: StoreFollowing | None = None,
     ):
         self._store = store
         self._view = view
@@ -67,9 +84,17 @@
         self._on_change = on_change
         self._count_peers = count_peers
         self._on_restore = on_restore
-        self._stamps: dict[StateKind, Stamp] = {}
+        self._following = following or StoreFollowing(
+            "", "", view.kinds, FollowingSettings(), availability, rng
+        )
+        self._reads = self._following.reads
+        self.on_changes_read: Callable[[], None] = lambda: None
         self._era: int | None = None
+        self._relisted_era: int | None = None
         self._watches: dict[StateKind, asyncio.Task] = {}
+        # Kinds whose watch was ended by `_interrupt`.
+        self._interrupted: set[StateKind] = set()
+        self._wakes: defaultdict[StateKind, asyncio.Event] = defaultdict(asyncio.Event)
         # Kinds whose last call failed: the store may have been restored meanwhile.
         self._unsure: set[StateKind] = set()
         self._probing_kind: StateKind | None = None
@@ -81,14 +106,73 @@
             for kind in self._view.kinds:
                 group.create_task(self._follow(kind))
 
+    def note_role(self) -> None:
+        """Begin or stop watching, as `following` says."""
+        if not self._following.watches:
+            self._interrupt(kind for kind in self._view.kinds if self._reads.read(kind))
+            return
+        # Calls that return at once show what this router has missed, and a restore.
+        self._unsure.update(self._view.kinds)
+        for wake in self._wakes.values():
+            wake.set()
+
+    def verify(self) -> None:
+        """Check by a short call that the store still answers this router."""
+        if self._reads.read(StateKind.UPSTREAMS):
+            self._unsure.add(StateKind.UPSTREAMS)
+            self._interrupt((StateKind.UPSTREAMS,))
+
+    def note_era(self, era: int) -> None:
+        """List again, if a peer has read a newer era of the store."""
+        if self._era is None or era <= max(self._era, self._relisted_era or 0):
+            return
+        self._relisted_era = era
+        logger.info("store_era_heard", era=era, own_era=self._era)
+        for kind in self._view.kinds:
+            read = self._reads.read(kind)
+            if read is not None and read.era < era:
+                self._reads.forget(kind)
+        self._end_watches()
+        for wake in self._wakes.values():
+            wake.set()
+
+    def note_era_read(self, era: int) -> None:
+        """Record that the state of an era was read from a peer."""
+        if self._era is not None and era > self._era:
+            self._note_era(era)
+
+    def _interrupt(self, kinds: Iterable[StateKind]) -> None:
+        for kind in kinds:
+            task = self._watches.get(kind)
+            if task is not None and not task.done():
+                self._interrupted.add(kind)
+                task.cancel()
+
+    def _end_watches(self) -> None:
+        """End all watches as if their history was lost."""
+        self._interrupted.clear()
+        for task in self._watches.values():
+            task.cancel()
+
+    async def _wait_until_needed(self, kind: StateKind) -> None:
+        """Wait while other routers watch and the kind has been listed."""
+        wake = self._wakes[kind]
+        while not self._following.watches and self._reads.read(kind) is not None:
+            self._end_probe(kind)
+            wake.clear()
+            await wake.wait()
+
     async def _follow(self, kind: StateKind) -> None:
         delay_s = self._settings.retry_s
         while True:
+            await self._wait_until_needed(kind)
             try:
                 changed = await self._sync_once(kind)
+            except _WatchInterrupted:
+                logger.debug("watch_interrupted", kind=str(kind))
             except RevisionExpired as error:
                 logger.info("store_history_lost", kind=str(kind), error=str(error))
-                self._stamps.pop(kind, None)
+                self._reads.forget(kind)
                 self._end_probe(kind)
                 # All routers lose the history at the same time.
                 spread_s = self._settings.relist_spread_s(self._count_peers())
@@ -107,10 +191,7 @@
                 delay_s = self._settings.retry_s
                 self._end_probe(kind)
                 if changed:
-                    pause_s = self._settings.scaled_watch_pause_s(
-                        self._count_peers(), kind
-                    )
-                    await asyncio.sleep(pause_s)
+                    await asyncio.sleep(self._pause_s(kind))
 
     def _end_probe(self, kind: StateKind) -> None:
         if self._probing_kind is kind:
@@ -133,18 +214,35 @@
         else:
             await self._probe_succeeded.wait()
 
+    def _pause_s(self, kind: StateKind) -> float:
+        if self._following.is_enabled:
+            pause_s = self._following.pause_s(kind, time.monotonic())
+            if pause_s is not None:
+                return pause_s
+        return self._settings.scaled_watch_pause_s(self._count_watching(), kind)
+
+    def _count_watching(self) -> int:
+        """Return the number of other routers that watch as this one does."""
+        if self._following.is_enabled:
+            return self._settings.followers_per_zone - 1
+        return self._count_peers()
+
     def _watch_wait_s(self, kind: StateKind) -> float:
         if self._probing_kind is kind or kind in self._unsure:
             # Other kinds may wait for this call, so it must return at once.
             return PROBE_WAIT_S
-        peers = self._count_peers()
+        if self._following.is_enabled:
+            wait_s = self._following.watch_wait_s(kind, time.monotonic())
+            if wait_s is not None:
+                return wait_s
+        peers = self._count_watching()
         if kind is StateKind.UPSTREAMS:
             return self._settings.random_watch_wait_s(peers, self._rng)
         return self._settings.random_quiet_wait_s(peers, kind, self._rng)
 
     async def _sync_once(self, kind: StateKind) -> bool:
         """List or watch once; return whether a watch returned changes."""
-        stamp = self._stamps.get(kind)
+        stamp = self._reads.read(kind)
         if stamp is None:
             listing = await self._store.list(kind)
             self._note_era(listing.era)
@@ -157,27 +255,36 @@
                 time.monotonic(),
                 listing.era,
             )
+            self._reads.note_list(kind, Stamp(listing.era, listing.revision))
         else:
             listing = await self._watch(kind, stamp)
             grace_until_s = self._note_success()
             names = self._view.apply(
                 kind, listing.changes, grace_until_s, time.monotonic()
             )
-        self._stamps[kind] = Stamp(listing.era, listing.revision)
+            through = Stamp(listing.era, listing.revision)
+            self._reads.note_changes(kind, stamp, through, bool(listing.changes))
+        if listing.changes or stamp is None or kind in self._unsure:
+            self.on_changes_read()
         self._unsure.discard(kind)
         if names:
             self._on_change(kind, names)
+        if stamp is None and self._following.is_enabled:
+            await asyncio.sleep(self._following.start_pause_s())
         return stamp is not None and bool(listing.changes)
 
     async def _watch(self, kind: StateKind, stamp: Stamp) -> Listing:
         wait_s = self._watch_wait_s(kind)
         watch = self._store.watch(kind, stamp.revision, wait_s, stamp.era)
+        self._interrupted.discard(kind)
         task = self._watches[kind] = asyncio.create_task(watch)
         try:
             await asyncio.wait({task})
         finally:
             task.cancel()
         if task.cancelled():
+            if kind in self._interrupted:
+                raise _WatchInterrupted
             raise RevisionExpired("the store was restored")
         return task.result()
 
@@ -188,8 +295,7 @@
         logger.warning("store_restored", era=era, previous_era=previous)
         self._availability.note_restored(time.monotonic())
         # A watch from a revision that was given out again may wait for long.
-        for task in self._watches.values():
-            task.cancel()
+        self._end_watches()
         self._on_restore()
 
     def _note_success(self) -> float | None:
--- a/src/carobstair/edge/gossip.py
+++ b/src/carobstair/edge/gossip.py
@@ -93,6 +93,13 @@
         Called with the name of a peer that was not heard before, or not lately.
     shedding : EarlyShedding, optional
         States this router's utilisation and records that of the peers.
+
+    Attributes
+    ----------
+    on_answer : callable
+        Called with the sender and an answer to a contiguous pull that was applied.
+    is_outdated : callable
+        Returns whether such an answer must not be applied any more.
     """
 
     def __init__(
@@ -118,6 +125,8 @@
         self._on_change = on_change
         self._on_peer_heard = on_peer_heard
         self._shedding = shedding or EarlyShedding()
+        self.on_answer: Callable[[str, StateNews], None] = lambda sender, news: None
+        self.is_outdated: Callable[[StateNews], bool] = lambda news: False
         self._peers: dict[str, PeerAddress] = {}
         self._last_heard_s: dict[str, float] = {}
         # Peers that were heard once and are not any more.
@@ -147,6 +156,10 @@
         """
         return frozenset(self._peers.keys() - self._silent)
 
+    def zone_peers(self) -> list[str]:
+        """Return the names of the known peers of this router's zone."""
+        return self._peer_names(cross_zone=False)
+
     def heard_by_zone(self) -> dict[str, list[str]]:
         """Return the names of the peers that have sent a digest recently, by zone."""
         zones: dict[str, list[str]] = {}
@@ -336,6 +349,9 @@
         self._transport.send(peer, StatePull(revisions, eras))
 
     def _on_pull(self, envelope: Envelope, pull: StatePull) -> None:
+        if pull.contiguous:
+            # Answered by `StoreFollowingDriver`.
+            return
         steady = self._availability.grace_until_s(time.monotonic()) is None
         for kind in self._view.kinds:
             known, era = pull.revisions.get(kind.value, 0), pull.eras.get(kind.value, 0)
@@ -357,6 +373,9 @@
         kind = StateKind(news.kind)
         if kind not in self._view.kinds:
             return
+        if news.through is not None and self.is_outdated(news):
+            logger.info("state_outdated", peer=envelope.sender, kind=news.kind)
+            return
         grace_until_s = None if news.steady else now_s + self._availability.grace_s
         changes = [
             StoreChange(row.name, row.revision, row.spec, row.era) for row in news.rows
@@ -376,3 +395,5 @@
                 count=len(names),
             )
             self._on_change(kind, names)
+        if news.through is not None:
+            self.on_answer(envelope.sender, news)
--- a/src/carobstair/edge/metrics.py
+++ b/src/carobstair/edge/metrics.py
@@ -46,6 +46,15 @@
         self.peer_dropped = self._counter(
             "peer_messages_dropped", "Peer messages that were dropped", ("reason",)
         )
+        self.watches_store = self._gauge(
+            "watches_store", "Whether this router watches the store itself"
+        )
+        self.watch_roles = self._counter(
+            "watch_roles", "Changes to a role in watching the store", ("role",)
+        )
+        self.state_pulls = self._counter(
+            "state_pulls", "Pulls of changes that a router has announced", ("outcome",)
+        )
         self.version = self._gauge("version_in_force", "Number of the configuration")
         self.open_requests = self._gauge("open_requests", "Requests in hand")
         self.peers = self._gauge("peers_heard", "Peers that were heard lately")
--- a/src/carobstair/edge/router.py
+++ b/src/carobstair/edge/router.py
@@ -31,6 +31,7 @@
 from carobstair.core.router_load import LoopUtilisation, Withdrawal
 from carobstair.core.send_limits import ColdSendLimit, ResendLimit
 from carobstair.core.share_exchange import ShareExchange
+from carobstair.core.store_following import FollowingSettings, StoreFollowing
 from carobstair.core.upstream_health import UpstreamHealth
 from carobstair.edge.app import EdgeApp
 from carobstair.edge.arrival_gate import ArrivalGate
@@ -50,6 +51,7 @@
 from carobstair.edge.settings import EdgeSettings
 from carobstair.edge.share_sync import ShareSync
 from carobstair.edge.state_store import StateStore, StoreError
+from carobstair.edge.store_following import StoreFollowingDriver
 from carobstair.logs import get_logger
 from carobstair.net.connection_limits import ConnectionLimits, ConnectionSettings
 from carobstair.net.peer_guard import PeerLimits
@@ -260,6 +262,14 @@
             self._rng,
             self._room,
         )
+        following = StoreFollowing(
+            settings.name,
+            settings.zone,
+            self.view.kinds,
+            FollowingSettings(settings.sync.followers_per_zone),
+            self._availability,
+            self._rng,
+        )
         self._follower = StoreFollower(
             self._store,
             self.view,
@@ -269,7 +279,22 @@
             self._on_state_change,
             lambda: len(self._gossip.peers),
             self._on_restore,
+            following,
+        )
+        self._store_following = StoreFollowingDriver(
+            following,
+            self._follower,
+            self._gossip,
+            transport,
+            self.view,
+            self._availability,
+            settings,
+            self._overload.early.utilisation,
+            self.metrics,
+            self._rng,
         )
+        if settings.overload.redirect:
+            self._store_following.enable()
         self._rollouts: RolloutDriver | None = None
         if settings.rollouts is not None:
             self._rollouts = self._make_rollouts(settings.rollouts, relay)
@@ -318,6 +343,7 @@
             asyncio.create_task(self._metrics_server.serve()),
             asyncio.create_task(self._transport.run()),
             asyncio.create_task(self._follower.run()),
+            asyncio.create_task(self._store_following.run()),
             asyncio.create_task(self._gossip.run()),
             asyncio.create_task(self._share_sync.run()),
             asyncio.create_task(self._clean_up()),
@@ -439,6 +465,7 @@
         """Turn on what is meant for upstreams that share their machines."""
         self._capacity_reports.log_capacity_enabled(service)
         self._overload.enable_redirect()
+        self._store_following.enable()
         table = self.view.table
         pool = table.services.get(service) if table is not None else None
         if pool is not None and pool.engine is not None:
--- a/src/carobstair/edge/settings.py
+++ b/src/carobstair/edge/settings.py
@@ -102,6 +102,9 @@
     watches_per_s : float
         Rate at which the watches of one kind end in the whole fleet while nothing
         changes; each costs the store a call. Peers pass on changes in between.
+    followers_per_zone : int
+        Number of routers of each zone that watch the store once following by few
+        routers is enabled; the others learn of changes from them.
     """
 
     store_address: str = Field(pattern=r"^\S+:\d+$")
@@ -122,6 +125,7 @@
     watches_per_s: float = Field(5.0, gt=0)
     drift_tokens: int = Field(8_000, ge=1)
     cross_zone_slowdown: int = Field(4, ge=1)
+    followers_per_zone: int = Field(3, ge=1)
     seeds: list[str] = []
 
     def slowdown(self, peers: int) -> float:
