Keep engines' queues nearly empty and shares even under overload

Cause: with work-conserving admission at 2.4 times the load that engines take, engines of 16 slots differed by 10 requests (standard deviation), as full engines were chosen from digests that are seconds old; half of the requests waited 0.45 s or more for a slot. Sums of the fleet were 0.4 s old, so at 6 times the load the first half second filled the engines for 2.5 of their slots. Room went to workspaces in proportion to their requests, and small workspaces were refused when a few long prompts arrived within half a second.

Change: sums are exchanged every 0.05 s while engines are more than half loaded, and `lag_s` follows the interval. Engines are drawn by filling them up to one level. A workspace is beyond its share by its demand over 4 s; one that suddenly asks for three times as much is limited at each router until the sums show it. What a workspace owes is what it began, up to half a second of its share.

--- a/src/carobstair/core/admission/demand_book.py
+++ b/src/carobstair/core/admission/demand_book.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
@@ -15,6 +16,8 @@
 TOTALS_LIFETIME_S = 4.0
 # Age up to which the other routers' estimates of the load are used.
 ESTIMATES_LIFETIME_S = 1.0
+# Part by which the interval of the sums follows the newest one.
+INTERVAL_WEIGHT = 0.4
 # A lower rate does not count as demand.
 MIN_DEMAND_TOKENS_PER_S = 1.0
 # At a lower rate of requests their mean size is not known.
@@ -49,13 +52,32 @@
     # Tokens and requests sent lately to engines that limit their requests, by pool.
     _limited_tokens: dict[str, DemandRate] = field(default_factory=dict)
     _limited_requests: dict[str, DemandRate] = field(default_factory=dict)
+    # Mean interval of the sums; 0 until two have arrived.
+    _interval_s: float = 0.0
+    _totals_s: float = -math.inf
 
     def note_totals(self, totals: ShareTotals, now_s: float) -> None:
         """Replace the demand of the other routers."""
+        elapsed_s = now_s - self._totals_s
+        self._totals_s = now_s
+        if elapsed_s < ESTIMATES_LIFETIME_S:
+            weight = INTERVAL_WEIGHT if self._interval_s else 1.0
+            self._interval_s += weight * (elapsed_s - self._interval_s)
         self._others = {
             pool: FleetDemand(row, now_s) for pool, row in totals.pools.items()
         }
 
+    def interval_s(self, now_s: float) -> float:
+        """Return the interval at which sums arrive, 0 if it is not known."""
+        if now_s - self._totals_s >= ESTIMATES_LIFETIME_S:
+            return 0.0
+        return self._interval_s
+
+    def own_rate(self, pool: str, workspace: str, now_s: float) -> float:
+        """Return the demand of a workspace at this router."""
+        own = self._own.get((pool, workspace))
+        return 0.0 if own is None else own.rate(now_s, self.window_s)
+
     def add(
         self, pool: str, workspace: str, tokens: float, now_s: float
     ) -> tuple[float, float, float]:
--- a/src/carobstair/core/admission/fair_admission.py
+++ b/src/carobstair/core/admission/fair_admission.py
@@ -80,6 +80,21 @@
         """Return whether nothing of a pool is refused while its engines have room."""
         return self.settings.work_conserving or pool in self._conserving_pools
 
+    @property
+    def may_be_loaded(self) -> bool:
+        """Whether a pool that conserves work has demand here."""
+        return any(name in self._conserving.pools for name in self.pools())
+
+    def is_loaded(self, limit: float) -> bool:
+        """Return whether engines of a pool that conserves work exceed a load.
+
+        Parameters
+        ----------
+        limit : float
+            Relative to the target load.
+        """
+        return self._conserving.is_loaded(limit)
+
     def decide_conserving(
         self, request: AdmissionRequest, now_s: float
     ) -> AdmissionDecision:
@@ -96,6 +111,14 @@
         """Return what all other routers report of a pool, None if unknown."""
         return self._conserving.load_of_others(pool, now_s)
 
+    def lag_s(self, now_s: float) -> float:
+        """Return the age of the sums of all routers."""
+        return self._conserving.lag_s(now_s)
+
+    def unseen_part(self, now_s: float) -> float:
+        """Return the part of the requests at engines that may be unknown here."""
+        return self._conserving.unseen_part(now_s)
+
     def refresh_conserving(self, pool: str, engines: EngineLoad, now_s: float) -> None:
         """Correct the supply of a pool in time, whether requests arrive or not."""
         self._conserving.refresh(pool, engines, now_s)
--- a/src/carobstair/core/admission/request.py
+++ b/src/carobstair/core/admission/request.py
@@ -30,6 +30,8 @@
         Time that is left of the objective for the first token.
     returned : bool
         Whether the caller was refused before.
+    running : callable
+        Returns the requests that this router has at the engines now.
     """
 
     pool: str
@@ -42,3 +44,4 @@
     objective_s: float = 1.0
     returned: bool = False
     limited_per_s: float = 0.0
+    running: Callable[[], int] = lambda: 0
--- a/src/carobstair/core/admission/room.py
+++ b/src/carobstair/core/admission/room.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Collection, Mapping
 from dataclasses import dataclass, field
 
@@ -16,7 +17,7 @@
 LOAD_TTL_S = 0.05
 # Engines with a free slot that are tried for one request.
 TRIED_ENGINES = 3
-# Engines with a free slot among which a request is placed.
+# Engines among which a request is placed, so that prompts that one holds count.
 PLACEMENT_CHOICES = 2
 # Backlog of a single engine that counts towards the mean, in seconds. An engine that
 # nearly stalls would otherwise stand for the whole service.
@@ -50,11 +51,11 @@
         Free slots by engine.
     full : frozenset of str
         Engines without a free slot.
-    least : frozenset of str
-        The half of them with the fewest requests.
+    excess : dict
+        Requests beyond the slots by engine; negative if some are free.
     least_excess : float
-        Requests beyond the slots, and one more, at the last of these, relative to its
-        slots.
+        Requests beyond the slots, and one more, at the last of the half of the full
+        engines that has the fewest, relative to its slots.
     """
 
     engines: int = 0
@@ -66,11 +67,18 @@
     read_tokens_per_s: float = 1.0
     target_wait_s: float = 1.0
     free: dict[str, int] = field(default_factory=dict)
+    excess: dict[str, int] = field(default_factory=dict)
     full: frozenset[str] = frozenset()
-    least: frozenset[str] = frozenset()
     least_excess: float = 0.0
 
 
+@dataclass(slots=True)
+class _ReadLoad:
+    load: EngineLoad
+    others: PoolDemand | None
+    at_s: float
+
+
 @dataclass(slots=True)
 class EngineRoom:
     """Answers whether an engine would begin a request within its objective.
@@ -85,22 +93,44 @@
         Returns what all other routers report of a service, None if unknown.
     applies : callable
         Returns whether requests of a service are placed by the room of its engines.
+    unseen_part : callable
+        Returns the part of the requests at engines that others may have placed since.
     """
 
     dispatcher: Dispatcher
     others: Callable[[str, float], PoolDemand | None] = lambda *args: None
     applies: Callable[[str], bool] = lambda service: True
-    _loads: dict[str, tuple[float, EngineLoad]] = field(default_factory=dict)
+    unseen_part: Callable[[float], float] = lambda now_s: 0.0
+    _loads: dict[str, _ReadLoad] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         self.dispatcher.narrow = self.narrow
 
     def load(self, service: str, now_s: float) -> EngineLoad:
-        """Return the load of a service's engines, at most `LOAD_TTL_S` old."""
+        """Return the load of a service's engines, at most `LOAD_TTL_S` old.
+
+        It is never older than the sums of the other routers.
+        """
+        others = self.others(service, now_s)
         known = self._loads.get(service)
-        if known is None or now_s - known[0] >= LOAD_TTL_S:
-            known = self._loads[service] = now_s, self._read(service, now_s)
-        return known[1]
+        if (
+            known is None
+            or now_s - known.at_s >= LOAD_TTL_S
+            or known.others is not others
+        ):
+            load = self._read(service, others, now_s)
+            known = self._loads[service] = _ReadLoad(load, others, now_s)
+        return known.load
+
+    def read(self, service: str, now_s: float) -> EngineLoad:
+        """Return the load of a service's engines as it is now."""
+        self._loads.pop(service, None)
+        return self.load(service, now_s)
+
+    def own_running(self, service: str, now_s: float) -> int:
+        """Return the requests that this router has at a service's engines now."""
+        own_running = self.dispatcher.loads.own_running
+        return sum(own_running(name) for name in self.load(service, now_s).excess)
 
     def has_room(
         self,
@@ -128,9 +158,9 @@
     def narrow(self, service: str, ids: set[str], now_s: float) -> Collection[str]:
         """Return the engines, of some, at which a request should be placed.
 
-        Those that are full are left out if others have a free slot. Of the latter only
-        some remain, chosen at random: what is known of the load is some tenths of a
-        second old, and all routers would send to the engine that had the least then.
+        Only some remain, chosen at random by how much less load they have: what is
+        known of it is some tenths of a second old, and all routers would send to the
+        engine that had the least then.
         """
         if not self.applies(service):
             return ids
@@ -138,12 +168,33 @@
             # Placement by capacity weighs full engines against prompts that they hold.
             return ids
         load = self.load(service, now_s)
-        free = [name for name in load.free if name in ids]
-        if not free:
-            return sorted(ids.intersection(load.least) or ids)
-        weights = [load.free[name] for name in free]
-        chosen = self.dispatcher.rng.choices(free, weights, k=PLACEMENT_CHOICES)
-        return sorted(ids.difference(load.full, free).union(chosen))
+        names = [name for name in load.excess if name in ids]
+        if not names:
+            return ids
+        weights = self._weights(load, names, now_s)
+        chosen = self.dispatcher.rng.choices(names, weights, k=PLACEMENT_CHOICES)
+        return sorted(set(ids).difference(names).union(chosen))
+
+    def _weights(self, load: EngineLoad, names: list[str], now_s: float) -> list[float]:
+        """Return how often engines should get a request, in relative terms.
+
+        All routers together then fill them up to the same level with what they send
+        before they know of each other's requests.
+        """
+        own_running = self.dispatcher.loads.own_running
+        levels = [
+            load.excess[name] + own_running(name) - load.own.get(name, 0)
+            for name in names
+        ]
+        requests = load.slots * load.slots_used
+        left = 1.0 + self.unseen_part(now_s) * requests
+        full, total = -math.inf, 0.0
+        for index, level in enumerate(sorted(levels)):
+            if index * level - total >= left:
+                break
+            total += level
+            full = (left + total) / (index + 1)
+        return [max(full - level, 0.0) for level in levels]
 
     def wait_s(self, service: str, hold_s: float, now_s: float) -> float:
         """Return the wait for a slot and for the prompts that are read before.
@@ -158,7 +209,9 @@
             return load.wait_s
         return load.wait_s + hold_s * load.least_excess
 
-    def _read(self, service: str, now_s: float) -> EngineLoad:
+    def _read(
+        self, service: str, others: PoolDemand | None, now_s: float
+    ) -> EngineLoad:
         dispatcher = self.dispatcher
         loads, settings = dispatcher.loads, dispatcher.loads.settings
         limited = {upstream_id for upstream_id, _ in dispatcher.rates.limited()}
@@ -167,7 +220,6 @@
             for entry in dispatcher.in_use(service, now_s)
             if entry.upstream_id not in limited
         }
-        others = self.others(service, now_s)
         own = {name: (tokens, running) for name, tokens, running in loads.own_rows()}
         present = {name: self._present(name, own, others, now_s) for name in entries}
         # An engine whose queue is known is silent without being stalled.
@@ -186,6 +238,7 @@
             slots = entries[name].slots
             tokens, running = own.get(name, (0, 0))
             load.slots += slots
+            load.excess[name] = present[name] - slots
             if running:
                 load.own[name] = running
             used += min(present[name], MAX_ENGINE_LOAD * slots)
@@ -201,7 +254,6 @@
         if excess:
             excess.sort()
             half = excess[: len(excess) // 2 + 1]
-            load.least = frozenset(name for _, name in half)
             load.least_excess = half[-1][0]
         load.slots_used = used / max(1, load.slots)
         load.read_tokens_per_s = settings.prefill_tokens_per_s * max(1, len(healthy))
--- a/src/carobstair/core/admission/settings.py
+++ b/src/carobstair/core/admission/settings.py
@@ -52,9 +52,9 @@
         Requests that may wait at this router for room at the engines; 0 for none.
     target_slots_used : float
         Slots in use relative to all, waiting requests included, at which engines are at
-        their target load. Routers learn of each other's sends half a second late, so
-        engines differ, and some have a free slot while others have a queue: in plays of
-        2.4 times the load, 1.0 began 0.94 of what engines take and 1.1 began 0.96.
+        their target load. Routers learn of each other's sends late, so engines differ,
+        and some have a free slot while others have a queue: more begins at a higher
+        target, and first tokens are later.
     hold_s : float
         Mean time that a request holds its slot, over which admitted tokens are
         averaged.
@@ -62,7 +62,9 @@
         Time over which the tokens that a slot takes are averaged: they vary with the
         sizes of requests by a fifth from one half second to the next.
     lag_s : float
-        Age of the sums of all routers: two exchanges.
+        Age of the sums of all routers while the interval of exchanges is unknown.
+    lag_intervals : float
+        Age of the sums of all routers in intervals of their exchange.
     fill_gain : float
         Rate at which the load approaches its target, relative to `hold_s`. With 2.5 the
         slots in use varied from 1.0 to 2.1 of all, with 1.2 from 0.9 to 1.3.
@@ -71,12 +73,17 @@
     room_fill : float
         Time in which requests beyond their share fill the room of the engines, relative
         to `lag_s`. Each router admits its part of them: all see the same free slots.
+    spread : float
+        Requests for which engines are filled evenly when one is placed, relative to
+        those that end within the age of the sums. With less, all routers send to the
+        few engines that had the least load then.
     beyond_max_wait : float
         `max_wait` of workspaces beyond their share, so that an overload of the engines
         is first met by those who make it. Their supply does not fall by it.
     max_debt_s : float
         What a workspace owes at most for requests admitted beyond its share, in seconds
-        of its share.
+        of its share. With more, those that surge at many routers, each of which admits
+        some requests at first, get less than those that surge at one.
     return_credit_s : float
         Credit that the requests of callers that return may overdraw, in seconds
         of the share of their workspace.
@@ -107,16 +114,18 @@
     max_retry_after_s: float = 3.0
     work_conserving: bool = False
     max_waiting: int = 0
-    target_slots_used: float = 1.1
+    target_slots_used: float = 1.0
     hold_s: float = 1.2
     mix_s: float = 3.0
     lag_s: float = 0.4
+    lag_intervals: float = 2.0
     fill_gain: float = 1.2
     least_part: float = 0.5
     room_fill: float = 2.0
+    spread: float = 2.4
     beyond_max_wait: float = 0.5
-    max_debt_s: float = 1.0
-    return_credit_s: float = 0.25
+    max_debt_s: float = 0.5
+    return_credit_s: float = 0.5
     returned_after_s: float = math.inf
     promise_part: float = 0.5
     shares_ttl_s: float = 0.025
@@ -134,8 +143,9 @@
         Throughput that is shared, smoothed pressure on the engines, and expected
         wait as a fraction of the objective. All are 0 for admitted requests.
     reason : str
-        What the request exceeds if it is refused: ``share`` or ``wait``. ``room`` if it
-        is admitted although it exceeds its share.
+        What the request exceeds if it is refused: ``share``, ``wait`` or, where the
+        sums of all routers do not show its workspace's demand yet, ``surge``. ``room``
+        if it is admitted although it exceeds its share.
     """
 
     admitted: bool
--- a/src/carobstair/core/admission/supply.py
+++ b/src/carobstair/core/admission/supply.py
@@ -35,6 +35,8 @@
 
     Attributes
     ----------
+    lag_s : float
+        Age of the sums of all routers, from the interval at which they arrive.
     given : float
         Tokens admitted by all routers relative to the nominal throughput, averaged over
         the time that a request holds its slot.
@@ -46,6 +48,7 @@
     """
 
     settings: AdmissionSettings
+    lag_s: float = 0.4
     factor: float = 1.0
     given: float = 1.0
     load: float = 1.0
@@ -80,7 +83,7 @@
         """
         settings = self.settings
         # Slots that are free now are filled within the age of the sums.
-        rate = settings.hold_s / (settings.room_fill * settings.lag_s)
+        rate = settings.hold_s / (settings.room_fill * self.lag_s)
         return self._at_target() * max(0.0, 1.0 - self.ahead) * rate
 
     def _at_target(self) -> float:
@@ -119,7 +122,7 @@
             self._given += slow * (self.given - self._given)
             self._load += slow * (load - self._load)
         at_target = self._at_target()
-        growth = (admitted / at_target - load) * settings.lag_s / settings.hold_s
+        growth = (admitted / at_target - load) * self.lag_s / settings.hold_s
         self.ahead = ahead = min(max(load + growth, MIN_AHEAD * load), MAX_AHEAD * load)
         # What engines finish does not grow beyond their target load.
         finished = min(ahead, 1.0)
--- a/src/carobstair/core/share_collector.py
+++ b/src/carobstair/core/share_collector.py
@@ -28,9 +28,15 @@
     interval_s : float
         Interval of reports and totals in zones of up to `full_rate_routers`; in
         larger ones it grows in proportion, so that a collector's work is bounded.
+    loaded_interval_s : float
+        The same while the engines of a pool that conserves work are loaded, in zones of
+        up to `loaded_full_rate_routers`: half of their slots pass to other requests
+        within half a second. A collector of 23 routers then handles 460 reports a
+        second.
     expiry_intervals : int
         Intervals after which a report or sum that was not repeated is dropped: long
-        enough for the routers of a zone to find another collector.
+        enough for the routers of a zone to find another collector. These are those of
+        routers without load, also below.
     answer_intervals : int
         Intervals after which a collector that does not answer is passed over.
     replaced_intervals : int
@@ -42,6 +48,8 @@
 
     interval_s: float = 0.2
     full_rate_routers: int = 65
+    loaded_interval_s: float = 0.05
+    loaded_full_rate_routers: int = 23
     expiry_intervals: int = 12
     answer_intervals: int = 4
     replaced_intervals: int = 2
@@ -51,6 +59,11 @@
         """Return the interval in a zone with a number of routers."""
         return self.interval_s * max(1.0, routers / self.full_rate_routers)
 
+    def scaled_loaded_interval_s(self, routers: int) -> float:
+        """Return the interval in a zone with a number of routers under load."""
+        scale = max(1.0, routers / self.loaded_full_rate_routers)
+        return min(self.loaded_interval_s * scale, self.scaled_interval_s(routers))
+
 
 @dataclass(slots=True)
 class CollectorChoice:
@@ -162,6 +175,14 @@
         """Names of the collectors whose sums are held."""
         return list(self._zones)
 
+    def is_loaded(self, limit: float) -> bool:
+        """Return whether routers report engines that are loaded beyond a limit."""
+        return any(
+            row.engines and row.pressures > limit * row.samples
+            for received in self._reports.values()
+            for row in received.pools.values()
+        )
+
     def zone_totals(self) -> dict[str, PoolDemand]:
         """Return the sums over the routers that report to this one."""
         return _sum(received.pools for received in self._reports.values())
--- a/src/carobstair/core/share_exchange.py
+++ b/src/carobstair/core/share_exchange.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Collection, Mapping
 from dataclasses import dataclass, field
 
@@ -16,12 +17,18 @@
 )
 from carobstair.core.share_messages import ShareReport, ShareTotals, ZoneTotals
 
-__all__ = ["ShareExchange", "ShareMessage"]
+__all__ = ["EARLY_PART", "LOADED", "ShareExchange", "ShareMessage"]
 
 # Routers of each zone that are sent the sums: a collector may have stopped, and its
 # successor is not known in other zones yet.
 CANDIDATES = 2
 
+# Load of engines, relative to their target, from which on sums are exchanged more
+# often: a surge then fills them before the next sums arrive.
+LOADED = 0.5
+# A tick that is due within this part of its interval is not put off to the next check.
+EARLY_PART = 0.2
+
 ShareMessage = tuple[Collection[str], msgspec.Struct]
 """Receivers and payload of a message."""
 
@@ -43,13 +50,14 @@
     settings: ShareSettings = ShareSettings()
     _collector: ShareCollector = field(init=False)
     _choice: CollectorChoice = field(init=False)
+    _ticked_s: float = -math.inf
 
     def __post_init__(self) -> None:
         self._collector = ShareCollector(self.settings)
         self._choice = CollectorChoice(self.settings)
 
     def interval_s(self, routers: Mapping[str, Collection[str]]) -> float:
-        """Return the time until the next tick.
+        """Return the interval of messages while engines are not loaded.
 
         Parameters
         ----------
@@ -58,6 +66,35 @@
         """
         return self.settings.scaled_interval_s(len(routers.get(self.zone, ())) + 1)
 
+    def check_interval_s(self, routers: Mapping[str, Collection[str]]) -> float:
+        """Return the time until the next call of `is_due`.
+
+        Parameters
+        ----------
+        routers : mapping
+            See `interval_s`.
+        """
+        if not self.admission.may_be_loaded and not self._collector.is_loaded(0.0):
+            return self.interval_s(routers)
+        in_zone = len(routers.get(self.zone, ())) + 1
+        return self.settings.scaled_loaded_interval_s(in_zone)
+
+    def is_due(self, routers: Mapping[str, Collection[str]], now_s: float) -> bool:
+        """Return whether messages are due.
+
+        They are at each check while engines are loaded, as a surge is seen too late
+        otherwise.
+
+        Parameters
+        ----------
+        routers : mapping
+            See `interval_s`.
+        """
+        if self.admission.is_loaded(LOADED) or self._collector.is_loaded(LOADED):
+            return True
+        due_s = (1.0 - EARLY_PART) * self.interval_s(routers)
+        return now_s - self._ticked_s >= due_s
+
     def tick(
         self, routers: Mapping[str, Collection[str]], now_s: float
     ) -> list[ShareMessage]:
@@ -68,6 +105,7 @@
         routers : mapping
             See `interval_s`.
         """
+        self._ticked_s = now_s
         in_zone = routers.get(self.zone, ())
         collector = self._choice.choose(self.zone, self.name, in_zone, now_s)
         pools = self.admission.report(now_s)
--- a/src/carobstair/edge/app.py
+++ b/src/carobstair/edge/app.py
@@ -455,6 +455,7 @@
             left_s,
             elapsed_s > 0.0,
             throughput.limited_per_s,
+            lambda: self._room.own_running(pool.name, now_s),
         )
 
     def _shed_beyond_share(
--- a/src/carobstair/edge/metrics.py
+++ b/src/carobstair/edge/metrics.py
@@ -112,6 +112,9 @@
             "Requests that waited for room at the engines, by outcome",
             ("service", "outcome"),
         )
+        self.sums_age = self._gauge(
+            "share_sums_age_seconds", "Age of the demand and load of the other routers"
+        )
         self.throughput_factor = Gauge(
             PREFIX + "throughput_factor",
             "Throughput that is shared, relative to the configured one",
--- a/src/carobstair/edge/router.py
+++ b/src/carobstair/edge/router.py
@@ -172,6 +172,7 @@
             self._dispatcher,
             self._admission.load_of_others,
             self._admission.conserves_work,
+            self._admission.unseen_part,
         )
         self._connections = ConnectionPool()
         self._overload = OverloadGuard(settings.overload, utilisation)
@@ -613,6 +614,7 @@
         self._capacity_reports.export(time.monotonic())
         for pool, (factor, _) in self._admission.throughput_factors().items():
             self.metrics.throughput_factor.labels(pool).set(factor)
+        self.metrics.sums_age.set(self._admission.lag_s(time.monotonic()))
         early = self._overload.early
         self.metrics.loop_utilisation.set(early.utilisation() or 0.0)
         self.metrics.peer_utilisation.set(early.peers.median(time.monotonic()) or 0.0)
--- a/src/carobstair/edge/share_sync.py
+++ b/src/carobstair/edge/share_sync.py
@@ -50,16 +50,18 @@
     async def run(self) -> None:
         """Send what is due until cancelled."""
         while True:
-            interval_s = self.exchange.interval_s(self.heard_by_zone())
+            interval_s = self.exchange.check_interval_s(self.heard_by_zone())
             await asyncio.sleep(interval_s * self.rng.uniform(0.9, 1.1))
-            self.tick(time.monotonic())
+            now_s = time.monotonic()
+            if self.exchange.is_due(self.heard_by_zone(), now_s):
+                self.tick(now_s)
 
     def tick(self, now_s: float) -> None:
         """Correct the throughput of each pool and send what is due."""
         admission = self.exchange.admission
         for pool in admission.pools():
             if admission.conserves_work(pool):
-                admission.refresh_conserving(pool, self.room.load(pool, now_s), now_s)
+                admission.refresh_conserving(pool, self.room.read(pool, now_s), now_s)
                 continue
             pressure = self.dispatcher.pressure(pool, now_s)
             slots_used = self.dispatcher.slots_used(pool, now_s)
--- a/src/carobstair/scenario/load_plan.py
+++ b/src/carobstair/scenario/load_plan.py
@@ -8,6 +8,7 @@
 
 from carobstair.core.admission import AdmissionSettings
 from carobstair.core.engine_load import PlacementSettings
+from carobstair.core.share_collector import ShareSettings
 from carobstair.scenario.batch_engine import BatchEngineSpec
 
 __all__ = ["CallerGroup", "LoadPlan", "LoadReport", "TokensBySecond"]
@@ -56,6 +57,8 @@
         Interval between the digests of one router.
     share_s : float
         Interval between the exchanges of demand by one router; that of digests if 0.
+    loaded_share_s : float
+        The same of routers that find the engines loaded.
     ideal : bool
         Admit a request exactly if some engine really has a free slot and little to
         read. What begins then is what the engines take.
@@ -88,6 +91,7 @@
     lost_engines: int = 0
     lost_at_s: float = 0.0
     share_s: float = 0.0
+    loaded_share_s: float = ShareSettings().loaded_interval_s
     ideal: bool = False
     speeds: tuple[float, ...] = ()
     slowdowns: Mapping[int, Sequence[tuple[float, float, float]]] = field(
--- a/src/carobstair/scenario/load_router.py
+++ b/src/carobstair/scenario/load_router.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import math
 import random
 from collections.abc import Iterable
 from dataclasses import dataclass, field
@@ -58,6 +59,8 @@
     # What this router has told the others with its digests.
     segment_cursor: int = 0
     wait_cursor: int = 0
+    # When it last exchanged demand.
+    exchanged_s: float = -math.inf
 
     @property
     def loads(self) -> LoadTracker:
@@ -108,6 +111,7 @@
             lambda: self.room.has_room(POOL, request.prompt, group.aim_s, now_s),
             left_s,
             request.refusals > 0,
+            running=lambda: self.room.own_running(POOL, now_s),
         )
 
 
@@ -133,7 +137,12 @@
         random.Random(f"{plan.seed} {name} choice"),
     )
     admission = FairAdmission(plan.admission, random.Random(f"{plan.seed} {name}"))
-    room = EngineRoom(dispatcher, admission.load_of_others, admission.conserves_work)
+    room = EngineRoom(
+        dispatcher,
+        admission.load_of_others,
+        admission.conserves_work,
+        admission.unseen_part,
+    )
     return PlayedRouter(
         name, plan, dispatcher, admission, room, WaitingRoom(admission.settings)
     )
--- a/src/carobstair/scenario/overload.py
+++ b/src/carobstair/scenario/overload.py
@@ -20,6 +20,7 @@
 from carobstair.core.engine_load import PromptShape
 from carobstair.core.routing import EngineShape, ServicePool
 from carobstair.core.share_collector import ShareCollector
+from carobstair.core.share_exchange import EARLY_PART, LOADED
 from carobstair.scenario.batch_engine import BatchEngine, EngineJob
 from carobstair.scenario.load_plan import CallerGroup, LoadPlan, LoadReport
 from carobstair.scenario.load_router import (
@@ -40,9 +41,9 @@
 # which they wait.
 WAIT_TICK_S = 0.01
 WAIT_PART = 0.7
-# Time from the report of a router until the totals with it reach another: it passes two
-# collectors, each of which sends at its own interval.
-TOTALS_DELAY_S = 0.3
+# Intervals from the report of a router until the totals with it reach another: it
+# passes two collectors, each of which sends at its own interval.
+TOTALS_DELAY_INTERVALS = 1.5
 
 
 def play_load(plan: LoadPlan) -> LoadReport:
@@ -368,7 +369,7 @@
                 sender.wait_cursor, 100
             )
         if not self._plan.share_s:
-            self._exchange(sender, now_s)
+            self._exchange(sender, 0.0, now_s)
         for router in self._routers:
             if router is not sender:
                 router.loads.note_peer(sender.name, rows)
@@ -380,16 +381,24 @@
         self._at(now_s + self._plan.digest_s, lambda t: self._digest(sender, t))
 
     def _exchange_often(self, sender: PlayedRouter, now_s: float) -> None:
-        if now_s <= self._plan.seconds:
-            self._exchange(sender, now_s)
-            next_s = now_s + self._plan.share_s
-            self._at(next_s, lambda t: self._exchange_often(sender, t))
-
-    def _exchange(self, sender: PlayedRouter, now_s: float) -> None:
+        """Exchange demand at the interval that `ShareExchange` would use."""
+        if now_s > self._plan.seconds:
+            return
+        calm_s = check_s = self._plan.share_s
+        if sender.admission.may_be_loaded:
+            check_s = min(self._plan.loaded_share_s, calm_s)
+        is_loaded = sender.admission.is_loaded(LOADED)
+        due_s = sender.exchanged_s + (1.0 - EARLY_PART) * calm_s
+        if is_loaded or now_s >= due_s:
+            sender.exchanged_s = now_s
+            self._exchange(sender, check_s if is_loaded else calm_s, now_s)
+        self._at(now_s + check_s, lambda t: self._exchange_often(sender, t))
+
+    def _exchange(self, sender: PlayedRouter, interval_s: float, now_s: float) -> None:
         dispatcher, admission = sender.dispatcher, sender.admission
         for pool in admission.pools():
             if admission.conserves_work(pool):
-                load = sender.room.load(pool, now_s)
+                load = sender.room.read(pool, now_s)
                 admission.refresh_conserving(pool, load, now_s)
                 continue
             pressure = dispatcher.pressure(pool, now_s)
@@ -401,5 +410,5 @@
         if not self._plan.share_s:
             admission.note_totals(totals, now_s)
             return
-        at_s = now_s + TOTALS_DELAY_S
+        at_s = now_s + TOTALS_DELAY_INTERVALS * interval_s
         self._at(at_s, lambda t: admission.note_totals(totals, t))
