--- a/src/carobstair/core/handoff/decision.py
+++ b/src/carobstair/core/handoff/decision.py
@@ -15,6 +15,9 @@
 class HandoffDecision:
     """Hands off a part of the new streams that grows with the own utilisation.
 
+    Answers more requests of one workspace than this router has processor time for,
+    while its peers are idle: a refused caller would return to this router.
+
     Parameters
     ----------
     settings : HandoffSettings
--- a/tests/test_boot.py
+++ b/tests/test_boot.py
@@ -95,6 +95,7 @@
         settings = self.load_text(self.valid_settings())
         self.assertEqual(settings.name, "front-1")
         self.assertEqual(settings.listen.peer_port, 7400)
+        self.assertEqual(settings.listen.handoff_port, 7402)
         self.assertEqual(settings.listen.callers_port, 1)
         self.assertEqual(settings.stop.grace_s, 3)
         # Connections to callers and upstreams together fit into the file descriptors.
