Do not let a peer bring back an object that was removed

Cause: a router that learns of a removal from a list keeps no record of it for names that it never knew.

Change: with following by few routers enabled, rows of a peer that are not beyond what has been read, of names that are not known, are not applied. A router that checks the store after another lost it says so after 0.1 s without an answer, so that hanging calls of all followers of a zone are noticed sooner. A router that first reads an era from a peer notices the next one.

--- a/src/carobstair/core/fleet_view.py
+++ b/src/carobstair/core/fleet_view.py
@@ -102,17 +102,17 @@
         return 0.0 if since_s is None else now_s - since_s
 
     def follow(self, steady: bool, now_s: float) -> bool:
-        """Record what routers that call the store say; return whether it is back.
+        """Record what routers that call the store say; return whether it is new.
 
         Steady means that removals may be applied at once, so that no further grace
         follows.
         """
-        if not steady:
+        was_steady = self._failing_since_s is None
+        if steady:
+            self._failing_since_s = None
+        else:
             self.note_failure(now_s)
-            return False
-        was_failing = self._failing_since_s is not None
-        self._failing_since_s = None
-        return was_failing
+        return steady is not was_steady
 
     def grace_until_s(self, now_s: float) -> float | None:
         """Return until when a missing upstream may be used; None for not at all."""
--- a/src/carobstair/core/store_following/__init__.py
+++ b/src/carobstair/core/store_following/__init__.py
@@ -12,6 +12,7 @@
 from carobstair.core.store_following.answers import (
     MAX_STATE_ROWS,
     contiguous_answers,
+    select_rows,
 )
 from carobstair.core.store_following.duty import Role, WatchDuty
 from carobstair.core.store_following.following import NewsEffect, StoreFollowing
@@ -32,4 +33,5 @@
     "StoreFollowing",
     "WatchDuty",
     "contiguous_answers",
+    "select_rows",
 ]
--- a/src/carobstair/core/store_following/answers.py
+++ b/src/carobstair/core/store_following/answers.py
@@ -9,7 +9,7 @@
 from carobstair.core.store_following.read_stamps import ReadStamps
 from carobstair.core.store_stamp import Stamp
 
-__all__ = ["MAX_STATE_ROWS", "contiguous_answers"]
+__all__ = ["MAX_STATE_ROWS", "contiguous_answers", "select_rows"]
 
 # Rows in one message of changes; the receiver pulls again for the rest.
 MAX_STATE_ROWS = 400
@@ -43,6 +43,29 @@
             yield news
 
 
+def select_rows(
+    news: StateNews, view: FleetView, reads: ReadStamps
+) -> list[StateRow] | None:
+    """Return the rows of a peer's message that may be applied, or None for none of it.
+
+    Objects that are unknown here although all changes up to their stamps have been
+    read were removed meanwhile. The peer may not know of the removal, and if this
+    router read it in a list, it keeps no record of it either.
+    """
+    kind = StateKind(news.kind)
+    read = reads.read(kind)
+    if read is None:
+        return news.rows
+    if news.complete_at is not None and Stamp(*news.complete_at) < read:
+        return None
+    known = view.objects(kind)
+    return [
+        row
+        for row in news.rows
+        if row.name in known or Stamp(row.era, row.revision) > read
+    ]
+
+
 def _complete(
     view: FleetView, kind: StateKind, own: Stamp, steady: bool
 ) -> StateNews | None:
--- a/src/carobstair/core/store_following/following.py
+++ b/src/carobstair/core/store_following/following.py
@@ -43,13 +43,13 @@
         Era of the store if it is newer than any that this router has read.
     verify : bool
         Whether to check that the store still answers this router.
-    regained : bool
-        Whether the store answers again, after an outage.
+    is_steady : bool or None
+        Whether removals may be applied at once, if that has changed.
     """
 
     newer_era: int | None = None
     verify: bool = False
-    regained: bool = False
+    is_steady: bool | None = None
 
 
 @dataclass(slots=True)
@@ -189,6 +189,9 @@
             return False
         if now_s - availability.last_success_s > settings.answered_within_s:
             return False
+        is_unverified = self._verified_s > availability.last_success_s
+        if is_unverified and now_s - self._verified_s > settings.verify_for_s:
+            return False
         failing_s = availability.failing_for_s(now_s)
         if not failing_s:
             return True
@@ -207,15 +210,15 @@
         has_lost_store = self.announcers.note(sender, announced)
         self._take_over_quiet(announced)
         self.pulls.note_news(announced, peer_count, self.duty.role.watches, now_s)
-        regained = False
+        steady = None
         if not self.duty.role.watches:
             steady = self.announcers.is_steady(now_s)
-            if steady is not None:
-                regained = self.availability.follow(steady, now_s)
+            if steady is not None and not self.availability.follow(steady, now_s):
+                steady = None
         return NewsEffect(
             self._newer_era(announced),
             has_lost_store and self._must_verify(now_s),
-            regained,
+            steady,
         )
 
     def _take_over_quiet(self, announced: Announced) -> None:
@@ -225,7 +228,8 @@
         the later changes, and may resume at any time.
         """
         for kind, through in announced.read.items():
-            self.reads.note_changes(kind, announced.changed[kind], through, False)
+            since = announced.changed.get(kind, through)
+            self.reads.note_changes(kind, since, through, False)
 
     def _newer_era(self, announced: Announced) -> int | None:
         own = [self.reads.read(kind) for kind in self.kinds]
@@ -261,11 +265,6 @@
             True,
         )
 
-    def is_outdated(self, news: StateNews) -> bool:
-        """Return whether an answer is of an older era than what has been read."""
-        read = self.reads.read(StateKind(news.kind))
-        return read is not None and Stamp(*news.through).era < read.era
-
     def on_answer(self, sender: str, news: StateNews, now_s: float) -> bool:
         """Record an answer that was applied; return whether anything new was read."""
         kind, through = StateKind(news.kind), Stamp(*news.through)
--- a/src/carobstair/core/store_following/settings.py
+++ b/src/carobstair/core/store_following/settings.py
@@ -67,9 +67,12 @@
         How long it then goes on.
     relist_first_s : float
         Time that a router has to list a store of a newer era before it pulls its state.
+    verify_for_s : float
+        Time for a check of the store that follows the announcement of another router
+        that it is not answered; calls take some milliseconds. After it the store
+        counts as not answering until it does.
     verify_every_s : float
-        Shortest time between two checks of the store that follow the announcement of
-        another router that the store does not answer.
+        Shortest time between two such checks.
     """
 
     followers_per_zone: int = 3
@@ -95,4 +98,5 @@
     alone_after_s: float = 1.0
     alone_for_s: float = 5.0
     relist_first_s: float = 1.0
+    verify_for_s: float = 0.1
     verify_every_s: float = 1.0
--- a/src/carobstair/edge/follower.py
+++ b/src/carobstair/edge/follower.py
@@ -138,7 +138,7 @@
 
     def note_era_read(self, era: int) -> None:
         """Record that the state of an era was read from a peer."""
-        if self._era is not None and era > self._era:
+        if self._era is None or era > self._era:
             self._note_era(era)
 
     def _interrupt(self, kinds: Iterable[StateKind]) -> None:
--- a/src/carobstair/edge/gossip.py
+++ b/src/carobstair/edge/gossip.py
@@ -98,8 +98,8 @@
     ----------
     on_answer : callable
         Called with the sender and an answer to a contiguous pull that was applied.
-    is_outdated : callable
-        Returns whether such an answer must not be applied any more.
+    select_rows : callable
+        Returns the rows of a message that may be applied, or None for none of it.
     """
 
     def __init__(
@@ -125,8 +125,8 @@
         self._on_change = on_change
         self._on_peer_heard = on_peer_heard
         self._shedding = shedding or EarlyShedding()
-        self.on_answer: Callable[[str, StateNews], None] = lambda sender, news: None
-        self.is_outdated: Callable[[StateNews], bool] = lambda news: False
+        self.on_answer = lambda sender, news: None
+        self.select_rows = lambda news: news.rows
         self._peers: dict[str, PeerAddress] = {}
         self._last_heard_s: dict[str, float] = {}
         # Peers that were heard once and are not any more.
@@ -349,8 +349,7 @@
         self._transport.send(peer, StatePull(revisions, eras))
 
     def _on_pull(self, envelope: Envelope, pull: StatePull) -> None:
-        if pull.contiguous:
-            # Answered by `StoreFollowingDriver`.
+        if pull.contiguous:  # Answered by `StoreFollowingDriver`.
             return
         steady = self._availability.grace_until_s(time.monotonic()) is None
         for kind in self._view.kinds:
@@ -373,12 +372,13 @@
         kind = StateKind(news.kind)
         if kind not in self._view.kinds:
             return
-        if news.through is not None and self.is_outdated(news):
+        rows = self.select_rows(news)
+        if rows is None:
             logger.info("state_outdated", peer=envelope.sender, kind=news.kind)
             return
         grace_until_s = None if news.steady else now_s + self._availability.grace_s
         changes = [
-            StoreChange(row.name, row.revision, row.spec, row.era) for row in news.rows
+            StoreChange(row.name, row.revision, row.spec, row.era) for row in rows
         ]
         if news.complete_at is None:
             names = self._view.apply(kind, changes, grace_until_s, now_s)
--- a/src/carobstair/edge/store_following.py
+++ b/src/carobstair/edge/store_following.py
@@ -9,8 +9,18 @@
 from collections.abc import Callable
 
 from carobstair.core.fleet_view import FleetView, StoreAvailability
-from carobstair.core.messages import Envelope, FollowNews, StateNews, StatePull
-from carobstair.core.store_following import StoreFollowing, contiguous_answers
+from carobstair.core.messages import (
+    Envelope,
+    FollowNews,
+    StateNews,
+    StatePull,
+    StateRow,
+)
+from carobstair.core.store_following import (
+    StoreFollowing,
+    contiguous_answers,
+    select_rows,
+)
 from carobstair.edge.follower import StoreFollower
 from carobstair.edge.gossip import Gossip
 from carobstair.edge.metrics import EdgeMetrics
@@ -76,7 +86,7 @@
         metrics.watches_store.set(1)
         follower.on_changes_read = self._on_changes_read
         gossip.on_answer = self._on_answer
-        gossip.is_outdated = following.is_outdated
+        gossip.select_rows = self._select_rows
         transport.subscribe(FollowNews, self._on_news)
         transport.subscribe(StatePull, self._on_pull)
 
@@ -158,8 +168,9 @@
         now_s = time.monotonic()
         peer_count = len(self._gossip.zone_peers())
         effect = self._following.on_news(envelope.sender, news, peer_count, now_s)
-        if effect.regained:
-            logger.info("store_regained", peer=envelope.sender)
+        if effect.is_steady is not None:
+            event = "store_steady" if effect.is_steady else "store_unsteady"
+            logger.info(event, peer=envelope.sender)
         if effect.newer_era is not None:
             # All routers list at the same time.
             spread_s = self._settings.sync.relist_spread_s(len(self._gossip.peers))
@@ -180,6 +191,11 @@
         for news in contiguous_answers(self._view, reads, pull, steady):
             self._transport.send(envelope.sender, news)
 
+    def _select_rows(self, news: StateNews) -> list[StateRow] | None:
+        if not self._following.is_enabled:
+            return news.rows
+        return select_rows(news, self._view, self._following.reads)
+
     def _on_answer(self, sender: str, news: StateNews) -> None:
         now_s = time.monotonic()
         if self._pulled:
