--- a/src/carobstair/core/store_following/settings.py
+++ b/src/carobstair/core/store_following/settings.py
@@ -52,8 +52,8 @@
         Longest pause between a list of a kind and its first watch. In a fleet that
         starts, most routers hear an announcement meanwhile and need no watch.
     pull_spread_s : float
-        Time over which the routers of a zone pull a change, for each of them: a pull
-        takes a router that watches about 0.2 ms.
+        Time over which the routers of a zone pull a change, for each of them. Meanwhile
+        the other routers that watch announce it too, and the pulls divide among them.
     follower_pull_delay_s : float
         Delay of the pull of a router that watches and is about to read the change
         from the store.
--- a/src/carobstair/edge/store_following.py
+++ b/src/carobstair/edge/store_following.py
@@ -32,8 +32,8 @@
 
 logger = get_logger(__name__)
 
-# A small part of the time after which a silent router is replaced; each turn takes
-# some 50 us in a zone of 30 routers.
+# A small part of the time after which a silent router is replaced; a turn takes some
+# 10 us in a zone of 30 routers.
 TICK_S = 0.1
 
 
