--- a/src/carobstair/core/store_following/settings.py
+++ b/src/carobstair/core/store_following/settings.py
@@ -52,8 +52,8 @@
         Longest pause between a list of a kind and its first watch. In a fleet that
         starts, most routers hear an announcement meanwhile and need no watch.
     pull_spread_s : float
-        Time over which the routers of a zone pull a change, for each of them: a pull
-        takes a router that watches about 0.2 ms.
+        Time over which the routers of a zone pull a change, for each of them. Meanwhile
+        the other routers that watch announce it too, and the pulls divide among them.
     follower_pull_delay_s : float
         Delay of the pull of a router that watches and is about to read the change
         from the store.
@@ -67,9 +67,12 @@
         How long it then goes on.
     relist_first_s : float
         Time that a router has to list a store of a newer era before it pulls its state.
+    verify_for_s : float
+        Time for a check of the store that follows the announcement of another router
+        that it is not answered; calls take some milliseconds. After it the store
+        counts as not answering until it does.
     verify_every_s : float
-        Shortest time between two checks of the store that follow the announcement of
-        another router that the store does not answer.
+        Shortest time between two such checks.
     """
 
     followers_per_zone: int = 3
@@ -95,4 +98,5 @@
     alone_after_s: float = 1.0
     alone_for_s: float = 5.0
     relist_first_s: float = 1.0
+    verify_for_s: float = 0.1
     verify_every_s: float = 1.0
--- a/src/carobstair/edge/handoff_links.py
+++ b/src/carobstair/edge/handoff_links.py
@@ -28,8 +28,10 @@
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
-# Not known on all systems.
-POLL_CLOSED = getattr(select, "POLLRDHUP", 0)
+# What makes an idle link unusable: its end, and bytes that belong to no request.
+POLL_UNUSABLE = select.POLLIN | getattr(select, "POLLRDHUP", 0)
+# A timer that fires later shows that this process was late, not the peer.
+LATE_TIMER_S = 0.05
 
 
 class LinkUser(Protocol):
@@ -57,7 +59,7 @@
         self.user: LinkUser | None = None
         self.transport: asyncio.Transport | None = None
         self.idle_since_s = 0.0
-        self._poll: select.poll | None = None
+        self._poll = select.poll()
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Set the options that detect a dead connection."""
@@ -74,9 +76,7 @@
             option = getattr(socket, name, None)
             if option is not None:
                 sock.setsockopt(socket.IPPROTO_TCP, option, value)
-        if POLL_CLOSED:
-            self._poll = select.poll()
-            self._poll.register(sock, POLL_CLOSED)
+        self._poll.register(sock, POLL_UNUSABLE)
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return the buffer into which any link reads next."""
@@ -99,10 +99,11 @@
 
     @property
     def is_open(self) -> bool:
-        """Whether the peer has not ended the connection, read or not."""
-        if self.transport.is_closing():
-            return False
-        return self._poll is None or not self._poll.poll(0)
+        """Whether the peer has neither ended an idle link nor written to it.
+
+        Bytes that the event loop has not read yet would be taken for the next answer.
+        """
+        return not self.transport.is_closing() and not self._poll.poll(0)
 
     def release(self) -> None:
         """Make the link available after a whole answer."""
@@ -182,16 +183,26 @@
 
     async def _connect(self, peer: HandoffPeer, user: LinkUser) -> None:
         loop = asyncio.get_running_loop()
+        due_s = loop.time() + CONNECT_TIMEOUT_S
+        connect = loop.create_task(
+            loop.create_connection(
+                lambda: HandoffLink(self, peer), peer.host, peer.port
+            )
+        )
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                _, link = await loop.create_connection(
-                    lambda: HandoffLink(self, peer), peer.host, peer.port
-                )
-        except (OSError, UnicodeError, TimeoutError) as error:
-            reason = str(error) or "timed out"
-            self._on_failure(peer, reason)
-            user.on_not_connected(reason)
+            await asyncio.wait({connect}, timeout=CONNECT_TIMEOUT_S)
+            if not connect.done() and loop.time() - due_s > LATE_TIMER_S:
+                # A connect that was ready before the timer is handled after it.
+                await asyncio.wait({connect}, timeout=LATE_TIMER_S)
+            if not connect.done():
+                raise TimeoutError("timed out")
+            _, link = connect.result()
+        except (OSError, UnicodeError) as error:
+            self._on_failure(peer, str(error))
+            user.on_not_connected(str(error))
             return
+        finally:
+            connect.cancel()
         user.on_connected(link)
 
     def close_idle(self, now_s: float) -> None:
--- a/src/carobstair/edge/handoff_request.py
+++ b/src/carobstair/edge/handoff_request.py
@@ -244,6 +244,10 @@
             link, self._link = self._link, None
             link.abort()
         transport = self._caller.transport
+        if not self._begun:
+            # A reset would drop what the caller has not read of an earlier answer.
+            transport.close()
+            return
         if not transport.is_closing():
             # A regular end could complete an answer that is delimited by it.
             sock = transport.get_extra_info("socket")
