--- a/tests/test_handoff_edge.py
+++ b/tests/test_handoff_edge.py
@@ -18,6 +18,7 @@
 from carobstair.standins.proxy import reset_connection
 from edge_test_case import EdgeCase, wait_until
 from gossip_nodes import running_nodes
+from steady_clock import occupy
 from test_boot import free_ports
 
 TIMEOUT_S = 10.0
@@ -224,6 +225,34 @@
             self.assertEqual((await self.read_answer(reader))[1], b"whole")
         self.assertEqual(peer.opened, 2)
 
+    async def test_bytes_that_come_later_on_an_idle_link_reach_no_caller(self):
+        """Guards against bytes that the event loop has not read yet."""
+        peer = await self.start_raw_peer(WHOLE)
+        reader, writer = await self.open()
+        writer.write(request_bytes())
+        self.assertEqual((await self.read_answer(reader))[1], b"whole")
+        # Written at once, and taken before the loop reads from the link.
+        peer.writers[0].write(WHOLE.replace(b"whole", b"other"))
+        self.assertIsNone(self.handoff._links.take(self.peers._list[0]))
+        writer.write(request_bytes())
+        self.assertEqual((await self.read_answer(reader))[1], b"whole")
+
+    async def test_peer_is_not_paused_if_this_router_is_late(self):
+        """Guards against sound connects that a late event loop finds too old."""
+        await self.start_raw_peer(WHOLE)
+        links = self.handoff._links
+        connect = links.connect
+
+        def connect_late(peer, user):
+            connect(peer, user)
+            asyncio.get_running_loop().call_soon(occupy, 0.3)
+
+        links.connect = connect_late
+        _, writer = await self.open()
+        writer.write(request_bytes())
+        await wait_until(self.outcomes)
+        self.assertEqual(self.outcomes(), {"answered": 1.0})
+
     async def test_slow_caller_holds_bounded_memory(self):
         size = 16 * 2**20
         head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size
@@ -264,6 +293,20 @@
                     self.assertEqual(self.outcomes()[outcome], before + 1)
         self.assertEqual(self.handoff.open_requests, 0)
 
+    async def test_earlier_answer_is_delivered_if_a_hand_off_breaks(self):
+        """Guards against a reset that drops what the caller has not read."""
+        size = 2**20
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size
+        peer = await self.start_raw_peer(head + b"a" * size)
+        reader, writer = await self.open()
+        writer.write(request_bytes())
+        await wait_until(lambda: self.outcomes() == {"answered": 1.0})
+        peer.answer, peer.end = b"", "close"
+        writer.write(request_bytes())
+        await wait_until(lambda: self.outcomes().get("unknown"))
+        self.assertEqual(len((await self.read_answer(reader))[1]), size)
+        self.assertEqual(await reader.read(1), b"")
+
     async def test_frozen_peer_is_ended_by_the_deadline_or_the_caller(self):
         peer = await self.start_raw_peer(b"")
         began_s = time.monotonic()
