Keep links to a peer that closes the connections of its callers

Cause: a peer beyond its limit on kept connections, or withdrawn from the balancer, closed the links of handed-off requests too, and so the connections of their callers. Change: on the hand-off port only a stop closes connections.

--- a/src/carobstair/edge/app.py
+++ b/src/carobstair/edge/app.py
@@ -6,7 +6,7 @@
 import math
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
 import msgspec
@@ -187,7 +187,7 @@
                 await self._read_body(caller, limits, exchange)
                 # A stop may have begun since.
                 self._check_shutdown(exchange)
-                exchange.close_connection = self._closes_connection()
+                exchange.close_connection = self._closes_connection(scope)
                 caller.cancel_when_left(task)
                 await self._relay.run(exchange, send)
                 outcome = "answered"
@@ -316,7 +316,10 @@
             event_pause_s=scope.get(EVENT_PAUSE_S, 0.0),
         )
 
-    def _closes_connection(self) -> bool:
+    def _closes_connection(self, scope: Mapping | None = None) -> bool:
+        if scope is not None and EVENT_PAUSE_S in scope:
+            # The connection is that of a peer, not one of the callers' connections.
+            return self.draining
         return self.draining or self._over_connection_limit()
 
     def _pick_pool(self, table: RoutingTable, route: Route) -> ServicePool:
@@ -525,7 +528,8 @@
         if refusal.retry_after_s is not None:
             wait = retry_after_text(refusal.retry_after_s)
             headers.append((b"retry-after", wait.encode()))
-        if self._closes_connection() or refusal.status in (400, 408, 413, 431):
+        closes = refusal.status in (400, 408, 413, 431)
+        if closes or self._closes_connection(scope):
             headers.append((b"connection", b"close"))
         scope[HOLD_HEAD]()
         start = {"type": "http.response.start", "status": refusal.status}
--- a/tests/test_handoff_edge.py
+++ b/tests/test_handoff_edge.py
@@ -217,6 +217,17 @@
         self.assertEqual(answer.replace(b"connection: close\r\n", b""), WHOLE)
         self.assertNotEqual(answer, WHOLE)
 
+    async def test_peer_with_many_callers_keeps_the_links_of_others(self):
+        """Guards against a new link and a new connection for each request."""
+        self.keep_alive_limit = -1
+        self.handoff.closes_connections = lambda: False
+        await self.start_peer()
+        reader, writer = await self.open()
+        for _ in range(2):
+            writer.write(request_bytes())
+            head, _ = await self.read_answer(reader)
+            self.assertNotIn(b"close", head.lower())
+
     async def test_bytes_after_an_answer_reach_no_caller(self):
         peer = await self.start_raw_peer(WHOLE + WHOLE.replace(b"whole", b"other"))
         reader, writer = await self.open()
