Spread prompt parts in demand over several homes

Queues of peers that had long been read made parts move.

Change: sends of each part are counted from own sends and from the rows of digests. A part gets one home for each two requests a second, and each request prefers one of them at random.

--- a/src/carobstair/core/engine_load.py
+++ b/src/carobstair/core/engine_load.py
@@ -128,7 +128,7 @@
         load.running += 1
         load.unanswered[id(sent)] = sent
         for segment, tokens in prompt.segments:
-            self.note_segment(upstream_id, segment, tokens)
+            self._keep_segment(load, segment, tokens)
         # The last segment belongs to this request only, so peers need not know it.
         self._recent_segments.extend(
             (upstream_id, s, t) for s, t in prompt.segments[:-1]
@@ -165,8 +165,13 @@
     # Cached segments
 
     def note_segment(self, upstream_id: str, segment: str, tokens: int) -> None:
+        """Record that a peer has sent a request with a segment to an engine."""
+        if self.homes.enabled:
+            self.homes.demand.note(segment)
+        self._keep_segment(self._load(upstream_id), segment, tokens)
+
+    def _keep_segment(self, load: _Load, segment: str, tokens: int) -> None:
         """Record that an engine has prefilled a segment or is prefilling it."""
-        load = self._load(upstream_id)
         load.cached_tokens += tokens - load.cached.pop(segment, 0)
         load.cached[segment] = tokens
         # Least recently used segments are evicted first, as in the engine.
@@ -510,7 +515,7 @@
         homes = NO_TERMS
         if self.homes.enabled:
             candidates = list(candidates)
-            homes = self._home_terms(candidates, prompt, service, now_s, cold)
+            homes = self._home_terms(candidates, prompt, service, now_s, cold, rng)
         if capacity is not None:
             return choose_engine(
                 candidates,
@@ -533,10 +538,11 @@
         per_limited_uncached_s = (
             settings.limited_uncached_weight / settings.prefill_tokens_per_s
         )
-        fresh_s = now_s - settings.report_lifetime_s
+        fresh_s = now_s - max(settings.report_lifetime_s, homes.report_lifetime_s)
         # The time to read the request's own prompt is no price that others pay.
         own_token_s = 1.0 / settings.prefill_tokens_per_s
         discounts, own_tokens = homes.discounts, homes.own_tokens
+        preferred, spread_s = homes.preferred, homes.spread_s
         bound_requests = homes.bound_requests
         best, lowest_s = "", math.inf
         for upstream_id, zone in candidates:
@@ -560,6 +566,8 @@
                 if discounts and upstream_id in discounts and uncached > own_tokens:
                     price_s = (per_token_s - own_token_s) * (uncached - own_tokens)
                     cost_s -= discounts[upstream_id] * price_s
+            if upstream_id == preferred:
+                cost_s -= spread_s
             if running > bound_requests:
                 room = load.reported_slots if load is not None else 0
                 excess = (running - bound_requests) / (room or settings.target_running)
@@ -620,6 +628,7 @@
         service: str,
         now_s: float,
         cold: Collection[str],
+        rng: random.Random,
     ) -> HomeTerms:
         """Return what homes change in the costs of engines for a request."""
         homes = self.homes
@@ -630,7 +639,7 @@
         if homes.is_due(service, now_s):
             running = {u: self.occupancy(u, now_s) for u in zones}
             homes.update(service, running, self._home_capacities(zones), now_s)
-        return homes.terms(service, keyed, prompt, zones, cold)
+        return homes.terms(service, keyed, prompt, zones, cold, rng)
 
     def _home_capacities(self, upstream_ids: Iterable[str]) -> dict[str, float]:
         """Return what engines take, of those for which it is estimated.
--- a/src/carobstair/core/prompt_homes/__init__.py
+++ b/src/carobstair/core/prompt_homes/__init__.py
@@ -4,9 +4,11 @@
 as `HomeTerms` of their costs, and counts where such requests are sent. `EngineRanking`
 ranks the engines of a service for a part by weighted rendezvous hashing, `WeightSteps`
 turns estimates of what engines take into the few weights that routers agree on, and
-`LoadBalance` bounds the load of an engine.
+`LoadBalance` bounds the load of an engine, and `PartDemand` counts the engines that a
+part in demand needs.
 """
 
+from carobstair.core.prompt_homes.demand import PartDemand
 from carobstair.core.prompt_homes.homes import HomeCounts, PromptHomes
 from carobstair.core.prompt_homes.load_balance import LoadBalance
 from carobstair.core.prompt_homes.ranking import EngineRanking
@@ -21,6 +23,7 @@
     "HomeSettings",
     "HomeTerms",
     "LoadBalance",
+    "PartDemand",
     "PromptHomes",
     "WeightSteps",
 ]
--- a/src/carobstair/core/prompt_homes/homes.py
+++ b/src/carobstair/core/prompt_homes/homes.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import math
+import random
 from collections import OrderedDict
 from collections.abc import Callable, Collection, Mapping, Sequence
 from dataclasses import dataclass, field
 from typing import Protocol
 
+from carobstair.core.prompt_homes.demand import PartDemand
 from carobstair.core.prompt_homes.load_balance import LoadBalance
 from carobstair.core.prompt_homes.ranking import EngineRanking
 from carobstair.core.prompt_homes.settings import HomeSettings
@@ -56,11 +59,15 @@
     zone: str
     enabled: bool = False
     counts: HomeCounts = field(default_factory=HomeCounts)
+    demand: PartDemand = field(init=False)
     _rankings: dict[str, EngineRanking] = field(default_factory=dict)
     _balances: dict[str, LoadBalance] = field(default_factory=dict)
     # First ranks at the last choice, by key, for the counts.
     _chosen: OrderedDict[str, list[str]] = field(default_factory=OrderedDict)
 
+    def __post_init__(self) -> None:
+        self.demand = PartDemand(self.settings)
+
     def enable(self) -> bool:
         """Let placement use homes from now on; return whether it did not before."""
         was_enabled, self.enabled = self.enabled, True
@@ -85,7 +92,8 @@
         keyed: tuple[str, int],
         prompt: KeyedPrompt,
         zones: Mapping[str, str],
-        cold: Collection[str] = (),
+        cold: Collection[str],
+        rng: random.Random,
     ) -> HomeTerms:
         """Return what homes change in the costs of engines for a request.
 
@@ -104,17 +112,30 @@
         self._chosen[key] = homes
         if len(self._chosen) > settings.max_keys:
             self._chosen.popitem(last=False)
-        discounts = {
-            u: 1.0 - p for u, p in zip(homes, settings.rank_prices, strict=False)
-        }
-        if len(homes) > 1 and zones[homes[1]] == self.zone != zones[homes[0]]:
+        prices = settings.rank_prices
+        needed = min(self.demand.homes_needed(prompt.segments[-2][0]), len(homes))
+        preferred = ""
+        spare_requests = balance.spare_requests
+        bound_requests = balance.bound_requests
+        if needed > 1:
+            # At random, as all routers would choose the one of the least stated load,
+            # which is known late.
+            preferred = homes[int(needed * rng.random())]
+            prices = (*prices[:1] * needed, *prices[1:])
+            spare_requests = bound_requests = math.inf
+        discounts = {u: 1.0 - p for u, p in zip(homes, prices, strict=False)}
+        if needed == 1 < len(homes) and zones[homes[1]] == self.zone != zones[homes[0]]:
             discounts[homes[1]] = 1.0 - settings.near_second_price
         return HomeTerms(
             discounts,
-            prompt.prompt_tokens - shared_tokens,
+            preferred,
+            settings.spread_s,
+            # Callers may state segments that are longer than the prompt.
+            max(0, prompt.prompt_tokens - shared_tokens),
+            settings.report_lifetime_s,
             settings.backlog_part,
-            balance.spare_requests,
-            balance.bound_requests,
+            spare_requests,
+            bound_requests,
             settings.balance_s,
         )
 
@@ -139,6 +160,7 @@
             What each engine takes, in any unit, of those for which it is estimated.
         """
         self._balance(service).update(running.values(), now_s)
+        self.demand.update(now_s)
         self._ranking(service).update(running, capacities, now_s)
 
     def note_send(
@@ -160,6 +182,7 @@
         keyed = self.key(prompt)
         if keyed is None:
             return
+        self.demand.note(prompt.segments[-2][0])
         homes = self._chosen.get(keyed[0], ())
         counts = self.counts
         if homes and homes[0] == upstream_id:
@@ -169,7 +192,7 @@
         else:
             counts.elsewhere += 1
         # Of the uncached tokens, those beyond the request's own segment are shared.
-        repeated = uncached_tokens - (prompt.prompt_tokens - keyed[1])
+        repeated = uncached_tokens - max(0, prompt.prompt_tokens - keyed[1])
         if repeated > 0 and is_held_elsewhere(prompt.segments[-2][0]):
             counts.repeated_tokens += repeated
 
--- a/src/carobstair/core/prompt_homes/ranking.py
+++ b/src/carobstair/core/prompt_homes/ranking.py
@@ -89,14 +89,13 @@
         self.steps.keep(upstream_ids)
 
     def _order(self, usable: list[str], zones: Mapping[str, str]) -> list[str]:
-        count = len(self.settings.rank_prices)
         first_zone = zones[usable[0]]
         for index in range(1, len(usable)):
             if zones[usable[index]] != first_zone:
                 if index > 1:
                     usable.insert(1, usable.pop(index))
                 break
-        return usable[:count]
+        return usable
 
     def _rank(self, key: str) -> tuple[str, ...]:
         settings = self.settings
--- a/src/carobstair/core/prompt_homes/settings.py
+++ b/src/carobstair/core/prompt_homes/settings.py
@@ -50,6 +50,18 @@
         Part of the cost of queued prompts that applies to requests with homes. The
         prompts that peers have queued are known 1 to 4 s late and are read within a
         second, so that at the full cost parts move because of queues that are gone.
+    report_lifetime_s : float
+        How long the load that an engine reported is used for such requests. It is
+        longer than for others, as the digests that it replaces are up to 4 s old.
+    demand_s : float
+        Interval in which sends of a part are counted: peers' digests are up to 4 s
+        apart.
+    home_requests_per_s : float
+        Requests a second for a part up to which one home is enough: a quarter of the
+        slots of an engine of 16 whose requests run for two seconds, as it has others.
+    spread_s : float
+        Cost of the homes that a request is not to prefer, where a part needs several,
+        so that the stale loads of its homes decide only if they differ much.
     enter_low, leave_low, enter_high, leave_high : float
         What an engine takes relative to the mean at which it gets and loses these
         weights. The distances exceed the deviation of routers' estimates, 0.2.
@@ -57,7 +69,7 @@
 
     min_tokens: int = 512
     rank_prices: tuple[float, ...] = (0.0, 0.25, 0.6, 0.8)
-    near_second_price: float = 0.05
+    near_second_price: float = 0.15
     max_keys: int = 4_096
     ranks_kept: int = 8
     weights_s: float = 2.0
@@ -66,9 +78,13 @@
     load_interval_s: float = 0.05
     balance_slack: float = 0.1
     balance_requests: float = 0.3
-    balance_s: float = 3.0
+    balance_s: float = 5.0
     balance_deviations: float = 1.0
     backlog_part: float = 0.33
+    report_lifetime_s: float = 1.5
+    demand_s: float = 2.0
+    home_requests_per_s: float = 2.0
+    spread_s: float = 0.25
     enter_low: float = 0.5
     leave_low: float = 0.75
     enter_high: float = 1.9
--- a/src/carobstair/core/prompt_homes/terms.py
+++ b/src/carobstair/core/prompt_homes/terms.py
@@ -18,8 +18,14 @@
     discounts : mapping
         Parts of the price that others pay for reading the shared tokens which do not
         apply, by upstream id; empty if the request has no homes.
+    preferred : str
+        The home that this request is to prefer if its part needs several, or empty.
+    spread_s : float
+        Cost of all other engines then.
     own_tokens : int
         Tokens of the prompt that are not shared.
+    report_lifetime_s : float
+        Age up to which reports of engines are used, if longer than usual.
     backlog_part : float
         Part of the cost of queued prompts that applies.
     spare_requests : float
@@ -31,7 +37,10 @@
     """
 
     discounts: Mapping[str, float] = field(default_factory=dict)
+    preferred: str = ""
+    spread_s: float = 0.0
     own_tokens: int = 0
+    report_lifetime_s: float = 0.0
     backlog_part: float = 1.0
     spare_requests: float = 0.0
     bound_requests: float = math.inf
--- a/src/carobstair/core/upstream_capacity/placement.py
+++ b/src/carobstair/core/upstream_capacity/placement.py
@@ -83,7 +83,7 @@
     """
     capacity.refresh(now_s)
     candidates = list(candidates)
-    fresh_s = now_s - weights.report_lifetime_s
+    fresh_s = now_s - max(weights.report_lifetime_s, homes.report_lifetime_s)
     if capacity.wants_fill(now_s):
         _measure_fill(candidates, capacity, zone, loads, peer_totals, fresh_s)
     settings, typical = capacity.settings, capacity.typical
@@ -94,10 +94,11 @@
     slot_wait_s = weights.slot_wait_s
     discounts, own_tokens = homes.discounts, homes.own_tokens
     backlog_part = homes.backlog_part
+    preferred, spread_s = homes.preferred, homes.spread_s
     spare_requests = homes.spare_requests if discounts else BALANCE_REQUESTS
     fair_fill = capacity.fill * (1.0 + settings.balance_slack)
     other_zone_s = _other_zone_s(capacity, weights)
-    balance_s = settings.balance_s
+    balance_s = homes.balance_s if discounts else settings.balance_s
     prompt_tokens, segments = prompt.prompt_tokens, prompt.segments
     loads_get, totals_get = loads.get, peer_totals.get
     without_memory: set[str] = set()
@@ -134,6 +135,8 @@
                 if discounts and upstream_id in discounts and uncached > own_tokens:
                     price_s = others_token_s * (uncached - own_tokens)
                     cost_s -= discounts[upstream_id] * price_s
+            if upstream_id == preferred:
+                cost_s -= spread_s
             if running >= room:
                 cost_s += slot_wait_s * (running - room + 1.0)
             excess = running - fair_fill * room - spare_requests
