Leave out the load of routers that report no more

Cause: the sums held the requests of a router that ended for 2.4 s. While three in five routers restart, the others would see most of the former load and leave engines idle.

Change: 0.8 s after its last report the collector no longer counts a router's requests at the engines, its backlog and what it admitted; its demand counts as long as before. Reports without requests by engine, as of pools without work-conserving admission, are kept as they are.

--- a/src/carobstair/core/share_collector.py
+++ b/src/carobstair/core/share_collector.py
@@ -13,6 +13,8 @@
 from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 
+import msgspec
+
 from carobstair.core.share_messages import PoolDemand, ShareTotals
 from carobstair.core.shares import rendezvous_rank
 
@@ -37,6 +39,10 @@
         Intervals after which a report or sum that was not repeated is dropped: long
         enough for the routers of a zone to find another collector. These are those of
         routers without load, also below.
+    load_intervals : int
+        Intervals after which the load in a report that was not repeated no longer
+        counts: requests of a router that ended have left the engines by then, and the
+        others would leave them idle.
     answer_intervals : int
         Intervals after which a collector that does not answer is passed over.
     replaced_intervals : int
@@ -51,6 +57,7 @@
     loaded_interval_s: float = 0.05
     loaded_full_rate_routers: int = 23
     expiry_intervals: int = 12
+    load_intervals: int = 4
     answer_intervals: int = 4
     replaced_intervals: int = 2
     avoid_s: float = 5.0
@@ -157,6 +164,12 @@
         for received in (self._reports, self._zones):
             for name in [n for n, r in received.items() if r.at_s < since_s]:
                 del received[name]
+        load_s = now_s - self.settings.load_intervals * interval_s
+        for report in self._reports.values():
+            if report.at_s < load_s:
+                report.pools = {
+                    pool: _without_load(row) for pool, row in report.pools.items()
+                }
         replaced_s = self.settings.replaced_intervals * interval_s
         newest_s: dict[str, float] = {}
         for row in self._zones.values():
@@ -201,6 +214,13 @@
         )
 
 
+def _without_load(row: PoolDemand) -> PoolDemand:
+    """Return the demand of a row whose load was estimated by engine."""
+    if not row.engines:
+        return row
+    return msgspec.structs.replace(row, admitted=0, engines={}, backlog_tokens=0)
+
+
 def _sum(parts: Iterable[Mapping[str, PoolDemand]]) -> dict[str, PoolDemand]:
     grouped: dict[str, list[PoolDemand]] = {}
     for part in parts:
--- a/tests/test_fill_limit.py
+++ b/tests/test_fill_limit.py
@@ -10,6 +10,7 @@
     FairAdmission,
 )
 from carobstair.core.admission.fill_limit import FillLimit
+from carobstair.core.share_collector import ShareCollector
 from carobstair.core.share_exchange import ShareExchange
 from carobstair.core.share_messages import PoolDemand, ShareReport, ShareTotals
 
@@ -151,6 +152,20 @@
         exchange.on_report("r1", ShareReport({"m": row}), 0.0)
         self.assertTrue(exchange.is_due(self.HEARD, 0.01))
 
+    def test_requests_of_a_router_that_ended_leave_no_load(self):
+        # While three in five routers restarted, the others left engines idle.
+        collector = ShareCollector()
+        row = PoolDemand({"w": 9}, admitted=5, samples=1, engines={"u0": 8})
+        old = PoolDemand({"w": 9}, admitted=5, samples=1)
+        collector.note_report("r1", {"m": row, "old": old}, 0.0)
+        collector.expire(0.2, 0.7)
+        self.assertEqual(collector.zone_totals()["m"].engines, {"u0": 8})
+        collector.expire(0.2, 0.9)
+        totals = collector.zone_totals()
+        self.assertEqual((totals["m"].engines, totals["m"].admitted), ({}, 0))
+        self.assertEqual(totals["m"].demands, {"w": 9})
+        self.assertEqual(totals["old"].admitted, 5)
+
     def test_exchange_is_calm_again_when_requests_have_ended(self):
         exchange, admission = self.make_exchange()
         self.ask(admission, 1.0, 0.0)
