Probe an upstream again when another answer of it breaks off

Cause: an upstream that is probed because of earlier answers is connected to after 0.02 s and again 0.3 s later. A retry also didn't wait for the probe if the event loop was late by more than the wait of 50 ms. Change: edge/end_probes.py, taken out of edge/crash_guard.py. A wait that ended late lasts as long again.

--- a/src/carobstair/edge/crash_guard.py
+++ b/src/carobstair/edge/crash_guard.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import time
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
@@ -20,11 +19,11 @@
 from carobstair.core.refusals import refuse
 from carobstair.core.segment_record import Incarnation
 from carobstair.core.segment_refusals import SegmentRefusals
+from carobstair.edge.end_probes import EndProbes
 from carobstair.edge.exchange import Exchange, Outcome
 from carobstair.edge.upstream_connection import (
     ConnectionBroken,
     ConnectionRefused,
-    connect,
 )
 from carobstair.logs import get_logger
 
@@ -32,15 +31,10 @@
 
 logger = get_logger(__name__)
 
-# Times after a broken answer at which the upstream is connected to: a process that
-# ends closes its connections and its listening socket within some milliseconds.
-PROBE_DELAYS_S = (0.02, 0.3)
 # Added to the time at which each further router, by rank, may try a segment again.
 TRIAL_INTERVAL_S = 0.1
 # Delays of ends that peers report are believed up to this.
 MAX_DELAY_S = 60.0
-# Maximum time that a retry waits for the first probe.
-PROBE_WAIT_S = 0.05
 # A refused connect shows that an upstream has ended only while others are reached:
 # otherwise the fault may be on this router's side.
 CONTACT_S = 2.0
@@ -82,7 +76,7 @@
     _contacts_s: dict[str, float] = field(default_factory=dict)
     # Upstreams that refused a connection while no other had been reached.
     _refused_s: dict[Incarnation, float] = field(default_factory=dict)
-    _probes: dict[Incarnation, asyncio.Task] = field(default_factory=dict)
+    _probes: EndProbes = field(init=False)
     # Watched upstreams that the store listed as draining.
     _leaving: set[Incarnation] = field(default_factory=set)
     # Segments that this router has told its peers of.
@@ -90,6 +84,7 @@
 
     def __post_init__(self) -> None:
         self.refusals = self.evidence.refusals
+        self._probes = EndProbes(self.note_unreachable, self._note_alive)
 
     def admit(self, exchange: Exchange) -> None:
         """Refuse a request with a refused segment, unless it is a trial.
@@ -167,7 +162,7 @@
                 how = AttemptEnd.UNPROVEN
         exchange.is_suspect = self.evidence.end(exchange.tracked, how, now_s)
         if exchange.is_suspect:
-            self._probe(entry)
+            self._probes.begin(entry, broken=True)
         self.publish()
 
     async def wait_for_probe(self, exchange: Exchange, entry: UpstreamEntry) -> None:
@@ -176,9 +171,8 @@
         Without it, the retry would reach the next upstream before the evidence of
         the last one counts.
         """
-        probe = self._probes.get((entry.upstream_id, entry.born_ms))
-        if exchange.is_suspect and probe is not None:
-            await asyncio.wait({probe}, timeout=PROBE_WAIT_S)
+        if exchange.is_suspect:
+            await self._probes.wait((entry.upstream_id, entry.born_ms))
 
     def note_contact(
         self, entry: UpstreamEntry, now_s: float, other_incarnation: bool = False
@@ -226,7 +220,7 @@
         for upstream_id, _ in self.evidence.unproven_upstreams(now_s):
             listed = directory.find(upstream_id)
             if listed is not None:
-                self._probe(listed.entry)
+                self._probes.begin(listed.entry)
         self.evidence.count_late(now_s)
         self.evidence.expire(now_s)
         for upstream_id, at_s in list(self._contacts_s.items()):
@@ -239,28 +233,7 @@
             self.evidence.note_ended(upstream, now_s)
             self.publish()
 
-    def _probe(self, entry: UpstreamEntry) -> None:
-        upstream = entry.upstream_id, entry.born_ms
-        if upstream not in self._probes:
-            task = asyncio.create_task(self._probe_until_refused(entry))
-            self._probes[upstream] = task
-            task.add_done_callback(lambda _: self._probes.pop(upstream, None))
-
-    async def _probe_until_refused(self, entry: UpstreamEntry) -> None:
-        for delay_s in PROBE_DELAYS_S:
-            await asyncio.sleep(delay_s)
-            try:
-                connection = await connect(entry.host, entry.port)
-            except ConnectionBroken as error:
-                logger.info(
-                    "upstream_probe_failed",
-                    upstream=entry.upstream_id,
-                    detail=str(error),
-                )
-                self.note_unreachable(entry, error)
-                return
-            connection.abort()
-        # A process that ended would still be starting again.
+    def _note_alive(self, entry: UpstreamEntry) -> None:
         upstream = entry.upstream_id, entry.born_ms
         self.evidence.note_alive(upstream, time.monotonic())
         self.publish()
--- a/tests/test_crashing_prompts.py
+++ b/tests/test_crashing_prompts.py
@@ -8,10 +8,12 @@
 import aiohttp
 
 from carobstair.core.crash_evidence import CrashEvidence
+from carobstair.edge.end_probes import PROBE_WAIT_S
 from carobstair.edge.router import CLEANUP_INTERVAL_S
 from crashing_engines import CrashingEngine, prompt_headers
 from edge_test_case import EdgeCase, wait_until
 from platform_standins import make_config, make_route
+from steady_clock import occupy
 
 # The platform's rule: engines that may end before it is known, and requests after.
 ENDS_ALLOWED = 5
@@ -99,6 +101,20 @@
                     )
                     await self.check_refusal_within(ENDS_ALLOWED)
 
+    async def test_retry_of_a_late_router_waits_for_the_evidence(self):
+        # The time of the wait is over before the router has looked for the upstream.
+        loop, crash = asyncio.get_running_loop(), CrashingEngine.crash
+
+        def crash_and_delay(engine):
+            crash(engine)
+            loop.call_later(0.005, occupy, 2 * PROBE_WAIT_S)
+
+        with mock.patch.object(CrashingEngine, "crash", crash_and_delay):
+            await self.start_engines(10, crash_after="before_head", crash_by="close")
+            # On a connection that is open, a retry is sent at once.
+            await asyncio.gather(*(self.send("warm") for _ in range(40)))
+            await self.check_refusal_within(ENDS_ALLOWED)
+
     async def test_answers_that_end_with_their_connection_are_evidence(self):
         for crash_after in ("head", "event", "in_event"):
             with self.subTest(crash_after):
