Check attempts and cold rates against the limits on sends

Cause: the configuration check had no rule on attempts beyond the budget of resends and on a cold rate above what engines take, as no document holds the figures. A rule whose figure is missing is named in the output.

--- a/src/carobstair/cli/config_check.py
+++ b/src/carobstair/cli/config_check.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 import uuid
 from collections import Counter
 from collections.abc import Mapping, Sequence
@@ -15,14 +16,17 @@
 from carobstair.core.config_check import (
     CheckSettings,
     Finding,
+    Unchecked,
     check_routing,
     check_ticket,
     format_path,
     state_of_ticket,
+    unchecked_rules,
     unreadable,
 )
 from carobstair.core.routing import RoutingConfig
 from carobstair.core.state import FleetState
+from carobstair.edge.settings import EdgeSettings
 from carobstair.models import (
     ModelError,
     decode_state,
@@ -30,9 +34,11 @@
     encode_core_ticket,
     invalid_fields,
 )
+from carobstair.platform.boot import load_boot_settings
 from carobstair.platform.config_check import FIELD_NAMES, is_routing, parse_routing
+from carobstair.settings_error import SettingsError
 
-__all__ = ["check_documents"]
+__all__ = ["check_documents", "make_check_settings"]
 
 _FIELDS = msgspec.json.Decoder(dict[str, msgspec.Raw])
 
@@ -54,6 +60,53 @@
     is_routing: bool
 
 
+def make_check_settings(
+    path: Path | None,
+    body_memory_bytes: int | None,
+    retry_ratio: float | None,
+    engines: Sequence[str],
+) -> CheckSettings:
+    """Return the figures that the rules need; options precede the settings file.
+
+    Parameters
+    ----------
+    path : Path or None
+        Settings file of a router.
+    engines : sequence of str
+        ``SERVICE=N`` for each service whose number of engines is known.
+    """
+    figures: dict[str, object] = {}
+    if path is not None:
+        edge = _edge_settings(path)
+        figures = {
+            "body_memory_bytes": edge.max_body_memory_bytes,
+            "resend_ratio": edge.send_limits.resend_ratio,
+            "cold_overshoot": edge.send_limits.cold_overshoot,
+            "cold_slack": edge.send_limits.cold_slack,
+        }
+    if body_memory_bytes is not None:
+        figures["body_memory_bytes"] = body_memory_bytes
+    if retry_ratio is not None:
+        if not 0.0 <= retry_ratio < math.inf:
+            fail(f"--retry-ratio {retry_ratio}: not a ratio of 0 or more", EXIT_USAGE)
+        figures["resend_ratio"] = retry_ratio
+    return CheckSettings(**figures, engines=dict(map(_engine_count, engines)))
+
+
+def _edge_settings(path: Path) -> EdgeSettings:
+    try:
+        return load_boot_settings(path)
+    except SettingsError as error:
+        fail(str(error), EXIT_USAGE)
+
+
+def _engine_count(text: str) -> tuple[str, int]:
+    service, separator, count = text.rpartition("=")
+    if not separator or not service or not count.isdecimal() or int(count) < 1:
+        fail(f"--engines {text}: not SERVICE=N with N of 1 or more", EXIT_USAGE)
+    return service, int(count)
+
+
 def check_documents(
     path: Path, in_force: Sequence[Path], as_json: bool, settings: CheckSettings
 ) -> int:
@@ -70,6 +123,7 @@
     for other in others:
         if other.is_routing is not document.is_routing:
             fail(f"{path} and {other.path} are documents of two kinds", EXIT_USAGE)
+    unchecked: list[Unchecked] = []
     if document.is_routing:
         if len(others) > 1:
             fail("only one configuration can be in force", EXIT_USAGE)
@@ -79,6 +133,7 @@
             findings = unreadable(problems)
         else:
             findings = check_routing(config, known, settings)
+            unchecked = unchecked_rules(config, settings)
         names = FIELD_NAMES
     else:
         state = None
@@ -87,9 +142,9 @@
         findings = _check_ticket(document.data, state)
         names = {}
     if as_json:
-        _print_json(document, findings, names)
+        _print_json(document, findings, unchecked, names)
     else:
-        _print_text(path, findings, names)
+        _print_text(path, findings, unchecked, names)
     return EXIT_FAILED if findings else 0
 
 
@@ -135,7 +190,10 @@
 
 
 def _print_json(
-    document: _Document, findings: list[Finding], names: Mapping[str, str]
+    document: _Document,
+    findings: list[Finding],
+    unchecked: list[Unchecked],
+    names: Mapping[str, str],
 ) -> None:
     rows = [
         {
@@ -147,18 +205,41 @@
         }
         for finding in findings
     ]
+    not_checked = [
+        {
+            "rule": entry.rule,
+            "path": format_path(entry.path, names),
+            "missing": entry.missing,
+            "option": entry.option,
+        }
+        for entry in unchecked
+    ]
     kind = "configuration" if document.is_routing else "ticket"
-    print(json.dumps({"document": kind, "findings": rows}, indent=2))
+    text = {"document": kind, "findings": rows, "not_checked": not_checked}
+    print(json.dumps(text, indent=2))
 
 
-def _print_text(path: Path, findings: list[Finding], names: Mapping[str, str]) -> None:
+def _print_text(
+    path: Path,
+    findings: list[Finding],
+    unchecked: list[Unchecked],
+    names: Mapping[str, str],
+) -> None:
     for finding in findings:
         place = format_path(finding.path, names)
         line = f"{place}: {finding.severity} {finding.rule}: {finding.message}"
         print(_printable(f"{line} {finding.action}"))
     counts = Counter(finding.severity.value for finding in findings)
     parts = [f"{severity} {count}" for severity, count in counts.items()]
-    print(f"{path}: {', '.join(parts) or 'nothing found'}")
+    text = f"{path}: {', '.join(parts) or 'nothing found'}"
+    needed: dict[str, list[str]] = {}
+    for entry in unchecked:
+        options = needed.setdefault(entry.rule, [])
+        if entry.option not in options:
+            options.append(entry.option)
+    for rule, options in needed.items():
+        text += f"; {rule} not checked, needs {', '.join(options)}"
+    print(_printable(text))
 
 
 def _printable(text: str) -> str:
--- a/src/carobstair/cli/ticket.py
+++ b/src/carobstair/cli/ticket.py
@@ -21,9 +21,8 @@
 from cyclopts import Parameter
 from pydantic import Field
 
-from carobstair.cli.config_check import check_documents
+from carobstair.cli.config_check import check_documents, make_check_settings
 from carobstair.cli.program import EXIT_FAILED, fail, make_app, read_settings, run
-from carobstair.core.config_check import DEFAULT_BODY_MEMORY_BYTES, CheckSettings
 from carobstair.models import ModelError, TicketModel, encode_ticket, parse_model
 from carobstair.settings import ProgramSettings, Section
 
@@ -172,7 +171,10 @@
     *,
     in_force: list[Path] | None = None,
     as_json: Annotated[bool, Parameter(name="--json")] = False,
-    body_memory_bytes: int = DEFAULT_BODY_MEMORY_BYTES,
+    body_memory_bytes: int | None = None,
+    retry_ratio: float | None = None,
+    engines: list[str] | None = None,
+    settings: Path | None = None,
 ) -> None:
     """Check a ticket or a routing configuration, and what it changes for callers.
 
@@ -186,10 +188,18 @@
     as_json : bool
         Print the findings as JSON.
     body_memory_bytes : int
-        Memory for request bodies of the smallest router.
+        Memory for request bodies of the smallest router; 64 MiB if nothing states it.
+    retry_ratio : float
+        Resends that the fleet allows, as a fraction of the requests.
+    engines : list of str
+        SERVICE=N, the number of engines of a service; one for each service.
+    settings : Path
+        Settings file of a router (TOML), for the figures that no option states.
     """
-    settings = CheckSettings(body_memory_bytes)
-    sys.exit(check_documents(document, in_force or (), as_json, settings))
+    figures = make_check_settings(
+        settings, body_memory_bytes, retry_ratio, engines or ()
+    )
+    sys.exit(check_documents(document, in_force or (), as_json, figures))
 
 
 def main() -> None:
--- a/src/carobstair/core/config_check/__init__.py
+++ b/src/carobstair/core/config_check/__init__.py
@@ -20,6 +20,7 @@
     Severity,
     format_path,
 )
+from carobstair.core.config_check.send_limits import Unchecked, unchecked_rules
 
 __all__ = [
     "DEFAULT_BODY_MEMORY_BYTES",
@@ -29,9 +30,11 @@
     "Path",
     "Problem",
     "Severity",
+    "Unchecked",
     "check_routing",
     "check_ticket",
     "format_path",
     "state_of_ticket",
+    "unchecked_rules",
     "unreadable",
 ]
--- a/src/carobstair/core/config_check/check.py
+++ b/src/carobstair/core/config_check/check.py
@@ -12,6 +12,7 @@
 )
 from carobstair.core.config_check.findings import CheckSettings, Finding
 from carobstair.core.config_check.limits import contradicting_limits
+from carobstair.core.config_check.send_limits import limits_on_sends
 from carobstair.core.config_check.ticket_differences import ticket_differences
 from carobstair.core.config_check.ticket_entries import unmatched_entries
 from carobstair.core.config_check.unreachable import unreachable_entries
@@ -36,7 +37,9 @@
     # Routers start at version 0 and only take newer ones.
     findings = version_number(config.version, in_force.version if in_force else 0)
     findings += unreachable_entries(config)
-    findings += contradicting_limits(config, settings or CheckSettings())
+    settings = settings or CheckSettings()
+    findings += contradicting_limits(config, settings)
+    findings += limits_on_sends(config, settings)
     if in_force is not None:
         findings += differences(config, in_force)
     return findings
--- a/src/carobstair/core/config_check/findings.py
+++ b/src/carobstair/core/config_check/findings.py
@@ -4,9 +4,11 @@
 
 import re
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import StrEnum
 
+from carobstair.core.send_limits import SendLimitSettings
+
 __all__ = [
     "DEFAULT_BODY_MEMORY_BYTES",
     "CheckSettings",
@@ -68,9 +70,19 @@
     body_memory_bytes : int
         Memory for request bodies of the smallest router; the default is that of
         routers.
+    resend_ratio : float or None
+        Resends that the fleet allows, as a fraction of the requests; None if unknown.
+    engines : mapping of str to int
+        Number of engines by service, where it is known.
+    cold_overshoot, cold_slack : float
+        See `SendLimitSettings`.
     """
 
     body_memory_bytes: int = DEFAULT_BODY_MEMORY_BYTES
+    resend_ratio: float | None = None
+    engines: Mapping[str, int] = field(default_factory=dict)
+    cold_overshoot: float = SendLimitSettings().cold_overshoot
+    cold_slack: float = SendLimitSettings().cold_slack
 
 
 def format_path(path: Path, names: Mapping[str, str] | None = None) -> str:
--- a/src/carobstair/core/config_check/limits.py
+++ b/src/carobstair/core/config_check/limits.py
@@ -13,7 +13,7 @@
 )
 from carobstair.core.routing import RequestKind, Route, RoutingConfig, ServicePool
 
-__all__ = ["contradicting_limits"]
+__all__ = ["contradicting_limits", "strictest_objectives"]
 
 
 def contradicting_limits(
@@ -22,7 +22,7 @@
     """Report limits that can't be met or used together; 0 means no limit."""
     for index, route in enumerate(config.routes):
         yield from _route(route, ("routes", index))
-    objectives = _objectives(config)
+    objectives = strictest_objectives(config)
     for index, pool in enumerate(config.services):
         yield from _service(pool, objectives.get(pool.name), ("services", index))
     size_bytes = config.limits.max_body_bytes
@@ -97,7 +97,7 @@
         )
 
 
-def _objectives(config: RoutingConfig) -> dict[str, float]:
+def strictest_objectives(config: RoutingConfig) -> dict[str, float]:
     """Return the strictest objective of the routes to each service."""
     objectives: dict[str, float] = {}
     for route in config.routes:
