Look at the bytes of a request only once it has a peer

Cause: requests that are not drawn for the hand-off were matched against the pattern of a single request first; a failed connect was counted under a key of its own, which the bound on log lines does not know. Change: the peer is chosen first, and the log key is that of the line. Tests of the hand-off, of callers and of bounded connections pass.

--- a/src/carobstair/edge/handoff_driver.py
+++ b/src/carobstair/edge/handoff_driver.py
@@ -89,11 +89,11 @@
         """Return a new request that is to be handed off, or None to serve it here."""
         utilisation = self._early.utilisation()
         part = self.decision.part(utilisation, len(self._open))
-        if not part or not self._has_memory() or not is_single_request(data):
+        if not part or not self._has_memory():
             return None
         now_s = time.monotonic()
         peer = self.decision.choose(utilisation, part, self._rng, now_s)
-        if peer is None:
+        if peer is None or not is_single_request(data):
             return None
         route = self._refusals.find_route(data)
         if route is None or route.kind is not RequestKind.STREAM:
@@ -147,7 +147,7 @@
 
     def _on_failure(self, peer: HandoffPeer, reason: str) -> None:
         self.decision.peers.note_failure(peer, time.monotonic())
-        if not is_suppressed(__name__, "handoff_peer_unreached", peer.name):
+        if not is_suppressed(__name__, "handoff_peer_unreached"):
             logger.info("handoff_peer_unreached", peer=peer.name, detail=reason)
 
     def log_counts(self) -> None:
