Keep followers that become busy together watching

Cause: a selected router that became busy relied at once on announcements that the other followers had sent before they became busy; if all did in one tick, none watched for 1 to 2 s. Change: such a router, also one in fallback, watches on as `relieved` for at least 0.7 s and announces that it is busy.

--- a/src/carobstair/core/store_following/duty.py
+++ b/src/carobstair/core/store_following/duty.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Collection
 from dataclasses import dataclass
@@ -18,7 +19,7 @@
 
     # One of the first routers of its zone.
     SELECTED = "selected"
-    # The same, but too busy; it goes on until another router watches.
+    # The same, but too busy; it goes on for `relief_s`, and until another watches.
     RELIEVED = "relieved"
     # No router on which it could rely is heard.
     FALLBACK = "fallback"
@@ -56,6 +57,7 @@
     role: Role = Role.ALONE
     _is_busy: bool = False
     _fallback_at_s: float | None = None
+    _relieved_s: float = -math.inf
 
     def update(
         self,
@@ -112,16 +114,30 @@
         if not good:
             return self._without_others(is_selected, now_s)
         self._fallback_at_s = None
-        if self.role.watches and self.role is not Role.ALONE and not is_selected:
+        if is_selected and self.role.watches:
+            # `good` holds routers that became busy in the same tick, until they say so.
+            return self._relieve(now_s)
+        if self.role.watches and self.role is not Role.ALONE:
             # Several routers may watch that are not among the first, or no longer: the
             # first of them in rank goes on.
             before = {*first, *ranked[: ranked.index(self.own)]}
             return Role.RELYING if before & set(good) else Role.FALLBACK
         return Role.RELYING
 
+    def _relieve(self, now_s: float) -> Role:
+        """Return the role of a busy router that is one of the first and watches."""
+        if self.role is not Role.RELIEVED:
+            self._relieved_s = now_s
+        is_over = now_s - self._relieved_s >= self.settings.relief_s
+        return Role.RELYING if is_over else Role.RELIEVED
+
     def _without_others(self, is_selected: bool, now_s: float) -> Role:
         if self.role is Role.SELECTED or (self.role is Role.RELIEVED and is_selected):
-            return Role.RELIEVED if is_selected else Role.FALLBACK
+            if not is_selected:
+                return Role.FALLBACK
+            if self.role is Role.SELECTED:
+                self._relieved_s = now_s
+            return Role.RELIEVED
         if self.role.watches:
             return Role.FALLBACK
         if self._fallback_at_s is None:
--- a/src/carobstair/core/store_following/settings.py
+++ b/src/carobstair/core/store_following/settings.py
@@ -19,6 +19,10 @@
     busy_from, calm_below : float
         Utilisation from which a router leaves the watching to others, and below which
         it watches again. The distance keeps it from changing with each measurement.
+    relief_s : float
+        How long a selected router that became busy watches on at least: longer than
+        `announce_every_s`, so that one announcement that it is busy may be lost before
+        it relies on others, which may have become busy at the same time.
     announce_every_s : float
         Interval of announcements while nothing changes; two may be lost before a
         receiver watches by itself.
@@ -78,6 +82,7 @@
     followers_per_zone: int = 3
     busy_from: float = 0.8
     calm_below: float = 0.65
+    relief_s: float = 0.7
     announce_every_s: float = 0.5
     announce_gap_s: float = 0.05
     silence_s: float = 1.5
--- a/tests/test_store_following.py
+++ b/tests/test_store_following.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from functools import partial
 
 from carobstair.core.fleet_view import Stamp, StateKind, StoreChange
 from carobstair.core.messages import FollowNews, StateNews, StatePull, StateRow
@@ -89,9 +90,10 @@
         async def one(seed):
             fleet = Fleet(count, seed=seed, **options)
             await asyncio.sleep(6.0 + seed / 3.0)
-            self.assertEqual(len(fleet.watching()), min(3, count))
+            watching = fleet.watching()
+            self.assertEqual(len(watching), min(3, count))
             try:
-                await scenario(fleet, fleet.watching()[seed % 3])
+                await scenario(fleet, watching[seed % len(watching)])
             finally:
                 for name in list(fleet.routers):
                     fleet.kill(name)
@@ -234,6 +236,24 @@
 
         self.play(scenario)
 
+    def test_followers_that_become_busy_together_do_not_rely_on_each_other(self):
+        # Each had a recent announcement of the others, from before they were busy.
+        async def scenario(fleet, follower, everyone=False):
+            for name in list(fleet.routers) if everyone else fleet.watching():
+                fleet.routers[name].utilisation = 0.9
+            await asyncio.sleep(0.2)
+            self.assertGreaterEqual(len(fleet.watching()), 1)
+            await fleet.configure(2, 0.5)
+            for version in range(3, 7):
+                await asyncio.sleep(0.7)
+                self.assertGreaterEqual(len(fleet.watching()), 1)
+                await fleet.configure(version, 0.5)
+
+        for count in (2, ROUTERS):
+            for everyone in (False, True):
+                with self.subTest(count=count, everyone=everyone):
+                    self.play(partial(scenario, everyone=everyone), count, seeds=6)
+
     def test_routers_of_an_older_release_that_rank_first_do_not_announce(self):
         async def scenario(fleet, follower):
             for name in fleet.watching():
