Do not rely on announcements that lack a kind of state

Cause: a receiver that follows roll-outs was never behind a sender that does not, and kept old roll-outs. Change: an announcement can be relied upon only if it has stamps of every kind of the receiver. Result: new test fails before, passes now; test_store_following passes (18 tests).

--- a/src/carobstair/core/store_following/announcers.py
+++ b/src/carobstair/core/store_following/announcers.py
@@ -21,6 +21,8 @@
     ----------
     changed, read : dict
         Stamps by kind; see `FollowNews`.
+    has_all_kinds : bool
+        Whether the sender follows every kind that this router follows.
     """
 
     changed: dict[StateKind, Stamp]
@@ -29,6 +31,7 @@
     steady: bool
     is_busy: bool
     heard_s: float
+    has_all_kinds: bool = True
 
     @classmethod
     def of(
@@ -38,13 +41,22 @@
         changed = zip(kinds, map(Stamp, news.eras, news.changed), strict=False)
         read = zip(kinds, map(Stamp, news.eras, news.read), strict=False)
         return cls(
-            dict(changed), dict(read), news.answers, news.steady, news.is_busy, now_s
+            dict(changed),
+            dict(read),
+            news.answers,
+            news.steady,
+            news.is_busy,
+            now_s,
+            min(len(news.eras), len(news.changed), len(news.read)) >= len(kinds),
         )
 
     @property
     def is_good(self) -> bool:
-        """Whether others may rely on the sender."""
-        return self.answers and not self.is_busy
+        """Whether this router may rely on the sender.
+
+        It would never learn of changes of a kind that the sender does not follow.
+        """
+        return self.answers and not self.is_busy and self.has_all_kinds
 
 
 @dataclass(slots=True)
--- a/tests/test_store_following.py
+++ b/tests/test_store_following.py
@@ -4,14 +4,16 @@
 import unittest
 from functools import partial
 
-from carobstair.core.fleet_view import Stamp, StateKind, StoreChange
+from carobstair.core.fleet_view import BASE_KINDS, Stamp, StateKind, StoreChange
 from carobstair.core.messages import FollowNews, StateNews, StatePull, StateRow
 from carobstair.core.store_following import (
     MAX_STATE_ROWS,
+    FollowingSettings,
     ReadStamps,
     contiguous_answers,
     select_rows,
 )
+from carobstair.core.store_following.announcers import Announced, Announcers
 from following_fleet import Fleet, run_virtually
 from platform_standins import make_config, make_upstream_entry
 from test_store_restore import make_view
@@ -81,6 +83,23 @@
         self.assertIsNone(self.answer(250)[0].complete_at)
 
 
+class AnnouncerTest(unittest.TestCase):
+    """Guards against reliance on announcements that say too little."""
+
+    def test_sender_that_lacks_a_kind_of_the_receiver_is_not_relied_upon(self):
+        # The receiver would keep old roll-outs.
+        kinds = (*BASE_KINDS, StateKind.ROLLOUTS)
+        for sent, expected in ((BASE_KINDS, ([], ["r1"])), (kinds, (["r1"],) * 2)):
+            stamps = [1] * len(sent)
+            news = FollowNews([0] * len(sent), stamps, stamps, True)
+            good = []
+            for own in (kinds, BASE_KINDS):
+                announcers = Announcers(FollowingSettings())
+                announcers.note("r1", Announced.of(news, own, 0.0))
+                good.append(announcers.good(1.0))
+            self.assertEqual(tuple(good), expected)
+
+
 class FleetTest(unittest.TestCase):
     """Guards against state that is not in effect at all routers in time."""
 
