Notice that the store fails calls of one urgent kind only

Cause: a success of any kind reset the failure, so that followers whose calls for the configuration failed went on saying that the store answers, and nobody else watched.

--- a/src/carobstair/core/store_following/__init__.py
+++ b/src/carobstair/core/store_following/__init__.py
@@ -15,13 +15,18 @@
     select_rows,
 )
 from carobstair.core.store_following.duty import Role, WatchDuty
-from carobstair.core.store_following.following import NewsEffect, StoreFollowing
+from carobstair.core.store_following.following import (
+    URGENT_KINDS,
+    NewsEffect,
+    StoreFollowing,
+)
 from carobstair.core.store_following.pulls import PullPlan
 from carobstair.core.store_following.read_stamps import ReadStamps
 from carobstair.core.store_following.settings import FollowingSettings
 
 __all__ = [
     "MAX_STATE_ROWS",
+    "URGENT_KINDS",
     "Announced",
     "Announcers",
     "FollowNews",
--- a/src/carobstair/core/store_following/following.py
+++ b/src/carobstair/core/store_following/following.py
@@ -4,7 +4,7 @@
 
 import math
 import random
-from collections.abc import Collection, Sequence
+from collections.abc import Collection, Iterable, Sequence
 from dataclasses import dataclass, field
 
 from carobstair.core.fleet_view import StateKind, StoreAvailability
@@ -17,7 +17,7 @@
 from carobstair.core.store_following.settings import FollowingSettings
 from carobstair.core.store_stamp import Stamp
 
-__all__ = ["NewsEffect", "StoreFollowing"]
+__all__ = ["URGENT_KINDS", "NewsEffect", "StoreFollowing"]
 
 # Kinds that must be in effect within 2 s of the store's answer.
 URGENT_KINDS = frozenset(
@@ -84,6 +84,9 @@
     _announced: tuple[bool, bool, bool] = (False, False, False)
     _has_changes: bool = False
     _verified_s: float = -math.inf
+    # By kind, since when its calls have failed, and since when an answer is expected.
+    _failing_since_s: dict[StateKind, float] = field(default_factory=dict)
+    _expected_since_s: dict[StateKind, float] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         settings, rng = self.settings, self.rng
@@ -106,6 +109,10 @@
         peers : collection of str
             Routers of the zone that are heard.
         """
+        if not self.watches:
+            # What was true of calls made before says nothing of the next ones.
+            self._failing_since_s.clear()
+            self._expected_since_s.clear()
         return self.duty.update(
             all(self.reads.read(kind) is not None for kind in self.kinds),
             peers,
@@ -115,6 +122,23 @@
             now_s,
         )
 
+    # Calls of the store
+
+    def note_success(self, kind: StateKind) -> None:
+        """Record that the store answered a call."""
+        self._failing_since_s.pop(kind, None)
+        self._expected_since_s.pop(kind, None)
+
+    def note_failure(self, kind: StateKind, now_s: float) -> None:
+        """Record that a call failed."""
+        if kind in URGENT_KINDS:
+            self._failing_since_s.setdefault(kind, now_s)
+
+    def expect_answers(self, kinds: Iterable[StateKind], now_s: float) -> None:
+        """Record that calls which return at once check the store."""
+        for kind in kinds:
+            self._expected_since_s.setdefault(kind, now_s)
+
     # Waits and pauses of the watches
 
     def watch_wait_s(self, kind: StateKind, now_s: float) -> float | None:
@@ -189,10 +213,12 @@
             return False
         if now_s - availability.last_success_s > settings.answered_within_s:
             return False
-        is_unverified = self._verified_s > availability.last_success_s
-        if is_unverified and now_s - self._verified_s > settings.verify_for_s:
+        expected_s = min(self._expected_since_s.values(), default=now_s)
+        if now_s - expected_s > settings.verify_for_s:
             return False
-        failing_s = availability.failing_for_s(now_s)
+        # Another kind that is answered must not hide that an urgent one is not.
+        failing_s = now_s - min(self._failing_since_s.values(), default=now_s)
+        failing_s = max(failing_s, availability.failing_for_s(now_s))
         if not failing_s:
             return True
         # A second router without answers shows that it is not a single call.
--- a/src/carobstair/core/store_following/settings.py
+++ b/src/carobstair/core/store_following/settings.py
@@ -36,8 +36,8 @@
     answered_within_s : float
         Age of the store's last answer up to which the store counts as answering.
     failing_for_s : float
-        How long all calls fail before the store counts as not answering. A single call
-        that fails is repeated within this time.
+        How long all calls, or those of one urgent kind, fail before the store counts as
+        not answering. A single call that fails is repeated within this time.
     first_wait_s : float
         Longest watch of the first of the watching routers, for state that must take
         effect within 2 s. Only the end of a watch shows that its answer was lost, and
--- a/src/carobstair/edge/follower.py
+++ b/src/carobstair/edge/follower.py
@@ -14,7 +14,11 @@
     StateKind,
     StoreAvailability,
 )
-from carobstair.core.store_following import FollowingSettings, StoreFollowing
+from carobstair.core.store_following import (
+    URGENT_KINDS,
+    FollowingSettings,
+    StoreFollowing,
+)
 from carobstair.edge.settings import SyncSettings
 from carobstair.edge.state_store import (
     Listing,
@@ -117,10 +121,13 @@
             wake.set()
 
     def verify(self) -> None:
-        """Check by a short call that the store still answers this router."""
-        if self._reads.read(StateKind.UPSTREAMS):
-            self._unsure.add(StateKind.UPSTREAMS)
-            self._interrupt((StateKind.UPSTREAMS,))
+        """Check by short calls that the store still answers watches of urgent kinds."""
+        kinds = [
+            k for k in self._view.kinds if k in URGENT_KINDS and self._is_watching(k)
+        ]
+        self._unsure.update(kinds)
+        self._interrupt(kinds)
+        self._following.expect_answers(kinds, time.monotonic())
 
     def note_era(self, era: int) -> None:
         """List again, if a peer has read a newer era of the store."""
@@ -141,12 +148,15 @@
         if self._era is None or era > self._era:
             self._note_era(era)
 
+    def _is_watching(self, kind: StateKind) -> bool:
+        task = self._watches.get(kind)
+        return task is not None and not task.done()
+
     def _interrupt(self, kinds: Iterable[StateKind]) -> None:
         for kind in kinds:
-            task = self._watches.get(kind)
-            if task is not None and not task.done():
+            if self._is_watching(kind):
                 self._interrupted.add(kind)
-                task.cancel()
+                self._watches[kind].cancel()
 
     def _end_watches(self) -> None:
         """End all watches as if their history was lost."""
@@ -246,7 +256,7 @@
         if stamp is None:
             listing = await self._store.list(kind)
             self._note_era(listing.era)
-            grace_until_s = self._note_success()
+            grace_until_s = self._note_success(kind)
             names = self._view.apply_list(
                 kind,
                 listing.changes,
@@ -258,7 +268,7 @@
             self._reads.note_list(kind, Stamp(listing.era, listing.revision))
         else:
             listing = await self._watch(kind, stamp)
-            grace_until_s = self._note_success()
+            grace_until_s = self._note_success(kind)
             names = self._view.apply(
                 kind, listing.changes, grace_until_s, time.monotonic()
             )
@@ -298,14 +308,16 @@
         self._end_watches()
         self._on_restore()
 
-    def _note_success(self) -> float | None:
+    def _note_success(self, kind: StateKind) -> float | None:
         now_s = time.monotonic()
+        self._following.note_success(kind)
         if self._availability.note_success(now_s):
             logger.info("store_regained")
         return self._availability.grace_until_s(now_s)
 
     def _note_failure(self, kind: StateKind, error: StoreError) -> None:
         self._unsure.add(kind)
+        self._following.note_failure(kind, time.monotonic())
         if self._availability.grace_until_s(time.monotonic()) is None:
             logger.warning("store_lost", kind=str(kind), error=str(error))
         self._availability.note_failure(time.monotonic())
--- a/tests/following_fleet.py
+++ b/tests/following_fleet.py
@@ -51,7 +51,10 @@
 
 
 class FakeStore:
-    """A store with revisions and eras; `refused` and `hung` are names of routers."""
+    """A store with revisions and eras.
+
+    `refused` and `hung` are names of routers, or pairs of a router and a kind.
+    """
 
     def __init__(self):
         self.revision, self.era, self.compacted, self.calls = 1, 0, 0, 0
@@ -102,13 +105,13 @@
         return {name: c for (k, name), c in self.objects.items() if k is kind}
 
     async def _list(self, router, kind):
-        await self._begin(router, CALL_TIMEOUT_S)
+        await self._begin(router, kind, CALL_TIMEOUT_S)
         return Listing(list(self.named(kind).values()), self.revision, self.era)
 
     async def _watch(self, router, kind, revision, wait_s, era=0):
         loop = asyncio.get_running_loop()
         until_s = loop.time() + wait_s
-        await self._begin(router, wait_s + WATCH_MARGIN_S)
+        await self._begin(router, kind, wait_s + WATCH_MARGIN_S)
         while True:
             if self.era != era or revision < self.compacted:
                 raise RevisionExpired("410")
@@ -120,17 +123,17 @@
                 {asyncio.create_task(self._changed.wait())}, timeout=left_s
             )
         is_lost = kind in self.lost_kinds and loop.time() < self.lost_until_s
-        if router in self.hung or is_lost:
+        if is_lost or {router, (router, kind)} & self.hung:
             await asyncio.sleep(left_s + WATCH_MARGIN_S)
             raise StoreUnavailable("no answer")
         return Listing(found, max(revision, self.revision), era)
 
-    async def _begin(self, router, timeout_s):
+    async def _begin(self, router, kind, timeout_s):
         self.calls += 1
         await asyncio.sleep(CALL_S)
-        if router in self.refused:
+        if {router, (router, kind)} & self.refused:
             raise StoreUnavailable("refused")
-        if router in self.hung:
+        if {router, (router, kind)} & self.hung:
             await asyncio.sleep(timeout_s)
             raise StoreUnavailable("no answer")
 
--- a/tests/test_store_following.py
+++ b/tests/test_store_following.py
@@ -170,6 +170,23 @@
             with self.subTest(fault=fault):
                 self.play(scenario)
 
+    def test_calls_of_one_kind_fail_at_all_followers(self):
+        # The calls of the other kinds, which are answered, must not hide it.
+        for kind in (StateKind.ROUTING, EVACUATIONS):
+            for fault in ("refused", "hung"):
+
+                async def scenario(fleet, follower, fault=fault, kind=kind):
+                    pairs = {(name, kind) for name in fleet.watching()}
+                    fleet.store.hung |= pairs
+                    if fault == "refused":
+                        fleet.store.refused |= pairs
+                    fleet.store.put(EVACUATIONS, "a", {})
+                    left_s = 3.3 - await fleet.configure(2, 3.3)
+                    await fleet.until(lambda r: r.view.directory.evacuated, left_s)
+
+                with self.subTest(kind=kind, fault=fault):
+                    self.play(scenario)
+
     def test_answers_to_all_watches_are_lost(self):
         async def scenario(fleet, follower):
             fleet.store.lost_kinds = {StateKind.ROUTING}
