Renew pending watches when following is enabled or a router becomes first

Cause: watches in flight kept the waits of the large fleet (12 to 20 s) or of a router that is not first (up to 6.6 s), and a lost answer was noticed only after them. Change: pending watches of urgent kinds are ended once, spread over 0.5 s at random.

--- a/src/carobstair/core/store_following/following.py
+++ b/src/carobstair/core/store_following/following.py
@@ -141,12 +141,16 @@
 
     # Waits and pauses of the watches
 
+    def is_first(self, now_s: float) -> bool:
+        """Return whether no router on which others rely ranks before this one."""
+        return self.duty.is_first(self.announcers.good(now_s))
+
     def watch_wait_s(self, kind: StateKind, now_s: float) -> float | None:
         """Return the wait of the next watch, or None for that of a rare kind."""
         if kind not in URGENT_KINDS:
             return None
         settings = self.settings
-        if self.duty.is_first(self.announcers.good(now_s)):
+        if self.is_first(now_s):
             longest_s = settings.first_wait_s
         elif kind is StateKind.UPSTREAMS:
             longest_s = settings.other_upstreams_wait_s
@@ -165,8 +169,9 @@
             return settings.routers_pause_s
         if kind is not StateKind.UPSTREAMS:
             return None
-        is_first = self.duty.is_first(self.announcers.good(now_s))
-        return settings.first_pause_s if is_first else settings.other_pause_s
+        return (
+            settings.first_pause_s if self.is_first(now_s) else settings.other_pause_s
+        )
 
     # Announcements
 
--- a/src/carobstair/edge/follower.py
+++ b/src/carobstair/edge/follower.py
@@ -129,6 +129,15 @@
         self._interrupt(kinds)
         self._following.expect_answers(kinds, time.monotonic())
 
+    def renew_watches(self) -> None:
+        """Begin the watches of urgent kinds again, with the waits that apply now.
+
+        The wait of a pending watch is that of the role or fleet at its begin, and until
+        it is over a lost answer is not noticed.
+        """
+        # A call that returns at once needs no other wait.
+        self._interrupt(URGENT_KINDS - self._unsure)
+
     def note_era(self, era: int) -> None:
         """List again, if a peer has read a newer era of the store."""
         if self._era is None or era <= max(self._era, self._relisted_era or 0):
--- a/src/carobstair/edge/store_following.py
+++ b/src/carobstair/edge/store_following.py
@@ -35,6 +35,9 @@
 # A small part of the time after which a silent router is replaced; a turn takes some
 # 10 us in a zone of 30 routers.
 TICK_S = 0.1
+# Time over which the routers of a fleet end their pending watches when this is enabled:
+# each makes four calls.
+RENEW_SPREAD_S = 0.5
 
 
 class StoreFollowingDriver:
@@ -83,6 +86,7 @@
         self._enabled = asyncio.Event()
         self._timer: asyncio.TimerHandle | None = None
         self._pulled = False
+        self._was_first = True
         metrics.watches_store.set(1)
         follower.on_changes_read = self._on_changes_read
         gossip.on_answer = self._on_answer
@@ -104,11 +108,15 @@
     async def run(self) -> None:
         """Decide on the role and send what is due, until cancelled."""
         await self._enabled.wait()
+        self._renew_watches_soon()
         while True:
             self._tick(time.monotonic())
             await asyncio.sleep(TICK_S * self._rng.uniform(0.9, 1.1))
 
     def _tick(self, now_s: float) -> None:
+        was_first, self._was_first = self._was_first, self._following.is_first(now_s)
+        if self._was_first and not was_first and self._following.watches:
+            self._renew_watches_soon()
         heard = self._gossip.heard_by_zone().get(self._settings.zone, [])
         watched = self._following.watches
         if self._following.update(heard, self._utilisation(), now_s):
@@ -120,6 +128,11 @@
                 self._follower.note_role()
         self._send_due(now_s)
 
+    def _renew_watches_soon(self) -> None:
+        asyncio.get_running_loop().call_later(
+            self._rng.uniform(0.0, RENEW_SPREAD_S), self._follower.renew_watches
+        )
+
     def _send_due(self, now_s: float) -> None:
         """Send the announcement and the pull that are due, and set the next timer."""
         following = self._following
--- a/tests/test_store_following.py
+++ b/tests/test_store_following.py
@@ -4,19 +4,10 @@
 import unittest
 from functools import partial
 
-from carobstair.core.fleet_view import BASE_KINDS, Stamp, StateKind, StoreChange
-from carobstair.core.messages import FollowNews, StateNews, StatePull, StateRow
-from carobstair.core.store_following import (
-    MAX_STATE_ROWS,
-    FollowingSettings,
-    ReadStamps,
-    contiguous_answers,
-    select_rows,
-)
-from carobstair.core.store_following.announcers import Announced, Announcers
+from carobstair.core.fleet_view import StateKind
+from carobstair.core.messages import FollowNews
 from following_fleet import Fleet, run_virtually
 from platform_standins import make_config, make_upstream_entry
-from test_store_restore import make_view
 
 ROUTERS = 12
 # In effect at every router, from the store's answer on.
@@ -24,82 +15,6 @@
 EVACUATIONS = StateKind.EVACUATIONS
 
 
-class AnswerTest(unittest.TestCase):
-    """Guards against answers to pulls that leave something out."""
-
-    def setUp(self):
-        self.view, self.reads = make_view(), ReadStamps()
-
-    def list(self, *changes, revision=100):
-        kind = EVACUATIONS
-        self.view.apply_list(kind, changes, revision, None, 0.0, 0)
-        self.reads.note_list(kind, Stamp(0, revision))
-
-    def answer(self, revision):
-        pull = StatePull({"evacuations": revision}, {}, True)
-        return list(contiguous_answers(self.view, self.reads, pull, True))
-
-    def test_removal_before_the_list_of_the_sender_reaches_the_receiver(self):
-        # Neither the list nor the newest change of the sender shows the removal.
-        self.list(StoreChange("a", 90, b"{}"))
-        (news,) = self.answer(95)
-        self.assertEqual(
-            (news.complete_at, [r.name for r in news.rows]), ((0, 100), ["a"])
-        )
-        receiver = make_view()
-        known = [StoreChange("a", 90, b"{}"), StoreChange("b", 93, b"{}")]
-        receiver.apply(EVACUATIONS, known, None, 0.0)
-        rows = [StoreChange(r.name, r.revision, r.spec, r.era) for r in news.rows]
-        receiver.apply_list(EVACUATIONS, rows, 100, None, 0.0, 0)
-        self.assertEqual(receiver.directory.evacuated, {"a"})
-
-    def test_peer_that_missed_a_removal_does_not_bring_the_object_back(self):
-        self.list(StoreChange("a", 90, b"{}"))
-        rows = [StateRow("a", 90, b"{}"), StateRow("b", 95, b"{}")]
-        rows.append(StateRow("c", 101, b"{}"))
-        for complete_at, names in ((None, ["a", "c"]), ((0, 99), None)):
-            news = StateNews("evacuations", rows, True, complete_at)
-            selected = select_rows(news, self.view, self.reads)
-            self.assertEqual(selected and [row.name for row in selected], names)
-
-    def test_long_answer_says_how_far_it_goes(self):
-        self.list()
-        changes = [StoreChange(f"z{n}", 101 + n, b"{}") for n in range(450)]
-        self.view.apply(EVACUATIONS, changes, None, 0.0)
-        self.reads.note_changes(EVACUATIONS, Stamp(0, 100), Stamp(0, 600), True)
-        (news,) = self.answer(100)
-        self.assertEqual(len(news.rows), MAX_STATE_ROWS)
-        self.assertEqual((news.since, news.through), ((0, 100), (0, 500)))
-        (rest,) = self.answer(500)
-        self.assertEqual((len(rest.rows), rest.through), (50, (0, 600)))
-        self.assertEqual(self.answer(600), [])
-
-    def test_removals_that_are_no_longer_kept_take_a_whole_list(self):
-        self.list()
-        changes = [StoreChange(f"z{n}", 101 + n, None) for n in range(2100)]
-        self.view.apply(EVACUATIONS, changes, None, 0.0)
-        self.reads.note_changes(EVACUATIONS, Stamp(0, 100), Stamp(0, 2300), True)
-        self.assertIsNotNone(self.answer(150)[0].complete_at)
-        self.assertIsNone(self.answer(250)[0].complete_at)
-
-
-class AnnouncerTest(unittest.TestCase):
-    """Guards against reliance on announcements that say too little."""
-
-    def test_sender_that_lacks_a_kind_of_the_receiver_is_not_relied_upon(self):
-        # The receiver would keep old roll-outs.
-        kinds = (*BASE_KINDS, StateKind.ROLLOUTS)
-        for sent, expected in ((BASE_KINDS, ([], ["r1"])), (kinds, (["r1"],) * 2)):
-            stamps = [1] * len(sent)
-            news = FollowNews([0] * len(sent), stamps, stamps, True)
-            good = []
-            for own in (kinds, BASE_KINDS):
-                announcers = Announcers(FollowingSettings())
-                announcers.note("r1", Announced.of(news, own, 0.0))
-                good.append(announcers.good(1.0))
-            self.assertEqual(tuple(good), expected)
-
-
 class FleetTest(unittest.TestCase):
     """Guards against state that is not in effect at all routers in time."""
 
@@ -189,13 +104,46 @@
 
     def test_answers_to_all_watches_are_lost(self):
         async def scenario(fleet, follower):
-            fleet.store.lost_kinds = {StateKind.ROUTING}
-            now_s = asyncio.get_running_loop().time()
-            fleet.store.lost_until_s = now_s + 0.3
+            self.lose_answers(fleet)
             await fleet.configure(2, 2.2)
 
         self.play(scenario)
 
+    def lose_answers(self, fleet):
+        fleet.store.lost_kinds = {StateKind.ROUTING}
+        fleet.store.lost_until_s = asyncio.get_running_loop().time() + 0.3
+
+    def test_watches_from_before_it_was_enabled_do_not_hide_lost_answers(self):
+        # Their waits are 12 to 20 s in a large fleet.
+        async def scenario(seed):
+            fleet = Fleet(ROUTERS, is_enabled=False, seed=seed)
+            for router in fleet.routers.values():
+                router.follower._count_peers = lambda: 61
+            await asyncio.sleep(20.0 + seed)
+            for router in fleet.routers.values():
+                router.driver.enable()
+            await asyncio.sleep(0.7)
+            self.lose_answers(fleet)
+            await fleet.configure(2, 2.2)
+
+        for seed in range(8):
+            with self.subTest(seed=seed):
+                run_virtually(scenario(seed))
+
+    def test_router_that_becomes_first_does_not_keep_longer_waits(self):
+        async def scenario(fleet, follower):
+            now_s = asyncio.get_running_loop().time()
+            watching = fleet.watching()
+            routers = [fleet.routers[name].following for name in watching]
+            (first,) = [r.own for r in routers if r.is_first(now_s)]
+            fleet.kill(first)
+            # Its last announcement counts for 1.5 s.
+            await asyncio.sleep(2.2)
+            self.lose_answers(fleet)
+            await fleet.configure(2, 2.2)
+
+        self.play(scenario, seeds=8)
+
     def test_router_whose_pulls_are_lost_watches_by_itself(self):
         async def scenario(fleet, follower):
             name = next(n for n in fleet.routers if n not in fleet.watching())
--- /dev/null
+++ b/tests/test_store_following_messages.py
@@ -0,0 +1,97 @@
+"""Tests of the messages between routers that leave the watching to a few of them."""
+
+import unittest
+
+from carobstair.core.fleet_view import BASE_KINDS, Stamp, StateKind, StoreChange
+from carobstair.core.messages import FollowNews, StateNews, StatePull, StateRow
+from carobstair.core.store_following import (
+    MAX_STATE_ROWS,
+    FollowingSettings,
+    ReadStamps,
+    contiguous_answers,
+    select_rows,
+)
+from carobstair.core.store_following.announcers import Announced, Announcers
+from test_store_restore import make_view
+
+EVACUATIONS = StateKind.EVACUATIONS
+
+
+class AnswerTest(unittest.TestCase):
+    """Guards against answers to pulls that leave something out."""
+
+    def setUp(self):
+        self.view, self.reads = make_view(), ReadStamps()
+
+    def list(self, *changes, revision=100):
+        kind = EVACUATIONS
+        self.view.apply_list(kind, changes, revision, None, 0.0, 0)
+        self.reads.note_list(kind, Stamp(0, revision))
+
+    def answer(self, revision):
+        pull = StatePull({"evacuations": revision}, {}, True)
+        return list(contiguous_answers(self.view, self.reads, pull, True))
+
+    def test_removal_before_the_list_of_the_sender_reaches_the_receiver(self):
+        # Neither the list nor the newest change of the sender shows the removal.
+        self.list(StoreChange("a", 90, b"{}"))
+        (news,) = self.answer(95)
+        self.assertEqual(
+            (news.complete_at, [r.name for r in news.rows]), ((0, 100), ["a"])
+        )
+        receiver = make_view()
+        known = [StoreChange("a", 90, b"{}"), StoreChange("b", 93, b"{}")]
+        receiver.apply(EVACUATIONS, known, None, 0.0)
+        rows = [StoreChange(r.name, r.revision, r.spec, r.era) for r in news.rows]
+        receiver.apply_list(EVACUATIONS, rows, 100, None, 0.0, 0)
+        self.assertEqual(receiver.directory.evacuated, {"a"})
+
+    def test_peer_that_missed_a_removal_does_not_bring_the_object_back(self):
+        self.list(StoreChange("a", 90, b"{}"))
+        rows = [StateRow("a", 90, b"{}"), StateRow("b", 95, b"{}")]
+        rows.append(StateRow("c", 101, b"{}"))
+        for complete_at, names in ((None, ["a", "c"]), ((0, 99), None)):
+            news = StateNews("evacuations", rows, True, complete_at)
+            selected = select_rows(news, self.view, self.reads)
+            self.assertEqual(selected and [row.name for row in selected], names)
+
+    def test_long_answer_says_how_far_it_goes(self):
+        self.list()
+        changes = [StoreChange(f"z{n}", 101 + n, b"{}") for n in range(450)]
+        self.view.apply(EVACUATIONS, changes, None, 0.0)
+        self.reads.note_changes(EVACUATIONS, Stamp(0, 100), Stamp(0, 600), True)
+        (news,) = self.answer(100)
+        self.assertEqual(len(news.rows), MAX_STATE_ROWS)
+        self.assertEqual((news.since, news.through), ((0, 100), (0, 500)))
+        (rest,) = self.answer(500)
+        self.assertEqual((len(rest.rows), rest.through), (50, (0, 600)))
+        self.assertEqual(self.answer(600), [])
+
+    def test_removals_that_are_no_longer_kept_take_a_whole_list(self):
+        self.list()
+        changes = [StoreChange(f"z{n}", 101 + n, None) for n in range(2100)]
+        self.view.apply(EVACUATIONS, changes, None, 0.0)
+        self.reads.note_changes(EVACUATIONS, Stamp(0, 100), Stamp(0, 2300), True)
+        self.assertIsNotNone(self.answer(150)[0].complete_at)
+        self.assertIsNone(self.answer(250)[0].complete_at)
+
+
+class AnnouncerTest(unittest.TestCase):
+    """Guards against reliance on announcements that say too little."""
+
+    def test_sender_that_lacks_a_kind_of_the_receiver_is_not_relied_upon(self):
+        # The receiver would keep old roll-outs.
+        kinds = (*BASE_KINDS, StateKind.ROLLOUTS)
+        for sent, expected in ((BASE_KINDS, ([], ["r1"])), (kinds, (["r1"],) * 2)):
+            stamps = [1] * len(sent)
+            news = FollowNews([0] * len(sent), stamps, stamps, True)
+            good = []
+            for own in (kinds, BASE_KINDS):
+                announcers = Announcers(FollowingSettings())
+                announcers.note("r1", Announced.of(news, own, 0.0))
+                good.append(announcers.good(1.0))
+            self.assertEqual(tuple(good), expected)
+
+
+if __name__ == "__main__":
+    unittest.main()
