--- a/tests/test_store_following_messages.py
+++ b/tests/test_store_following_messages.py
@@ -2,8 +2,9 @@
 
 import unittest
 
+from carobstair.core.document_bounds import MAX_DOCUMENT_BYTES
 from carobstair.core.fleet_view import BASE_KINDS, Stamp, StateKind, StoreChange
-from carobstair.core.messages import FollowNews, StateNews, StatePull, StateRow
+from carobstair.core.messages import FollowNews, StateNews, StatePull, StateRow, encode
 from carobstair.core.store_following import (
     MAX_STATE_ROWS,
     FollowingSettings,
@@ -67,6 +68,33 @@
         self.assertEqual((len(rest.rows), rest.through), (50, (0, 600)))
         self.assertEqual(self.answer(600), [])
 
+    def test_large_answer_does_not_exceed_what_a_peer_may_send(self):
+        # The receiver would close the connection of a peer that sends 512 KiB at once.
+        self.list()
+        changes = [StoreChange(f"z{n}", 101 + n, bytes(100_000)) for n in range(9)]
+        # The largest document must get through as well.
+        changes[4] = StoreChange("z4", 105, bytes(MAX_DOCUMENT_BYTES))
+        sizes, received = [], {}
+        for kind in BASE_KINDS:
+            self.view.apply_list(kind, [], 100, None, 0.0, 0)
+            self.view.apply(kind, changes, None, 0.0)
+            self.reads.note_list(kind, Stamp(0, 100))
+            self.reads.note_changes(kind, Stamp(0, 100), Stamp(0, 200), True)
+            received[kind.value] = []
+        known = dict.fromkeys(received, 100)
+        while min(known.values()) < 200:
+            pull = StatePull(known, {}, True)
+            answers = list(contiguous_answers(self.view, self.reads, pull, True))
+            sizes.append(sum(len(encode(news, "r1", 1, 0, 0)) for news in answers))
+            self.assertTrue(answers)
+            for news in answers:
+                self.assertEqual(news.since, (0, known[news.kind]))
+                received[news.kind] += [row.name for row in news.rows]
+                known = {**known, news.kind: news.through[1]}
+        self.assertLess(max(sizes), 512 * 1024)
+        for names in received.values():
+            self.assertEqual(names, [change.name for change in changes])
+
     def test_removals_that_are_no_longer_kept_take_a_whole_list(self):
         self.list()
         changes = [StoreChange(f"z{n}", 101 + n, None) for n in range(2100)]
