Keep the grace for removals until all followers are steady

Cause: one follower whose call was pending during a short outage, and so did not notice it, took the grace from all routers that rely on announcements. Change: removals are applied at once only if all followers that the store answers say so.

--- a/src/carobstair/core/store_following/announcers.py
+++ b/src/carobstair/core/store_following/announcers.py
@@ -91,4 +91,5 @@
     def is_steady(self, now_s: float) -> bool | None:
         """Return whether removals may be applied at once; None if nobody says so."""
         states = [a.steady for a in self.fresh(now_s).values() if a.answers]
-        return any(states) if states else None
+        # A follower whose call was pending during a short outage has not noticed it.
+        return all(states) if states else None
--- a/tests/test_store_following_messages.py
+++ b/tests/test_store_following_messages.py
@@ -120,6 +120,22 @@
                 good.append(announcers.good(1.0))
             self.assertEqual(tuple(good), expected)
 
+    def test_follower_that_did_not_notice_an_outage_does_not_end_the_grace(self):
+        # Upstreams that expired during the outage would be removed at once.
+        cases = (
+            ([(True, True), (True, False)], False),
+            ([(True, False), (True, True)], False),
+            ([(True, True), (False, False)], True),
+            ([(False, True)], None),
+        )
+        for conditions, expected in cases:
+            announcers = Announcers(FollowingSettings())
+            for number, (answers, steady) in enumerate(conditions):
+                news = FollowNews([0], [1], [1], answers, steady)
+                announced = Announced.of(news, BASE_KINDS[:1], 0.0)
+                announcers.note(f"r{number}", announced)
+            self.assertIs(announcers.is_steady(1.0), expected)
+
 
 if __name__ == "__main__":
     unittest.main()
