--- a/src/carobstair/core/store_following/settings.py
+++ b/src/carobstair/core/store_following/settings.py
@@ -19,6 +19,10 @@
     busy_from, calm_below : float
         Utilisation from which a router leaves the watching to others, and below which
         it watches again. The distance keeps it from changing with each measurement.
+    relief_s : float
+        How long a selected router that became busy watches on at least: longer than
+        `announce_every_s`, so that one announcement that it is busy may be lost before
+        it relies on others, which may have become busy at the same time.
     announce_every_s : float
         Interval of announcements while nothing changes; two may be lost before a
         receiver watches by itself.
@@ -32,8 +36,8 @@
     answered_within_s : float
         Age of the store's last answer up to which the store counts as answering.
     failing_for_s : float
-        How long all calls fail before the store counts as not answering. A single call
-        that fails is repeated within this time.
+        How long all calls, or those of one urgent kind, fail before the store counts as
+        not answering. A single call that fails is repeated within this time.
     first_wait_s : float
         Longest watch of the first of the watching routers, for state that must take
         effect within 2 s. Only the end of a watch shows that its answer was lost, and
@@ -78,6 +82,7 @@
     followers_per_zone: int = 3
     busy_from: float = 0.8
     calm_below: float = 0.65
+    relief_s: float = 0.7
     announce_every_s: float = 0.5
     announce_gap_s: float = 0.05
     silence_s: float = 1.5
