Do not take a workspace below the max-min level for a surge

The even share falls with the number of workspaces. Beside 20 small and 2 hot ones it is 1/23 of the supply while the level is 0.3, so a workspace that began to ask for 0.08 was limited for 1.5 s. The even share is now used only while there is no level.

--- a/src/carobstair/core/admission/pool_shares.py
+++ b/src/carobstair/core/admission/pool_shares.py
@@ -70,7 +70,10 @@
             Demand at all routers.
         """
         before = self.sustained.get(workspace, first)
-        return first > max(self.even_share, SURGE * before)
+        # Where some ask for less than the even share, the level is above it. While
+        # all known demand can be met, the level is infinite and bounds no surge.
+        share = self.level if math.isfinite(self.level) else self.even_share
+        return first > max(share, SURGE * before)
 
     def is_beyond(self, workspace: str, first: float) -> bool:
         """Return whether a workspace asks for more than its share.
--- a/tests/test_fill_limit.py
+++ b/tests/test_fill_limit.py
@@ -90,6 +90,25 @@
         self.assertLess(sum(admitted), 10)
         self.assertTrue(self.ask("small", 1_000.0, 10.1))
 
+    def test_workspace_between_the_even_share_and_the_level_is_not_a_surge(self):
+        # Two hot workspaces raise the number of workspaces, not what each is due: a
+        # third of what the small ones leave, and not a 23rd of the whole.
+        others = {f"small{n}": 2_000 for n in range(20)}
+        others |= {f"hot{n}": 200_000 for n in range(2)}
+        admitted = []
+        for step in range(1_000):
+            now_s = step / 100
+            if step % 20 == 0:
+                row = PoolDemand(others, 100_000, 22, engines={"u0": 224})
+                self.admission.note_totals(ShareTotals({"m": row}), now_s)
+            self.ask("small0", 1.0, now_s)
+            if step >= 850:
+                admitted.append(self.ask("new", 80.0, now_s))
+        pool = self.admission._conserving.pools["m"]
+        self.assertLess(pool.even_share, 8_000.0)
+        self.assertGreater(pool.level, 8_000.0)
+        self.assertEqual(admitted, [True] * 150)
+
 
 class RoomShareTest(unittest.TestCase):
     """Guards against room that is given in proportion to the number of requests."""
