Connect less often to an upstream that lives and breaks off all answers

Each further broken answer began a probe again after 0.02 s, so each router connected about 19 times a second. The delay now doubles with each start of a probe, and a probe has at most six starts: at most 7 connects in a second.

--- a/src/carobstair/edge/end_probes.py
+++ b/src/carobstair/edge/end_probes.py
@@ -26,9 +26,12 @@
 # If the wait ends later than that by this, the event loop was late, and so was the
 # probe.
 LATE_WAIT_S = 0.01
-# Times that further broken answers begin a probe again; it must come to a result at an
-# upstream that lives and breaks off all its answers.
-MAX_RENEWALS = 8
+# Number of first connects of a probe, as further broken answers begin it again. It must
+# come to a result at an upstream that lives and breaks off all its answers.
+MAX_STARTS = 6
+# Factor by which the first delay grows with each of them. With a constant delay, all
+# routers of a large fleet together connected to such an upstream 1,800 times a second.
+DELAY_GROWTH = 2.0
 
 
 @dataclass(slots=True)
@@ -68,7 +71,7 @@
         ----------
         broken : bool
             Whether an answer has just broken off; the upstream is then connected to
-            soon, even if a connect succeeded before.
+            again, even if a connect succeeded before. This is later each time.
         """
         upstream = entry.upstream_id, entry.born_ms
         probe = self._probes.get(upstream)
@@ -90,9 +93,9 @@
             await asyncio.wait({probe.task}, timeout=PROBE_WAIT_S)
 
     async def _run(self, entry: UpstreamEntry, broken: asyncio.Event) -> None:
-        for _ in range(MAX_RENEWALS):
+        for start in range(MAX_STARTS):
             broken.clear()
-            await asyncio.sleep(FIRST_DELAY_S)
+            await asyncio.sleep(FIRST_DELAY_S * DELAY_GROWTH**start)
             if await self._is_unreachable(entry):
                 return
             # An answer that broke off since then may be the first sign of the end.
