Test early digests by the loop that sends them

The test called the check and the sending itself, and passed if Gossip.run did not consult the drift. It now runs that loop on virtual time; it fails if the loop looks at the interval only.

--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -1,10 +1,12 @@
 """Tests of the content, rate and size of the digests that routers exchange."""
 
 import asyncio
+import time
 import unittest
 
 from carobstair.core.engine_load import LoadTracker, PlacementSettings, PromptShape
 from carobstair.core.messages import FleetDigest, PeerAddress, encode
+from following_fleet import run_virtually
 from gossip_nodes import RecordingTransport, make_node
 
 
@@ -36,22 +38,6 @@
         cross_zone = [p for names, p in self.sent.sent if "p0" not in names]
         return same_zone, cross_zone
 
-    def send_in_turns(self, first, end, prompts=0):
-        """Send the digests that are due in turns of 10 ms; return them.
-
-        A prompt begins in each of the first turns. The turns are simulated, so that
-        the number of prompts between two digests doesn't depend on the machine.
-        """
-        gossip, group = self.node.gossip, self.node.gossip._same_zone_group
-        self.sent.sent.clear()
-        for turn in range(first, end):
-            if turn - first < prompts:
-                prompt = PromptShape(40_000, 10, ((f"own{turn}", 40_000),))
-                self.node.loads.begin("u0", prompt, 0.0)
-            if gossip._is_due(group, turn * 0.01):
-                gossip._send_digest(group, ["p0"], turn * 0.01)
-        return [payload for _, payload in self.sent.sent]
-
     async def test_peer_is_present_before_it_is_heard_and_not_after_it_falls_silent(
         self,
     ):
@@ -82,15 +68,6 @@
         self.assertAlmostEqual(digests[False] / digests[True], 4, delta=0.2)
         self.assertAlmostEqual(digests[False], 200, delta=3)
 
-    async def test_router_whose_load_changes_sends_it_early(self):
-        # On a large site, one router had most of a zone's requests, and the others
-        # placed theirs on the engines that it had just filled.
-        self.add_peers(40, 0)
-        idle = self.send_in_turns(1, 41)
-        busy = self.send_in_turns(41, 81, prompts=30)
-        self.assertGreater(len(busy), 1.5 * len(idle))
-        self.assertGreater(busy[-1].loads[0].backlog_tokens, 1_000_000)
-
     async def test_each_zone_receives_every_segment_once(self):
         self.add_peers(10, 20)
         for number in range(5):
@@ -116,6 +93,38 @@
         self.assertLess(len(data), 1_400)
 
 
+class LoadChangeTest(unittest.TestCase):
+    """Guards against a load that peers learn of only at the next regular digest.
+
+    On a large site, one router had most of a zone's requests, and the others placed
+    theirs on the engines that it had just filled.
+    """
+
+    def test_router_whose_load_changes_sends_it_early(self):
+        idle, busy = run_virtually(self.run_idle_and_busy())
+        self.assertGreater(len(busy), 1.5 * len(idle))
+        self.assertGreater(busy[-1].loads[0].backlog_tokens, 1_000_000)
+
+    async def run_idle_and_busy(self):
+        """Return the digests of 0.4 s without requests and of 0.4 s with prompts."""
+        sent = RecordingTransport()
+        node = make_node("r0", 7400, sent, digest_s=0.01)
+        for number in range(40):
+            node.gossip.add(PeerAddress(f"p{number}", 1, "127.0.0.1", 1, 1, "a"))
+        task = asyncio.create_task(node.gossip.run())
+        periods = []
+        for prompts in (0, 30):
+            first = len(sent.sent)
+            for turn in range(40):
+                if turn < prompts:
+                    prompt = PromptShape(40_000, 10, ((f"own{turn}", 40_000),))
+                    node.loads.begin("u0", prompt, time.monotonic())
+                await asyncio.sleep(0.01)
+            periods.append([payload for _, payload in sent.sent[first:]])
+        task.cancel()
+        return periods
+
+
 class RecentSegmentsTest(unittest.TestCase):
     """Guards against new segments missed by one of several readers."""
 
