--- a/tests/steady_clock.py
+++ b/tests/steady_clock.py
@@ -59,7 +59,7 @@
     """Use such a clock for the running event loop and for `time.monotonic`.
 
     A call that blocks the event loop without work, such as `time.sleep`, doesn't take
-    time then; see `occupy`.
+    time then; see `occupy`. `test_blocking_calls` looks for such calls.
     """
     loop = asyncio.get_running_loop()
     selector = loop._selector
