Place requests at the free homes of their part with admission by room

Cause: EngineRoom.narrow left two of all engines, rarely a home, and homes were ranked among these two. Change: homes are ranked among all engines that may be used, and the first two are added that have a free slot which others have not filled within the age of the sums. The second of the drawn engines still comes from those that hold the part.

--- a/src/carobstair/core/admission/room.py
+++ b/src/carobstair/core/admission/room.py
@@ -17,6 +17,8 @@
 LOAD_TTL_S = 0.05
 # Engines with a free slot that are tried for one request.
 TRIED_ENGINES = 3
+# Homes with a free slot that are added to the engines drawn: a part has two.
+HOME_CHOICES = 2
 # Shared part of a prompt for which the engines that hold it are looked up.
 MIN_HELD_TOKENS = 512
 # Backlog of a single engine that counts towards the mean, in seconds. An engine that
@@ -156,14 +158,24 @@
         return False
 
     def narrow(
-        self, service: str, ids: set[str], prompt: PromptShape, now_s: float
+        self,
+        service: str,
+        ids: set[str],
+        prompt: PromptShape,
+        now_s: float,
+        homes: Collection[str] = (),
     ) -> Collection[str]:
         """Return the engines, of some, at which a request should be placed.
 
-        Only two remain, chosen at random by how much less load they have, the second
-        one among those that hold the shared part of the prompt: what is known of the
-        load is some tenths of a second old, and all routers would send to the engine
-        that had the least then.
+        Two remain, chosen at random by how much less load they have, the second one
+        among those that hold the shared part of the prompt: what is known of the load
+        is some tenths of a second old, and all routers would send to the engine that
+        had the least then. Homes that have a free slot remain as well.
+
+        Parameters
+        ----------
+        homes : collection of str, optional
+            Engines that most likely hold the shared part, in order of rank.
         """
         if not self.applies(service):
             return ids
@@ -175,13 +187,29 @@
         if not names:
             return ids
         rng = self.dispatcher.rng
-        weights = dict(zip(names, self._weights(load, names, now_s), strict=True))
+        levels = self._levels(load, names)
+        weights = self._weights(load, levels, now_s)
         chosen = set(ids).difference(names)
+        chosen.update(self._free_homes(load, levels, homes, now_s))
         chosen.update(rng.choices(names, list(weights.values())))
         holders = self._holders(prompt, [n for n in names if weights[n] > 0]) or names
         chosen.update(rng.choices(holders, [weights[name] for name in holders]))
         return sorted(chosen)
 
+    def _free_homes(
+        self,
+        load: EngineLoad,
+        levels: Mapping[str, int],
+        homes: Collection[str],
+        now_s: float,
+    ) -> list[str]:
+        """Return the first homes with a free slot that others have not filled since."""
+        if not homes:
+            return []
+        unseen = self.unseen_part(now_s) * load.slots * load.slots_used / load.engines
+        free = [name for name in homes if levels.get(name, 0) + unseen < 0]
+        return free[:HOME_CHOICES]
+
     def _holders(self, prompt: PromptShape, names: list[str]) -> list[str]:
         """Return the engines that hold all of a prompt but its last segment."""
         if len(prompt.segments) < 2:
@@ -192,26 +220,31 @@
         uncached_tokens = self.dispatcher.loads.uncached_tokens
         return [n for n in names if uncached_tokens(n, prompt) <= own_tokens]
 
-    def _weights(self, load: EngineLoad, names: list[str], now_s: float) -> list[float]:
+    def _levels(self, load: EngineLoad, names: list[str]) -> dict[str, int]:
+        """Return the requests beyond the slots, with those sent since."""
+        own_running = self.dispatcher.loads.own_running
+        return {
+            name: load.excess[name] + own_running(name) - load.own.get(name, 0)
+            for name in names
+        }
+
+    def _weights(
+        self, load: EngineLoad, levels: Mapping[str, int], now_s: float
+    ) -> dict[str, float]:
         """Return how often engines should get a request, in relative terms.
 
         All routers together then fill them up to the same level with what they send
         before they know of each other's requests.
         """
-        own_running = self.dispatcher.loads.own_running
-        levels = [
-            load.excess[name] + own_running(name) - load.own.get(name, 0)
-            for name in names
-        ]
         requests = load.slots * load.slots_used
         left = 1.0 + self.unseen_part(now_s) * requests
         full, total = -math.inf, 0.0
-        for index, level in enumerate(sorted(levels)):
+        for index, level in enumerate(sorted(levels.values())):
             if index * level - total >= left:
                 break
             total += level
             full = (left + total) / (index + 1)
-        return [max(full - level, 0.0) for level in levels]
+        return {name: max(full - level, 0.0) for name, level in levels.items()}
 
     def wait_s(self, service: str, hold_s: float, now_s: float) -> float:
         """Return the wait for a slot and for the prompts that are read before.
--- a/src/carobstair/core/dispatch.py
+++ b/src/carobstair/core/dispatch.py
@@ -49,10 +49,11 @@
     resends: ResendLimit
     rng: random.Random
     routers: frozenset[str] = field(default_factory=frozenset)
-    # Leaves out engines at which a request should not be placed now; some remain.
-    narrow: Callable[[str, set[str], PromptShape, float], Collection[str]] = (
-        lambda service, ids, prompt, now_s: ids
-    )
+    # Leaves out engines at which a request should not be placed now; some remain. The
+    # last argument is the homes of the request's shared part, in order of rank.
+    narrow: Callable[
+        [str, set[str], PromptShape, float, Collection[str]], Collection[str]
+    ] = lambda service, ids, prompt, now_s, homes: ids
     versions: VersionGate | None = None
     permits: PermitDesk = field(init=False)
     # Ranks by upstream for the routers from which they were computed.
@@ -135,17 +136,21 @@
             return None
         stall_durations_s = self.loads.stall_durations_s(entries, now_s)
         healthy = self.health.preferred(entries, stall_durations_s, now_s)
-        placeable = self.narrow(pool.name, healthy, prompt, now_s)
+        loads, name = self.loads, pool.name
+        if pool.engine is None:
+            placeable = self.narrow(name, healthy, prompt, now_s, ())
+            candidates = ((u, entries[u].zone) for u in placeable)
+            return entries[loads.pick_plain(candidates, self.rng, permits, now_s, name)]
+        cold_ids = {e.upstream_id for e in cold}
+        zones = ((u, entries[u].zone) for u in healthy)
+        # Among the engines that remain, any would be ranked as a home.
+        homes = loads.home_terms(zones, prompt, name, now_s, cold_ids, self.rng)
+        placeable = self.narrow(name, healthy, prompt, now_s, homes.discounts)
         candidates = ((u, entries[u].zone) for u in placeable)
-        if pool.engine is not None:
-            cold_ids = {e.upstream_id for e in cold}
-            return entries[
-                self.loads.pick(
-                    candidates, prompt, self.rng, now_s, permits, pool.name, cold_ids
-                )
-            ]
         return entries[
-            self.loads.pick_plain(candidates, self.rng, permits, now_s, pool.name)
+            loads.pick(
+                candidates, prompt, self.rng, now_s, permits, name, cold_ids, homes
+            )
         ]
 
     def permit_wait_s(
--- a/src/carobstair/core/engine_load.py
+++ b/src/carobstair/core/engine_load.py
@@ -494,6 +494,7 @@
         permits: Mapping[str, PermitOutlook] = NOTHING,
         service: str = "",
         cold: Collection[str] = (),
+        homes: HomeTerms | None = None,
     ) -> str:
         """Return the engine with the least `first_token_s`, ties at random.
 
@@ -510,12 +511,13 @@
             Given so that its upstreams' capacity counts where they state a slowdown.
         cold : collection of str
             Candidates that are cold, and thus no homes.
+        homes : HomeTerms, optional
+            As returned by `home_terms`, if more engines than the candidates count.
         """
         capacity = self.capacities.by_service.get(service)
-        homes = NO_TERMS
-        if self.homes.enabled:
+        if homes is None:
             candidates = list(candidates)
-            homes = self._home_terms(candidates, prompt, service, now_s, cold, rng)
+            homes = self.home_terms(candidates, prompt, service, now_s, cold, rng)
         if capacity is not None:
             return choose_engine(
                 candidates,
@@ -621,21 +623,27 @@
             ranked.append((cost, rng.random(), u))
         return min(ranked)[2]
 
-    def _home_terms(
+    def home_terms(
         self,
-        candidates: list[tuple[str, str]],
+        engines: Iterable[tuple[str, str]],
         prompt: PromptShape,
         service: str,
         now_s: float,
         cold: Collection[str],
         rng: random.Random,
     ) -> HomeTerms:
-        """Return what homes change in the costs of engines for a request."""
+        """Return what homes change in the costs of engines for a request.
+
+        Parameters
+        ----------
+        engines : iterable of (str, str)
+            Upstream id and zone of the engines that may be used.
+        """
         homes = self.homes
-        keyed = homes.key(prompt)
+        keyed = homes.key(prompt) if homes.enabled else None
         if keyed is None:
             return NO_TERMS
-        zones = dict(candidates)
+        zones = dict(engines)
         if homes.is_due(service, now_s):
             running = {u: self.occupancy(u, now_s) for u in zones}
             homes.update(service, running, self._home_capacities(zones), now_s)
--- a/tests/test_engine_room.py
+++ b/tests/test_engine_room.py
@@ -4,6 +4,7 @@
 
 from carobstair.core.admission import EngineRoom
 from carobstair.core.engine_load import PromptShape
+from carobstair.core.routing import EngineShape, ServicePool
 from carobstair.core.share_messages import PoolDemand
 from test_directory import make_entry
 from test_send_limits import make_dispatcher
@@ -66,5 +67,46 @@
         self.assertEqual(set(self.room.narrow("m", ids, PROMPT, 0.0)), ids)
 
 
+class HomeRoomTest(unittest.TestCase):
+    """Guards against shared parts that are read wherever there is a free slot.
+
+    Of 56 engines, two remained for each request, so the home was rarely among them.
+    """
+
+    SHARED = PromptShape(5_600, 200, (("part", 4_900), ("own", 700)))
+    POOL = ServicePool("m", engine=EngineShape(16, 0))
+
+    def setUp(self):
+        self.dispatcher = make_dispatcher()
+        self.dispatcher.loads.homes.enable()
+        self.queues = {}
+        for number in range(56):
+            entry = make_entry(f"u{number}", service="m", slots=16)
+            self.dispatcher.directory.put(entry, 1, 0.0)
+        EngineRoom(
+            self.dispatcher,
+            lambda service, now_s: PoolDemand({}, samples=1, engines=self.queues),
+        )
+
+    def place(self, prompt):
+        """Return where 30 requests go, none of which another knows of."""
+        choose = self.dispatcher.choose
+        return {
+            choose(self.POOL, prompt, (), step / 10).upstream_id for step in range(30)
+        }
+
+    def test_requests_go_to_the_free_home_of_their_part(self):
+        (home,) = self.place(self.SHARED)
+        self.queues = {home: 16}
+        # The next in rank, and no engine that was drawn at random.
+        (second,) = self.place(self.SHARED)
+        self.assertNotEqual(second, home)
+        self.queues = {}
+        self.assertEqual(self.place(self.SHARED), {home})
+
+    def test_requests_without_shared_parts_are_spread(self):
+        self.assertGreater(len(self.place(PROMPT)), 15)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_prompt_homes.py
+++ b/tests/test_prompt_homes.py
@@ -10,6 +10,7 @@
 from prometheus_client import generate_latest
 
 import test_upstream_capacity
+from carobstair.core.admission import AdmissionSettings
 from carobstair.core.engine_load import LoadTracker, PlacementSettings, PromptShape
 from carobstair.core.prompt_homes import EngineRanking, HomeSettings, WeightSteps
 from carobstair.core.rate_limits import PermitOutlook
@@ -233,6 +234,21 @@
                 late = sum(report.timeline[s]["late"] for s in range(8, 12))
                 self.assertLess(late, 15)
 
+    def test_shared_parts_read_twice_with_admission_by_room(self):
+        # Placement drew two engines for each request, rarely the home of its part.
+        before, after = (
+            self.play(
+                has_homes,
+                False,
+                admission=AdmissionSettings(work_conserving=True),
+                share_s=0.2,
+            )
+            for has_homes in (False, True)
+        )
+        # Without homes one of the two is drawn from those that hold the part.
+        self.assertLess(after.repeated_tokens, 0.5 * before.repeated_tokens)
+        self.assertGreater(after.fraction("in-aim"), before.fraction("in-aim"))
+
     def test_work_of_the_busiest_engine(self):
         fleet = test_upstream_capacity.FleetTest()
         plan = fleet.make_plan(0.65, zones=("a", "b", "c"))
