--- a/src/carobstair/core/overload.py
+++ b/src/carobstair/core/overload.py
@@ -40,8 +40,12 @@
     redirect : bool
         Whether requests are also refused before the event loop is late, for their
         callers to reach a peer that is less busy.
+    hand_off : bool
+        Whether requests are handed to idle peers before they are refused. This spreads
+        what workspaces ask for beyond their share as well, so it pays where admission
+        keeps the queues of the engines short.
     early : EarlySheddingSettings
-        Thresholds of the latter.
+        Thresholds of the early refusals.
     """
 
     stream_lag_s: float = 0.1
@@ -49,6 +53,7 @@
     max_refused_fraction: float = 0.9
     half_life_s: float = 0.2
     redirect: bool = False
+    hand_off: bool = False
     early: EarlySheddingSettings = EarlySheddingSettings()
 
 
--- a/src/carobstair/edge/router.py
+++ b/src/carobstair/edge/router.py
@@ -271,7 +271,7 @@
         )
         self._gossip.handoff_peers = self._handoff.decision.peers
         self._gossip.handoff_port = lambda: self._handoff_port.port
-        if settings.overload.redirect:
+        if settings.overload.hand_off:
             self._enable_handoff()
         self._evidence_exchange = EvidenceExchange(
             self._guard, transport, lambda: self._gossip.peers
@@ -508,7 +508,6 @@
         self._capacity_reports.log_capacity_enabled(service)
         self._overload.enable_redirect()
         self._home_reports.enable(service)
-        self._enable_handoff()
         self._store_following.enable()
         table = self.view.table
         pool = table.services.get(service) if table is not None else None
--- a/src/carobstair/platform/boot.py
+++ b/src/carobstair/platform/boot.py
@@ -193,7 +193,10 @@
             bounds.retry_slack,
             bounds.retry_window_s,
         ),
-        admission=AdmissionSettings(target_slots_used=TARGET_SLOTS_USED),
+        admission=AdmissionSettings(
+            target_slots_used=TARGET_SLOTS_USED,
+            work_conserving=PRESSURE in boot.contracts,
+        ),
         overload=OverloadSettings(redirect=PRESSURE in boot.contracts),
         # Requests that are on their way need the rest of the time.
         directory=DirectorySettings(leaving_use_s=bounds.drain_timeout_ms / 2000),
