Set keep-alive options in one place

Cause: three copies of the same options, one of them new with the hand-off. Change: net/keepalive.py.

--- a/src/carobstair/edge/handoff_links.py
+++ b/src/carobstair/edge/handoff_links.py
@@ -11,6 +11,7 @@
 
 from carobstair.core.handoff import HandoffPeer
 from carobstair.logs import get_logger
+from carobstair.net.keepalive import set_keepalive
 
 __all__ = ["CONNECT_TIMEOUT_S", "HandoffLink", "HandoffLinks", "LinkUser"]
 
@@ -66,16 +67,13 @@
         self.transport = transport
         sock = transport.get_extra_info("socket")
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-        for name, value in (
-            ("TCP_KEEPIDLE", KEEPALIVE_IDLE_S),
-            ("TCP_KEEPINTVL", KEEPALIVE_INTERVAL_S),
-            ("TCP_KEEPCNT", KEEPALIVE_PROBES),
-            ("TCP_USER_TIMEOUT", UNACKED_TIMEOUT_MS),
-        ):
-            option = getattr(socket, name, None)
-            if option is not None:
-                sock.setsockopt(socket.IPPROTO_TCP, option, value)
+        set_keepalive(
+            sock,
+            KEEPALIVE_IDLE_S,
+            KEEPALIVE_INTERVAL_S,
+            KEEPALIVE_PROBES,
+            UNACKED_TIMEOUT_MS,
+        )
         self._poll.register(sock, POLL_UNUSABLE)
 
     def get_buffer(self, sizehint: int) -> memoryview:
--- a/src/carobstair/edge/upstream_connection.py
+++ b/src/carobstair/edge/upstream_connection.py
@@ -10,7 +10,6 @@
 
 import asyncio
 import re
-import socket
 from collections import deque
 from dataclasses import dataclass, field
 
@@ -19,6 +18,7 @@
 from carobstair.core.framing import Framing, FramingError, response_framing
 from carobstair.edge.metadata import Headers
 from carobstair.net.bounded_reads import BoundedReads
+from carobstair.net.keepalive import set_keepalive
 
 __all__ = [
     "ConnectionBroken",
@@ -110,16 +110,13 @@
         """Store the transport and set TCP keep-alive and timeout options."""
         self._transport = transport
         sock = transport.get_extra_info("socket")
-        for name, value in (
-            ("TCP_KEEPIDLE", KEEPALIVE_IDLE_S),
-            ("TCP_KEEPINTVL", KEEPALIVE_INTERVAL_S),
-            ("TCP_KEEPCNT", KEEPALIVE_PROBES),
-            ("TCP_USER_TIMEOUT", UNACKED_TIMEOUT_MS),
-        ):
-            option = getattr(socket, name, None)
-            if option is not None:
-                sock.setsockopt(socket.IPPROTO_TCP, option, value)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        set_keepalive(
+            sock,
+            KEEPALIVE_IDLE_S,
+            KEEPALIVE_INTERVAL_S,
+            KEEPALIVE_PROBES,
+            UNACKED_TIMEOUT_MS,
+        )
 
     def data_received(self, data: bytes) -> None:
         """Parse response data."""
--- a/src/carobstair/net/uvicorn_server.py
+++ b/src/carobstair/net/uvicorn_server.py
@@ -8,6 +8,8 @@
 
 import uvicorn
 
+from carobstair.net.keepalive import set_keepalive
+
 __all__ = ["ACCEPTS_PER_TURN", "UvicornServer", "enable_dead_connection_detection"]
 
 # Connections accepted in one turn of the event loop, before their limit is checked.
@@ -21,16 +23,13 @@
     listener: socket.socket, user_timeout_s: float
 ) -> None:
     """Have the kernel close accepted connections whose peer is unreachable."""
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    for name, value in (
-        ("TCP_KEEPIDLE", KEEPALIVE_IDLE_S),
-        ("TCP_KEEPINTVL", KEEPALIVE_INTERVAL_S),
-        ("TCP_KEEPCNT", KEEPALIVE_PROBES),
-        ("TCP_USER_TIMEOUT", int(user_timeout_s * 1000)),
-    ):
-        option = getattr(socket, name, None)
-        if option is not None:
-            listener.setsockopt(socket.IPPROTO_TCP, option, value)
+    set_keepalive(
+        listener,
+        KEEPALIVE_IDLE_S,
+        KEEPALIVE_INTERVAL_S,
+        KEEPALIVE_PROBES,
+        int(user_timeout_s * 1000),
+    )
 
 
 class UvicornServer(uvicorn.Server):
