--- a/src/carobstair/platform/boot.py
+++ b/src/carobstair/platform/boot.py
@@ -197,7 +197,9 @@
             target_slots_used=TARGET_SLOTS_USED,
             work_conserving=PRESSURE in boot.contracts,
         ),
-        overload=OverloadSettings(redirect=PRESSURE in boot.contracts),
+        overload=OverloadSettings(
+            redirect=PRESSURE in boot.contracts, hand_off=PRESSURE in boot.contracts
+        ),
         # Requests that are on their way need the rest of the time.
         directory=DirectorySettings(leaving_use_s=bounds.drain_timeout_ms / 2000),
         # A request needs one connection to its caller and one to an upstream.
