Turn on early refusals, homes, few watchers and admission by room with roll-outs

Change: the adapter turns these parts on for the contracts 'pressure' and 'rollout'; the hand-off stays with 'pressure'. A test holds which contract turns on what.

--- a/src/carobstair/platform/boot.py
+++ b/src/carobstair/platform/boot.py
@@ -55,6 +55,9 @@
 RESERVED_DESCRIPTORS = 200
 # In the list of contracts where roll-outs are in force.
 ROLLOUT_CONTRACT = "rollout"
+# Deployments that name one of these get early refusals for idle peers, homes of prompt
+# parts, few routers that watch the store, and admission by room.
+LOADED_CONTRACTS = frozenset({PRESSURE, ROLLOUT_CONTRACT})
 # With fewer descriptors than this a process can't serve any caller.
 MIN_SOCKETS = 100
 
@@ -156,6 +159,7 @@
         int(CONNECTION_MEMORY_SHARE * (boot.limits.memory_mb - OWN_MEMORY_MB)),
     )
     sockets = max(MIN_SOCKETS, boot.limits.max_fds - RESERVED_DESCRIPTORS)
+    is_loaded = any(c in LOADED_CONTRACTS for c in boot.contracts if isinstance(c, str))
     return EdgeSettings(
         name=boot.node_name,
         zone=boot.zone,
@@ -195,10 +199,10 @@
         ),
         admission=AdmissionSettings(
             target_slots_used=TARGET_SLOTS_USED,
-            work_conserving=PRESSURE in boot.contracts,
+            work_conserving=is_loaded,
         ),
         overload=OverloadSettings(
-            redirect=PRESSURE in boot.contracts, hand_off=PRESSURE in boot.contracts
+            redirect=is_loaded, hand_off=PRESSURE in boot.contracts
         ),
         # Requests that are on their way need the rest of the time.
         directory=DirectorySettings(leaving_use_s=bounds.drain_timeout_ms / 2000),
--- a/tests/test_boot.py
+++ b/tests/test_boot.py
@@ -104,6 +104,22 @@
         self.assertEqual(settings.send_limits.resend_slack, 52)
         self.assertEqual(settings.sync.seeds, ["127.0.0.1:7400", "127.0.0.2:7400"])
 
+    def test_contracts_turn_on_what_is_meant_for_them(self):
+        """Guards against parts that other deployments did not ask for."""
+        for contracts, expected in (
+            ('["base", 5]', (False, False, False)),
+            ('["base", "rollout"]', (True, True, False)),
+            ('["pressure", "base"]', (True, True, True)),
+        ):
+            with self.subTest(contracts):
+                text = f"contracts = {contracts}\n{self.valid_settings()}"
+                settings = self.load_text(text)
+                overload, admission = settings.overload, settings.admission
+                self.assertEqual(
+                    (overload.redirect, admission.work_conserving, overload.hand_off),
+                    expected,
+                )
+
     def test_error_is_one_line_that_names_the_field(self):
         for old, new, name in (
             ('nodeName = "front-1"', "nodeName = 5", "nodeName"),
