Show that a silent store leaves a revoked key in use

Cause: only the end of a long watch shows that its answer was lost, and a failure of another kind doesn't make it ask again.

--- a/review/standins_2/deployment.py
+++ b/review/standins_2/deployment.py
@@ -267,6 +267,7 @@
         self._events: list[tuple[int, str, dict]] = []
         self._changed = asyncio.Event()
         self._watching: set[asyncio.StreamWriter] = set()
+        self._silent_until_s = 0.0
 
     def put(self, kind: str, name: str, spec: object) -> None:
         """Write an object, as the operator and engines do."""
@@ -292,6 +293,14 @@
         self._note(kind, stored | {"metadata": metadata}, True)
         return True
 
+    def fall_silent(self, duration_s: float) -> None:
+        """Answer nothing for a time; calls of that time are never answered."""
+        self._silent_until_s = time.monotonic() + duration_s
+
+    async def _lose_answer(self) -> None:
+        # A connection on which a response is lost returns nothing further.
+        await asyncio.Event().wait()
+
     def cut_watches(self) -> int:
         """End the connections of all watches that wait; return their number."""
         waiting, self._watching = self._watching, set()
@@ -311,6 +320,8 @@
 
     async def respond(self, request: Request, writer: asyncio.StreamWriter) -> bool:
         """Answer a call."""
+        if time.monotonic() < self._silent_until_s:
+            await self._lose_answer()
         path, _, query = request.target.partition("?")
         options = dict(parse_qsl(query))
         rest = unquote(path.removeprefix("/v1/objects/"))
@@ -330,6 +341,8 @@
                 return False
         else:
             status, document = self._list(kind, options.get("after", ""))
+        if time.monotonic() < self._silent_until_s:
+            await self._lose_answer()
         body = json.dumps(document).encode()
         writer.write(
             f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n"
