Keep the scripts of the second review off each other's ports

Cause: scripts that were started at the same moment chose the same ports, which were free as nothing listened yet; three of four could not run. Done: each block of ports is held by a socket on its last one.

--- a/review/standins_2/deployment.py
+++ b/review/standins_2/deployment.py
@@ -12,6 +12,7 @@
 import itertools
 import json
 import os
+import random
 import signal
 import socket
 import tempfile
@@ -128,23 +129,34 @@
     return os.environ.get("TROUBLE", "1") != "0"
 
 
-_taken_ports: set[int] = set()
+BLOCK_PORTS = 12
+FIRST_PORT, LAST_PORT = 18_000, 32_000
+# Sockets on the last port of each block given, so that no other script takes the block.
+_reservations: list[socket.socket] = []
 
 
-def free_ports(count: int) -> list[int]:
-    """Return consecutive ports below the ephemeral range, none of them given before."""
-    for first in range(18_000 + os.getpid() % 400 * 20, 32_000, count):
-        ports = range(first, first + count)
-        if _taken_ports.intersection(ports):
+def free_ports() -> list[int]:
+    """Return a block of ports below the ephemeral range, for this script alone.
+
+    The last one is in use; the others were free just now.
+    """
+    blocks = list(range(FIRST_PORT, LAST_PORT - BLOCK_PORTS, BLOCK_PORTS))
+    random.shuffle(blocks)
+    for first in blocks:
+        *ports, last = range(first, first + BLOCK_PORTS)
+        try:
+            reservation = socket.create_server(("127.0.0.1", last))
+        except OSError:
             continue
         try:
             for port in ports:
                 with socket.create_server(("127.0.0.1", port)):
                     pass
         except OSError:
+            reservation.close()
             continue
-        _taken_ports.update(ports)
-        return list(ports)
+        _reservations.append(reservation)
+        return [*ports, last]
     raise OSError("no free ports")
 
 
@@ -689,7 +701,7 @@
         contracts: tuple[str, ...] = BASE_CONTRACTS,
     ):
         self.name = name
-        ports = free_ports(12)
+        ports = free_ports()
         self.internal, self.front, self.ready, self.control = (
             ports[0],
             ports[8],
