--- a/review/standins_2/deployment.py
+++ b/review/standins_2/deployment.py
@@ -26,6 +26,7 @@
     "Answer",
     "Client",
     "Engine",
+    "LagMonitor",
     "Record",
     "Request",
     "Router",
@@ -183,6 +184,27 @@
         print(text, flush=True)
 
 
+class LagMonitor:
+    """Measures how late the turns of the stand-ins' event loop are."""
+
+    def __init__(self):
+        self.max_lag_s = 0.0
+        self._task = asyncio.create_task(self._measure())
+
+    async def _measure(self) -> None:
+        while True:
+            due_s = time.monotonic() + 0.02
+            await asyncio.sleep(0.02)
+            self.max_lag_s = max(self.max_lag_s, time.monotonic() - due_s)
+
+    def stop(self, limit_s: float) -> float:
+        """Return the largest lag; raise RuntimeError if it is beyond the limit."""
+        self._task.cancel()
+        if self.max_lag_s > limit_s:
+            raise RuntimeError(f"the stand-ins were {self.max_lag_s:.3f} s late")
+        return self.max_lag_s
+
+
 @dataclass(slots=True)
 class Request:
     """A request as a server received it."""
@@ -821,6 +843,10 @@
 
     async def run() -> bool:
         routers: list[Router] = []
+        # A script that is terminated ends its routers too.
+        loop, task = asyncio.get_running_loop(), asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, task.cancel)
         with tempfile.TemporaryDirectory() as temporary:
             try:
                 async with asyncio.timeout(115.0):
@@ -834,7 +860,7 @@
 
     try:
         held = asyncio.run(run())
-    except Exception as error:  # noqa: BLE001
+    except (Exception, asyncio.CancelledError) as error:  # noqa: BLE001
         record.show(f"the case could not run: {type(error).__name__}: {error}")
         return 2
     record.show("the rule held" if held else "the rule was broken")
