Log what workspaces were admitted for, and their share

Cause: the logs state tokens asked for and begun, so it can't be told whether a workspace that got less was refused beside its share, was admitted and waited at an engine, or got its share of each moment. Streams that a busy router sheds by their head were missing from the account. Change: workspace_service lines have admitted_tokens, room_tokens, share_per_s and demand_per_s; streams shed by their head are counted. Measured: test_service_account, two tests that failed before.

--- a/src/carobstair/core/service_account.py
+++ b/src/carobstair/core/service_account.py
@@ -6,6 +6,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from carobstair.core.admission import ROOM, AdmissionDecision
+
 __all__ = ["ServiceAccount", "WorkspaceService"]
 
 
@@ -18,6 +20,11 @@
     asked_tokens, begun_tokens : float
         Weighted tokens of the requests that arrived, and of those whose answers
         began.
+    admitted_tokens, room_tokens : float
+        Weighted tokens of the requests that were admitted, and of the part of them
+        that exceeded the share and was admitted because engines had room.
+    share_per_s, demand_per_s : float
+        Share and demand at all routers, as last decided on.
     refused : Counter
         Refused requests by reason.
     """
@@ -26,6 +33,10 @@
     workspace: str
     asked_tokens: float = 0.0
     begun_tokens: float = 0.0
+    admitted_tokens: float = 0.0
+    room_tokens: float = 0.0
+    share_per_s: float = 0.0
+    demand_per_s: float = 0.0
     refused: Counter[str] = field(default_factory=Counter)
 
 
@@ -56,6 +67,21 @@
         self._row(pool, workspace).begun_tokens += tokens
         self.on_begun(pool, workspace, tokens)
 
+    def note_decision(
+        self,
+        pool: str,
+        workspace: str,
+        tokens: float,
+        decision: AdmissionDecision,
+    ) -> None:
+        """Record a decision on a request; a refusal is counted by `note_refused`."""
+        row = self._row(pool, workspace)
+        row.share_per_s, row.demand_per_s = decision.share, decision.demand
+        if decision.admitted:
+            row.admitted_tokens += tokens
+            if decision.reason == ROOM:
+                row.room_tokens += tokens
+
     def note_refused(self, pool: str, workspace: str, reason: str) -> None:
         """Count a refused request."""
         self._row(pool, workspace).refused[reason] += 1
--- a/src/carobstair/edge/app.py
+++ b/src/carobstair/edge/app.py
@@ -172,9 +172,7 @@
                 table, limits = self._active_config()
                 metadata = self._read_metadata(scope, limits)
                 route, workspace = self._admit(table, metadata, scope["path"])
-                self.refusals.check(
-                    route, metadata.caller_timeout_s, scope.get(SHED_DRAW), arrived_s
-                )
+                self._shed_early(scope, table, route, metadata, workspace, arrived_s)
                 self._shed_beyond_share(table, route, metadata, workspace, arrived_s)
                 exchange = self._exchange(
                     scope, table, metadata, route, workspace, arrived_s
@@ -368,6 +366,7 @@
             decision = await self._decide_by_room(exchange, tokens, throughput, now_s)
         else:
             decision = self._decide_by_share(exchange, tokens, throughput, now_s)
+        self.account.note_decision(pool.name, workspace, tokens, decision)
         if decision.reason == ROOM:
             self._metrics.admitted_by_room.labels(pool.name).inc()
         if decision.admitted:
@@ -463,6 +462,28 @@
             lambda: self._room.own_running(pool.name, now_s),
         )
 
+    def _shed_early(
+        self,
+        scope,
+        table: RoutingTable,
+        route: Route,
+        metadata: RequestMetadata,
+        workspace: str | None,
+        now_s: float,
+    ) -> None:
+        """Refuse some requests by their head, for a less busy peer."""
+        try:
+            self.refusals.check(
+                route, metadata.caller_timeout_s, scope.get(SHED_DRAW), now_s
+            )
+        except Refusal:
+            if workspace and route.kind is RequestKind.STREAM:
+                pool = self._pick_pool(table, route).name
+                tokens = self._weighted_tokens(metadata)
+                self.account.note_asked(pool, workspace, tokens)
+                self.account.note_refused(pool, workspace, "router-busy")
+            raise
+
     def _shed_beyond_share(
         self,
         table: RoutingTable,
--- a/tests/test_service_account.py
+++ b/tests/test_service_account.py
@@ -4,7 +4,9 @@
 import unittest
 from unittest import mock
 
+from carobstair.core.refusals import refuse
 from carobstair.core.service_account import ServiceAccount
+from carobstair.edge.early_refusals import EarlyRefusals
 from edge_test_case import EdgeCase
 from platform_standins import make_config
 
@@ -58,6 +60,24 @@
         self.assertGreater(refused["share"], 1)
         self.assertEqual(begun + 1000.0 * refused["share"], asked)
 
+    async def test_what_is_admitted_and_by_which_share_is_counted(self):
+        await self.start_upstreams("stream", config=make_engine_config(1000.0))
+        for tokens in (100, 1000, 1000):
+            await self.call_stream(tokens)
+        (row,) = self.app.account.take_refused(9)
+        self.assertEqual(row.admitted_tokens, row.begun_tokens)
+        self.assertGreater(row.admitted_tokens, 0.0)
+        self.assertLess(row.share_per_s, row.demand_per_s)
+        self.assertEqual(row.room_tokens, 0.0)
+
+    async def test_request_that_is_shed_by_its_head_is_counted(self):
+        await self.start_upstreams("stream", config=make_engine_config(1e9))
+        busy = refuse("router-busy")
+        with mock.patch.object(EarlyRefusals, "check", side_effect=busy):
+            status, _, _ = await self.call_stream(1000)
+        self.assertEqual(status, 503)
+        self.assertEqual(self.rows(), {"team": (1000.0, 0.0, {"router-busy": 1})})
+
     async def test_demand_that_a_busy_router_refuses_is_counted(self):
         await self.start_upstreams("stream", config=make_engine_config(1e9))
         self.overload.note(9.0, time.monotonic())
