Let a workspace begin its share while engines are over their target

Cause: such a demand is a surge, and surges are limited to the slots that are free or become free. Engines beyond their target have none, so the limit was closed, also for what the workspace had earned by its share. The supply that is shared falls in an overload already, for all alike, so only new demand paid twice. The logs show it from 14.0 s to 14.5 s at a load of 1.2 to 1.5 of the target: 133 refusals, nothing admitted. Change: the limit binds what exceeds the credit of the workspace. Measured: OverTargetTest failed before at a load of 1.4 and 1.5, with 0 tokens beside 14,000 to 16,500 of the other workspace; now 0.86 to 1.0 of it.

--- a/src/carobstair/core/admission/conserving.py
+++ b/src/carobstair/core/admission/conserving.py
@@ -87,9 +87,12 @@
             overdraft = settings.return_credit_s * earned_per_s
         within = credit.tokens + overdraft > 0
         reason = ""
-        if not self._may_begin(request, pool, first):
-            return self._refuse(request, pool, share, demand, own_rate, "surge", now_s)
         if not within:
+            # Within the share, an overload of the engines lowers the supply for all.
+            if not self._may_begin(request, pool, first):
+                return self._refuse(
+                    request, pool, share, demand, own_rate, "surge", now_s
+                )
             if not self._has_room(request, pool, credit):
                 return self._refuse(
                     request, pool, share, demand, own_rate, "share", now_s
--- a/tests/test_fill_limit.py
+++ b/tests/test_fill_limit.py
@@ -15,6 +15,8 @@
 from carobstair.core.share_messages import PoolDemand, ShareReport, ShareTotals
 
 SETTINGS = AdmissionSettings(work_conserving=True, target_slots_used=1.0)
+# Stated target: of the best served workspace.
+LEAST_PART = 0.75
 
 
 def make_load(slots_used=0.5):
@@ -111,6 +113,45 @@
         self.assertEqual(admitted, [True] * 150)
 
 
+class OverTargetTest(unittest.TestCase):
+    """Guards against an overload of the engines that only new demand pays for.
+
+    While engines were beyond their target, a workspace whose demand had just risen
+    got nothing for a second, and one that had asked for much all the while its share.
+    """
+
+    CAPACITY = 100_000.0
+    TOKENS = 500.0
+
+    def compare(self, slots_used, seed):
+        """Return the tokens of both from 0.25 s to 1.25 s after the demand rose."""
+        admission = FairAdmission(SETTINGS, random.Random(seed))
+        rng = random.Random(seed)
+        admitted = dict.fromkeys(("old", "new"), 0.0)
+        for step in range(11_250):
+            now_s = step / 1000
+            load = make_load(slots_used if now_s > 10.2 else 1.0)
+            for workspace in admitted:
+                demand = 4.0 if workspace == "old" else 1.0 if now_s >= 10.0 else 0.02
+                if rng.random() >= demand * self.CAPACITY / self.TOKENS / 1000:
+                    continue
+                request = AdmissionRequest(
+                    "m", workspace, self.TOKENS, self.CAPACITY, lambda now=load: now
+                )
+                decision = admission.decide_conserving(request, now_s)
+                if now_s >= 10.25:
+                    admitted[workspace] += self.TOKENS * decision.admitted
+        return admitted
+
+    def test_workspace_whose_demand_rises_gets_its_share_of_loaded_engines(self):
+        for slots_used in (1.0, 1.15, 1.3, 1.4, 1.5):
+            for seed in (1, 2, 3):
+                with self.subTest(slots_used=slots_used, seed=seed):
+                    admitted = self.compare(slots_used, seed)
+                    least = LEAST_PART * admitted["old"]
+                    self.assertGreaterEqual(admitted["new"], least)
+
+
 class RoomShareTest(unittest.TestCase):
     """Guards against room that is given in proportion to the number of requests."""
 
