--- a/tests/test_fair_admission.py
+++ b/tests/test_fair_admission.py
@@ -194,6 +194,36 @@
         self.assertLess(abs(admitted - 40), 20)
 
 
+class FallingSupplyTest(unittest.TestCase):
+    """Guards against a fall of the throughput that only new demand pays for."""
+
+    def compare(self, seed):
+        """Return the tokens of both in the second after the throughput has fallen."""
+        admission, rng = FairAdmission(rng=random.Random(seed)), random.Random(seed)
+        admitted = dict.fromkeys(("old", "new"), 0.0)
+        for step in range(11_250):
+            now_s = step / 1000
+            supply = 30_000.0 if now_s >= 10.2 else 100_000.0
+            for workspace in admitted:
+                demand = 4.0 if workspace == "old" else 1.0 if now_s >= 10.0 else 0.02
+                if rng.random() >= demand * 0.2:
+                    continue
+                decision = admission.decide(
+                    "m", workspace, 500.0, supply, lambda: 1.0, now_s
+                )
+                if now_s >= 10.25:
+                    admitted[workspace] += 500.0 * decision.admitted
+        return admitted
+
+    def test_workspace_whose_demand_has_just_risen_gets_its_share(self):
+        parts = []
+        for seed in (1, 2, 3):
+            admitted = self.compare(seed)
+            parts.append(admitted["new"] / admitted["old"])
+        # Stated target: of the best served workspace.
+        self.assertGreaterEqual(min(parts), 0.75)
+
+
 class AgreementTest(unittest.TestCase):
     """Guards against routers that share different throughputs of one pool.
 
