Take a response whose status is none for no answer

A report of other operators (MIXED): an engine answered with the status 000, and the client got it. Here the product's own interface passed 000, 007, 099, 600 and 999 on; the edge router kept the caller until its deadline for those below 100, as interim responses are skipped, and raised KeyError for 600 and 999, so that the connection ended without an answer. Change: statuses outside 100 to 599 break the connection to the upstream, as other bytes that are no answer (502). The other report, a part of an answer that is reset during the upload and delivered as whole, can't happen; it has tests. Measured: test_early_answers; InvalidStatusTest failed before in 15 of 15 subtests.

--- a/src/carobstair/core/framing.py
+++ b/src/carobstair/core/framing.py
@@ -10,7 +10,13 @@
 from collections.abc import Iterable
 from enum import StrEnum
 
-__all__ = ["Framing", "FramingError", "request_framing", "response_framing"]
+__all__ = [
+    "Framing",
+    "FramingError",
+    "check_status",
+    "request_framing",
+    "response_framing",
+]
 
 # The only transfer coding that may be sent without being asked for.
 CHUNKED = b"chunked"
@@ -31,6 +37,17 @@
     """The headers of a message don't say where it ends, or not unambiguously."""
 
 
+def check_status(status: int) -> None:
+    """Check that a response's status is one, by RFC 9110, section 15.
+
+    Raises
+    ------
+    FramingError
+    """
+    if not 100 <= status <= 599:
+        raise FramingError(f"status {status:03}")
+
+
 def response_framing(
     method: str, status: int, headers: Iterable[tuple[bytes, bytes]]
 ) -> Framing:
--- a/src/carobstair/edge/upstream_connection.py
+++ b/src/carobstair/edge/upstream_connection.py
@@ -15,7 +15,12 @@
 
 import httptools
 
-from carobstair.core.framing import Framing, FramingError, response_framing
+from carobstair.core.framing import (
+    Framing,
+    FramingError,
+    check_status,
+    response_framing,
+)
 from carobstair.edge.metadata import Headers
 from carobstair.net.bounded_reads import BoundedReads
 from carobstair.net.keepalive import set_keepalive
@@ -168,7 +173,14 @@
         """Queue the head of a response, unless it is informational (1xx)."""
         self._head.status = self._parser.get_status_code()
         self._head_complete = True
-        if self._not_reusable or self._head.status < 200:
+        if self._not_reusable:
+            return
+        try:
+            check_status(self._head.status)
+        except FramingError as error:
+            self._fail(ConnectionBroken(str(error)))
+            return
+        if self._head.status < 200:
             return
         self._overhead_bytes = 0
         self._enqueue(self._head)
--- a/src/carobstair/net/bodies.py
+++ b/src/carobstair/net/bodies.py
@@ -6,7 +6,12 @@
 
 import aiohttp
 
-from carobstair.core.framing import Framing, FramingError, response_framing
+from carobstair.core.framing import (
+    Framing,
+    FramingError,
+    check_status,
+    response_framing,
+)
 
 __all__ = ["BodyTooLarge", "CheckedResponse", "read_body"]
 
@@ -28,13 +33,24 @@
     _connection_closed: asyncio.Future | None = None
 
     async def start(self, connection) -> aiohttp.ClientResponse:
-        """Read the head, and keep what tells how the connection will end."""
+        """Read the head, and keep what tells how the connection will end.
+
+        Raises
+        ------
+        aiohttp.ClientPayloadError
+            If the status is none.
+        """
         self.transport = connection.transport
         # The connection is detached from the response before it can be asked.
         self._connection_closed = connection.protocol.closed
         if self._connection_closed is not None:
             self._connection_closed.add_done_callback(_mark_retrieved)
-        return await super().start(connection)
+        await super().start(connection)
+        try:
+            check_status(self.status)
+        except FramingError as error:
+            raise aiohttp.ClientPayloadError(str(error)) from error
+        return self
 
     def check_whole(self) -> None:
         """Check that a body that was read to its end is whole.
