Match the path that the upstream reads

Cause: routes were found by the decoded path, and the target was forwarded as it came. Change: one function reads the path at the border, in the normal form of RFC 3986; targets with more than one reading are refused with 400, at both interfaces. Unread requests with such targets are no longer shed or handed off by another route either.

--- a/src/carobstair/edge/app.py
+++ b/src/carobstair/edge/app.py
@@ -23,6 +23,7 @@
 from carobstair.core.overload import OverloadGuard
 from carobstair.core.rate_limits import ServiceThroughput
 from carobstair.core.refusals import PROBLEM_JSON, Refusal, refuse
+from carobstair.core.request_target import AmbiguousTarget, read_path
 from carobstair.core.routing import (
     RequestKind,
     RequestLimits,
@@ -171,7 +172,8 @@
             try:
                 table, limits = self._active_config()
                 metadata = self._read_metadata(scope, limits)
-                route, workspace = self._admit(table, metadata, scope["path"])
+                path = self._read_path(scope["raw_path"])
+                route, workspace = self._admit(table, metadata, path)
                 self._shed_early(scope, table, route, metadata, workspace, arrived_s)
                 self._shed_beyond_share(table, route, metadata, workspace, arrived_s)
                 exchange = self._exchange(
@@ -236,6 +238,12 @@
         except BadRequest as error:
             raise refuse("bad-request", str(error)) from error
 
+    def _read_path(self, raw_path: bytes) -> str:
+        try:
+            return read_path(raw_path)
+        except AmbiguousTarget as error:
+            raise refuse("bad-request", str(error)) from error
+
     def _admit(
         self, table: RoutingTable, metadata: RequestMetadata, path: str
     ) -> tuple[Route, str | None]:
--- a/src/carobstair/edge/early_refusals.py
+++ b/src/carobstair/edge/early_refusals.py
@@ -16,6 +16,7 @@
 from carobstair.core.fleet_view import FleetView
 from carobstair.core.overload import OverloadGuard
 from carobstair.core.refusals import PROBLEM_JSON, Refusal, refuse
+from carobstair.core.request_target import AmbiguousTarget, read_path
 from carobstair.core.router_load import ShedParts
 from carobstair.core.routing import RequestKind, Route
 from carobstair.edge.metadata import Dialect
@@ -132,7 +133,11 @@
         hosts = HOST.findall(request, 0, request.find(b"\r\n\r\n") + 2)
         if target is None or len(hosts) != 1:
             return None
-        return table.find_route(hosts[0].decode("latin-1"), target[1].decode("ascii"))
+        try:
+            path = read_path(target[1])
+        except AmbiguousTarget:
+            return None
+        return table.find_route(hosts[0].decode("latin-1"), path)
 
     def turn_away(self) -> bytes:
         """Return the answer to a request that is not read, and count it."""
--- a/src/carobstair/net/app.py
+++ b/src/carobstair/net/app.py
@@ -15,6 +15,7 @@
 from prometheus_client import CONTENT_TYPE_LATEST
 
 from carobstair.core.refusals import PROBLEM_JSON, Refusal, refuse
+from carobstair.core.request_target import AmbiguousTarget, read_path
 from carobstair.core.state import UpstreamKind
 from carobstair.logs import get_logger
 from carobstair.metrics import RouterMetrics
@@ -109,6 +110,8 @@
 
     async def __call__(self, req, resp, service: str, path: str = "") -> None:
         context = _admit(self._gateway, req)
+        # What may be repeated is decided by the path, which the service gets.
+        _check_target(req)
         body = await _read_body(req, self._settings.gateway)
         query = f"?{req.query_string}" if req.query_string else ""
         call = self._gateway.parse_service_call(
@@ -124,6 +127,13 @@
         resp.data = answer.body
 
 
+def _check_target(req) -> None:
+    try:
+        read_path(req.scope["raw_path"])
+    except AmbiguousTarget as error:
+        raise refuse("bad-request", str(error)) from error
+
+
 class _OperatorAuth:
     """Middleware that requires a key for /operator/, and for /metrics if one is set."""
 
