--- a/src/carobstair/edge/router.py
+++ b/src/carobstair/edge/router.py
@@ -60,6 +60,7 @@
 from carobstair.net.connection_limits import ConnectionLimits, ConnectionSettings
 from carobstair.net.peer_guard import PeerLimits
 from carobstair.net.peers import LinkKeys, PeerTransport
+from carobstair.process_signals import on_reload
 from carobstair.settings_error import SettingsError
 
 __all__ = ["EdgeRouter", "PlatformParts"]
@@ -362,7 +363,7 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._on_signal)
-        loop.add_signal_handler(signal.SIGHUP, self._reload, "signal")
+        on_reload(loop, self._reload)
         # Incomplete responses are logged with their request, not as server errors.
         logging.getLogger("uvicorn.error").disabled = True
         tasks = [
--- a/src/carobstair/net/router.py
+++ b/src/carobstair/net/router.py
@@ -29,6 +29,7 @@
 from carobstair.net.sweep import SweepDriver
 from carobstair.net.upstream import UpstreamClient
 from carobstair.platform import ObjectApi
+from carobstair.process_signals import on_reload
 from carobstair.settings import RouterSettings
 
 __all__ = ["Router"]
@@ -142,6 +143,7 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._on_signal)
+        on_reload(loop, self._refuse_reload)
         tasks = [
             asyncio.create_task(self._peers.run()),
             asyncio.create_task(self.agent.run()),
@@ -178,6 +180,9 @@
             os._exit(EXIT_FORCED)
         self._stopping.set()
 
+    def _refuse_reload(self, reason: str) -> None:
+        logger.info("settings_not_reloaded", reason=reason, error="read at start only")
+
     async def _drain(self) -> None:
         """Wait for open requests; accept new ones until the balancer has noticed."""
         began_s = time.monotonic()
