Give back the bytes of uploads that time out in the turn of a release

Cause: all timers of a freeze come in one turn of the event loop; a release then admitted a waiter that had just been cancelled, failed in set_result, and the waiter's own handler failed to find itself in the queue, so its bytes stayed held. Change: who waits knows whether its bytes are held or have left the queue.

--- a/src/carobstair/edge/body_budget.py
+++ b/src/carobstair/edge/body_budget.py
@@ -21,6 +21,16 @@
     """More bodies wait for memory than will fit."""
 
 
+@dataclass(slots=True, eq=False)
+class _Waiter:
+    """A body that waits, and whether its bytes are held or no longer waited for."""
+
+    size_bytes: int
+    future: asyncio.Future
+    is_admitted: bool = False
+    has_left: bool = False
+
+
 @dataclass(slots=True)
 class BodyBudget:
     """Memory for large bodies, given out in the order of arrival.
@@ -33,7 +43,7 @@
     limit_bytes: int
     held_bytes: int = 0
     _waiting_bytes: int = 0
-    _waiting: deque[tuple[int, asyncio.Future]] = field(default_factory=deque)
+    _waiting: deque[_Waiter] = field(default_factory=deque)
 
     async def acquire(self, size_bytes: int) -> int:
         """Wait until there is room for a body; return what to release.
@@ -50,18 +60,17 @@
             return size_bytes
         if self._waiting_bytes + size_bytes > self.limit_bytes:
             raise BudgetExceeded(f"{self.held_bytes} bytes are held")
-        future = asyncio.get_running_loop().create_future()
-        entry = size_bytes, future
-        self._waiting.append(entry)
+        waiter = _Waiter(size_bytes, asyncio.get_running_loop().create_future())
+        self._waiting.append(waiter)
         self._waiting_bytes += size_bytes
         try:
-            await future
+            await waiter.future
         except asyncio.CancelledError:
-            if future.done() and not future.cancelled():
+            if waiter.is_admitted:
                 self.release(size_bytes)
-            else:
-                self._waiting.remove(entry)
-                self._waiting_bytes -= size_bytes
+            elif not waiter.has_left:
+                self._waiting.remove(waiter)
+                self._leave(waiter)
                 self._admit()
             raise
         return size_bytes
@@ -72,11 +81,22 @@
         self._admit()
 
     def _admit(self) -> None:
-        while self._waiting and self._fits(self._waiting[0][0]):
-            size_bytes, future = self._waiting.popleft()
-            self._waiting_bytes -= size_bytes
-            self.held_bytes += size_bytes
-            future.set_result(None)
+        while self._waiting:
+            waiter = self._waiting[0]
+            if waiter.future.done():
+                # Cancelled in this turn of the event loop; its task has yet to run.
+                self._leave(self._waiting.popleft())
+                continue
+            if not self._fits(waiter.size_bytes):
+                return
+            self._leave(self._waiting.popleft())
+            waiter.is_admitted = True
+            self.held_bytes += waiter.size_bytes
+            waiter.future.set_result(None)
+
+    def _leave(self, waiter: _Waiter) -> None:
+        waiter.has_left = True
+        self._waiting_bytes -= waiter.size_bytes
 
     def _fits(self, size_bytes: int) -> bool:
         return self.held_bytes + size_bytes <= self.limit_bytes
--- a/tests/test_body_budget.py
+++ b/tests/test_body_budget.py
@@ -1,6 +1,7 @@
 """Tests of the bound on the memory that bodies take."""
 
 import asyncio
+import random
 import unittest
 from pathlib import Path
 
@@ -64,6 +65,69 @@
         await asyncio.wait_for(self.budget.acquire(2 * LARGE), 1)
 
 
+class BudgetOrderTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against bytes that are never given back, after which no upload is read.
+
+    A release and the time-out of the first that waits came in one turn of the event
+    loop, as all timers do after a freeze.
+    """
+
+    STEPS = 2_000
+
+    async def test_time_out_in_the_turn_of_a_release_holds_nothing(self):
+        budget = BodyBudget(LARGE)
+        await budget.acquire(LARGE)
+        waiting = asyncio.create_task(budget.acquire(LARGE))
+        await asyncio.sleep(0)
+        waiting.cancel()
+        budget.release(LARGE)
+        await asyncio.gather(waiting, return_exceptions=True)
+        self.assertEqual((budget.held_bytes, budget._waiting_bytes), (0, 0))
+        await asyncio.wait_for(budget.acquire(LARGE), 1)
+
+    async def test_what_is_held_is_what_was_given_in_any_order(self):
+        for seed in range(10):
+            with self.subTest(seed=seed):
+                await self.check_order(random.Random(seed))
+
+    async def check_order(self, rng):
+        budget = BodyBudget(3 * LARGE)
+        tasks = []
+        for _ in range(self.STEPS // 10):
+            # All of this in one turn of the event loop.
+            for _ in range(rng.randint(1, 6)):
+                self.act(budget, tasks, rng)
+            for _ in range(rng.randint(0, 2)):
+                await asyncio.sleep(0)
+            self.assertLessEqual(budget.held_bytes, budget.limit_bytes)
+            self.assertGreaterEqual(budget._waiting_bytes, 0)
+        for task in tasks:
+            task.cancel()
+        for task in tasks:
+            outcome = (await asyncio.gather(task, return_exceptions=True))[0]
+            if isinstance(outcome, int):
+                budget.release(outcome)
+            else:
+                self.assertIsInstance(outcome, BudgetExceeded | asyncio.CancelledError)
+        self.assertEqual((budget.held_bytes, budget._waiting_bytes), (0, 0))
+
+    def act(self, budget, tasks, rng):
+        """Begin, cancel or end a body."""
+        kind = rng.choice(("begin", "begin", "cancel", "end"))
+        if kind == "begin" or not tasks:
+            size_bytes = rng.choice((LARGE // 2, LARGE, 2 * LARGE, SMALL_BODY_BYTES))
+            tasks.append(asyncio.ensure_future(budget.acquire(size_bytes)))
+            return
+        task = rng.choice(tasks)
+        if not task.done():
+            if kind == "cancel":
+                task.cancel()
+            return
+        tasks.remove(task)
+        if not task.cancelled() and task.exception() is None:
+            budget.release(task.result())
+
+
 class WorkingUpstream(UpstreamStandIn):
     """An upstream that works on each upload for a while."""
 
