Tell cuts of the store's watches from outages, and check all after a silence

Callers' begun orders were lost at engines that had left: a watch that is cut off counted as an outage, and the removal that its repetition returned got the grace of an outage. A revoked key was served for some 4 s: after a short silence only the kind of object whose call timed out was asked again, the lost answers to the watches of the others showed at the end of their waits. Change: a cut watch is asked again at once, and only a second failure is an outage; a call that times out has all other watches asked again.

--- a/src/carobstair/edge/follower.py
+++ b/src/carobstair/edge/follower.py
@@ -24,6 +24,7 @@
     Listing,
     RevisionExpired,
     StateStore,
+    StoreCut,
     StoreError,
     StoreTimedOut,
 )
@@ -35,6 +36,8 @@
 
 # Wait of a watch that only checks whether the store responds.
 PROBE_WAIT_S = 0.001
+# All watches of a fleet may be cut off at the same time.
+CUT_SPREAD_S = 0.02
 
 
 class _WatchInterrupted(Exception):
@@ -198,6 +201,12 @@
                 spread_s = self._settings.relist_spread_s(self._count_peers())
                 await asyncio.sleep(self._rng.uniform(0.0, spread_s))
             except StoreError as error:
+                if self._was_cut_off(kind, error):
+                    # Asked again at once, as that shows whether the store is away.
+                    logger.info("watch_cut_off", kind=str(kind), error=str(error))
+                    self._unsure.add(kind)
+                    await asyncio.sleep(self._rng.uniform(0.0, CUT_SPREAD_S))
+                    continue
                 self._note_failure(kind, error)
                 await self._wait_before_retry(kind, delay_s)
                 longest_s = self._settings.retry_limit_s(self._count_peers())
@@ -213,6 +222,15 @@
                 if changed:
                     await asyncio.sleep(self._pause_s(kind))
 
+    def _was_cut_off(self, kind: StateKind, error: StoreError) -> bool:
+        """Return whether a watch ended with its connection while it waited."""
+        return (
+            isinstance(error, StoreCut)
+            and kind not in self._unsure
+            and self._probing_kind is not kind
+            and self._reads.read(kind) is not None
+        )
+
     def _end_probe(self, kind: StateKind) -> None:
         if self._probing_kind is kind:
             self._probing_kind = None
@@ -328,6 +346,15 @@
     def _note_failure(self, kind: StateKind, error: StoreError) -> None:
         self._unsure.add(kind)
         timed_out = isinstance(error, StoreTimedOut)
+        if timed_out and not self._following.is_enabled:
+            # Answers to the others may be lost as well, which their waits would hide.
+            others = [
+                k
+                for k in self._view.kinds
+                if self._is_watching(k) and k not in self._unsure
+            ]
+            self._unsure.update(others)
+            self._interrupt(others)
         self._following.note_failure(kind, timed_out, time.monotonic())
         if self._availability.grace_until_s(time.monotonic()) is None:
             logger.warning("store_lost", kind=str(kind), error=str(error))
--- a/src/carobstair/edge/state_store.py
+++ b/src/carobstair/edge/state_store.py
@@ -13,6 +13,7 @@
     "Listing",
     "StateStore",
     "StoreConflict",
+    "StoreCut",
     "StoreError",
     "StoreTimedOut",
     "StoreUnavailable",
@@ -27,6 +28,10 @@
     """The store did not respond or refused to serve; a write may have succeeded."""
 
 
+class StoreCut(StoreUnavailable):
+    """The connection of a call ended before its answer."""
+
+
 class StoreTimedOut(StoreUnavailable):
     """The store did not respond in time."""
 
--- a/src/carobstair/platform/store.py
+++ b/src/carobstair/platform/store.py
@@ -18,9 +18,11 @@
     Listing,
     RevisionExpired,
     StoreConflict,
+    StoreCut,
     StoreTimedOut,
     StoreUnavailable,
 )
+from carobstair.edge.upstream_connection import ConnectionBroken, ConnectionRefused
 from carobstair.logs import get_logger
 from carobstair.platform.documents import OBJECT_KINDS
 
@@ -206,9 +208,7 @@
             )
         except (ConnectionError, TimeoutError, OSError) as error:
             self._on_call(operation, "unavailable")
-            is_late = isinstance(error, TimeoutError)
-            failure = StoreTimedOut if is_late else StoreUnavailable
-            raise failure(str(error) or type(error).__name__) from error
+            raise _failure(error) from error
         status, body = response.head.status, response.body
         era = _read_era(response.head.get(STORE_ERA))
         self._on_call(operation, str(status))
@@ -235,6 +235,16 @@
             raise StoreUnavailable(f"malformed response body: {error}") from error
 
 
+def _failure(error: Exception) -> StoreUnavailable:
+    """Return the error of a call for that of its connection."""
+    text = str(error) or type(error).__name__
+    if isinstance(error, TimeoutError):
+        return StoreTimedOut(text)
+    if isinstance(error, ConnectionBroken) and not isinstance(error, ConnectionRefused):
+        return StoreCut(text)
+    return StoreUnavailable(text)
+
+
 async def _repaired(body: bytes, levels: int) -> bytes:
     """Return a body in which each unreadable value is null."""
     steps = repair_document(body, levels)
--- a/tests/test_edge_state.py
+++ b/tests/test_edge_state.py
@@ -1,9 +1,13 @@
 """Tests of how the edge router follows the state in the platform's store."""
 
 import asyncio
+import time
 import unittest
+from functools import partial
+from unittest import mock
 
 from carobstair.core.fleet_view import StateKind
+from carobstair.edge.settings import SyncSettings
 from carobstair.platform.store import PlatformStore
 from edge_test_case import EdgeCase, wait_until
 from platform_standins import (
@@ -116,6 +120,71 @@
         await wait_until(lambda: self.directory.evacuated == {"b"})
 
 
+class CutWatchTest(EdgeCase):
+    """Guards against a cut watch that counts as an outage of the store.
+
+    Entries that lapse in an outage are kept for a grace, so an upstream that left when
+    the watch was cut off got requests for as long.
+    """
+
+    async def test_removal_that_follows_a_cut_is_applied_at_once(self):
+        await self.start_upstreams("ok")
+        for writer in list(self.store._writers):
+            writer.transport.abort()
+        self.store.delete("servers", "u0")
+        # The grace is 0.5 s.
+        await wait_until(lambda: not self.directory.find("u0"), 0.3)
+
+    async def test_watch_that_is_cut_off_is_asked_again_without_a_list(self):
+        await self.start_upstreams("ok")
+        for number in range(2, 6):
+            for writer in list(self.store._writers):
+                writer.transport.abort()
+            self.store.put("config", "main", make_config(number))
+            await wait_until(lambda n=number: self.view.version == n, 0.3)
+            self.assertIsNone(self.availability.grace_until_s(time.monotonic()))
+            # All kinds are watched again by then.
+            await asyncio.sleep(0.1)
+
+
+class SilentStore(StoreStandIn):
+    """A store whose answers are lost for a while; their connections stay open."""
+
+    silent = False
+
+    async def _read(self, kind, options):
+        answer = await super()._read(kind, options)
+        if self.silent:
+            await asyncio.sleep(60.0)
+        return answer
+
+
+class SilenceTest(EdgeCase):
+    """Guards against a change that is not read for the rest of a long watch.
+
+    The answers to the watches of all routers were lost in a short silence, and only
+    the watch of the upstreams, which is short, showed it.
+    """
+
+    async def asyncSetUp(self):
+        settings = partial(SyncSettings, state_wait_s=30.0)
+        for name, value in (("SyncSettings", settings), ("StoreStandIn", SilentStore)):
+            patch = mock.patch(f"edge_test_case.{name}", value)
+            patch.start()
+            self.addCleanup(patch.stop)
+        await super().asyncSetUp()
+
+    async def test_change_in_a_silence_is_known_soon_after_it(self):
+        await self.start_upstreams("ok")
+        await asyncio.sleep(0.1)
+        self.store.silent = True
+        self.store.put("config", "main", make_config(7))
+        await asyncio.sleep(0.5)
+        self.store.silent = False
+        # A watch of the upstreams lasts for 0.3 s, and is given up 0.8 s later.
+        await wait_until(lambda: self.view.version == 7, 2.0)
+
+
 class StoreClientTest(unittest.IsolatedAsyncioTestCase):
     """Guards against entries lost from lists that span several pages."""
 
