Hand large bodies to the transport in parts

Change: at most 64 KiB is written at a time, the next part when the buffer has room; the connection is not used again before all is written.

--- a/src/carobstair/edge/upstream_connection.py
+++ b/src/carobstair/edge/upstream_connection.py
@@ -47,8 +47,10 @@
 # Buffer for response data that the caller has not read yet. With 256 KiB and reads of
 # the same size, 450 streams that were not read took 100 MB.
 MAX_BUFFERED_BYTES = 64 * 1024
-# Parts of a body are joined up to this size.
+# Parts of a body are joined up to this size. Of the body of a request, the transport
+# copies no more than this at a time and what its buffer holds.
 MAX_JOINED_BYTES = 64 * 1024
+MAX_UNSENT_BYTES = 64 * 1024
 # Bytes received without a part of a body: heads, informational responses, trailers
 # and chunk extensions. Receiving more closes the connection.
 MAX_OVERHEAD_BYTES = 64 * 1024
@@ -104,6 +106,9 @@
         self._overhead_bytes = 0
         self._method = "GET"
         self._paused = False
+        # The rest of a request's body, and whether the transport takes more of it.
+        self._unsent = memoryview(b"")
+        self._may_write = True
         self._not_reusable = False
         self.request_count = 0
         self.idle_timeout_s: float | None = None
@@ -114,6 +119,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and set TCP keep-alive and timeout options."""
         self._transport = transport
+        transport.set_write_buffer_limits(MAX_UNSENT_BYTES)
         sock = transport.get_extra_info("socket")
         set_keepalive(
             sock,
@@ -153,6 +159,15 @@
         """Raise an error in a pending read."""
         self._fail(ConnectionBroken(str(exc) if exc else "closed by the upstream"))
 
+    def pause_writing(self) -> None:
+        """Keep the rest of a body until the transport has room for it."""
+        self._may_write = False
+
+    def resume_writing(self) -> None:
+        """Write more of a body."""
+        self._may_write = True
+        self._write_body()
+
     # httptools callbacks
 
     def on_message_begin(self) -> None:
@@ -236,6 +251,7 @@
             and not self._response_expected
             and not self._in_message
             and not self._received
+            and not self._unsent
             and not self._transport.is_closing()
         )
 
@@ -259,9 +275,10 @@
         if len(body) <= MAX_JOINED_BYTES:
             self._transport.write(head + body)
         else:
-            # Without a copy of a large body.
+            # The caller of this holds the body; the transport would copy all of it.
             self._transport.write(head)
-            self._transport.write(body)
+            self._unsent = memoryview(body)
+            self._write_body()
 
     async def read_head(self) -> ResponseHead:
         """Return the head of the next response.
@@ -325,11 +342,18 @@
     def abort(self) -> None:
         """Abort the connection and any request in progress on it."""
         self._not_reusable = True
+        self._unsent = memoryview(b"")
         if self._transport is not None:
             self._transport.abort()
 
     # Internals
 
+    def _write_body(self) -> None:
+        while self._unsent and self._may_write and not self._transport.is_closing():
+            part = self._unsent[:MAX_JOINED_BYTES]
+            self._unsent = self._unsent[MAX_JOINED_BYTES:]
+            self._transport.write(part)
+
     def _end_response(self) -> None:
         self._in_message = False
         self._overhead_bytes = 0
@@ -373,6 +397,7 @@
         if self._error is None:
             self._error = error
         self._not_reusable = True
+        self._unsent = memoryview(b"")
         if self._transport is not None and not self._transport.is_closing():
             self._transport.abort()
         self._wake()
--- a/tests/test_upstream_connection.py
+++ b/tests/test_upstream_connection.py
@@ -7,6 +7,7 @@
 from carobstair.edge.upstream_connection import (
     CONNECT_TIMEOUT_S,
     MAX_JOINED_BYTES,
+    MAX_UNSENT_BYTES,
     ConnectionBroken,
     ConnectionLate,
     UpstreamConnection,
@@ -82,6 +83,57 @@
         opened.abort.assert_called_once()
 
 
+class LargeBodyTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against bodies that are held twice while a slow upstream reads them.
+
+    Uploads within all limits took a router over the memory of its machine.
+    """
+
+    BODY = bytes(range(256)) * 16_384
+
+    async def asyncSetUp(self):
+        self.may_read = asyncio.Event()
+        self.received = asyncio.get_running_loop().create_future()
+
+        async def serve(reader, writer):
+            await self.may_read.wait()
+            await reader.readuntil(b"\r\n\r\n")
+            self.received.set_result(await reader.readexactly(len(self.BODY)))
+            writer.write(b"HTTP/1.1 200 X\r\nContent-Length: 0\r\n\r\n")
+            await reader.read()
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        port = server.sockets[0].getsockname()[1]
+        self.connection = await connect("127.0.0.1", port)
+        head = f"POST / HTTP/1.1\r\nContent-Length: {len(self.BODY)}\r\n\r\n"
+        self.connection.send("POST", head.encode(), self.BODY)
+
+    async def asyncTearDown(self):
+        self.connection.abort()
+        # The server's side ends by itself.
+        await asyncio.sleep(0.02)
+
+    async def test_transport_holds_little_of_a_body_that_is_not_read(self):
+        await asyncio.sleep(0.05)
+        held_bytes = self.connection._transport.get_write_buffer_size()
+        self.assertGreater(held_bytes, 0)
+        self.assertLessEqual(held_bytes, 2 * MAX_UNSENT_BYTES)
+        self.assertFalse(self.connection.usable)
+        self.may_read.set()
+        await self.received
+
+    async def test_body_arrives_whole_once_it_is_read(self):
+        await asyncio.sleep(0.05)
+        self.may_read.set()
+        self.assertEqual(await asyncio.wait_for(self.received, 5.0), self.BODY)
+        self.assertEqual((await self.connection.read_head()).status, 200)
+        self.assertIsNone(await self.connection.read_body())
+        self.connection.mark_idle(0.0)
+        self.assertTrue(self.connection.usable)
+
+
 class JoinedPartsTest(unittest.IsolatedAsyncioTestCase):
     """Guards against a late event loop that relays each event by itself."""
 
