--- a/src/carobstair/core/admission/conserving.py
+++ b/src/carobstair/core/admission/conserving.py
@@ -88,7 +88,8 @@
         within = credit.tokens + overdraft > 0
         reason = ""
         if not within:
-            # Within the share, an overload of the engines lowers the supply for all.
+            # What the share covers is not limited: the supply that is shared falls in
+            # an overload of the engines, for all workspaces alike.
             if not self._may_begin(request, pool, first):
                 return self._refuse(
                     request, pool, share, demand, own_rate, "surge", now_s
