Drain an overload of the engines faster, for all workspaces alike

Cause: with the limit of surges binding beyond the share only, the supply alone drains an overload. Change: drain_gain 3.2 in place of 2.5.

--- a/src/carobstair/core/admission/settings.py
+++ b/src/carobstair/core/admission/settings.py
@@ -120,7 +120,7 @@
     lag_s: float = 0.4
     lag_intervals: float = 2.0
     fill_gain: float = 0.8
-    drain_gain: float = 2.5
+    drain_gain: float = 3.2
     least_part: float = 0.5
     room_fill: float = 2.0
     spread: float = 2.4
