--- a/src/carobstair/core/service_account.py
+++ b/src/carobstair/core/service_account.py
@@ -8,7 +8,10 @@
 
 from carobstair.core.admission import ROOM, AdmissionDecision
 
-__all__ = ["ServiceAccount", "WorkspaceService"]
+__all__ = ["ROUTER_BUSY", "ServiceAccount", "WorkspaceService"]
+
+# Reason of refusals by a router that has too little time.
+ROUTER_BUSY = "router-busy"
 
 
 @dataclass(slots=True)
@@ -87,6 +90,11 @@
         self._row(pool, workspace).refused[reason] += 1
         self.on_refused(pool, workspace, reason)
 
+    def note_shed(self, pool: str, workspace: str, tokens: float) -> None:
+        """Count a request that a busy router refuses before it is decided on."""
+        self.note_asked(pool, workspace, tokens)
+        self.note_refused(pool, workspace, ROUTER_BUSY)
+
     def take_refused(self, limit: int) -> list[WorkspaceService]:
         """Return the workspaces with refusals that asked most, and start anew."""
         rows = [row for row in self._rows.values() if row.refused]
--- a/src/carobstair/edge/app.py
+++ b/src/carobstair/edge/app.py
@@ -31,7 +31,7 @@
     RoutingTable,
     ServicePool,
 )
-from carobstair.core.service_account import ServiceAccount
+from carobstair.core.service_account import ROUTER_BUSY, ServiceAccount
 from carobstair.edge.admission_gate import AdmissionGate
 from carobstair.edge.body_budget import SMALL_BODY_BYTES, BodyBudget, BudgetExceeded
 from carobstair.edge.early_refusals import (
@@ -487,9 +487,7 @@
         except Refusal:
             if workspace and route.kind is RequestKind.STREAM:
                 pool = self._pick_pool(table, route).name
-                tokens = self._weighted_tokens(metadata)
-                self.account.note_asked(pool, workspace, tokens)
-                self.account.note_refused(pool, workspace, "router-busy")
+                self.account.note_shed(pool, workspace, self._weighted_tokens(metadata))
             raise
 
     def _shed_beyond_share(
@@ -512,8 +510,7 @@
         if self._admission.is_beyond_share(pool, workspace):
             tokens = self._weighted_tokens(metadata)
             self._admission.note_demand(pool, workspace, tokens, now_s)
-            self.account.note_asked(pool, workspace, tokens)
-            self.account.note_refused(pool, workspace, "router-busy")
+            self.account.note_shed(pool, workspace, tokens)
             raise self.refusals.busy(now_s)
 
     def _check_overload(self, exchange: Exchange, within_share: bool) -> None:
@@ -524,7 +521,7 @@
         if self._overload.refuses(first, now_s, self._rng):
             if exchange.admitted_tokens:
                 self.account.note_refused(
-                    exchange.pool.name, exchange.workspace, "router-busy"
+                    exchange.pool.name, exchange.workspace, ROUTER_BUSY
                 )
             raise self.refusals.busy(now_s)
 
