--- a/src/carobstair/edge/app.py
+++ b/src/carobstair/edge/app.py
@@ -23,13 +23,14 @@
 from carobstair.core.overload import OverloadGuard
 from carobstair.core.rate_limits import ServiceThroughput
 from carobstair.core.refusals import PROBLEM_JSON, Refusal, refuse
-from carobstair.core.request_target import AmbiguousTarget, read_path
 from carobstair.core.routing import (
+    AmbiguousTarget,
     RequestKind,
     RequestLimits,
     Route,
     RoutingTable,
     ServicePool,
+    read_path,
 )
 from carobstair.core.service_account import ROUTER_BUSY, ServiceAccount
 from carobstair.edge.admission_gate import AdmissionGate
--- a/src/carobstair/edge/early_refusals.py
+++ b/src/carobstair/edge/early_refusals.py
@@ -16,9 +16,8 @@
 from carobstair.core.fleet_view import FleetView
 from carobstair.core.overload import OverloadGuard
 from carobstair.core.refusals import PROBLEM_JSON, Refusal, refuse
-from carobstair.core.request_target import AmbiguousTarget, read_path
 from carobstair.core.router_load import ShedParts
-from carobstair.core.routing import RequestKind, Route
+from carobstair.core.routing import AmbiguousTarget, RequestKind, Route, read_path
 from carobstair.edge.metadata import Dialect
 from carobstair.edge.metrics import EdgeMetrics
 from carobstair.logs import get_logger, is_suppressed
--- a/src/carobstair/net/app.py
+++ b/src/carobstair/net/app.py
@@ -15,7 +15,7 @@
 from prometheus_client import CONTENT_TYPE_LATEST
 
 from carobstair.core.refusals import PROBLEM_JSON, Refusal, refuse
-from carobstair.core.request_target import AmbiguousTarget, read_path
+from carobstair.core.routing import AmbiguousTarget, read_path
 from carobstair.core.state import UpstreamKind
 from carobstair.logs import get_logger
 from carobstair.metrics import RouterMetrics
--- a/tests/test_request_target.py
+++ b/tests/test_request_target.py
@@ -5,7 +5,7 @@
 import re
 import unittest
 
-from carobstair.core.request_target import AmbiguousTarget, read_path
+from carobstair.core.routing import AmbiguousTarget, read_path
 from edge_test_case import EdgeCase
 from platform_standins import make_config, make_route
 
